--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+.DEFAULT_GOAL := help
+.PHONY: help setup format lint test demo ci thrift
+
+help: ## list the targets
+	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
+
+$(STAMP): requirements.lock pyproject.toml
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet -r requirements.lock
+	$(VENV)/bin/pip install --quiet --no-deps -e .
+	touch $(STAMP)
+
+setup: $(STAMP) ## install from the lock into .venv
+
+format: $(STAMP) ## rewrite the sources in the house format
+	$(VENV)/bin/ruff check --fix parsleyrouter features tools examples
+	$(VENV)/bin/black --quiet parsleyrouter features tools examples
+
+lint: $(STAMP) ## check format, lint and types
+	$(VENV)/bin/black --quiet --check parsleyrouter features tools examples
+	$(VENV)/bin/ruff check parsleyrouter features tools examples
+	$(VENV)/bin/mypy
+
+test: $(STAMP) ## set up and run every test
+	$(PYTHON) tools/run_tests.py
+
+demo: $(STAMP) ## set up and run the whole system on embedded stand-ins
+	$(VENV)/bin/parsley-dev demo
+
+ci: ## what CI runs
+	bash .ci/run
+
+thrift: ## regenerate the committed thrift code
+	for f in thrift/*.thrift; do thrift --gen py -out parsleyrouter/thrift_gen $$f; done
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the steps."""
--- /dev/null
+++ b/parsleyrouter/__init__.py
@@ -0,0 +1,1 @@
+"""Online and batch inference served on one fleet."""
--- /dev/null
+++ b/parsleyrouter/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The binaries."""
--- /dev/null
+++ b/parsleyrouter/commands/program.py
@@ -0,0 +1,62 @@
+"""What the binaries have in common: parse settings, start logs, run until stopped."""
+
+import logging
+import sys
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol, TypeVar
+
+from cyclopts import App, CycloptsError
+from cyclopts.config import Env
+
+from parsleyrouter.process.logs import start_logs
+from parsleyrouter.process.options import BadSetting
+from parsleyrouter.process.runtime import Runtime
+
+__all__ = ["EXIT_BAD_SETTING", "announce", "run_program"]
+
+EXIT_BAD_SETTING = 2
+
+log = logging.getLogger(__name__)
+
+
+class _Options(Protocol):
+    log_level: str
+
+    def check(self) -> None: ...
+
+
+O = TypeVar("O", bound=_Options)  # noqa: E741
+
+
+def run_program(
+    name: str,
+    summary: str,
+    options_type: type[O],
+    assemble: Callable[[Runtime, O], None],
+    arguments: list[str] | None = None,
+) -> None:
+    """Parse and check the settings, wire the parts and run until a planned stop has ended.
+
+    A bad setting is named on standard error and ends the program with exit code 2.
+    """
+    app = App(name=name, help=summary, config=Env("PARSLEY_", command=False))
+
+    @app.default
+    def start(options: options_type | None = None) -> None:  # type: ignore[valid-type]
+        chosen = options or options_type()
+        chosen.check()
+        start_logs(program=name, level=chosen.log_level)
+        runtime = Runtime()
+        assemble(runtime, chosen)
+        runtime.run()
+
+    try:
+        app(arguments, exit_on_error=False, print_error=False)
+    except (BadSetting, CycloptsError) as error:
+        print(f"{name}: {error}", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTING)
+
+
+def announce(addresses: Mapping[str, Any]) -> None:
+    """Log that the process serves, with the addresses that the system chose."""
+    log.info("ready", extra={"addresses": dict(addresses)})
--- /dev/null
+++ b/parsleyrouter/connection/http_client.py
@@ -0,0 +1,239 @@
+"""An HTTP/1.1 client: h11 over outbound streams, with a pool of idle connections."""
+
+from collections import deque
+from collections.abc import Mapping
+from typing import Any
+
+import h11
+
+from parsleyrouter.connection.http import HttpReply, Sent, TransportFailure
+from parsleyrouter.connection.stream import ConnectFailed, Connector, Stream
+from parsleyrouter.ids import Address
+from parsleyrouter.process.loop import Loop, Promise, TimedOut
+
+__all__ = ["HttpClient", "HttpExchange"]
+
+IDLE_PER_ADDRESS = 32
+HEADERS_TIMEOUT_S = 30.0
+BODY_GAP_TIMEOUT_S = 30.0
+PAUSE_ABOVE_BYTES = 256 * 1024
+
+
+class HttpExchange:
+    """One request under way and its reply, read piece by piece."""
+
+    def __init__(self, client: "HttpClient", stream: Stream) -> None:
+        self.client = client
+        self.stream = stream
+        self.parser = h11.Connection(h11.CLIENT)
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.pieces: deque[bytes] = deque()
+        self.pending_bytes = 0
+        self.ended = False
+        self.failure: TransportFailure | None = None
+        self.waiter: Promise[None] | None = None
+        self.attach()
+
+    def attach(self) -> None:
+        """Take over the stream's callbacks."""
+        self.stream.on_data = self._on_data
+        self.stream.on_close = lambda: self._on_data(b"")
+
+    def send(self, method: str, target: str, headers: Mapping[str, str], body: bytes) -> None:
+        """Send the whole request."""
+        lines = [("host", self.stream.address), ("content-length", str(len(body)))]
+        lines += list(headers.items())
+        data = self.parser.send(h11.Request(method=method, target=target, headers=lines)) or b""
+        if body:
+            data += self.parser.send(h11.Data(data=body)) or b""
+        data += self.parser.send(h11.EndOfMessage()) or b""
+        self.stream.send(data)
+
+    async def wait_headers(self, timeout_s: float) -> TransportFailure | None:
+        """Wait for status and headers; return the failure if there is one."""
+        while not self.status and self.failure is None:
+            await self._wait(timeout_s, "no reply headers")
+        return self.failure
+
+    async def read(self, timeout_s: float = BODY_GAP_TIMEOUT_S) -> bytes | None | TransportFailure:
+        """Return what has arrived of the body, ``None`` at its end."""
+        while not self.pieces and not self.ended and self.failure is None:
+            await self._wait(timeout_s, "no more of the body")
+        if self.pieces:
+            data = b"".join(self.pieces)
+            self.pieces.clear()
+            self.pending_bytes = 0
+            self.stream.resume()
+            return data
+        if self.ended:
+            return None
+        return self.failure
+
+    async def read_all(self, timeout_s: float) -> HttpReply | TransportFailure:
+        """Return the whole reply."""
+        failure = await self.wait_headers(timeout_s)
+        if failure is not None:
+            return failure
+        parts: list[bytes] = []
+        while True:
+            piece = await self.read(timeout_s)
+            if isinstance(piece, TransportFailure):
+                return piece
+            if piece is None:
+                return HttpReply(self.status, self.headers, b"".join(parts))
+            parts.append(piece)
+
+    def cancel(self) -> None:
+        """Close the connection; the other side sees the caller go."""
+        self.fail("cancelled")
+
+    def fail(self, message: str) -> None:
+        """End the exchange with a failure unless it has ended."""
+        if self.ended or self.failure is not None:
+            return
+        sent = Sent.MAYBE if self.stream.bytes_sent else Sent.NOTHING
+        self.failure = TransportFailure(f"{self.stream.address}: {message}", sent)
+        self.stream.close()
+        self._notify()
+
+    async def _wait(self, timeout_s: float, what: str) -> None:
+        self.waiter = self.client.loop.promise()
+        try:
+            await self.client.loop.within(timeout_s, self.waiter)
+        except TimedOut:
+            self.fail(f"{what} within {timeout_s:g} s")
+
+    def _on_data(self, data: bytes) -> None:
+        try:
+            self.parser.receive_data(data)
+            self._take_events()
+        except h11.RemoteProtocolError as error:
+            self.fail(f"broken reply: {error}" if data else "connection closed early")
+        if not data:
+            self.fail("connection closed early")
+
+    def _take_events(self) -> None:
+        while True:
+            event: Any = self.parser.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                break
+            if isinstance(event, h11.Response):
+                self.headers = {k.decode(): v.decode("latin-1") for k, v in event.headers}
+                self.status = event.status_code
+            elif isinstance(event, h11.Data):
+                self.pieces.append(bytes(event.data))
+                self.pending_bytes += len(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self.ended = True
+                self.client.release(self)
+                break
+            elif isinstance(event, h11.ConnectionClosed):
+                self.fail("connection closed early")
+                return
+        if self.pending_bytes > PAUSE_ABOVE_BYTES and not self.ended:
+            self.stream.pause()
+        self._notify()
+
+    def _notify(self) -> None:
+        if self.waiter is not None:
+            self.waiter.resolve(None)
+
+
+class HttpClient:
+    """Send requests and reuse idle connections."""
+
+    def __init__(self, loop: Loop, connector: Connector) -> None:
+        self.loop = loop
+        self.connector = connector
+        self.idle: dict[Address, list[HttpExchange]] = {}
+
+    async def open(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        *,
+        headers: Mapping[str, str] | None = None,
+        body: bytes = b"",
+        timeout_s: float = HEADERS_TIMEOUT_S,
+        fresh: bool = False,
+    ) -> HttpExchange | TransportFailure:
+        """Send a request and wait for the reply's headers.
+
+        ``fresh`` takes a new connection, so that a connection that the other side has just closed
+        cannot leave it unknown whether the request arrived.
+        """
+        exchange = await self.begin(address, method, target, headers, body, fresh)
+        if isinstance(exchange, TransportFailure):
+            return exchange
+        failure = await exchange.wait_headers(timeout_s)
+        return exchange if failure is None else failure
+
+    async def request(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        *,
+        headers: Mapping[str, str] | None = None,
+        body: bytes = b"",
+        timeout_s: float = HEADERS_TIMEOUT_S,
+        fresh: bool = False,
+    ) -> HttpReply | TransportFailure:
+        """Send a request and return the whole reply."""
+        exchange = await self.begin(address, method, target, headers, body, fresh)
+        if isinstance(exchange, TransportFailure):
+            return exchange
+        return await exchange.read_all(timeout_s)
+
+    async def begin(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        headers: Mapping[str, str] | None = None,
+        body: bytes = b"",
+        fresh: bool = False,
+    ) -> HttpExchange | TransportFailure:
+        """Send a request and return without waiting for a reply."""
+        exchange = None if fresh else self._reuse(address)
+        if exchange is None:
+            try:
+                stream = await self.connector.open(address)
+            except ConnectFailed as error:
+                return TransportFailure(str(error), Sent.NOTHING)
+            exchange = HttpExchange(self, stream)
+        exchange.send(method, target, headers or {}, body)
+        return exchange
+
+    def release(self, exchange: HttpExchange) -> None:
+        """Keep the connection of an ended exchange for another request, or close it."""
+        parser, stream = exchange.parser, exchange.stream
+        idle = self.idle.setdefault(stream.address, [])
+        reusable = parser.our_state is h11.DONE and parser.their_state is h11.DONE
+        if not reusable or len(idle) >= IDLE_PER_ADDRESS:
+            stream.close()
+            return
+        parser.start_next_cycle()
+        stream.resume()
+        stream.on_data = lambda data: self._drop(exchange)
+        stream.on_close = lambda: self._drop(exchange)
+        idle.append(exchange)
+
+    def _reuse(self, address: Address) -> HttpExchange | None:
+        idle = self.idle.get(address)
+        while idle:
+            old = idle.pop()
+            if not old.stream.closed:
+                old.stream.bytes_sent = 0
+                exchange = HttpExchange(self, old.stream)
+                exchange.parser = old.parser
+                return exchange
+        return None
+
+    def _drop(self, exchange: HttpExchange) -> None:
+        idle = self.idle.get(exchange.stream.address, [])
+        if exchange in idle:
+            idle.remove(exchange)
+        exchange.stream.close()
--- /dev/null
+++ b/parsleyrouter/connection/peer.py
@@ -0,0 +1,271 @@
+"""Calls between the system's own processes: framed thrift over TCP."""
+
+import logging
+import struct
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, TypeVar
+
+from circuits import handler
+from circuits.net.events import close
+from circuits.net.sockets import TCPServer
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.transport.TTransport import TMemoryBuffer
+
+from parsleyrouter.connection.stream import ConnectFailed, Connector, Stream
+from parsleyrouter.ids import Address
+from parsleyrouter.process.loop import Loop, Promise, TimedOut
+from parsleyrouter.thrift_gen.peer.ttypes import Envelope
+
+__all__ = [
+    "PeerClient",
+    "PeerFailure",
+    "PeerFailureKind",
+    "PeerMethods",
+    "PeerServer",
+    "pack",
+    "unpack",
+]
+
+FRAME_HEADER = struct.Struct("!I")
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+READ_BYTES = 256 * 1024
+
+log = logging.getLogger(__name__)
+
+S = TypeVar("S")
+
+
+class PeerFailureKind(Enum):
+    """Say why a call to a peer got no answer."""
+
+    UNREACHABLE = "unreachable"
+    TIMEOUT = "timeout"
+    CLOSED = "closed"
+    REMOTE = "remote"
+
+
+@dataclass(frozen=True)
+class PeerFailure:
+    """Report a call without an answer; only ``UNREACHABLE`` proves that it was not made."""
+
+    kind: PeerFailureKind
+    message: str
+
+
+def pack(message: Any) -> bytes:
+    """Encode a thrift struct."""
+    buffer = TMemoryBuffer()
+    message.write(TBinaryProtocolAccelerated(buffer))
+    return buffer.getvalue()
+
+
+def unpack(struct_type: type[S], data: bytes) -> S:
+    """Decode a thrift struct."""
+    message = struct_type()
+    message.read(TBinaryProtocolAccelerated(TMemoryBuffer(data)))  # type: ignore[attr-defined]
+    return message
+
+
+Method = Callable[[Any, Any], Awaitable[Any]]
+
+
+class PeerMethods:
+    """Hold the methods that a process answers; a decorator fills it."""
+
+    def __init__(self) -> None:
+        self.methods: dict[str, tuple[type[Any], Method]] = {}
+
+    def add(self, name: str, request_type: type[Any]) -> Callable[[Method], Method]:
+        """Register ``async def method(context, request) -> reply struct or None``."""
+
+        def register(function: Method) -> Method:
+            self.methods[name] = (request_type, function)
+            return function
+
+        return register
+
+
+class FrameBuffer:
+    """Cut a byte stream into frames."""
+
+    def __init__(self) -> None:
+        self.data = bytearray()
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Return the frames completed by more data; raise ``ValueError`` for an oversized one."""
+        self.data += data
+        frames = []
+        while len(self.data) >= FRAME_HEADER.size:
+            (size,) = FRAME_HEADER.unpack_from(self.data)
+            if size > MAX_FRAME_BYTES:
+                raise ValueError(f"frame of {size} bytes exceeds {MAX_FRAME_BYTES}")
+            end = FRAME_HEADER.size + size
+            if len(self.data) < end:
+                break
+            frames.append(bytes(self.data[FRAME_HEADER.size : end]))
+            del self.data[:end]
+        return frames
+
+
+def _frame(envelope: Envelope) -> bytes:
+    payload = pack(envelope)
+    return FRAME_HEADER.pack(len(payload)) + payload
+
+
+class PeerServer(TCPServer):
+    """Answer the calls of peers; ``context`` is handed to each method."""
+
+    def __init__(
+        self, loop: Loop, bind: Address, methods: PeerMethods, context: Any, channel: str = "peer"
+    ) -> None:
+        super().__init__(bind, channel=channel, bufsize=READ_BYTES)
+        self.loop = loop
+        self.methods = methods
+        self.context = context
+        self.frames: dict[Any, FrameBuffer] = {}
+
+    def bound_address(self) -> Address:
+        """Return the address that the system chose."""
+        return Address(f"{self.host}:{self.port}")
+
+    @handler("read")
+    def _on_data(self, sock: Any, data: bytes) -> None:
+        buffer = self.frames.setdefault(sock, FrameBuffer())
+        try:
+            for frame in buffer.feed(data):
+                envelope = unpack(Envelope, frame)
+                self.loop.spawn(self._answer(sock, envelope), envelope.method)
+        except (ValueError, EOFError, TypeError, UnicodeDecodeError) as error:
+            log.warning("bad frame from a peer", extra={"error": str(error)})
+            self.fire(close(sock))
+
+    @handler("disconnect")
+    def _on_peer_gone(self, sock: Any) -> None:
+        self.frames.pop(sock, None)
+
+    @handler("ready", "connect", "error", "closed")
+    def _on_feedback(self, *_: Any) -> None:
+        """Take the library's notices, which need no answer."""
+
+    async def _answer(self, sock: Any, envelope: Envelope) -> None:
+        reply = Envelope(call=envelope.call, method=envelope.method, payload=b"")
+        known = self.methods.methods.get(envelope.method)
+        if known is None:
+            reply.failure = f"unknown method {envelope.method}: use one version on all VMs"
+        else:
+            request_type, function = known
+            try:
+                answer = await function(self.context, unpack(request_type, envelope.payload))
+                reply.payload = b"" if answer is None else pack(answer)
+            except Exception as error:
+                log.exception("peer method failed", extra={"method": envelope.method})
+                reply.failure = f"{envelope.method} failed: {error}"
+        if envelope.call and sock in self._clients:
+            self._send(sock, _frame(reply))
+
+    def _send(self, sock: Any, data: bytes) -> None:
+        if not self._buffers.get(sock):
+            try:
+                data = data[sock.send(data) :]
+            except (BlockingIOError, InterruptedError):
+                pass
+            except OSError:
+                self.fire(close(sock))
+                return
+        if data:
+            self.write(sock, data)
+
+
+class _PeerLink:
+    """One connection to a peer and the calls that wait on it."""
+
+    def __init__(self, stream: Stream) -> None:
+        self.stream = stream
+        self.frames = FrameBuffer()
+        self.waiting: dict[int, Promise[Envelope | PeerFailure]] = {}
+        stream.on_data = self._on_data
+        stream.on_close = self._on_close
+
+    def _on_data(self, data: bytes) -> None:
+        for frame in self.frames.feed(data):
+            envelope = unpack(Envelope, frame)
+            promise = self.waiting.pop(envelope.call, None)
+            if promise is not None:
+                promise.resolve(envelope)
+
+    def _on_close(self) -> None:
+        waiting, self.waiting = self.waiting, {}
+        failure = PeerFailure(PeerFailureKind.CLOSED, f"{self.stream.address} closed")
+        for promise in waiting.values():
+            promise.resolve(failure)
+
+
+class PeerClient:
+    """Call methods of peers over one kept connection for each address."""
+
+    def __init__(self, loop: Loop, connector: Connector) -> None:
+        self.loop = loop
+        self.connector = connector
+        self.links: dict[Address, _PeerLink] = {}
+        self.opening: dict[Address, Promise[_PeerLink | None]] = {}
+        self.last_call = 0
+
+    async def call(
+        self, address: Address, method: str, request: Any, reply_type: type[S], timeout_s: float
+    ) -> S | PeerFailure:
+        """Call a method and wait at most ``timeout_s`` for the answer."""
+        link = await self._link(address, timeout_s)
+        if link is None:
+            return PeerFailure(PeerFailureKind.UNREACHABLE, f"cannot connect to {address}")
+        self.last_call += 1
+        call = self.last_call
+        promise: Promise[Envelope | PeerFailure] = Promise(self.loop)
+        link.waiting[call] = promise
+        link.stream.send(_frame(Envelope(call=call, method=method, payload=pack(request))))
+        try:
+            answer = await self.loop.within(timeout_s, promise)
+        except TimedOut:
+            return PeerFailure(PeerFailureKind.TIMEOUT, f"{address} {method}: no answer")
+        finally:
+            link.waiting.pop(call, None)
+        if isinstance(answer, PeerFailure):
+            return answer
+        if answer.failure:
+            return PeerFailure(PeerFailureKind.REMOTE, answer.failure)
+        return unpack(reply_type, answer.payload)
+
+    def tell(self, address: Address, method: str, request: Any) -> None:
+        """Send a message that gets no answer; it may be lost."""
+        self.loop.spawn(self._tell(address, method, request), f"tell {method}")
+
+    def close(self, address: Address) -> None:
+        """Close the connection to a peer."""
+        link = self.links.pop(address, None)
+        if link is not None:
+            link.stream.lose()
+
+    async def _tell(self, address: Address, method: str, request: Any) -> None:
+        link = await self._link(address, timeout_s=1.0)
+        if link is not None:
+            link.stream.send(_frame(Envelope(call=0, method=method, payload=pack(request))))
+
+    async def _link(self, address: Address, timeout_s: float) -> _PeerLink | None:
+        link = self.links.get(address)
+        if link is not None and not link.stream.closed:
+            return link
+        pending = self.opening.get(address)
+        if pending is not None:
+            return await pending
+        pending = self.opening[address] = Promise(self.loop)
+        link = None
+        try:
+            link = _PeerLink(await self.connector.open(address, timeout_s))
+            self.links[address] = link
+        except ConnectFailed:
+            link = None
+        finally:
+            del self.opening[address]
+            pending.resolve(link)
+        return link
--- /dev/null
+++ b/parsleyrouter/connection/stream.py
@@ -0,0 +1,201 @@
+"""Outbound TCP byte streams, all owned by one component."""
+
+import errno
+import socket
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from circuits import Component, handler
+
+from parsleyrouter.ids import Address
+from parsleyrouter.process.loop import Loop, Promise, TimedOut
+
+__all__ = ["ConnectFailed", "Connector", "Stream", "split_address"]
+
+READ_BYTES = 64 * 1024
+CONNECT_TIMEOUT_S = 1.0
+
+
+class ConnectFailed(Exception):
+    """Report that no connection could be opened, so nothing was sent; try another address."""
+
+
+def split_address(address: Address) -> tuple[str, int]:
+    """Return the host and port of ``ip:port``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class Stream:
+    """One open connection; data and end of stream arrive by callback."""
+
+    def __init__(self, connector: "Connector", sock: socket.socket, address: Address) -> None:
+        self.connector = connector
+        self.sock = sock
+        self.address = address
+        self.outgoing: deque[bytes] = deque()
+        self.buffered_bytes = 0
+        self.bytes_sent = 0
+        self.closed = False
+        self.paused = False
+        self.on_data: Callable[[bytes], None] = lambda data: None
+        self.on_close: Callable[[], None] = lambda: None
+
+    def send(self, data: bytes) -> None:
+        """Send now what the socket takes and queue the rest."""
+        if self.closed or not data:
+            return
+        if not self.outgoing:
+            data = self._send_now(data)
+        if data and not self.closed:
+            self.outgoing.append(data)
+            self.buffered_bytes += len(data)
+            self.connector.poller.addWriter(self.connector, self.sock)
+
+    def pause(self) -> None:
+        """Stop reading until ``resume``."""
+        if not self.closed and not self.paused:
+            self.paused = True
+            self.connector.poller.removeReader(self.sock)
+
+    def resume(self) -> None:
+        """Read again after ``pause``."""
+        if not self.closed and self.paused:
+            self.paused = False
+            self.connector.poller.addReader(self.connector, self.sock)
+
+    def close(self) -> None:
+        """Close at once, dropping what is still queued; ``on_close`` is not called."""
+        if self.closed:
+            return
+        self.closed = True
+        self.connector.forget(self)
+        self.sock.close()
+
+    def flush(self) -> None:
+        """Send queued data while the socket takes it."""
+        while self.outgoing and not self.closed:
+            data = self.outgoing.popleft()
+            self.buffered_bytes -= len(data)
+            rest = self._send_now(data)
+            if rest:
+                self.outgoing.appendleft(rest)
+                self.buffered_bytes += len(rest)
+                return
+        if not self.closed:
+            self.connector.poller.removeWriter(self.sock)
+
+    def read(self) -> None:
+        """Take what has arrived and hand it on."""
+        try:
+            data = self.sock.recv(READ_BYTES)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            data = b""
+        if data:
+            self.on_data(data)
+        else:
+            self.lose()
+
+    def lose(self) -> None:
+        """Close because the other side is gone and report it."""
+        if not self.closed:
+            self.close()
+            self.on_close()
+
+    def _send_now(self, data: bytes) -> bytes:
+        try:
+            sent = self.sock.send(data)
+        except (BlockingIOError, InterruptedError):
+            return data
+        except OSError:
+            self.connector.loop.call_soon(self.lose)
+            return b""
+        self.bytes_sent += sent
+        return data[sent:]
+
+
+class Connector(Component):
+    """Open and poll outbound streams."""
+
+    channel = "stream"
+
+    def __init__(self, loop: Loop) -> None:
+        super().__init__()
+        self.loop = loop
+        self.poller = loop.poller
+        self.streams: dict[socket.socket, Stream] = {}
+        self.connecting: dict[socket.socket, Promise[Any]] = {}
+
+    async def open(self, address: Address, timeout_s: float = CONNECT_TIMEOUT_S) -> Stream:
+        """Connect; raise ``ConnectFailed`` when refused or not done in ``timeout_s``."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            await self._connect(sock, address, timeout_s)
+        except BaseException:
+            self.connecting.pop(sock, None)
+            self.poller.discard(sock)
+            sock.close()
+            raise
+        stream = Stream(self, sock, address)
+        self.streams[sock] = stream
+        self.poller.addReader(self, sock)
+        return stream
+
+    def forget(self, stream: Stream) -> None:
+        """Stop polling a stream."""
+        self.streams.pop(stream.sock, None)
+        self.poller.discard(stream.sock)
+
+    async def _connect(self, sock: socket.socket, address: Address, timeout_s: float) -> None:
+        try:
+            code = sock.connect_ex(split_address(address))
+        except (OSError, ValueError) as error:
+            raise ConnectFailed(f"cannot connect to {address}: {error}") from error
+        if code not in (0, errno.EINPROGRESS):
+            raise ConnectFailed(f"cannot connect to {address}: {errno.errorcode.get(code, code)}")
+        if code == errno.EINPROGRESS:
+            await self._wait_connected(sock, address, timeout_s)
+
+    async def _wait_connected(self, sock: socket.socket, address: Address, limit_s: float) -> None:
+        promise = self.loop.promise()
+        self.connecting[sock] = promise
+        self.poller.addWriter(self, sock)
+        try:
+            await self.loop.within(limit_s, promise)
+        except TimedOut as error:
+            raise ConnectFailed(f"cannot connect to {address} within {limit_s:g} s") from error
+        self.poller.removeWriter(sock)
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            raise ConnectFailed(f"cannot connect to {address}: {errno.errorcode.get(code, code)}")
+
+    @handler("_read")
+    def _on_readable(self, sock: socket.socket) -> None:
+        stream = self.streams.get(sock)
+        if stream is not None:
+            stream.read()
+
+    @handler("_write")
+    def _on_writable(self, sock: socket.socket) -> None:
+        waiting = self.connecting.pop(sock, None)
+        if waiting is not None:
+            waiting.resolve(None)
+            return
+        stream = self.streams.get(sock)
+        if stream is not None:
+            stream.flush()
+
+    @handler("_disconnect", "_error")
+    def _on_gone(self, sock: socket.socket, *_: Any) -> None:
+        waiting = self.connecting.pop(sock, None)
+        if waiting is not None:
+            waiting.resolve(None)
+            return
+        stream = self.streams.get(sock)
+        if stream is not None:
+            stream.lose()
--- /dev/null
+++ b/parsleyrouter/ids.py
@@ -0,0 +1,43 @@
+"""Identifiers that cross module boundaries."""
+
+from typing import NewType
+
+__all__ = [
+    "Address",
+    "AttemptId",
+    "ChunkName",
+    "DomainName",
+    "EndpointId",
+    "Epoch",
+    "GrantId",
+    "ItemIndex",
+    "JobId",
+    "KindName",
+    "ModelName",
+    "NodeId",
+    "PartIndex",
+    "RequestId",
+    "Revision",
+    "TeamName",
+]
+
+Address = NewType("Address", str)
+"""A TCP or UDP address written ``ip:port``."""
+
+NodeId = NewType("NodeId", str)
+DomainName = NewType("DomainName", str)
+EndpointId = NewType("EndpointId", str)
+TeamName = NewType("TeamName", str)
+ModelName = NewType("ModelName", str)
+KindName = NewType("KindName", str)
+RequestId = NewType("RequestId", str)
+AttemptId = NewType("AttemptId", str)
+GrantId = NewType("GrantId", str)
+JobId = NewType("JobId", str)
+PartIndex = NewType("PartIndex", int)
+ItemIndex = NewType("ItemIndex", int)
+ChunkName = NewType("ChunkName", str)
+Epoch = NewType("Epoch", int)
+
+Revision = NewType("Revision", int)
+"""A modification revision of the key-value service; it only grows."""
--- /dev/null
+++ b/parsleyrouter/outcome.py
@@ -0,0 +1,82 @@
+"""Tagged outcomes that callers of the system can see."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+__all__ = ["Ran", "Refusal", "RefusalKind"]
+
+
+class Ran(Enum):
+    """Say whether a refused request was run."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    RAN = "ran"
+
+
+class RefusalKind(Enum):
+    """Name why a request was refused; the value is the ``kind`` of the JSON error."""
+
+    BAD_REQUEST = "bad_request"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not_found"
+    CONFLICT = "conflict"
+    TOO_LARGE = "too_large"
+    TOO_MANY = "too_many"
+    OVERLOADED = "overloaded"
+    DEADLINE = "deadline"
+    STOPPING = "stopping"
+    PLATFORM_UNAVAILABLE = "platform_unavailable"
+    STORAGE_UNAVAILABLE = "storage_unavailable"
+    ENDPOINT_FAILED = "endpoint_failed"
+    CANCELLED = "cancelled"
+    INTERNAL = "internal"
+
+
+_STATUS = {
+    RefusalKind.BAD_REQUEST: 400,
+    RefusalKind.UNAUTHENTICATED: 401,
+    RefusalKind.FORBIDDEN: 403,
+    RefusalKind.NOT_FOUND: 404,
+    RefusalKind.CONFLICT: 409,
+    RefusalKind.TOO_LARGE: 413,
+    RefusalKind.TOO_MANY: 429,
+    RefusalKind.OVERLOADED: 503,
+    RefusalKind.DEADLINE: 504,
+    RefusalKind.STOPPING: 503,
+    RefusalKind.PLATFORM_UNAVAILABLE: 503,
+    RefusalKind.STORAGE_UNAVAILABLE: 503,
+    RefusalKind.ENDPOINT_FAILED: 502,
+    RefusalKind.CANCELLED: 409,
+    RefusalKind.INTERNAL: 500,
+}
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """Report a request that got no full answer; the message names the remedy."""
+
+    kind: RefusalKind
+    message: str
+    ran: Ran
+    retry_after_s: float | None = None
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status code."""
+        return _STATUS[self.kind]
+
+    def body(self) -> dict[str, Any]:
+        """Return the JSON error body, in the shape that OpenAI clients read."""
+        error: dict[str, Any] = {
+            "kind": self.kind.value,
+            "type": self.kind.value,
+            "code": self.kind.value,
+            "message": self.message,
+            "ran": self.ran.value,
+        }
+        if self.retry_after_s is not None:
+            error["retry_after_s"] = self.retry_after_s
+        return {"error": error}
--- /dev/null
+++ b/parsleyrouter/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one process."""
--- /dev/null
+++ b/parsleyrouter/process/loop.py
@@ -0,0 +1,271 @@
+"""The process's event loop: timers and coroutine tasks on one circuits manager.
+
+circuits resumes its own generator coroutines by polling them on every tick. Tasks here wait on a
+``Promise`` instead and cost nothing until it settles.
+"""
+
+import heapq
+import itertools
+import logging
+import time
+from collections import deque
+from collections.abc import Callable, Coroutine, Generator, Iterable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from typing import Any, Generic, TypeVar
+
+from circuits import Component, handler
+
+from parsleyrouter.process.poller import SetPoller
+
+__all__ = ["Cancelled", "Loop", "Promise", "Task", "TimedOut", "Timer"]
+
+T = TypeVar("T")
+
+BLOCKING_THREADS = 4
+
+log = logging.getLogger(__name__)
+
+
+class Cancelled(BaseException):
+    """Unwind a task that was cancelled."""
+
+
+class TimedOut(Exception):
+    """Report that an awaited result did not come in time; allow more time or try again."""
+
+
+class Promise(Generic[T]):
+    """Hold a result that arrives later; the first settlement wins."""
+
+    def __init__(self, loop: "Loop") -> None:
+        self.loop = loop
+        self.done = False
+        self.value: T | None = None
+        self.error: BaseException | None = None
+        self.callbacks: list[Callable[[Promise[T]], None]] = []
+
+    def resolve(self, value: T) -> bool:
+        """Settle with a value; return whether this call settled it."""
+        return self._settle(value, None)
+
+    def reject(self, error: BaseException) -> bool:
+        """Settle with an error; return whether this call settled it."""
+        return self._settle(None, error)
+
+    def on_done(self, callback: Callable[["Promise[T]"], object]) -> None:
+        """Call back once settled; at once if it already is."""
+        if self.done:
+            self.loop.call_soon(lambda: callback(self))
+        else:
+            self.callbacks.append(callback)
+
+    def result(self) -> T:
+        """Return the value or raise the error of a settled promise."""
+        if self.error is not None:
+            raise self.error
+        return self.value  # type: ignore[return-value]
+
+    def _settle(self, value: T | None, error: BaseException | None) -> bool:
+        if self.done:
+            return False
+        self.done = True
+        self.value = value
+        self.error = error
+        callbacks, self.callbacks = self.callbacks, []
+        for callback in callbacks:
+            self.loop.call_soon(lambda callback=callback: callback(self))  # type: ignore[misc]
+        return True
+
+    def __await__(self) -> Generator["Promise[T]", None, T]:
+        if not self.done:
+            yield self
+        return self.result()
+
+
+class Task(Promise[T]):
+    """Drive one coroutine; its return value settles the task."""
+
+    def __init__(self, loop: "Loop", coroutine: Coroutine[Any, Any, T], name: str) -> None:
+        super().__init__(loop)
+        self.coroutine = coroutine
+        self.name = name
+        self.waiting: Promise[Any] | None = None
+        self.cancel_requested = False
+        loop.call_soon(self._step)
+
+    def cancel(self) -> None:
+        """Raise ``Cancelled`` inside the coroutine at its current await."""
+        if self.done or self.cancel_requested:
+            return
+        self.cancel_requested = True
+        self.waiting = None
+        self.loop.call_soon(self._throw_cancelled)
+
+    def _throw_cancelled(self) -> None:
+        if not self.done:
+            self._advance(lambda: self.coroutine.throw(Cancelled()))
+
+    def _wake(self, promise: Promise[Any]) -> None:
+        if self.waiting is promise:
+            self._step()
+
+    def _step(self) -> None:
+        if not self.done:
+            self._advance(lambda: self.coroutine.send(None))
+
+    def _advance(self, move: Callable[[], Promise[Any]]) -> None:
+        self.waiting = None
+        try:
+            self.waiting = move()
+        except StopIteration as stop:
+            self.resolve(stop.value)
+        except Cancelled as error:
+            self.reject(error)
+        except Exception as error:
+            if not self.callbacks:
+                log.exception("task failed", extra={"task": self.name})
+            self.reject(error)
+        else:
+            self.waiting.on_done(self._wake)
+
+
+@dataclass(order=True)
+class Timer:
+    """Hold one call that is due at a monotonic time, in seconds."""
+
+    due_s: float
+    order: int
+    call: Callable[[], object] = field(compare=False)
+    cancelled: bool = field(default=False, compare=False)
+
+    def cancel(self) -> None:
+        """Keep the call from being made."""
+        self.cancelled = True
+
+
+class Loop(Component):
+    """Run timers, tasks and blocking calls of one process."""
+
+    channel = "loop"
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.poller = SetPoller().register(self)
+        self.timers: list[Timer] = []
+        self.order = itertools.count()
+        self.ready: deque[Callable[[], object]] = deque()
+        self.finished: deque[Callable[[], object]] = deque()
+        self.draining = False
+        self.threads: ThreadPoolExecutor | None = None
+
+    def now(self) -> float:
+        """Return the monotonic time in seconds."""
+        return time.monotonic()
+
+    def call_soon(self, call: Callable[[], object]) -> None:
+        """Make the call after the current one has returned, before the next poll."""
+        self.ready.append(call)
+        if not self.draining:
+            self._drain()
+
+    def call_later(self, delay_s: float, call: Callable[[], object]) -> Timer:
+        """Make the call after a delay in seconds."""
+        timer = Timer(self.now() + delay_s, next(self.order), call)
+        heapq.heappush(self.timers, timer)
+        return timer
+
+    def spawn(self, coroutine: Coroutine[Any, Any, T], name: str = "") -> Task[T]:
+        """Start a coroutine as a task."""
+        return Task(self, coroutine, name or getattr(coroutine, "__qualname__", "task"))
+
+    def promise(self) -> Promise[Any]:
+        """Return a new unsettled promise."""
+        return Promise(self)
+
+    def sleep(self, delay_s: float) -> Promise[None]:
+        """Return a promise that settles after a delay in seconds."""
+        promise: Promise[None] = Promise(self)
+        self.call_later(delay_s, lambda: promise.resolve(None))
+        return promise
+
+    async def within(self, timeout_s: float, promise: Promise[T]) -> T:
+        """Await a promise for at most ``timeout_s``; raise ``TimedOut`` and cancel a task."""
+        if promise.done:
+            return promise.result()
+        first: Promise[bool] = Promise(self)
+        timer = self.call_later(timeout_s, lambda: first.resolve(False))
+        promise.on_done(lambda _: first.resolve(True))
+        try:
+            arrived = await first
+        except Cancelled:
+            if isinstance(promise, Task):
+                promise.cancel()
+            raise
+        finally:
+            timer.cancel()
+        if arrived:
+            return promise.result()
+        if isinstance(promise, Task):
+            promise.cancel()
+        raise TimedOut(f"no result within {timeout_s:g} s")
+
+    async def gather(self, promises: Iterable[Promise[T]]) -> list[T]:
+        """Await all promises; raise the first error after all have settled."""
+        settled = list(promises)
+        for promise in settled:
+            if not promise.done:
+                waiter: Promise[None] = Promise(self)
+                promise.on_done(lambda _, waiter=waiter: waiter.resolve(None))  # type: ignore[misc]
+                await waiter
+        return [promise.result() for promise in settled]
+
+    def run_blocking(self, call: Callable[[], T]) -> Promise[T]:
+        """Run a blocking call, such as an fsync, in a thread."""
+        if self.threads is None:
+            self.threads = ThreadPoolExecutor(BLOCKING_THREADS, thread_name_prefix="blocking")
+        promise: Promise[T] = Promise(self)
+        self.threads.submit(self._run_in_thread, call, promise)
+        return promise
+
+    def _run_in_thread(self, call: Callable[[], T], promise: Promise[T]) -> None:
+        try:
+            value = call()
+        except Exception as error:
+            self._hand_back(lambda error=error: promise.reject(error))  # type: ignore[misc]
+        else:
+            self._hand_back(lambda: promise.resolve(value))
+
+    def _hand_back(self, settle: Callable[[], Any]) -> None:
+        self.finished.append(settle)
+        self.poller.resume()
+
+    def _drain(self) -> None:
+        self.draining = True
+        try:
+            while self.ready:
+                call = self.ready.popleft()
+                try:
+                    call()
+                except Exception:
+                    log.exception("callback failed")
+        finally:
+            self.draining = False
+
+    @handler("generate_events", channel="*", priority=1)
+    def _run_due(self, event: Any) -> None:
+        while self.finished:
+            self.ready.append(self.finished.popleft())
+        now = self.now()
+        while self.timers and (self.timers[0].cancelled or self.timers[0].due_s <= now):
+            timer = heapq.heappop(self.timers)
+            if not timer.cancelled:
+                self.ready.append(timer.call)
+        if self.ready and not self.draining:
+            self._drain()
+        while self.timers and self.timers[0].cancelled:
+            heapq.heappop(self.timers)
+        if len(self.root._queue):
+            event.reduce_time_left(0)
+        elif self.timers:
+            event.reduce_time_left(max(0.0, self.timers[0].due_s - self.now()))
--- /dev/null
+++ b/parsleyrouter/process/options.py
@@ -0,0 +1,63 @@
+"""Settings of a process that every binary shares; flags and ``PARSLEY_`` variables fill them."""
+
+import re
+from dataclasses import dataclass
+
+from cyclopts import Parameter
+
+__all__ = ["BadSetting", "NodeOptions", "check_address", "check_range"]
+
+_ADDRESS = re.compile(r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
+
+
+class BadSetting(ValueError):
+    """Report a setting by name, what was given and what is allowed."""
+
+    def __init__(self, name: str, given: object, allowed: str) -> None:
+        super().__init__(f"--{name}: got {given!r}; allowed: {allowed}")
+
+
+def check_address(name: str, value: str) -> None:
+    """Raise ``BadSetting`` unless the value is ``ip:port``."""
+    if not _ADDRESS.match(value) or int(value.rpartition(":")[2]) > 65535:
+        raise BadSetting(name, value, "ip:port, such as 127.0.0.1:8080")
+
+
+def check_range(name: str, value: float, low: float, high: float, unit: str) -> None:
+    """Raise ``BadSetting`` unless ``low <= value <= high``."""
+    if not low <= value <= high:
+        raise BadSetting(name, value, f"{low:g} to {high:g} {unit}")
+
+
+@Parameter(name="*")
+@dataclass(frozen=True)
+class NodeOptions:
+    """Settings of every process of a node."""
+
+    node: str = "node-1"
+    """Name of this VM, the same for all its processes."""
+
+    domain: str = "domain-1"
+    """Failure domain of this VM."""
+
+    http: str = "127.0.0.1:0"
+    """Address for HTTP; port 0 lets the system choose."""
+
+    peer: str = "127.0.0.1:0"
+    """Address for the other processes of the system."""
+
+    key_value: str = "127.0.0.1:2379"
+    """Address of the platform's key-value service."""
+
+    log_level: str = "info"
+    """Least level logged: debug, info, warning or error."""
+
+    def check(self) -> None:
+        """Raise ``BadSetting`` for the first setting that is not allowed."""
+        for name in ("http", "peer", "key_value"):
+            check_address(name.replace("_", "-"), getattr(self, name))
+        if self.log_level.lower() not in ("debug", "info", "warning", "error"):
+            raise BadSetting("log-level", self.log_level, "debug, info, warning or error")
+        for name in ("node", "domain"):
+            if not re.match(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$", getattr(self, name)):
+                raise BadSetting(name, getattr(self, name), "letters, digits, '.', '_' and '-'")
--- /dev/null
+++ b/parsleyrouter/process/runtime.py
@@ -0,0 +1,83 @@
+"""What every process has: loop, connections, metrics and an orderly end."""
+
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from circuits import Component, handler
+from prometheus_client import CollectorRegistry
+from prometheus_client.platform_collector import PlatformCollector
+from prometheus_client.process_collector import ProcessCollector
+
+from parsleyrouter.connection.http_client import HttpClient
+from parsleyrouter.connection.peer import PeerClient
+from parsleyrouter.connection.stream import Connector
+from parsleyrouter.process.loop import Loop
+
+__all__ = ["Runtime"]
+
+log = logging.getLogger(__name__)
+
+StopHook = Callable[[], Awaitable[None]]
+
+
+class Runtime(Component):
+    """Hold the shared parts of one process and stop them in order.
+
+    The first SIGTERM or SIGINT runs the stop hooks, the latest registered first; a second one ends
+    the process at once.
+    """
+
+    channel = "runtime"
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = Loop().register(self)
+        self.connector = Connector(self.loop).register(self)
+        self.http = HttpClient(self.loop, self.connector)
+        self.peers = PeerClient(self.loop, self.connector)
+        self.metrics = CollectorRegistry()
+        ProcessCollector(registry=self.metrics)
+        PlatformCollector(registry=self.metrics)
+        self.stop_hooks: list[StopHook] = []
+        self.hurry_hooks: list[Callable[[], None]] = []
+        self.stopping = False
+
+    def on_stop(self, hook: StopHook) -> None:
+        """Register work to be done before a planned stop ends the process."""
+        self.stop_hooks.append(hook)
+
+    def on_hurry(self, hook: Callable[[], None]) -> None:
+        """Register a report of what a hurried stop cuts."""
+        self.hurry_hooks.append(hook)
+
+    def begin_stop(self) -> None:
+        """Stop as planned, or at once when already stopping."""
+        if self.stopping:
+            for hook in self.hurry_hooks:
+                hook()
+            log.warning("stopping at once")
+            self.stop()
+            return
+        self.stopping = True
+        log.info("planned stop begins")
+        self.loop.spawn(self._stop_in_order(), "stop")
+
+    async def _stop_in_order(self) -> None:
+        for hook in reversed(self.stop_hooks):
+            try:
+                await hook()
+            except Exception:
+                log.exception("stop hook failed")
+        log.info("planned stop done")
+        self.stop()
+
+    @handler("signal", channel="*", priority=100)
+    def _on_signal(self, event: Any, *_: Any) -> None:
+        event.stop()
+        self.begin_stop()
+
+    @handler("exception", channel="*", priority=100)
+    def _on_exception(self, event: Any, etype: Any, value: Any, trace: Any, **_: Any) -> None:
+        if not isinstance(value, (KeyboardInterrupt, SystemExit)):
+            log.error("event handler failed", exc_info=(etype, value, trace))
--- /dev/null
+++ b/parsleyrouter/process/view.py
@@ -0,0 +1,98 @@
+"""The port through which every role sees the fleet: live nodes and settings in force."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from parsleyrouter.ids import Address, DomainName, NodeId
+from parsleyrouter.version.snapshot import SettingsSnapshot
+
+__all__ = ["FixedView", "FleetView", "NodeInfo", "NodeState", "Service"]
+
+
+class Service(Enum):
+    """Name a service that a node offers to its peers or callers."""
+
+    ENTRY = "entry"
+    AGENT = "agent"
+    SCHEDULER = "scheduler"
+    BATCH = "batch"
+    STORE = "store"
+
+
+class NodeState(Enum):
+    """Say whether a node takes new work."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True)
+class NodeInfo:
+    """One node believed to be up; a service without an address does not run there."""
+
+    node: NodeId
+    domain: DomainName
+    addresses: Mapping[Service, Address] = field(default_factory=dict)
+    state: NodeState = NodeState.LIVE
+    load: float = 0.0
+    incarnation: int = 0
+
+
+class FleetView(Protocol):
+    """What a role may know of the fleet; it may be some seconds old."""
+
+    def self_node(self) -> NodeInfo:
+        """Return this process's own node."""
+
+    def nodes(self) -> tuple[NodeInfo, ...]:
+        """Return the nodes believed up, this one included, ordered by id."""
+
+    def settings(self) -> SettingsSnapshot:
+        """Return the settings in force here."""
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Call back after nodes or settings have changed."""
+
+
+class FixedView:
+    """A view set by hand, for tests and tools."""
+
+    def __init__(
+        self,
+        me: NodeInfo,
+        others: tuple[NodeInfo, ...] = (),
+        snapshot: SettingsSnapshot | None = None,
+    ) -> None:
+        self.me = me
+        self.others = others
+        self.snapshot = snapshot or SettingsSnapshot()
+        self.callbacks: list[Callable[[], None]] = []
+
+    def self_node(self) -> NodeInfo:
+        """Return the node set as this one."""
+        return self.me
+
+    def nodes(self) -> tuple[NodeInfo, ...]:
+        """Return all nodes ordered by id."""
+        return tuple(sorted((self.me, *self.others), key=lambda info: info.node))
+
+    def settings(self) -> SettingsSnapshot:
+        """Return the settings set last."""
+        return self.snapshot
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Call back after ``set``."""
+        self.callbacks.append(callback)
+
+    def set(
+        self,
+        others: tuple[NodeInfo, ...] | None = None,
+        snapshot: SettingsSnapshot | None = None,
+    ) -> None:
+        """Replace nodes or settings and tell the callbacks."""
+        self.others = self.others if others is None else others
+        self.snapshot = snapshot or self.snapshot
+        for callback in self.callbacks:
+            callback()
--- /dev/null
+++ b/parsleyrouter/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the endpoints, for development and tests."""
--- /dev/null
+++ b/parsleyrouter/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one version of the settings."""
--- /dev/null
+++ b/thrift/chunks.thrift
@@ -0,0 +1,44 @@
+// Immutable chunks on disk VMs.
+
+struct PutChunk {
+  1: string name,
+  2: binary data,
+  3: string job,
+  4: i32 part,
+  5: i64 expires_s,
+}
+
+struct PutAnswer {
+  1: bool stored,
+  2: string refusal,
+}
+
+struct GetChunk {
+  1: string name,
+}
+
+struct ChunkAnswer {
+  1: bool found,
+  2: binary data,
+  3: string refusal,
+}
+
+struct ListChunks {
+  1: string job,
+  2: i32 part,
+  3: string after,
+  4: i32 limit,
+}
+
+struct ChunkInfo {
+  1: string name,
+  2: i64 bytes,
+  3: string job,
+  4: i32 part,
+  5: i64 expires_s,
+}
+
+struct ChunkList {
+  1: list<ChunkInfo> chunks,
+  2: bool more,
+}
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,103 @@
+"""Run every feature file in processes of their own and print one verdict.
+
+Failures listed in KNOWN-RED.txt are printed and passed over; the list must be true.
+"""
+
+import argparse
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+WORKERS = 4
+FEATURE_TIMEOUT_S = 900
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """Say how one scenario ended."""
+
+    name: str
+    status: str
+    output: str
+
+
+def known_red() -> set[str]:
+    """Return the scenarios listed in KNOWN-RED.txt, one ``test: file:scenario`` line each."""
+    path = ROOT / "KNOWN-RED.txt"
+    if not path.exists():
+        return set()
+    lines = path.read_text().splitlines()
+    return {line.removeprefix("test:").strip() for line in lines if line.startswith("test:")}
+
+
+def run_feature(path: Path) -> list[Verdict]:
+    """Run one feature file."""
+    name = str(path.relative_to(ROOT))
+    with tempfile.TemporaryDirectory() as folder:
+        report = Path(folder) / "report.json"
+        command = [sys.executable, "-m", "behave", "--no-color", "-f", "json", "-o", str(report)]
+        command += ["-f", "plain", name]
+        environment = os.environ | {"PYTHONHASHSEED": "0", "PYTHONPATH": str(ROOT)}
+        try:
+            done = subprocess.run(
+                command,
+                cwd=ROOT,
+                env=environment,
+                capture_output=True,
+                text=True,
+                timeout=FEATURE_TIMEOUT_S,
+                check=False,
+            )
+        except subprocess.TimeoutExpired as error:
+            return [Verdict(name, "failed", f"timed out: {error}")]
+        output = done.stdout + done.stderr
+        verdicts = read_report(name, report, output)
+        if done.returncode and all(verdict.status == "passed" for verdict in verdicts):
+            verdicts.append(Verdict(name, "failed", output))
+        return verdicts
+
+
+def read_report(name: str, report: Path, output: str) -> list[Verdict]:
+    """Return the verdicts of behave's JSON report."""
+    try:
+        features = json.loads(report.read_text())
+    except (OSError, ValueError):
+        return [Verdict(name, "failed", output)]
+    verdicts = []
+    for feature in features:
+        for scenario in feature.get("elements", ()):
+            if scenario["type"] != "background":
+                status = "passed" if scenario["status"] == "passed" else "failed"
+                verdicts.append(Verdict(f"{name}:{scenario['name']}", status, output))
+    return verdicts or [Verdict(name, "failed", f"no scenario ran\n{output}")]
+
+
+def main() -> int:
+    """Run the chosen feature files, all by default."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("features", nargs="*", type=Path)
+    chosen = parser.parse_args().features
+    paths = [path.resolve() for path in chosen] or sorted((ROOT / "features").glob("*.feature"))
+    with ThreadPoolExecutor(WORKERS) as pool:
+        verdicts = [verdict for found in pool.map(run_feature, paths) for verdict in found]
+    red = known_red()
+    failed = [verdict for verdict in verdicts if verdict.status != "passed"]
+    unexpected = [verdict for verdict in failed if verdict.name not in red]
+    for verdict in failed:
+        label = "known red" if verdict.name in red else "FAILED"
+        print(f"{label}: {verdict.name}")
+    for output in dict.fromkeys(verdict.output for verdict in unexpected):
+        print(output)
+    passed = len(verdicts) - len(failed)
+    print(f"{passed} passed, {len(unexpected)} failed")
+    return 1 if unexpected else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
