--- a/parsleyrouter/process/loop.py
+++ b/parsleyrouter/process/loop.py
@@ -43,7 +43,7 @@
         self.done = False
         self.value: T | None = None
         self.error: BaseException | None = None
-        self.callbacks: list[Callable[[Promise[T]], None]] = []
+        self.callbacks: list[Callable[[Promise[T]], object]] = []
 
     def resolve(self, value: T) -> bool:
         """Settle with a value; return whether this call settled it."""
