--- /dev/null
+++ b/parsleyrouter/connection/call_budget.py
@@ -0,0 +1,97 @@
+"""The budget of calls that one process may make to the key-value service."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+__all__ = ["BudgetRefusal", "BudgetSettings", "CallBudget"]
+
+RAMP_START_SHARE = 0.1
+OUTAGE_FAILURES = 3
+
+
+@dataclass(frozen=True)
+class BudgetSettings:
+    """Rates in calls per second, times in seconds."""
+
+    calls_per_s: float = 40.0
+    burst_calls: float = 80.0
+    wait_limit_s: float = 2.0
+    backoff_base_s: float = 0.1
+    backoff_limit_s: float = 5.0
+    ramp_s: float = 10.0
+
+
+class BudgetRefusal(Enum):
+    """Say why a call may not be made now."""
+
+    OVER_BUDGET = "over_budget"
+    BACKING_OFF = "backing_off"
+
+
+class CallBudget:
+    """Space calls out; back off with jitter while they fail.
+
+    After an outage, told by several failures in a row, the full rate comes back slowly.
+
+    Each reservation takes a place in time of its own, so callers that wait do not collide.
+    """
+
+    def __init__(
+        self, settings: BudgetSettings | None = None, rng: Callable[[], float] = random.random
+    ) -> None:
+        self.settings = settings or BudgetSettings()
+        self.rng = rng
+        self.full_at_s = 0.0
+        self.failures = 0
+        self.blocked_until_s = 0.0
+        self.recovered_at_s: float | None = None
+
+    def reserve(self, now: float) -> float | BudgetRefusal:
+        """Return how long to wait before the call, in seconds, or why it may not be made."""
+        interval_s = 1 / self.rate(now)
+        allowance_s = interval_s * max(1.0, self._burst(now))
+        full_at_s = max(self.full_at_s, now) + interval_s
+        wait_s = max(0.0, full_at_s - allowance_s - now)
+        if self.blocked_until_s - now > self.settings.wait_limit_s:
+            return BudgetRefusal.BACKING_OFF
+        wait_s = max(wait_s, self.blocked_until_s - now)
+        if wait_s > self.settings.wait_limit_s:
+            return BudgetRefusal.OVER_BUDGET
+        self.full_at_s = full_at_s
+        return wait_s
+
+    def rate(self, now: float) -> float:
+        """Return the rate allowed now, in calls per second."""
+        return self.settings.calls_per_s * self._share(now)
+
+    def failed(self, now: float) -> None:
+        """Take note of a call without an answer."""
+        if now < self.blocked_until_s:
+            return
+        settings = self.settings
+        ceiling_s = min(settings.backoff_limit_s, settings.backoff_base_s * 2**self.failures)
+        self.failures = min(self.failures + 1, 32)
+        self.blocked_until_s = now + ceiling_s * (0.5 + 0.5 * self.rng())
+        self.full_at_s = max(self.full_at_s, self.blocked_until_s)
+        if self.failures >= OUTAGE_FAILURES:
+            self.recovered_at_s = None
+
+    def succeeded(self, now: float) -> None:
+        """Take note of an answered call."""
+        if self.failures >= OUTAGE_FAILURES:
+            self.recovered_at_s = now
+        self.failures = 0
+        self.blocked_until_s = 0.0
+
+    def _share(self, now: float) -> float:
+        if self.failures >= OUTAGE_FAILURES:
+            return RAMP_START_SHARE
+        if self.recovered_at_s is None:
+            return 1.0
+        return min(1.0, RAMP_START_SHARE + (now - self.recovered_at_s) / self.settings.ramp_s)
+
+    def _burst(self, now: float) -> float:
+        share = self._share(now)
+        return self.settings.burst_calls if share >= 1.0 else 1.0
--- /dev/null
+++ b/parsleyrouter/connection/etcd.py
@@ -0,0 +1,227 @@
+"""The key-value port over the etcd v3 JSON gateway."""
+
+import math
+from base64 import b64encode
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from parsleyrouter.connection.call_budget import BudgetRefusal, BudgetSettings, CallBudget
+from parsleyrouter.connection.etcd_format import (
+    decode_entries,
+    decode_revision,
+    encode_text,
+    range_end,
+)
+from parsleyrouter.connection.etcd_watch import EtcdWatch
+from parsleyrouter.connection.http import HttpReply, Sent, TransportFailure
+from parsleyrouter.connection.key_value import (
+    Changed,
+    Conflict,
+    Entry,
+    EntryPage,
+    KeyValueFailure,
+    KeyValueFailureKind,
+    Lease,
+    Swapped,
+)
+from parsleyrouter.connection.key_value_metrics import KeyValueMetrics
+from parsleyrouter.ids import Address, Revision
+from parsleyrouter.process.runtime import Runtime
+
+__all__ = ["EtcdKeyValue"]
+
+CALL_TIMEOUT_S = 2.0
+TOO_MANY_STATUS = 429
+SERVER_ERROR_STATUS = 500
+WRITES = frozenset({"swap", "delete", "grant", "revoke"})
+
+
+class EtcdKeyValue:
+    """Call the key-value service within this process's budget.
+
+    ``watch`` starts with the change of revision ``start`` itself; 0 means from now on.
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        address: str,
+        *,
+        timeout_s: float = CALL_TIMEOUT_S,
+        budget: BudgetSettings | None = None,
+    ) -> None:
+        self.runtime = runtime
+        self.loop = runtime.loop
+        self.address = Address(address)
+        self.timeout_s = timeout_s
+        self.budget = CallBudget(budget)
+        self.metrics = KeyValueMetrics.of(runtime.metrics)
+
+    async def get(self, key: str) -> Entry | None | KeyValueFailure:
+        """Read one key."""
+        body = await self.call("get", "/v3/kv/range", {"key": encode_text(key)})
+        if isinstance(body, KeyValueFailure):
+            return body
+        entries = decode_entries(body)
+        return entries[0] if entries else None
+
+    async def scan(
+        self, prefix: str, *, after: str = "", limit: int = 1000
+    ) -> EntryPage | KeyValueFailure:
+        """Read keys under a prefix in order, starting behind the key ``after``."""
+        request = {
+            "key": encode_text(max(after + "\0", prefix) if after else prefix or "\0"),
+            "range_end": encode_text(range_end(prefix)),
+            "limit": str(limit),
+        }
+        body = await self.call("scan", "/v3/kv/range", request)
+        if isinstance(body, KeyValueFailure):
+            return body
+        return EntryPage(decode_entries(body), bool(body.get("more")), decode_revision(body))
+
+    async def swap(
+        self, key: str, value: bytes, expected: Revision, *, lease: int = 0
+    ) -> Swapped | Conflict | KeyValueFailure:
+        """Write a key if its revision is ``expected``; ``ABSENT`` creates it."""
+        put = {"key": encode_text(key), "value": b64encode(value).decode()}
+        if lease:
+            put["lease"] = str(lease)
+        return await self._transact("swap", key, expected, {"request_put": put})
+
+    async def delete(self, key: str, expected: Revision) -> Swapped | Conflict | KeyValueFailure:
+        """Delete a key if its revision is ``expected``."""
+        change = {"request_delete_range": {"key": encode_text(key)}}
+        return await self._transact("delete", key, expected, change)
+
+    async def grant(self, ttl_s: float) -> Lease | KeyValueFailure:
+        """Take a lease; the service counts whole seconds, so the time is rounded up."""
+        request = {"TTL": str(math.ceil(ttl_s)), "ID": "0"}
+        body = await self.call("grant", "/v3/lease/grant", request)
+        if isinstance(body, KeyValueFailure):
+            return body
+        return Lease(int(body["ID"]), float(body["TTL"]))
+
+    async def renew(self, lease: int) -> Lease | None | KeyValueFailure:
+        """Renew a lease; ``None`` when it has lapsed."""
+        body = await self.call("renew", "/v3/lease/keepalive", {"ID": str(lease)})
+        if isinstance(body, KeyValueFailure):
+            return body
+        ttl_s = float(body.get("result", {}).get("TTL", 0))
+        return Lease(lease, ttl_s) if ttl_s > 0 else None
+
+    async def revoke(self, lease: int) -> None | KeyValueFailure:
+        """Give a lease back, deleting its keys; one that has lapsed counts as given back."""
+        body = await self.call("revoke", "/v3/lease/revoke", {"ID": str(lease)})
+        if isinstance(body, KeyValueFailure) and body.kind is not KeyValueFailureKind.REFUSED:
+            return body
+        return None
+
+    def watch(
+        self,
+        prefix: str,
+        start: Revision,
+        on_change: Callable[[Changed], None],
+        on_lost: Callable[[str], None],
+    ) -> EtcdWatch:
+        """Report changes from a revision on; after ``on_lost`` scan and watch anew."""
+        return EtcdWatch(self, prefix, start, on_change, on_lost)
+
+    async def admit(self, kind: str) -> KeyValueFailure | None:
+        """Wait for a place in the budget and count the call."""
+        place = self.budget.reserve(self.loop.now())
+        if isinstance(place, BudgetRefusal):
+            return self._failure(kind, _REFUSED[place])
+        if place > 0:
+            await self.loop.sleep(place)
+        self.metrics.calls.labels(kind).inc()
+        return None
+
+    async def call(
+        self, kind: str, path: str, request: dict[str, Any]
+    ) -> dict[str, Any] | KeyValueFailure:
+        """Make one call and return the reply's JSON object."""
+        refused = await self.admit(kind)
+        if refused is not None:
+            return refused
+        begun_s = self.loop.now()
+        reply = await self.runtime.http.request(
+            self.address,
+            "POST",
+            path,
+            headers={"content-type": "application/json"},
+            body=msgspec.json.encode(request),
+            timeout_s=self.timeout_s,
+        )
+        outcome = read_reply(reply, kind)
+        if isinstance(outcome, KeyValueFailure):
+            return self.note_failure(kind, outcome)
+        self.budget.succeeded(self.loop.now())
+        self.metrics.seconds.observe(self.loop.now() - begun_s)
+        return outcome
+
+    def note_failure(self, kind: str, failure: KeyValueFailure) -> KeyValueFailure:
+        """Count a failure; back off unless the service answered with a refusal."""
+        if failure.kind is KeyValueFailureKind.REFUSED:
+            self.budget.succeeded(self.loop.now())
+        else:
+            self.budget.failed(self.loop.now())
+        return self._failure(kind, failure)
+
+    async def _transact(
+        self, kind: str, key: str, expected: Revision, change: dict[str, Any]
+    ) -> Swapped | Conflict | KeyValueFailure:
+        compare = {
+            "key": encode_text(key),
+            "target": "MOD",
+            "result": "EQUAL",
+            "mod_revision": str(expected),
+        }
+        request = {
+            "compare": [compare],
+            "success": [change],
+            "failure": [{"request_range": {"key": encode_text(key)}}],
+        }
+        body = await self.call(kind, "/v3/kv/txn", request)
+        if isinstance(body, KeyValueFailure):
+            return body
+        if body.get("succeeded"):
+            return Swapped(decode_revision(body))
+        found = decode_entries(body["responses"][0].get("response_range", {}))
+        return Conflict(found[0] if found else None)
+
+    def _failure(self, kind: str, failure: KeyValueFailure) -> KeyValueFailure:
+        self.metrics.failures.labels(kind, failure.kind.value).inc()
+        return failure
+
+
+_REFUSED = {
+    BudgetRefusal.OVER_BUDGET: KeyValueFailure(
+        KeyValueFailureKind.OVER_BUDGET, "call budget used up; make fewer calls or raise it"
+    ),
+    BudgetRefusal.BACKING_OFF: KeyValueFailure(
+        KeyValueFailureKind.UNAVAILABLE, "key-value service does not answer; try again later"
+    ),
+}
+
+
+def read_reply(reply: HttpReply | TransportFailure, kind: str) -> dict[str, Any] | KeyValueFailure:
+    """Return the JSON object of a reply or the failure that it means."""
+    writes = kind in WRITES
+    if isinstance(reply, TransportFailure):
+        if reply.sent is Sent.NOTHING:
+            return KeyValueFailure(KeyValueFailureKind.UNAVAILABLE, reply.message)
+        return KeyValueFailure(KeyValueFailureKind.TIMEOUT, reply.message, maybe_applied=writes)
+    if reply.status == TOO_MANY_STATUS:
+        return KeyValueFailure(KeyValueFailureKind.OVER_BUDGET, "key-value service is overloaded")
+    try:
+        body = msgspec.json.decode(reply.body.split(b"\n", 1)[0])
+    except msgspec.DecodeError:
+        body = None
+    if reply.status >= SERVER_ERROR_STATUS or not isinstance(body, dict):
+        message = f"key-value service failed with status {reply.status}; try again later"
+        return KeyValueFailure(KeyValueFailureKind.UNAVAILABLE, message, maybe_applied=writes)
+    if reply.status != 200:
+        return KeyValueFailure(KeyValueFailureKind.REFUSED, str(body.get("error", reply.status)))
+    return body
--- /dev/null
+++ b/parsleyrouter/connection/etcd_watch.py
@@ -0,0 +1,161 @@
+"""A watch at the etcd v3 JSON gateway that goes on over broken connections."""
+
+import logging
+import random
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from parsleyrouter.connection.etcd_format import (
+    decode_changes,
+    decode_revision,
+    encode_text,
+    range_end,
+)
+from parsleyrouter.connection.http import TransportFailure
+from parsleyrouter.connection.http_client import HttpExchange
+from parsleyrouter.connection.key_value import Changed, KeyValueFailure, KeyValueFailureKind
+from parsleyrouter.ids import Revision
+
+if TYPE_CHECKING:
+    from parsleyrouter.connection.etcd import EtcdKeyValue
+
+__all__ = ["EtcdWatch"]
+
+SILENCE_LIMIT_S = 30.0
+REOPEN_BASE_S = 0.1
+REOPEN_LIMIT_S = 5.0
+
+log = logging.getLogger(__name__)
+
+
+class EtcdWatch:
+    """Follow a prefix from a revision on, without gaps; each opening counts as one call."""
+
+    def __init__(
+        self,
+        client: "EtcdKeyValue",
+        prefix: str,
+        start: Revision,
+        on_change: Callable[[Changed], None],
+        on_lost: Callable[[str], None],
+    ) -> None:
+        self.client = client
+        self.prefix = prefix
+        self.next = start
+        self.on_change = on_change
+        self.on_lost = on_lost
+        self.ended = False
+        self.exchange: HttpExchange | None = None
+        self.failures = 0
+        self.task = client.loop.spawn(self._follow(), f"watch {prefix}")
+
+    def cancel(self) -> None:
+        """Stop watching."""
+        if not self.ended:
+            self.ended = True
+            self._close()
+            self.task.cancel()
+
+    async def _follow(self) -> None:
+        while not self.ended:
+            exchange = await self._open()
+            if isinstance(exchange, KeyValueFailure):
+                self.failures += 1
+                await self.client.loop.sleep(self._pause_s())
+                continue
+            self.exchange = exchange
+            self.client.metrics.watches.inc()
+            await self._read(exchange)
+            self._close()
+            self.failures += 1
+            if not self.ended:
+                await self.client.loop.sleep(self._pause_s())
+
+    async def _open(self) -> HttpExchange | KeyValueFailure:
+        refused = await self.client.admit("watch")
+        if refused is not None:
+            return refused
+        create: dict[str, Any] = {
+            "key": encode_text(self.prefix or "\0"),
+            "range_end": encode_text(range_end(self.prefix)),
+        }
+        if self.next:
+            create["start_revision"] = str(self.next)
+        exchange = await self.client.runtime.http.open(
+            self.client.address,
+            "POST",
+            "/v3/watch",
+            headers={"content-type": "application/json"},
+            body=msgspec.json.encode({"create_request": create}),
+            timeout_s=self.client.timeout_s,
+            fresh=True,
+        )
+        if isinstance(exchange, TransportFailure):
+            failure = KeyValueFailure(KeyValueFailureKind.UNAVAILABLE, exchange.message)
+            return self.client.note_failure("watch", failure)
+        if exchange.status != 200:
+            exchange.cancel()
+            message = f"watch refused with status {exchange.status}"
+            failure = KeyValueFailure(KeyValueFailureKind.UNAVAILABLE, message)
+            return self.client.note_failure("watch", failure)
+        self.client.budget.succeeded(self.client.loop.now())
+        return exchange
+
+    async def _read(self, exchange: HttpExchange) -> None:
+        rest = b""
+        while not self.ended:
+            data = await exchange.read(SILENCE_LIMIT_S)
+            if not isinstance(data, bytes):
+                return
+            *lines, rest = (rest + data).split(b"\n")
+            for line in lines:
+                if line.strip() and not self._take(line):
+                    return
+
+    def _take(self, line: bytes) -> bool:
+        """Take one message; return whether to read on."""
+        body = msgspec.json.decode(line)
+        result = body.get("result")
+        if result is None:
+            return False
+        if result.get("canceled"):
+            self._lose(f"history is gone below revision {result.get('compact_revision', '?')}")
+            return False
+        revision = decode_revision(result)
+        if revision and revision + 1 < self.next:
+            self._lose(f"service went back to revision {revision}, {self.next - 1} had been seen")
+            return False
+        self.failures = 0
+        if not self.next:
+            self.next = Revision(revision + 1)
+        self._deliver(decode_changes(result))
+        return True
+
+    def _deliver(self, changes: list[Changed]) -> None:
+        new = [change for change in changes if change.revision >= self.next]
+        for change in new:
+            self.next = Revision(change.revision + 1)
+            if not self.ended:
+                self._hand_on(change)
+
+    def _hand_on(self, change: Changed) -> None:
+        try:
+            self.on_change(change)
+        except Exception:
+            log.exception("watch callback failed", extra={"key": change.key})
+
+    def _lose(self, reason: str) -> None:
+        self.ended = True
+        self.on_lost(reason)
+
+    def _close(self) -> None:
+        exchange, self.exchange = self.exchange, None
+        if exchange is not None:
+            self.client.metrics.watches.dec()
+            exchange.cancel()
+
+    def _pause_s(self) -> float:
+        ceiling_s = min(REOPEN_LIMIT_S, REOPEN_BASE_S * 2 ** min(self.failures, 10))
+        return ceiling_s * (0.5 + 0.5 * random.random())
