Give slots through home schedulers

Engines admit requests as they arrive and know no priorities, so the order between online and batch is made before them. Waiting for one long call was ruled out: it cannot tell a full queue from a frozen scheduler.

--- a/parsleyrouter/thrift_gen/grants/ttypes.py
+++ b/parsleyrouter/thrift_gen/grants/ttypes.py
@@ -213,16 +213,24 @@
      - refusal
      - retry_after_s
      - valid_s
+     - queued
+     - endpoint
+     - load
+     - batch_load
 
     """
 
 
-    def __init__(self, grant=None, attempt=None, refusal=None, retry_after_s=None, valid_s=None,):
+    def __init__(self, grant=None, attempt=None, refusal=None, retry_after_s=None, valid_s=None, queued=None, endpoint=None, load=None, batch_load=None,):
         self.grant = grant
         self.attempt = attempt
         self.refusal = refusal
         self.retry_after_s = retry_after_s
         self.valid_s = valid_s
+        self.queued = queued
+        self.endpoint = endpoint
+        self.load = load
+        self.batch_load = batch_load
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -258,6 +266,26 @@
                     self.valid_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.queued = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.DOUBLE:
+                    self.load = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.DOUBLE:
+                    self.batch_load = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -288,6 +316,22 @@
             oprot.writeFieldBegin('valid_s', TType.DOUBLE, 5)
             oprot.writeDouble(self.valid_s)
             oprot.writeFieldEnd()
+        if self.queued is not None:
+            oprot.writeFieldBegin('queued', TType.BOOL, 6)
+            oprot.writeBool(self.queued)
+            oprot.writeFieldEnd()
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 7)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.load is not None:
+            oprot.writeFieldBegin('load', TType.DOUBLE, 8)
+            oprot.writeDouble(self.load)
+            oprot.writeFieldEnd()
+        if self.batch_load is not None:
+            oprot.writeFieldBegin('batch_load', TType.DOUBLE, 9)
+            oprot.writeDouble(self.batch_load)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -429,18 +473,154 @@
         return not (self == other)
 
 
+class LiveGrant(object):
+    """
+    Attributes:
+     - grant
+     - attempt
+     - batch
+     - endpoint
+     - team
+     - job
+     - weight
+     - kind
+
+    """
+
+
+    def __init__(self, grant=None, attempt=None, batch=None, endpoint=None, team=None, job=None, weight=None, kind=None,):
+        self.grant = grant
+        self.attempt = attempt
+        self.batch = batch
+        self.endpoint = endpoint
+        self.team = team
+        self.job = job
+        self.weight = weight
+        self.kind = kind
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.grant = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.attempt = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.batch = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.team = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.job = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.DOUBLE:
+                    self.weight = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LiveGrant')
+        if self.grant is not None:
+            oprot.writeFieldBegin('grant', TType.STRING, 1)
+            oprot.writeString(self.grant.encode('utf-8') if sys.version_info[0] == 2 else self.grant)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.STRING, 2)
+            oprot.writeString(self.attempt.encode('utf-8') if sys.version_info[0] == 2 else self.attempt)
+            oprot.writeFieldEnd()
+        if self.batch is not None:
+            oprot.writeFieldBegin('batch', TType.BOOL, 3)
+            oprot.writeBool(self.batch)
+            oprot.writeFieldEnd()
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 4)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.team is not None:
+            oprot.writeFieldBegin('team', TType.STRING, 5)
+            oprot.writeString(self.team.encode('utf-8') if sys.version_info[0] == 2 else self.team)
+            oprot.writeFieldEnd()
+        if self.job is not None:
+            oprot.writeFieldBegin('job', TType.STRING, 6)
+            oprot.writeString(self.job.encode('utf-8') if sys.version_info[0] == 2 else self.job)
+            oprot.writeFieldEnd()
+        if self.weight is not None:
+            oprot.writeFieldBegin('weight', TType.DOUBLE, 7)
+            oprot.writeDouble(self.weight)
+            oprot.writeFieldEnd()
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 8)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class RenewGrants(object):
     """
     Attributes:
      - node
      - grants
+     - reply_to
 
     """
 
 
-    def __init__(self, node=None, grants=None,):
+    def __init__(self, node=None, grants=None, reply_to=None,):
         self.node = node
         self.grants = grants
+        self.reply_to = reply_to
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -461,11 +641,17 @@
                     self.grants = []
                     (_etype3, _size0) = iprot.readListBegin()
                     for _i4 in range(_size0):
-                        _elem5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _elem5 = LiveGrant()
+                        _elem5.read(iprot)
                         self.grants.append(_elem5)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.reply_to = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -482,11 +668,15 @@
             oprot.writeFieldEnd()
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 2)
-            oprot.writeListBegin(TType.STRING, len(self.grants))
+            oprot.writeListBegin(TType.STRUCT, len(self.grants))
             for iter6 in self.grants:
-                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
+                iter6.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.reply_to is not None:
+            oprot.writeFieldBegin('reply_to', TType.STRING, 3)
+            oprot.writeString(self.reply_to.encode('utf-8') if sys.version_info[0] == 2 else self.reply_to)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -695,95 +885,20 @@
         return not (self == other)
 
 
-class LiveGrant(object):
-    """
-    Attributes:
-     - grant
-     - attempt
-     - batch
-
-    """
-
-
-    def __init__(self, grant=None, attempt=None, batch=None,):
-        self.grant = grant
-        self.attempt = attempt
-        self.batch = batch
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.grant = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.attempt = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.BOOL:
-                    self.batch = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('LiveGrant')
-        if self.grant is not None:
-            oprot.writeFieldBegin('grant', TType.STRING, 1)
-            oprot.writeString(self.grant.encode('utf-8') if sys.version_info[0] == 2 else self.grant)
-            oprot.writeFieldEnd()
-        if self.attempt is not None:
-            oprot.writeFieldBegin('attempt', TType.STRING, 2)
-            oprot.writeString(self.attempt.encode('utf-8') if sys.version_info[0] == 2 else self.attempt)
-            oprot.writeFieldEnd()
-        if self.batch is not None:
-            oprot.writeFieldBegin('batch', TType.BOOL, 3)
-            oprot.writeBool(self.batch)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class LiveGrants(object):
     """
     Attributes:
      - grants
+     - node
+     - reply_to
 
     """
 
 
-    def __init__(self, grants=None,):
+    def __init__(self, grants=None, node=None, reply_to=None,):
         self.grants = grants
+        self.node = node
+        self.reply_to = reply_to
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -805,6 +920,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.node = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.reply_to = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -822,6 +947,14 @@
                 iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.node is not None:
+            oprot.writeFieldBegin('node', TType.STRING, 2)
+            oprot.writeString(self.node.encode('utf-8') if sys.version_info[0] == 2 else self.node)
+            oprot.writeFieldEnd()
+        if self.reply_to is not None:
+            oprot.writeFieldBegin('reply_to', TType.STRING, 3)
+            oprot.writeString(self.reply_to.encode('utf-8') if sys.version_info[0] == 2 else self.reply_to)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -863,6 +996,10 @@
     (3, TType.STRING, 'refusal', 'UTF8', None, ),  # 3
     (4, TType.DOUBLE, 'retry_after_s', None, None, ),  # 4
     (5, TType.DOUBLE, 'valid_s', None, None, ),  # 5
+    (6, TType.BOOL, 'queued', None, None, ),  # 6
+    (7, TType.STRING, 'endpoint', 'UTF8', None, ),  # 7
+    (8, TType.DOUBLE, 'load', None, None, ),  # 8
+    (9, TType.DOUBLE, 'batch_load', None, None, ),  # 9
 )
 all_structs.append(ReleaseGrant)
 ReleaseGrant.thrift_spec = (
@@ -875,11 +1012,24 @@
     (6, TType.DOUBLE, 'ttft_s', None, None, ),  # 6
     (7, TType.I32, 'output_tokens', None, None, ),  # 7
 )
+all_structs.append(LiveGrant)
+LiveGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'grant', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'attempt', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'batch', None, None, ),  # 3
+    (4, TType.STRING, 'endpoint', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'team', 'UTF8', None, ),  # 5
+    (6, TType.STRING, 'job', 'UTF8', None, ),  # 6
+    (7, TType.DOUBLE, 'weight', None, None, ),  # 7
+    (8, TType.STRING, 'kind', 'UTF8', None, ),  # 8
+)
 all_structs.append(RenewGrants)
 RenewGrants.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'node', 'UTF8', None, ),  # 1
-    (2, TType.LIST, 'grants', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (2, TType.LIST, 'grants', (TType.STRUCT, [LiveGrant, None], False), None, ),  # 2
+    (3, TType.STRING, 'reply_to', 'UTF8', None, ),  # 3
 )
 all_structs.append(RenewAnswer)
 RenewAnswer.thrift_spec = (
@@ -897,17 +1047,12 @@
     None,  # 0
     (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
 )
-all_structs.append(LiveGrant)
-LiveGrant.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'grant', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'attempt', 'UTF8', None, ),  # 2
-    (3, TType.BOOL, 'batch', None, None, ),  # 3
-)
 all_structs.append(LiveGrants)
 LiveGrants.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'grants', (TType.STRUCT, [LiveGrant, None], False), None, ),  # 1
+    (2, TType.STRING, 'node', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'reply_to', 'UTF8', None, ),  # 3
 )
 fix_spec(all_structs)
 del all_structs
--- a/thrift/grants.thrift
+++ b/thrift/grants.thrift
@@ -1,5 +1,6 @@
 // Slot grants between the processes that send requests and the home scheduler of an endpoint.
 
+// Asked again with the same attempt, the answer tells where the attempt stands.
 struct AskGrant {
   1: string attempt,
   2: string node,
@@ -16,14 +17,20 @@
   13: double slack_s,
 }
 
+// A grant, a place in the queue, or a refusal; later answers come to reply_to.
 struct GrantAnswer {
   1: string grant,
   2: string attempt,
   3: string refusal,
   4: double retry_after_s,
   5: double valid_s,
+  6: bool queued,
+  7: string endpoint,
+  8: double load,
+  9: double batch_load,
 }
 
+// Without a grant it withdraws the attempt.
 struct ReleaseGrant {
   1: string grant,
   2: string attempt,
@@ -34,9 +41,21 @@
   7: i32 output_tokens,
 }
 
+struct LiveGrant {
+  1: string grant,
+  2: string attempt,
+  3: bool batch,
+  4: string endpoint,
+  5: string team,
+  6: string job,
+  7: double weight,
+  8: string kind,
+}
+
 struct RenewGrants {
   1: string node,
-  2: list<string> grants,
+  2: list<LiveGrant> grants,
+  3: string reply_to,
 }
 
 struct RenewAnswer {
@@ -52,12 +71,8 @@
   1: string endpoint,
 }
 
-struct LiveGrant {
-  1: string grant,
-  2: string attempt,
-  3: bool batch,
-}
-
 struct LiveGrants {
   1: list<LiveGrant> grants,
+  2: string node,
+  3: string reply_to,
 }
