--- /dev/null
+++ b/parsleyrouter/commands/ctl.py
@@ -0,0 +1,41 @@
+"""``parsleyctl``: the operators' tool.
+
+Exit codes: 0 done; 1 failed, or ``diff`` found differences; 2 wrong usage; 3 refused as invalid;
+4 another operator's change came first; 5 not found; 6 no entry could be reached, nothing was
+changed; 7 unknown whether the change holds, look at the history; 8 not in force in time.
+"""
+
+import sys
+
+import msgspec
+from cyclopts import App, CycloptsError
+from cyclopts.config import Env
+
+from parsleyrouter.commands.ctl_client import CtlError, ExitCode
+from parsleyrouter.commands.ctl_settings import settings_app
+from parsleyrouter.commands.ctl_views import add_views
+from parsleyrouter.process.options import BadSetting
+from parsleyrouter.version.paths import BadPath
+
+__all__ = ["main"]
+
+app = App(name="parsleyctl", help=__doc__, config=Env("PARSLEY_", command=False))
+app.command(settings_app)
+add_views(app)
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Run one command."""
+    try:
+        app(arguments, exit_on_error=False, print_error=False)
+    except CtlError as error:
+        _fail(str(error), error.code, error.details)
+    except (BadPath, BadSetting, CycloptsError) as error:
+        _fail(str(error), ExitCode.USAGE)
+
+
+def _fail(message: str, code: int, details: object = None) -> None:
+    print(f"parsleyctl: {message}", file=sys.stderr)
+    if details and "--json" in sys.argv:
+        print(msgspec.json.encode({"error": details}).decode())
+    sys.exit(code)
--- /dev/null
+++ b/parsleyrouter/commands/ctl_output.py
@@ -0,0 +1,49 @@
+"""Show results as tables for people or as JSON for programs."""
+
+from collections.abc import Iterable, Sequence
+from datetime import UTC, datetime
+from typing import Any
+
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+__all__ = ["show_json", "show_lines", "show_table", "short", "when"]
+
+CELL_LETTERS = 60
+
+console = Console(soft_wrap=True, highlight=False)
+
+
+def show_json(value: Any) -> None:
+    """Print a value as JSON."""
+    print(msgspec.json.format(msgspec.json.encode(value), indent=2).decode())
+
+
+def show_table(columns: Sequence[str], rows: Iterable[Sequence[Any]]) -> None:
+    """Print rows under their columns."""
+    table = Table(box=None, pad_edge=False, header_style="bold")
+    for column in columns:
+        table.add_column(column, overflow="fold")
+    for row in rows:
+        table.add_row(*(str(cell) for cell in row))
+    console.print(table, markup=False)
+
+
+def show_lines(lines: Iterable[str]) -> None:
+    """Print lines as they are."""
+    for line in lines:
+        console.print(line, markup=False)
+
+
+def short(value: Any) -> str:
+    """Return a value as JSON, cut to the width of a cell."""
+    if value is None:
+        return "-"
+    text = msgspec.json.encode(value).decode()
+    return text if len(text) <= CELL_LETTERS else text[: CELL_LETTERS - 1] + "…"
+
+
+def when(seconds: float) -> str:
+    """Return a time in seconds since 1970 as UTC."""
+    return datetime.fromtimestamp(seconds, UTC).strftime("%Y-%m-%d %H:%M:%SZ")
--- /dev/null
+++ b/parsleyrouter/commands/ctl_settings.py
@@ -0,0 +1,342 @@
+"""The commands ``parsleyctl settings ...``."""
+
+import sys
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from cyclopts import App
+
+from parsleyrouter.commands.ctl_client import CtlClient, CtlError, ExitCode
+from parsleyrouter.commands.ctl_options import CtlOptions
+from parsleyrouter.commands.ctl_output import short, show_json, show_lines, show_table, when
+from parsleyrouter.version.diff import differences
+from parsleyrouter.version.paths import SettingsPath, parse_path
+
+__all__ = ["settings_app"]
+
+WAIT_EVERY_S = 0.25
+
+settings_app = App(name="settings", help="Read and change settings by path.")
+
+
+def parse_value(text: str) -> Any:
+    """Return JSON as its value and any other text as a string."""
+    try:
+        return msgspec.json.decode(text)
+    except msgspec.DecodeError:
+        return text
+
+
+async def read(client: CtlClient, path: SettingsPath) -> Any:
+    """Return what stands at a path with its version."""
+    return await client.call("GET", f"/v1/settings{path}")
+
+
+async def write(
+    client: CtlClient, method: str, path: SettingsPath, value: Any, version: int, dry_run: bool
+) -> Any:
+    """Change a path against the version that was read."""
+    query = {"version": str(version), "dry_run": "true" if dry_run else "false"}
+    return await client.call(method, f"/v1/settings{path}", query, value)
+
+
+async def change(
+    client: CtlClient,
+    method: str,
+    path: SettingsPath,
+    value: Any,
+    version: int | None,
+    dry_run: bool,
+) -> Any:
+    """Read the version unless one is given, then change."""
+    if version is None:
+        version = (await read(client, path))["version"]
+    return await write(client, method, path, value, version, dry_run)
+
+
+def report(options: CtlOptions, outcome: Any, dry_run: bool) -> None:
+    """Show what a change did."""
+    if options.json:
+        show_json(outcome)
+        return
+    made = outcome["change"]
+    show_lines(
+        [
+            f"{made['path']}: {short(made['was'])} -> {short(made['now'])}",
+            (
+                "dry run: nothing was changed"
+                if dry_run
+                else f"accepted as version {made['version']}, revision {outcome['revision']}"
+            ),
+        ]
+    )
+
+
+@settings_app.command
+def get(path: str, *, options: CtlOptions | None = None) -> None:
+    """Print what stands at PATH."""
+    chosen = options or CtlOptions()
+    found = chosen.run(lambda client: read(client, parse_path(path)))
+    if not found["set"]:
+        raise CtlError(f"{found['path']} is not set", ExitCode.NOT_FOUND)
+    show_json(found if chosen.json else found["value"])
+
+
+@settings_app.command(name="set")
+def set_value(
+    path: str,
+    value: str,
+    *,
+    version: int | None = None,
+    dry_run: bool = False,
+    options: CtlOptions | None = None,
+) -> None:
+    """Set PATH to VALUE, which is JSON or plain text.
+
+    Parameters
+    ----------
+    version
+        Change only this version of the subtree; by default the one that stands now.
+    dry_run
+        Check the change and change nothing.
+    """
+    chosen = options or CtlOptions()
+    new = parse_value(value)
+    outcome = chosen.run(
+        lambda client: change(client, "PUT", parse_path(path), new, version, dry_run)
+    )
+    report(chosen, outcome, dry_run)
+
+
+@settings_app.command
+def unset(
+    path: str,
+    *,
+    version: int | None = None,
+    dry_run: bool = False,
+    options: CtlOptions | None = None,
+) -> None:
+    """Remove what stands at PATH.
+
+    Parameters
+    ----------
+    version
+        Change only this version of the subtree; by default the one that stands now.
+    dry_run
+        Check the change and change nothing.
+    """
+    chosen = options or CtlOptions()
+    outcome = chosen.run(
+        lambda client: change(client, "DELETE", parse_path(path), None, version, dry_run)
+    )
+    report(chosen, outcome, dry_run)
+
+
+@settings_app.command
+def edit(
+    path: str, file: Path, *, dry_run: bool = False, options: CtlOptions | None = None
+) -> None:
+    """Change PATH through a draft in FILE.
+
+    Without FILE it is written, with the version that was read; edit it and run the same command
+    again to make the change.
+
+    Parameters
+    ----------
+    dry_run
+        Check the change and change nothing.
+    """
+    chosen = options or CtlOptions()
+    place = parse_path(path)
+    if not file.exists():
+        found = chosen.run(lambda client: read(client, place))
+        write_draft(file, found)
+        show_lines([f"wrote {file}: edit its value, then run the same command again"])
+        return
+    draft = read_draft(file, place)
+    outcome = chosen.run(
+        lambda client: write(client, "PUT", place, draft["value"], draft["version"], dry_run)
+    )
+    report(chosen, outcome, dry_run)
+    if not dry_run:
+        file.unlink()
+
+
+def write_draft(file: Path, found: Any) -> None:
+    """Write what stands at a path and its version."""
+    draft = {name: found[name] for name in ("path", "version", "value")}
+    file.write_bytes(msgspec.json.format(msgspec.json.encode(draft), indent=2) + b"\n")
+
+
+def read_draft(file: Path, path: SettingsPath) -> Any:
+    """Read a draft; raise ``CtlError`` when it is none of this path."""
+    try:
+        draft = msgspec.json.decode(file.read_bytes())
+    except (OSError, msgspec.DecodeError) as error:
+        message = f"{file} cannot be read, nothing was changed: {error}"
+        raise CtlError(message, ExitCode.USAGE) from error
+    if not isinstance(draft, dict) or draft.get("path") != str(path):
+        message = f"{file} is no draft of {path}: name another file"
+        raise CtlError(message, ExitCode.USAGE)
+    return draft
+
+
+def load_file(file: Path) -> dict[SettingsPath, Any]:
+    """Read a file of paths and values, JSON or TOML; raise ``CtlError``."""
+    try:
+        data = sys.stdin.buffer.read() if str(file) == "-" else file.read_bytes()
+        toml = file.suffix == ".toml"
+        content = tomllib.loads(data.decode()) if toml else msgspec.json.decode(data)
+    except (OSError, ValueError, msgspec.DecodeError) as error:
+        raise CtlError(f"{file}: {error}", ExitCode.USAGE) from error
+    if not isinstance(content, dict):
+        raise CtlError(f"{file}: use an object of paths and values", ExitCode.USAGE)
+    return {parse_path(path): value for path, value in content.items()}
+
+
+@settings_app.command
+def diff(file: Path, *, options: CtlOptions | None = None) -> None:
+    """Show where FILE differs from what stands; exit 1 if it does.
+
+    FILE holds paths and their values, such as {"/teams/a": {...}}, as JSON or TOML.
+    """
+    chosen = options or CtlOptions()
+    wanted = load_file(file)
+
+    async def compare(client: CtlClient) -> list[Any]:
+        found = []
+        for path, value in wanted.items():
+            standing = await read(client, path)
+            found += list(differences(standing["value"], value, str(path)))
+        return found
+
+    found = chosen.run(compare)
+    if chosen.json:
+        show_json(found)
+    else:
+        show_table(
+            ["path", "was", "now"], ((one.path, short(one.was), short(one.now)) for one in found)
+        )
+    if found:
+        sys.exit(ExitCode.FAILED)
+
+
+@settings_app.command
+def apply(file: Path, *, dry_run: bool = False, options: CtlOptions | None = None) -> None:
+    """Set every path in FILE to its value; nothing is changed unless all of it is valid.
+
+    Parameters
+    ----------
+    dry_run
+        Check the changes and change nothing.
+    """
+    chosen = options or CtlOptions()
+    wanted = load_file(file)
+    outcomes = chosen.run(lambda client: apply_all(client, wanted, dry_run))
+    if chosen.json:
+        show_json(outcomes)
+        return
+    for outcome in outcomes:
+        report(chosen, outcome, dry_run)
+    show_lines([f"{len(outcomes)} of {len(wanted)} paths differed"])
+
+
+async def apply_all(client: CtlClient, wanted: dict[SettingsPath, Any], dry_run: bool) -> list[Any]:
+    """Check all changes, then make those that differ, against the versions checked."""
+    checked = []
+    refusals: list[CtlError] = []
+    for path, value in wanted.items():
+        standing = await read(client, path)
+        if standing["value"] == value:
+            continue
+        try:
+            outcome = await write(client, "PUT", path, value, standing["version"], True)
+            checked.append((path, value, outcome))
+        except CtlError as error:
+            refusals.append(error)
+    if refusals:
+        raise together(refusals)
+    if dry_run:
+        return [outcome for _, _, outcome in checked]
+    return [
+        await change(client, "PUT", path, value, outcome["change"]["version"] - 1, False)
+        for path, value, outcome in checked
+    ]
+
+
+def together(errors: list[CtlError]) -> CtlError:
+    """Return one error that names all."""
+    message = "nothing was changed:\n" + "\n".join(str(error) for error in errors)
+    return CtlError(message, errors[0].code, [error.details for error in errors])
+
+
+@settings_app.command
+def history(path: str, *, limit: int = 20, options: CtlOptions | None = None) -> None:
+    """Show the last changes at PATH, the newest first.
+
+    Parameters
+    ----------
+    limit
+        How many changes of the subtree to look at.
+    """
+    show_changes(path, limit, options or CtlOptions())
+
+
+def show_changes(path: str, limit: int, options: CtlOptions) -> None:
+    """Show the audit trail of a path."""
+    place = parse_path(path)
+    found = options.run(
+        lambda client: client.call("GET", f"/v1/audit{place}", {"limit": str(limit)})
+    )
+    if options.json:
+        show_json(found)
+        return
+    show_table(
+        ["version", "when", "who", "from", "path", "was", "now"],
+        (
+            (
+                one["version"],
+                when(one["when_s"]),
+                one["who"],
+                one["source"],
+                one["path"],
+                short(one["was"]),
+                short(one["now"]),
+            )
+            for one in found["changes"]
+        ),
+    )
+
+
+@settings_app.command
+def wait(revision: int, *, timeout_s: float = 30.0, options: CtlOptions | None = None) -> None:
+    """Wait until REVISION is in force on every live node.
+
+    Parameters
+    ----------
+    timeout_s
+        Seconds to wait at most.
+    """
+    chosen = options or CtlOptions()
+    status = chosen.run(lambda client: wait_in_force(client, revision, timeout_s))
+    if chosen.json:
+        show_json(status)
+    else:
+        show_lines([f"revision {revision} is in force on {len(status['nodes'])} nodes"])
+
+
+async def wait_in_force(client: CtlClient, revision: int, timeout_s: float) -> Any:
+    """Ask until every node has a revision in force; raise ``CtlError`` when it takes too long."""
+    loop = client.runtime.loop
+    deadline_s = loop.now() + timeout_s
+    while True:
+        status = await client.call("GET", "/v1/status", {"revision": str(revision)})
+        behind = [node["node"] for node in status["nodes"] if not node["in_force"]]
+        if not behind:
+            return status
+        if loop.now() > deadline_s:
+            message = f"revision {revision} is not in force on: {', '.join(behind)}"
+            raise CtlError(message, ExitCode.TIMED_OUT, behind)
+        await loop.sleep(WAIT_EVERY_S)
--- /dev/null
+++ b/parsleyrouter/commands/ctl_views.py
@@ -0,0 +1,131 @@
+"""The commands of parsleyctl that show teams, endpoints, jobs, the audit trail and status."""
+
+from typing import Any
+
+from cyclopts import App
+
+from parsleyrouter.commands.ctl_client import CtlClient
+from parsleyrouter.commands.ctl_options import CtlOptions
+from parsleyrouter.commands.ctl_output import show_json, show_lines, show_table, when
+from parsleyrouter.commands.ctl_settings import show_changes
+
+__all__ = ["add_views"]
+
+
+def add_views(app: App) -> None:
+    """Add the commands to the app."""
+    for command in (teams, endpoints, jobs, audit, status):
+        app.command(command)
+
+
+def teams(*, options: CtlOptions | None = None) -> None:
+    """List the teams in force."""
+    chosen = options or CtlOptions()
+    found = chosen.run(lambda client: client.call("GET", "/v1/status"))["teams"]
+    if chosen.json:
+        show_json(found)
+        return
+    rows = ((name, one["models"], one["kinds"], one["keys"]) for name, one in sorted(found.items()))
+    show_table(["team", "models", "kinds", "keys"], rows)
+
+
+def endpoints(*, options: CtlOptions | None = None) -> None:
+    """List the endpoints that are set."""
+    chosen = options or CtlOptions()
+    found = chosen.run(lambda client: client.call("GET", "/v1/settings/fleet/endpoints"))
+    listed = found["value"] or {}
+    if chosen.json:
+        show_json(listed)
+        return
+    show_table(
+        ["endpoint", "address", "type", "state", "domain", "serves", "slots", "checks fencing"],
+        (_endpoint_row(name, one) for name, one in sorted(listed.items())),
+    )
+
+
+def _endpoint_row(name: str, one: dict[str, Any]) -> list[Any]:
+    serves = one.get("application") or ", ".join(one.get("models", ())) or "-"
+    return [
+        name,
+        one["address"],
+        one.get("type", "engine"),
+        one.get("state", "active"),
+        one.get("domain") or "-",
+        serves,
+        one.get("slots", 8),
+        "yes" if one.get("checks_fencing") else "no",
+    ]
+
+
+def jobs(*, limit: int = 100, options: CtlOptions | None = None) -> None:
+    """List the batch jobs of a team; the key must be one of the team's.
+
+    Parameters
+    ----------
+    limit
+        How many jobs to list at most.
+    """
+    chosen = options or CtlOptions()
+    found = chosen.run(lambda client: client.call("GET", "/v1/batches", {"limit": str(limit)}))
+    if chosen.json:
+        show_json(found)
+        return
+    listed = found.get("data", found) if isinstance(found, dict) else found
+    show_table(
+        ["job", "state", "items", "done", "failed", "deadline", "late"],
+        (_job_row(one) for one in listed),
+    )
+
+
+def _job_row(one: dict[str, Any]) -> list[Any]:
+    return [
+        one.get("id") or one.get("job"),
+        one.get("status") or one.get("state"),
+        one.get("items", "-"),
+        one.get("done", "-"),
+        one.get("failed", "-"),
+        when(one["deadline_s"]) if "deadline_s" in one else "-",
+        "yes" if one.get("late") else "no",
+    ]
+
+
+def audit(path: str = "/fleet", *, limit: int = 50, options: CtlOptions | None = None) -> None:
+    """Show who changed what at PATH, when and from where.
+
+    Parameters
+    ----------
+    limit
+        How many changes of the subtree to look at.
+    """
+    show_changes(path, limit, options or CtlOptions())
+
+
+def status(*, options: CtlOptions | None = None) -> None:
+    """Show the nodes and how far their settings are."""
+    chosen = options or CtlOptions()
+
+    async def ask(client: CtlClient) -> Any:
+        return await client.call("GET", "/v1/status")
+
+    found = chosen.run(ask)
+    if chosen.json:
+        show_json(found)
+        return
+    proof = "proved current" if found["proved_current"] else "not proved current"
+    show_lines([f"settings at revision {found['revision']}, {proof} on {found['node']}"])
+    show_table(
+        ["node", "domain", "state", "load", "in force", "proved current", "services"],
+        (_node_row(one) for one in found["nodes"]),
+    )
+
+
+def _node_row(one: dict[str, Any]) -> list[Any]:
+    return [
+        one["node"],
+        one["domain"],
+        one["state"],
+        f"{one['load']:.2f}",
+        "yes" if one["in_force"] else "no" if one["answers"] else "no answer",
+        "yes" if one["proved_current"] else "no",
+        ", ".join(sorted(one["services"])),
+    ]
--- /dev/null
+++ b/parsleyrouter/connection/api_settings.py
@@ -0,0 +1,196 @@
+"""The operators' HTTP surface: settings, audit trail and status."""
+
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import asdict, dataclass
+from typing import Any
+
+import msgspec
+
+from parsleyrouter.connection.http import HttpReply, json_reply, refusal_reply
+from parsleyrouter.connection.http_server import Exchange, Routes
+from parsleyrouter.connection.key_value import KeyValueFailure
+from parsleyrouter.ids import Revision
+from parsleyrouter.outcome import Ran, Refusal, RefusalKind
+from parsleyrouter.process.agent import Agent
+from parsleyrouter.process.operators import Operator, Operators
+from parsleyrouter.process.settings_desk import (
+    UNSET,
+    Accepted,
+    Author,
+    ChangeFailure,
+    ChangeFailureKind,
+    SettingsDesk,
+)
+from parsleyrouter.process.view import NodeInfo
+from parsleyrouter.thrift_gen.fleet.ttypes import NodeStatus
+from parsleyrouter.version.paths import BadPath, SettingsPath, get_at, parse_path
+from parsleyrouter.version.schema import OperatorRole
+
+__all__ = ["SettingsApi", "add_settings_routes"]
+
+HISTORY_LIMIT = 200
+
+Action = Callable[[Operator, Exchange], Awaitable[HttpReply]]
+
+_KINDS = {
+    ChangeFailureKind.INVALID: (RefusalKind.BAD_REQUEST, Ran.NOT_RUN),
+    ChangeFailureKind.NOT_SET: (RefusalKind.NOT_FOUND, Ran.NOT_RUN),
+    ChangeFailureKind.RACED: (RefusalKind.CONFLICT, Ran.NOT_RUN),
+    ChangeFailureKind.UNAVAILABLE: (RefusalKind.PLATFORM_UNAVAILABLE, Ran.NOT_RUN),
+    ChangeFailureKind.UNKNOWN: (RefusalKind.PLATFORM_UNAVAILABLE, Ran.UNKNOWN),
+}
+
+
+@dataclass
+class SettingsApi:
+    """What the operators' routes need of the entry process."""
+
+    desk: SettingsDesk
+    agent: Agent
+    operators: Operators
+
+
+def add_settings_routes(routes: Routes, api: SettingsApi) -> None:
+    """Add ``/v1/settings/<path>``, ``/v1/audit/<path>`` and ``/v1/status``."""
+    _add(routes, api, "GET", "/v1/settings/{path:rest}", OperatorRole.READ, _read)
+    _add(routes, api, "PUT", "/v1/settings/{path:rest}", OperatorRole.WRITE, _put)
+    _add(routes, api, "DELETE", "/v1/settings/{path:rest}", OperatorRole.WRITE, _unset)
+    _add(routes, api, "GET", "/v1/audit/{path:rest}", OperatorRole.READ, _audit)
+    _add(routes, api, "GET", "/v1/status", OperatorRole.READ, _status)
+
+
+RoutedAction = Callable[[SettingsApi, Operator, Exchange], Awaitable[HttpReply]]
+
+
+def _add(
+    routes: Routes,
+    api: SettingsApi,
+    method: str,
+    path: str,
+    role: OperatorRole,
+    action: RoutedAction,
+) -> None:
+    @routes.add(method, path)
+    async def answer(_: Any, exchange: Exchange) -> HttpReply:
+        operator = api.operators.find(exchange.request.headers, role)
+        if isinstance(operator, Refusal):
+            return refusal_reply(operator)
+        try:
+            return await action(api, operator, exchange)
+        except BadPath as error:
+            return _refuse(RefusalKind.BAD_REQUEST, str(error))
+
+
+async def _read(api: SettingsApi, operator: Operator, exchange: Exchange) -> HttpReply:
+    path = parse_path(exchange.values["path"])
+    standing = await api.desk.get(path.subtree)
+    if isinstance(standing, KeyValueFailure):
+        return _refuse(RefusalKind.PLATFORM_UNAVAILABLE, f"{standing.message}; try again later")
+    try:
+        value = get_at(standing.value, path.segments)
+    except KeyError:
+        value = None
+    body = {
+        "path": str(path),
+        "value": value,
+        "set": value is not None,
+        "version": standing.version,
+        "revision": standing.revision,
+    }
+    return json_reply(body)
+
+
+async def _put(api: SettingsApi, operator: Operator, exchange: Exchange) -> HttpReply:
+    try:
+        new = exchange.request.json()
+    except msgspec.DecodeError as error:
+        return _refuse(RefusalKind.BAD_REQUEST, f"the body is not JSON: {error}")
+    return await _change(api, operator, exchange, new)
+
+
+async def _unset(api: SettingsApi, operator: Operator, exchange: Exchange) -> HttpReply:
+    return await _change(api, operator, exchange, UNSET)
+
+
+async def _change(api: SettingsApi, operator: Operator, exchange: Exchange, new: Any) -> HttpReply:
+    path = parse_path(exchange.values["path"])
+    query = exchange.request.query
+    expected = query.get("version")
+    if expected is not None and not expected.isdecimal():
+        return _refuse(RefusalKind.BAD_REQUEST, "version must be the number that was read")
+    author = Author(operator.name, exchange.request.remote, time.time())
+    outcome = await api.desk.change(
+        path,
+        new,
+        author,
+        expected_version=None if expected is None else int(expected),
+        dry_run=query.get("dry_run") == "true",
+    )
+    return _told(outcome)
+
+
+def _told(outcome: Accepted | ChangeFailure) -> HttpReply:
+    if isinstance(outcome, Accepted):
+        return json_reply({"revision": outcome.revision, "change": outcome.change})
+    kind, ran = _KINDS[outcome.kind]
+    body = Refusal(kind, outcome.message, ran).body()
+    body["error"]["faults"] = [asdict(fault) for fault in outcome.faults]
+    body["error"]["other"] = outcome.other
+    return json_reply(body, status=Refusal(kind, "", ran).status)
+
+
+async def _audit(api: SettingsApi, operator: Operator, exchange: Exchange) -> HttpReply:
+    path = parse_path(exchange.values["path"])
+    limit = exchange.request.query.get("limit", "50")
+    if not limit.isdecimal() or not 1 <= int(limit) <= HISTORY_LIMIT:
+        return _refuse(RefusalKind.BAD_REQUEST, f"limit must be 1 to {HISTORY_LIMIT}")
+    changes = await api.desk.history(path.subtree, int(limit))
+    if isinstance(changes, KeyValueFailure):
+        return _refuse(RefusalKind.PLATFORM_UNAVAILABLE, f"{changes.message}; try again later")
+    touching = [change for change in changes if _touches(path, parse_path(change.path))]
+    return json_reply({"path": str(path), "changes": touching})
+
+
+def _touches(asked: SettingsPath, changed: SettingsPath) -> bool:
+    shared = min(len(asked.segments), len(changed.segments))
+    return asked.segments[:shared] == changed.segments[:shared]
+
+
+async def _status(api: SettingsApi, operator: Operator, exchange: Exchange) -> HttpReply:
+    settings = api.agent.settings()
+    asked = exchange.request.query.get("revision", str(settings.revision))
+    if not asked.isdecimal():
+        return _refuse(RefusalKind.BAD_REQUEST, "revision must be a number")
+    revision = Revision(int(asked))
+    answers = await api.agent.ask_all(revision)
+    teams = {
+        name: {"models": len(team.models), "kinds": len(team.kinds), "keys": len(team.keys)}
+        for name, team in settings.teams.items()
+    }
+    body = {
+        "node": api.agent.self_node().node,
+        "revision": settings.revision,
+        "proved_current": settings.proved_current,
+        "asked_revision": revision,
+        "nodes": [_node(info, answers.get(info.node)) for info in api.agent.nodes()],
+        "teams": teams,
+    }
+    return json_reply(body)
+
+
+def _node(info: NodeInfo, status: NodeStatus | None) -> dict[str, Any]:
+    return {
+        "node": info.node,
+        "domain": info.domain,
+        "state": info.state.value,
+        "load": info.load,
+        "answers": status is not None,
+        "in_force": status is not None and status.in_force,
+        "proved_current": status is not None and status.proved_current,
+        "services": {service.value: address for service, address in info.addresses.items()},
+    }
+
+
+def _refuse(kind: RefusalKind, message: str) -> HttpReply:
+    return refusal_reply(Refusal(kind, message, Ran.NOT_RUN))
--- /dev/null
+++ b/parsleyrouter/process/agent_options.py
@@ -0,0 +1,50 @@
+"""Settings of the agent that each VM runs in its entry process."""
+
+import re
+from dataclasses import dataclass
+
+from cyclopts import Parameter
+
+from parsleyrouter.process.options import BadSetting, check_address, check_range
+
+__all__ = ["AgentOptions"]
+
+
+@Parameter(name="*")
+@dataclass(frozen=True)
+class AgentOptions:
+    """Settings of membership and of the spread of settings."""
+
+    agent: str = "127.0.0.1:0"
+    """UDP and TCP address towards the agents of other VMs; port 0 lets the system choose."""
+
+    vm_list: str = ""
+    """Address of the platform's VM list; empty for none."""
+
+    seeds: str = ""
+    """Agents to join through beside the VM list: ip:port, separated by commas."""
+
+    operator_key_sha256: str = ""
+    """SHA-256 of the operator's key that holds until a write operator stands in the settings."""
+
+    locate_ttl_s: float = 5.0
+    """Seconds for which callers may keep a locate answer."""
+
+    stop_limit_s: float = 600.0
+    """Seconds after which a planned stop no longer waits for open requests."""
+
+    def check(self) -> None:
+        """Raise ``BadSetting`` for the first setting that is not allowed."""
+        check_address("agent", self.agent)
+        if self.vm_list:
+            check_address("vm-list", self.vm_list)
+        for seed in self.seed_list():
+            check_address("seeds", seed)
+        if self.operator_key_sha256 and not re.match(r"^[0-9a-f]{64}$", self.operator_key_sha256):
+            raise BadSetting("operator-key-sha256", self.operator_key_sha256, "64 hex digits")
+        check_range("locate-ttl-s", self.locate_ttl_s, 0.5, 300, "s")
+        check_range("stop-limit-s", self.stop_limit_s, 1, 86400, "s")
+
+    def seed_list(self) -> list[str]:
+        """Return the seeds one by one."""
+        return [seed.strip() for seed in self.seeds.split(",") if seed.strip()]
--- /dev/null
+++ b/parsleyrouter/process/follower.py
@@ -0,0 +1,133 @@
+"""The view of a process that follows the agent of its VM over loopback."""
+
+import dataclasses
+import logging
+from collections.abc import Callable
+
+from parsleyrouter.connection.peer import PeerFailure
+from parsleyrouter.ids import Address, DomainName, NodeId
+from parsleyrouter.process.fleet_wire import from_member, from_record
+from parsleyrouter.process.runtime import Runtime
+from parsleyrouter.process.view import NodeInfo, Service
+from parsleyrouter.thrift_gen.fleet.ttypes import Follow, FollowAnswer
+from parsleyrouter.version.in_force import SnapshotBuilder
+from parsleyrouter.version.merge import Replica
+from parsleyrouter.version.snapshot import SettingsSnapshot
+
+__all__ = ["Follower"]
+
+ASK_EVERY_S = 0.5
+CALL_TIMEOUT_S = 2.0
+
+log = logging.getLogger(__name__)
+
+
+class Follower:
+    """Implement ``FleetView`` by what the VM's agent tells; keep the last view while it is gone.
+
+    ``address`` is where this process serves ``service``; then ``start``.
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        agent: Address,
+        service: Service,
+        address: Address,
+        *,
+        node: NodeId,
+        domain: DomainName,
+    ) -> None:
+        self.runtime = runtime
+        self.loop = runtime.loop
+        self.agent = agent
+        self.service = service
+        self.address = address
+        self.me = NodeInfo(node, domain, {service: address})
+        self.others: tuple[NodeInfo, ...] = ()
+        self.view_version = 0
+        self.settings_sequence = 0
+        self.replica = Replica()
+        self.builder = SnapshotBuilder()
+        self.snapshot = SettingsSnapshot()
+        self.load = 0.0
+        self.agent_answers = False
+        self.callbacks: list[Callable[[], None]] = []
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self.loop.spawn(self._run(), "follower")
+
+    def self_node(self) -> NodeInfo:
+        """Return this process's own node."""
+        return self.me
+
+    def nodes(self) -> tuple[NodeInfo, ...]:
+        """Return the nodes believed up, ordered by id."""
+        return tuple(sorted((self.me, *self.others), key=lambda info: info.node))
+
+    def settings(self) -> SettingsSnapshot:
+        """Return the settings in force here."""
+        return self.snapshot
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Call back after nodes or settings have changed."""
+        self.callbacks.append(callback)
+
+    def set_load(self, load: float) -> None:
+        """Tell how busy this process is, from 0 to 1."""
+        self.load = load
+
+    async def _run(self) -> None:
+        while True:
+            request = Follow(
+                role=self.service.value,
+                address=self.address,
+                view=self.view_version,
+                settings=self.settings_sequence,
+                load=self.load,
+            )
+            answer = await self.runtime.peers.call(
+                self.agent, "fleet.follow", request, FollowAnswer, CALL_TIMEOUT_S
+            )
+            self._take(answer)
+            await self.loop.sleep(ASK_EVERY_S)
+
+    def _take(self, answer: FollowAnswer | PeerFailure) -> None:
+        if isinstance(answer, PeerFailure):
+            self._agent_gone(answer.message)
+            return
+        self.agent_answers = True
+        changed = answer.view != self.view_version
+        self.view_version = answer.view
+        if answer.members is not None:
+            self._take_members([from_member(belief.member) for belief in answer.members.beliefs])
+        if answer.settings is not None:
+            self.settings_sequence = answer.settings.sequence
+            self.replica.take(map(from_record, answer.settings.records))
+        proved = bool(answer.proved_current)
+        if answer.settings is not None or proved != self.snapshot.proved_current:
+            self.snapshot = self.builder.build(self.replica.records.values(), proved)
+            changed = True
+        if changed:
+            self._tell()
+
+    def _take_members(self, infos: list[NodeInfo]) -> None:
+        mine = [info for info in infos if info.node == self.me.node]
+        if mine:
+            addresses = {**mine[0].addresses, self.service: self.address}
+            self.me = dataclasses.replace(mine[0], addresses=addresses)
+        self.others = tuple(info for info in infos if info.node != self.me.node)
+
+    def _agent_gone(self, reason: str) -> None:
+        if self.agent_answers:
+            log.warning("the agent of this VM does not answer", extra={"reason": reason})
+        self.agent_answers = False
+        self.view_version = 0
+        if self.snapshot.proved_current:
+            self.snapshot = dataclasses.replace(self.snapshot, proved_current=False)
+            self._tell()
+
+    def _tell(self) -> None:
+        for callback in self.callbacks:
+            callback()
--- /dev/null
+++ b/parsleyrouter/process/operators.py
@@ -0,0 +1,64 @@
+"""Tell operators by their bearer keys."""
+
+import hmac
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from parsleyrouter.connection.authentication import bearer_key, hash_key
+from parsleyrouter.outcome import Ran, Refusal, RefusalKind
+from parsleyrouter.process.view import FleetView
+from parsleyrouter.version.schema import OperatorRole
+
+__all__ = ["Operator", "Operators"]
+
+BOOTSTRAP_NAME = "bootstrap"
+
+
+@dataclass(frozen=True)
+class Operator:
+    """An operator who has shown a valid key."""
+
+    name: str
+    role: OperatorRole
+
+
+class Operators:
+    """Look operators up in the settings in force.
+
+    The bootstrap key holds only while no operator with the role ``write`` is set.
+    """
+
+    def __init__(self, view: FleetView, bootstrap_sha256: str = "") -> None:
+        self.view = view
+        self.bootstrap_sha256 = bootstrap_sha256
+
+    def find(self, headers: Mapping[str, str], needed: OperatorRole) -> Operator | Refusal:
+        """Return the operator of a request who may do what is asked."""
+        key = bearer_key(headers)
+        operator = self._with_key(hash_key(key)) if key is not None else None
+        if operator is None:
+            return _UNKNOWN
+        if needed is OperatorRole.WRITE and operator.role is not OperatorRole.WRITE:
+            message = f"operator {operator.name} may only read: use a key with the role write"
+            return Refusal(RefusalKind.FORBIDDEN, message, Ran.NOT_RUN)
+        return operator
+
+    def _with_key(self, digest: str) -> Operator | None:
+        known = self.view.settings().fleet.operators
+        found = None
+        for name, operator in known.items():
+            if hmac.compare_digest(operator.sha256, digest):
+                found = Operator(name, operator.role)
+        writers = any(operator.role is OperatorRole.WRITE for operator in known.values())
+        if found is not None or writers or not self.bootstrap_sha256:
+            return found
+        if not hmac.compare_digest(self.bootstrap_sha256, digest):
+            return None
+        return Operator(BOOTSTRAP_NAME, OperatorRole.WRITE)
+
+
+_UNKNOWN = Refusal(
+    RefusalKind.UNAUTHENTICATED,
+    "unknown or missing operator's key: send 'Authorization: Bearer <key>'",
+    Ran.NOT_RUN,
+)
