--- a/parsleyrouter/process/agent.py
+++ b/parsleyrouter/process/agent.py
@@ -74,6 +74,7 @@
         started_ms = time.time_ns() // 1_000_000
         self.me = NodeInfo(node, domain, incarnation=started_ms)
         self.heard: dict[NodeId, tuple[NodeInfo, float]] = {}
+        self.rumoured: set[Address] = set()
         self.registered: dict[Service, tuple[Address, float]] = {}
         self.own_services: dict[Service, Address] = {}
         self.replica = Replica(sequence=started_ms)
@@ -151,6 +152,8 @@
     async def _visit_others(self) -> None:
         addresses = {Address(seed) for seed in self.options.seed_list()}
         addresses |= set(await self._listed())
+        addresses |= self.rumoured
+        self.rumoured = set()
         addresses |= {info.addresses[Service.AGENT] for info, _ in self.heard.values()}
         addresses.discard(self.address)
         visits = [self.loop.spawn(self._visit(address)) for address in addresses]
@@ -176,7 +179,7 @@
             address, "fleet.sync", mine, MemberList, CALL_TIMEOUT_S
         )
         if not isinstance(answer, PeerFailure):
-            self.hear(answer.beliefs)
+            self.hear(answer.node, answer.beliefs)
             await self._fetch_settings(address)
 
     async def _fetch_settings(self, address: Address) -> None:
@@ -190,7 +193,7 @@
         self.replica.take_update(records, since, from_mark(update.mark), self.loop.now())
         self._settings_changed()
 
-    def hear(self, beliefs: Iterable[Belief]) -> None:
+    def hear(self, sender: str, beliefs: Iterable[Belief]) -> None:
         """Take in what a peer tells of nodes."""
         now = self.loop.now()
         changed = False
@@ -198,6 +201,9 @@
             info = from_member(belief.member)
             if info.node == self.me.node:
                 continue
+            if info.node != sender:
+                self.rumoured.add(info.addresses[Service.AGENT])
+                continue
             known = self.heard.get(info.node)
             self.heard[info.node] = (info, now)
             changed = changed or known is None or known[0] != info
@@ -292,8 +298,9 @@
 
 @agent_methods.add("fleet.sync", MemberList)
 async def _sync(agent: Agent, request: MemberList) -> MemberList:
-    agent.hear(request.beliefs)
-    return MemberList(node=agent.me.node, beliefs=[Belief(member=to_member(agent.me))])
+    agent.hear(request.node, request.beliefs)
+    beliefs = [Belief(member=to_member(info)) for info in agent.nodes()]
+    return MemberList(node=agent.me.node, beliefs=beliefs)
 
 
 @agent_methods.add("fleet.settings", FetchSettings)
