--- /dev/null
+++ b/features/steps/entry_steps.py
@@ -0,0 +1,252 @@
+"""Steps for what callers meet at an entry."""
+
+import json
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from behave import given, then, when
+from hypothesis import given as sample
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from features.support.entry import (
+    CHAT,
+    CHAT_PATH,
+    KEY,
+    OTHER_KEY,
+    STREAM,
+    ScriptedEndpoint,
+    TestEntry,
+    answer_ok,
+    start_entry,
+)
+from features.support.loop import run_on_loop
+from parsleyrouter.connection.http import HttpReply, json_reply
+from parsleyrouter.connection.http_server import Exchange
+from parsleyrouter.ids import Address, DomainName, NodeId, TeamName
+from parsleyrouter.outcome import Refusal
+from parsleyrouter.process.entry import drain
+from parsleyrouter.process.locate import order_entries
+from parsleyrouter.process.runtime import Runtime
+from parsleyrouter.process.team_limits import TeamLimits
+from parsleyrouter.process.view import NodeInfo, NodeState, Service
+from parsleyrouter.version.schema import LimitSettings
+
+Work = Callable[[TestEntry, Any], Coroutine[Any, Any, None]]
+
+
+def on_entry(context: Any, work: Work) -> None:
+    """Run work against a new entry with the endpoints that the scenario has chosen."""
+
+    async def main(runtime: Runtime) -> None:
+        endpoints = [ScriptedEndpoint(runtime, f"e{n}", s) for n, s in enumerate(context.scripts)]
+        context.endpoints = endpoints
+        context.entry = start_entry(runtime, *endpoints)
+        await work(context.entry, context)
+        await runtime.loop.sleep(0.05)
+
+    run_on_loop(main)
+
+
+@given("entry: two endpoints that answer")
+def two_endpoints(context: Any) -> None:
+    context.scripts = [answer_ok, answer_ok]
+
+
+@when("entry: a chat, a streamed chat and a service call are sent")
+def send_three(context: Any) -> None:
+    async def work(entry: TestEntry, _: Any) -> None:
+        context.chat = await entry.post(CHAT_PATH, CHAT)
+        context.stream = await entry.post(CHAT_PATH, STREAM)
+        context.service = await entry.post("/v1/services/cards/look", {"card": 1})
+
+    on_entry(context, work)
+
+
+@then("entry: each answer is the endpoint's own")
+def own_answers(context: Any) -> None:
+    assert json.loads(context.chat.json()["sent"]) == CHAT
+    assert json.loads(context.service.json()["sent"]) == {"card": 1}
+    events = context.stream.body.split(b"\n\n")
+    assert len(events) == 5 and events[3] == b"data: [DONE]", events
+
+
+@then("entry: every slot was given back")
+def slots_back(context: Any) -> None:
+    grants = context.entry.grants
+    assert len(grants.results) == 3 and not grants.open
+    assert all(result.ok for result in grants.results)
+
+
+@when("entry: another team asks for the first one's model, job and results")
+def ask_foreign(context: Any) -> None:
+    async def work(entry: TestEntry, _: Any) -> None:
+        done = await entry.post("/v1/batches", b"{}\n", idempotency_key="a")
+        path = f"/v1/batches/{done.json()['id']}"
+        context.foreign = [
+            await entry.post(CHAT_PATH, CHAT, key=OTHER_KEY),
+            await entry.get("/v1/models/small", key=OTHER_KEY),
+            await entry.get(path, key=OTHER_KEY),
+            await entry.get(f"{path}/results", key=OTHER_KEY),
+            await entry.get(path, key=OTHER_KEY, method="DELETE"),
+        ]
+        context.lists = [
+            (await entry.get(listed, key=key)).json()["data"]
+            for key in (KEY, OTHER_KEY)
+            for listed in ("/v1/models", "/v1/batches")
+        ]
+        context.bad_keys = [await entry.get("/v1/models", key=key) for key in ("sk-x", "x" * 600)]
+        plain = entry.runtime.http
+        context.bad_keys.append(await plain.request(entry.address, "GET", "/v1/models"))
+
+    on_entry(context, work)
+
+
+@then("entry: each is refused as unknown and not run")
+def refused_unknown(context: Any) -> None:
+    for reply in context.foreign:
+        assert reply.status == 404, reply
+        assert reply.json()["error"]["ran"] == "not_run"
+
+
+@then("entry: each team lists only its own models and jobs")
+def lists_own(context: Any) -> None:
+    names = [[item["id"] for item in listed] for listed in context.lists]
+    assert names == [["small"], ["job-nkabom-a"], ["shade"], []], names
+
+
+@then("entry: a wrong, an overlong and a missing key are refused alike")
+def keys_refused(context: Any) -> None:
+    bodies = {(reply.status, reply.body) for reply in context.bad_keys}
+    assert len(bodies) == 1 and bodies.pop()[0] == 401
+
+
+@when("entry: nodes of any states, domains and loads are ordered")
+def order_any(context: Any) -> None:
+    node = st.tuples(
+        st.sampled_from(NodeState), st.sampled_from("abc"), st.floats(0, 1), st.booleans()
+    )
+    context.orders = []
+
+    @settings(max_examples=50)
+    @sample(st.lists(node, max_size=8), st.sampled_from("abc"), st.integers(0, 99))
+    def check(drawn: list[Any], domain: str, seed: int) -> None:
+        nodes = tuple(
+            NodeInfo(
+                NodeId(f"n{index}"),
+                DomainName(where),
+                {Service.ENTRY: Address(f"127.0.0.1:{index}")} if has_entry else {},
+                state,
+                load,
+            )
+            for index, (state, where, load, has_entry) in enumerate(drawn)
+        )
+        context.orders.append((nodes, domain, order_entries(nodes, domain, random.Random(seed))))
+
+    check()
+
+
+@then("entry: only live entries are given and those of the domain come first")
+def live_and_near(context: Any) -> None:
+    for nodes, domain, found in context.orders:
+        live = {n.addresses.get(Service.ENTRY) for n in nodes if n.state is NodeState.LIVE}
+        assert {entry.address for entry in found} == live - {None}
+        far = [entry.domain != domain for entry in found]
+        assert far == sorted(far)
+
+
+@when("entry: it drains while a request is under way")
+def drain_busy(context: Any) -> None:
+    async def work(entry: TestEntry, _: Any) -> None:
+        loop = entry.runtime.loop
+        release = loop.promise()
+
+        async def wait(endpoint: ScriptedEndpoint, exchange: Exchange) -> HttpReply | None:
+            await release
+            return json_reply({"slow": True})
+
+        context.endpoints[0].script = [wait]
+        entry.context.locate.ttl_s = 0.3
+        context.before = (await entry.get("/v1/locate")).json()["entries"]
+        lapses_s = loop.now() + 0.25
+        asked = loop.spawn(entry.post(CHAT_PATH, CHAT))
+        await loop.sleep(0.05)
+        drained = loop.spawn(drain(entry.context, entry.server))
+        await loop.sleep(0.05)
+        context.during = (await entry.get("/v1/locate")).json()["entries"]
+        await loop.sleep(0.5)
+        context.waited_for_request = not drained.done
+        release.resolve(None)
+        context.slow = await asked
+        await drained
+        context.waited_for_lapse = loop.now() >= lapses_s
+
+    on_entry(context, work)
+
+
+@then("entry: locate no longer names it, the request is answered and the drain waits for both")
+def drained_well(context: Any) -> None:
+    assert len(context.before) == 1 and context.during == []
+    assert context.slow.json() == {"slow": True}
+    assert context.waited_for_request and context.waited_for_lapse
+
+
+@when("entry: requests of a team come at any rate")
+def any_rate(context: Any) -> None:
+    context.let_in = []
+
+    @settings(max_examples=60)
+    @sample(
+        st.lists(st.tuples(st.floats(0, 0.5), st.booleans()), max_size=60),
+        st.integers(1, 8),
+        st.integers(1, 5),
+    )
+    def check(arrivals: list[tuple[float, bool]], rate: int, most: int) -> None:
+        limits = TeamLimits()
+        allowed = LimitSettings(online_per_s=rate, online_open=most)
+        now, open_tickets, entered, largest = 0.0, [], 0, 0
+        for gap_s, ends in arrivals:
+            now += gap_s
+            if ends and open_tickets:
+                limits.leave(open_tickets.pop())
+            ticket = limits.enter(TeamName("t"), allowed, now)
+            if isinstance(ticket, Refusal):
+                assert ticket.retry_after_s is not None and ticket.status == 429
+                continue
+            open_tickets.append(ticket)
+            entered += 1
+            largest = max(largest, len(open_tickets))
+        context.let_in.append((entered, rate * (1 + now) + 1e-6, largest, most))
+
+    check()
+
+
+@then("entry: never more than the rate and the open limit allow are let in")
+def limits_hold(context: Any) -> None:
+    for entered, allowed, largest, most in context.let_in:
+        assert entered <= allowed and largest <= most
+
+
+@when("entry: a batch job is submitted")
+def submit_job(context: Any) -> None:
+    async def work(entry: TestEntry, _: Any) -> None:
+        headers = {"idempotency_key": "k", "x_parsley_deadline_s": "3600"}
+        context.submitted = await entry.post("/v1/batches", b'{"a":1}\n{"a":2}\n', **headers)
+        path = "/v1/batches/job-nkabom-k"
+        context.status = await entry.get(path)
+        context.rest = await entry.get(f"{path}/results?offset=1")
+        context.cancelled = await entry.get(path, method="DELETE")
+        context.no_key = await entry.post("/v1/batches", b"{}\n")
+
+    on_entry(context, work)
+
+
+@then("entry: its status, its results from an offset and its cancellation are answered")
+def job_answers(context: Any) -> None:
+    assert context.submitted.status == 202
+    assert context.status.json() == context.submitted.json()
+    assert context.status.json()["deadline_s"] == 3600
+    assert context.rest.body == b'{"a":2}\n'
+    assert context.rest.headers["x-parsley-next-offset"] == "2"
+    assert context.cancelled.status == 200 and context.no_key.status == 400
--- /dev/null
+++ b/parsleyrouter/connection/api_batches.py
@@ -0,0 +1,151 @@
+"""``/v1/batches``: submit, watch, read and cancel batch jobs."""
+
+from collections.abc import AsyncIterator
+from typing import TYPE_CHECKING, Any
+
+from parsleyrouter.connection.api_calls import IDEMPOTENCY_HEADER, team_of
+from parsleyrouter.connection.http import HttpReply, json_reply, refusal_reply
+from parsleyrouter.connection.http_server import Exchange, Routes
+from parsleyrouter.ids import JobId, TeamName
+from parsleyrouter.outcome import Ran, Refusal, RefusalKind
+from parsleyrouter.process.job_port import JobSpec, JobStatus
+from parsleyrouter.request.classification import KIND_HEADER, classify_batch
+from parsleyrouter.request.deadline import DEADLINE_HEADER, choose_deadline
+from parsleyrouter.version.schema import TeamSettings
+
+if TYPE_CHECKING:
+    from parsleyrouter.process.entry_context import EntryContext
+
+__all__ = ["add_batch_routes"]
+
+JSON_LINES_TYPE = "application/jsonl"
+LONGEST_KEY_LETTERS = 255
+LIST_LIMIT = 100
+MOST_LISTED = 1000
+PAGE_BYTES = 1024 * 1024
+BODY_PIECE_BYTES = 64 * 1024
+
+
+def add_batch_routes(routes: Routes) -> None:
+    """Add the routes."""
+
+    @routes.add("POST", "/v1/batches")
+    async def submit(context: "EntryContext", exchange: Exchange) -> HttpReply:
+        known = team_of(context, exchange)
+        if isinstance(known, Refusal):
+            return refusal_reply(known)
+        spec = _spec(exchange, *known)
+        if isinstance(spec, Refusal):
+            return refusal_reply(spec)
+        outcome = await context.jobs.submit(spec, body_pieces(exchange))
+        return _status_reply(outcome, 202)
+
+    @routes.add("GET", "/v1/batches")
+    async def list_jobs(context: "EntryContext", exchange: Exchange) -> HttpReply:
+        known = team_of(context, exchange)
+        if isinstance(known, Refusal):
+            return refusal_reply(known)
+        query = exchange.request.query
+        limit = _whole_number(query.get("limit"), LIST_LIMIT, 1, MOST_LISTED, "limit")
+        if isinstance(limit, Refusal):
+            return refusal_reply(limit)
+        found = await context.jobs.list(known[0], query.get("after", ""), limit)
+        if isinstance(found, Refusal):
+            return refusal_reply(found)
+        data = [_job(status) for status in found]
+        more = len(data) == limit
+        return json_reply({"object": "list", "data": data, "has_more": more})
+
+    @routes.add("GET", "/v1/batches/{job}")
+    async def status(context: "EntryContext", exchange: Exchange) -> HttpReply:
+        known = team_of(context, exchange)
+        if isinstance(known, Refusal):
+            return refusal_reply(known)
+        outcome = await context.jobs.status(known[0], JobId(exchange.values["job"]))
+        return _status_reply(outcome, 200)
+
+    @routes.add("DELETE", "/v1/batches/{job}")
+    async def cancel(context: "EntryContext", exchange: Exchange) -> HttpReply:
+        known = team_of(context, exchange)
+        if isinstance(known, Refusal):
+            return refusal_reply(known)
+        outcome = await context.jobs.cancel(known[0], JobId(exchange.values["job"]))
+        return _status_reply(outcome, 200)
+
+    @routes.add("GET", "/v1/batches/{job}/results")
+    async def results(context: "EntryContext", exchange: Exchange) -> HttpReply:
+        known = team_of(context, exchange)
+        if isinstance(known, Refusal):
+            return refusal_reply(known)
+        return await _results(context, exchange, known[0])
+
+
+async def body_pieces(exchange: Exchange) -> AsyncIterator[bytes]:
+    """Yield a request's body in pieces."""
+    body = exchange.request.body
+    for start in range(0, len(body), BODY_PIECE_BYTES):
+        yield body[start : start + BODY_PIECE_BYTES]
+
+
+async def _results(context: "EntryContext", exchange: Exchange, team: TeamName) -> HttpReply:
+    offset = _whole_number(exchange.request.query.get("offset"), 0, 0, 2**31, "offset")
+    if isinstance(offset, Refusal):
+        return refusal_reply(offset)
+    job = JobId(exchange.values["job"])
+    page = await context.jobs.results(team, job, offset, PAGE_BYTES)
+    if isinstance(page, Refusal):
+        return refusal_reply(page)
+    headers = {
+        "content-type": JSON_LINES_TYPE,
+        "x-parsley-next-offset": str(page.next_offset),
+        "x-parsley-complete": "true" if page.complete else "false",
+    }
+    return HttpReply(200, headers, page.lines)
+
+
+def _spec(exchange: Exchange, team: TeamName, settings: TeamSettings) -> JobSpec | Refusal:
+    headers = exchange.request.headers
+    key = headers.get(IDEMPOTENCY_HEADER, "")
+    if not 0 < len(key) <= LONGEST_KEY_LETTERS:
+        allowed = f"1 to {LONGEST_KEY_LETTERS} letters, the same in every resend of the job"
+        return _bad(f"Idempotency-Key: got {key[:40]!r}; allowed: {allowed}")
+    found = classify_batch(settings, headers.get(KIND_HEADER))
+    if isinstance(found, Refusal):
+        return found
+    deadline_s = choose_deadline(headers.get(DEADLINE_HEADER), found.settings.deadline_s)
+    if isinstance(deadline_s, Refusal):
+        return deadline_s
+    return JobSpec(team, key, found.kind, deadline_s)
+
+
+def _status_reply(outcome: JobStatus | Refusal, status: int) -> HttpReply:
+    if isinstance(outcome, Refusal):
+        return refusal_reply(outcome)
+    return json_reply(_job(outcome), status=status)
+
+
+def _job(status: JobStatus) -> dict[str, Any]:
+    return {
+        "id": status.job,
+        "object": "batch",
+        "state": status.state.value,
+        "items": status.items,
+        "done": status.done,
+        "failed": status.failed,
+        "created_s": status.created_s,
+        "deadline_s": status.deadline_s,
+        "late": status.late,
+        "bytes_stored": status.bytes_stored,
+    }
+
+
+def _whole_number(given: str | None, default: int, low: int, high: int, name: str) -> int | Refusal:
+    if given is None:
+        return default
+    if given.isascii() and given.isdigit() and len(given) < 12 and low <= int(given) <= high:
+        return int(given)
+    return _bad(f"{name}: got {given[:40]!r}; allowed: a whole number from {low} to {high}")
+
+
+def _bad(message: str) -> Refusal:
+    return Refusal(RefusalKind.BAD_REQUEST, message, Ran.NOT_RUN)
--- /dev/null
+++ b/parsleyrouter/connection/api_calls.py
@@ -0,0 +1,141 @@
+"""What the online surfaces share: team, limits, the call itself and its log line."""
+
+import logging
+import secrets
+from typing import TYPE_CHECKING
+
+from parsleyrouter.connection.http import HttpReply, refusal_reply
+from parsleyrouter.connection.http_server import Exchange, ReplyStream
+from parsleyrouter.connection.sse import error_event
+from parsleyrouter.ids import RequestId, TeamName
+from parsleyrouter.outcome import Ran, Refusal, RefusalKind
+from parsleyrouter.process.call_port import Call, Reply, Yielded
+from parsleyrouter.version.schema import TeamSettings
+
+if TYPE_CHECKING:
+    from parsleyrouter.process.entry_context import EntryContext
+
+__all__ = ["IDEMPOTENCY_HEADER", "answer_call", "new_request_id", "team_of"]
+
+IDEMPOTENCY_HEADER = "idempotency-key"
+REQUEST_HEADER = "x-request-id"
+
+log = logging.getLogger(__name__)
+
+
+def new_request_id() -> RequestId:
+    """Return an id that no other request has."""
+    return RequestId(secrets.token_hex(8))
+
+
+def team_of(context: "EntryContext", exchange: Exchange) -> tuple[TeamName, TeamSettings] | Refusal:
+    """Return the caller's team and its settings."""
+    team = context.authentication.team(exchange.request.headers)
+    if isinstance(team, Refusal):
+        return team
+    return team, context.view.settings().teams[team]
+
+
+async def answer_call(
+    context: "EntryContext", exchange: Exchange, call: Call, *, streamed: bool
+) -> HttpReply | None:
+    """Run a call within the team's limits and answer; the call ends when the caller goes."""
+    loop = context.runtime.loop
+    limits = context.view.settings().teams[call.team].limits
+    ticket = context.limits.enter(call.team, limits, loop.now())
+    if isinstance(ticket, Refusal):
+        return _refused(call, ticket)
+    started_s = loop.now()
+    status = 499
+    try:
+        if streamed:
+            reply = await _stream(context, exchange, call)
+        else:
+            reply = await _run(context, exchange, call)
+        status = reply.status if reply is not None else 200
+        return reply
+    finally:
+        context.limits.leave(ticket)
+        _log_call(call, status, loop.now() - started_s)
+
+
+async def _run(context: "EntryContext", exchange: Exchange, call: Call) -> HttpReply:
+    key = exchange.request.headers.get(IDEMPOTENCY_HEADER)
+    if key and not call.settings.idempotent:
+        if context.claims is None:
+            message = "no Idempotency-Key can be kept here: try another entry"
+            refusal = Refusal(RefusalKind.PLATFORM_UNAVAILABLE, message, Ran.NOT_RUN)
+            return _refused(call, refusal)
+        outcome = await context.claims.run_once(call, key, context.calls)
+    else:
+        task = context.runtime.loop.spawn(context.calls.run(call), "call")
+        exchange.on_caller_gone(task.cancel)
+        outcome = await task
+    return _reply(call, outcome)
+
+
+async def _stream(context: "EntryContext", exchange: Exchange, call: Call) -> HttpReply | None:
+    sink = _HttpSink(exchange, call.request)
+    task = context.runtime.loop.spawn(context.calls.stream(call, sink), "stream")
+    exchange.on_caller_gone(task.cancel)
+    refusal = await task
+    if sink.stream is None:
+        return _refused(call, refusal or _EMPTY)
+    if refusal is None:
+        sink.stream.finish()
+    else:
+        sink.stream.send(error_event(refusal))
+        sink.stream.abort()
+    return None
+
+
+class _HttpSink:
+    """Pass an answer on to the caller."""
+
+    def __init__(self, exchange: Exchange, request: RequestId) -> None:
+        self.exchange = exchange
+        self.request = request
+        self.stream: ReplyStream | None = None
+
+    def start(self, status: int, headers: dict[str, str]) -> None:
+        """Send status and headers."""
+        self.stream = self.exchange.open_stream(status, headers | {REQUEST_HEADER: self.request})
+
+    async def send(self, data: bytes) -> None:
+        """Send a piece and wait for room."""
+        assert self.stream is not None
+        self.stream.send(data)
+        await self.stream.drain()
+
+
+def _reply(call: Call, outcome: Reply | Refusal | Yielded) -> HttpReply:
+    if isinstance(outcome, Refusal):
+        return _refused(call, outcome)
+    if isinstance(outcome, Yielded):
+        return _refused(call, _YIELDED)
+    return HttpReply(outcome.status, outcome.headers | {REQUEST_HEADER: call.request}, outcome.body)
+
+
+def _refused(call: Call, refusal: Refusal) -> HttpReply:
+    reply = refusal_reply(refusal)
+    headers = dict(reply.headers) | {REQUEST_HEADER: call.request}
+    return HttpReply(reply.status, headers, reply.body)
+
+
+def _log_call(call: Call, status: int, took_s: float) -> None:
+    log.info(
+        "call ended",
+        extra={
+            "request": call.request,
+            "team": call.team,
+            "kind": call.kind,
+            "model": call.model,
+            "application": call.application,
+            "status": status,
+            "took_s": round(took_s, 4),
+        },
+    )
+
+
+_EMPTY = Refusal(RefusalKind.ENDPOINT_FAILED, "no answer came: try again", Ran.UNKNOWN)
+_YIELDED = Refusal(RefusalKind.OVERLOADED, "the slot was taken: try again", Ran.UNKNOWN, 1.0)
--- /dev/null
+++ b/parsleyrouter/connection/api_services.py
@@ -0,0 +1,63 @@
+"""``POST /v1/services/<application>/<path>``: calls to plain services."""
+
+from typing import TYPE_CHECKING
+
+from parsleyrouter.connection.api_calls import (
+    IDEMPOTENCY_HEADER,
+    answer_call,
+    new_request_id,
+    team_of,
+)
+from parsleyrouter.connection.http import HttpReply, refusal_reply
+from parsleyrouter.connection.http_server import Exchange, Routes
+from parsleyrouter.ids import TeamName
+from parsleyrouter.outcome import Refusal
+from parsleyrouter.process.call_port import Call
+from parsleyrouter.request.classification import KIND_HEADER, classify_application
+from parsleyrouter.request.deadline import DEADLINE_HEADER, choose_deadline
+from parsleyrouter.version.schema import TeamSettings
+
+if TYPE_CHECKING:
+    from parsleyrouter.process.entry_context import EntryContext
+
+__all__ = ["add_service_routes"]
+
+PASSED_HEADERS = ("content-type", "accept", IDEMPOTENCY_HEADER)
+
+
+def add_service_routes(routes: Routes) -> None:
+    """Add the route."""
+
+    @routes.add("POST", "/v1/services/{application}/{path:rest}")
+    async def call_service(context: "EntryContext", exchange: Exchange) -> HttpReply | None:
+        known = team_of(context, exchange)
+        if isinstance(known, Refusal):
+            return refusal_reply(known)
+        call = _call(exchange, *known)
+        if isinstance(call, Refusal):
+            return refusal_reply(call)
+        return await answer_call(context, exchange, call, streamed=False)
+
+
+def _call(exchange: Exchange, team: TeamName, settings: TeamSettings) -> Call | Refusal:
+    headers = exchange.request.headers
+    application = exchange.values["application"]
+    path = exchange.values["path"]
+    found = classify_application(settings, application, path, headers.get(KIND_HEADER))
+    if isinstance(found, Refusal):
+        return found
+    deadline_s = choose_deadline(headers.get(DEADLINE_HEADER), found.settings.deadline_s)
+    if isinstance(deadline_s, Refusal):
+        return deadline_s
+    return Call(
+        request=new_request_id(),
+        team=team,
+        kind=found.kind,
+        settings=found.settings,
+        method="POST",
+        path=f"/{path}",
+        body=exchange.request.body,
+        application=application,
+        headers={name: headers[name] for name in PASSED_HEADERS if name in headers},
+        deadline_in_s=deadline_s,
+    )
--- /dev/null
+++ b/parsleyrouter/connection/authentication.py
@@ -0,0 +1,72 @@
+"""Tell a caller's team by its bearer key."""
+
+import hashlib
+import hmac
+from collections.abc import Mapping
+
+from parsleyrouter.ids import TeamName
+from parsleyrouter.outcome import Ran, Refusal, RefusalKind
+from parsleyrouter.process.view import FleetView
+from parsleyrouter.version.snapshot import SettingsSnapshot
+
+__all__ = ["Authentication", "bearer_key", "hash_key"]
+
+LONGEST_KEY_BYTES = 512
+BUCKET_LETTERS = 4
+
+_REFUSED = Refusal(
+    RefusalKind.UNAUTHENTICATED,
+    "unknown or missing key: send 'Authorization: Bearer <key>' with a key of the team",
+    Ran.NOT_RUN,
+)
+
+
+def hash_key(key: str) -> str:
+    """Return the SHA-256 of a key as settings keep it."""
+    return hashlib.sha256(key.encode("utf-8", "replace")).hexdigest()
+
+
+def bearer_key(headers: Mapping[str, str]) -> str | None:
+    """Return the bearer key of a request."""
+    scheme, _, key = headers.get("authorization", "").partition(" ")
+    key = key.strip()
+    if scheme.lower() != "bearer" or not 0 < len(key) <= LONGEST_KEY_BYTES:
+        return None
+    return key
+
+
+class Authentication:
+    """Look keys up in the settings in force.
+
+    Hashes are grouped by their first letters, which a caller cannot steer, and compared in
+    constant time within a group.
+    """
+
+    def __init__(self, view: FleetView) -> None:
+        self.view = view
+        self.snapshot: SettingsSnapshot | None = None
+        self.buckets: dict[str, list[tuple[str, TeamName]]] = {}
+
+    def team(self, headers: Mapping[str, str]) -> TeamName | Refusal:
+        """Return the team of a request's key."""
+        key = bearer_key(headers)
+        if key is None:
+            return _REFUSED
+        self._refresh()
+        digest = hash_key(key)
+        found: TeamName | None = None
+        for known, team in self.buckets.get(digest[:BUCKET_LETTERS], ()):
+            if hmac.compare_digest(known, digest):
+                found = team
+        return found or _REFUSED
+
+    def _refresh(self) -> None:
+        snapshot = self.view.settings()
+        if snapshot is self.snapshot:
+            return
+        self.snapshot = snapshot
+        self.buckets = {}
+        for name in sorted(snapshot.teams):
+            for key in snapshot.teams[name].keys.values():
+                bucket = self.buckets.setdefault(key.sha256[:BUCKET_LETTERS], [])
+                bucket.append((key.sha256, name))
--- a/parsleyrouter/connection/http_server.py
+++ b/parsleyrouter/connection/http_server.py
@@ -211,7 +211,9 @@
             remote=req.remote.ip or "",
         )
         exchange = Exchange(self, res, request)
-        self.tasks[req.sock] = self.loop.spawn(self._answer(exchange), f"{req.method} {req.path}")
+        task = self.loop.spawn(self._answer(exchange), f"{req.method} {req.path}")
+        if not task.done:
+            self.tasks[req.sock] = task
         return True
 
     async def _answer(self, exchange: Exchange) -> None:
--- /dev/null
+++ b/parsleyrouter/connection/sse.py
@@ -0,0 +1,53 @@
+"""Split server-sent events from a byte stream and tell whether it came to its end."""
+
+import msgspec
+
+from parsleyrouter.outcome import Refusal
+
+__all__ = ["DONE_EVENT", "EVENT_STREAM_TYPE", "EventSplitter", "error_event", "is_event_stream"]
+
+EVENT_STREAM_TYPE = "text/event-stream"
+DONE_EVENT = b"data: [DONE]\n\n"
+LONGEST_EVENT_BYTES = 4 * 1024 * 1024
+
+_DONE_FORMS = (b"data: [DONE]", b"data:[DONE]")
+
+
+class EventSplitter:
+    """Hand on whole events only; what follows the last whole one waits."""
+
+    def __init__(self) -> None:
+        self.rest = b""
+        self.done = False
+        self.too_long = False
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the whole events that have arrived, several together when they came together."""
+        if self.rest:
+            data = self.rest + data
+        end = _last_end(data)
+        self.rest = data[end:]
+        self.too_long = len(self.rest) > LONGEST_EVENT_BYTES
+        whole = data[:end]
+        if whole and whole.rstrip().endswith(_DONE_FORMS):
+            self.done = True
+        return whole
+
+
+def is_event_stream(content_type: str) -> bool:
+    """Tell whether a reply is a stream of events."""
+    return content_type.partition(";")[0].strip().lower() == EVENT_STREAM_TYPE
+
+
+def error_event(refusal: Refusal) -> bytes:
+    """Return the event that ends a broken stream, in the shape that OpenAI clients read."""
+    return b"data: " + msgspec.json.encode(refusal.body()) + b"\n\n"
+
+
+def _last_end(data: bytes) -> int:
+    """Return the index behind the last blank line, 0 when there is none."""
+    end = data.rfind(b"\n\n")
+    other = data.rfind(b"\r\n\r\n")
+    if other > end:
+        return other + 4
+    return end + 2 if end >= 0 else 0
--- /dev/null
+++ b/parsleyrouter/process/attempt.py
@@ -0,0 +1,199 @@
+"""One attempt of a call at one endpoint."""
+
+from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING
+
+from parsleyrouter.connection.http import Sent, TransportFailure
+from parsleyrouter.connection.http_client import HttpExchange
+from parsleyrouter.connection.sse import EventSplitter, is_event_stream
+from parsleyrouter.ids import Address, AttemptId
+from parsleyrouter.process.call_port import Call, Yielded
+from parsleyrouter.process.grant_port import CallResult, Grant
+from parsleyrouter.request.answer import Answer
+from parsleyrouter.request.attempts import AttemptFailure, Happened
+from parsleyrouter.request.deadline import DEADLINE_HEADER, Deadline
+
+if TYPE_CHECKING:
+    from parsleyrouter.process.dispatch import CallRunner
+
+__all__ = ["ATTEMPT_HEADER", "REQUEST_HEADER", "Attempt"]
+
+ATTEMPT_HEADER = "x-parsley-attempt"
+REQUEST_HEADER = "x-request-id"
+LONGEST_SILENCE_S = 300.0
+STREAM_GAP_S = 30.0
+MOST_ANSWER_BYTES = 64 * 1024 * 1024
+
+_TURNED_AWAY = frozenset({429, 502, 503, 504})
+_BODILESS = frozenset({204, 304})
+_DROPPED_HEADERS = frozenset(
+    {"connection", "content-length", "date", "keep-alive", "server", "transfer-encoding"}
+)
+
+End = None | Yielded | AttemptFailure
+
+
+class Attempt:
+    """Send a call once and pass its answer on; the end says what provably happened."""
+
+    def __init__(
+        self,
+        runner: "CallRunner",
+        call: Call,
+        attempt: AttemptId,
+        answer: Answer,
+        deadline: Deadline,
+        resume_token: str,
+    ) -> None:
+        self.runner = runner
+        self.call = call
+        self.id = attempt
+        self.answer = answer
+        self.deadline = deadline
+        self.resume_token = resume_token
+        self.grant: Grant | None = None
+        self.exchange: HttpExchange | None = None
+        self.revoked = False
+        self.result = CallResult(ok=False)
+
+    def revoke(self) -> None:
+        """Give the slot to online work, unless the call may have run and must not run again."""
+        self.revoked = True
+        if self.exchange is not None and self.call.settings.idempotent:
+            self.exchange.cancel()
+
+    def close(self) -> None:
+        """Cancel at the endpoint what is still under way."""
+        if self.exchange is not None:
+            self.exchange.cancel()
+
+    async def run(self, grant: Grant, on_dispatch: Callable[[], None] | None) -> End:
+        """Send the call and read its answer; ``None`` when it was whole."""
+        self.grant = grant
+        if self.revoked:
+            return Yielded(self.resume_token)
+        if on_dispatch is not None:
+            on_dispatch()
+        started_s = self.runner.loop.now()
+        end = await self._send()
+        if end is None:
+            end = await self._read(started_s)
+        if end is not None and self.revoked and self.call.settings.idempotent:
+            return Yielded(self.resume_token)
+        if isinstance(end, AttemptFailure):
+            in_time = self.answer.shown or not self.deadline.expired(self.runner.loop.now())
+            self.result = CallResult(ok=False, endpoint_at_fault=in_time)
+        return end
+
+    async def _send(self) -> AttemptFailure | None:
+        assert self.grant is not None
+        call = self.call
+        exchange = await self.runner.http.begin(
+            Address(self.grant.address),
+            call.method,
+            call.path,
+            self._headers(),
+            call.body,
+            fresh=not call.settings.idempotent,
+        )
+        if isinstance(exchange, TransportFailure):
+            return self._broken(exchange)
+        self.exchange = exchange
+        if self.revoked:
+            self.revoke()
+        return None
+
+    def _headers(self) -> dict[str, str]:
+        remaining_s = self.deadline.remaining_s(self.runner.loop.now())
+        headers = {"content-type": "application/json"} | self.call.headers
+        headers[REQUEST_HEADER] = self.call.request
+        headers[ATTEMPT_HEADER] = self.id
+        headers[DEADLINE_HEADER] = f"{remaining_s:.3f}"
+        return headers
+
+    async def _read(self, started_s: float) -> AttemptFailure | None:
+        exchange = self.exchange
+        assert exchange is not None
+        failure = await exchange.wait_headers(self._patience_s())
+        if failure is not None:
+            return self._broken(failure)
+        refused = self._check_headers(exchange.status, exchange.headers)
+        if refused is not None:
+            return refused
+        if is_event_stream(exchange.headers.get("content-type", "")):
+            return await self._read_events(exchange, started_s)
+        return await self._read_whole(exchange, started_s)
+
+    def _check_headers(self, status: int, headers: Mapping[str, str]) -> AttemptFailure | None:
+        if headers.get(ATTEMPT_HEADER, self.id) != self.id:
+            self.runner.metrics.crossed.inc()
+            return self._failure(Happened.MAYBE_SENT, "answered another attempt")
+        if self.call.settings.idempotent and status in _TURNED_AWAY:
+            return self._failure(Happened.TURNED_AWAY, f"answered status {status}")
+        framed = "content-length" in headers or "chunked" in headers.get("transfer-encoding", "")
+        if not framed and status not in _BODILESS:
+            return self._failure(Happened.ANSWER_CUT, "answered without a length")
+        return None
+
+    async def _read_whole(self, exchange: HttpExchange, started_s: float) -> AttemptFailure | None:
+        pieces: list[bytes] = []
+        size = 0
+        while True:
+            piece = await exchange.read(self._patience_s())
+            if piece is None:
+                break
+            if isinstance(piece, TransportFailure):
+                return self._failure(Happened.ANSWER_CUT, piece.message)
+            pieces.append(piece)
+            size += len(piece)
+            if size > MOST_ANSWER_BYTES:
+                return self._failure(Happened.ANSWER_CUT, f"answer over {MOST_ANSWER_BYTES} bytes")
+        self._answered(started_s)
+        self.answer.begin(exchange.status, _kept_headers(exchange.headers))
+        await self.answer.send(b"".join(pieces))
+        return None
+
+    async def _read_events(self, exchange: HttpExchange, started_s: float) -> AttemptFailure | None:
+        splitter = EventSplitter()
+        begun = False
+        while True:
+            piece = await exchange.read(STREAM_GAP_S if begun else self._patience_s())
+            if not isinstance(piece, bytes):
+                break
+            events = splitter.feed(piece)
+            if splitter.too_long:
+                return self._failure(Happened.ANSWER_CUT, "an event without an end")
+            if not events:
+                continue
+            if not begun:
+                begun = True
+                self._answered(started_s)
+                self.answer.begin(exchange.status, _kept_headers(exchange.headers))
+            await self.answer.send(events)
+        if splitter.done:
+            return None
+        message = "stream ended without [DONE]" if piece is None else piece.message
+        return self._failure(Happened.ANSWER_CUT, message)
+
+    def _answered(self, started_s: float) -> None:
+        ttft_s = self.runner.loop.now() - started_s
+        kind_class = self.call.settings.kind_class.value
+        self.runner.metrics.first_byte.labels(kind_class).observe(ttft_s)
+        self.result = CallResult(ok=True, ttft_s=ttft_s, output_tokens=self.call.output_tokens)
+
+    def _patience_s(self) -> float:
+        return min(LONGEST_SILENCE_S, self.deadline.remaining_s(self.runner.loop.now()))
+
+    def _broken(self, failure: TransportFailure) -> AttemptFailure:
+        happened = Happened.NOT_SENT if failure.sent is Sent.NOTHING else Happened.MAYBE_SENT
+        return self._failure(happened, failure.message)
+
+    def _failure(self, happened: Happened, message: str) -> AttemptFailure:
+        assert self.grant is not None
+        return AttemptFailure(
+            self.grant.endpoint, happened, message, self.answer.shown, bool(self.resume_token)
+        )
+
+
+def _kept_headers(headers: Mapping[str, str]) -> dict[str, str]:
+    return {name: value for name, value in headers.items() if name not in _DROPPED_HEADERS}
--- /dev/null
+++ b/parsleyrouter/process/call_metrics.py
@@ -0,0 +1,44 @@
+"""Metrics of calls and attempts."""
+
+from weakref import WeakKeyDictionary
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+__all__ = ["CallMetrics"]
+
+FIRST_BYTE_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.2, 2.5, 5.0, 10.0, 30.0)
+
+_BY_REGISTRY: "WeakKeyDictionary[CollectorRegistry, CallMetrics]" = WeakKeyDictionary()
+
+
+class CallMetrics:
+    """Count what callers and endpoints saw."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self.calls = Counter(
+            "parsley_calls", "Calls ended", ("kind_class", "outcome"), registry=registry
+        )
+        self.open = Gauge("parsley_calls_open", "Calls under way", registry=registry)
+        self.failed_attempts = Counter(
+            "parsley_attempts_failed", "Attempts failed", ("happened",), registry=registry
+        )
+        self.retries = Counter("parsley_retries", "Attempts repeated", registry=registry)
+        self.crossed = Counter(
+            "parsley_answers_crossed", "Answers dropped for a foreign attempt id", registry=registry
+        )
+        self.resumed = Counter("parsley_streams_resumed", "Streams resumed", registry=registry)
+        self.first_byte = Histogram(
+            "parsley_first_byte_seconds",
+            "Time from dispatch decision to the first byte of the answer",
+            ("kind_class",),
+            buckets=FIRST_BYTE_BUCKETS_S,
+            registry=registry,
+        )
+
+    @classmethod
+    def of(cls, registry: CollectorRegistry) -> "CallMetrics":
+        """Return the metrics of a registry, made once."""
+        found = _BY_REGISTRY.get(registry)
+        if found is None:
+            found = _BY_REGISTRY[registry] = cls(registry)
+        return found
--- /dev/null
+++ b/parsleyrouter/process/claims.py
@@ -0,0 +1,250 @@
+"""Run a keyed request that must not be repeated at most once, whichever entry it is sent to."""
+
+import logging
+import secrets
+import time
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import msgspec
+
+from parsleyrouter.connection.key_value import (
+    ABSENT,
+    Conflict,
+    Entry,
+    KeyValue,
+    KeyValueFailure,
+    Lease,
+    Swapped,
+)
+from parsleyrouter.ids import NodeId, Revision
+from parsleyrouter.outcome import Ran, Refusal, RefusalKind
+from parsleyrouter.process.call_port import Call, Calls, Reply, Yielded
+from parsleyrouter.process.loop import Loop, Task
+from parsleyrouter.request.claim_record import (
+    ClaimRecord,
+    Wait,
+    claim_key,
+    content_hash,
+    decode_claim,
+    encode_claim,
+    finished_claim,
+    judge,
+)
+from parsleyrouter.request.deadline import Deadline
+
+__all__ = ["Claims"]
+
+KEEP_S = 24 * 3600.0
+LEASE_REUSE_S = 3600.0
+GRACE_S = 5.0
+CREATE_TRIES = 3
+FIRST_POLL_S = 0.05
+LONGEST_POLL_S = 1.0
+WRITES_PER_S = 20.0
+WRITES_BURST = 40.0
+SETTLE_TRIES = 12
+MOST_UNSETTLED = 1000
+
+T = TypeVar("T")
+
+log = logging.getLogger(__name__)
+
+_DOWN = Refusal(
+    RefusalKind.PLATFORM_UNAVAILABLE,
+    "the request could not be claimed, as the key-value service does not answer: try again",
+    Ran.NOT_RUN,
+    retry_after_s=2.0,
+)
+_BUSY = Refusal(
+    RefusalKind.OVERLOADED,
+    "too many requests are being claimed here: try again or ask another entry",
+    Ran.NOT_RUN,
+    retry_after_s=1.0,
+)
+
+
+class Claims:
+    """Claim, run and remember keyed requests; construct one per entry process."""
+
+    def __init__(self, loop: Loop, key_value: KeyValue, entry: NodeId) -> None:
+        self.loop = loop
+        self.key_value = key_value
+        self.entry = entry
+        self.running: dict[str, tuple[str, Task[Reply | Refusal]]] = {}
+        self.lease: Lease | None = None
+        self.lease_taken_s = 0.0
+        self.tokens = WRITES_BURST
+        self.filled_s = loop.now()
+        self.unsettled = 0
+
+    async def run_once(self, call: Call, key: str, calls: Calls) -> Reply | Refusal:
+        """Run the call unless its key was claimed before; then return what came of that run.
+
+        The run goes on when the caller leaves, so that a resend finds its answer.
+        """
+        where = claim_key(call.team, call.application, key)
+        content = content_hash(call)
+        here = self.running.get(where)
+        if here is None:
+            task = self.loop.spawn(self._claim_and_run(where, content, call, calls), "claim")
+            here = self.running[where] = (content, task)
+            task.on_done(lambda _: self.running.pop(where, None))
+        elif here[0] != content:
+            return _conflict(content)
+        return await here[1]
+
+    async def _claim_and_run(
+        self, where: str, content: str, call: Call, calls: Calls
+    ) -> Reply | Refusal:
+        if not self._take_token() or self.unsettled >= MOST_UNSETTLED:
+            return _BUSY
+        lease = await self._lease()
+        if lease is None:
+            return _DOWN
+        record = ClaimRecord(
+            nonce=secrets.token_hex(8),
+            entry=self.entry,
+            content=content,
+            until_s=time.time() + call.deadline_in_s + GRACE_S,
+        )
+        held = await self._create(where, record, lease)
+        if isinstance(held, Entry):
+            return await self._follow(where, content, call, held)
+        if held is None:
+            self._settle(where, record, None, lease, ABSENT)
+            return _DOWN
+        outcome = await calls.run(call)
+        if isinstance(outcome, Yielded):
+            outcome = Refusal(RefusalKind.OVERLOADED, "the slot was taken: try again", Ran.UNKNOWN)
+        self._settle(where, record, outcome, lease, held)
+        return outcome
+
+    async def _create(self, where: str, record: ClaimRecord, lease: int) -> Revision | Entry | None:
+        """Return the revision of our claim, another's claim, or ``None`` without an answer."""
+        value = encode_claim(record)
+        for attempt in range(CREATE_TRIES):
+            written = await self.key_value.swap(where, value, ABSENT, lease=lease)
+            if isinstance(written, Swapped):
+                return written.revision
+            if isinstance(written, Conflict) and written.current is not None:
+                return _ours(written.current, record) or written.current
+            if isinstance(written, KeyValueFailure) and not written.maybe_applied and attempt:
+                return None
+            await self.loop.sleep(FIRST_POLL_S * 2**attempt)
+        found = await self.key_value.get(where)
+        if isinstance(found, Entry):
+            return _ours(found, record) or found
+        return None
+
+    async def _follow(self, where: str, content: str, call: Call, found: Entry) -> Reply | Refusal:
+        deadline = Deadline(self.loop.now() + call.deadline_in_s)
+        pause_s = FIRST_POLL_S
+        current: Entry | None = found
+        while current is not None:
+            verdict = judge(decode_claim(current.value), content, time.time())
+            if not isinstance(verdict, Wait):
+                return verdict
+            if deadline.remaining_s(self.loop.now()) <= pause_s:
+                return _still_running()
+            await self.loop.sleep(pause_s)
+            pause_s = min(LONGEST_POLL_S, pause_s * 2)
+            read = await self.key_value.get(where)
+            if not isinstance(read, KeyValueFailure):
+                current = read
+        message = "the first sending of this request ended without being run: send it again"
+        return Refusal(RefusalKind.OVERLOADED, message, Ran.NOT_RUN, retry_after_s=1.0)
+
+    def _settle(
+        self,
+        where: str,
+        record: ClaimRecord,
+        outcome: Reply | Refusal | None,
+        lease: int,
+        revision: Revision,
+    ) -> None:
+        """Record in the background how the claim ended; remove one that was never run."""
+        self.unsettled += 1
+        work = self._settle_in_time(where, record, outcome, lease, revision)
+        task = self.loop.spawn(work, "settle claim")
+        task.on_done(self._settled)
+
+    def _settled(self, _: object) -> None:
+        self.unsettled -= 1
+
+    async def _settle_in_time(
+        self,
+        where: str,
+        record: ClaimRecord,
+        outcome: Reply | Refusal | None,
+        lease: int,
+        revision: Revision,
+    ) -> None:
+        not_run = outcome is None or (isinstance(outcome, Refusal) and outcome.ran is Ran.NOT_RUN)
+        if outcome is None or not_run:
+            await self._persist(lambda: self._remove(where, record, revision))
+            return
+        value = encode_claim(finished_claim(record, outcome))
+        await self._persist(lambda: self.key_value.swap(where, value, revision, lease=lease))
+
+    async def _persist(
+        self, write: Callable[[], Awaitable[Swapped | Conflict | KeyValueFailure]]
+    ) -> None:
+        pause_s = FIRST_POLL_S
+        for _ in range(SETTLE_TRIES):
+            written = await write()
+            if not isinstance(written, KeyValueFailure):
+                return
+            await self.loop.sleep(pause_s)
+            pause_s *= 2
+        log.warning("a claim could not be settled; resends of its key will learn 'unknown'")
+
+    async def _remove(
+        self, where: str, record: ClaimRecord, revision: Revision
+    ) -> Swapped | Conflict | KeyValueFailure:
+        if revision != ABSENT:
+            return await self.key_value.delete(where, revision)
+        found = await self.key_value.get(where)
+        if isinstance(found, KeyValueFailure):
+            return found
+        mine = found is not None and _ours(found, record)
+        return await self.key_value.delete(where, mine) if mine else Conflict(found)
+
+    async def _lease(self) -> int | None:
+        """Return a lease under which claims lapse about a day later, shared for an hour."""
+        now = self.loop.now()
+        if self.lease is None or now - self.lease_taken_s > LEASE_REUSE_S:
+            taken = await self.key_value.grant(KEEP_S)
+            if not isinstance(taken, Lease):
+                return None
+            self.lease, self.lease_taken_s = taken, now
+        return self.lease.id
+
+    def _take_token(self) -> bool:
+        now = self.loop.now()
+        self.tokens = min(WRITES_BURST, self.tokens + (now - self.filled_s) * WRITES_PER_S)
+        self.filled_s = now
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+def _ours(found: Entry, record: ClaimRecord) -> Revision | None:
+    try:
+        known = decode_claim(found.value)
+    except msgspec.MsgspecError:
+        return None
+    return found.revision if known.nonce == record.nonce else None
+
+
+def _conflict(content: str) -> Refusal:
+    other = ClaimRecord(nonce="", entry="", content="", until_s=0)
+    verdict = judge(other, content, 0)
+    assert isinstance(verdict, Refusal)
+    return verdict
+
+
+def _still_running() -> Refusal:
+    message = "the first sending of this request is still running: send it again to learn more"
+    return Refusal(RefusalKind.DEADLINE, message, Ran.UNKNOWN, retry_after_s=1.0)
--- /dev/null
+++ b/parsleyrouter/process/dispatch.py
@@ -0,0 +1,170 @@
+"""Run calls at endpoints: take a slot, send straight to the endpoint, retry where that is safe."""
+
+import itertools
+import logging
+import secrets
+from collections.abc import Callable
+
+from parsleyrouter.ids import AttemptId
+from parsleyrouter.outcome import Ran, Refusal, RefusalKind
+from parsleyrouter.process.attempt import Attempt
+from parsleyrouter.process.call_metrics import CallMetrics
+from parsleyrouter.process.call_port import Call, CallSink, Reply, Yielded
+from parsleyrouter.process.grant_port import GrantRequest, Grants
+from parsleyrouter.process.runtime import Runtime
+from parsleyrouter.process.view import FleetView
+from parsleyrouter.request.answer import Answer, KeptAnswer, StreamedAnswer
+from parsleyrouter.request.attempts import (
+    AttemptFailure,
+    AttemptHistory,
+    AttemptRules,
+    GiveUp,
+    decide,
+    refused_later,
+)
+from parsleyrouter.request.deadline import Deadline
+from parsleyrouter.request.retry_budget import RetryBudget
+from parsleyrouter.version.schema import KindClass
+
+__all__ = ["CallRunner"]
+
+log = logging.getLogger(__name__)
+
+
+class CallRunner:
+    """Run calls with the slots that ``grants`` hands out; implements ``Calls``.
+
+    Construct one per process: ``CallRunner(runtime, grants, view)``.
+    """
+
+    def __init__(self, runtime: Runtime, grants: Grants, view: FleetView) -> None:
+        self.loop = runtime.loop
+        self.http = runtime.http
+        self.grants = grants
+        self.view = view
+        self.budget = RetryBudget()
+        self.metrics = CallMetrics.of(runtime.metrics)
+        self.nonce = secrets.token_hex(3)
+        self.numbers = itertools.count(1)
+
+    async def run(
+        self, call: Call, *, on_dispatch: Callable[[], None] | None = None
+    ) -> Reply | Refusal | Yielded:
+        """Run a call to its whole answer; ``on_dispatch`` comes before its first byte."""
+        answer = KeptAnswer()
+        outcome = await self._run(call, answer, on_dispatch)
+        return answer.reply() if outcome is None else outcome
+
+    async def stream(self, call: Call, sink: CallSink) -> None | Refusal:
+        """Run a call and hand its answer on as it comes; ``None`` when it was whole."""
+        outcome = await self._run(call, StreamedAnswer(sink), None)
+        if isinstance(outcome, Yielded):
+            message = "the slot was taken by online work: try again"
+            return Refusal(RefusalKind.OVERLOADED, message, Ran.UNKNOWN, retry_after_s=1.0)
+        return outcome
+
+    async def _run(
+        self, call: Call, answer: Answer, on_dispatch: Callable[[], None] | None
+    ) -> None | Refusal | Yielded:
+        self.metrics.open.inc()
+        outcome: None | Refusal | Yielded = Yielded()
+        label = "gone"
+        try:
+            outcome = await self._attempts(call, answer, on_dispatch)
+            label = _label(outcome)
+            return outcome
+        finally:
+            self.metrics.open.dec()
+            self.metrics.calls.labels(call.settings.kind_class.value, label).inc()
+
+    async def _attempts(
+        self, call: Call, answer: Answer, on_dispatch: Callable[[], None] | None
+    ) -> None | Refusal | Yielded:
+        deadline = Deadline(self.loop.now() + call.deadline_in_s)
+        rules = AttemptRules(call.settings.idempotent)
+        history = AttemptHistory()
+        self.budget.share = self.view.settings().fleet.policy.retry_share
+        self.budget.count_request(self.loop.now())
+        token = call.resume_token
+        while True:
+            attempt = Attempt(self, call, self._attempt_id(call), answer, deadline, token)
+            end = await self._attempt(attempt, history, on_dispatch)
+            if isinstance(end, Refusal):
+                return refused_later(history, end)
+            if not isinstance(end, AttemptFailure):
+                return end
+            self._note(attempt, end)
+            step = decide(
+                rules,
+                history,
+                end,
+                remaining_s=1.0 if answer.shown else deadline.remaining_s(self.loop.now()),
+                take_retry=lambda: self.budget.take(self.loop.now()),
+            )
+            if isinstance(step, GiveUp):
+                return step.refusal
+            self.metrics.retries.inc()
+            history, token = step.history, attempt.resume_token
+
+    async def _attempt(
+        self, attempt: Attempt, history: AttemptHistory, on_dispatch: Callable[[], None] | None
+    ) -> None | Refusal | Yielded | AttemptFailure:
+        call = attempt.call
+        remaining_s = attempt.deadline.remaining_s(self.loop.now())
+        if remaining_s <= 0 and not attempt.answer.shown:
+            return attempt.deadline.refusal(Ran.NOT_RUN)
+        request = _grant_request(call, attempt.id, max(remaining_s, 1.0), history)
+        batch = call.settings.kind_class is KindClass.BATCH
+        grant = await self.grants.acquire(request, attempt.revoke if batch else None)
+        if isinstance(grant, Refusal):
+            return grant
+        try:
+            return await attempt.run(grant, on_dispatch)
+        finally:
+            attempt.close()
+            self.grants.release(grant, attempt.result)
+
+    def _attempt_id(self, call: Call) -> AttemptId:
+        return AttemptId(f"{call.request}.{self.nonce}.{next(self.numbers)}")
+
+    def _note(self, attempt: Attempt, failure: AttemptFailure) -> None:
+        self.metrics.failed_attempts.labels(failure.happened.value).inc()
+        call = attempt.call
+        log.warning(
+            "attempt failed",
+            extra={
+                "request": call.request,
+                "attempt": attempt.id,
+                "team": call.team,
+                "endpoint": failure.endpoint,
+                "happened": failure.happened.value,
+                "reason": failure.message,
+            },
+        )
+
+
+def _label(outcome: None | Refusal | Yielded) -> str:
+    if outcome is None:
+        return "answered"
+    return "yielded" if isinstance(outcome, Yielded) else outcome.kind.value
+
+
+def _grant_request(
+    call: Call, attempt: AttemptId, remaining_s: float, history: AttemptHistory
+) -> GrantRequest:
+    return GrantRequest(
+        attempt=attempt,
+        team=call.team,
+        kind=call.kind,
+        kind_class=call.settings.kind_class,
+        weight=call.settings.weight,
+        deadline_in_s=remaining_s,
+        model=call.model,
+        application=call.application,
+        prompt_tokens=call.prompt_tokens,
+        output_tokens=call.output_tokens,
+        prefix_key=call.prefix_key,
+        job=call.job,
+        slack_s=call.slack_s,
+        exclude=history.endpoints,
+    )
--- /dev/null
+++ b/parsleyrouter/request/attempts.py
@@ -0,0 +1,135 @@
+"""Decide what follows a failed attempt, by what provably happened to it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from enum import Enum
+
+from parsleyrouter.ids import EndpointId
+from parsleyrouter.outcome import Ran, Refusal, RefusalKind
+
+__all__ = [
+    "AttemptFailure",
+    "AttemptHistory",
+    "AttemptRules",
+    "GiveUp",
+    "Happened",
+    "Retry",
+    "decide",
+    "refused_later",
+]
+
+MOST_ATTEMPTS = 3
+RETRY_AFTER_S = 1.0
+
+
+class Happened(Enum):
+    """Say how far a failed attempt came at the endpoint."""
+
+    NOT_SENT = "not_sent"
+    MAYBE_SENT = "maybe_sent"
+    TURNED_AWAY = "turned_away"
+    ANSWER_CUT = "answer_cut"
+
+
+_RAN = {
+    Happened.NOT_SENT: Ran.NOT_RUN,
+    Happened.MAYBE_SENT: Ran.UNKNOWN,
+    Happened.TURNED_AWAY: Ran.UNKNOWN,
+    Happened.ANSWER_CUT: Ran.RAN,
+}
+_ORDER = (Ran.NOT_RUN, Ran.UNKNOWN, Ran.RAN)
+
+
+@dataclass(frozen=True)
+class AttemptRules:
+    """What a call allows."""
+
+    idempotent: bool
+    most: int = MOST_ATTEMPTS
+
+
+@dataclass(frozen=True)
+class AttemptFailure:
+    """How one attempt failed; ``shown`` when the caller has seen a part of its answer."""
+
+    endpoint: EndpointId
+    happened: Happened
+    message: str
+    shown: bool = False
+    resumable: bool = False
+
+
+@dataclass(frozen=True)
+class AttemptHistory:
+    """What the earlier attempts of a call left behind."""
+
+    failed: int = 0
+    endpoints: frozenset[EndpointId] = field(default_factory=frozenset)
+    ran: Ran = Ran.NOT_RUN
+    message: str = ""
+
+    def add(self, failure: AttemptFailure) -> "AttemptHistory":
+        """Return the history with one more failure; ``ran`` keeps the worst of all attempts."""
+        return replace(
+            self,
+            failed=self.failed + 1,
+            endpoints=self.endpoints | {failure.endpoint},
+            ran=max(self.ran, _RAN[failure.happened], key=_ORDER.index),
+            message=failure.message,
+        )
+
+
+@dataclass(frozen=True)
+class Retry:
+    """Try again, elsewhere where that is possible."""
+
+    history: AttemptHistory
+
+
+@dataclass(frozen=True)
+class GiveUp:
+    """Tell the caller."""
+
+    refusal: Refusal
+
+
+def decide(
+    rules: AttemptRules,
+    history: AttemptHistory,
+    failure: AttemptFailure,
+    *,
+    remaining_s: float,
+    take_retry: Callable[[], bool],
+) -> Retry | GiveUp:
+    """Return what follows a failure; ``take_retry`` is asked last and only if a retry is due."""
+    after = history.add(failure)
+    if remaining_s <= 0:
+        message = f"the deadline has passed after: {failure.message}; allow more time"
+        return GiveUp(Refusal(RefusalKind.DEADLINE, message, after.ran))
+    if not _repeatable(rules, failure):
+        return GiveUp(_failed(after, "ask again with the same Idempotency-Key to learn more"))
+    if after.failed >= rules.most:
+        return GiveUp(_failed(after, f"{after.failed} endpoints failed; try again later"))
+    if not take_retry():
+        return GiveUp(_failed(after, "too many requests are being retried; try again later"))
+    return Retry(after)
+
+
+def refused_later(history: AttemptHistory, refusal: Refusal) -> Refusal:
+    """Return a refusal that came after earlier attempts, which may have run."""
+    if not history.failed:
+        return refusal
+    message = f"{refusal.message} (after {history.message})"
+    return replace(refusal, message=message, ran=history.ran)
+
+
+def _repeatable(rules: AttemptRules, failure: AttemptFailure) -> bool:
+    if failure.shown:
+        return rules.idempotent and failure.resumable
+    return rules.idempotent or failure.happened is Happened.NOT_SENT
+
+
+def _failed(history: AttemptHistory, remedy: str) -> Refusal:
+    return Refusal(
+        RefusalKind.ENDPOINT_FAILED, f"{history.message}: {remedy}", history.ran, RETRY_AFTER_S
+    )
--- /dev/null
+++ b/parsleyrouter/request/claim_record.py
@@ -0,0 +1,115 @@
+"""The record that makes a keyed request run at most once, and what a resend makes of it."""
+
+import hashlib
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+
+from parsleyrouter.ids import TeamName
+from parsleyrouter.outcome import Ran, Refusal, RefusalKind
+from parsleyrouter.process.call_port import Call, Reply
+
+__all__ = [
+    "ClaimRecord",
+    "ClaimState",
+    "Wait",
+    "claim_key",
+    "content_hash",
+    "decode_claim",
+    "encode_claim",
+    "finished_claim",
+    "judge",
+]
+
+CLAIMS_PREFIX = "/parsley/claims/"
+LARGEST_KEPT_BYTES = 64 * 1024
+
+
+class ClaimState(Enum):
+    """Say whether the claimed request has ended."""
+
+    STARTED = "started"
+    DONE = "done"
+
+
+class ClaimRecord(msgspec.Struct, frozen=True):
+    """One claim; ``until_s`` is when its holder has given up at the latest, seconds since 1970."""
+
+    nonce: str
+    entry: str
+    content: str
+    until_s: float
+    state: ClaimState = ClaimState.STARTED
+    status: int = 0
+    headers: dict[str, str] = {}
+    body: bytes = b""
+    kept: bool = True
+    refusal: str = ""
+    ran: Ran = Ran.UNKNOWN
+
+
+@dataclass(frozen=True)
+class Wait:
+    """Look again later: the holder may still be running."""
+
+
+def claim_key(team: TeamName, application: str, key: str) -> str:
+    """Return where the claim of an idempotency key is kept."""
+    digest = hashlib.sha256(f"{application}\0{key}".encode("utf-8", "replace")).hexdigest()
+    return f"{CLAIMS_PREFIX}{team}/{digest}"
+
+
+def content_hash(call: Call) -> str:
+    """Return the hash by which other content under the same key is noticed."""
+    head = f"{call.method}\0{call.path}\0".encode("utf-8", "replace")
+    return hashlib.sha256(head + call.body).hexdigest()
+
+
+def encode_claim(record: ClaimRecord) -> bytes:
+    """Encode a record."""
+    return msgspec.json.encode(record)
+
+
+def decode_claim(value: bytes) -> ClaimRecord:
+    """Decode a record; raise ``msgspec.MsgspecError`` when it is none."""
+    return msgspec.json.decode(value, type=ClaimRecord)
+
+
+def finished_claim(record: ClaimRecord, outcome: Reply | Refusal) -> ClaimRecord:
+    """Return the record of a request that has ended."""
+    done = msgspec.structs.replace(record, state=ClaimState.DONE)
+    if isinstance(outcome, Refusal):
+        return msgspec.structs.replace(done, refusal=outcome.message, ran=outcome.ran)
+    kept = len(outcome.body) <= LARGEST_KEPT_BYTES
+    return msgspec.structs.replace(
+        done,
+        status=outcome.status,
+        headers=outcome.headers,
+        body=outcome.body if kept else b"",
+        kept=kept,
+        ran=Ran.RAN,
+    )
+
+
+def judge(record: ClaimRecord, content: str, now_s: float) -> Reply | Refusal | Wait:
+    """Return what a resend gets; ``now_s`` is in seconds since 1970."""
+    if record.content != content:
+        message = "the Idempotency-Key was used with other content: take a new key"
+        return Refusal(RefusalKind.CONFLICT, message, Ran.NOT_RUN)
+    if record.state is ClaimState.DONE:
+        return _replay(record)
+    if now_s > record.until_s:
+        message = "whoever ran this request is gone: find out at the service whether it took effect"
+        return Refusal(RefusalKind.ENDPOINT_FAILED, message, Ran.UNKNOWN)
+    return Wait()
+
+
+def _replay(record: ClaimRecord) -> Reply | Refusal:
+    if record.refusal:
+        return Refusal(RefusalKind.ENDPOINT_FAILED, record.refusal, record.ran)
+    if not record.kept:
+        limit = LARGEST_KEPT_BYTES
+        message = f"the request ran; its answer was over {limit} bytes and was not kept"
+        return Refusal(RefusalKind.CONFLICT, message, Ran.RAN)
+    return Reply(record.status, dict(record.headers), record.body)
