--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 .DEFAULT_GOAL := help
-.PHONY: help setup format lint test demo ci thrift
+.PHONY: help setup format lint test demo ci thrift prove prove-mutants
 
 help: ## list the targets
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -35,3 +35,9 @@
 
 thrift: ## regenerate the committed thrift code
 	for f in thrift/*.thrift; do thrift --gen py -out parsleyrouter/thrift_gen $$f; done
+
+prove: $(STAMP) ## run the proofs of the promises and print a line for each
+	$(PYTHON) tools/prove.py
+
+prove-mutants: $(STAMP) ## show that the checks can fail
+	$(PYTHON) tools/mutants.py
