Order slots by weight, deadline, slack and fairness, and route by load

The scheduler refuses at once what its tokens cannot let finish in time, learns headroom from bursts, shares batch slots between teams by weight and adopts the live grants of an earlier home. Load reports of engines only add slots that two reports in a row show as used by others. Queues are heaps, so that an event costs the logarithm of the queue and not its length.

--- /dev/null
+++ b/parsleyrouter/process/held_grants.py
@@ -0,0 +1,163 @@
+"""Keep the grants that this process holds alive, and tell their holders when they must end."""
+
+from collections import Counter as Tally
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from parsleyrouter.connection.peer import PeerFailure
+from parsleyrouter.ids import Address, AttemptId, EndpointId, GrantId
+from parsleyrouter.process.grant_messages import (
+    is_batch,
+    live_message,
+    release_message,
+    withdraw_message,
+)
+from parsleyrouter.process.grant_port import CallResult, Grant, GrantRequest
+from parsleyrouter.process.runtime import Runtime
+from parsleyrouter.process.view import FleetView
+from parsleyrouter.request.homes import home_address
+from parsleyrouter.thrift_gen.grants.ttypes import LiveGrant, RenewAnswer, RenewGrants
+
+__all__ = ["HeldGrants"]
+
+RENEW_EVERY_S = 0.4
+BATCH_LEASE_S = 1.5
+"""Time after its last renewal at which a batch grant is given up; the homes wait as long."""
+
+REMEMBER_S = 5.0
+"""How long a revocation is remembered that came before its grant."""
+
+
+@dataclass
+class _Held:
+    grant: Grant
+    request: GrantRequest
+    home: Address | None
+    renewed_s: float
+    on_revoke: Callable[[], None] | None
+
+
+@dataclass
+class HeldGrants:
+    """Hold, renew and give back grants; ``home`` is unknown for those taken without one."""
+
+    runtime: Runtime
+    view: FleetView
+    reply_to: Callable[[], Address]
+    held: dict[GrantId, _Held] = field(default_factory=dict)
+    own: Tally[EndpointId] = field(default_factory=Tally)
+    revoked_early: dict[GrantId, float] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.loop = self.runtime.loop
+        self.peers = self.runtime.peers
+        self.loop.spawn(self._keep_renewing(), "renew grants")
+
+    def __contains__(self, grant: str) -> bool:
+        return GrantId(grant) in self.held
+
+    def add(
+        self,
+        grant: Grant,
+        request: GrantRequest,
+        home: Address | None,
+        on_revoke: Callable[[], None] | None,
+    ) -> None:
+        """Hold a grant."""
+        self.held[grant.grant] = _Held(grant, request, home, self.loop.now(), on_revoke)
+        self.own[grant.endpoint] += 1
+
+    def request(self, grant: Grant) -> GrantRequest | None:
+        """Return the request that a grant is held for."""
+        held = self.held.get(grant.grant)
+        return None if held is None else held.request
+
+    def was_revoked(self, grant: str) -> bool:
+        """Tell whether a grant was revoked before it came."""
+        return self.revoked_early.pop(GrantId(grant), None) is not None
+
+    def release(self, grant: Grant, result: CallResult) -> None:
+        """Give a held grant back."""
+        held = self.held.pop(grant.grant)
+        self.own[grant.endpoint] -= 1
+        message = release_message(grant, result)
+        for home in {held.home, self._home(grant.endpoint)} - {None}:
+            self.peers.tell(Address(str(home)), "grant.release", message)
+
+    def give_back(
+        self, attempt: AttemptId, endpoint: EndpointId, home: Address | None, grant: str = ""
+    ) -> None:
+        """Withdraw an ask, or return a grant that was never used."""
+        for address in {home, self._home(endpoint)} - {None}:
+            message = withdraw_message(attempt, endpoint, grant)
+            self.peers.tell(Address(str(address)), "grant.release", message)
+
+    def revoke(self, grant: GrantId, expected: bool) -> None:
+        """Tell the holder; a revocation may overtake the grant that is ``expected``."""
+        held = self.held.get(grant)
+        if held is not None:
+            self._notify(held)
+        elif expected:
+            self.revoked_early[grant] = self.loop.now()
+
+    def live(self, endpoint: str) -> list[LiveGrant]:
+        """Describe the grants in use at an endpoint."""
+        return [
+            live_message(held.grant, held.request)
+            for held in self.held.values()
+            if held.grant.endpoint == endpoint
+        ]
+
+    def _home(self, endpoint: EndpointId) -> Address | None:
+        return home_address(endpoint, self.view.nodes())
+
+    def _notify(self, held: _Held) -> None:
+        callback, held.on_revoke = held.on_revoke, None
+        if callback is not None:
+            callback()
+
+    async def _keep_renewing(self) -> None:
+        while True:
+            await self.loop.sleep(RENEW_EVERY_S)
+            for home, group in self._by_home().items():
+                self.loop.spawn(self._renew(home, group), "renew grants")
+            self._give_up_old()
+
+    def _by_home(self) -> dict[Address, list[_Held]]:
+        homes: dict[EndpointId, Address | None] = {}
+        groups: dict[Address, list[_Held]] = {}
+        for held in self.held.values():
+            endpoint = held.grant.endpoint
+            if endpoint not in homes:
+                homes[endpoint] = self._home(endpoint)
+            home = homes[endpoint]
+            if home is not None:
+                groups.setdefault(home, []).append(held)
+        return groups
+
+    async def _renew(self, home: Address, group: list[_Held]) -> None:
+        asked_s = self.loop.now()
+        grants = [live_message(held.grant, held.request) for held in group]
+        message = RenewGrants(self.view.self_node().node, grants, self.reply_to())
+        answer = await self.peers.call(home, "grant.renew", message, RenewAnswer, BATCH_LEASE_S)
+        if isinstance(answer, PeerFailure):
+            return
+        renewed = set(answer.renewed)
+        lapsed = set(answer.lapsed)
+        for held in group:
+            if held.grant.grant in renewed:
+                held.home = home
+                held.renewed_s = max(held.renewed_s, asked_s)
+        self._notify_all(held for held in group if held.grant.grant in lapsed)
+
+    def _give_up_old(self) -> None:
+        now = self.loop.now()
+        self._notify_all(
+            held for held in self.held.values() if held.renewed_s < now - BATCH_LEASE_S
+        )
+        remembered = self.revoked_early.items()
+        self.revoked_early = {grant: at for grant, at in remembered if at > now - REMEMBER_S}
+
+    def _notify_all(self, lapsed: Iterable[_Held]) -> None:
+        for held in [held for held in lapsed if is_batch(held.request)]:
+            self._notify(held)
--- /dev/null
+++ b/parsleyrouter/process/load_reports.py
@@ -0,0 +1,122 @@
+"""Correct own counts by the engines' load reports, which lag.
+
+``LoadReports`` polls ``/metrics`` of the engines that this node is home for.
+"""
+
+import logging
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from prometheus_client.parser import text_string_to_metric_families
+
+from parsleyrouter.connection.http import HttpReply
+from parsleyrouter.ids import Address, EndpointId
+from parsleyrouter.process.runtime import Runtime
+
+__all__ = ["LoadCorrector", "LoadReport", "LoadReports", "parse_report"]
+
+LAG_S = 3.0
+"""How old a report may be."""
+
+CONFIRMATIONS = 2
+POLL_S = 1.0
+POLL_TIMEOUT_S = 1.0
+MAX_POLLS_OPEN = 8
+
+RUNNING_SUFFIX = "num_requests_running"
+WAITING_SUFFIX = "num_requests_waiting"
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class LoadReport:
+    """What an endpoint says of itself: requests being run and requests in its own queue."""
+
+    running: int
+    waiting: int = 0
+
+
+def parse_report(text: str) -> LoadReport | None:
+    """Read a report in the Prometheus text format; ``None`` if it says nothing of load."""
+    found: dict[str, float] = {}
+    for family in text_string_to_metric_families(text):
+        for suffix in (RUNNING_SUFFIX, WAITING_SUFFIX):
+            if family.name.endswith(suffix):
+                found[suffix] = sum(sample.value for sample in family.samples)
+    if RUNNING_SUFFIX not in found:
+        return None
+    return LoadReport(int(found[RUNNING_SUFFIX]), int(found.get(WAITING_SUFFIX, 0)))
+
+
+@dataclass
+class LoadCorrector:
+    """Tell how many requests at one endpoint are not under own grants.
+
+    A report is held against the most that was granted while it may have been made, and counts
+    once the next one confirms it.
+    """
+
+    own: deque[tuple[float, int]] = field(default_factory=deque)
+    excess: deque[int] = field(default_factory=lambda: deque(maxlen=CONFIRMATIONS))
+    heard_s: float = 0.0
+
+    def note_own(self, count: int, now: float) -> None:
+        """Take the number of own grants."""
+        self.own.append((now, count))
+        while self.own[0][0] < now - LAG_S:
+            self.own.popleft()
+
+    def report(self, report: LoadReport, now: float) -> None:
+        """Take a report."""
+        most = max((count for _, count in self.own), default=0)
+        self.excess.append(max(0, report.running + report.waiting - most))
+        self.heard_s = now
+
+    def foreign(self, now: float) -> int:
+        """Return the slots to count as used by others."""
+        if now - self.heard_s > LAG_S or len(self.excess) < CONFIRMATIONS:
+            return 0
+        return min(self.excess)
+
+
+class LoadReports:
+    """Poll the endpoints that ``addresses`` returns and hand on what they report."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        addresses: Callable[[], dict[EndpointId, Address]],
+        on_report: Callable[[EndpointId, LoadReport], None],
+        random: Random | None = None,
+    ) -> None:
+        self.loop = runtime.loop
+        self.http = runtime.http
+        self.addresses = addresses
+        self.on_report = on_report
+        self.random = random or Random()
+        self.open: set[EndpointId] = set()
+        self.loop.spawn(self._keep_polling(), "load reports")
+
+    async def _keep_polling(self) -> None:
+        while True:
+            await self.loop.sleep(POLL_S * self.random.uniform(0.8, 1.2))
+            for endpoint, address in self.addresses().items():
+                if endpoint not in self.open and len(self.open) < MAX_POLLS_OPEN:
+                    self.loop.spawn(self._poll(endpoint, address), "poll load")
+
+    async def _poll(self, endpoint: EndpointId, address: Address) -> None:
+        self.open.add(endpoint)
+        try:
+            reply = await self.http.request(address, "GET", "/metrics", timeout_s=POLL_TIMEOUT_S)
+            if not isinstance(reply, HttpReply) or reply.status != 200:
+                return
+            report = parse_report(reply.body.decode("utf-8", "replace"))
+            if report is not None:
+                self.on_report(endpoint, report)
+        except ValueError as error:
+            log.warning("bad load report", extra={"endpoint": endpoint, "error": str(error)})
+        finally:
+            self.open.discard(endpoint)
--- a/parsleyrouter/process/scheduler.py
+++ b/parsleyrouter/process/scheduler.py
@@ -16,22 +16,18 @@
     AttemptId,
     EndpointId,
     GrantId,
-    JobId,
-    KindName,
     NodeId,
     TeamName,
 )
+from parsleyrouter.process.load_reports import LoadCorrector, LoadReport, LoadReports
 from parsleyrouter.process.runtime import Runtime
+from parsleyrouter.process.scheduler_messages import not_home, read_ask, read_live, write_answer
 from parsleyrouter.process.sharing_policies import POLICIES, PROFILES, SharingPolicy
 from parsleyrouter.process.slot_events import (
     Action,
-    Granted,
     Holder,
-    Queued,
     RefusalReason,
-    Refused,
     Revoke,
-    SlotAsk,
     Usage,
 )
 from parsleyrouter.process.slot_table import SlotTable, TableOptions
@@ -40,7 +36,6 @@
 from parsleyrouter.thrift_gen.grants.ttypes import (
     AskGrant,
     GrantAnswer,
-    LiveGrant,
     LiveGrants,
     LiveGrantsQuery,
     ReleaseGrant,
@@ -48,7 +43,7 @@
     RenewGrants,
     RevokeGrant,
 )
-from parsleyrouter.version.schema import EndpointState
+from parsleyrouter.version.schema import EndpointState, EndpointType
 
 __all__ = ["Scheduler", "SchedulerOptions"]
 
@@ -86,6 +81,8 @@
         self.options = options or SchedulerOptions()
         self.boot = secrets.token_hex(4)
         self.tables: dict[EndpointId, SlotTable] = {}
+        self.correctors: dict[EndpointId, LoadCorrector] = {}
+        self.reports = LoadReports(runtime, self._engines, self._on_report)
         self.methods = PeerMethods()
         self._add_methods(self.methods)
         channel = f"scheduler-{next(_channels)}"
@@ -135,11 +132,13 @@
             settled=False,
         )
         self.tables[endpoint] = table
+        self.correctors[endpoint] = LoadCorrector()
         self.loop.spawn(self._learn_live_grants(table), "learn live grants")
         return table
 
     def _drop(self, endpoint: EndpointId, reason: RefusalReason) -> None:
         table = self.tables.pop(endpoint, None)
+        self.correctors.pop(endpoint, None)
         if table is not None:
             self._carry_out(table.close(reason), table)
 
@@ -170,7 +169,7 @@
             return False
         holder = Holder(NodeId(answer.node), Address(answer.reply_to))
         for live in answer.grants:
-            table.renew(GrantId(live.grant), _ask_of(live, holder), self.loop.now())
+            table.renew(GrantId(live.grant), read_live(live, holder), self.loop.now())
         return True
 
     def _add_methods(self, methods: PeerMethods) -> None:
@@ -189,14 +188,15 @@
     def _on_ask(self, message: AskGrant) -> GrantAnswer:
         table = self.tables.get(EndpointId(message.endpoint))
         if table is None:
-            return _refused(message.attempt, message.endpoint, RefusalReason.NOT_HOME)
-        ask = self._slot_ask(message)
+            return not_home(message)
+        team = self.view.settings().teams.get(TeamName(message.team))
+        ask = read_ask(message, team.weight if team else 1.0)
         now = self.loop.now()
         own: GrantAnswer | None = None
         others: list[Action] = []
         for action in table.ask(ask, now):
             if not isinstance(action, Revoke) and action.ask.attempt == ask.attempt:
-                own = self._answer(table, action)
+                own = write_answer(table, action, self.loop.now())
             else:
                 others.append(action)
         self._carry_out(others, table)
@@ -216,50 +216,13 @@
 
     def _on_renew(self, message: RenewGrants) -> RenewAnswer:
         holder = Holder(NodeId(message.node), Address(message.reply_to))
-        lapsed = []
+        answer = RenewAnswer(lapsed=[], renewed=[])
         now = self.loop.now()
         for live in message.grants:
             table = self.tables.get(EndpointId(live.endpoint))
-            if table is None or not table.renew(GrantId(live.grant), _ask_of(live, holder), now):
-                lapsed.append(live.grant)
-        return RenewAnswer(lapsed)
-
-    def _slot_ask(self, message: AskGrant) -> SlotAsk:
-        team = self.view.settings().teams.get(TeamName(message.team))
-        return SlotAsk(
-            attempt=AttemptId(message.attempt),
-            holder=Holder(NodeId(message.node), Address(message.reply_to)),
-            team=TeamName(message.team),
-            kind=KindName(message.kind),
-            batch=message.batch,
-            weight=message.weight,
-            team_weight=team.weight if team else 1.0,
-            deadline_in_s=message.deadline_in_s,
-            prompt_tokens=message.prompt_tokens,
-            output_tokens=message.output_tokens,
-            job=JobId(message.job),
-            slack_s=message.slack_s,
-        )
-
-    def _answer(self, table: SlotTable, action: Granted | Queued | Refused) -> GrantAnswer:
-        now = self.loop.now()
-        answer = GrantAnswer(
-            grant="",
-            attempt=action.ask.attempt,
-            refusal="",
-            retry_after_s=0.0,
-            valid_s=0.0,
-            queued=isinstance(action, Queued),
-            endpoint=table.endpoint,
-            load=table.load(now),
-            batch_load=table.batch_load(now),
-        )
-        if isinstance(action, Granted):
-            answer.grant = action.grant
-            answer.valid_s = action.valid_s
-        elif isinstance(action, Refused):
-            answer.refusal = action.reason.value
-            answer.retry_after_s = action.retry_after_s
+            if table is not None:
+                lives = table.renew(GrantId(live.grant), read_live(live, holder), now)
+                (answer.renewed if lives else answer.lapsed).append(live.grant)
         return answer
 
     def _carry_out(self, actions: list[Action], table: SlotTable) -> None:
@@ -270,7 +233,7 @@
                 self.peers.tell(holder.reply_to, "grant.revoke", message)
             else:
                 holder = action.ask.holder
-                answer = self._answer(table, action)
+                answer = write_answer(table, action, self.loop.now())
                 self.peers.tell(holder.reply_to, "grant.answer", answer)
 
     async def _keep_ticking(self) -> None:
@@ -278,30 +241,23 @@
             await self.loop.sleep(self.options.tick_s)
             now = self.loop.now()
             for table in list(self.tables.values()):
+                self.correctors[table.endpoint].note_own(len(table.held), now)
                 self._carry_out(table.tick(now), table)
 
+    def _engines(self) -> dict[EndpointId, Address]:
+        endpoints = self.view.settings().fleet.endpoints
+        return {
+            name: Address(endpoints[name].address)
+            for name in self.tables
+            if name in endpoints and endpoints[name].type is EndpointType.ENGINE
+        }
 
-def _ask_of(live: LiveGrant, holder: Holder) -> SlotAsk:
-    return SlotAsk(
-        attempt=AttemptId(live.attempt),
-        holder=holder,
-        team=TeamName(live.team),
-        kind=KindName(live.kind),
-        batch=live.batch,
-        weight=live.weight,
-        job=JobId(live.job),
-    )
-
-
-def _refused(attempt: str, endpoint: str, reason: RefusalReason) -> GrantAnswer:
-    return GrantAnswer(
-        grant="",
-        attempt=attempt,
-        refusal=reason.value,
-        retry_after_s=0.0,
-        valid_s=0.0,
-        queued=False,
-        endpoint=endpoint,
-        load=0.0,
-        batch_load=0.0,
-    )
+    def _on_report(self, endpoint: EndpointId, report: LoadReport) -> None:
+        table = self.tables.get(endpoint)
+        if table is None:
+            return
+        now = self.loop.now()
+        corrector = self.correctors[endpoint]
+        corrector.note_own(len(table.held), now)
+        corrector.report(report, now)
+        self._carry_out(table.correct(corrector.foreign(now), now), table)
--- /dev/null
+++ b/parsleyrouter/process/scheduler_messages.py
@@ -0,0 +1,83 @@
+"""Read the messages that a scheduler gets and write its answers."""
+
+from parsleyrouter.ids import Address, AttemptId, JobId, KindName, NodeId, TeamName
+from parsleyrouter.process.slot_events import (
+    Granted,
+    Holder,
+    Queued,
+    RefusalReason,
+    Refused,
+    SlotAsk,
+)
+from parsleyrouter.process.slot_table import SlotTable
+from parsleyrouter.thrift_gen.grants.ttypes import AskGrant, GrantAnswer, LiveGrant
+
+__all__ = ["not_home", "read_ask", "read_live", "write_answer"]
+
+
+def read_ask(message: AskGrant, team_weight: float) -> SlotAsk:
+    """Return what a process asks for."""
+    return SlotAsk(
+        attempt=AttemptId(message.attempt),
+        holder=Holder(NodeId(message.node), Address(message.reply_to)),
+        team=TeamName(message.team),
+        kind=KindName(message.kind),
+        batch=message.batch,
+        weight=message.weight,
+        team_weight=team_weight,
+        deadline_in_s=message.deadline_in_s,
+        prompt_tokens=message.prompt_tokens,
+        output_tokens=message.output_tokens,
+        job=JobId(message.job),
+        slack_s=message.slack_s,
+    )
+
+
+def read_live(live: LiveGrant, holder: Holder) -> SlotAsk:
+    """Return what a grant of an earlier home was asked for."""
+    return SlotAsk(
+        attempt=AttemptId(live.attempt),
+        holder=holder,
+        team=TeamName(live.team),
+        kind=KindName(live.kind),
+        batch=live.batch,
+        weight=live.weight,
+        job=JobId(live.job),
+    )
+
+
+def write_answer(table: SlotTable, action: Granted | Queued | Refused, now: float) -> GrantAnswer:
+    """Return the answer to an attempt, with the load of the endpoint."""
+    answer = GrantAnswer(
+        grant="",
+        attempt=action.ask.attempt,
+        refusal="",
+        retry_after_s=0.0,
+        valid_s=0.0,
+        queued=isinstance(action, Queued),
+        endpoint=table.endpoint,
+        load=table.load(now),
+        batch_load=table.batch_load(now),
+    )
+    if isinstance(action, Granted):
+        answer.grant = action.grant
+        answer.valid_s = action.valid_s
+    elif isinstance(action, Refused):
+        answer.refusal = action.reason.value
+        answer.retry_after_s = action.retry_after_s
+    return answer
+
+
+def not_home(message: AskGrant) -> GrantAnswer:
+    """Return the answer to an ask for an endpoint of another home."""
+    return GrantAnswer(
+        grant="",
+        attempt=message.attempt,
+        refusal=RefusalReason.NOT_HOME.value,
+        retry_after_s=0.0,
+        valid_s=0.0,
+        queued=False,
+        endpoint=message.endpoint,
+        load=0.0,
+        batch_load=0.0,
+    )
--- a/parsleyrouter/process/sharing_policies.py
+++ b/parsleyrouter/process/sharing_policies.py
@@ -60,8 +60,6 @@
 class SharingPolicy(Protocol):
     """Decide who may take a free slot and who must give one back."""
 
-    takes_back: bool
-
     def admits_online(self, use: Occupancy) -> bool:
         """Tell whether a waiting online attempt may take a slot."""
 
@@ -71,6 +69,9 @@
     def to_revoke(self, use: Occupancy) -> int:
         """Return how many more batch grants to revoke."""
 
+    def online_limit(self, use: Occupancy) -> int:
+        """Return how many slots online work can have as things stand."""
+
     def batch_first(self, online_order: int, batch_order: int) -> bool:
         """Tell whether batch goes first when both wait and may take a slot."""
 
@@ -93,8 +94,6 @@
 class OnlineFirst:
     """Give batch what online leaves idle and take it back at once."""
 
-    takes_back = True
-
     def __init__(self, profile: Profile) -> None:
         self.profile = profile
 
@@ -117,6 +116,10 @@
         missing = use.online_waiting + kept - use.free - use.revoking
         return max(0, min(use.batch - use.revoking, missing))
 
+    def online_limit(self, use: Occupancy) -> int:
+        """Count all slots."""
+        return use.slots
+
     def batch_first(self, online_order: int, batch_order: int) -> bool:
         """Let online go first."""
         return False
@@ -126,8 +129,6 @@
 class FirstCome:
     """Serve in order of arrival and never take a slot back."""
 
-    takes_back = False
-
     def __init__(self, profile: Profile) -> None:
         self.profile = profile
 
@@ -143,6 +144,10 @@
         """Revoke nothing."""
         return 0
 
+    def online_limit(self, use: Occupancy) -> int:
+        """Leave out the slots that batch holds."""
+        return use.slots - use.batch
+
     def batch_first(self, online_order: int, batch_order: int) -> bool:
         """Let the earlier go first."""
         return batch_order < online_order
@@ -152,8 +157,6 @@
 class FixedSplit:
     """Give each class a fixed part of the slots."""
 
-    takes_back = False
-
     def __init__(self, profile: Profile) -> None:
         self.profile = profile
 
@@ -173,6 +176,10 @@
         """Revoke nothing."""
         return 0
 
+    def online_limit(self, use: Occupancy) -> int:
+        """Count the online part."""
+        return use.slots - self.batch_slots(use)
+
     def batch_first(self, online_order: int, batch_order: int) -> bool:
         """Let online go first; the parts do not meet."""
         return False
--- a/parsleyrouter/process/slot_queue.py
+++ b/parsleyrouter/process/slot_queue.py
@@ -1,5 +1,7 @@
 """Order the attempts that wait for a slot of one endpoint."""
 
+import heapq
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from parsleyrouter.ids import AttemptId, TeamName
@@ -7,6 +9,8 @@
 
 __all__ = ["BatchQueue", "OnlineQueue", "Waiting"]
 
+Key = tuple[float, int]
+
 
 @dataclass(frozen=True)
 class Waiting:
@@ -22,51 +26,114 @@
         return self.asked_s + self.ask.deadline_in_s
 
     @property
-    def urgency(self) -> tuple[float, int]:
+    def urgency(self) -> Key:
         """Return the earliest-deadline key, the time left divided by the kind's weight."""
         return self.asked_s + self.ask.deadline_in_s / self.ask.weight, self.order
 
     @property
-    def slack(self) -> tuple[float, int]:
+    def slack(self) -> Key:
         """Return the least-slack key."""
         return self.asked_s + self.ask.slack_s, self.order
 
 
+@dataclass
+class _Heap:
+    """A heap of waiting attempts whose entries may be removed anywhere."""
+
+    entries: list[tuple[Key, Waiting]] = field(default_factory=list)
+    live: dict[AttemptId, Waiting] = field(default_factory=dict)
+
+    def add(self, key: Key, entry: Waiting) -> None:
+        self.live[entry.ask.attempt] = entry
+        heapq.heappush(self.entries, (key, entry))
+
+    def first(self) -> Waiting | None:
+        while self.entries and self._is_gone(self.entries[0][1]):
+            heapq.heappop(self.entries)
+        return self.entries[0][1] if self.entries else None
+
+    def _is_gone(self, entry: Waiting) -> bool:
+        return self.live.get(entry.ask.attempt) is not entry
+
+
 @dataclass
 class OnlineQueue:
     """Give out by kind weight and earliest deadline."""
 
-    waiting: dict[AttemptId, Waiting] = field(default_factory=dict)
+    heap: _Heap = field(default_factory=_Heap)
+
+    def __len__(self) -> int:
+        return len(self.heap.live)
+
+    def __contains__(self, attempt: AttemptId) -> bool:
+        return attempt in self.heap.live
+
+    def __iter__(self) -> Iterator[Waiting]:
+        return iter(list(self.heap.live.values()))
+
+    def add(self, entry: Waiting) -> None:
+        """Add an attempt."""
+        self.heap.add(entry.urgency, entry)
+
+    def remove(self, attempt: AttemptId) -> None:
+        """Forget an attempt, if it waits."""
+        self.heap.live.pop(attempt, None)
 
     def first(self) -> Waiting | None:
         """Return the attempt to serve next."""
-        return min(self.waiting.values(), key=lambda entry: entry.urgency, default=None)
+        return self.heap.first()
 
 
 @dataclass
 class BatchQueue:
-    """Give out fairly between teams by weight, within a team by least slack."""
+    """Give out fairly between teams by weight, within a team by least slack.
 
-    waiting: dict[AttemptId, Waiting] = field(default_factory=dict)
+    ``served`` is what each team has had, in slot seconds over its weight.
+    """
+
+    teams: dict[TeamName, _Heap] = field(default_factory=dict)
+    team_of: dict[AttemptId, TeamName] = field(default_factory=dict)
     served: dict[TeamName, float] = field(default_factory=dict)
     level: float = 0.0
 
+    def __len__(self) -> int:
+        return len(self.team_of)
+
+    def __contains__(self, attempt: AttemptId) -> bool:
+        return attempt in self.team_of
+
+    def __iter__(self) -> Iterator[Waiting]:
+        return iter([entry for heap in self.teams.values() for entry in heap.live.values()])
+
     def add(self, entry: Waiting) -> None:
         """Add an attempt; a team that had none waiting gains nothing from its absence."""
         team = entry.ask.team
-        if all(other.ask.team != team for other in self.waiting.values()):
+        heap = self.teams.setdefault(team, _Heap())
+        if not heap.live:
             self.served[team] = max(self.served.get(team, 0.0), self.level)
-        self.waiting[entry.ask.attempt] = entry
+        heap.add(entry.slack, entry)
+        self.team_of[entry.ask.attempt] = team
+
+    def remove(self, attempt: AttemptId) -> None:
+        """Forget an attempt, if it waits."""
+        team = self.team_of.pop(attempt, None)
+        if team is None:
+            return
+        del self.teams[team].live[attempt]
+        if not self.teams[team].live:
+            del self.teams[team]
 
     def first(self) -> Waiting | None:
         """Return the attempt to serve next."""
-        return min(self.waiting.values(), key=self._rank, default=None)
+        team = min(self.teams, key=lambda name: (self.served[name], name), default=None)
+        return None if team is None else self.teams[team].first()
 
     def charge(self, ask: SlotAsk, cost_s: float) -> None:
-        """Count a use of a slot, or with a negative cost take one back."""
-        if cost_s > 0:
-            self.level = max(self.level, self.served.get(ask.team, 0.0))
-        self.served[ask.team] = self.served.get(ask.team, 0.0) + cost_s / ask.team_weight
-
-    def _rank(self, entry: Waiting) -> tuple[float, float, int]:
-        return self.served.get(entry.ask.team, 0.0), *entry.slack
+        """Count one use of a slot."""
+        before = self.served.get(ask.team, 0.0)
+        self.level = max(self.level, before)
+        self.served[ask.team] = before + cost_s / ask.team_weight
+
+    def refund(self, ask: SlotAsk, cost_s: float) -> None:
+        """Take back the charge of a use that was cut short."""
+        self.served[ask.team] = self.served.get(ask.team, 0.0) - cost_s / ask.team_weight
--- a/parsleyrouter/process/slot_table.py
+++ b/parsleyrouter/process/slot_table.py
@@ -33,7 +33,7 @@
     online_lease_s: float = 6.0
     batch_lease_s: float = 1.5
     remember_s: float = 30.0
-    queue_limit: int = 4096
+    queue_limit: int = 1024
 
 
 @dataclass
@@ -58,6 +58,8 @@
     bursts: BurstMeter = field(default_factory=BurstMeter)
     times: ServiceTimes = field(default_factory=ServiceTimes)
     ended: dict[GrantId, float] = field(default_factory=dict)
+    batch_held: int = 0
+    revoking: int = 0
     order: int = 0
 
     def ask(self, ask: SlotAsk, now: float) -> list[Action]:
@@ -77,7 +79,7 @@
         if ask.batch:
             self.batch.add(entry)
         else:
-            self.online.waiting[ask.attempt] = entry
+            self.online.add(entry)
         actions = self._pump(now)
         if self._is_waiting(ask.attempt):
             actions.append(Queued(ask))
@@ -85,8 +87,7 @@
 
     def withdraw(self, attempt: AttemptId, now: float) -> list[Action]:
         """Forget an attempt; a grant that it got meanwhile is given back."""
-        self.online.waiting.pop(attempt, None)
-        self.batch.waiting.pop(attempt, None)
+        self._stop_waiting(attempt)
         grant = self.by_attempt.get(attempt)
         return self._pump(now) if grant is None else self.release(grant, Usage(ok=False), now)
 
@@ -96,8 +97,8 @@
         if held is None:
             return []
         self.times.learn(held.ask, now - held.granted_s, usage)
-        if held.ask.batch and not usage.ok:
-            self.batch.charge(held.ask, -held.cost_s)
+        if held.revoking and not usage.ok:
+            self.batch.refund(held.ask, held.cost_s)
         return self._pump(now)
 
     def renew(self, grant: GrantId, ask: SlotAsk, now: float) -> bool:
@@ -131,9 +132,9 @@
     def close(self, reason: RefusalReason) -> list[Action]:
         """Give nothing new and turn the waiting away; grants live on."""
         self.closed = True
-        waiting = [*self.online.waiting.values(), *self.batch.waiting.values()]
-        self.online.waiting.clear()
-        self.batch.waiting.clear()
+        waiting = [*self.online, *self.batch]
+        for entry in waiting:
+            self._stop_waiting(entry.ask.attempt)
         return [Refused(entry.ask, reason) for entry in waiting]
 
     def reopen(self) -> None:
@@ -144,20 +145,18 @@
         """Let grants, deadlines and memories expire."""
         for grant in [grant for grant, held in self.held.items() if held.expires_s <= now]:
             self._end(grant, now)
-        for grant in [grant for grant, until in self.ended.items() if until <= now]:
-            del self.ended[grant]
+        self._forget_ended(now)
         return self._hopeless(now) + self._pump(now)
 
     def occupancy(self, now: float) -> Occupancy:
         """Return how the slots are used."""
-        batch = sum(held.ask.batch for held in self.held.values())
         return Occupancy(
             slots=self.slots - self.foreign,
-            online=len(self.held) - batch,
-            batch=batch,
-            revoking=sum(held.revoking for held in self.held.values()),
-            online_waiting=len(self.online.waiting),
-            batch_waiting=len(self.batch.waiting),
+            online=len(self.held) - self.batch_held,
+            batch=self.batch_held,
+            revoking=self.revoking,
+            online_waiting=len(self.online),
+            batch_waiting=len(self.batch),
             burst=self.bursts.level(now),
         )
 
@@ -175,21 +174,20 @@
         """Return the expected time in the queue of an online attempt."""
         use = self.occupancy(now)
         entry = Waiting(ask, now, self.order + 1)
-        ahead = [other for other in self.online.waiting.values() if other.urgency < entry.urgency]
-        takeable = use.free + (use.batch if self.policy.takes_back else 0)
-        short = len(ahead) + 1 - takeable
-        if short <= 0 or use.slots <= 0:
+        ahead = [other for other in self.online if other.urgency < entry.urgency]
+        limit = max(1, self.policy.online_limit(use))
+        if use.online + len(ahead) < limit:
             return 0.0
         running = [held for held in self.held.values() if not held.ask.batch]
         work_s = sum(self._left_s(held, now) for held in running)
         work_s += sum(self.times.estimate_s(other.ask) for other in ahead)
-        return work_s / use.slots
+        return work_s / limit
 
     def _left_s(self, held: Held, now: float) -> float:
         return max(0.0, self.times.estimate_s(held.ask) - (now - held.granted_s))
 
     def _admission(self, ask: SlotAsk, now: float) -> Refused | None:
-        queue = self.batch.waiting if ask.batch else self.online.waiting
+        queue: OnlineQueue | BatchQueue = self.batch if ask.batch else self.online
         if len(queue) >= self.options.queue_limit:
             return Refused(ask, RefusalReason.OVERLOADED, retry_after_s=1.0)
         if ask.batch:
@@ -200,12 +198,10 @@
         return Refused(ask, RefusalReason.DEADLINE, retry_after_s=wait_s)
 
     def _hopeless(self, now: float) -> list[Action]:
-        refused: list[Action] = []
-        for queue in (self.online.waiting, self.batch.waiting):
-            for entry in [entry for entry in queue.values() if self._is_late(entry, now)]:
-                del queue[entry.ask.attempt]
-                refused.append(Refused(entry.ask, RefusalReason.DEADLINE))
-        return refused
+        late = [entry for entry in (*self.online, *self.batch) if self._is_late(entry, now)]
+        for entry in late:
+            self._stop_waiting(entry.ask.attempt)
+        return [Refused(entry.ask, RefusalReason.DEADLINE) for entry in late]
 
     def _is_late(self, entry: Waiting, now: float) -> bool:
         needed_s = 0.0 if entry.ask.batch else self.times.estimate_s(entry.ask)
@@ -218,7 +214,11 @@
         return Queued(ask) if self._is_waiting(ask.attempt) else None
 
     def _is_waiting(self, attempt: AttemptId) -> bool:
-        return attempt in self.online.waiting or attempt in self.batch.waiting
+        return attempt in self.online or attempt in self.batch
+
+    def _stop_waiting(self, attempt: AttemptId) -> None:
+        self.online.remove(attempt)
+        self.batch.remove(attempt)
 
     def _lease_s(self, ask: SlotAsk) -> float:
         return self.options.batch_lease_s if ask.batch else self.options.online_lease_s
@@ -242,8 +242,7 @@
         return batch if self.policy.batch_first(online.order, batch.order) else online
 
     def _grant(self, ask: SlotAsk, now: float) -> Granted:
-        self.online.waiting.pop(ask.attempt, None)
-        self.batch.waiting.pop(ask.attempt, None)
+        self._stop_waiting(ask.attempt)
         self.order += 1
         held = self._hold(GrantId(f"{self.prefix}{self.order}"), ask, now)
         if ask.batch:
@@ -254,12 +253,12 @@
     def _hold(self, grant: GrantId, ask: SlotAsk, now: float) -> Held:
         held = Held(grant, ask, now, now + self._lease_s(ask))
         self.held[grant] = held
+        self.batch_held += ask.batch
         self.by_attempt[ask.attempt] = grant
         return held
 
     def _adopt(self, grant: GrantId, ask: SlotAsk, now: float) -> Held:
-        self.online.waiting.pop(ask.attempt, None)
-        self.batch.waiting.pop(ask.attempt, None)
+        self._stop_waiting(ask.attempt)
         return self._hold(grant, ask, now)
 
     def _revoke(self, count: int, now: float) -> list[Action]:
@@ -270,13 +269,23 @@
         candidates.sort(key=lambda held: held.granted_s, reverse=True)
         for held in candidates[:count]:
             held.revoking = True
+            self.revoking += 1
             held.expires_s = min(held.expires_s, now + self.options.batch_lease_s)
         return [Revoke(held) for held in candidates[:count]]
 
+    def _forget_ended(self, now: float) -> None:
+        while self.ended:
+            grant, until_s = next(iter(self.ended.items()))
+            if until_s > now:
+                break
+            del self.ended[grant]
+
     def _end(self, grant: GrantId, now: float) -> Held | None:
         held = self.held.pop(grant, None)
         if held is None:
             return None
+        self.batch_held -= held.ask.batch
+        self.revoking -= held.revoking
         if self.by_attempt.get(held.ask.attempt) == grant:
             del self.by_attempt[held.ask.attempt]
         self.ended[grant] = now + self.options.remember_s
--- a/parsleyrouter/request/routing.py
+++ b/parsleyrouter/request/routing.py
@@ -1,6 +1,6 @@
 """Choose the endpoints to try for a request: two random choices, the better one first."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass
 from random import Random
 
@@ -72,8 +72,3 @@
     others = [candidate for candidate in rest if candidate not in picks]
     random.shuffle(others)
     return [candidate.endpoint for candidate in picks + others]
-
-
-def own_load(own: int, slots: int, reported: Mapping[str, float], endpoint: str) -> float:
-    """Return the load of an endpoint: what its home last told, at least this process's own."""
-    return max(own / slots, reported.get(endpoint, 0.0))
--- a/parsleyrouter/thrift_gen/grants/ttypes.py
+++ b/parsleyrouter/thrift_gen/grants/ttypes.py
@@ -699,12 +699,14 @@
     """
     Attributes:
      - lapsed
+     - renewed
 
     """
 
 
-    def __init__(self, lapsed=None,):
+    def __init__(self, lapsed=None, renewed=None,):
         self.lapsed = lapsed
+        self.renewed = renewed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -725,6 +727,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.renewed = []
+                    (_etype16, _size13) = iprot.readListBegin()
+                    for _i17 in range(_size13):
+                        _elem18 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.renewed.append(_elem18)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -738,8 +750,15 @@
         if self.lapsed is not None:
             oprot.writeFieldBegin('lapsed', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.lapsed))
-            for iter13 in self.lapsed:
-                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+            for iter19 in self.lapsed:
+                oprot.writeString(iter19.encode('utf-8') if sys.version_info[0] == 2 else iter19)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.renewed is not None:
+            oprot.writeFieldBegin('renewed', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.renewed))
+            for iter20 in self.renewed:
+                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -912,11 +931,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = LiveGrant()
-                        _elem19.read(iprot)
-                        self.grants.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = LiveGrant()
+                        _elem26.read(iprot)
+                        self.grants.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -943,8 +962,8 @@
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter20 in self.grants:
-                iter20.write(oprot)
+            for iter27 in self.grants:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.node is not None:
@@ -1035,6 +1054,7 @@
 RenewAnswer.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'lapsed', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.LIST, 'renewed', (TType.STRING, 'UTF8', False), None, ),  # 2
 )
 all_structs.append(RevokeGrant)
 RevokeGrant.thrift_spec = (
--- a/thrift/grants.thrift
+++ b/thrift/grants.thrift
@@ -58,8 +58,10 @@
   3: string reply_to,
 }
 
+// A grant in neither list belongs to an endpoint of another home.
 struct RenewAnswer {
   1: list<string> lapsed,
+  2: list<string> renewed,
 }
 
 struct RevokeGrant {
