--- a/parsleyrouter/commands/program.py
+++ b/parsleyrouter/commands/program.py
@@ -1,9 +1,8 @@
 """What the binaries have in common: parse settings, start logs, run until stopped."""
 
-import logging
 import sys
-from collections.abc import Callable, Mapping
-from typing import Any, Protocol, TypeVar
+from collections.abc import Callable
+from typing import Protocol, TypeVar
 
 from cyclopts import App, CycloptsError
 from cyclopts.config import Env
@@ -12,15 +11,14 @@
 from parsleyrouter.process.options import BadSetting
 from parsleyrouter.process.runtime import Runtime
 
-__all__ = ["EXIT_BAD_SETTING", "announce", "run_program"]
+__all__ = ["EXIT_BAD_SETTING", "run_program"]
 
 EXIT_BAD_SETTING = 2
 
-log = logging.getLogger(__name__)
-
 
 class _Options(Protocol):
-    log_level: str
+    @property
+    def log_level(self) -> str: ...
 
     def check(self) -> None: ...
 
@@ -55,8 +53,3 @@
     except (BadSetting, CycloptsError) as error:
         print(f"{name}: {error}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTING)
-
-
-def announce(addresses: Mapping[str, Any]) -> None:
-    """Log that the process serves, with the addresses that the system chose."""
-    log.info("ready", extra={"addresses": dict(addresses)})
--- a/parsleyrouter/connection/peer.py
+++ b/parsleyrouter/connection/peer.py
@@ -86,6 +86,12 @@
 
         return register
 
+    def copy(self) -> "PeerMethods":
+        """Return the same methods in a registry of their own, to which others can be added."""
+        copied = PeerMethods()
+        copied.methods = dict(self.methods)
+        return copied
+
 
 class FrameBuffer:
     """Cut a byte stream into frames."""
--- /dev/null
+++ b/parsleyrouter/process/assembly.py
@@ -0,0 +1,171 @@
+"""The composition root: wires the parts of each binary."""
+
+import logging
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any
+
+from parsleyrouter.connection.api_settings import SettingsApi, add_settings_routes
+from parsleyrouter.connection.authentication import Authentication
+from parsleyrouter.connection.etcd import EtcdKeyValue
+from parsleyrouter.connection.http_guard import GuardedHttpServer
+from parsleyrouter.connection.http_server import HttpServer, Routes
+from parsleyrouter.ids import Address, DomainName, NodeId
+from parsleyrouter.process.agent import Agent
+from parsleyrouter.process.batch import BatchRunner
+from parsleyrouter.process.batch_options import BatchLimits
+from parsleyrouter.process.chunk_client import ChunkClient, ChunkLimits
+from parsleyrouter.process.chunk_server import ChunkServer
+from parsleyrouter.process.claims import Claims
+from parsleyrouter.process.dispatch import CallRunner
+from parsleyrouter.process.entry import EntryContext, drain, entry_routes
+from parsleyrouter.process.follower import Follower
+from parsleyrouter.process.grants import GrantClient
+from parsleyrouter.process.health import Health, add_health_routes
+from parsleyrouter.process.job_desk import JobDesk
+from parsleyrouter.process.locate import Locate
+from parsleyrouter.process.operators import Operators
+from parsleyrouter.process.options import NodeOptions
+from parsleyrouter.process.role_options import BatchOptions, EntryOptions, FollowerOptions
+from parsleyrouter.process.runtime import Runtime
+from parsleyrouter.process.scheduler import Scheduler
+from parsleyrouter.process.settings_desk import SettingsDesk
+from parsleyrouter.process.store_options import GIGABYTE_BYTES, StoreOptions
+from parsleyrouter.process.team_limits import TeamLimits
+from parsleyrouter.process.view import Service
+
+__all__ = ["assemble_batch", "assemble_entry", "assemble_scheduler", "assemble_store"]
+
+log = logging.getLogger(__name__)
+
+
+def assemble_entry(runtime: Runtime, options: EntryOptions) -> None:
+    """Wire an entry: the callers' and the operators' HTTP, and the agent of the VM."""
+    kv = EtcdKeyValue(runtime, options.key_value)
+    node = NodeId(options.node)
+    agent = Agent(runtime, options, kv, node=node, domain=DomainName(options.domain))
+    grants = _agent_grants(runtime, agent)
+    limits = ChunkLimits(min_copies=options.min_copies)
+    chunks = ChunkClient(runtime, agent, kv=kv, limits=limits)
+    context = EntryContext(
+        runtime=runtime,
+        view=agent,
+        calls=CallRunner(runtime, grants, agent),
+        jobs=JobDesk(runtime, kv, chunks, agent),
+        authentication=Authentication(agent),
+        limits=TeamLimits(),
+        locate=Locate(runtime.loop, agent, options.locate_ttl_s),
+        claims=Claims(runtime.loop, kv, node),
+    )
+    routes = entry_routes()
+    desk = SettingsDesk(runtime, kv, agent.take_accepted)
+    operators = Operators(agent, options.operator_key_sha256)
+    add_settings_routes(routes, SettingsApi(desk, agent, operators))
+    add_health_routes(routes, Health("parsley-entry", runtime.metrics, lambda: _no_settings(agent)))
+    server = GuardedHttpServer(runtime.loop, Address(options.http), routes, context)
+    server.register(runtime)
+    agent.set_service(Service.ENTRY, server.bound_address())
+    agent.start()
+
+    async def stop() -> None:
+        agent.leave()
+        await drain(context, server)
+        agent.end()
+
+    runtime.on_stop(stop)
+    _announce(runtime, {"http": server.bound_address, "agent": lambda: agent.address})
+
+
+def assemble_scheduler(runtime: Runtime, options: FollowerOptions) -> None:
+    """Wire a scheduler: grants for the endpoints that hash to this node."""
+    follower = _follower(runtime, options, Service.SCHEDULER)
+    scheduler = Scheduler(runtime, Address(options.peer), follower)
+    follower.serve(scheduler.bound_address())
+    follower.start()
+    _serve_health(
+        runtime, options, "parsley-scheduler", follower, {"peer": scheduler.bound_address}
+    )
+
+
+def assemble_batch(runtime: Runtime, options: BatchOptions) -> None:
+    """Wire a batch process: runs the parts of jobs that it claims."""
+    kv = EtcdKeyValue(runtime, options.key_value)
+    follower = _follower(runtime, options, Service.BATCH)
+    chunk_limits = ChunkLimits(min_copies=options.min_copies)
+    chunks = ChunkClient(runtime, follower, kv=kv, limits=chunk_limits)
+    runners: list[BatchRunner] = []
+    grants = GrantClient(runtime, follower, lambda: runners[0].address())
+    calls = CallRunner(runtime, grants, follower)
+    limits = BatchLimits(parts=options.parts, items_at_once=options.items_at_once)
+    runner = BatchRunner(runtime, Address(options.peer), kv, chunks, follower, calls, limits=limits)
+    runners.append(runner)
+    runner.peer.methods = runner.peer.methods.copy()
+    grants.add_grant_methods(runner.peer.methods)
+    follower.serve(runner.address())
+    follower.start()
+    runtime.on_stop(runner.stop)
+    _serve_health(runtime, options, "parsley-batch", follower, {"peer": runner.address})
+
+
+def assemble_store(runtime: Runtime, options: StoreOptions) -> None:
+    """Wire a store: immutable chunks under one data folder."""
+    follower = _follower(runtime, options, Service.STORE)
+    store = ChunkServer(
+        runtime,
+        Address(options.peer),
+        Path(options.data) / "chunks",
+        limit_bytes=int(options.limit_gb * GIGABYTE_BYTES),
+    )
+    follower.serve(store.address())
+    follower.start()
+    _serve_health(runtime, options, "parsley-store", follower, {"peer": store.address})
+
+
+def _agent_grants(runtime: Runtime, agent: Agent) -> GrantClient:
+    grants = GrantClient(runtime, agent, lambda: agent.address)
+    agent.server.methods = agent.server.methods.copy()
+    grants.add_grant_methods(agent.server.methods)
+    return grants
+
+
+def _follower(runtime: Runtime, options: FollowerOptions, service: Service) -> Follower:
+    return Follower(
+        runtime,
+        Address(options.agent),
+        service,
+        Address(""),
+        node=NodeId(options.node),
+        domain=DomainName(options.domain),
+    )
+
+
+def _no_settings(view: Agent | Follower) -> list[str]:
+    if view.settings().revision:
+        return []
+    return ["no settings in force yet: is the key-value service up and set up?"]
+
+
+def _follower_lacks(follower: Follower) -> list[str]:
+    if not follower.agent_answers:
+        return [f"the agent at {follower.agent} does not answer: is parsley-entry running?"]
+    return _no_settings(follower)
+
+
+def _serve_health(
+    runtime: Runtime,
+    options: NodeOptions,
+    program: str,
+    follower: Follower,
+    addresses: Mapping[str, Callable[[], Any]],
+) -> None:
+    routes = Routes()
+    add_health_routes(routes, Health(program, runtime.metrics, lambda: _follower_lacks(follower)))
+    server = HttpServer(runtime.loop, Address(options.http), routes, None).register(runtime)
+    _announce(runtime, dict(addresses) | {"http": server.bound_address})
+
+
+def _announce(runtime: Runtime, addresses: Mapping[str, Callable[[], Any]]) -> None:
+    def announce() -> None:
+        log.info("ready", extra={"addresses": {name: get() for name, get in addresses.items()}})
+
+    runtime.loop.call_later(0.0, announce)
--- a/parsleyrouter/process/follower.py
+++ b/parsleyrouter/process/follower.py
@@ -54,6 +54,11 @@
         self.agent_answers = False
         self.callbacks: list[Callable[[], None]] = []
 
+    def serve(self, address: Address) -> None:
+        """Set where this process serves, once the system has chosen it."""
+        self.address = address
+        self.me = dataclasses.replace(self.me, addresses={self.service: address})
+
     def start(self) -> None:
         """Begin to follow."""
         self.loop.spawn(self._run(), "follower")
--- a/parsleyrouter/process/loop.py
+++ b/parsleyrouter/process/loop.py
@@ -169,6 +169,11 @@
         if not self.draining:
             self._drain()
 
+    def call_from_thread(self, call: Callable[[], object]) -> None:
+        """Make the call on the loop; the only method that another thread may use."""
+        self.finished.append(call)
+        self.poller.resume()
+
     def call_later(self, delay_s: float, call: Callable[[], object]) -> Timer:
         """Make the call after a delay in seconds."""
         timer = Timer(self.now() + delay_s, next(self.order), call)
@@ -232,13 +237,9 @@
         try:
             value = call()
         except Exception as error:
-            self._hand_back(lambda error=error: promise.reject(error))  # type: ignore[misc]
+            self.call_from_thread(lambda error=error: promise.reject(error))  # type: ignore[misc]
         else:
-            self._hand_back(lambda: promise.resolve(value))
-
-    def _hand_back(self, settle: Callable[[], Any]) -> None:
-        self.finished.append(settle)
-        self.poller.resume()
+            self.call_from_thread(lambda: promise.resolve(value))
 
     def _drain(self) -> None:
         self.draining = True
