Add batch jobs and the chunk store, thin

A job is accepted by its record, its part records and one last write that makes the parts runnable; parts are claimed by compare-and-swap on an epoch and their results committed in groups. A part that has ended moves into the job record, whose last form names one manifest.

Weighed: creating the job record last (an orphan part could run before its job is accepted) and first without a phase (a job left halfway would run in part); chosen: first with the phase 'accepting', which a resend completes.

--- /dev/null
+++ b/features/jobs.feature
@@ -0,0 +1,43 @@
+Feature: Batch jobs are accepted whole and their results can be read
+
+  Scenario: Every item of an accepted job has one result, in item order
+    Given a batch fleet with 3 disk VMs and 2 nodes
+    When a job of 3000 items is submitted and ends
+    Then the job's results are those of its 3000 items in order
+    And the job's part records are gone
+
+  Scenario: A job with a bad line is refused whole and the line is named
+    Given a batch fleet with 3 disk VMs and 1 nodes
+    When a job with bad lines is submitted
+    Then the refusal names the bad lines and nothing of the job is recorded or run
+
+  Scenario: Resends of a job meet the same job
+    Given a batch fleet with 3 disk VMs and 2 nodes
+    When a job is sent to two entries at once and again after it has ended
+    Then the answers name one job and each item was dispatched once
+
+  Scenario: One key with other content is a conflict
+    Given a batch fleet with 3 disk VMs and 1 nodes
+    When a job is sent and then other items under its key
+    Then the second job is refused as a conflict that was not run
+
+  Scenario: Lost replies of the key-value service leave one job
+    Given a batch fleet with 3 disk VMs and 1 nodes
+    When a job is sent while replies of the key-value service are lost
+    Then the job's results are those of its 2500 items in order
+
+  Scenario: An accept that stopped halfway is completed by a resend and runs nothing before
+    Given a batch fleet with 3 disk VMs and 1 nodes
+    When the key-value service fails after any number of writes of a submission
+    Then nothing ran before the resend and afterwards each item has one result
+
+  Scenario: A cancelled job stops and keeps what was committed
+    Given a batch fleet with 3 disk VMs and 2 nodes
+    When a running job is cancelled
+    Then no item is dispatched after the cancel and each item has one result
+    And committed results are unchanged by the cancel
+
+  Scenario: Results can be read while the job runs
+    Given a batch fleet with 3 disk VMs and 1 nodes
+    When the results of a running job are read page by page
+    Then each page continues the last one and no result changes
--- /dev/null
+++ b/parsleyrouter/process/batch_metrics.py
@@ -0,0 +1,46 @@
+"""Metrics of batch parts and chunks."""
+
+from weakref import WeakKeyDictionary
+
+from prometheus_client import CollectorRegistry, Counter, Gauge
+
+__all__ = ["BatchMetrics"]
+
+_BY_REGISTRY: "WeakKeyDictionary[CollectorRegistry, BatchMetrics]" = WeakKeyDictionary()
+
+
+class BatchMetrics:
+    """Count parts, items and chunks."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self.parts_running = Gauge("parsley_batch_parts_running", "Parts run", registry=registry)
+        self.parts_late = Gauge(
+            "parsley_batch_parts_late", "Parts run that will miss their deadline", registry=registry
+        )
+        self.claims = Counter("parsley_batch_claims", "Parts claimed", registry=registry)
+        self.takeovers = Counter(
+            "parsley_batch_takeovers", "Parts claimed from another owner", registry=registry
+        )
+        self.stale = Counter(
+            "parsley_batch_stale_owners", "Runs ended by another owner", registry=registry
+        )
+        self.items = Counter("parsley_batch_items", "Items ended", ["outcome"], registry=registry)
+        self.chunks = Gauge("parsley_store_chunks", "Chunks kept", registry=registry)
+        self.chunk_bytes = Gauge("parsley_store_bytes", "Bytes of chunks kept", registry=registry)
+        self.corrupt = Counter(
+            "parsley_store_corrupt_chunks", "Chunks dropped as damaged", registry=registry
+        )
+        self.sent_bytes = Counter(
+            "parsley_chunk_sent_bytes", "Bytes of chunks sent to disk VMs", registry=registry
+        )
+        self.repaired = Counter(
+            "parsley_chunk_copies_repaired", "Copies of chunks written again", registry=registry
+        )
+
+    @classmethod
+    def of(cls, registry: CollectorRegistry) -> "BatchMetrics":
+        """Return the metrics of a registry, made once."""
+        found = _BY_REGISTRY.get(registry)
+        if found is None:
+            found = _BY_REGISTRY[registry] = cls(registry)
+        return found
--- /dev/null
+++ b/parsleyrouter/process/batch_options.py
@@ -0,0 +1,27 @@
+"""Settings of the processes that accept and run batch jobs."""
+
+from dataclasses import dataclass
+
+__all__ = ["BatchLimits"]
+
+
+@dataclass(frozen=True)
+class BatchLimits:
+    """How one batch process runs parts; times are in seconds."""
+
+    parts: int = 8
+    items_at_once: int = 32
+    wave_items: int = 32
+    careful_wave_items: int = 16
+    attempts: int = 3
+    flush_items: int = 64
+    flush_s: float = 1.0
+    commit_items: int = 512
+    commit_s: float = 10.0
+    idle_commit_s: float = 60.0
+    unchanged_s: float = 240.0
+    scan_s: float = 60.0
+    shard_digits: int = 1
+    retry_s: float = 0.25
+    retry_limit_s: float = 5.0
+    chunks_before_merge: int = 16
--- /dev/null
+++ b/parsleyrouter/process/chunk_server.py
@@ -0,0 +1,191 @@
+"""Answer for the chunks on one disk VM; it knows no owners and takes no decisions."""
+
+import itertools
+import time
+from collections import defaultdict
+from pathlib import Path
+
+from parsleyrouter.connection.peer import PeerMethods, PeerServer
+from parsleyrouter.ids import Address, ChunkName, JobId, PartIndex
+from parsleyrouter.process.batch_metrics import BatchMetrics
+from parsleyrouter.process.chunk_folder import (
+    EXPIRY_SLACK_S,
+    Chunk,
+    ChunkFolder,
+    ChunkMeta,
+    ChunkRole,
+    CorruptChunk,
+    chunk_name,
+)
+from parsleyrouter.process.loop import Promise
+from parsleyrouter.process.runtime import Runtime
+from parsleyrouter.thrift_gen.chunks.ttypes import (
+    ChunkAnswer,
+    ChunkInfo,
+    ChunkList,
+    GetChunk,
+    ListChunks,
+    MissingAnswer,
+    MissingQuery,
+    PutAnswer,
+    PutChunk,
+)
+
+__all__ = ["CHUNK_METHODS", "ChunkServer"]
+
+CHUNK_METHODS = PeerMethods()
+EXPIRY_CHECK_S = 60.0
+EXPIRY_BATCH = 500
+CORRUPT = "corrupt"
+_NUMBERS = itertools.count()
+
+
+class ChunkServer:
+    """Serve the chunks of one data folder; writes that wait together share one blocking call."""
+
+    def __init__(
+        self, runtime: Runtime, bind: Address, folder: Path, *, limit_bytes: int = 0
+    ) -> None:
+        self.runtime = runtime
+        self.folder = ChunkFolder(folder, limit_bytes=limit_bytes)
+        self.limit_bytes = limit_bytes
+        self.chunks: dict[ChunkName, ChunkMeta] = {}
+        self.by_part: dict[tuple[JobId, PartIndex], set[ChunkName]] = defaultdict(set)
+        self.stored_bytes = 0
+        self.waiting: list[tuple[Chunk, Promise[str]]] = []
+        self.writing = False
+        self.metrics = BatchMetrics.of(runtime.metrics)
+        for meta in self.folder.scan():
+            self._index(meta)
+        self.peer = PeerServer(
+            runtime.loop, bind, CHUNK_METHODS, self, channel=f"chunks-{next(_NUMBERS)}"
+        )
+        self.peer.register(runtime)
+        runtime.loop.call_later(EXPIRY_CHECK_S, self._expire)
+
+    def address(self) -> Address:
+        """Return the address that the system chose."""
+        return self.peer.bound_address()
+
+    async def put(self, chunk: Chunk) -> str:
+        """Store a chunk; return why it was refused, or nothing once it is on disk."""
+        meta = chunk.meta
+        if chunk_name(meta.job, meta.part, meta.role, chunk.data) != meta.name:
+            return "content does not match the name: send the chunk again"
+        held = self.chunks.get(meta.name)
+        if held is not None and held.expires_s >= meta.expires_s - EXPIRY_SLACK_S:
+            return ""
+        if self.limit_bytes and self.stored_bytes + meta.bytes > self.limit_bytes:
+            return "disk full: raise --limit-gb or add a disk VM"
+        stored: Promise[str] = self.runtime.loop.promise()
+        self.waiting.append((chunk, stored))
+        if not self.writing:
+            self.writing = True
+            self.runtime.loop.spawn(self._write_waiting(), "write chunks")
+        return await stored
+
+    async def get(self, name: ChunkName) -> Chunk | None:
+        """Return a chunk; raise ``CorruptChunk`` after dropping a damaged one."""
+        if name not in self.chunks:
+            return None
+        try:
+            return await self.runtime.loop.run_blocking(lambda: self.folder.read(name))
+        except CorruptChunk:
+            self.metrics.corrupt.inc()
+            self._forget(name)
+            await self.runtime.loop.run_blocking(lambda: self.folder.delete([name]))
+            raise
+
+    def of_part(self, job: JobId, part: PartIndex, role: str = "") -> list[ChunkMeta]:
+        """Return what is stored for a part, ordered by name."""
+        names = sorted(self.by_part.get((job, part), ()))
+        found = [self.chunks[name] for name in names]
+        return [meta for meta in found if role in ("", meta.role.value)]
+
+    async def _write_waiting(self) -> None:
+        while self.waiting:
+            batch, self.waiting = self.waiting, []
+            chunks = [chunk for chunk, _ in batch]
+            refusals = await self.runtime.loop.run_blocking(lambda c=chunks: self.folder.write(c))
+            for chunk, stored in batch:
+                refusal = refusals.get(chunk.meta.name, "")
+                if not refusal:
+                    self._index(chunk.meta)
+                stored.resolve(refusal)
+        self.writing = False
+
+    def _index(self, meta: ChunkMeta) -> None:
+        self._forget(meta.name)
+        self.chunks[meta.name] = meta
+        self.by_part[meta.job, meta.part].add(meta.name)
+        self.stored_bytes += meta.bytes
+        self.metrics.chunks.inc()
+        self.metrics.chunk_bytes.inc(meta.bytes)
+
+    def _forget(self, name: ChunkName) -> None:
+        meta = self.chunks.pop(name, None)
+        if meta is None:
+            return
+        self.stored_bytes -= meta.bytes
+        self.metrics.chunks.dec()
+        self.metrics.chunk_bytes.dec(meta.bytes)
+        names = self.by_part[meta.job, meta.part]
+        names.discard(name)
+        if not names:
+            del self.by_part[meta.job, meta.part]
+
+    def _expire(self) -> None:
+        now = time.time()
+        old = [name for name, meta in self.chunks.items() if meta.expires_s < now][:EXPIRY_BATCH]
+        for name in old:
+            self._forget(name)
+        if old:
+            self.runtime.loop.run_blocking(lambda: self.folder.delete(old))
+        self.runtime.loop.call_later(EXPIRY_CHECK_S, self._expire)
+
+
+@CHUNK_METHODS.add("chunks.put", PutChunk)
+async def put_chunk(server: ChunkServer, request: PutChunk) -> PutAnswer:
+    """Store one chunk."""
+    data = bytes(request.data)
+    meta = ChunkMeta(
+        ChunkName(request.name),
+        JobId(request.job),
+        PartIndex(request.part),
+        ChunkRole(request.role),
+        request.expires_s,
+        len(data),
+    )
+    refusal = await server.put(Chunk(meta, data))
+    return PutAnswer(stored=not refusal, refusal=refusal)
+
+
+@CHUNK_METHODS.add("chunks.get", GetChunk)
+async def get_chunk(server: ChunkServer, request: GetChunk) -> ChunkAnswer:
+    """Return one chunk."""
+    try:
+        chunk = await server.get(ChunkName(request.name))
+    except CorruptChunk:
+        return ChunkAnswer(found=False, data=b"", refusal=CORRUPT)
+    if chunk is None:
+        return ChunkAnswer(found=False, data=b"", refusal="")
+    return ChunkAnswer(found=True, data=chunk.data, refusal="")
+
+
+@CHUNK_METHODS.add("chunks.list", ListChunks)
+async def list_chunks(server: ChunkServer, request: ListChunks) -> ChunkList:
+    """Return what is stored for a part."""
+    found = server.of_part(JobId(request.job), PartIndex(request.part), request.role or "")
+    later = [meta for meta in found if meta.name > (request.after or "")]
+    page = later[: request.limit]
+    infos = [
+        ChunkInfo(meta.name, meta.bytes, meta.job, meta.part, meta.expires_s, meta.role.value)
+        for meta in page
+    ]
+    return ChunkList(chunks=infos, more=len(later) > len(page))
+
+
+@CHUNK_METHODS.add("chunks.missing", MissingQuery)
+async def missing_chunks(server: ChunkServer, request: MissingQuery) -> MissingAnswer:
+    """Return which of the named chunks are not stored here."""
+    return MissingAnswer([name for name in request.names if name not in server.chunks])
--- /dev/null
+++ b/parsleyrouter/process/job_desk.py
@@ -0,0 +1,227 @@
+"""Accept, watch, read and cancel batch jobs at an entry."""
+
+import time
+from collections.abc import AsyncIterator, Iterable
+
+from parsleyrouter.connection.key_value import KeyValue, KeyValueFailure
+from parsleyrouter.connection.peer import PeerFailure
+from parsleyrouter.ids import JobId, NodeId, PartIndex, TeamName
+from parsleyrouter.outcome import Ran, Refusal, RefusalKind
+from parsleyrouter.process.batch_options import BatchLimits
+from parsleyrouter.process.chunk_client import ChunkClient
+from parsleyrouter.process.job_input import JobInput
+from parsleyrouter.process.job_keys import (
+    job_id,
+    job_key,
+    part_key,
+    shard_home,
+    shard_of,
+    team_prefix,
+)
+from parsleyrouter.process.job_port import JobSpec, JobState, JobStatus, ResultPage
+from parsleyrouter.process.job_records import (
+    JobPhase,
+    JobRecord,
+    PartRecord,
+    decode_record,
+)
+from parsleyrouter.process.job_results import ResultReader
+from parsleyrouter.process.job_writer import JobWriter, PartWritten, in_groups, platform_refusal
+from parsleyrouter.process.record_writes import Held, RecordWrites
+from parsleyrouter.process.runtime import Runtime
+from parsleyrouter.process.view import FleetView, Service
+from parsleyrouter.request.job_intake import JobIntake
+from parsleyrouter.thrift_gen.jobs.ttypes import CancelAnswer, CancelJob, NewParts, PartNotice
+from parsleyrouter.version.schema import TeamSettings
+
+__all__ = ["JobDesk"]
+
+READS_AT_ONCE = 16
+CANCEL_TIMEOUT_S = 1.0
+CANCEL_TRIES = 3
+CANCEL_RETRY_AFTER_S = 1.0
+
+STATES = {
+    JobPhase.ACCEPTING: JobState.RUNNING,
+    JobPhase.RUNNING: JobState.RUNNING,
+    JobPhase.COMPLETED: JobState.COMPLETED,
+    JobPhase.CANCELLED: JobState.CANCELLED,
+}
+
+
+class JobDesk:
+    """Implement the jobs port on records and chunks."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        kv: KeyValue,
+        chunks: ChunkClient,
+        view: FleetView,
+        *,
+        limits: BatchLimits | None = None,
+    ) -> None:
+        self.runtime = runtime
+        self.kv = kv
+        self.chunks = chunks
+        self.view = view
+        self.limits = limits or BatchLimits()
+        self.records = RecordWrites(runtime.loop, kv)
+        self.writer = JobWriter(runtime.loop, self.records)
+        self.reader = ResultReader(chunks, self.records)
+
+    async def submit(self, spec: JobSpec, body: AsyncIterator[bytes]) -> JobStatus | Refusal:
+        """Accept a job whose items come as JSON lines in pieces; all or nothing."""
+        team = self.view.settings().teams.get(spec.team, TeamSettings())
+        job = job_id(spec.team, spec.idempotency_key)
+        now = time.time()
+        expires_s = int(now + spec.deadline_in_s + team.retention_s)
+        intake = JobIntake(team.limits)
+        inputs = await JobInput(self.chunks, job, expires_s).take(intake, body)
+        if isinstance(inputs, Refusal):
+            return inputs
+        record = JobRecord(
+            job=job,
+            team=spec.team,
+            kind=spec.kind,
+            digest=f"{spec.kind}:{intake.digest()}",
+            items=intake.items,
+            firsts=tuple(intake.firsts),
+            created_s=now,
+            deadline_s=now + spec.deadline_in_s,
+            expires_s=expires_s,
+            bytes=intake.size,
+        )
+        accepted = await self.writer.accept(record, inputs)
+        if isinstance(accepted, Refusal):
+            return accepted
+        held, parts = accepted
+        self._tell_homes(parts)
+        return _status(held.record, [part.held.record for part in parts])
+
+    async def status(self, team: TeamName, job: JobId) -> JobStatus | Refusal:
+        """Return one job."""
+        held = await self._job(team, job)
+        if isinstance(held, Refusal):
+            return held
+        parts = await self._open_parts(held.record)
+        if isinstance(parts, Refusal):
+            return parts
+        return _status(held.record, parts)
+
+    async def list(self, team: TeamName, after: str, limit: int) -> tuple[JobStatus, ...] | Refusal:
+        """Return a team's jobs in order of their ids, with the items of finished parts counted."""
+        prefix = team_prefix(team)
+        page = await self.kv.scan(prefix, after=prefix + after if after else "", limit=limit)
+        if isinstance(page, KeyValueFailure):
+            return platform_refusal(page)
+        jobs = [decode_record(JobRecord, entry.value) for entry in page.entries]
+        return tuple(_status(job, ()) for job in jobs)
+
+    async def cancel(self, team: TeamName, job: JobId) -> JobStatus | Refusal:
+        """Stop a job; it answers once every live owner has stopped."""
+        outcome = await self.writer.cancel(job_key(team, job))
+        if outcome is None:
+            return _not_found(job)
+        if isinstance(outcome, Refusal):
+            return outcome
+        held, parts = outcome
+        self._tell_homes(parts)
+        owners = {part.held.record.owner for part in parts}
+        if not await self._stop_owners(job, owners):
+            return Refusal(
+                RefusalKind.PLATFORM_UNAVAILABLE,
+                "the cancel is recorded, but a VM that runs the job gave no answer: cancel again",
+                Ran.UNKNOWN,
+                CANCEL_RETRY_AFTER_S,
+            )
+        return _status(held.record, [part.held.record for part in parts])
+
+    async def results(
+        self, team: TeamName, job: JobId, offset: int, limit_bytes: int
+    ) -> ResultPage | Refusal:
+        """Return committed results from an item offset on."""
+        held = await self._job(team, job)
+        if isinstance(held, Refusal):
+            return held
+        return await self.reader.page(held.record, offset, limit_bytes)
+
+    async def _job(self, team: TeamName, job: JobId) -> Held[JobRecord] | Refusal:
+        held = await self.records.read(job_key(team, job), JobRecord)
+        if isinstance(held, KeyValueFailure):
+            return platform_refusal(held)
+        return _not_found(job) if held is None else held
+
+    async def _open_parts(self, job: JobRecord) -> tuple[PartRecord, ...] | Refusal:
+        if job.manifest:
+            return ()
+        keys = [
+            part_key(job.job, PartIndex(n)) for n in range(len(job.firsts)) if n not in job.parts
+        ]
+        found = await in_groups(
+            self.runtime.loop, READS_AT_ONCE, (self.records.read(key, PartRecord) for key in keys)
+        )
+        failure = next((one for one in found if isinstance(one, KeyValueFailure)), None)
+        if failure is not None:
+            return platform_refusal(failure)
+        return tuple(one.record for one in found if isinstance(one, Held))
+
+    def _tell_homes(self, parts: Iterable[PartWritten]) -> None:
+        nodes = self.view.nodes()
+        notices: dict[NodeId, list[PartNotice]] = {}
+        for part in parts:
+            home = shard_home(shard_of(part.key, self.limits.shard_digits), nodes)
+            if home is not None:
+                notice = PartNotice(part.key, part.held.revision)
+                notices.setdefault(home, []).append(notice)
+        for info in nodes:
+            if info.node in notices:
+                message = NewParts(notices[info.node])
+                self.runtime.peers.tell(info.addresses[Service.BATCH], "parts.new", message)
+
+    async def _stop_owners(self, job: JobId, owners: set[NodeId]) -> bool:
+        live = [
+            info.addresses[Service.BATCH]
+            for info in self.view.nodes()
+            if info.node in owners and Service.BATCH in info.addresses
+        ]
+        for _ in range(CANCEL_TRIES):
+            calls = [
+                self.runtime.loop.spawn(
+                    self.runtime.peers.call(
+                        address, "jobs.cancel", CancelJob(job), CancelAnswer, CANCEL_TIMEOUT_S
+                    )
+                )
+                for address in live
+            ]
+            answers = await self.runtime.loop.gather(calls)
+            live = [a for a, b in zip(live, answers, strict=True) if isinstance(b, PeerFailure)]
+            if not live:
+                return True
+        return False
+
+
+def _status(job: JobRecord, parts: Iterable[PartRecord]) -> JobStatus:
+    tally = job.tally
+    parts = [part for part in parts if part.part not in job.parts]
+    for part in parts:
+        tally += part.tally
+    open_parts = job.phase in (JobPhase.ACCEPTING, JobPhase.RUNNING)
+    overdue = open_parts and time.time() > job.deadline_s
+    late = job.late or overdue or any(part.late for part in parts)
+    return JobStatus(
+        job=job.job,
+        state=STATES[job.phase],
+        items=job.items,
+        done=tally.items,
+        failed=tally.error + tally.unknown,
+        created_s=job.created_s,
+        deadline_s=job.deadline_s,
+        late=late,
+        bytes_stored=job.bytes + tally.bytes,
+    )
+
+
+def _not_found(job: JobId) -> Refusal:
+    message = f"no job {job} of this team: check the id, results go after the retention time"
+    return Refusal(RefusalKind.NOT_FOUND, message, Ran.NOT_RUN)
--- /dev/null
+++ b/parsleyrouter/process/job_results.py
@@ -0,0 +1,144 @@
+"""Read the committed results of a job in item order."""
+
+from collections import OrderedDict
+
+from parsleyrouter.connection.key_value import KeyValueFailure
+from parsleyrouter.ids import ChunkName, ItemIndex, JobId, PartIndex
+from parsleyrouter.outcome import Ran, Refusal, RefusalKind
+from parsleyrouter.process.chunk_client import ChunkClient
+from parsleyrouter.process.chunk_folder import ChunkRole
+from parsleyrouter.process.job_keys import part_key
+from parsleyrouter.process.job_port import ResultPage
+from parsleyrouter.process.job_records import JobRecord, PartOutcome, PartRecord
+from parsleyrouter.process.job_writer import platform_refusal
+from parsleyrouter.process.part_results import (
+    JobManifest,
+    PartManifest,
+    decode_manifest,
+    lines_by_index,
+)
+from parsleyrouter.process.record_writes import RecordWrites
+
+__all__ = ["ResultReader"]
+
+CACHE_BYTES = 16 * 1024 * 1024
+RETRY_AFTER_S = 2.0
+
+
+class ResultReader:
+    """Read result lines through a small cache of chunks."""
+
+    def __init__(self, chunks: ChunkClient, records: RecordWrites) -> None:
+        self.chunks = chunks
+        self.records = records
+        self.cache: OrderedDict[ChunkName, bytes] = OrderedDict()
+        self.cached_bytes = 0
+
+    async def page(self, job: JobRecord, offset: int, limit_bytes: int) -> ResultPage | Refusal:
+        """Return the committed results from an item on, up to the first item without one."""
+        if not job.manifest:
+            return await self._pages(job, job.firsts, job.parts, offset, limit_bytes)
+        data = await self._chunk(job.job, PartIndex(0), ChunkRole.MANIFEST, job.manifest)
+        if data is None:
+            return _unreadable()
+        manifest = decode_manifest(JobManifest, data)
+        assert isinstance(manifest, JobManifest)
+        parts = dict(enumerate(manifest.parts))
+        return await self._pages(job, manifest.firsts, parts, offset, limit_bytes)
+
+    async def _pages(
+        self,
+        job: JobRecord,
+        firsts: tuple[int, ...],
+        parts: dict[int, PartOutcome],
+        offset: int,
+        limit_bytes: int,
+    ) -> ResultPage | Refusal:
+        lines: list[bytes] = []
+        size = 0
+        next_index = max(0, offset)
+        ends = (*firsts[1:], job.items)
+        for number, end in enumerate(ends):
+            if end <= next_index:
+                continue
+            found = await self._lines(job, PartIndex(number), parts.get(number), next_index)
+            if isinstance(found, Refusal):
+                return found
+            while next_index < end and (not lines or size < limit_bytes):
+                line = found.get(ItemIndex(next_index))
+                if line is None:
+                    break
+                lines.append(line)
+                size += len(line)
+                next_index += 1
+            if next_index < end:
+                break
+        return ResultPage(b"".join(lines), next_index, next_index >= job.items)
+
+    async def _lines(
+        self, job: JobRecord, part: PartIndex, outcome: PartOutcome | None, index: int
+    ) -> dict[ItemIndex, bytes] | Refusal:
+        if outcome is None:
+            return await self._open_lines(job.job, part)
+        return await self._done_lines(job.job, part, outcome.manifest, index)
+
+    async def _open_lines(self, job: JobId, part: PartIndex) -> dict[ItemIndex, bytes] | Refusal:
+        held = await self.records.read(part_key(job, part), PartRecord)
+        if isinstance(held, KeyValueFailure):
+            return platform_refusal(held)
+        if held is None:
+            return {}
+        if held.record.manifest:
+            return await self._done_lines(job, part, held.record.manifest, held.record.first)
+        found = []
+        for name in held.record.chunks:
+            data = await self._chunk(job, part, ChunkRole.RESULTS, name)
+            if data is None:
+                return _unreadable()
+            found.append(data)
+        return lines_by_index(found)
+
+    async def _done_lines(
+        self, job: JobId, part: PartIndex, name: ChunkName, index: int
+    ) -> dict[ItemIndex, bytes] | Refusal:
+        """Return the lines of the chunk that holds an item, of a part that is done."""
+        data = await self._chunk(job, part, ChunkRole.MANIFEST, name)
+        if data is None:
+            return _unreadable()
+        manifest = decode_manifest(PartManifest, data)
+        assert isinstance(manifest, PartManifest)
+        found: dict[ItemIndex, bytes] = {}
+        for chunk in manifest.chunks:
+            if chunk.first + chunk.count <= index:
+                continue
+            content = await self._chunk(job, part, ChunkRole.RESULTS, chunk.name)
+            if content is None:
+                return _unreadable()
+            found |= lines_by_index([content])
+        return found
+
+    async def _chunk(
+        self, job: JobId, part: PartIndex, role: ChunkRole, name: ChunkName
+    ) -> bytes | None:
+        data = self.cache.get(name)
+        if data is not None:
+            self.cache.move_to_end(name)
+            return data
+        data = await self.chunks.get(job, part, role, name)
+        if data is not None:
+            self._keep(name, data)
+        return data
+
+    def _keep(self, name: ChunkName, data: bytes) -> None:
+        if name in self.cache:
+            return
+        self.cache[name] = data
+        self.cached_bytes += len(data)
+        while self.cached_bytes > CACHE_BYTES:
+            _, old = self.cache.popitem(last=False)
+            self.cached_bytes -= len(old)
+
+
+def _unreadable() -> Refusal:
+    message = "no disk VM with these results can be reached: read them again later"
+    return Refusal(RefusalKind.STORAGE_UNAVAILABLE, message, Ran.NOT_RUN, RETRY_AFTER_S)
--- /dev/null
+++ b/parsleyrouter/process/part_claims.py
@@ -0,0 +1,139 @@
+"""Decide who may run a part and what its next record says."""
+
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, replace
+from enum import Enum
+
+from parsleyrouter.ids import ChunkName, Epoch, ItemIndex, NodeId
+from parsleyrouter.process.job_records import (
+    JobPhase,
+    JobRecord,
+    PartPhase,
+    PartRecord,
+    Tally,
+)
+
+__all__ = [
+    "Commit",
+    "Step",
+    "cancelled",
+    "claimed",
+    "committed",
+    "finished",
+    "handed_over",
+    "is_own",
+    "next_step",
+    "with_job",
+]
+
+
+class Step(Enum):
+    """Say what the home of a part should do with it."""
+
+    CLAIM = "claim"
+    SETTLE = "settle"
+    WATCH = "watch"
+
+
+@dataclass(frozen=True)
+class Commit:
+    """What one group commit adds to a part record."""
+
+    chunks: tuple[ChunkName, ...] = ()
+    tally: Tally = Tally()
+    ended: frozenset[ItemIndex] = frozenset()
+    starting: frozenset[ItemIndex] = frozenset()
+    not_run: frozenset[ItemIndex] = frozenset()
+    late: bool = False
+
+
+def next_step(
+    part: PartRecord,
+    me: NodeId,
+    live: Collection[NodeId],
+    *,
+    running_here: bool,
+    unchanged_s: float,
+    patience_s: float,
+) -> Step:
+    """Return what the home does with a part that has not changed for ``unchanged_s`` seconds.
+
+    The fleet view tells failures early; an owner that changes nothing for ``patience_s`` is taken
+    for dead whatever the view says. A wrong guess costs work, the epoch keeps results safe.
+    """
+    if running_here:
+        return Step.WATCH
+    if part.phase in (PartPhase.DONE, PartPhase.CANCELLED):
+        return Step.SETTLE
+    if part.phase is PartPhase.WAITING:
+        return Step.CLAIM
+    if part.owner == me or part.owner not in live or unchanged_s > patience_s:
+        return Step.CLAIM
+    return Step.WATCH
+
+
+def with_job(part: PartRecord, job: JobRecord | None) -> Step | None:
+    """Return what the job record demands before a claim; ``None`` means that the part is stale.
+
+    Read the job after the part: a part that the job lists as done, or whose job is gone, was
+    written by a slow resend and must not run again.
+    """
+    if job is None or part.part in job.parts or job.manifest:
+        return None
+    if job.phase is JobPhase.RUNNING:
+        return Step.CLAIM
+    return Step.SETTLE if job.phase is JobPhase.CANCELLED else Step.WATCH
+
+
+def claimed(part: PartRecord, me: NodeId) -> PartRecord:
+    """Return the record of a part taken by a node; taking it from an owner counts a crash."""
+    crashed = part.phase is PartPhase.RUNNING
+    return replace(
+        part,
+        phase=PartPhase.RUNNING,
+        owner=me,
+        epoch=Epoch(part.epoch + 1),
+        crashes=part.crashes + crashed,
+    )
+
+
+def is_own(part: PartRecord, me: NodeId, epoch: Epoch) -> bool:
+    """Say whether a record was written under this claim."""
+    return part.owner == me and part.epoch == epoch and part.phase is PartPhase.RUNNING
+
+
+def committed(part: PartRecord, commit: Commit) -> PartRecord:
+    """Return the record after one group commit."""
+    started = {
+        index: times
+        for index, times in part.started.items()
+        if index not in commit.ended and index not in commit.not_run
+    }
+    for index in commit.starting:
+        started[index] = started.get(index, 0) + 1
+    return replace(
+        part,
+        chunks=part.chunks + tuple(name for name in commit.chunks if name not in part.chunks),
+        tally=part.tally + commit.tally,
+        started=started,
+        late=commit.late,
+    )
+
+
+def finished(part: PartRecord, manifest: ChunkName, tally: Tally) -> PartRecord:
+    """Return the record of a part whose results are all in one manifest."""
+    return replace(
+        part, phase=PartPhase.DONE, manifest=manifest, tally=tally, chunks=(), started={}
+    )
+
+
+def handed_over(part: PartRecord, unstarted: Iterable[ItemIndex] = ()) -> PartRecord:
+    """Return the record of a part that its owner gives up in a planned stop."""
+    gone = set(unstarted)
+    started = {index: times for index, times in part.started.items() if index not in gone}
+    return replace(part, phase=PartPhase.WAITING, owner=NodeId(""), started=started)
+
+
+def cancelled(part: PartRecord) -> PartRecord:
+    """Return the record of a part that is to stop."""
+    return replace(part, phase=PartPhase.CANCELLED)
--- /dev/null
+++ b/parsleyrouter/process/part_progress.py
@@ -0,0 +1,172 @@
+"""Keep what one owner knows of the part it runs: what to start, what to write, what to commit."""
+
+from collections import deque
+from collections.abc import Container, Iterable
+from dataclasses import dataclass, field
+
+from parsleyrouter.ids import ChunkName, ItemIndex
+from parsleyrouter.process.job_records import PartRecord, Tally
+from parsleyrouter.process.part_claims import Commit
+from parsleyrouter.process.part_results import tally_line
+
+__all__ = ["PartProgress", "Takeover", "WaveLimits", "judge_started"]
+
+STARTS_ALLOWED = 2
+
+
+@dataclass(frozen=True)
+class WaveLimits:
+    """How many items are marked started ahead of being run."""
+
+    wave_items: int = 32
+    careful_wave_items: int = 16
+
+
+@dataclass(frozen=True)
+class Takeover:
+    """What a new owner makes of items that were begun and left no result."""
+
+    unknown: frozenset[ItemIndex]
+    fatal: frozenset[ItemIndex]
+
+
+def judge_started(
+    started: dict[int, int], with_result: Iterable[ItemIndex], repeatable: set[ItemIndex]
+) -> Takeover:
+    """Judge begun items: what must not be repeated is unknown, what ended two owners is fatal."""
+    known = set(with_result)
+    open_items = {ItemIndex(index): n for index, n in started.items() if index not in known}
+    return Takeover(
+        frozenset(index for index in open_items if index not in repeatable),
+        frozenset(
+            index for index, n in open_items.items() if index in repeatable and n >= STARTS_ALLOWED
+        ),
+    )
+
+
+@dataclass
+class PartProgress:
+    """Hold the state of a run; indexes are those of the whole job.
+
+    An item that needs a mark is handed out only after a commit has marked it started: one that
+    must not be repeated always, any other once an owner of the part has died.
+    """
+
+    record: PartRecord
+    repeatable: set[ItemIndex]
+    limits: WaveLimits = field(default_factory=WaveLimits)
+    lines: dict[ItemIndex, bytes] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.ready: deque[ItemIndex] = deque()
+        self.unmarked: deque[ItemIndex] = deque()
+        self.suspects: deque[ItemIndex] = deque()
+        self.in_flight: set[ItemIndex] = set()
+        self.unwritten: dict[ItemIndex, bytes] = {}
+        self.uncommitted: dict[ItemIndex, bytes] = {}
+        self.chunks: list[ChunkName] = []
+        self.not_run: set[ItemIndex] = set()
+        for number in range(self.record.first, self.record.first + self.record.items):
+            index = ItemIndex(number)
+            if index not in self.lines:
+                self._queue(index)
+
+    def take(self, room: int) -> list[ItemIndex]:
+        """Hand out at most ``room`` items that may be dispatched now."""
+        chosen = [self.ready.popleft() for _ in range(min(room, len(self.ready)))]
+        self.in_flight.update(chosen)
+        return chosen
+
+    def marks_wanted(self) -> frozenset[ItemIndex]:
+        """Return the items to mark started with the next commit."""
+        running = len(self.in_flight) + len(self.ready)
+        if self.suspects:
+            return frozenset([self.suspects[0]]) if not running else frozenset()
+        wave = self.limits.careful_wave_items if self.record.crashes else self.limits.wave_items
+        if 2 * running > wave:
+            return frozenset()
+        room = wave - running
+        return frozenset(index for index, _ in zip(self.unmarked, range(room), strict=False))
+
+    def ended(self, index: ItemIndex, line: bytes) -> None:
+        """Take the result of an item; only its first one counts."""
+        self.in_flight.discard(index)
+        if index in self.lines:
+            return
+        self.lines[index] = line
+        self.unwritten[index] = line
+
+    def again(self, index: ItemIndex) -> None:
+        """Put back an item that is to run again under this owner."""
+        self.in_flight.discard(index)
+        self.ready.append(index)
+
+    def left(self, index: ItemIndex, *, not_run: bool) -> None:
+        """Note an item that a planned stop has kept from running, or cut."""
+        self.in_flight.discard(index)
+        if not_run:
+            self.not_run.add(index)
+
+    def adopt(self, name: ChunkName, lines: dict[ItemIndex, bytes]) -> None:
+        """Take over results that an earlier owner wrote and did not commit."""
+        new = {index: line for index, line in lines.items() if index not in self.lines}
+        if not new:
+            return
+        self.lines |= new
+        self.uncommitted |= new
+        self.chunks.append(name)
+        self._drop(new)
+
+    def to_write(self) -> dict[ItemIndex, bytes]:
+        """Return the results that are in no chunk yet."""
+        return dict(self.unwritten)
+
+    def written(self, name: ChunkName, lines: dict[ItemIndex, bytes]) -> None:
+        """Note that results are in a chunk on disk."""
+        for index in lines:
+            self.unwritten.pop(index, None)
+        self.uncommitted |= lines
+        self.chunks.append(name)
+
+    def commit(self, *, late: bool = False) -> Commit:
+        """Return the next group commit."""
+        tally = sum((tally_line(line) for line in self.uncommitted.values()), Tally())
+        return Commit(
+            chunks=tuple(self.chunks),
+            tally=tally,
+            ended=frozenset(self.uncommitted),
+            starting=self.marks_wanted(),
+            not_run=frozenset(self.not_run),
+            late=late,
+        )
+
+    def was_committed(self, record: PartRecord, commit: Commit) -> None:
+        """Note that a commit has taken effect; its marked items may run now."""
+        self.record = record
+        for index in commit.ended:
+            self.uncommitted.pop(index, None)
+        self.chunks = [name for name in self.chunks if name not in commit.chunks]
+        self.not_run -= commit.not_run
+        self._drop(commit.starting)
+        self.ready.extend(sorted(commit.starting))
+
+    def complete(self) -> bool:
+        """Say whether every item has a result."""
+        return len(self.lines) == self.record.items
+
+    def remaining(self) -> int:
+        """Return how many items have no result."""
+        return self.record.items - len(self.lines)
+
+    def _drop(self, gone: Container[ItemIndex]) -> None:
+        self.ready = deque(index for index in self.ready if index not in gone)
+        self.unmarked = deque(index for index in self.unmarked if index not in gone)
+        self.suspects = deque(index for index in self.suspects if index not in gone)
+
+    def _queue(self, index: ItemIndex) -> None:
+        if self.record.started.get(index):
+            self.suspects.append(index)
+        elif index not in self.repeatable or self.record.crashes:
+            self.unmarked.append(index)
+        else:
+            self.ready.append(index)
--- /dev/null
+++ b/parsleyrouter/process/runner_tools.py
@@ -0,0 +1,57 @@
+"""What the runs of all parts on a node share."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from parsleyrouter.ids import NodeId
+from parsleyrouter.process.batch_metrics import BatchMetrics
+from parsleyrouter.process.batch_options import BatchLimits
+from parsleyrouter.process.call_port import Calls
+from parsleyrouter.process.chunk_client import ChunkClient
+from parsleyrouter.process.item_times import ItemTimes
+from parsleyrouter.process.job_records import PartRecord
+from parsleyrouter.process.loop import Loop, Promise, TimedOut
+from parsleyrouter.process.record_writes import RecordWrites
+from parsleyrouter.version.schema import KindClass, KindSettings, TeamSettings
+
+__all__ = ["RunnerTools", "Signal"]
+
+
+class Signal:
+    """Wake the tasks that wait for a change."""
+
+    def __init__(self, loop: Loop) -> None:
+        self.loop = loop
+        self.promise: Promise[None] = loop.promise()
+
+    def fire(self) -> None:
+        """Wake all waiting tasks."""
+        waiting, self.promise = self.promise, self.loop.promise()
+        waiting.resolve(None)
+
+    async def wait(self, limit_s: float) -> None:
+        """Wait for the next change, at most ``limit_s`` seconds."""
+        try:
+            await self.loop.within(limit_s, self.promise)
+        except TimedOut:
+            return
+
+
+@dataclass(frozen=True)
+class RunnerTools:
+    """Connections, limits and measures of a batch process."""
+
+    loop: Loop
+    node: NodeId
+    calls: Calls
+    chunks: ChunkClient
+    records: RecordWrites
+    limits: BatchLimits
+    times: ItemTimes
+    metrics: BatchMetrics
+    team: Callable[[PartRecord], TeamSettings]
+
+    def kind(self, part: PartRecord) -> KindSettings:
+        """Return the settings of a part's kind."""
+        default = KindSettings(kind_class=KindClass.BATCH)
+        return self.team(part).kinds.get(part.kind, default)
--- a/parsleyrouter/thrift_gen/chunks/ttypes.py
+++ b/parsleyrouter/thrift_gen/chunks/ttypes.py
@@ -24,16 +24,18 @@
      - job
      - part
      - expires_s
+     - role
 
     """
 
 
-    def __init__(self, name=None, data=None, job=None, part=None, expires_s=None,):
+    def __init__(self, name=None, data=None, job=None, part=None, expires_s=None, role=None,):
         self.name = name
         self.data = data
         self.job = job
         self.part = part
         self.expires_s = expires_s
+        self.role = role
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -69,6 +71,11 @@
                     self.expires_s = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.role = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -99,6 +106,10 @@
             oprot.writeFieldBegin('expires_s', TType.I64, 5)
             oprot.writeI64(self.expires_s)
             oprot.writeFieldEnd()
+        if self.role is not None:
+            oprot.writeFieldBegin('role', TType.STRING, 6)
+            oprot.writeString(self.role.encode('utf-8') if sys.version_info[0] == 2 else self.role)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -328,15 +339,17 @@
      - part
      - after
      - limit
+     - role
 
     """
 
 
-    def __init__(self, job=None, part=None, after=None, limit=None,):
+    def __init__(self, job=None, part=None, after=None, limit=None, role=None,):
         self.job = job
         self.part = part
         self.after = after
         self.limit = limit
+        self.role = role
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -367,6 +380,11 @@
                     self.limit = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.role = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -393,6 +411,10 @@
             oprot.writeFieldBegin('limit', TType.I32, 4)
             oprot.writeI32(self.limit)
             oprot.writeFieldEnd()
+        if self.role is not None:
+            oprot.writeFieldBegin('role', TType.STRING, 5)
+            oprot.writeString(self.role.encode('utf-8') if sys.version_info[0] == 2 else self.role)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -419,16 +441,18 @@
      - job
      - part
      - expires_s
+     - role
 
     """
 
 
-    def __init__(self, name=None, bytes=None, job=None, part=None, expires_s=None,):
+    def __init__(self, name=None, bytes=None, job=None, part=None, expires_s=None, role=None,):
         self.name = name
         self.bytes = bytes
         self.job = job
         self.part = part
         self.expires_s = expires_s
+        self.role = role
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -464,6 +488,11 @@
                     self.expires_s = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.role = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -494,6 +523,10 @@
             oprot.writeFieldBegin('expires_s', TType.I64, 5)
             oprot.writeI64(self.expires_s)
             oprot.writeFieldEnd()
+        if self.role is not None:
+            oprot.writeFieldBegin('role', TType.STRING, 6)
+            oprot.writeString(self.role.encode('utf-8') if sys.version_info[0] == 2 else self.role)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -587,6 +620,136 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class MissingQuery(object):
+    """
+    Attributes:
+     - names
+
+    """
+
+
+    def __init__(self, names=None,):
+        self.names = names
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.names = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.names.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MissingQuery')
+        if self.names is not None:
+            oprot.writeFieldBegin('names', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.names))
+            for iter13 in self.names:
+                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class MissingAnswer(object):
+    """
+    Attributes:
+     - names
+
+    """
+
+
+    def __init__(self, names=None,):
+        self.names = names
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.names = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.names.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MissingAnswer')
+        if self.names is not None:
+            oprot.writeFieldBegin('names', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.names))
+            for iter20 in self.names:
+                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(PutChunk)
 PutChunk.thrift_spec = (
     None,  # 0
@@ -595,6 +758,7 @@
     (3, TType.STRING, 'job', 'UTF8', None, ),  # 3
     (4, TType.I32, 'part', None, None, ),  # 4
     (5, TType.I64, 'expires_s', None, None, ),  # 5
+    (6, TType.STRING, 'role', 'UTF8', None, ),  # 6
 )
 all_structs.append(PutAnswer)
 PutAnswer.thrift_spec = (
@@ -621,6 +785,7 @@
     (2, TType.I32, 'part', None, None, ),  # 2
     (3, TType.STRING, 'after', 'UTF8', None, ),  # 3
     (4, TType.I32, 'limit', None, None, ),  # 4
+    (5, TType.STRING, 'role', 'UTF8', None, ),  # 5
 )
 all_structs.append(ChunkInfo)
 ChunkInfo.thrift_spec = (
@@ -630,6 +795,7 @@
     (3, TType.STRING, 'job', 'UTF8', None, ),  # 3
     (4, TType.I32, 'part', None, None, ),  # 4
     (5, TType.I64, 'expires_s', None, None, ),  # 5
+    (6, TType.STRING, 'role', 'UTF8', None, ),  # 6
 )
 all_structs.append(ChunkList)
 ChunkList.thrift_spec = (
@@ -637,5 +803,15 @@
     (1, TType.LIST, 'chunks', (TType.STRUCT, [ChunkInfo, None], False), None, ),  # 1
     (2, TType.BOOL, 'more', None, None, ),  # 2
 )
+all_structs.append(MissingQuery)
+MissingQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'names', (TType.STRING, 'UTF8', False), None, ),  # 1
+)
+all_structs.append(MissingAnswer)
+MissingAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'names', (TType.STRING, 'UTF8', False), None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
--- a/thrift/chunks.thrift
+++ b/thrift/chunks.thrift
@@ -6,6 +6,7 @@
   3: string job,
   4: i32 part,
   5: i64 expires_s,
+  6: string role,
 }
 
 struct PutAnswer {
@@ -28,6 +29,7 @@
   2: i32 part,
   3: string after,
   4: i32 limit,
+  5: string role,
 }
 
 struct ChunkInfo {
@@ -36,9 +38,19 @@
   3: string job,
   4: i32 part,
   5: i64 expires_s,
+  6: string role,
 }
 
 struct ChunkList {
   1: list<ChunkInfo> chunks,
   2: bool more,
 }
+
+// Ask which of these chunks a disk VM lacks.
+struct MissingQuery {
+  1: list<string> names,
+}
+
+struct MissingAnswer {
+  1: list<string> names,
+}
