--- a/parsleyrouter/process/chunk_client.py
+++ b/parsleyrouter/process/chunk_client.py
@@ -88,8 +88,10 @@
         self, job: JobId, part: PartIndex, role: ChunkRole, name: ChunkName
     ) -> bytes | None:
         """Return the bytes of a chunk, or ``None`` while no whole copy can be reached."""
+        ranked = rank_disks(job, part, disks_of(self.view.nodes()))
+        wanted = choose_disks(ranked)
         lacking: list[Disk] = []
-        for disk in rank_disks(job, part, disks_of(self.view.nodes())):
+        for disk in ranked:
             answer = await self.runtime.peers.call(
                 disk.address, "chunks.get", GetChunk(name), ChunkAnswer, GET_TIMEOUT_S
             )
@@ -97,8 +99,10 @@
                 continue
             data = bytes(answer.data or b"")
             if answer.found and chunk_name(job, part, role, data) == name:
+                meta = ChunkMeta(name, job, part, role, answer.expires_s, len(data))
+                self._repair(lacking, Chunk(meta, data))
                 return data
-            if answer.refusal:
+            if answer.refusal or disk in wanted:
                 lacking.append(disk)
         return await self._from_key_value(job, part, role, name)
 
@@ -126,8 +130,6 @@
             tasks = [self.runtime.loop.spawn(self.send(disk, chunk)) for disk in chosen]
             refusals = await self.runtime.loop.gather(tasks)
             stored |= {d.domain for d, refusal in zip(chosen, refusals, strict=True) if not refusal}
-            if len(stored) >= max(2, self.limits.min_copies):
-                break
             ranked = [disk for disk in ranked if disk not in chosen]
         return stored
 
@@ -145,6 +147,12 @@
         self.metrics.sent_bytes.inc(meta.bytes)
         return "" if answer.stored else answer.refusal
 
+    def _repair(self, lacking: list[Disk], chunk: Chunk) -> None:
+        """Write the copies again that reading found damaged or missing."""
+        for disk in lacking:
+            self.metrics.repaired.inc()
+            self.runtime.loop.spawn(self.send(disk, chunk), "repair copy")
+
     async def _list(
         self, disk: Disk, job: JobId, part: PartIndex, role: ChunkRole
     ) -> list[ChunkMeta]:
--- a/parsleyrouter/process/chunk_server.py
+++ b/parsleyrouter/process/chunk_server.py
@@ -169,7 +169,7 @@
         return ChunkAnswer(found=False, data=b"", refusal=CORRUPT)
     if chunk is None:
         return ChunkAnswer(found=False, data=b"", refusal="")
-    return ChunkAnswer(found=True, data=chunk.data, refusal="")
+    return ChunkAnswer(found=True, data=chunk.data, refusal="", expires_s=chunk.meta.expires_s)
 
 
 @CHUNK_METHODS.add("chunks.list", ListChunks)
--- a/parsleyrouter/thrift_gen/chunks/ttypes.py
+++ b/parsleyrouter/thrift_gen/chunks/ttypes.py
@@ -259,14 +259,16 @@
      - found
      - data
      - refusal
+     - expires_s
 
     """
 
 
-    def __init__(self, found=None, data=None, refusal=None,):
+    def __init__(self, found=None, data=None, refusal=None, expires_s=None,):
         self.found = found
         self.data = data
         self.refusal = refusal
+        self.expires_s = expires_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -292,6 +294,11 @@
                     self.refusal = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.expires_s = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -314,6 +321,10 @@
             oprot.writeFieldBegin('refusal', TType.STRING, 3)
             oprot.writeString(self.refusal.encode('utf-8') if sys.version_info[0] == 2 else self.refusal)
             oprot.writeFieldEnd()
+        if self.expires_s is not None:
+            oprot.writeFieldBegin('expires_s', TType.I64, 4)
+            oprot.writeI64(self.expires_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -777,6 +788,7 @@
     (1, TType.BOOL, 'found', None, None, ),  # 1
     (2, TType.STRING, 'data', 'BINARY', None, ),  # 2
     (3, TType.STRING, 'refusal', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'expires_s', None, None, ),  # 4
 )
 all_structs.append(ListChunks)
 ListChunks.thrift_spec = (
--- a/thrift/chunks.thrift
+++ b/thrift/chunks.thrift
@@ -22,6 +22,7 @@
   1: bool found,
   2: binary data,
   3: string refusal,
+  4: i64 expires_s,
 }
 
 struct ListChunks {
