Add parsley-load: open-loop experiments on sharing

Arms take turns in one run over the same arrivals: no batch, batch alone, online-first and the two baselines. Latency counts from intended starts, and goes into HDR histograms, so that waiting to be sent is not hidden. It drives the real schedulers, slot tables and grant clients over loopback with the links' delay, and the stand-in engine's step machine in process; token streams over HTTP are left out because one interpreter could not carry ten engines without its own queueing showing as latency.

Metrics of grants are made once a registry, since two clients in one process registered the same names twice. Dead branches that no mutation could turn red are gone from the slot table, and the model now starts unsettled too.

--- a/features/steps/grants_steps.py
+++ b/features/steps/grants_steps.py
@@ -117,9 +117,9 @@
         late = next(iter(table.held))
         for _ in range(50):
             await runtime.loop.sleep(0.1)
-            if client.late._value.get() and late not in table.held:
+            if client.metrics.late._value.get() and late not in table.held:
                 break
-        return used, before, client.late._value.get(), late in table.held
+        return used, before, client.metrics.late._value.get(), late in table.held
 
     context.outcome = run_on_loop(main)
 
--- a/features/support/slot_model.py
+++ b/features/support/slot_model.py
@@ -45,17 +45,19 @@
         name=st.sampled_from(sorted(POLICIES)),
         share=st.sampled_from([0.0, 0.5, 1.0]),
         restore=st.booleans(),
+        settled=st.booleans(),
     )
-    def build(self, slots: int, name: str, share: float, restore: bool) -> None:
+    def build(self, slots: int, name: str, share: float, restore: bool, settled: bool) -> None:
         self.name = name
         self.policy = POLICIES[name](Profile(share, 0.5, restore))
-        self.table = SlotTable(EndpointId("e"), slots, self.policy, prefix="n.")
+        self.table = SlotTable(EndpointId("e"), slots, self.policy, "n.", settled=settled)
 
     def take(self, actions: list[Action]) -> None:
         """Follow the actions and check those that are wrong at once."""
         for action in actions:
             if isinstance(action, Granted):
                 assert action.ask.attempt not in self.refused, "granted after a refusal"
+                assert self.table.settled or not action.ask.batch, "batch before settling"
                 assert self.granted.get(action.ask.attempt, action.grant) == action.grant
                 self.granted[action.ask.attempt] = action.grant
                 self.waiting.discard(action.ask.attempt)
@@ -126,6 +128,10 @@
         self.take(self.table.tick(self.now))
         assert all(held.expires_s > self.now for held in self.table.held.values())
 
+    @rule()
+    def settle(self) -> None:
+        self.take(self.table.settle(self.now))
+
     @rule(foreign=st.integers(0, 1))
     def correct(self, foreign: int) -> None:
         self.take(self.table.correct(foreign, self.now))
--- /dev/null
+++ b/parsleyrouter/commands/load.py
@@ -0,0 +1,162 @@
+"""``parsley-load``: run experiments on sharing, compare and plot their results."""
+
+import sys
+from collections.abc import Iterable
+from dataclasses import fields, replace
+from pathlib import Path
+
+import msgspec
+from cyclopts import App, CycloptsError
+from cyclopts.config import Env
+from rich.console import Console
+
+from parsleyrouter.commands.program import EXIT_BAD_SETTING
+from parsleyrouter.experiment.measures import Result
+from parsleyrouter.experiment.report import compare as compare_results
+from parsleyrouter.experiment.report import plot as plot_result
+from parsleyrouter.experiment.report import read_result, table
+from parsleyrouter.experiment.runner import ARMS, Arm, Plan, run_arms
+from parsleyrouter.experiment.scenario import Scenario, load
+from parsleyrouter.process.options import BadSetting, check_range
+from parsleyrouter.process.sharing_policies import PROFILES, Profile
+from parsleyrouter.version.schema import PolicyProfile
+
+__all__ = ["main"]
+
+app = App(name="parsley-load", help=__doc__, config=Env("PARSLEY_LOAD_", command=False))
+console = Console(stderr=True)
+
+
+@app.command
+def run(
+    scenario: Path,
+    *,
+    out: Path = Path("out"),
+    rounds: int = 2,
+    slice_s: float = 20.0,
+    warmup_s: float = 4.0,
+    seed: int = 1,
+    arms: str = "",
+) -> None:
+    """Run a scenario under each way of sharing in turns and write a JSON result and a plot.
+
+    Parameters
+    ----------
+    scenario
+        Scenario file in TOML.
+    out
+        Folder of the results.
+    rounds
+        How often each arm is run; arms take turns within a round.
+    slice_s
+        Length of one arm in one round, in seconds.
+    warmup_s
+        Part of a slice that is not counted, in seconds.
+    seed
+        Seed of the arrivals; the round's number is added.
+    arms
+        Names of the arms to run, separated by commas; all by default.
+    """
+    names = {name for name in arms.split(",") if name}
+    unknown = names - {arm.name for arm in ARMS}
+    if unknown:
+        allowed = ", ".join(arm.name for arm in ARMS)
+        raise BadSetting("arms", ",".join(sorted(unknown)), allowed)
+    chosen = tuple(arm for arm in ARMS if not names or arm.name in names)
+    _run(load(scenario), chosen, _plan(rounds, slice_s, warmup_s, seed), out)
+
+
+@app.command
+def sweep(
+    scenario: Path,
+    *values: str,
+    out: Path = Path("out"),
+    rounds: int = 2,
+    slice_s: float = 20.0,
+    warmup_s: float = 4.0,
+    seed: int = 1,
+) -> None:
+    """Run ``online-first`` with settings of its profile changed, beside the runs without sharing.
+
+    Parameters
+    ----------
+    scenario
+        Scenario file in TOML.
+    values
+        Settings to try, one arm each, such as ``headroom_share=0.5,restore_headroom=false``.
+    """
+    chosen = load(scenario)
+    profile = PROFILES[PolicyProfile(chosen.profile)]
+    changed = [Arm(text, profile=_changed(profile, text)) for text in values]
+    arms = (*(arm for arm in ARMS if not (arm.online and arm.batch)), *changed)
+    _run(chosen, arms, _plan(rounds, slice_s, warmup_s, seed), out, suffix="-sweep")
+
+
+@app.command
+def show(result: Path) -> None:
+    """Print a result."""
+    Console(width=200).print(table(read_result(result)))
+
+
+@app.command
+def compare(first: Path, second: Path) -> None:
+    """Print how the arms changed from one result to another."""
+    Console(width=160).print(compare_results(read_result(first), read_result(second)))
+
+
+@app.command
+def plot(result: Path, out: Path) -> None:
+    """Write a plot of a result as PNG."""
+    plot_result(read_result(result), out)
+
+
+def _plan(rounds: int, slice_s: float, warmup_s: float, seed: int) -> Plan:
+    check_range("rounds", rounds, 1, 1000, "rounds")
+    check_range("slice-s", slice_s, 2, 3600, "seconds")
+    check_range("warmup-s", warmup_s, 0, slice_s - 1, "seconds")
+    return Plan(rounds, slice_s, warmup_s, seed)
+
+
+def _run(scenario: Scenario, arms: Iterable[Arm], plan: Plan, out: Path, suffix: str = "") -> None:
+    measures = run_arms(scenario, tuple(arms), plan, console.print)
+    result = Result(
+        scenario=scenario.name,
+        command=" ".join(["parsley-load", *sys.argv[1:]]),
+        rounds=plan.rounds,
+        slice_s=plan.slice_s,
+        seed=plan.seed,
+        arms={name: measure.result() for name, measure in measures.items()},
+    )
+    out.mkdir(parents=True, exist_ok=True)
+    path = out / f"{scenario.name}{suffix}.json"
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(result)))
+    plot_result(result, path.with_suffix(".png"))
+    Console(width=200).print(table(result))
+    console.print(f"written: {path} and {path.with_suffix('.png')}")
+
+
+def _changed(profile: Profile, text: str) -> Profile:
+    known = {field.name for field in fields(Profile)}
+    changes: dict[str, float | bool] = {}
+    for part in text.split(","):
+        name, _, value = part.partition("=")
+        if name not in known:
+            raise BadSetting("values", part, ", ".join(sorted(known)))
+        try:
+            changes[name] = msgspec.json.decode(value.encode())
+        except msgspec.MsgspecError as error:
+            raise BadSetting("values", part, "a number, true or false") from error
+    return replace(profile, **changes)  # type: ignore[arg-type]
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Run one command; a bad setting ends it with exit code 2."""
+    try:
+        app(arguments, exit_on_error=False, print_error=False)
+    except (BadSetting, CycloptsError) as error:
+        print(f"parsley-load: {error}", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTING)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/parsleyrouter/experiment/endpoints.py
@@ -0,0 +1,113 @@
+"""Endpoints of an experiment: the stand-in engine's step machine and plain services, in process."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from parsleyrouter.process.loop import Loop, Promise
+from parsleyrouter.standins.engine_batch import ContinuousBatch, EngineModel, Generation
+
+__all__ = ["BenchEngine", "BenchService", "Run"]
+
+BYTES_PER_TOKEN = 4
+
+
+@dataclass(eq=False)
+class Run:
+    """One request at an endpoint; ``times`` are those of its tokens."""
+
+    batch: bool
+    ended: Promise[bool]
+    times: list[float] = field(default_factory=list)
+    generation: Generation | None = None
+
+
+class BenchEngine:
+    """Admit as requests arrive, step, and count the slot seconds of each class."""
+
+    def __init__(self, loop: Loop, name: str, model: EngineModel) -> None:
+        self.loop = loop
+        self.name = name
+        self.batch = ContinuousBatch(model)
+        self.runs: dict[str, Run] = {}
+        self.stepping = False
+        self.count = 0
+        self.online_slot_s = 0.0
+        self.batch_slot_s = 0.0
+
+    def start(self, prompt: str, tokens: int, *, batch: bool, emitted: int = 0) -> Run:
+        """Begin a request, from the token ``emitted`` on."""
+        self.count += 1
+        run = Run(batch, self.loop.promise())
+        run.generation = Generation(
+            id=f"{self.name}-{self.count}",
+            model="",
+            prompt=prompt,
+            count=tokens,
+            emitted=emitted,
+            on_token=lambda generation: self._token(run, generation),
+        )
+        self.runs[run.generation.id] = run
+        self.batch.arrive(run.generation)
+        if not self.stepping:
+            self.stepping = True
+            self.loop.spawn(self._step_on(), f"steps of {self.name}")
+        return run
+
+    def cancel(self, run: Run) -> None:
+        """Stop a request; what it has emitted is kept."""
+        assert run.generation is not None
+        if self.runs.pop(run.generation.id, None) is not None:
+            self.batch.cancel(run.generation)
+            run.ended.resolve(False)
+
+    def _token(self, run: Run, generation: Generation) -> None:
+        run.times.append(self.loop.now())
+        if generation.done:
+            self.runs.pop(generation.id, None)
+            run.ended.resolve(True)
+
+    async def _step_on(self) -> None:
+        due_s = self.loop.now()
+        while self.batch.running or self.batch.waiting:
+            step_s = self.batch.step_s()
+            self._count(step_s)
+            due_s = max(due_s + step_s, self.loop.now())
+            await self.loop.sleep(due_s - self.loop.now())
+            for generation in self.batch.step():
+                generation.on_token(generation)
+            self.batch.admit()
+        self.stepping = False
+
+    def _count(self, step_s: float) -> None:
+        running = self.batch.running
+        batch = sum(self._is_batch(generation) for generation in running)
+        self.batch_slot_s += step_s * batch
+        self.online_slot_s += step_s * (len(running) - batch)
+
+    def _is_batch(self, generation: Generation) -> bool:
+        run = self.runs.get(generation.id)
+        return run is not None and run.batch
+
+
+class BenchService:
+    """Answer each call after a fixed time, a few at once."""
+
+    def __init__(self, loop: Loop, slots: int, time_s: float) -> None:
+        self.loop = loop
+        self.free = slots
+        self.time_s = time_s
+        self.waiting: deque[Promise[None]] = deque()
+
+    async def call(self) -> None:
+        """Run one call."""
+        if self.free:
+            self.free -= 1
+        else:
+            promise: Promise[None] = self.loop.promise()
+            self.waiting.append(promise)
+            await promise
+        await self.loop.sleep(self.time_s)
+        if self.waiting:
+            self.waiting.popleft().resolve(None)
+        else:
+            self.free += 1
--- /dev/null
+++ b/parsleyrouter/experiment/measures.py
@@ -0,0 +1,123 @@
+"""What an experiment measures: HDR histograms and counts of one arm, kept as JSON."""
+
+from dataclasses import dataclass, field
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+__all__ = ["ArmResult", "Latency", "Measures", "Result"]
+
+LOWEST_US = 1
+HIGHEST_US = 120_000_000
+DIGITS = 3
+US_PER_S = 1_000_000
+
+
+def histogram() -> HdrHistogram:
+    """Return an empty histogram of microseconds."""
+    return HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+
+
+def record(into: HdrHistogram, value_s: float) -> None:
+    """Count a time in seconds."""
+    into.record_value(min(HIGHEST_US, max(LOWEST_US, round(value_s * US_PER_S))))
+
+
+class Latency(msgspec.Struct, frozen=True):
+    """Percentiles in milliseconds, and the whole histogram encoded."""
+
+    count: int
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    max_ms: float
+    encoded: str
+
+    @classmethod
+    def of(cls, source: HdrHistogram) -> "Latency":
+        """Sum a histogram up."""
+        return cls(
+            count=source.get_total_count(),
+            p50_ms=source.get_value_at_percentile(50) / 1000,
+            p99_ms=source.get_value_at_percentile(99) / 1000,
+            p999_ms=source.get_value_at_percentile(99.9) / 1000,
+            max_ms=source.get_max_value() / 1000,
+            encoded=source.encode().decode(),
+        )
+
+
+class ArmResult(msgspec.Struct, frozen=True):
+    """One way of sharing under one load; rates are per second, slot times in seconds.
+
+    ``score`` is the weight of the online requests answered in time over the weight offered.
+    """
+
+    ttft: Latency
+    between: Latency
+    freed: Latency
+    offered: int
+    answered: int
+    refused: int
+    score: float
+    batch_items_per_s: float
+    batch_tokens_per_s: float
+    yielded: int
+    measured_s: float
+    slot_s: float
+    online_slot_s: float
+    batch_slot_s: float
+    loop_lag_p99_ms: float
+
+
+class Result(msgspec.Struct, frozen=True):
+    """All arms of one experiment, measured in turns over the same arrivals."""
+
+    scenario: str
+    command: str
+    rounds: int
+    slice_s: float
+    seed: int
+    arms: dict[str, ArmResult]
+
+
+@dataclass
+class Measures:
+    """Gather one arm over all its slices."""
+
+    ttft: HdrHistogram = field(default_factory=histogram)
+    between: HdrHistogram = field(default_factory=histogram)
+    freed: HdrHistogram = field(default_factory=histogram)
+    lag: HdrHistogram = field(default_factory=histogram)
+    offered: int = 0
+    answered: int = 0
+    refused: int = 0
+    weight_offered: float = 0.0
+    weight_answered: float = 0.0
+    batch_items: int = 0
+    batch_tokens: int = 0
+    yielded: int = 0
+    measured_s: float = 0.0
+    slot_s: float = 0.0
+    online_slot_s: float = 0.0
+    batch_slot_s: float = 0.0
+
+    def result(self) -> ArmResult:
+        """Sum the arm up."""
+        length_s = max(self.measured_s, 1e-9)
+        return ArmResult(
+            ttft=Latency.of(self.ttft),
+            between=Latency.of(self.between),
+            freed=Latency.of(self.freed),
+            offered=self.offered,
+            answered=self.answered,
+            refused=self.refused,
+            score=self.weight_answered / max(self.weight_offered, 1e-9),
+            batch_items_per_s=self.batch_items / length_s,
+            batch_tokens_per_s=self.batch_tokens / length_s,
+            yielded=self.yielded,
+            measured_s=self.measured_s,
+            slot_s=self.slot_s,
+            online_slot_s=self.online_slot_s,
+            batch_slot_s=self.batch_slot_s,
+            loop_lag_p99_ms=self.lag.get_value_at_percentile(99) / 1000,
+        )
--- /dev/null
+++ b/parsleyrouter/process/grant_metrics.py
@@ -0,0 +1,63 @@
+"""Metrics of grants, on the side that asks and on the side that gives."""
+
+from weakref import WeakKeyDictionary
+
+from prometheus_client import CollectorRegistry, Counter, Gauge
+
+__all__ = ["ClientMetrics", "SchedulerMetrics"]
+
+_CLIENTS: "WeakKeyDictionary[CollectorRegistry, ClientMetrics]" = WeakKeyDictionary()
+_SCHEDULERS: "WeakKeyDictionary[CollectorRegistry, SchedulerMetrics]" = WeakKeyDictionary()
+
+
+class ClientMetrics:
+    """Count what a process that asks for slots saw."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self.late = Counter("parsley_grants_late", "Grants given back unused", registry=registry)
+        self.local = Counter(
+            "parsley_grants_local", "Grants taken without a scheduler", registry=registry
+        )
+        self.silent = Counter(
+            "parsley_schedulers_silent", "Asks that no scheduler answered", registry=registry
+        )
+
+    @classmethod
+    def of(cls, registry: CollectorRegistry) -> "ClientMetrics":
+        """Return the metrics of a registry, made once."""
+        found = _CLIENTS.get(registry)
+        if found is None:
+            found = _CLIENTS[registry] = cls(registry)
+        return found
+
+
+class SchedulerMetrics:
+    """Count what a scheduler decided."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        labels = ("kind_class",)
+        self.granted = Counter("parsley_slots_granted", "Slots given", labels, registry=registry)
+        self.refused = Counter(
+            "parsley_slots_refused", "Attempts turned away", ("reason",), registry=registry
+        )
+        self.revoked = Counter("parsley_slots_revoked", "Batch slots revoked", registry=registry)
+        self.held = Gauge(
+            "parsley_slots_held", "Slots in use", ("endpoint", "kind_class"), registry=registry
+        )
+        self.waiting = Gauge(
+            "parsley_slots_waiting",
+            "Attempts waiting",
+            ("endpoint", "kind_class"),
+            registry=registry,
+        )
+        self.foreign = Gauge(
+            "parsley_slots_foreign", "Slots that others use", ("endpoint",), registry=registry
+        )
+
+    @classmethod
+    def of(cls, registry: CollectorRegistry) -> "SchedulerMetrics":
+        """Return the metrics of a registry, made once."""
+        found = _SCHEDULERS.get(registry)
+        if found is None:
+            found = _SCHEDULERS[registry] = cls(registry)
+        return found
--- a/parsleyrouter/process/grants.py
+++ b/parsleyrouter/process/grants.py
@@ -15,13 +15,12 @@
 from random import Random
 from typing import Any
 
-from prometheus_client import Counter
-
 from parsleyrouter.connection.peer import PeerFailure, PeerFailureKind, PeerMethods
 from parsleyrouter.ids import Address, AttemptId, EndpointId, GrantId
 from parsleyrouter.outcome import Refusal, RefusalKind
 from parsleyrouter.process.endpoint_choice import EndpointChoice, LoadHint
 from parsleyrouter.process.grant_messages import ask_message, is_batch, no_endpoint, not_run
+from parsleyrouter.process.grant_metrics import ClientMetrics
 from parsleyrouter.process.grant_port import CallResult, Grant, GrantRequest
 from parsleyrouter.process.held_grants import HeldGrants
 from parsleyrouter.process.loop import Promise, Task, TimedOut
@@ -97,12 +96,7 @@
         self.asking: dict[AttemptId, _Asking] = {}
         self.boot = secrets.token_hex(4)
         self.local_count = 0
-        self.late = Counter(
-            "parsley_late_grants", "Grants given back unused", registry=runtime.metrics
-        )
-        self.locals = Counter(
-            "parsley_local_grants", "Grants without a scheduler", registry=runtime.metrics
-        )
+        self.metrics = ClientMetrics.of(runtime.metrics)
 
     def add_grant_methods(self, methods: PeerMethods) -> None:
         """Register what schedulers call on this process."""
@@ -152,6 +146,7 @@
             if answer is None:
                 return None
             if isinstance(answer, PeerFailure):
+                self.metrics.silent.inc()
                 self.choice.mark_silent(home, self.loop.now() + self.options.silent_s)
                 continue
             if answer.grant:
@@ -230,7 +225,7 @@
             if not answer.queued:
                 asking.settled.resolve(answer)
         elif answer.grant and not self._is_known(answer, asking):
-            self.late.inc()
+            self.metrics.late.inc()
             self.held.give_back(AttemptId(answer.attempt), endpoint, None, answer.grant)
 
     def _is_known(self, answer: GrantAnswer, asking: _Asking | None) -> bool:
@@ -259,7 +254,7 @@
             if settings is None or full or not silent:
                 continue
             self.local_count += 1
-            self.locals.inc()
+            self.metrics.local.inc()
             name = GrantId(f"{self.view.self_node().node}.{self.boot}.local{self.local_count}")
             attempt = search.request.attempt
             grant = Grant(name, attempt, endpoint, settings.address, local=True)
--- a/parsleyrouter/process/scheduler.py
+++ b/parsleyrouter/process/scheduler.py
@@ -7,7 +7,8 @@
 import itertools
 import logging
 import secrets
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from typing import Any
 
 from parsleyrouter.connection.peer import PeerFailure, PeerMethods, PeerServer
@@ -19,14 +20,17 @@
     NodeId,
     TeamName,
 )
+from parsleyrouter.process.grant_metrics import SchedulerMetrics
 from parsleyrouter.process.load_reports import LoadCorrector, LoadReport, LoadReports
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.process.scheduler_messages import not_home, read_ask, read_live, write_answer
-from parsleyrouter.process.sharing_policies import POLICIES, PROFILES, SharingPolicy
+from parsleyrouter.process.sharing_policies import POLICIES, PROFILES, Profile, SharingPolicy
 from parsleyrouter.process.slot_events import (
     Action,
+    Granted,
     Holder,
     RefusalReason,
+    Refused,
     Revoke,
     Usage,
 )
@@ -43,7 +47,7 @@
     RenewGrants,
     RevokeGrant,
 )
-from parsleyrouter.version.schema import EndpointState, EndpointType
+from parsleyrouter.version.schema import EndpointState, EndpointType, KindClass, PolicyProfile
 
 __all__ = ["Scheduler", "SchedulerOptions"]
 
@@ -62,6 +66,7 @@
     tick_s: float = 0.1
     query_limit_s: float = 0.5
     table: TableOptions = TableOptions()
+    profiles: Mapping[PolicyProfile, Profile] = field(default_factory=lambda: PROFILES)
 
 
 class Scheduler:
@@ -83,6 +88,7 @@
         self.tables: dict[EndpointId, SlotTable] = {}
         self.correctors: dict[EndpointId, LoadCorrector] = {}
         self.reports = LoadReports(runtime, self._engines, self._on_report)
+        self.metrics = SchedulerMetrics.of(runtime.metrics)
         self.methods = PeerMethods()
         self._add_methods(self.methods)
         channel = f"scheduler-{next(_channels)}"
@@ -119,7 +125,7 @@
     def _policy(self) -> SharingPolicy:
         settings = self.view.settings().fleet.policy
         factory = POLICIES.get(settings.sharing) or POLICIES["online-first"]
-        return factory(PROFILES[settings.profile])
+        return factory(self.options.profiles[settings.profile])
 
     def _open(self, endpoint: EndpointId, slots: int) -> SlotTable:
         prefix = f"{self.view.self_node().node}.{self.boot}.{endpoint}."
@@ -195,6 +201,7 @@
         own: GrantAnswer | None = None
         others: list[Action] = []
         for action in table.ask(ask, now):
+            self._tally(action)
             if not isinstance(action, Revoke) and action.ask.attempt == ask.attempt:
                 own = write_answer(table, action, self.loop.now())
             else:
@@ -227,6 +234,7 @@
 
     def _carry_out(self, actions: list[Action], table: SlotTable) -> None:
         for action in actions:
+            self._tally(action)
             if isinstance(action, Revoke):
                 holder = action.held.ask.holder
                 message = RevokeGrant(action.held.grant, action.held.ask.attempt)
@@ -243,6 +251,25 @@
             for table in list(self.tables.values()):
                 self.correctors[table.endpoint].note_own(len(table.held), now)
                 self._carry_out(table.tick(now), table)
+                self._show(table, now)
+
+    def _show(self, table: SlotTable, now: float) -> None:
+        use = table.occupancy(now)
+        held, waiting = self.metrics.held, self.metrics.waiting
+        held.labels(table.endpoint, "online").set(use.online)
+        held.labels(table.endpoint, "batch").set(use.batch)
+        waiting.labels(table.endpoint, "online").set(use.online_waiting)
+        waiting.labels(table.endpoint, "batch").set(use.batch_waiting)
+        self.metrics.foreign.labels(table.endpoint).set(table.foreign)
+
+    def _tally(self, action: Action) -> None:
+        if isinstance(action, Revoke):
+            self.metrics.revoked.inc()
+        elif isinstance(action, Refused):
+            self.metrics.refused.labels(action.reason.value).inc()
+        elif isinstance(action, Granted):
+            kind_class = KindClass.BATCH if action.ask.batch else KindClass.ONLINE
+            self.metrics.granted.labels(kind_class.value).inc()
 
     def _engines(self) -> dict[EndpointId, Address]:
         endpoints = self.view.settings().fleet.endpoints
--- a/parsleyrouter/process/slot_table.py
+++ b/parsleyrouter/process/slot_table.py
@@ -89,7 +89,7 @@
         """Forget an attempt; a grant that it got meanwhile is given back."""
         self._stop_waiting(attempt)
         grant = self.by_attempt.get(attempt)
-        return self._pump(now) if grant is None else self.release(grant, Usage(ok=False), now)
+        return [] if grant is None else self.release(grant, Usage(ok=False), now)
 
     def release(self, grant: GrantId, usage: Usage, now: float) -> list[Action]:
         """Take a slot back."""
@@ -231,8 +231,6 @@
         return actions + self._revoke(count, now)
 
     def _next(self, use: Occupancy) -> Waiting | None:
-        if self.closed:
-            return None
         online = self.online.first() if self.policy.admits_online(use) else None
         batch = None
         if self.settled and self.policy.admits_batch(use):
