Decide membership by probes, suspicion and refutation

Agents exchanged plain visits with every other agent, which grows with the square of the fleet. Word that a live node is down is only a suspicion to those who believed it up, so that two halves do not take each other down when they meet.

It now yields once first.

--- /dev/null
+++ b/features/steps/membership_steps.py
@@ -0,0 +1,353 @@
+"""Steps for membership: the decisions under a clock of their own, and agents over loopback."""
+
+from dataclasses import replace
+from typing import Any
+
+from behave import then, when
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from features.support.control import start_agent, until
+from features.support.loop import run_on_loop
+from features.support.member_net import MemberNet
+from parsleyrouter.ids import Address, DomainName, NodeId
+from parsleyrouter.process.follower import Follower
+from parsleyrouter.process.member_table import Health, MemberTable, Rumor
+from parsleyrouter.process.runtime import Runtime
+from parsleyrouter.process.settings_desk import Author, SettingsDesk
+from parsleyrouter.process.view import NodeInfo, NodeState, Service
+from parsleyrouter.standins.memory_key_value import MemoryKeyValue
+from parsleyrouter.version.paths import parse_path
+
+MEET_S = 15.0
+HEAL_S = 40.0
+LONG_AFTER_S = 100.0
+
+
+def _info(node: str, incarnation: int) -> NodeInfo:
+    addresses = {Service.AGENT: Address(node)}
+    return NodeInfo(NodeId(node), DomainName("d"), addresses, incarnation=incarnation)
+
+
+def _rumor(node: str, incarnation: int, health: Health) -> Rumor:
+    info = _info(node, incarnation) if health is Health.ALIVE else None
+    return Rumor(NodeId(node), incarnation, health, info)
+
+
+RUMORS = st.builds(
+    _rumor, st.sampled_from(["me", "a", "b"]), st.integers(1, 4), st.sampled_from(Health)
+)
+
+
+@when("a membership table hears any rumors in any two orders")
+def hear_in_orders(context: Any) -> None:
+    context.outcomes = []
+
+    @settings(max_examples=300)
+    @given(st.lists(RUMORS, max_size=8), st.randoms(use_true_random=False))
+    def check(rumors: list[Rumor], chance: Any) -> None:
+        known = [_rumor(node, 1, Health.ALIVE) for node in "ab"]
+        shuffled = list(rumors)
+        chance.shuffle(shuffled)
+        outcomes = []
+        for order in (rumors, shuffled):
+            table = MemberTable(_info("me", 1))
+            for rumor in [*known, *order, *order]:
+                table.apply(rumor, 0.0)
+            table.expire(LONG_AFTER_S)
+            outcomes.append({(info.node, info.incarnation) for info in table.up()})
+        context.outcomes.append(outcomes)
+
+    check()
+
+
+@then("both orders leave the same nodes up")
+def same_up(context: Any) -> None:
+    assert context.outcomes
+    for one, other in context.outcomes:
+        assert one == other, (one, other)
+
+
+@when("a membership table hears any rumors about itself and others")
+def hear_any(context: Any) -> None:
+    context.checked = 0
+
+    @settings(max_examples=300)
+    @given(st.lists(RUMORS, max_size=20))
+    def check(rumors: list[Rumor]) -> None:
+        table = MemberTable(_info("me", 1))
+        seen: dict[str, int] = {}
+        for rumor in rumors:
+            table.apply(rumor, 0.0)
+            held = {"me": table.me.incarnation}
+            held |= {str(node): entry.info.incarnation for node, entry in table.entries.items()}
+            assert all(held[node] >= before for node, before in seen.items())
+            seen = held
+            if rumor.node == "me" and rumor.health is not Health.ALIVE:
+                assert table.me.incarnation > rumor.incarnation
+        context.checked += 1
+
+    check()
+
+
+@then("no incarnation it holds ever goes back and its own word is the newest")
+def incarnations_held(context: Any) -> None:
+    assert context.checked
+
+
+@when("a member of fleets of several sizes is lost while messages are lost too")
+def lose_member(context: Any) -> None:
+    context.late = []
+
+    @settings(max_examples=25)
+    @given(st.integers(3, 24), st.integers(0, 10_000), st.sampled_from([0.0, 0.05]))
+    def check(size: int, seed: int, loss: float) -> None:
+        _lose_one(context, size, seed, loss)
+
+    check()
+    _lose_one(context, 90, 1, 0.05)
+
+
+def _lose_one(context: Any, size: int, seed: int, loss: float) -> None:
+    net = MemberNet(size, seed, loss)
+    net.run(MEET_S)
+    assert net.all_agree()
+    net.kill(NodeId(f"n{seed % size:03d}"))
+    net.run(5.0)
+    context.late.append((size, seed, loss, net.all_agree()))
+
+
+@then("every membership view is without it 5 s later")
+def lost_left(context: Any) -> None:
+    assert all(agreed for *_, agreed in context.late), context.late
+
+
+@when("membership runs for minutes while 5 in 100 messages are lost")
+def run_lossy(context: Any) -> None:
+    context.nets = []
+
+    @settings(max_examples=6)
+    @given(st.integers(2, 24), st.integers(0, 10_000))
+    def check(size: int, seed: int) -> None:
+        net = MemberNet(size, seed, 0.05)
+        net.run(120.0)
+        context.nets.append(net)
+
+    check()
+
+
+@then("no membership view ever held a live node to be down")
+def none_down(context: Any) -> None:
+    assert context.nets
+    for net in context.nets:
+        assert not net.wrong_downs, net.wrong_downs
+        assert net.all_agree()
+
+
+@when("a member is paused for any time and goes on")
+def pause_member(context: Any) -> None:
+    context.nets = []
+
+    @settings(max_examples=15)
+    @given(st.integers(3, 16), st.integers(0, 10_000), st.floats(0.5, 60))
+    def check(size: int, seed: int, pause_s: float) -> None:
+        net = MemberNet(size, seed)
+        net.run(MEET_S)
+        victim = NodeId(f"n{seed % size:03d}")
+        net.pause(victim)
+        net.run(pause_s)
+        net.resume(victim)
+        net.run(HEAL_S)
+        context.nets.append((victim, net))
+
+    check()
+
+
+@then("all membership views agree again and nobody else was held to be down")
+def paused_back(context: Any) -> None:
+    assert context.nets
+    for victim, net in context.nets:
+        assert net.all_agree()
+        assert {other for _, other in net.wrong_downs} <= {victim}, net.wrong_downs
+
+
+@when("membership is cut in two for any time and joined again")
+def cut_in_two(context: Any) -> None:
+    context.cuts = []
+
+    @settings(max_examples=12)
+    @given(st.integers(4, 20), st.integers(0, 10_000), st.floats(1, 120))
+    def check(size: int, seed: int, cut_s: float) -> None:
+        net = MemberNet(size, seed)
+        net.run(MEET_S)
+        net.side = {node: index % 2 for index, node in enumerate(net.cores)}
+        net.run(cut_s)
+        halves = cut_s < 15 or all(
+            net.up(node) == {other for other in net.cores if net.side[other] == net.side[node]}
+            for node in net.cores
+        )
+        net.side = {}
+        net.run(HEAL_S)
+        context.cuts.append((size, seed, cut_s, halves, net.all_agree()))
+
+    check()
+
+
+@then("each half agreed on itself and all membership views agree at the end")
+def cut_healed(context: Any) -> None:
+    assert all(halves and healed for *_, halves, healed in context.cuts), context.cuts
+
+
+@when("a member announces that it leaves")
+def member_leaves(context: Any) -> None:
+    context.left = []
+
+    @settings(max_examples=15)
+    @given(st.integers(2, 24), st.integers(0, 10_000), st.sampled_from([0.0, 0.05]))
+    def check(size: int, seed: int, loss: float) -> None:
+        net = MemberNet(size, seed, loss)
+        net.run(MEET_S)
+        leaver = NodeId(f"n{seed % size:03d}")
+        core = net.cores[leaver]
+        core.describe(replace(core.me, state=NodeState.LEAVING))
+        net.run(3.0)
+        shown = [
+            other.table.entries[leaver].info.state
+            for node, other in net.cores.items()
+            if node != leaver
+        ]
+        net._do(leaver, core.end())
+        net.kill(leaver)
+        net.run(5.0)
+        context.left.append((set(shown) == {NodeState.LEAVING}, net.all_agree()))
+
+    check()
+
+
+@then("every membership view shows it leaving 3 s later and gone after its end")
+def left_seen(context: Any) -> None:
+    assert all(shown and gone for shown, gone in context.left), context.left
+
+
+def _names(agent: Any) -> list[str]:
+    return [info.node for info in agent.nodes()]
+
+
+@when("agents meet over loopback and one falls silent")
+def agents_meet(context: Any) -> None:
+    async def main(runtime: Runtime) -> None:
+        key_value = MemoryKeyValue(runtime.loop)
+        first = start_agent(runtime, key_value, "n0")
+        agents = [first] + [
+            start_agent(runtime, key_value, f"n{index}", first.address) for index in range(1, 5)
+        ]
+        everyone = [f"n{index}" for index in range(5)]
+        await until(runtime, lambda: all(_names(agent) == everyone for agent in agents))
+        agents[3].prober.close()
+        left = [agent for agent in agents if agent is not agents[3]]
+        rest = [name for name in everyone if name != "n3"]
+        await until(runtime, lambda: all(_names(agent) == rest for agent in left))
+        context.names = [_names(agent) for agent in left]
+
+    run_on_loop(main)
+
+
+@then("the agents that remain lose it and keep each other")
+def agents_kept(context: Any) -> None:
+    assert context.names == [["n0", "n1", "n2", "n4"]] * 4
+
+
+@when("an agent is restarted under its old name at another address")
+def agent_restarts(context: Any) -> None:
+    async def main(runtime: Runtime) -> None:
+        key_value = MemoryKeyValue(runtime.loop)
+        first = start_agent(runtime, key_value, "n0")
+        second = start_agent(runtime, key_value, "n1", first.address)
+        await until(runtime, lambda: len(first.nodes()) == 2)
+        second.prober.close()
+        again = start_agent(runtime, key_value, "n1", first.address)
+        await until(
+            runtime,
+            lambda: first.nodes()[-1].addresses[Service.AGENT] == again.address,
+        )
+        context.counts = (len(first.nodes()), len(again.nodes()))
+
+    run_on_loop(main)
+
+
+@then("every other agent knows it at the new address only")
+def restarted_known(context: Any) -> None:
+    assert context.counts == (2, 2)
+
+
+async def close_server(runtime: Runtime, agent: Any) -> None:
+    """Close an agent's listening socket and its connections."""
+    for sock in list(agent.server._clients):
+        agent.server._close(sock)
+    agent.server._close(agent.server._sock)
+    await runtime.loop.sleep(0.1)
+
+
+@when("a follower's agent goes away and comes back empty")
+def follower_keeps(context: Any) -> None:
+    async def main(runtime: Runtime) -> None:
+        key_value = MemoryKeyValue(runtime.loop)
+        agent = start_agent(runtime, key_value, "n0")
+        follower = Follower(
+            runtime,
+            agent.address,
+            Service.SCHEDULER,
+            Address("127.0.0.1:9"),
+            node=NodeId("n0"),
+            domain=DomainName("d1"),
+        )
+        follower.start()
+        desk = SettingsDesk(runtime, key_value, agent.take_accepted)
+        author = Author("o", "test", 0.0)
+        await desk.change(parse_path("/teams/a"), {"weight": 2}, author)
+        await until(runtime, lambda: "a" in follower.settings().teams)
+        await until(runtime, lambda: Service.SCHEDULER in agent.self_node().addresses)
+        key_value.faults.outage = True
+        agent.prober.close()
+        await close_server(runtime, agent)
+        await until(runtime, lambda: not follower.agent_answers)
+        context.kept = follower.settings().teams["a"].weight
+        other = start_agent(runtime, MemoryKeyValue(runtime.loop), "n0-again")
+        follower.agent = other.address
+        await until(runtime, lambda: follower.agent_answers)
+        await runtime.loop.sleep(1.0)
+        context.kept_after = follower.settings().teams["a"].weight
+        await desk_change(runtime, other)
+        await until(runtime, lambda: "b" in follower.settings().teams)
+
+    async def desk_change(runtime: Runtime, agent: Any) -> None:
+        desk = SettingsDesk(runtime, agent.feed.key_value, agent.take_accepted)
+        await desk.change(parse_path("/teams/b"), {"weight": 2}, Author("o", "test", 0.0))
+
+    run_on_loop(main)
+
+
+@then("the follower kept nodes and settings and follows again")
+def follower_kept(context: Any) -> None:
+    assert (context.kept, context.kept_after) == (2, 2)
+
+
+@when("an agent receives any bytes as a datagram")
+def any_bytes(context: Any) -> None:
+    async def main(runtime: Runtime) -> None:
+        agent = start_agent(runtime, MemoryKeyValue(runtime.loop), "n0")
+
+        @settings(max_examples=200)
+        @given(st.binary(max_size=200))
+        def check(data: bytes) -> None:
+            agent.prober._on_datagram(data)
+
+        check()
+        context.nodes = _names(agent)
+
+    run_on_loop(main)
+
+
+@then("the agent still answers")
+def still_answers(context: Any) -> None:
+    assert context.nodes == ["n0"]
--- a/features/support/loop.py
+++ b/features/support/loop.py
@@ -17,6 +17,7 @@
     box: list[Any] = []
 
     async def main() -> None:
+        await runtime.loop.sleep(0)
         task = runtime.loop.spawn(start(runtime))
         try:
             box.append((True, await runtime.loop.within(RUN_LIMIT_S, task)))
--- a/parsleyrouter/commands/ctl_client.py
+++ b/parsleyrouter/commands/ctl_client.py
@@ -92,6 +92,7 @@
     box: list[tuple[T | None, BaseException | None]] = []
 
     async def main() -> None:
+        await runtime.loop.sleep(0)
         try:
             box.append((await work(runtime), None))
         except Exception as error:
--- /dev/null
+++ b/parsleyrouter/connection/datagram.py
@@ -0,0 +1,71 @@
+"""Send and receive UDP datagrams."""
+
+import errno
+import logging
+import socket
+from collections.abc import Callable
+from typing import Any
+
+from circuits import Component, handler
+
+from parsleyrouter.connection.stream import split_address
+from parsleyrouter.ids import Address
+from parsleyrouter.process.loop import Loop
+
+__all__ = ["HEADER_BYTES", "Datagrams"]
+
+LARGEST_BYTES = 65_507
+HEADER_BYTES = 28
+"""Bytes that IP and UDP add to each datagram."""
+
+READS_A_TURN = 64
+
+log = logging.getLogger(__name__)
+
+OnDatagram = Callable[[bytes], None]
+
+
+class Datagrams(Component):
+    """Own one UDP socket; ``on_datagram`` takes what arrives."""
+
+    def __init__(self, loop: Loop, bind: Address, on_datagram: OnDatagram) -> None:
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.setblocking(False)
+        self.sock.bind(split_address(bind))
+        super().__init__(channel=f"datagram-{self.sock.fileno()}")
+        self.loop = loop
+        self.on_datagram = on_datagram
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        loop.poller.addReader(self, self.sock)
+
+    def bound_address(self) -> Address:
+        """Return the address of the socket."""
+        host, port = self.sock.getsockname()
+        return Address(f"{host}:{port}")
+
+    def send(self, to: Address, data: bytes) -> None:
+        """Send one datagram; it may be lost."""
+        try:
+            self.sock.sendto(data, split_address(to))
+        except (OSError, ValueError) as error:
+            log.debug("datagram not sent", extra={"to": to, "error": str(error)})
+            return
+        self.sent_bytes += len(data) + HEADER_BYTES
+
+    def close(self) -> None:
+        """Stop receiving."""
+        self.loop.poller.discard(self.sock)
+        self.sock.close()
+
+    @handler("_read")
+    def _on_readable(self, *_: Any) -> None:
+        for _turn in range(READS_A_TURN):
+            try:
+                data = self.sock.recv(LARGEST_BYTES)
+            except OSError as error:
+                if error.errno not in (errno.EAGAIN, errno.EWOULDBLOCK, errno.EBADF):
+                    log.debug("datagram not received", extra={"error": str(error)})
+                return
+            self.received_bytes += len(data) + HEADER_BYTES
+            self.on_datagram(data)
--- a/parsleyrouter/process/agent.py
+++ b/parsleyrouter/process/agent.py
@@ -5,24 +5,16 @@
 import time
 from collections.abc import Callable, Iterable
 
-import msgspec
-
-from parsleyrouter.connection.http import TransportFailure
 from parsleyrouter.connection.key_value import KeyValue
 from parsleyrouter.connection.peer import PeerFailure, PeerMethods, PeerServer
 from parsleyrouter.ids import Address, DomainName, NodeId, Revision
 from parsleyrouter.process.agent_options import AgentOptions
-from parsleyrouter.process.fleet_wire import (
-    from_mark,
-    from_member,
-    from_record,
-    to_mark,
-    to_member,
-    to_record,
-)
+from parsleyrouter.process.fleet_wire import from_mark, from_record, to_mark, to_member, to_record
+from parsleyrouter.process.prober import Prober
 from parsleyrouter.process.relays import SettingsFeed, is_relay
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.process.view import NodeInfo, NodeState, Service
+from parsleyrouter.process.vm_list import VmList
 from parsleyrouter.thrift_gen.fleet.ttypes import (
     Belief,
     FetchSettings,
@@ -34,14 +26,13 @@
     StatusQuery,
 )
 from parsleyrouter.version.in_force import SnapshotBuilder
-from parsleyrouter.version.merge import HeldRecord, Replica
+from parsleyrouter.version.merge import HeldRecord, Mark, Replica
 from parsleyrouter.version.snapshot import SettingsSnapshot
 
 __all__ = ["Agent"]
 
-TICK_S = 1.0
+CHECK_S = 0.5
 CALL_TIMEOUT_S = 1.0
-GONE_AFTER_S = 3.5
 REGISTRATION_S = 3.0
 
 log = logging.getLogger(__name__)
@@ -72,17 +63,23 @@
             self.loop, Address(options.agent), agent_methods, self, channel=f"agent-{node}"
         ).register(runtime)
         started_ms = time.time_ns() // 1_000_000
-        self.me = NodeInfo(node, domain, incarnation=started_ms)
-        self.heard: dict[NodeId, tuple[NodeInfo, float]] = {}
-        self.rumoured: set[Address] = set()
-        self.registered: dict[Service, tuple[Address, float]] = {}
-        self.own_services: dict[Service, Address] = {}
+        addresses = {Service.AGENT: self.address}
         self.replica = Replica(sequence=started_ms)
+        self.prober = Prober(
+            runtime,
+            self.address,
+            NodeInfo(node, domain, addresses, incarnation=started_ms),
+            mark=lambda: self.replica.mark(self.loop.now()),
+            on_mark=self._hear_mark,
+            on_change=self._changed,
+        )
+        self.vm_list = VmList(runtime, Address(options.vm_list), self._contact)
+        self.registered: dict[Service, tuple[Address, float]] = {}
+        self.own_services: dict[Service, Address] = dict(addresses)
         self.builder = SnapshotBuilder()
         self.snapshot = SettingsSnapshot()
-        self.feed = SettingsFeed(
-            self.loop, key_value, node, self.replica, lambda changed: self._settings_changed()
-        )
+        self.feed = SettingsFeed(self.loop, key_value, node, self.replica, self._settings_changed)
+        self.fetching = False
         self.callbacks: list[Callable[[], None]] = []
         self.version = started_ms
 
@@ -91,11 +88,17 @@
         """Return the address at which other processes reach this agent."""
         return self.server.bound_address()
 
+    @property
+    def me(self) -> NodeInfo:
+        """Return this node."""
+        return self.prober.core.me
+
     def start(self) -> None:
         """Begin to look for other nodes and for settings."""
-        self.own_services[Service.AGENT] = self.address
-        self._refresh_self()
-        self.loop.spawn(self._run(), "agent")
+        self._contact(())
+        self.prober.start()
+        self.vm_list.start()
+        self._check()
 
     def self_node(self) -> NodeInfo:
         """Return this node."""
@@ -103,8 +106,7 @@
 
     def nodes(self) -> tuple[NodeInfo, ...]:
         """Return the nodes believed up, ordered by id."""
-        others = [info for info, _ in self.heard.values()]
-        return tuple(sorted([self.me, *others], key=lambda info: info.node))
+        return tuple(sorted([self.me, *self.prober.up()], key=lambda info: info.node))
 
     def settings(self) -> SettingsSnapshot:
         """Return the settings in force here."""
@@ -121,94 +123,55 @@
 
     def set_load(self, load: float) -> None:
         """Tell how busy the node is, from 0 to 1."""
-        self.me = dataclasses.replace(self.me, load=load)
+        self.prober.core.set_load(load)
 
     def leave(self) -> None:
         """Announce that this node takes no new work."""
-        self.me = dataclasses.replace(
-            self.me, state=NodeState.LEAVING, incarnation=self.me.incarnation + 1
-        )
-        self._changed()
+        self.prober.describe(dataclasses.replace(self.me, state=NodeState.LEAVING))
+
+    def end(self) -> None:
+        """Announce that this node ends now."""
+        self.prober.end()
+        self.feed.want(False)
 
     def take_accepted(self, record: HeldRecord) -> None:
         """Put a change in force that was accepted here."""
-        if self.replica.take([record]):
-            self._settings_changed()
-
-    async def _run(self) -> None:
-        while True:
-            now = self.loop.now()
-            await self._visit_others()
-            gone = [node for node, (_, at) in self.heard.items() if now - at > GONE_AFTER_S]
-            for node in gone:
-                del self.heard[node]
-            self._drop_lapsed()
-            self.feed.want(is_relay(self.me.node, self.heard))
-            self._settings_changed()
-            if gone:
-                self._changed()
-            await self.loop.sleep(TICK_S)
-
-    async def _visit_others(self) -> None:
-        addresses = {Address(seed) for seed in self.options.seed_list()}
-        addresses |= set(await self._listed())
-        addresses |= self.rumoured
-        self.rumoured = set()
-        addresses |= {info.addresses[Service.AGENT] for info, _ in self.heard.values()}
-        addresses.discard(self.address)
-        visits = [self.loop.spawn(self._visit(address)) for address in addresses]
-        await self.loop.gather(visits)
-
-    async def _listed(self) -> list[Address]:
-        if not self.options.vm_list:
-            return []
-        reply = await self.runtime.http.request(
-            Address(self.options.vm_list), "GET", "/v1/vms", timeout_s=CALL_TIMEOUT_S
-        )
-        if isinstance(reply, TransportFailure) or reply.status != 200:
-            return []
-        try:
-            return [Address(entry["agent"]) for entry in reply.json()["vms"]]
-        except (msgspec.MsgspecError, KeyError, TypeError):
-            log.warning("the VM list cannot be read: check --vm-list")
-            return []
+        self._settings_changed(self.replica.take([record]))
 
-    async def _visit(self, address: Address) -> None:
-        mine = MemberList(node=self.me.node, beliefs=[Belief(member=to_member(self.me))])
-        answer = await self.runtime.peers.call(
-            address, "fleet.sync", mine, MemberList, CALL_TIMEOUT_S
-        )
-        if not isinstance(answer, PeerFailure):
-            self.hear(answer.node, answer.beliefs)
-            await self._fetch_settings(address)
+    def _contact(self, listed: Iterable[Address]) -> None:
+        wanted = {*listed, *map(Address, self.options.seed_list())} - {self.address}
+        self.prober.core.contacts = tuple(sorted(wanted))
+
+    def _check(self) -> None:
+        if self.prober.ended:
+            return
+        self.loop.call_later(CHECK_S, self._check)
+        self._drop_lapsed()
+        self.feed.want(is_relay(self.me.node, (info.node for info in self.prober.up())))
+        self._settings_changed(False)
+
+    def _hear_mark(self, address: Address, mark: Mark) -> None:
+        if self.replica.hear(mark, self.loop.now()) and not self.fetching:
+            self.fetching = True
+            self.loop.spawn(self._fetch_settings(address), "fetch settings")
 
     async def _fetch_settings(self, address: Address) -> None:
-        since = self.replica.complete
-        update = await self.runtime.peers.call(
-            address, "fleet.settings", FetchSettings(since=since), SettingsUpdate, CALL_TIMEOUT_S
-        )
+        try:
+            since = self.replica.complete
+            update = await self.runtime.peers.call(
+                address,
+                "fleet.settings",
+                FetchSettings(since=since),
+                SettingsUpdate,
+                CALL_TIMEOUT_S,
+            )
+        finally:
+            self.fetching = False
         if isinstance(update, PeerFailure):
             return
-        records = [from_record(record) for record in update.records]
-        self.replica.take_update(records, since, from_mark(update.mark), self.loop.now())
-        self._settings_changed()
-
-    def hear(self, sender: str, beliefs: Iterable[Belief]) -> None:
-        """Take in what a peer tells of nodes."""
-        now = self.loop.now()
-        changed = False
-        for belief in beliefs:
-            info = from_member(belief.member)
-            if info.node == self.me.node:
-                continue
-            if info.node != sender:
-                self.rumoured.add(info.addresses[Service.AGENT])
-                continue
-            known = self.heard.get(info.node)
-            self.heard[info.node] = (info, now)
-            changed = changed or known is None or known[0] != info
-        if changed:
-            self._changed()
+        records = map(from_record, update.records)
+        mark = from_mark(update.mark)
+        self._settings_changed(self.replica.take_update(records, since, mark, self.loop.now()))
 
     def follow(self, request: Follow) -> FollowAnswer:
         """Register a process of this VM and tell it what is newer than it holds."""
@@ -245,7 +208,7 @@
             complete=mark.complete,
             proof_age_ms=mark.proof_age_ms,
             proved_current=self.snapshot.proved_current,
-            nodes=len(self.heard) + 1,
+            nodes=len(self.nodes()),
             in_force=self.replica.in_force(revision),
         )
 
@@ -277,18 +240,15 @@
         addresses = {service: address for service, (address, _) in self.registered.items()}
         addresses |= self.own_services
         if addresses != self.me.addresses:
-            self.me = dataclasses.replace(
-                self.me, addresses=addresses, incarnation=self.me.incarnation + 1
-            )
-            self._changed()
+            self.prober.describe(dataclasses.replace(self.me, addresses=addresses))
 
-    def _settings_changed(self) -> None:
+    def _settings_changed(self, changed: bool) -> None:
+        if changed:
+            self.prober.push()
         proved = self.replica.proved_current(self.loop.now())
-        known = self.snapshot
-        if known.revision == self.replica.head and known.proved_current == proved:
-            return
-        self.snapshot = self.builder.build(self.replica.records.values(), proved)
-        self._changed()
+        if changed or self.snapshot.proved_current != proved:
+            self.snapshot = self.builder.build(self.replica.records.values(), proved)
+            self._changed()
 
     def _changed(self) -> None:
         self.version += 1
@@ -298,9 +258,8 @@
 
 @agent_methods.add("fleet.sync", MemberList)
 async def _sync(agent: Agent, request: MemberList) -> MemberList:
-    agent.hear(request.node, request.beliefs)
-    beliefs = [Belief(member=to_member(info)) for info in agent.nodes()]
-    return MemberList(node=agent.me.node, beliefs=beliefs)
+    agent.prober.hear(request.beliefs)
+    return agent.prober.beliefs()
 
 
 @agent_methods.add("fleet.settings", FetchSettings)
--- a/parsleyrouter/process/fleet_wire.py
+++ b/parsleyrouter/process/fleet_wire.py
@@ -1,22 +1,44 @@
 """Turn members and settings into thrift messages and back."""
 
+from typing import Any
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
+from thrift.transport.TTransport import TMemoryBuffer
+
 from parsleyrouter.ids import Address, DomainName, NodeId, Revision
+from parsleyrouter.process.member_table import Health, Rumor
+from parsleyrouter.process.membership import Message, MessageKind
 from parsleyrouter.process.view import NodeInfo, NodeState, Service
-from parsleyrouter.thrift_gen.fleet.ttypes import Member, SettingsMark, SettingsRecord
+from parsleyrouter.thrift_gen.fleet.ttypes import (
+    Belief,
+    Member,
+    Probe,
+    SettingsMark,
+    SettingsRecord,
+)
 from parsleyrouter.version.merge import HeldRecord, Mark
 
 __all__ = [
+    "BadDatagram",
+    "decode",
+    "encode",
     "from_mark",
     "from_member",
     "from_record",
+    "from_rumor",
     "to_mark",
     "to_member",
     "to_record",
+    "to_rumor",
 ]
 
 LONGEST_AGE_MS = 2**31 - 1
 
 
+class BadDatagram(ValueError):
+    """Report a datagram that is no message of ours."""
+
+
 def to_member(info: NodeInfo) -> Member:
     """Return the message of a node."""
     services = {
@@ -74,3 +96,63 @@
 def from_record(message: SettingsRecord) -> HeldRecord:
     """Return the record of a message."""
     return HeldRecord(message.subtree, Revision(message.revision), message.data)
+
+
+def to_rumor(rumor: Rumor) -> Belief:
+    """Return the message of a rumor."""
+    member = None if rumor.info is None else to_member(rumor.info)
+    return Belief(
+        health=rumor.health.value,
+        node=rumor.node,
+        incarnation=rumor.incarnation,
+        member=member,
+    )
+
+
+def from_rumor(belief: Belief) -> Rumor:
+    """Return the rumor of a message."""
+    info = None if belief.member is None else from_member(belief.member)
+    return Rumor(NodeId(belief.node), belief.incarnation, Health(belief.health), info)
+
+
+def encode(message: Message, mark: Mark) -> bytes:
+    """Encode a datagram."""
+    probe = Probe(
+        kind=message.kind.value,
+        sender=message.sender,
+        sequence=message.sequence,
+        target=message.target or None,
+        target_agent=message.target_agent or None,
+        beliefs=list(map(to_rumor, message.rumors)),
+        settings=to_mark(mark),
+        digest=message.digest,
+        reply_to=message.reply_to,
+        load=message.load,
+    )
+    buffer = TMemoryBuffer()
+    probe.write(TCompactProtocolAccelerated(buffer))
+    return bytes(buffer.getvalue())
+
+
+def decode(data: bytes) -> tuple[Message, Mark]:
+    """Decode a datagram; raise ``BadDatagram``."""
+    probe = Probe()
+    try:
+        probe.read(TCompactProtocolAccelerated(TMemoryBuffer(data)))
+        return _message(probe), from_mark(probe.settings)
+    except Exception as error:
+        raise BadDatagram(str(error)) from error
+
+
+def _message(probe: Any) -> Message:
+    return Message(
+        kind=MessageKind(probe.kind),
+        sender=NodeId(probe.sender),
+        reply_to=Address(probe.reply_to),
+        sequence=probe.sequence,
+        target=NodeId(probe.target or ""),
+        target_agent=Address(probe.target_agent or ""),
+        rumors=tuple(map(from_rumor, probe.beliefs)),
+        digest=probe.digest,
+        load=probe.load,
+    )
--- /dev/null
+++ b/parsleyrouter/process/membership.py
@@ -0,0 +1,301 @@
+"""Decide who is in the fleet: probes, suspicions, refutations and gossip.
+
+Pure: messages and the time go in, actions come out. Each node probes others; one that answers
+neither directly nor through helpers is suspected and told so; unless it refutes the suspicion in
+time it is held to be down. News go at once to a few nodes and ride on every probe.
+"""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from enum import Enum
+
+from parsleyrouter.ids import Address, NodeId
+from parsleyrouter.process.gossip import GossipQueue
+from parsleyrouter.process.member_table import Health, MemberTable, Rumor
+from parsleyrouter.process.probe_order import ProbeOrder
+from parsleyrouter.process.view import NodeInfo, Service
+
+__all__ = ["Action", "Membership", "Message", "MessageKind", "Send", "Sync"]
+
+PROBE_EVERY_S = 0.5
+RETRY_AFTER_S = 0.2
+HELP_AFTER_S = 0.4
+FAIL_AFTER_S = 0.9
+HELPERS = 3
+PUSH_TO = 3
+PAUSED_AFTER_S = 1.0
+CONTACT_EVERY_S = 5.0
+CONTACT_ALONE_S = 1.0
+MISMATCH_PATIENCE_S = 4.0
+
+
+class MessageKind(Enum):
+    """Say what a datagram asks."""
+
+    PING = 0
+    ACK = 1
+    HELP = 2
+    NEWS = 3
+
+
+@dataclass(frozen=True)
+class Message:
+    """One datagram; ``target`` is the node to be probed or the node that answered."""
+
+    kind: MessageKind
+    sender: NodeId
+    reply_to: Address
+    sequence: int = 0
+    target: NodeId = NodeId("")
+    target_agent: Address = Address("")
+    rumors: tuple[Rumor, ...] = ()
+    digest: int = 0
+    load: float = 0.0
+
+
+@dataclass(frozen=True)
+class Send:
+    """Send a datagram."""
+
+    to: Address
+    message: Message
+
+
+@dataclass(frozen=True)
+class Sync:
+    """Exchange all beliefs with an agent."""
+
+    to: Address
+
+
+Action = Send | Sync
+
+
+@dataclass
+class _Probe:
+    node: NodeId
+    sent_s: float
+    retried: bool = False
+    helped: bool = False
+
+
+@dataclass(frozen=True)
+class _Helped:
+    """A probe made for another node, which waits for the answer under its own sequence."""
+
+    asker: Address
+    sequence: int
+    due_s: float
+
+
+class Membership:
+    """Keep one node's beliefs up to date; call ``tick`` several times a second."""
+
+    def __init__(self, me: NodeInfo, chance: random.Random) -> None:
+        self.table = MemberTable(me)
+        self.chance = chance
+        self.order = ProbeOrder(me.node, chance)
+        self.ordered_at = -1
+        self.gossip = GossipQueue()
+        self.probes: dict[int, _Probe] = {}
+        self.helping: dict[int, _Helped] = {}
+        self.sequence = 0
+        self.next_probe_s = 0.0
+        self.next_contact_s = 0.0
+        self.last_tick_s: float | None = None
+        self.mismatch_s: float | None = None
+        self.contacts: tuple[Address, ...] = ()
+        self.push_due = False
+        self.suspicions = 0
+
+    @property
+    def me(self) -> NodeInfo:
+        """Return this node."""
+        return self.table.me
+
+    def tick(self, now: float) -> list[Action]:
+        """Do what is due."""
+        self._notice_pause(now)
+        self._reorder()
+        actions: list[Action] = self._contact(now)
+        for rumor in self.table.expire(now):
+            self._spread(rumor)
+        actions += self._check_probes(now)
+        if now >= self.next_probe_s:
+            self.next_probe_s = now + PROBE_EVERY_S * self.chance.uniform(0.9, 1.1)
+            actions += self._probe(now)
+        return actions + self._push()
+
+    def receive(self, message: Message, now: float) -> list[Action]:
+        """Take in a datagram."""
+        self.hear(message.rumors, now)
+        self.table.note_load(message.sender, message.load)
+        actions = self._compare(message, now)
+        if message.kind is MessageKind.PING:
+            answer = self._message(MessageKind.ACK, message.sender, message.sequence)
+            actions.append(Send(message.reply_to, answer))
+        elif message.kind is MessageKind.HELP:
+            actions += self._help(message, now)
+        elif message.kind is MessageKind.ACK:
+            actions += self._acknowledged(message)
+        return actions
+
+    def hear(self, rumors: Iterable[Rumor], now: float) -> bool:
+        """Take in rumors and pass on those that are news; return whether any was.
+
+        A node that knew nobody passes nothing on: what it learns is known.
+        """
+        news = False
+        joining = not self.table.entries
+        for rumor in rumors:
+            if not self.table.apply(rumor, now):
+                continue
+            news = True
+            entry = self.table.entries.get(rumor.node)
+            if joining and entry is not None:
+                continue
+            self._spread(self.table.own_rumor() if entry is None else entry.rumor())
+        return news
+
+    def describe(self, info: NodeInfo) -> None:
+        """Announce a new description of this node."""
+        self.table.set_me(info)
+        self._spread(self.table.own_rumor())
+
+    def set_load(self, load: float) -> None:
+        """Tell the load with the next messages."""
+        self.table.me = replace(self.me, load=load)
+
+    def end(self) -> list[Action]:
+        """Tell some nodes that this one, which was leaving, ends now."""
+        gone = Rumor(self.me.node, self.me.incarnation, Health.DOWN)
+        message = replace(self._message(MessageKind.NEWS, None), rumors=(gone,))
+        self._reorder()
+        return [Send(self._address(node), message) for node in self.order.sample(2 * PUSH_TO)]
+
+    def _spread(self, rumor: Rumor) -> None:
+        self.gossip.add(rumor)
+        self.push_due = True
+
+    def _notice_pause(self, now: float) -> None:
+        last, self.last_tick_s = self.last_tick_s, now
+        if last is not None and now - last > PAUSED_AFTER_S:
+            self.probes.clear()
+            self.table.postpone(now - last)
+
+    def _reorder(self) -> None:
+        if self.ordered_at != self.table.version:
+            self.ordered_at = self.table.version
+            self.order.set_members(info.node for info in self.table.up())
+
+    def _probe(self, now: float) -> list[Action]:
+        node = self.order.next()
+        if node is None:
+            return []
+        self.sequence += 1
+        self.probes[self.sequence] = _Probe(node, now)
+        return [self._ping(node, self.sequence)]
+
+    def _ping(self, node: NodeId, sequence: int) -> Send:
+        return Send(self._address(node), self._message(MessageKind.PING, node, sequence))
+
+    def _check_probes(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for sequence, probe in list(self.probes.items()):
+            age_s = now - probe.sent_s
+            if probe.node not in self.table.entries or age_s >= FAIL_AFTER_S:
+                del self.probes[sequence]
+                actions += self._doubt(probe.node, now)
+            elif age_s >= HELP_AFTER_S and not probe.helped:
+                probe.helped = True
+                actions += self._ask_help(probe.node, sequence)
+            elif age_s >= RETRY_AFTER_S and not probe.retried:
+                probe.retried = True
+                actions.append(self._ping(probe.node, sequence))
+        lapsed = [key for key, helped in self.helping.items() if helped.due_s <= now]
+        for key in lapsed:
+            del self.helping[key]
+        return actions
+
+    def _doubt(self, node: NodeId, now: float) -> list[Action]:
+        if not self.table.suspect(node, now):
+            return []
+        self.suspicions += 1
+        self._spread(self.table.entries[node].rumor())
+        return [Send(self._address(node), self._message(MessageKind.NEWS, node))]
+
+    def _ask_help(self, node: NodeId, sequence: int) -> list[Action]:
+        asked = self._message(MessageKind.HELP, None, sequence)
+        message = replace(asked, target=node, target_agent=self._address(node))
+        helpers = self.order.sample(HELPERS, without=node)
+        return [Send(self._address(helper), message) for helper in helpers]
+
+    def _help(self, message: Message, now: float) -> list[Action]:
+        self.sequence += 1
+        self.helping[self.sequence] = _Helped(message.reply_to, message.sequence, now + 1.0)
+        ping = self._message(MessageKind.PING, message.target, self.sequence)
+        return [Send(message.target_agent, ping)]
+
+    def _acknowledged(self, message: Message) -> list[Action]:
+        probe = self.probes.get(message.sequence)
+        if probe is not None and probe.node in (message.sender, message.target):
+            del self.probes[message.sequence]
+        helped = self.helping.pop(message.sequence, None)
+        if helped is None:
+            return []
+        answer = self._message(MessageKind.ACK, None, helped.sequence)
+        return [Send(helped.asker, replace(answer, target=message.sender))]
+
+    def _contact(self, now: float) -> list[Action]:
+        if now < self.next_contact_s:
+            return []
+        up = self.table.up()
+        pause_s = CONTACT_EVERY_S if up else CONTACT_ALONE_S
+        self.next_contact_s = now + pause_s * self.chance.uniform(0.8, 1.2)
+        known = {info.addresses[Service.AGENT] for info in (self.me, *up)}
+        wanted = {*self.contacts, *(info.addresses[Service.AGENT] for info in self.table.down())}
+        strangers = sorted(wanted - known)
+        return [Sync(self.chance.choice(strangers))] if strangers else []
+
+    def _compare(self, message: Message, now: float) -> list[Action]:
+        """Exchange all beliefs with a node that has held other beliefs for some time."""
+        if message.digest == self.table.digest():
+            self.mismatch_s = None
+            return []
+        if self.mismatch_s is None:
+            self.mismatch_s = now
+        if now - self.mismatch_s < MISMATCH_PATIENCE_S:
+            return []
+        self.mismatch_s = now
+        return [Sync(message.reply_to)]
+
+    def _push(self) -> list[Action]:
+        if not self.push_due:
+            return []
+        self.push_due = False
+        self._reorder()
+        actions: list[Action] = []
+        for rumors in self.gossip.take_fresh() or [[]]:
+            message = replace(self._message(MessageKind.NEWS, None), rumors=tuple(rumors))
+            targets = self.order.sample(PUSH_TO)
+            actions += [Send(self._address(node), message) for node in targets]
+        return actions
+
+    def _message(self, kind: MessageKind, to: NodeId | None, sequence: int = 0) -> Message:
+        rumors = self.gossip.pick(len(self.table.entries)) if kind is not MessageKind.HELP else []
+        entry = self.table.entries.get(to) if to is not None else None
+        if entry is not None and entry.health is not Health.ALIVE:
+            rumors = [entry.rumor(), *(one for one in rumors if one.node != to)]
+        return Message(
+            kind=kind,
+            sender=self.me.node,
+            reply_to=self.me.addresses[Service.AGENT],
+            sequence=sequence,
+            rumors=tuple(rumors),
+            digest=self.table.digest(),
+            load=self.me.load,
+        )
+
+    def _address(self, node: NodeId) -> Address:
+        return self.table.entries[node].info.addresses[Service.AGENT]
--- /dev/null
+++ b/parsleyrouter/process/prober.py
@@ -0,0 +1,129 @@
+"""Run the membership decisions over UDP, and the exchanges of all beliefs over TCP."""
+
+import logging
+import random
+from collections.abc import Callable, Iterable
+
+from parsleyrouter.connection.datagram import Datagrams
+from parsleyrouter.connection.peer import PeerFailure
+from parsleyrouter.ids import Address, NodeId
+from parsleyrouter.process.fleet_wire import BadDatagram, decode, encode, from_rumor, to_rumor
+from parsleyrouter.process.membership import Action, Membership, Send
+from parsleyrouter.process.runtime import Runtime
+from parsleyrouter.process.view import NodeInfo
+from parsleyrouter.thrift_gen.fleet.ttypes import Belief, MemberList
+from parsleyrouter.version.merge import Mark
+
+__all__ = ["Prober"]
+
+TICK_S = 0.1
+SYNC_TIMEOUT_S = 2.0
+
+log = logging.getLogger(__name__)
+
+
+class Prober:
+    """Own the UDP socket of an agent; every datagram carries the mark of its settings."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        bind: Address,
+        me: NodeInfo,
+        *,
+        mark: Callable[[], Mark],
+        on_mark: Callable[[Address, Mark], None],
+        on_change: Callable[[], None],
+    ) -> None:
+        self.runtime = runtime
+        self.loop = runtime.loop
+        self.core = Membership(me, random.Random())
+        self.socket = Datagrams(self.loop, bind, self._on_datagram).register(runtime)
+        self.mark = mark
+        self.on_mark = on_mark
+        self.on_change = on_change
+        self.told_version = -1
+        self.dropped: Callable[[], bool] = lambda: False
+        self.ended = False
+
+    def start(self) -> None:
+        """Begin to probe."""
+        self._tick()
+
+    def describe(self, info: NodeInfo) -> None:
+        """Announce a new description of this node."""
+        self.core.describe(info)
+        self._tell()
+
+    def push(self) -> None:
+        """Send news soon, because the settings here have changed."""
+        self.core.push_due = True
+
+    def end(self) -> None:
+        """Tell others that this node ends and fall silent."""
+        if not self.ended:
+            self._do(self.core.end())
+            self.ended = True
+
+    def close(self) -> None:
+        """Fall silent without a word, as a lost VM does."""
+        self.ended = True
+        self.socket.close()
+
+    def beliefs(self) -> MemberList:
+        """Return all that this node believes."""
+        rumors = self.core.table.all_rumors()
+        return MemberList(node=self.core.me.node, beliefs=list(map(to_rumor, rumors)))
+
+    def hear(self, beliefs: Iterable[Belief]) -> None:
+        """Take in the beliefs of another node."""
+        self.core.hear(map(from_rumor, beliefs), self.loop.now())
+        self._tell()
+
+    def up(self) -> list[NodeInfo]:
+        """Return the other nodes believed up."""
+        return self.core.table.up()
+
+    def knows(self, node: NodeId) -> bool:
+        """Tell whether a node is believed up."""
+        return any(info.node == node for info in self.up())
+
+    def _tick(self) -> None:
+        if self.ended:
+            return
+        self.loop.call_later(TICK_S, self._tick)
+        self._do(self.core.tick(self.loop.now()))
+        self._tell()
+
+    def _on_datagram(self, data: bytes) -> None:
+        if self.ended or self.dropped():
+            return
+        try:
+            message, mark = decode(data)
+        except BadDatagram as error:
+            log.debug("datagram not understood", extra={"error": str(error)})
+            return
+        self._do(self.core.receive(message, self.loop.now()))
+        self._tell()
+        self.on_mark(message.reply_to, mark)
+
+    def _do(self, actions: Iterable[Action]) -> None:
+        for action in actions:
+            if self.ended:
+                return
+            if isinstance(action, Send):
+                self.socket.send(action.to, encode(action.message, self.mark()))
+            else:
+                self.loop.spawn(self._sync(action.to), "sync members")
+
+    async def _sync(self, address: Address) -> None:
+        answer = await self.runtime.peers.call(
+            address, "fleet.sync", self.beliefs(), MemberList, SYNC_TIMEOUT_S
+        )
+        if not isinstance(answer, PeerFailure) and not self.ended:
+            self.hear(answer.beliefs)
+
+    def _tell(self) -> None:
+        if self.told_version != self.core.table.version:
+            self.told_version = self.core.table.version
+            self.on_change()
--- /dev/null
+++ b/parsleyrouter/process/vm_list.py
@@ -0,0 +1,71 @@
+"""Read the platform's VM list now and then, to learn where other agents are."""
+
+import logging
+from collections.abc import Callable
+
+import msgspec
+
+from parsleyrouter.connection.http import HttpReply, TransportFailure
+from parsleyrouter.ids import Address
+from parsleyrouter.process.runtime import Runtime
+
+__all__ = ["VM_LIST_PATH", "VmList"]
+
+VM_LIST_PATH = "/v1/vms"
+READ_FIRST_S = 1.0
+READ_EVERY_S = 10.0
+CALL_TIMEOUT_S = 2.0
+
+log = logging.getLogger(__name__)
+
+
+class ListedVm(msgspec.Struct):
+    """One VM as the platform lists it."""
+
+    node: str
+    agent: str
+    domain: str = ""
+    state: str = "live"
+
+
+class _Listing(msgspec.Struct):
+    vms: list[ListedVm]
+
+
+class VmList:
+    """Hand the agents' addresses on after each reading; without an address do nothing."""
+
+    def __init__(
+        self, runtime: Runtime, address: Address, on_read: Callable[[list[Address]], None]
+    ) -> None:
+        self.runtime = runtime
+        self.address = address
+        self.on_read = on_read
+
+    def start(self) -> None:
+        """Begin to read."""
+        if self.address:
+            self.runtime.loop.spawn(self._run(), "VM list")
+
+    async def _run(self) -> None:
+        while True:
+            reply = await self.runtime.http.request(
+                self.address, "GET", VM_LIST_PATH, timeout_s=CALL_TIMEOUT_S
+            )
+            found = _agents(reply)
+            if found is None:
+                await self.runtime.loop.sleep(READ_FIRST_S)
+                continue
+            self.on_read(found)
+            await self.runtime.loop.sleep(READ_EVERY_S if len(found) > 1 else READ_FIRST_S)
+
+
+def _agents(reply: HttpReply | TransportFailure) -> list[Address] | None:
+    if isinstance(reply, TransportFailure) or reply.status != 200:
+        return None
+    try:
+        listing = msgspec.json.decode(reply.body, type=_Listing)
+    except msgspec.MsgspecError as error:
+        log.warning("the VM list cannot be read: check --vm-list", extra={"error": str(error)})
+        return None
+    return [Address(vm.agent) for vm in listing.vms if vm.agent]
