Let batch holders give up before their home gives the slot away

The home now waits 2.0 s and the holder 1.4 s, further apart than one round of renewals. Ruled out: telling the client the home's expiry, which would still leave the check interval.

--- a/features/steps/grants_steps.py
+++ b/features/steps/grants_steps.py
@@ -9,7 +9,10 @@
 from parsleyrouter.outcome import Ran, Refusal
 from parsleyrouter.process.grant_port import CallResult, Grant
 from parsleyrouter.process.grants import GrantOptions
+from parsleyrouter.process.held_grants import BATCH_LEASE_S
 from parsleyrouter.process.runtime import Runtime
+from parsleyrouter.process.slot_events import Usage
+from parsleyrouter.version.snapshot import SettingsSnapshot
 
 PATIENT = GrantOptions(answer_s=5.0)
 """Options that never take a busy machine for a silent scheduler."""
@@ -111,6 +114,7 @@
         scheduler.methods.methods["grant.ask"] = (request_type, slowly)
         scheduler.methods.methods["grant.release"] = (release[0], lose)
         used = await client.acquire(fleet.request())
+        await runtime.loop.sleep(0.1)
         scheduler.methods.methods["grant.release"] = release
         table = scheduler.tables["e1"]
         before = len(table.held)
@@ -130,3 +134,143 @@
     assert isinstance(used, Grant) and used.local, used
     assert before == 1 and late == 1, (before, late)
     assert not held
+
+
+@when("a request that waits in the queue is cancelled")
+def cancel_waiting(context: Any) -> None:
+    async def main(runtime: Runtime) -> tuple[Any, ...]:
+        fleet = await _start(runtime, context.slots, PATIENT)
+        client, table = fleet.clients[0], fleet.schedulers[0].tables["e1"]
+        first = await client.acquire(fleet.request())
+        leaving = runtime.loop.spawn(client.acquire(fleet.request()))
+        staying = runtime.loop.spawn(client.acquire(fleet.request()))
+        await _until(runtime, lambda: len(table.online) == 2)
+        leaving.cancel()
+        await _until(runtime, lambda: len(table.online) == 1)
+        waiting = len(table.online)
+        client.release(first, CallResult(ok=True))
+        return waiting, await runtime.loop.within(10, staying)
+
+    context.outcome = run_on_loop(main)
+
+
+async def _until(runtime: Runtime, met: Any, limit_s: float = 10.0) -> bool:
+    until_s = runtime.loop.now() + limit_s
+    while not met() and runtime.loop.now() < until_s:
+        await runtime.loop.sleep(0.02)
+    return bool(met())
+
+
+@then("the home forgets the ask and gives the slot to the next")
+def forgotten(context: Any) -> None:
+    waiting, grant = context.outcome
+    assert waiting == 1, waiting
+    assert isinstance(grant, Grant), grant
+
+
+@when("a batch grant is revoked before its answer has come")
+def overtake(context: Any) -> None:
+    async def main(runtime: Runtime) -> tuple[Any, ...]:
+        fleet = await _start(runtime, context.slots, PATIENT)
+        client, scheduler = fleet.clients[0], fleet.schedulers[0]
+        request_type, ask = scheduler.methods.methods["grant.ask"]
+
+        async def slowly(extra: Any, message: Any) -> Any:
+            answer = await ask(extra, message)
+            if message.batch:
+                await runtime.loop.sleep(0.3)
+            return answer
+
+        scheduler.methods.methods["grant.ask"] = (request_type, slowly)
+        told: list[bool] = []
+        request = fleet.request(batch=True, deadline_in_s=1.0)
+        batch = runtime.loop.spawn(client.acquire(request, lambda: told.append(True)))
+        await _until(runtime, lambda: scheduler.tables["e1"].held)
+        online = await runtime.loop.within(10, runtime.loop.spawn(client.acquire(fleet.request())))
+        return online, await batch, told
+
+    context.outcome = run_on_loop(main)
+
+
+@then("the grant is not used and the slot comes free")
+def not_used(context: Any) -> None:
+    online, batch, told = context.outcome
+    assert isinstance(online, Grant), online
+    assert isinstance(batch, Refusal) and not told, (batch, told)
+
+
+@when("the home of a batch grant freezes for longer than the lease")
+def lapse(context: Any) -> None:
+    async def main(runtime: Runtime) -> tuple[Any, ...]:
+        fleet = await _start(runtime, context.slots, PATIENT)
+        client, scheduler = fleet.clients[0], fleet.schedulers[0]
+        told: list[str] = []
+        await client.acquire(fleet.request(batch=True), lambda: told.append("batch"))
+        await client.acquire(fleet.request(), lambda: told.append("online"))
+        await runtime.loop.sleep(1.0)
+        early = list(told)
+
+        async def never(*_: Any) -> None:
+            await runtime.loop.promise()
+
+        request_type = scheduler.methods.methods["grant.renew"][0]
+        scheduler.methods.methods["grant.renew"] = (request_type, never)
+        await _until(runtime, lambda: told)
+        return early, told, len(scheduler.tables["e1"].held)
+
+    context.outcome = run_on_loop(main)
+
+
+@then("the batch holder is told within the lease and the online holder goes on")
+def told_in_time(context: Any) -> None:
+    early, told, held = context.outcome
+    assert early == [] and told == ["batch"], (early, told)
+    assert held == 2, "the home gave the slot up before the holder was told"
+
+
+@when("the home of a batch grant says that it has ended")
+def ended(context: Any) -> None:
+    async def main(runtime: Runtime) -> tuple[Any, ...]:
+        fleet = await _start(runtime, context.slots, PATIENT)
+        client, scheduler = fleet.clients[0], fleet.schedulers[0]
+        told: list[float] = []
+        grant = await client.acquire(
+            fleet.request(batch=True), lambda: told.append(runtime.loop.now())
+        )
+        assert isinstance(grant, Grant)
+        scheduler.tables["e1"].release(grant.grant, Usage(ok=False), runtime.loop.now())
+        await _until(runtime, lambda: told)
+        held = client.held.held[grant.grant]
+        return told, held.renewed_s
+
+    context.outcome = run_on_loop(main)
+
+
+@then("the holder is told at the next renewal")
+def told_next(context: Any) -> None:
+    told, renewed_s = context.outcome
+    assert len(told) == 1, told
+    assert told[0] - renewed_s < BATCH_LEASE_S, (told, renewed_s)
+
+
+@when("the home learns of the endpoint later than the asking process")
+def learns_later(context: Any) -> None:
+    async def main(runtime: Runtime) -> Any:
+        fleet = await _start(runtime, context.slots, PATIENT)
+        scheduler = fleet.schedulers[0]
+        known = scheduler.view.settings()
+        scheduler.view.set(snapshot=SettingsSnapshot())
+        waiting = runtime.loop.spawn(fleet.clients[0].acquire(fleet.request()))
+        await runtime.loop.sleep(0.3)
+        early = waiting.done
+        scheduler.view.set(snapshot=known)
+        return early, await runtime.loop.within(10, waiting)
+
+    context.outcome = run_on_loop(main)
+
+
+@then("the request waits for the home and is not dispatched without it")
+def waits_for_home(context: Any) -> None:
+    early, grant = context.outcome
+    assert not early
+    assert isinstance(grant, Grant) and not grant.local, grant
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -191,10 +191,20 @@
         assert later == [1.0] * 4, later
 
     check()
+    again = Ejections(EjectionOptions(failures_in_row=2, first_s=5.0, longest_s=18.0))
+    context.lengths = []
+    now = 0.0
+    while len(context.lengths) < 4:
+        again.failed(names[0], now)
+        until_s = again.health[names[0]].until_s
+        if until_s > now:
+            context.lengths.append(until_s - now)
+            now = until_s
 
 
 @then("never all are ejected and each one returns in the end")
 def never_all(context: Any) -> None:
+    assert context.lengths == [5.0, 10.0, 18.0, 18.0], context.lengths
     assert any(0.0 in weights.values() for weights, _ in context.ejections)
     assert any(0.0 < min(weights.values()) < 1.0 for weights, _ in context.ejections)
     for weights, chosen in context.ejections:
--- a/parsleyrouter/process/held_grants.py
+++ b/parsleyrouter/process/held_grants.py
@@ -21,8 +21,11 @@
 __all__ = ["HeldGrants"]
 
 RENEW_EVERY_S = 0.4
-BATCH_LEASE_S = 1.5
-"""Time after its last renewal at which a batch grant is given up; the homes wait as long."""
+BATCH_LEASE_S = 1.4
+"""Time after its last renewal at which a batch grant is given up.
+
+The homes wait longer, by more than ``RENEW_EVERY_S``, so that a slot is not given twice.
+"""
 
 REMEMBER_S = 5.0
 """How long a revocation is remembered that came before its grant."""
--- a/parsleyrouter/process/slot_table.py
+++ b/parsleyrouter/process/slot_table.py
@@ -31,7 +31,7 @@
     """Times of a slot table, in seconds, and its longest queue."""
 
     online_lease_s: float = 6.0
-    batch_lease_s: float = 1.5
+    batch_lease_s: float = 2.0
     remember_s: float = 30.0
     queue_limit: int = 1024
 
