--- a/parsleyrouter/process/agent.py
+++ b/parsleyrouter/process/agent.py
@@ -150,14 +150,15 @@
         self.feed.want(is_relay(self.me.node, (info.node for info in self.prober.up())))
         self._settings_changed(False)
 
-    def _hear_mark(self, address: Address, mark: Mark) -> None:
-        if self.replica.hear(mark, self.loop.now()) and not self.fetching:
+    def _hear_mark(self, address: Address, mark: Mark, sent_s: float) -> None:
+        if self.replica.hear(mark, sent_s) and not self.fetching:
             self.fetching = True
             self.loop.spawn(self._fetch_settings(address), "fetch settings")
 
     async def _fetch_settings(self, address: Address) -> None:
         try:
             since = self.replica.complete
+            asked_s = self.loop.now()
             update = await self.runtime.peers.call(
                 address,
                 "fleet.settings",
@@ -171,7 +172,7 @@
             return
         records = map(from_record, update.records)
         mark = from_mark(update.mark)
-        self._settings_changed(self.replica.take_update(records, since, mark, self.loop.now()))
+        self._settings_changed(self.replica.take_update(records, since, mark, asked_s))
 
     def follow(self, request: Follow) -> FollowAnswer:
         """Register a process of this VM and tell it what is newer than it holds."""
--- a/parsleyrouter/process/prober.py
+++ b/parsleyrouter/process/prober.py
@@ -23,7 +23,11 @@
 
 
 class Prober:
-    """Own the UDP socket of an agent; every datagram carries the mark of its settings."""
+    """Own the UDP socket of an agent; every datagram carries the mark of its settings.
+
+    A mark is dated by the tick before the last one: the socket had been emptied since, also when
+    this process was paused with datagrams waiting.
+    """
 
     def __init__(
         self,
@@ -32,7 +36,7 @@
         me: NodeInfo,
         *,
         mark: Callable[[], Mark],
-        on_mark: Callable[[Address, Mark], None],
+        on_mark: Callable[[Address, Mark, float], None],
         on_change: Callable[[], None],
     ) -> None:
         self.runtime = runtime
@@ -43,6 +47,7 @@
         self.on_mark = on_mark
         self.on_change = on_change
         self.told_version = -1
+        self.ticks_s = (runtime.loop.now(), runtime.loop.now())
         self.dropped: Callable[[], bool] = lambda: False
         self.ended = False
 
@@ -92,6 +97,7 @@
         if self.ended:
             return
         self.loop.call_later(TICK_S, self._tick)
+        self.ticks_s = (self.ticks_s[1], self.loop.now())
         self._do(self.core.tick(self.loop.now()))
         self._tell()
 
@@ -105,7 +111,7 @@
             return
         self._do(self.core.receive(message, self.loop.now()))
         self._tell()
-        self.on_mark(message.reply_to, mark)
+        self.on_mark(message.reply_to, mark, self.ticks_s[0])
 
     def _do(self, actions: Iterable[Action]) -> None:
         for action in actions:
--- a/parsleyrouter/version/merge.py
+++ b/parsleyrouter/version/merge.py
@@ -83,12 +83,12 @@
         return changed
 
     def take_update(
-        self, records: Iterable[HeldRecord], asked_since: Revision, mark: Mark, now: float
+        self, records: Iterable[HeldRecord], asked_since: Revision, mark: Mark, asked_s: float
     ) -> bool:
-        """Take a peer's answer to "what is newer than ``asked_since``"."""
+        """Take a peer's answer to "what is newer than ``asked_since``", asked at a local time."""
         changed = self.take(records)
         if asked_since <= self.complete:
-            self._complete_to(mark.complete, now - mark.proof_age_s)
+            self._complete_to(mark.complete, asked_s - mark.proof_age_s)
         return changed
 
     def take_scan(self, records: Iterable[HeldRecord], at: Revision, read_s: float) -> bool:
@@ -103,15 +103,16 @@
             return True
         return mark.complete > self.complete and mark.head > self.complete
 
-    def hear(self, mark: Mark, now: float) -> bool:
+    def hear(self, mark: Mark, sent_s: float) -> bool:
         """Take a peer's mark; return whether its settings must be fetched.
 
-        When all that the peer's proof covers is held here, the proof holds here too.
+        When all that the peer's proof covers is held here, the proof holds here too. ``sent_s`` is
+        a local time at which the mark had not been sent yet.
         """
         if self.lacks(mark):
             return True
         if mark.complete >= self.complete:
-            self._complete_to(mark.complete, now - mark.proof_age_s)
+            self._complete_to(mark.complete, sent_s - mark.proof_age_s)
         return False
 
     def _complete_to(self, revision: Revision, proved_s: float) -> None:
