--- a/parsleyrouter/commands/ctl.py
+++ b/parsleyrouter/commands/ctl.py
@@ -26,16 +26,18 @@
 
 def main(arguments: list[str] | None = None) -> None:
     """Run one command."""
+    arguments = sys.argv[1:] if arguments is None else arguments
+    as_json = "--json" in arguments
     try:
         app(arguments, exit_on_error=False, print_error=False)
     except CtlError as error:
-        _fail(str(error), error.code, error.details)
+        _fail(str(error), error.code, error.details if as_json else None)
     except (BadPath, BadSetting, CycloptsError) as error:
         _fail(str(error), ExitCode.USAGE)
 
 
 def _fail(message: str, code: int, details: object = None) -> None:
     print(f"parsleyctl: {message}", file=sys.stderr)
-    if details and "--json" in sys.argv:
+    if details:
         print(msgspec.json.encode({"error": details}).decode())
     sys.exit(code)
--- a/parsleyrouter/commands/ctl_views.py
+++ b/parsleyrouter/commands/ctl_views.py
@@ -57,38 +57,39 @@
     ]
 
 
-def jobs(*, limit: int = 100, options: CtlOptions | None = None) -> None:
-    """List the batch jobs of a team; the key must be one of the team's.
+def jobs(team: str = "", *, limit: int = 100, options: CtlOptions | None = None) -> None:
+    """List the batch jobs of TEAM, by default those of all teams.
 
     Parameters
     ----------
     limit
-        How many jobs to list at most.
+        How many jobs of each team to list at most.
     """
     chosen = options or CtlOptions()
-    found = chosen.run(lambda client: client.call("GET", "/v1/batches", {"limit": str(limit)}))
+    found = chosen.run(lambda client: ask_jobs(client, team, limit))
     if chosen.json:
         show_json(found)
         return
-    listed = found.get("data", found) if isinstance(found, dict) else found
     show_table(
-        ["job", "state", "items", "done", "failed", "deadline", "late"],
-        (_job_row(one) for one in listed),
+        ["team", "job", "state", "items", "done", "failed", "deadline", "late"],
+        ([one["team"], *_job_row(job)] for one in found for job in one["jobs"]),
     )
 
 
-def _job_row(one: dict[str, Any]) -> list[Any]:
+async def ask_jobs(client: CtlClient, team: str, limit: int) -> list[Any]:
+    """Return the jobs of one team or of all, team by team."""
+    teams = [team] if team else sorted((await client.call("GET", "/v1/status"))["teams"])
     return [
-        one.get("id") or one.get("job"),
-        one.get("status") or one.get("state"),
-        one.get("items", "-"),
-        one.get("done", "-"),
-        one.get("failed", "-"),
-        when(one["deadline_s"]) if "deadline_s" in one else "-",
-        "yes" if one.get("late") else "no",
+        await client.call("GET", "/v1/jobs", {"team": name, "limit": str(limit)}) for name in teams
     ]
 
 
+def _job_row(job: dict[str, Any]) -> list[Any]:
+    late = "yes" if job["late"] else "no"
+    counts = [job["items"], job["done"], job["failed"]]
+    return [job["job"], job["state"], *counts, when(job["deadline_s"]), late]
+
+
 def audit(path: str = "/fleet", *, limit: int = 50, options: CtlOptions | None = None) -> None:
     """Show who changed what at PATH, when and from where.
 
--- a/parsleyrouter/connection/api_settings.py
+++ b/parsleyrouter/connection/api_settings.py
@@ -3,16 +3,17 @@
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import asdict, dataclass
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 
 from parsleyrouter.connection.http import HttpReply, json_reply, refusal_reply
 from parsleyrouter.connection.http_server import Exchange, Routes
 from parsleyrouter.connection.key_value import KeyValueFailure
-from parsleyrouter.ids import Revision
+from parsleyrouter.ids import Revision, TeamName
 from parsleyrouter.outcome import Ran, Refusal, RefusalKind
 from parsleyrouter.process.agent import Agent
+from parsleyrouter.process.job_port import Jobs, JobStatus
 from parsleyrouter.process.operators import Operator, Operators
 from parsleyrouter.process.settings_desk import (
     UNSET,
@@ -24,14 +25,13 @@
 )
 from parsleyrouter.process.view import NodeInfo
 from parsleyrouter.thrift_gen.fleet.ttypes import NodeStatus
-from parsleyrouter.version.paths import BadPath, SettingsPath, get_at, parse_path
+from parsleyrouter.version.paths import BadPath, SettingsPath, get_at, nearest, parse_path
 from parsleyrouter.version.schema import OperatorRole
 
 __all__ = ["SettingsApi", "add_settings_routes"]
 
 HISTORY_LIMIT = 200
-
-Action = Callable[[Operator, Exchange], Awaitable[HttpReply]]
+JOBS_LIMIT = 1000
 
 _KINDS = {
     ChangeFailureKind.INVALID: (RefusalKind.BAD_REQUEST, Ran.NOT_RUN),
@@ -42,6 +42,12 @@
 }
 
 
+class HasJobs(Protocol):
+    """A context through which the jobs of teams are seen."""
+
+    jobs: Jobs
+
+
 @dataclass
 class SettingsApi:
     """What the operators' routes need of the entry process."""
@@ -52,17 +58,45 @@
 
 
 def add_settings_routes(routes: Routes, api: SettingsApi) -> None:
-    """Add ``/v1/settings/<path>``, ``/v1/audit/<path>`` and ``/v1/status``."""
+    """Add ``/v1/settings/<path>``, ``/v1/audit/<path>``, ``/v1/status`` and ``/v1/jobs``.
+
+    The last needs a context with ``jobs``, as the entry's has.
+    """
     _add(routes, api, "GET", "/v1/settings/{path:rest}", OperatorRole.READ, _read)
     _add(routes, api, "PUT", "/v1/settings/{path:rest}", OperatorRole.WRITE, _put)
     _add(routes, api, "DELETE", "/v1/settings/{path:rest}", OperatorRole.WRITE, _unset)
     _add(routes, api, "GET", "/v1/audit/{path:rest}", OperatorRole.READ, _audit)
     _add(routes, api, "GET", "/v1/status", OperatorRole.READ, _status)
+    _add_jobs(routes, api)
 
 
 RoutedAction = Callable[[SettingsApi, Operator, Exchange], Awaitable[HttpReply]]
 
 
+def _add_jobs(routes: Routes, api: SettingsApi) -> None:
+    @routes.add("GET", "/v1/jobs")
+    async def answer(context: HasJobs, exchange: Exchange) -> HttpReply:
+        operator = api.operators.find(exchange.request.headers, OperatorRole.READ)
+        if isinstance(operator, Refusal):
+            return refusal_reply(operator)
+        query = exchange.request.query
+        limit = query.get("limit", "100")
+        if not limit.isdecimal() or not 1 <= int(limit) <= JOBS_LIMIT:
+            return _refuse(RefusalKind.BAD_REQUEST, f"limit must be 1 to {JOBS_LIMIT}")
+        team = TeamName(query.get("team", ""))
+        if team not in api.agent.settings().teams:
+            hint = nearest(team, api.agent.settings().teams)
+            return _refuse(RefusalKind.NOT_FOUND, f"no team {team!r}: did you mean {hint!r}?")
+        found = await context.jobs.list(team, query.get("after", ""), int(limit))
+        if isinstance(found, Refusal):
+            return refusal_reply(found)
+        return json_reply({"team": team, "jobs": [_job(status) for status in found]})
+
+
+def _job(status: JobStatus) -> dict[str, Any]:
+    return {**asdict(status), "state": status.state.value}
+
+
 def _add(
     routes: Routes,
     api: SettingsApi,
