Do without a scheduler after two silent homes

Cause: a request tried the homes of all its endpoints in turn, 50 ms each, before it took a local slot; with many frozen homes that is no longer tens of milliseconds. It now stops after two.

--- a/features/grants.feature
+++ b/features/grants.feature
@@ -40,3 +40,8 @@
     Given a grant fleet with one endpoint of 1 slot
     When the home learns of the endpoint later than the asking process
     Then the request waits for the home and is not dispatched without it
+
+  Scenario: many homes are silent
+    Given a grant fleet with one endpoint of 1 slot
+    When four homes of eight endpoints freeze
+    Then an online request waits for two homes at most before it does without
--- a/features/steps/grants_steps.py
+++ b/features/steps/grants_steps.py
@@ -274,3 +274,35 @@
     early, grant = context.outcome
     assert not early
     assert isinstance(grant, Grant) and not grant.local, grant
+
+
+@when("four homes of eight endpoints freeze")
+def many_freeze(context: Any) -> None:
+    async def main(runtime: Runtime) -> tuple[Any, ...]:
+        fleet = SmallFleet(runtime, {f"e{number}": engine(4) for number in range(8)})
+        for number in range(4):
+            fleet.add_scheduler(f"n{number}")
+        client = fleet.add_client("c1", GrantOptions())
+        await runtime.loop.sleep(0.05)
+        fleet.publish()
+        asked = []
+
+        async def never(_: Any, message: Any) -> None:
+            asked.append(message.endpoint)
+            await runtime.loop.promise()
+
+        for scheduler in fleet.schedulers:
+            request_type = scheduler.methods.methods["grant.ask"][0]
+            scheduler.methods.methods["grant.ask"] = (request_type, never)
+        grant = await client.acquire(fleet.request())
+        return grant, asked, sum(bool(s.tables) for s in fleet.schedulers)
+
+    context.outcome = run_on_loop(main)
+
+
+@then("an online request waits for two homes at most before it does without")
+def two_at_most(context: Any) -> None:
+    grant, asked, homes = context.outcome
+    assert isinstance(grant, Grant) and grant.local, grant
+    assert homes > 2, homes
+    assert 1 <= len(asked) <= 2, asked
--- a/parsleyrouter/process/grants.py
+++ b/parsleyrouter/process/grants.py
@@ -42,6 +42,9 @@
 MAX_REFUSALS = 4
 """Endpoints that may turn a request away before it is refused."""
 
+MAX_SILENT = 2
+"""Homes that may leave a request unanswered before it does without a scheduler."""
+
 
 @dataclass(frozen=True)
 class GrantOptions:
@@ -138,14 +141,18 @@
 
     async def _try(self, search: _Search, order: list[EndpointId]) -> Grant | None:
         """Try the endpoints in order until one gives a slot or turns the request away."""
+        silent = 0
         for endpoint in order:
             home = home_address(endpoint, self.view.nodes())
             if home is None or self.choice.is_silent(home, self.loop.now()):
                 continue
+            if silent >= MAX_SILENT:
+                break
             answer = await self._ask(search, endpoint, home)
             if answer is None:
                 return None
             if isinstance(answer, PeerFailure):
+                silent += 1
                 self.metrics.silent.inc()
                 self.choice.mark_silent(home, self.loop.now() + self.options.silent_s)
                 continue
