--- a/parsleyrouter/commands/load.py
+++ b/parsleyrouter/commands/load.py
@@ -121,6 +121,7 @@
     measures = run_arms(scenario, tuple(arms), plan, console.print)
     result = Result(
         scenario=scenario.name,
+        online_share=scenario.online_share,
         command=" ".join(["parsley-load", *sys.argv[1:]]),
         rounds=plan.rounds,
         slice_s=plan.slice_s,
--- a/parsleyrouter/experiment/measures.py
+++ b/parsleyrouter/experiment/measures.py
@@ -73,6 +73,7 @@
     """All arms of one experiment, measured in turns over the same arrivals."""
 
     scenario: str
+    online_share: float
     command: str
     rounds: int
     slice_s: float
--- a/parsleyrouter/experiment/report.py
+++ b/parsleyrouter/experiment/report.py
@@ -10,7 +10,7 @@
 from parsleyrouter.experiment.measures import ArmResult, Result
 from parsleyrouter.process.options import BadSetting
 
-__all__ = ["compare", "idle_share", "plot", "read_result", "table"]
+__all__ = ["compare", "deployment_score", "idle_share", "plot", "read_result", "table"]
 
 PERCENTILES = (0, 25, 50, 75, 90, 95, 99, 99.5, 99.9)
 BATCH_ALONE = "batch-alone"
@@ -37,11 +37,27 @@
     return arm.batch_tokens_per_s / (alone.batch_tokens_per_s * idle)
 
 
+def deployment_score(result: Result, arm: ArmResult) -> float | None:
+    """Return online answers in time and batch of the idle capacity, weighed for the deployment."""
+    share = idle_share(result, arm)
+    if share is None:
+        return None
+    return result.online_share * arm.score + (1 - result.online_share) * min(1.0, share)
+
+
 def table(result: Result) -> Table:
     """Return one row for each arm."""
     shown = Table(title=f"{result.scenario}: {result.rounds} rounds of {result.slice_s:g} s")
     columns = ["arm", "first token p50/p99/p99.9 ms", "between p50/p99 ms", "p99 ratio"]
-    columns += ["score", "refused", "batch items/s", "of idle", "yield p99 ms", "loop lag ms"]
+    columns += [
+        "in time",
+        "refused",
+        "batch items/s",
+        "of idle",
+        "yield p99 ms",
+        "score",
+        "loop lag ms",
+    ]
     for column in columns:
         shown.add_column(column)
     for name, arm in result.arms.items():
@@ -53,6 +69,7 @@
     without = result.arms.get(NO_BATCH)
     ratio = arm.ttft.p99_ms / without.ttft.p99_ms if without and without.ttft.p99_ms else 0.0
     share = idle_share(result, arm)
+    score = deployment_score(result, arm)
     return [
         name,
         f"{arm.ttft.p50_ms:.1f} / {arm.ttft.p99_ms:.1f} / {arm.ttft.p999_ms:.1f}",
@@ -63,6 +80,7 @@
         f"{arm.batch_items_per_s:.2f}",
         "" if share is None else f"{share:.3f}",
         f"{arm.freed.p99_ms:.1f}",
+        "" if score is None else f"{score:.3f}",
         f"{arm.loop_lag_p99_ms:.1f}",
     ]
 
--- a/parsleyrouter/experiment/scenario.py
+++ b/parsleyrouter/experiment/scenario.py
@@ -61,13 +61,17 @@
 
 
 class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """One deployment and its load; ``*_link_s`` are one-way delays in seconds."""
+    """One deployment and its load; ``*_link_s`` are one-way delays in seconds.
+
+    ``online_share`` is what online answers count in the deployment's score; batch counts the rest.
+    """
 
     name: str
     domains: list[str]
     link_s: float
     caller_link_s: float
     profile: str
+    online_share: float
     engines: EnginePool
     services: ServicePool
     online: list[OnlineKind]
