Stop an entry only when no caller may come or is served

The entry's drain waited for its own locate answers; other entries may name it until they know that it leaves, and answers not yet read by slow callers or requests still arriving were not counted. PlannedStop waits for all of these, tells callers that each answer is the last on its connection, and names what a hurried or overdue stop cuts. Processes that follow the agent leave its view before their other stop hooks run.

--- /dev/null
+++ b/features/steps/planned_stop_steps.py
@@ -0,0 +1,257 @@
+"""Steps for planned stops."""
+
+import logging
+import socket
+from typing import Any
+
+from behave import then, when
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from features.support.control import start_agent, until
+from features.support.loop import run_on_loop
+from parsleyrouter.connection.http import HttpReply, json_reply
+from parsleyrouter.connection.http_server import Exchange, HttpServer, Routes
+from parsleyrouter.connection.stream import split_address
+from parsleyrouter.ids import Address, DomainName, NodeId
+from parsleyrouter.process.follower import Follower
+from parsleyrouter.process.locate import Locate
+from parsleyrouter.process.planned_stop import PlannedStop, StopPlan, StopState, leave_first
+from parsleyrouter.process.runtime import Runtime
+from parsleyrouter.process.view import NodeState, Service
+from parsleyrouter.standins.memory_key_value import MemoryKeyValue
+
+TTL_S = 0.6
+STREAM_PIECES = 40
+BIG_BYTES = 12_000_000
+
+
+@when("a stop plan meets any course of answers and requests")
+def plan_any(context: Any) -> None:
+    context.ends = 0
+    times = st.floats(0, 20)
+
+    @settings(max_examples=400)
+    @given(times, st.floats(0.1, 10), st.lists(st.tuples(times, st.floats(0, 9)), max_size=4))
+    def check(began_s: float, ttl_s: float, requests: list[tuple[float, float]]) -> None:
+        plan = StopPlan(began_s, ttl_s, limit_s=1000)
+        others_until_s = began_s + plan.spread_s + ttl_s
+        own_until_s = began_s + ttl_s
+        now = began_s
+        while True:
+            running = sum(start <= now < start + length for start, length in requests)
+            if plan.may_end(StopState(now, own_until_s, running)):
+                break
+            now += 0.1
+        assert now >= max(others_until_s, own_until_s)
+        assert not any(start <= now < start + length for start, length in requests)
+        context.ends += 1
+
+    check()
+
+
+@then("the stop plan never ends while a caller may come or is served")
+def plan_held(context: Any) -> None:
+    assert context.ends
+
+
+def _routes() -> Routes:
+    routes = Routes()
+
+    @routes.add("GET", "/slow")
+    async def slow(runtime: Runtime, exchange: Exchange) -> HttpReply:
+        await runtime.loop.sleep(0.5)
+        return json_reply({"done": True})
+
+    @routes.add("GET", "/stream")
+    async def stream(runtime: Runtime, exchange: Exchange) -> None:
+        answer = exchange.open_stream(200, {"content-type": "text/plain"})
+        for _ in range(STREAM_PIECES):
+            answer.send(b"piece\n")
+            await runtime.loop.sleep(0.1)
+        answer.finish()
+
+    @routes.add("GET", "/big")
+    async def big(runtime: Runtime, exchange: Exchange) -> HttpReply:
+        return HttpReply(200, {"content-type": "text/plain"}, b"x" * BIG_BYTES)
+
+    @routes.add("GET", "/forever")
+    async def forever(runtime: Runtime, exchange: Exchange) -> HttpReply:
+        await runtime.loop.sleep(1000)
+        return json_reply({})
+
+    return routes
+
+
+class StoppableEntry:
+    """An entry in small, with short times."""
+
+    def __init__(self, runtime: Runtime, seeds: str = "") -> None:
+        self.agent = start_agent(runtime, MemoryKeyValue(runtime.loop), "n0", seeds)
+        self.server = HttpServer(
+            runtime.loop, Address("127.0.0.1:0"), _routes(), runtime, channel="stoppable"
+        ).register(runtime)
+        self.agent.set_service(Service.ENTRY, self.server.bound_address())
+        self.locate = Locate(runtime.loop, self.agent, TTL_S)
+        self.stop = PlannedStop(
+            runtime,
+            self.agent,
+            self.locate,
+            self.server,
+            limit_s=60,
+            spread_s=0.5,
+            arrival_s=0.3,
+        )
+
+
+async def _read_slowly(runtime: Runtime, address: Address) -> int:
+    """Ask for a big answer and read it in small pieces; return the length of its body."""
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        sock.connect(split_address(address))
+        sock.sendall(b"GET /big HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+        sock.setblocking(False)
+        data = bytearray()
+        while True:
+            await runtime.loop.sleep(0.005)
+            try:
+                piece = sock.recv(100_000)
+            except BlockingIOError:
+                continue
+            if not piece:
+                break
+            data += piece
+    return len(bytes(data).partition(b"\r\n\r\n")[2])
+
+
+@when("an entry is stopped while callers stream, read slowly and come with old answers")
+def stop_entry(context: Any) -> None:
+    run_on_loop(lambda runtime: _stop_entry(runtime, context))
+
+
+async def _stop_entry(runtime: Runtime, context: Any) -> None:
+    loop = runtime.loop
+    observer = start_agent(runtime, MemoryKeyValue(loop), "n1")
+    entry = StoppableEntry(runtime, observer.address)
+    address = entry.server.bound_address()
+    await until(runtime, lambda: len(observer.nodes()) == 2)
+    states: list[NodeState] = []
+    observer.on_change(lambda: states.extend(_states(observer)))
+    answer = entry.locate.answer()
+    assert answer.entries[0].address == address
+
+    async def late() -> Any:
+        await loop.sleep(TTL_S - 0.05)
+        return await runtime.http.request(address, "GET", "/slow", fresh=True)
+
+    callers = [
+        loop.spawn(runtime.http.request(address, "GET", "/stream")),
+        loop.spawn(runtime.http.request(address, "GET", "/slow")),
+        loop.spawn(late()),
+    ]
+    slow_reader = loop.spawn(_read_slowly(runtime, address))
+    await loop.sleep(0.1)
+    stopping = loop.spawn(entry.stop.run())
+    await loop.sleep(0.05)
+    context.after = entry.locate.answer()
+    await stopping
+    context.ended_open = entry.server.open_requests()
+    context.replies = await loop.gather(callers)
+    context.read_bytes = await slow_reader
+    context.states = states
+
+
+def _states(observer: Any) -> list[NodeState]:
+    return [info.state for info in observer.nodes() if info.node == "n0"]
+
+
+@then("every caller of the stopping entry got its whole answer")
+def all_whole(context: Any) -> None:
+    stream, slow, late = context.replies
+    assert stream.body == b"piece\n" * STREAM_PIECES
+    assert slow.status == late.status == 200
+    assert context.read_bytes == BIG_BYTES
+    assert context.ended_open == []
+
+
+@then("the stopping entry was known to leave before it ended")
+def known_leaving(context: Any) -> None:
+    assert context.after.entries == ()
+    assert NodeState.LEAVING in context.states
+
+
+class Records(logging.Handler):
+    """Keep log records."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.records: list[Any] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Keep one."""
+        self.records.append(record)
+
+
+@when("a stopping entry with an open request is told to stop again")
+def hurry(context: Any) -> None:
+    records = Records()
+    logger = logging.getLogger("parsleyrouter.process.planned_stop")
+    logger.addHandler(records)
+    runtime = Runtime()
+    entry = StoppableEntry(runtime)
+
+    async def main() -> None:
+        await runtime.loop.sleep(0)
+        address = entry.server.bound_address()
+        runtime.loop.spawn(runtime.http.request(address, "GET", "/forever"))
+        await runtime.loop.sleep(0.3)
+        runtime.begin_stop()
+        await runtime.loop.sleep(2.5)
+        context.still_running = not records.records
+        runtime.begin_stop()
+
+    runtime.loop.spawn(main())
+    runtime.run()
+    logger.removeHandler(records)
+    context.cut = [record.requests for record in records.records]
+
+
+@then("the hurried stop named the request that it cut")
+def hurry_named(context: Any) -> None:
+    assert context.still_running
+    assert context.cut == [["GET /forever"]]
+
+
+@when("a following process is stopped")
+def stop_follower(context: Any) -> None:
+    runtime = Runtime()
+    agent = start_agent(runtime, MemoryKeyValue(runtime.loop), "n0")
+    address = Address("127.0.0.1:9")
+    follower = Follower(
+        runtime,
+        agent.address,
+        Service.BATCH,
+        address,
+        node=NodeId("n0"),
+        domain=DomainName("d1"),
+    )
+
+    async def hand_over() -> None:
+        context.at_hand_over = dict(agent.self_node().addresses)
+
+    async def main() -> None:
+        await runtime.loop.sleep(0)
+        follower.start()
+        await until(runtime, lambda: Service.BATCH in agent.self_node().addresses)
+        runtime.begin_stop()
+
+    runtime.on_stop(hand_over)
+    leave_first(runtime, follower, spread_s=1.2)
+    runtime.loop.spawn(main())
+    runtime.run()
+
+
+@then("its service had left the view before its work was handed over")
+def follower_left(context: Any) -> None:
+    assert Service.AGENT in context.at_hand_over
+    assert Service.BATCH not in context.at_hand_over
--- a/parsleyrouter/connection/http_server.py
+++ b/parsleyrouter/connection/http_server.py
@@ -145,7 +145,10 @@
 
 
 class HttpServer(BaseServer):
-    """Serve routes on one address; ``context`` is handed to each handler."""
+    """Serve routes on one address; ``context`` is handed to each handler.
+
+    While ``closing`` is set, each answer is the last on its connection.
+    """
 
     def __init__(
         self, loop: Loop, bind: Address, routes: Routes, context: Any, channel: str = "web"
@@ -156,6 +159,7 @@
         self.context = context
         self.tasks: dict[Any, Task[Any]] = {}
         self.watchers: dict[Any, Callable[[], None]] = {}
+        self.closing = False
         self.address: Promise[Address] = loop.promise()
 
     def bound_address(self) -> Address:
@@ -166,6 +170,17 @@
         """Return what waits to be sent to a caller."""
         return sum(map(len, self.server._buffers.get(sock, ())))
 
+    def open_requests(self) -> list[str]:
+        """Name the requests that are arriving, being answered or not yet sent in full."""
+        running = {sock: task.name for sock, task in self.tasks.items()}
+        arriving = dict.fromkeys(self.http._buffers, "request still arriving")
+        unsent = {
+            sock: f"{len(pieces)} pieces of an answer"
+            for sock, pieces in self.server._buffers.items()
+            if pieces
+        }
+        return list((unsent | arriving | running).values())
+
     def send(self, sock: Any, data: bytes) -> None:
         """Send to a caller at once where the socket takes it."""
         if sock not in self.server._clients:
@@ -210,6 +225,7 @@
             body=req.body.getvalue(),
             remote=req.remote.ip or "",
         )
+        res.close = res.close or self.closing
         exchange = Exchange(self, res, request)
         task = self.loop.spawn(self._answer(exchange), f"{req.method} {req.path}")
         if not task.done:
--- a/parsleyrouter/process/agent.py
+++ b/parsleyrouter/process/agent.py
@@ -180,7 +180,9 @@
         if request.address:
             until_s = self.loop.now() + REGISTRATION_S
             self.registered[service] = (Address(request.address), until_s)
-            self._refresh_self()
+        else:
+            self.registered.pop(service, None)
+        self._refresh_self()
         answer = FollowAnswer(view=self.version, proved_current=self.snapshot.proved_current)
         if request.view != self.version:
             beliefs = [Belief(member=to_member(info)) for info in self.nodes()]
--- a/parsleyrouter/process/follower.py
+++ b/parsleyrouter/process/follower.py
@@ -51,6 +51,7 @@
         self.builder = SnapshotBuilder()
         self.snapshot = SettingsSnapshot()
         self.load = 0.0
+        self.leaving = False
         self.agent_answers = False
         self.callbacks: list[Callable[[], None]] = []
 
@@ -83,21 +84,28 @@
         """Tell how busy this process is, from 0 to 1."""
         self.load = load
 
+    async def leave(self) -> None:
+        """Tell the agent that this process takes no new work."""
+        self.leaving = True
+        self._take(await self._ask())
+
     async def _run(self) -> None:
         while True:
-            request = Follow(
-                role=self.service.value,
-                address=self.address,
-                view=self.view_version,
-                settings=self.settings_sequence,
-                load=self.load,
-            )
-            answer = await self.runtime.peers.call(
-                self.agent, "fleet.follow", request, FollowAnswer, CALL_TIMEOUT_S
-            )
-            self._take(answer)
+            self._take(await self._ask())
             await self.loop.sleep(ASK_EVERY_S)
 
+    async def _ask(self) -> FollowAnswer | PeerFailure:
+        request = Follow(
+            role=self.service.value,
+            address="" if self.leaving else self.address,
+            view=self.view_version,
+            settings=self.settings_sequence,
+            load=self.load,
+        )
+        return await self.runtime.peers.call(
+            self.agent, "fleet.follow", request, FollowAnswer, CALL_TIMEOUT_S
+        )
+
     def _take(self, answer: FollowAnswer | PeerFailure) -> None:
         if isinstance(answer, PeerFailure):
             self._agent_gone(answer.message)
