Run the whole path in one process on embedded stand-ins

A request goes from locate to entry, grant, endpoint and back; a job of 200 items goes from submit to two chunk stores, part run and readable results.

--- a/parsleyrouter/commands/program.py
+++ b/parsleyrouter/commands/program.py
@@ -30,7 +30,7 @@
     name: str,
     summary: str,
     options_type: type[O],
-    assemble: Callable[[Runtime, O], None],
+    assemble: Callable[[Runtime, O], object],
     arguments: list[str] | None = None,
 ) -> None:
     """Parse and check the settings, wire the parts and run until a planned stop has ended.
--- a/parsleyrouter/process/assembly.py
+++ b/parsleyrouter/process/assembly.py
@@ -1,9 +1,7 @@
 """The composition root: wires the parts of each binary."""
 
 import logging
-from collections.abc import Callable, Mapping
 from pathlib import Path
-from typing import Any
 
 from parsleyrouter.connection.api_settings import SettingsApi, add_settings_routes
 from parsleyrouter.connection.authentication import Authentication
@@ -38,8 +36,11 @@
 
 log = logging.getLogger(__name__)
 
+Addresses = dict[str, Address]
+"""The addresses that the system chose, by what is served there."""
 
-def assemble_entry(runtime: Runtime, options: EntryOptions) -> None:
+
+def assemble_entry(runtime: Runtime, options: EntryOptions) -> Addresses:
     """Wire an entry: the callers' and the operators' HTTP, and the agent of the VM."""
     kv = EtcdKeyValue(runtime, options.key_value)
     node = NodeId(options.node)
@@ -73,21 +74,20 @@
         agent.end()
 
     runtime.on_stop(stop)
-    _announce(runtime, {"http": server.bound_address, "agent": lambda: agent.address})
+    return _announce(runtime, {"http": server.bound_address(), "agent": agent.address})
 
 
-def assemble_scheduler(runtime: Runtime, options: FollowerOptions) -> None:
+def assemble_scheduler(runtime: Runtime, options: FollowerOptions) -> Addresses:
     """Wire a scheduler: grants for the endpoints that hash to this node."""
     follower = _follower(runtime, options, Service.SCHEDULER)
     scheduler = Scheduler(runtime, Address(options.peer), follower)
     follower.serve(scheduler.bound_address())
     follower.start()
-    _serve_health(
-        runtime, options, "parsley-scheduler", follower, {"peer": scheduler.bound_address}
-    )
+    peer = scheduler.bound_address()
+    return _serve_health(runtime, options, "parsley-scheduler", follower, peer)
 
 
-def assemble_batch(runtime: Runtime, options: BatchOptions) -> None:
+def assemble_batch(runtime: Runtime, options: BatchOptions) -> Addresses:
     """Wire a batch process: runs the parts of jobs that it claims."""
     kv = EtcdKeyValue(runtime, options.key_value)
     follower = _follower(runtime, options, Service.BATCH)
@@ -104,10 +104,10 @@
     follower.serve(runner.address())
     follower.start()
     runtime.on_stop(runner.stop)
-    _serve_health(runtime, options, "parsley-batch", follower, {"peer": runner.address})
+    return _serve_health(runtime, options, "parsley-batch", follower, runner.address())
 
 
-def assemble_store(runtime: Runtime, options: StoreOptions) -> None:
+def assemble_store(runtime: Runtime, options: StoreOptions) -> Addresses:
     """Wire a store: immutable chunks under one data folder."""
     follower = _follower(runtime, options, Service.STORE)
     store = ChunkServer(
@@ -118,7 +118,7 @@
     )
     follower.serve(store.address())
     follower.start()
-    _serve_health(runtime, options, "parsley-store", follower, {"peer": store.address})
+    return _serve_health(runtime, options, "parsley-store", follower, store.address())
 
 
 def _agent_grants(runtime: Runtime, agent: Agent) -> GrantClient:
@@ -156,16 +156,14 @@
     options: NodeOptions,
     program: str,
     follower: Follower,
-    addresses: Mapping[str, Callable[[], Any]],
-) -> None:
+    peer: Address,
+) -> Addresses:
     routes = Routes()
     add_health_routes(routes, Health(program, runtime.metrics, lambda: _follower_lacks(follower)))
     server = HttpServer(runtime.loop, Address(options.http), routes, None).register(runtime)
-    _announce(runtime, dict(addresses) | {"http": server.bound_address})
-
+    return _announce(runtime, {"http": server.bound_address(), "peer": peer})
 
-def _announce(runtime: Runtime, addresses: Mapping[str, Callable[[], Any]]) -> None:
-    def announce() -> None:
-        log.info("ready", extra={"addresses": {name: get() for name, get in addresses.items()}})
 
-    runtime.loop.call_later(0.0, announce)
+def _announce(runtime: Runtime, addresses: Addresses) -> Addresses:
+    runtime.loop.call_later(0.0, lambda: log.info("ready", extra={"addresses": addresses}))
+    return addresses
--- /dev/null
+++ b/parsleyrouter/standins/demo.py
@@ -0,0 +1,188 @@
+"""The demonstration: online questions before and while a batch job runs, on embedded stand-ins."""
+
+import http.client
+import json
+import statistics
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+from rich.console import Console
+from rich.table import Table
+
+from parsleyrouter.connection.stream import split_address
+from parsleyrouter.ids import Address
+from parsleyrouter.standins.embedded import EmbeddedFleet
+
+__all__ = ["run_demo"]
+
+QUESTIONS = 30
+ITEMS = 200
+CALL_TIMEOUT_S = 30.0
+READY_TIMEOUT_S = 20.0
+JOB_TIMEOUT_S = 180.0
+CHECK_S = 0.2
+
+
+class DemoFailed(Exception):
+    """Report a step of the demonstration that did not work; see the log lines above it."""
+
+
+@dataclass
+class _Round:
+    """What came of one round of questions; times in seconds."""
+
+    name: str
+    first_token_s: list[float] = field(default_factory=list)
+    whole_s: list[float] = field(default_factory=list)
+
+
+def run_demo(fleet: EmbeddedFleet, console: Console) -> None:
+    """Set the fleet up, ask, submit a job, ask again and show what came back."""
+    _set_up(fleet)
+    console.print(f"{len(fleet.entries)} nodes, {len(fleet.engines)} engines are up")
+    alone = _ask_round(fleet, "without batch")
+    job = _submit(fleet)
+    console.print(f"job {job} accepted with {ITEMS} items")
+    shared = _ask_round(fleet, "while the batch runs")
+    status = _wait_done(fleet, job, console)
+    results = _results(fleet, job)
+    _show(console, [alone, shared], status, results)
+
+
+def _call(
+    address: Address, method: str, path: str, key: str, body: Any = None, **headers: str
+) -> tuple[int, bytes]:
+    host, port = split_address(address)
+    connection = http.client.HTTPConnection(host, port, timeout=CALL_TIMEOUT_S)
+    data = body if isinstance(body, bytes) else json.dumps(body).encode() if body else None
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    connection.request(method, path, data, {"Authorization": f"Bearer {key}"} | named)
+    response = connection.getresponse()
+    found = response.status, response.read()
+    connection.close()
+    return found
+
+
+def _expect(status: int, found: tuple[int, bytes], what: str) -> bytes:
+    if found[0] != status:
+        raise DemoFailed(f"{what}: status {found[0]}: {found[1].decode(errors='replace')}")
+    return found[1]
+
+
+def _set_up(fleet: EmbeddedFleet) -> None:
+    entry, key = fleet.entries[0], fleet.options.operator_key
+    for path, value in (
+        ("/v1/settings/fleet", fleet.fleet_settings()),
+        ("/v1/settings/teams/demo", fleet.team_settings()),
+    ):
+        _expect(200, _call(entry, "PUT", path, key, value), path)
+    deadline = time.monotonic() + READY_TIMEOUT_S
+    while time.monotonic() < deadline:
+        if all(_serves(fleet, entry) for entry in fleet.entries):
+            return
+        time.sleep(CHECK_S)
+    raise DemoFailed("the fleet did not take up its settings")
+
+
+def _serves(fleet: EmbeddedFleet, entry: Address) -> bool:
+    status, body = _call(entry, "GET", "/v1/locate", fleet.options.team_key)
+    return status == 200 and len(json.loads(body)["entries"]) == len(fleet.entries)
+
+
+def _ask_round(fleet: EmbeddedFleet, name: str) -> _Round:
+    asked = _Round(name)
+    for number in range(QUESTIONS):
+        first_s, whole_s = _ask(fleet, fleet.entries[number % len(fleet.entries)], number)
+        asked.first_token_s.append(first_s)
+        asked.whole_s.append(whole_s)
+    return asked
+
+
+def _ask(fleet: EmbeddedFleet, entry: Address, number: int) -> tuple[float, float]:
+    host, port = split_address(entry)
+    connection = http.client.HTTPConnection(host, port, timeout=CALL_TIMEOUT_S)
+    body = {
+        "model": fleet.options.model,
+        "stream": True,
+        "max_tokens": 16,
+        "messages": [{"role": "user", "content": f"question {number}"}],
+    }
+    headers = {"Authorization": f"Bearer {fleet.options.team_key}"}
+    begun = time.monotonic()
+    connection.request("POST", "/v1/chat/completions", json.dumps(body).encode(), headers)
+    response = connection.getresponse()
+    first = response.read1()
+    first_s = time.monotonic() - begun
+    text = first + response.read()
+    connection.close()
+    if response.status != 200 or b"[DONE]" not in text:
+        raise DemoFailed(f"question {number}: status {response.status}: {text[:300]!r}")
+    return first_s, time.monotonic() - begun
+
+
+def _submit(fleet: EmbeddedFleet) -> str:
+    lines = [
+        json.dumps(
+            {
+                "custom_id": f"introduction-{number}",
+                "url": "/v1/chat/completions",
+                "body": {
+                    "model": fleet.options.model,
+                    "max_tokens": 24,
+                    "messages": [{"role": "user", "content": f"introduce newcomer {number}"}],
+                },
+            }
+        )
+        for number in range(ITEMS)
+    ]
+    found = _call(
+        fleet.entries[0],
+        "POST",
+        "/v1/batches",
+        fleet.options.team_key,
+        "\n".join(lines).encode(),
+        Idempotency_Key="demo-job",
+        X_Parsley_Kind="introduction",
+    )
+    return str(json.loads(_expect(202, found, "submit"))["id"])
+
+
+def _wait_done(fleet: EmbeddedFleet, job: str, console: Console) -> dict[str, Any]:
+    deadline = time.monotonic() + JOB_TIMEOUT_S
+    with console.status("job runs") as shown:
+        while time.monotonic() < deadline:
+            found = _call(fleet.entries[-1], "GET", f"/v1/batches/{job}", fleet.options.team_key)
+            status: dict[str, Any] = json.loads(_expect(200, found, "status"))
+            shown.update(f"job runs: {status}")
+            if status["state"] == "completed":
+                return status
+            time.sleep(CHECK_S)
+    raise DemoFailed(f"job {job} did not end in {JOB_TIMEOUT_S:g} s")
+
+
+def _results(fleet: EmbeddedFleet, job: str) -> list[dict[str, Any]]:
+    path = f"/v1/batches/{job}/results"
+    found = _call(fleet.entries[-1], "GET", path, fleet.options.team_key)
+    lines = [json.loads(line) for line in _expect(200, found, "results").splitlines()]
+    if sorted({line["index"] for line in lines}) != list(range(ITEMS)) or len(lines) != ITEMS:
+        raise DemoFailed(f"{len(lines)} results came back for {ITEMS} items")
+    return lines
+
+
+def _show(
+    console: Console, rounds: list[_Round], status: dict[str, Any], results: list[dict[str, Any]]
+) -> None:
+    table = Table("questions", "asked", "first token p50 ms", "max ms", "whole p50 ms")
+    for asked in rounds:
+        table.add_row(
+            asked.name,
+            str(len(asked.first_token_s)),
+            f"{statistics.median(asked.first_token_s) * 1000:.0f}",
+            f"{max(asked.first_token_s) * 1000:.0f}",
+            f"{statistics.median(asked.whole_s) * 1000:.0f}",
+        )
+    console.print(table)
+    ok = sum(line["outcome"] == "ok" for line in results)
+    console.print(f"batch: {len(results)} results for {ITEMS} items, {ok} ok; {status}")
+    console.print(json.dumps(results[0])[:300])
