Add the stand-in model engine

Change: continuous batching as a pure step machine, a prefix cache in limited memory with late and lossy events, a load report that lags, cancel, resume by token, orders with a fencing number obeyed or ignored, crashes, freezes and broken answers, and a record of every execution.

--- /dev/null
+++ b/parsleyrouter/standins/engine.py
@@ -0,0 +1,209 @@
+"""The stand-in model engine."""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, field
+from enum import StrEnum
+from typing import Any
+
+import parsleyrouter.standins.engine_admin  # noqa: F401 - registers its routes
+from parsleyrouter.connection.http_server import Exchange
+from parsleyrouter.process.loop import Promise
+from parsleyrouter.process.runtime import Runtime
+from parsleyrouter.standins.engine_batch import ContinuousBatch, EngineModel, Generation
+from parsleyrouter.standins.engine_reports import CacheEvents, LoadReports
+from parsleyrouter.standins.engine_routes import routes
+from parsleyrouter.standins.stand_in import StandIn, close_unanswered
+
+__all__ = ["Engine", "EngineFaults", "Execution", "ExecutionState"]
+
+FROZEN_CHECK_S = 0.02
+KEPT_EXECUTIONS = 200_000
+
+
+class ExecutionState(StrEnum):
+    """Say how an execution ended."""
+
+    RUNNING = "running"
+    FINISHED = "finished"
+    CANCELLED = "cancelled"
+    CRASHED = "crashed"
+
+
+@dataclass
+class Execution:
+    """Record of one execution; times in seconds of the engine's monotonic clock."""
+
+    id: str
+    attempt: str
+    key: str
+    model: str
+    prompt: str
+    begun_s: float
+    ended_s: float = 0.0
+    tokens: int = 0
+    resumed_from: int = 0
+    cached_tokens: int = 0
+    state: ExecutionState = ExecutionState.RUNNING
+
+
+@dataclass
+class EngineFaults:
+    """Faults set over ``POST /control/faults``.
+
+    ``down`` closes every connection unanswered; ``frozen`` stops all work; ``slow_factor``
+    stretches each step; ``break_streams`` is a number of coming answers cut after
+    ``break_after_tokens``; ``refuse`` answers 503 before running anything;
+    ``cross_answers`` is a number of coming answers that name another attempt; ``load_silent``
+    leaves load reports unanswered.
+    """
+
+    down: bool = False
+    frozen: bool = False
+    slow_factor: float = 1.0
+    break_streams: int = 0
+    break_after_tokens: int = 3
+    refuse: bool = False
+    cross_answers: int = 0
+    load_silent: bool = False
+
+
+@dataclass
+class Running:
+    """A generation under way, its record and its caller; ``ended`` settles with the state."""
+
+    generation: Generation
+    execution: Execution
+    exchange: Exchange
+    ended: Promise[ExecutionState]
+
+
+@dataclass
+class _Orders:
+    """Models loaded, the role and the orders obeyed."""
+
+    models: dict[str, str] = field(default_factory=dict)
+    role: str = "any"
+    fence: int = 0
+    record: list[dict[str, Any]] = field(default_factory=list)
+    loading: set[str] = field(default_factory=set)
+    unloaded_in_use: int = 0
+
+
+class Engine(StandIn):
+    """Batch continuously, cache prefixes, and record every execution."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        bind: str = "127.0.0.1:0",
+        model: EngineModel | None = None,
+        *,
+        seed: int = 0,
+    ) -> None:
+        super().__init__(runtime, bind, routes)
+        self.model = model or EngineModel()
+        self.faults = EngineFaults()
+        self.batch = ContinuousBatch(self.model)
+        self.loads = LoadReports(self.model.load_interval_s, self.model.load_lag_s)
+        self.cache_events = CacheEvents(
+            self.model.event_lag_s, self.model.event_loss, random.Random(seed)
+        )
+        self.orders = _Orders(models=dict.fromkeys(self.model.models, "1"))
+        self.executions: list[Execution] = []
+        self.open: dict[str, Running] = {}
+        self.counts: Counter[str] = Counter()
+        self.stepping = False
+        self.crashes = 0
+
+    def begin(
+        self, generation: Generation, attempt: str, key: str, exchange: Exchange
+    ) -> Promise[ExecutionState]:
+        """Run a generation; the end of the caller's connection cancels it."""
+        execution = Execution(
+            generation.id, attempt, key, generation.model, generation.prompt, self.loop.now()
+        )
+        execution.resumed_from = generation.emitted
+        self.executions.append(execution)
+        del self.executions[:-KEPT_EXECUTIONS]
+        self.counts["executions"] += 1
+        running = Running(generation, execution, exchange, self.loop.promise())
+        self.open[generation.id] = running
+        exchange.on_caller_gone(lambda: self._gone(running))
+        self.batch.arrive(generation)
+        self._note_load()
+        if not self.stepping:
+            self.stepping = True
+            self.loop.spawn(self._step_on(), "engine steps")
+        return running.ended
+
+    def cancel(self, id: str) -> Generation | None:
+        """Stop a generation; return it if it was under way."""
+        return self._end(id, ExecutionState.CANCELLED)
+
+    def crash(self) -> int:
+        """Lose everything under way and close its connections; return how many there were."""
+        lost = list(self.open.values())
+        self.crashes += 1
+        self.batch.clear()
+        for running in lost:
+            self._end(running.generation.id, ExecutionState.CRASHED)
+            close_unanswered(running.exchange)
+        return len(lost)
+
+    def load(self) -> tuple[int, int]:
+        """Return the running and waiting generations that the load report shows now."""
+        return self.loads.shown(self.loop.now())
+
+    def report(self, chosen: Callable[[Execution], bool]) -> list[dict[str, Any]]:
+        """Return the records of the executions chosen."""
+        return [asdict(execution) for execution in self.executions if chosen(execution)]
+
+    async def _step_on(self) -> None:
+        while self.batch.running or self.batch.waiting:
+            await self.loop.sleep(self.batch.step_s() * self.faults.slow_factor)
+            while self.faults.frozen:
+                await self.loop.sleep(FROZEN_CHECK_S)
+            for generation in self.batch.step():
+                self._give(generation)
+            self.batch.admit()
+            self.cache_events.add(self.loop.now(), *self.batch.cache.take_events())
+            self._note_load()
+        self.stepping = False
+
+    def _give(self, generation: Generation) -> None:
+        running = self.open.get(generation.id)
+        if running is None:
+            return
+        running.execution.tokens = generation.emitted
+        running.execution.cached_tokens = generation.cached_tokens
+        if self.faults.break_streams > 0 and generation.emitted >= self.faults.break_after_tokens:
+            self.faults.break_streams -= 1
+            self._end(generation.id, ExecutionState.CRASHED)
+            close_unanswered(running.exchange)
+            return
+        generation.on_token(generation)
+        if generation.done:
+            self._end(generation.id, ExecutionState.FINISHED)
+
+    def _gone(self, running: Running) -> None:
+        if self.open.get(running.generation.id) is running:
+            self._end(running.generation.id, ExecutionState.CANCELLED)
+
+    def _end(self, id: str, state: ExecutionState) -> Generation | None:
+        running = self.open.pop(id, None)
+        if running is None:
+            return None
+        self.batch.cancel(running.generation)
+        running.execution.tokens = running.generation.emitted
+        running.execution.ended_s = self.loop.now()
+        running.execution.state = state
+        self.counts[state.value] += 1
+        self._note_load()
+        running.ended.resolve(state)
+        return running.generation
+
+    def _note_load(self) -> None:
+        running, waiting = len(self.batch.running), len(self.batch.waiting)
+        self.loads.note(self.loop.now(), running, waiting)
--- /dev/null
+++ b/parsleyrouter/standins/engine_admin.py
@@ -0,0 +1,113 @@
+"""Orders to the stand-in engine, and the control surface for tests."""
+
+from typing import TYPE_CHECKING, Any
+
+from parsleyrouter.connection.http import HttpReply, json_reply
+from parsleyrouter.connection.http_server import Exchange
+from parsleyrouter.standins.engine_routes import routes
+from parsleyrouter.standins.stand_in import error_reply, set_faults
+
+if TYPE_CHECKING:
+    from parsleyrouter.standins.engine import Engine
+
+__all__ = ["STALE_FENCE_STATUS"]
+
+STALE_FENCE_STATUS = 409
+
+
+def _obey(engine: "Engine", order: str, body: dict[str, Any]) -> HttpReply | None:
+    """Record an order; return the refusal of one with an old fencing number."""
+    fence = int(body.get("fence", 0))
+    stale = fence < engine.orders.fence
+    refused = stale and engine.model.checks_fencing
+    record = {"order": order, "body": body, "at_s": engine.loop.now()}
+    engine.orders.record.append(record | {"stale": stale, "refused": refused})
+    if refused:
+        return error_reply(STALE_FENCE_STATUS, f"fencing number {engine.orders.fence} was seen")
+    engine.orders.fence = max(engine.orders.fence, fence)
+    return None
+
+
+@routes.add("POST", "/admin/load")
+async def load(engine: "Engine", exchange: Exchange) -> HttpReply:
+    """Load a model; takes the engine's order time."""
+    body = exchange.request.json()
+    refused = _obey(engine, "load", body)
+    if refused:
+        return refused
+    name = str(body["model"])
+    engine.orders.loading.add(name)
+    await engine.loop.sleep(engine.model.order_s)
+    engine.orders.loading.discard(name)
+    engine.orders.models[name] = str(body.get("version", "1"))
+    return _state(engine)
+
+
+@routes.add("POST", "/admin/unload")
+async def unload(engine: "Engine", exchange: Exchange) -> HttpReply:
+    """Unload a model; running generations of it are counted."""
+    body = exchange.request.json()
+    refused = _obey(engine, "unload", body)
+    if refused:
+        return refused
+    name = str(body["model"])
+    in_use = [one for one in engine.open.values() if one.generation.model == name]
+    engine.orders.unloaded_in_use += len(in_use)
+    engine.orders.models.pop(name, None)
+    return _state(engine)
+
+
+@routes.add("POST", "/admin/role")
+async def role(engine: "Engine", exchange: Exchange) -> HttpReply:
+    """Change the engine's role."""
+    body = exchange.request.json()
+    refused = _obey(engine, "role", body)
+    if refused:
+        return refused
+    engine.orders.role = str(body["role"])
+    return _state(engine)
+
+
+@routes.add("GET", "/admin/state")
+async def state(engine: "Engine", exchange: Exchange) -> HttpReply:
+    """Return models, role and the highest fencing number seen."""
+    return _state(engine)
+
+
+def _state(engine: "Engine") -> HttpReply:
+    orders = engine.orders
+    body = {"models": orders.models, "role": orders.role, "fence": orders.fence}
+    return json_reply(body | {"loading": sorted(orders.loading)})
+
+
+@routes.add("POST", "/control/faults")
+async def faults(engine: "Engine", exchange: Exchange) -> HttpReply:
+    """Set faults."""
+    return set_faults(engine.faults, exchange.request.json())
+
+
+@routes.add("POST", "/control/crash")
+async def crash(engine: "Engine", exchange: Exchange) -> HttpReply:
+    """Crash: lose everything under way."""
+    return json_reply({"lost": engine.crash()})
+
+
+@routes.add("GET", "/control/executions")
+async def executions(engine: "Engine", exchange: Exchange) -> HttpReply:
+    """Return the records of executions, of one ``?key=`` if given, and the true load."""
+    key = exchange.request.query.get("key")
+    body = {
+        "executions": engine.report(lambda one: key is None or one.key == key),
+        "counts": dict(engine.counts),
+        "running": len(engine.batch.running),
+        "waiting": len(engine.batch.waiting),
+        "crashes": engine.crashes,
+    }
+    return json_reply(body)
+
+
+@routes.add("GET", "/control/orders")
+async def orders(engine: "Engine", exchange: Exchange) -> HttpReply:
+    """Return the orders received and how many models were unloaded in use."""
+    kept = engine.orders
+    return json_reply({"orders": kept.record, "unloaded_in_use": kept.unloaded_in_use})
--- /dev/null
+++ b/parsleyrouter/standins/engine_batch.py
@@ -0,0 +1,133 @@
+"""Continuous batching of the stand-in engine as a pure step machine."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from parsleyrouter.standins.answers import prompt_tokens
+from parsleyrouter.standins.prefix_cache import PrefixCache
+
+__all__ = ["ContinuousBatch", "EngineModel", "Generation"]
+
+
+@dataclass(frozen=True)
+class EngineModel:
+    """Speed and size of an engine; times in seconds.
+
+    A step gives each running generation one token and takes ``step_s`` and ``step_per_running_s``
+    for each of them, and the time of the prompt tokens that the step also processes.
+    """
+
+    models: tuple[str, ...] = ("stand-in",)
+    slots: int = 8
+    step_s: float = 0.018
+    step_per_running_s: float = 0.001
+    prompt_tokens_per_s: float = 8000.0
+    prompt_chunk_tokens: int = 512
+    cache_tokens: int = 32_000
+    answer_tokens: int = 24
+    load_interval_s: float = 0.5
+    load_lag_s: float = 1.0
+    event_lag_s: float = 0.5
+    event_loss: float = 0.1
+    checks_fencing: bool = False
+    order_s: float = 0.5
+
+
+@dataclass(eq=False)
+class Generation:
+    """One request in the engine."""
+
+    id: str
+    model: str
+    prompt: str
+    count: int
+    emitted: int = 0
+    resume_of: str = ""
+    prompt_left: int = 0
+    cached_tokens: int = 0
+    on_token: Callable[["Generation"], None] = field(default=lambda generation: None)
+
+    @property
+    def done(self) -> bool:
+        """Tell whether all tokens have been given."""
+        return self.emitted >= self.count
+
+
+class ContinuousBatch:
+    """Admit generations as they arrive and step those that run; knows no priorities."""
+
+    def __init__(self, model: EngineModel) -> None:
+        self.model = model
+        self.cache = PrefixCache(model.cache_tokens)
+        self.waiting: deque[Generation] = deque()
+        self.running: list[Generation] = []
+        self.kept: dict[str, int] = {}
+
+    def arrive(self, generation: Generation) -> None:
+        """Queue a generation."""
+        self.waiting.append(generation)
+        self.admit()
+
+    def cancel(self, generation: Generation) -> None:
+        """Drop a generation, waiting or running; its state is kept for resuming."""
+        if generation in self.waiting:
+            self.waiting.remove(generation)
+        elif generation in self.running:
+            self.running.remove(generation)
+            self.kept[generation.id] = generation.emitted
+            self._trim_kept()
+
+    def admit(self) -> None:
+        """Move waiting generations into free slots."""
+        while self.waiting and len(self.running) < self.model.slots:
+            generation = self.waiting.popleft()
+            generation.cached_tokens = self._cached_tokens(generation)
+            total = prompt_tokens(generation.prompt) + generation.emitted
+            generation.prompt_left = max(1, total - generation.cached_tokens)
+            self.cache.store(generation.prompt)
+            self.running.append(generation)
+
+    def step_s(self) -> float:
+        """Return how long the next step takes, in seconds."""
+        processed = sum(take for _, take in self._prompt_work())
+        step_s = self.model.step_s + self.model.step_per_running_s * len(self.running)
+        return step_s + processed / self.model.prompt_tokens_per_s
+
+    def step(self) -> list[Generation]:
+        """Finish one step; return the generations that got a token."""
+        for generation, take in self._prompt_work():
+            generation.prompt_left -= take
+        moved = [generation for generation in self.running if generation.prompt_left <= 0]
+        for generation in moved:
+            generation.emitted += 1
+        self.running = [generation for generation in self.running if not generation.done]
+        return moved
+
+    def clear(self) -> list[Generation]:
+        """Drop everything, as a crash does; return what was under way."""
+        dropped = [*self.running, *self.waiting]
+        self.running.clear()
+        self.waiting.clear()
+        self.kept.clear()
+        self.cache.clear()
+        return dropped
+
+    def _prompt_work(self) -> list[tuple[Generation, int]]:
+        room = self.model.prompt_chunk_tokens
+        work = []
+        for generation in self.running:
+            take = min(room, generation.prompt_left)
+            if take > 0:
+                work.append((generation, take))
+                room -= take
+        return work
+
+    def _cached_tokens(self, generation: Generation) -> int:
+        if self.kept.pop(generation.resume_of, -1) >= generation.emitted > 0:
+            return prompt_tokens(generation.prompt) + generation.emitted
+        return self.cache.matched_tokens(generation.prompt)
+
+    def _trim_kept(self) -> None:
+        while len(self.kept) > 4 * self.model.slots:
+            del self.kept[next(iter(self.kept))]
--- a/parsleyrouter/standins/key_value_routes.py
+++ b/parsleyrouter/standins/key_value_routes.py
@@ -5,10 +5,11 @@
 
 from parsleyrouter.connection.etcd_format import decode_key, decode_text, encode_entry
 from parsleyrouter.connection.http import HttpReply, json_reply
-from parsleyrouter.connection.http_server import Exchange, ReplyStream, Routes
+from parsleyrouter.connection.http_server import Exchange, Routes
 from parsleyrouter.connection.key_value import Entry
 from parsleyrouter.ids import Revision
 from parsleyrouter.standins.key_value_store import NoSuchLease
+from parsleyrouter.standins.stand_in import close_unanswered, leave_unanswered
 
 if TYPE_CHECKING:
     from parsleyrouter.standins.key_value_server import KeyValueServer
@@ -32,7 +33,7 @@
     if server.faults.delay_s:
         await server.loop.sleep(server.faults.delay_s)
     if server.faults.hang:
-        _drop_unanswered(exchange, keep_open=True)
+        leave_unanswered(exchange)
         return _error(UNAVAILABLE, "etcdserver: request timed out")
     if server.faults.outage:
         return _error(UNAVAILABLE, "etcdserver: no leader")
@@ -40,16 +41,6 @@
     return None if passed else _error(TOO_MANY, "etcdserver: too many requests")
 
 
-def _drop_unanswered(exchange: Exchange, *, keep_open: bool = False) -> None:
-    """Answer nothing; the caller sees the connection close or hears no more."""
-    stream = ReplyStream(exchange.server, exchange.res)
-    exchange.stream = stream
-    stream.finished = True
-    if not keep_open:
-        exchange.res.close = True
-        exchange.server.end(exchange.res)
-
-
 def _range(server: "KeyValueServer", body: dict[str, Any]) -> dict[str, Any]:
     first = decode_key(body)
     if not body.get("range_end"):
@@ -102,7 +93,7 @@
         return refused
     key = decode_key(body["compare"][0])
     if server.lost(before=True, key=key):
-        _drop_unanswered(exchange)
+        close_unanswered(exchange)
         return None
     succeeded = all(_holds(server, compare) for compare in body["compare"])
     chosen = body.get("success" if succeeded else "failure", ())
@@ -111,7 +102,7 @@
     except NoSuchLease:
         return _error(NOT_FOUND, "etcdserver: requested lease not found")
     if server.lost(before=False, key=key):
-        _drop_unanswered(exchange)
+        close_unanswered(exchange)
         return None
     return json_reply({"header": server.header(), "succeeded": succeeded, "responses": responses})
 
--- a/parsleyrouter/standins/stand_in.py
+++ b/parsleyrouter/standins/stand_in.py
@@ -8,12 +8,12 @@
 from circuits import Component
 
 from parsleyrouter.connection.http import HttpReply, json_reply
-from parsleyrouter.connection.http_server import HttpServer, Routes
+from parsleyrouter.connection.http_server import Exchange, HttpServer, ReplyStream, Routes
 from parsleyrouter.ids import Address
 from parsleyrouter.process.loop import Loop, Promise
 from parsleyrouter.process.runtime import Runtime
 
-__all__ = ["StandIn", "error_reply", "set_faults"]
+__all__ = ["StandIn", "close_unanswered", "error_reply", "leave_unanswered", "set_faults"]
 
 _channels = itertools.count(1)
 
@@ -32,6 +32,19 @@
         self.address: Promise[Address] = self.http.address
 
 
+def close_unanswered(exchange: Exchange) -> None:
+    """Close a caller's connection before the answer, or in the middle of it."""
+    if exchange.stream is None:
+        exchange.stream = ReplyStream(exchange.server, exchange.res)
+    exchange.stream.abort()
+
+
+def leave_unanswered(exchange: Exchange) -> None:
+    """Keep a caller's connection open and send nothing."""
+    exchange.stream = ReplyStream(exchange.server, exchange.res)
+    exchange.stream.finished = True
+
+
 def error_reply(status: int, message: str) -> HttpReply:
     """Return a JSON error in the shape that OpenAI clients read."""
     return json_reply({"error": {"message": message, "type": "stand_in", "code": status}}, status)
