Keep the homes of endpoints instead of hashing them anew

Cause: each ask hashed its endpoint against all nodes and each change of the view hashed all endpoints against all nodes. A property compares it with plain rendezvous hashing under any course of nodes.

--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -1,6 +1,7 @@
 """Steps for the choice of endpoints."""
 
 from collections import Counter
+from dataclasses import replace
 from random import Random
 from typing import Any
 
@@ -22,7 +23,8 @@
 )
 from parsleyrouter.process.endpoint_choice import EndpointChoice, LoadHint
 from parsleyrouter.process.grant_port import GrantRequest
-from parsleyrouter.process.view import FixedView, NodeInfo, Service
+from parsleyrouter.process.home_map import HomeMap
+from parsleyrouter.process.view import FixedView, NodeInfo, NodeState, Service
 from parsleyrouter.request.ejection import EjectionOptions, Ejections
 from parsleyrouter.request.homes import home_of
 from parsleyrouter.request.prefix_affinity import MAX_PREFIXES, PrefixAffinity
@@ -160,6 +162,24 @@
             context.moves.append((home, after, nodes[0]))
 
     check()
+    course = st.lists(st.dictionaries(st.sampled_from("abcdef"), st.booleans()), max_size=6)
+
+    @settings(max_examples=60)
+    @any_of(course)
+    def follow(steps: list[dict[str, bool]]) -> None:
+        view = FixedView(NodeInfo(NodeId("me"), DomainName("d")))
+        homes = HomeMap(view)
+        for step in steps:
+            leaving = {name: NodeState.LEAVING for name, stays in step.items() if not stays}
+            infos = [info(name) for name in step]
+            states = [replace(one, state=leaving.get(one.node, one.state)) for one in infos]
+            view.set(tuple(states))
+            for number in range(10):
+                endpoint = EndpointId(f"e{number}")
+                wanted = home_of(endpoint, view.nodes())
+                assert homes.home(endpoint) == (wanted.node if wanted else None)
+
+    follow()
 
 
 @then("only the endpoints of a lost node get a new home")
--- a/parsleyrouter/process/grants.py
+++ b/parsleyrouter/process/grants.py
@@ -23,11 +23,11 @@
 from parsleyrouter.process.grant_metrics import ClientMetrics
 from parsleyrouter.process.grant_port import CallResult, Grant, GrantRequest
 from parsleyrouter.process.held_grants import HeldGrants
+from parsleyrouter.process.home_map import HomeMap
 from parsleyrouter.process.loop import Promise, Task, TimedOut
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.process.slot_events import RefusalReason
 from parsleyrouter.process.view import FleetView
-from parsleyrouter.request.homes import home_address
 from parsleyrouter.thrift_gen.grants.ttypes import (
     GrantAnswer,
     LiveGrants,
@@ -94,7 +94,8 @@
         self.view = view
         self.reply_to = reply_to
         self.options = options or GrantOptions()
-        self.held = HeldGrants(runtime, view, reply_to)
+        self.homes = HomeMap(view)
+        self.held = HeldGrants(runtime, self.homes, reply_to)
         self.choice = EndpointChoice(view, self.held.own, random or Random())
         self.asking: dict[AttemptId, _Asking] = {}
         self.boot = secrets.token_hex(4)
@@ -143,7 +144,7 @@
         """Try the endpoints in order until one gives a slot or turns the request away."""
         silent = 0
         for endpoint in order:
-            home = home_address(endpoint, self.view.nodes())
+            home = self.homes.address(endpoint)
             if home is None or self.choice.is_silent(home, self.loop.now()):
                 continue
             if silent >= MAX_SILENT:
@@ -255,7 +256,7 @@
         """Take a slot of an endpoint whose home is silent."""
         for endpoint in order:
             settings = self.view.settings().fleet.endpoints.get(endpoint)
-            home = home_address(endpoint, self.view.nodes())
+            home = self.homes.address(endpoint)
             silent = home is None or self.choice.is_silent(home, self.loop.now())
             full = self.held.own[endpoint] >= self.options.local_slots
             if settings is None or full or not silent:
--- a/parsleyrouter/process/held_grants.py
+++ b/parsleyrouter/process/held_grants.py
@@ -13,9 +13,8 @@
     withdraw_message,
 )
 from parsleyrouter.process.grant_port import CallResult, Grant, GrantRequest
+from parsleyrouter.process.home_map import HomeMap
 from parsleyrouter.process.runtime import Runtime
-from parsleyrouter.process.view import FleetView
-from parsleyrouter.request.homes import home_address
 from parsleyrouter.thrift_gen.grants.ttypes import LiveGrant, RenewAnswer, RenewGrants
 
 __all__ = ["HeldGrants"]
@@ -45,7 +44,7 @@
     """Hold, renew and give back grants; ``home`` is unknown for those taken without one."""
 
     runtime: Runtime
-    view: FleetView
+    homes: HomeMap
     reply_to: Callable[[], Address]
     held: dict[GrantId, _Held] = field(default_factory=dict)
     own: Tally[EndpointId] = field(default_factory=Tally)
@@ -84,14 +83,14 @@
         held = self.held.pop(grant.grant)
         self.own[grant.endpoint] -= 1
         message = release_message(grant, result)
-        for home in {held.home, self._home(grant.endpoint)} - {None}:
+        for home in {held.home, self.homes.address(grant.endpoint)} - {None}:
             self.peers.tell(Address(str(home)), "grant.release", message)
 
     def give_back(
         self, attempt: AttemptId, endpoint: EndpointId, home: Address | None, grant: str = ""
     ) -> None:
         """Withdraw an ask, or return a grant that was never used."""
-        for address in {home, self._home(endpoint)} - {None}:
+        for address in {home, self.homes.address(endpoint)} - {None}:
             message = withdraw_message(attempt, endpoint, grant)
             self.peers.tell(Address(str(address)), "grant.release", message)
 
@@ -111,9 +110,6 @@
             if held.grant.endpoint == endpoint
         ]
 
-    def _home(self, endpoint: EndpointId) -> Address | None:
-        return home_address(endpoint, self.view.nodes())
-
     def _notify(self, held: _Held) -> None:
         callback, held.on_revoke = held.on_revoke, None
         if callback is not None:
@@ -127,13 +123,9 @@
             self._give_up_old()
 
     def _by_home(self) -> dict[Address, list[_Held]]:
-        homes: dict[EndpointId, Address | None] = {}
         groups: dict[Address, list[_Held]] = {}
         for held in self.held.values():
-            endpoint = held.grant.endpoint
-            if endpoint not in homes:
-                homes[endpoint] = self._home(endpoint)
-            home = homes[endpoint]
+            home = self.homes.address(held.grant.endpoint)
             if home is not None:
                 groups.setdefault(home, []).append(held)
         return groups
@@ -141,7 +133,7 @@
     async def _renew(self, home: Address, group: list[_Held]) -> None:
         asked_s = self.loop.now()
         grants = [live_message(held.grant, held.request) for held in group]
-        message = RenewGrants(self.view.self_node().node, grants, self.reply_to())
+        message = RenewGrants(self.homes.view.self_node().node, grants, self.reply_to())
         answer = await self.peers.call(home, "grant.renew", message, RenewAnswer, BATCH_LEASE_S)
         if isinstance(answer, PeerFailure):
             return
--- a/parsleyrouter/process/scheduler.py
+++ b/parsleyrouter/process/scheduler.py
@@ -21,6 +21,7 @@
     TeamName,
 )
 from parsleyrouter.process.grant_metrics import SchedulerMetrics
+from parsleyrouter.process.home_map import HomeMap
 from parsleyrouter.process.load_reports import LoadCorrector, LoadReport, LoadReports
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.process.scheduler_messages import not_home, read_ask, read_live, write_answer
@@ -36,7 +37,6 @@
 )
 from parsleyrouter.process.slot_table import SlotTable, TableOptions
 from parsleyrouter.process.view import FleetView, Service
-from parsleyrouter.request.homes import home_of
 from parsleyrouter.thrift_gen.grants.ttypes import (
     AskGrant,
     GrantAnswer,
@@ -93,6 +93,7 @@
         self._add_methods(self.methods)
         channel = f"scheduler-{next(_channels)}"
         self.server = PeerServer(self.loop, bind, self.methods, None, channel).register(runtime)
+        self.homes = HomeMap(view)
         view.on_change(self.follow_view)
         self.loop.call_soon(self.follow_view)
         self.loop.spawn(self._keep_ticking(), "scheduler ticks")
@@ -103,14 +104,12 @@
 
     def follow_view(self) -> None:
         """Take up the endpoints that this node is home for and drop the others."""
-        nodes = self.view.nodes()
         me = self.view.self_node().node
         fleet = self.view.settings().fleet
         now = self.loop.now()
         for name, settings in fleet.endpoints.items():
             endpoint = EndpointId(name)
-            home = home_of(endpoint, nodes)
-            if home is None or home.node != me:
+            if self.homes.home(endpoint) != me:
                 self._drop(endpoint, RefusalReason.NOT_HOME)
                 continue
             table = self.tables.get(endpoint) or self._open(endpoint, settings.slots)
--- a/parsleyrouter/request/homes.py
+++ b/parsleyrouter/request/homes.py
@@ -7,17 +7,19 @@
 from parsleyrouter.ids import Address, EndpointId, NodeId
 from parsleyrouter.process.view import NodeInfo, NodeState, Service
 
-__all__ = ["home_address", "home_of"]
+__all__ = ["home_address", "home_of", "schedulers", "score"]
 
 
-def home_of(endpoint: EndpointId, nodes: Iterable[NodeInfo]) -> NodeInfo | None:
-    """Return the live node whose scheduler admits to an endpoint.
-
-    Leaving nodes are homes only while no other node has a scheduler.
-    """
+def schedulers(nodes: Iterable[NodeInfo]) -> list[NodeInfo]:
+    """Return the nodes that can be homes; leaving ones only while no other can."""
     able = [node for node in nodes if Service.SCHEDULER in node.addresses]
-    staying = [node for node in able if node.state is NodeState.LIVE]
-    return max(staying or able, key=lambda node: _score(endpoint, node.node), default=None)
+    return [node for node in able if node.state is NodeState.LIVE] or able
+
+
+def home_of(endpoint: EndpointId, nodes: Iterable[NodeInfo]) -> NodeInfo | None:
+    """Return the node whose scheduler admits to an endpoint."""
+    able = schedulers(nodes)
+    return max(able, key=lambda info: score(endpoint, info.node), default=None)
 
 
 def home_address(endpoint: EndpointId, nodes: Iterable[NodeInfo]) -> Address | None:
@@ -26,5 +28,6 @@
     return None if home is None else home.addresses[Service.SCHEDULER]
 
 
-def _score(endpoint: EndpointId, node: NodeId) -> tuple[int, NodeId]:
+def score(endpoint: EndpointId, node: NodeId) -> tuple[int, NodeId]:
+    """Return the rank of a node for an endpoint; the highest is home."""
     return xxh3_64_intdigest(f"{endpoint}\0{node}".encode()), node
