--- a/parsleyrouter/version/schema.py
+++ b/parsleyrouter/version/schema.py
@@ -127,6 +127,7 @@
     application: str = ""
     slots: int = Field(default=8, gt=0, le=4096)
     checks_fencing: bool = False
+    role: Annotated[str, Field(pattern=r"^[a-z_-]{0,32}$")] = ""
     state: EndpointState = EndpointState.ACTIVE
 
 
