--- a/parsleyrouter/process/assembly.py
+++ b/parsleyrouter/process/assembly.py
@@ -13,10 +13,11 @@
 from parsleyrouter.process.batch import BatchRunner
 from parsleyrouter.process.batch_options import BatchLimits
 from parsleyrouter.process.chunk_client import ChunkClient, ChunkLimits
+from parsleyrouter.process.chunk_repair import ChunkRepair
 from parsleyrouter.process.chunk_server import ChunkServer
 from parsleyrouter.process.claims import Claims
 from parsleyrouter.process.dispatch import CallRunner
-from parsleyrouter.process.entry import EntryContext, drain, entry_routes
+from parsleyrouter.process.entry import EntryContext, entry_routes
 from parsleyrouter.process.follower import Follower
 from parsleyrouter.process.grants import GrantClient
 from parsleyrouter.process.health import Health, add_health_routes
@@ -24,6 +25,7 @@
 from parsleyrouter.process.locate import Locate
 from parsleyrouter.process.operators import Operators
 from parsleyrouter.process.options import NodeOptions
+from parsleyrouter.process.planned_stop import PlannedStop, leave_first
 from parsleyrouter.process.role_options import BatchOptions, EntryOptions, FollowerOptions
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.process.scheduler import Scheduler
@@ -68,12 +70,7 @@
     agent.set_service(Service.ENTRY, server.bound_address())
     agent.start()
 
-    async def stop() -> None:
-        agent.leave()
-        await drain(context, server)
-        agent.end()
-
-    runtime.on_stop(stop)
+    PlannedStop(runtime, agent, context.locate, server, limit_s=options.stop_limit_s)
     return _announce(runtime, {"http": server.bound_address(), "agent": agent.address})
 
 
@@ -84,6 +81,7 @@
     follower.serve(scheduler.bound_address())
     follower.start()
     peer = scheduler.bound_address()
+    leave_first(runtime, follower)
     return _serve_health(runtime, options, "parsley-scheduler", follower, peer)
 
 
@@ -104,6 +102,7 @@
     follower.serve(runner.address())
     follower.start()
     runtime.on_stop(runner.stop)
+    leave_first(runtime, follower)
     return _serve_health(runtime, options, "parsley-batch", follower, runner.address())
 
 
@@ -118,6 +117,9 @@
     )
     follower.serve(store.address())
     follower.start()
+    repair = ChunkRepair(runtime, follower, store, mb_per_s=options.repair_mb_s)
+    runtime.on_stop(repair.drain)
+    leave_first(runtime, follower)
     return _serve_health(runtime, options, "parsley-store", follower, store.address())
 
 
--- a/parsleyrouter/standins/demo.py
+++ b/parsleyrouter/standins/demo.py
@@ -22,6 +22,7 @@
 READY_TIMEOUT_S = 20.0
 JOB_TIMEOUT_S = 180.0
 CHECK_S = 0.2
+CARD_KEY = "demo-card"
 
 
 class DemoFailed(Exception):
@@ -48,6 +49,7 @@
     status = _wait_done(fleet, job, console)
     results = _results(fleet, job)
     _show(console, [alone, shared], status, results)
+    _send_card_twice(fleet, console)
 
 
 def _call(
@@ -170,6 +172,19 @@
     return lines
 
 
+def _send_card_twice(fleet: EmbeddedFleet, console: Console) -> None:
+    """Send one keyed card to two entries and ask the service how often it ran."""
+    path = f"/v1/services/{fleet.options.application}/cards"
+    card = {"card": "meet at the lighthouse"}
+    bodies = []
+    for entry in (fleet.entries[0], fleet.entries[-1]):
+        found = _call(entry, "POST", path, fleet.options.team_key, card, Idempotency_Key=CARD_KEY)
+        bodies.append(_expect(200, found, "card"))
+    found = _call(fleet.services[0], "GET", "/control/executions", "")
+    runs = json.loads(_expect(200, found, "executions"))["counts"]
+    console.print(f"card sent twice, answers equal: {bodies[0] == bodies[1]}; executions: {runs}")
+
+
 def _show(
     console: Console, rounds: list[_Round], status: dict[str, Any], results: list[dict[str, Any]]
 ) -> None:
--- a/parsleyrouter/standins/embedded.py
+++ b/parsleyrouter/standins/embedded.py
@@ -23,8 +23,7 @@
 from parsleyrouter.standins.engine import Engine
 from parsleyrouter.standins.engine_batch import EngineModel
 from parsleyrouter.standins.key_value_server import KeyValueServer
-
-# SVC
+from parsleyrouter.standins.service import PlainService
 
 __all__ = ["EmbeddedFleet", "EmbeddedOptions"]
 
@@ -79,9 +78,9 @@
             self._start_node(number, seeds)
 
     def stop(self) -> None:
-        """Stop every loop as planned, the nodes first."""
+        """End every loop at once, the nodes first."""
         for running in reversed(self.threads):
-            running.runtime.loop.call_from_thread(running.runtime.begin_stop)
+            running.runtime.loop.call_from_thread(running.runtime.stop)
             running.thread.join(STOP_TIMEOUT_S)
             if running.thread.is_alive():
                 log.warning("loop did not stop in time", extra={"loop": running.name})
@@ -125,11 +124,11 @@
         engines = [
             Engine(runtime, model=model).register(runtime) for _ in range(self.options.engines)
         ]
-        # SVC
+        service = PlainService(runtime).register(runtime)
         self._run("stand-ins", runtime)
         self.key_value = self._get(runtime, lambda: key_value.http.bound_address())
         self.engines = [self._get(runtime, engine.http.bound_address) for engine in engines]
-        # SVC self.services = [self._get(runtime, service.http.bound_address)]
+        self.services = [self._get(runtime, service.http.bound_address)]
 
     def _start_node(self, number: int, seeds: list[str]) -> None:
         name, domain = f"node-{number}", f"domain-{number}"
