Start whole fleets of real processes for tests, and record what callers saw

The fault proxy now also delivers what it held for a client that has gone meanwhile, as a network would: it lost it before.

--- /dev/null
+++ b/features/support/callers.py
@@ -0,0 +1,135 @@
+"""A plain blocking HTTP caller that records what it sent and what it got."""
+
+import http.client
+import json
+import threading
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+CALL_LIMIT_S = 60.0
+READ_BYTES = 64 * 1024
+
+
+@dataclass
+class Answered:
+    """One exchange as the caller saw it; ``status`` is 0 when no whole answer came."""
+
+    method: str
+    path: str
+    sent: bytes
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    error: str = ""
+    begun_s: float = 0.0
+    first_s: float = 0.0
+    ended_s: float = 0.0
+
+    @property
+    def whole(self) -> bool:
+        """Tell whether the answer came whole."""
+        return bool(self.status) and not self.error
+
+    @property
+    def ran(self) -> str:
+        """Return what a refusal says of whether the request ran."""
+        try:
+            return str(json.loads(self.body)["error"]["ran"])
+        except (ValueError, KeyError, TypeError):
+            return ""
+
+    def json(self) -> Any:
+        """Return the decoded body."""
+        return json.loads(self.body)
+
+    def text(self) -> str:
+        """Return the text of a completion, plain or streamed."""
+        if b"data: " not in self.body[:64]:
+            choice = self.json()["choices"][0]
+            return str(choice["message"]["content"] if "message" in choice else choice["text"])
+        parts = []
+        for line in self.body.decode().splitlines():
+            if line.startswith("data: ") and line != "data: [DONE]":
+                for choice in json.loads(line[6:]).get("choices", ()):
+                    parts.append(choice.get("text") or choice.get("delta", {}).get("content") or "")
+        return "".join(parts)
+
+
+class Caller:
+    """Call addresses with one key and keep every exchange."""
+
+    def __init__(self, key: str = "", limit_s: float = CALL_LIMIT_S) -> None:
+        self.key = key
+        self.limit_s = limit_s
+        self.exchanges: list[Answered] = []
+
+    def call(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: Any = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> Answered:
+        """Send one request on a new connection and return what came of it."""
+        data = encode_body(body)
+        seen = Answered(method, path, data, begun_s=time.monotonic())
+        self.exchanges.append(seen)
+        host, _, port = address.rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=self.limit_s)
+        try:
+            self._exchange(connection, seen, dict(headers or {}))
+        except (OSError, http.client.HTTPException) as error:
+            seen.error = f"{type(error).__name__}: {error}"
+        finally:
+            seen.ended_s = time.monotonic()
+            connection.close()
+        return seen
+
+    def in_background(self, *arguments: Any, **named: Any) -> "Background":
+        """Make the call in a thread."""
+        return Background(self, arguments, named)
+
+    def _exchange(
+        self, connection: http.client.HTTPConnection, seen: Answered, headers: dict[str, str]
+    ) -> None:
+        if self.key:
+            headers.setdefault("Authorization", f"Bearer {self.key}")
+        headers.setdefault("Content-Type", "application/json")
+        connection.request(seen.method, seen.path, seen.sent, headers)
+        response = connection.getresponse()
+        seen.headers = {name.lower(): value for name, value in response.getheaders()}
+        seen.status = response.status
+        while piece := response.read1(READ_BYTES):
+            seen.first_s = seen.first_s or time.monotonic()
+            seen.body += piece
+        if response.length:
+            raise http.client.IncompleteRead(seen.body, response.length)
+
+
+def encode_body(body: Any) -> bytes:
+    """Return the bytes to send: as they are, else as JSON."""
+    if body is None:
+        return b""
+    return body if isinstance(body, bytes) else json.dumps(body).encode()
+
+
+class Background:
+    """A call under way in a thread."""
+
+    def __init__(self, caller: Caller, arguments: tuple[Any, ...], named: dict[str, Any]) -> None:
+        self.answered: Answered | None = None
+        self.thread = threading.Thread(target=self._run, args=(caller, arguments, named))
+        self.thread.daemon = True
+        self.thread.start()
+
+    def wait(self, limit_s: float = CALL_LIMIT_S) -> Answered:
+        """Wait for the end of the call."""
+        self.thread.join(limit_s)
+        assert self.answered is not None, f"call did not end within {limit_s:g} s"
+        return self.answered
+
+    def _run(self, caller: Caller, arguments: tuple[Any, ...], named: dict[str, Any]) -> None:
+        self.answered = caller.call(*arguments, **named)
--- /dev/null
+++ b/features/support/processes.py
@@ -0,0 +1,134 @@
+"""Real processes of the tests: started, watched by their logs, paused, killed and cleaned up."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+START_LIMIT_S = 30.0
+STOP_LIMIT_S = 60.0
+CHECK_S = 0.02
+LOG_TAIL_LINES = 30
+
+
+def binary(name: str) -> str:
+    """Return the path of an installed binary."""
+    return str(Path(sys.executable).parent / name)
+
+
+def free_address() -> str:
+    """Return a loopback address that no process listens on now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+def wait_until(condition: Callable[[], Any], what: str, limit_s: float = START_LIMIT_S) -> Any:
+    """Wait until the condition returns something true and return it."""
+    deadline = time.monotonic() + limit_s
+    while True:
+        found = condition()
+        if found:
+            return found
+        assert time.monotonic() < deadline, f"not within {limit_s:g} s: {what}"
+        time.sleep(CHECK_S)
+
+
+class Process:
+    """One process; it may be started anew with the same arguments after its end."""
+
+    def __init__(self, name: str, command: list[str], folder: Path) -> None:
+        self.name = name
+        self.command = command
+        self.log = folder / f"{name}.log"
+        self.popen: subprocess.Popen[bytes] | None = None
+        self.addresses: dict[str, str] = {}
+        self.log_offset = 0
+
+    @property
+    def http(self) -> str:
+        """Return the HTTP address."""
+        return self.addresses["http"]
+
+    @property
+    def alive(self) -> bool:
+        """Tell whether the process runs."""
+        return self.popen is not None and self.popen.poll() is None
+
+    def start(self) -> "Process":
+        """Start without waiting."""
+        assert not self.alive, f"{self.name} runs already"
+        self.log_offset = self.log.stat().st_size if self.log.exists() else 0
+        with self.log.open("ab") as output:
+            self.popen = subprocess.Popen(self.command, stdout=output, stderr=output)
+        return self
+
+    def wait_ready(self) -> "Process":
+        """Wait for the log line that names the addresses."""
+        wait_until(self._read_ready, f"{self.name} serves\n{self.log_tail()}")
+        return self
+
+    def kill(self) -> None:
+        """Kill at once, as the loss of a VM does."""
+        if self.alive:
+            self._signal(signal.SIGKILL)
+            self.wait()
+
+    def terminate(self) -> None:
+        """Ask for a planned stop without waiting for its end."""
+        self._signal(signal.SIGTERM)
+
+    def stop(self) -> int:
+        """Stop as planned and return the exit code."""
+        self.terminate()
+        return self.wait()
+
+    def pause(self) -> None:
+        """Freeze the process."""
+        self._signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a frozen process go on."""
+        self._signal(signal.SIGCONT)
+
+    def wait(self, limit_s: float = STOP_LIMIT_S) -> int:
+        """Wait for the end and return the exit code."""
+        assert self.popen is not None
+        return self.popen.wait(limit_s)
+
+    def restart(self) -> "Process":
+        """Start again after the end and wait until it serves."""
+        return self.start().wait_ready()
+
+    def log_lines(self) -> list[dict[str, Any]]:
+        """Return the JSON lines logged since the last start."""
+        if not self.log.exists():
+            return []
+        lines = self.log.read_bytes()[self.log_offset :].decode(errors="replace").splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{") and line.endswith("}")]
+
+    def log_tail(self) -> str:
+        """Return the last lines of the log."""
+        if not self.log.exists():
+            return ""
+        lines = self.log.read_text(errors="replace").splitlines()[-LOG_TAIL_LINES:]
+        return f"--- {self.name}\n" + "\n".join(lines)
+
+    def _read_ready(self) -> bool:
+        assert self.alive, f"{self.name} ended\n{self.log_tail()}"
+        for line in self.log_lines():
+            if line.get("message") == "ready" and "addresses" in line:
+                self.addresses = dict(line["addresses"])
+                return True
+        return False
+
+    def _signal(self, number: int) -> None:
+        if self.alive:
+            assert self.popen is not None
+            os.kill(self.popen.pid, number)
--- a/parsleyrouter/standins/fault_proxy.py
+++ b/parsleyrouter/standins/fault_proxy.py
@@ -93,7 +93,7 @@
         stream.on_data = self.down.put
         stream.on_close = lambda: self.down.put(b"")
         self.up.send = stream.send
-        self.up.end = stream.close
+        self.up.end = self._end_up
         self.up.flush()
 
     def flush(self) -> None:
@@ -103,10 +103,16 @@
 
     def cut(self) -> None:
         """Close both sides."""
+        self.proxy.lingering.discard(self)
         if self.stream is not None:
             self.stream.close()
         self.proxy.close_client(self.sock)
 
+    def _end_up(self) -> None:
+        self.proxy.lingering.discard(self)
+        if self.stream is not None:
+            self.stream.close()
+
 
 class FaultProxy(Component):
     """Proxy one address; ``address`` settles with where clients connect."""
@@ -121,6 +127,7 @@
         self.upstream = Address(upstream)
         self.faults = ProxyFaults()
         self.links: dict[Any, _Link] = {}
+        self.lingering: set[_Link] = set()
         self.accepted = 0
         self.control.http.context = self
         self.control.register(self)
@@ -137,7 +144,7 @@
 
     def apply(self) -> None:
         """Put the faults into force for open connections."""
-        for link in list(self.links.values()):
+        for link in [*self.links.values(), *self.lingering]:
             if self.faults.cut:
                 link.cut()
             else:
@@ -167,6 +174,7 @@
     def _on_disconnect(self, sock: Any) -> None:
         link = self.links.pop(sock, None)
         if link is not None:
+            self.lingering.add(link)
             link.up.put(b"")
 
 
--- a/parsleyrouter/standins/vm_list.py
+++ b/parsleyrouter/standins/vm_list.py
@@ -13,7 +13,7 @@
 
 
 class VmList(StandIn):
-    """Show VMs as ``{"vms": [{"name", "agent", "domain", "state"}]}``; ``lag_s`` in seconds."""
+    """Show VMs as ``{"vms": [{"node", "agent", "domain", "state"}]}``; ``lag_s`` in seconds."""
 
     def __init__(self, runtime: Runtime, bind: str = "127.0.0.1:0", *, lag_s: float = 0.0) -> None:
         super().__init__(runtime, bind, routes)
