Resume broken streams, yield batch slots with a token, and prove dispatch under failure

A stream that breaks midway continues at another endpoint by the engine's token, or ends as an error event and a closed connection. A revoked batch call is cancelled at the engine, which gives the token for the next run; one that must not be repeated runs to its end. Callers may not send resume tokens themselves.

--- /dev/null
+++ b/features/steps/dispatch_steps.py
@@ -0,0 +1,410 @@
+"""Steps for running calls at endpoints under failure."""
+
+import json
+from dataclasses import replace
+from typing import Any
+
+from behave import then, when
+from hypothesis import given as sample
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from features.support.entry import (
+    CHAT,
+    CHAT_PATH,
+    EVENTS,
+    KEY,
+    STREAM,
+    FixedGrants,
+    ScriptedEndpoint,
+    answer_503,
+    answer_ok,
+    chunk,
+    close_unanswered,
+    cut_midway,
+    hang,
+    start_entry,
+)
+from features.support.loop import run_on_loop
+from parsleyrouter.connection.http import HttpReply, TransportFailure, json_reply
+from parsleyrouter.connection.http_server import Exchange
+from parsleyrouter.ids import EndpointId, KindName, ModelName, RequestId, TeamName
+from parsleyrouter.outcome import Ran
+from parsleyrouter.process.call_port import Call, Reply, Yielded
+from parsleyrouter.process.dispatch import CallRunner
+from parsleyrouter.process.runtime import Runtime
+from parsleyrouter.process.view import FixedView
+from parsleyrouter.request.attempts import (
+    AttemptFailure,
+    AttemptHistory,
+    AttemptRules,
+    GiveUp,
+    Happened,
+    Retry,
+    decide,
+)
+from parsleyrouter.request.retry_budget import WINDOW_S, RetryBudget
+from parsleyrouter.standins.answers import answer_text, prompt_text
+from parsleyrouter.standins.engine import Engine
+from parsleyrouter.standins.engine_batch import EngineModel
+from parsleyrouter.version.schema import KindClass, KindSettings
+
+FAST = EngineModel(models=("small",), step_s=0.002, step_per_running_s=0.0)
+
+
+@when("dispatch: any series of failed attempts is decided on")
+def decide_any(context: Any) -> None:
+    failure = st.builds(
+        AttemptFailure,
+        endpoint=st.sampled_from([EndpointId("a"), EndpointId("b")]),
+        happened=st.sampled_from(Happened),
+        message=st.just("x"),
+        shown=st.booleans(),
+        resumable=st.booleans(),
+    )
+    context.series = []
+
+    @settings(max_examples=200)
+    @sample(st.booleans(), st.lists(failure, min_size=1, max_size=6), st.floats(0, 5))
+    def check(idempotent: bool, failures: list[AttemptFailure], remaining_s: float) -> None:
+        rules, history = AttemptRules(idempotent), AttemptHistory()
+        for index, one in enumerate(failures):
+            step = decide(rules, history, one, remaining_s=remaining_s, take_retry=lambda: True)
+            context.series.append((rules, failures[: index + 1], step))
+            if isinstance(step, GiveUp):
+                break
+            history = step.history
+
+    check()
+
+
+@then("dispatch: a call that must not be repeated is tried again only after nothing was sent")
+def repeated_only_unsent(context: Any) -> None:
+    for rules, failures, step in context.series:
+        if isinstance(step, Retry) and not rules.idempotent:
+            assert failures[-1].happened is Happened.NOT_SENT
+
+
+@then("dispatch: not_run is said only if every attempt provably sent nothing")
+def not_run_proved(context: Any) -> None:
+    for _, failures, step in context.series:
+        if isinstance(step, GiveUp):
+            unsent = all(one.happened is Happened.NOT_SENT for one in failures)
+            assert (step.refusal.ran is Ran.NOT_RUN) == unsent
+
+
+@then("dispatch: nothing is tried again after the caller saw a part that cannot be resumed")
+def shown_needs_resume(context: Any) -> None:
+    for _, failures, step in context.series:
+        if isinstance(step, Retry) and failures[-1].shown:
+            assert failures[-1].resumable
+
+
+@when("dispatch: requests and retries come at any times")
+def budget_any(context: Any) -> None:
+    context.budgets = []
+
+    @settings(max_examples=100)
+    @sample(st.lists(st.tuples(st.floats(0, 1.5), st.booleans()), max_size=80), st.floats(0, 1))
+    def check(events: list[tuple[float, bool]], share: float) -> None:
+        budget, now, requests, retries = RetryBudget(share=share), 0.0, [], []
+        for gap_s, is_retry in events:
+            now += gap_s
+            if not is_retry:
+                budget.count_request(now)
+                requests.append(now)
+            elif budget.take(now):
+                retries.append(now)
+                recent = [at for at in requests if at > now - WINDOW_S]
+                taken = [at for at in retries if at > now - WINDOW_S]
+                context.budgets.append((len(taken), budget.least + share * len(recent)))
+
+    check()
+
+
+@then("dispatch: the retries of any ten seconds stay within the budget")
+def budget_held(context: Any) -> None:
+    assert context.budgets
+    for taken, allowed in context.budgets:
+        assert taken <= allowed + 1e-9
+
+
+@when("dispatch: the first endpoint closes unanswered for a chat and a streamed chat")
+def first_closes(context: Any) -> None:
+    async def main(runtime: Runtime) -> None:
+        bad = ScriptedEndpoint(runtime, "bad", close_unanswered)
+        good = ScriptedEndpoint(runtime, "good", answer_ok)
+        context.entry = start_entry(runtime, bad, good)
+        context.replies = [await context.entry.post(CHAT_PATH, body) for body in (CHAT, STREAM)]
+
+    run_on_loop(main)
+
+
+@then("dispatch: both answers are whole and come from the second endpoint")
+def from_second(context: Any) -> None:
+    plain, streamed = context.replies
+    assert plain.json()["endpoint"] == "good"
+    assert streamed.body.endswith(b"data: [DONE]\n\n") and streamed.body.count(b"data:") == 4
+
+
+@then("dispatch: the failure was laid to the first endpoint and every slot was given back")
+def blamed(context: Any) -> None:
+    results = context.entry.grants.results
+    assert [result.endpoint_at_fault for result in results] == [True, False, True, False]
+    assert not context.entry.grants.open
+
+
+@when("dispatch: an endpoint without resume is cut midway")
+def cut_without_resume(context: Any) -> None:
+    async def main(runtime: Runtime) -> None:
+        cut = ScriptedEndpoint(runtime, "cut", cut_midway)
+        entry = start_entry(runtime, cut, ScriptedEndpoint(runtime, "good", answer_ok))
+        exchange = await runtime.http.open(
+            entry.address,
+            "POST",
+            CHAT_PATH,
+            headers={"authorization": f"Bearer {KEY}"},
+            body=json.dumps(STREAM).encode(),
+        )
+        context.body, context.end = b"", b""
+        while isinstance(context.end, bytes):
+            context.body += context.end
+            context.end = await exchange.read()
+
+    run_on_loop(main)
+
+
+@then("dispatch: the caller sees an error event that says ran, no end mark and a closed connection")
+def explicit_error(context: Any) -> None:
+    events = context.body.split(b"\n\n")
+    assert [b"one" in events[0], b"two" in events[1]] == [True, True]
+    error = json.loads(events[2].removeprefix(b"data: "))["error"]
+    assert error["ran"] == "ran" and b"[DONE]" not in context.body
+    assert isinstance(context.end, TransportFailure)
+
+
+def streamed_text(body: bytes) -> str:
+    """Return the text of a streamed chat answer."""
+    pieces = [event.removeprefix(b"data: ") for event in body.split(b"\n\n") if event]
+    assert pieces[-1] == b"[DONE]", pieces[-1]
+    return "".join(json.loads(one)["choices"][0]["delta"].get("content", "") for one in pieces[:-1])
+
+
+@when("dispatch: an engine breaks a stream after any number of tokens")
+def engine_breaks(context: Any) -> None:
+    context.streams = []
+
+    async def main(runtime: Runtime) -> None:
+        engines = [Engine(runtime, model=FAST).register(runtime) for _ in range(2)]
+        entry = start_entry(runtime)
+        entry.context.calls.budget.least = 100  # type: ignore[attr-defined]
+        places = [await one.address for one in engines]
+        entry.grants.endpoints = [_Named(f"e{n}", one) for n, one in enumerate(places)]
+        body = STREAM | {"max_tokens": 12}
+        for place in range(1, 13):
+            engines[0].faults.break_streams = 1
+            engines[0].faults.break_after_tokens = place
+            context.streams.append(await entry.post(CHAT_PATH, body))
+        context.whole = answer_text("small", prompt_text(CHAT), 12)
+
+    run_on_loop(main)
+
+
+class _Unreachable:
+    """Stand where nothing listens."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.address = "127.0.0.1:1"
+
+
+class _Named:
+    """Give a stand-in the name and address that grants need."""
+
+    def __init__(self, name: str, address: str) -> None:
+        self.name = name
+        self.address = address
+
+
+@then("dispatch: the caller sees the whole text once")
+def whole_once(context: Any) -> None:
+    assert len(context.streams) == 12
+    for reply in context.streams:
+        assert isinstance(reply, HttpReply), reply
+        assert streamed_text(reply.body) == context.whole
+
+
+@when("dispatch: calls that must not be repeated meet endpoints that fail in any way")
+def never_twice(context: Any) -> None:
+    context.runs = []
+    behaviours = [answer_ok, answer_503, close_unanswered, None]
+    drawn = st.lists(st.sampled_from(behaviours), min_size=2, max_size=4)
+
+    @settings(max_examples=25)
+    @sample(drawn)
+    def check(scripts: list[Any]) -> None:
+        async def main(runtime: Runtime) -> None:
+            endpoints = [
+                ScriptedEndpoint(runtime, f"e{n}", s or answer_ok) for n, s in enumerate(scripts)
+            ]
+            entry = start_entry(runtime, *endpoints)
+            for place, script in enumerate(scripts):
+                if script is None:
+                    entry.grants.endpoints[place] = _Unreachable(f"e{place}")  # type: ignore
+            reply = await entry.post("/v1/services/cards/send", {"card": 1})
+            executed = sum(sum(one.executions.values()) for one in endpoints)
+            seen = sum(len(one.seen) for one in endpoints)
+            context.runs.append((executed, seen, reply))
+
+        run_on_loop(main)
+
+    check()
+
+
+@then("dispatch: no call was executed twice and not_run was said only of calls never executed")
+def at_most_once(context: Any) -> None:
+    said = set()
+    for executed, seen, reply in context.runs:
+        assert executed <= 1 and seen <= 1, (executed, seen)
+        if reply.status != 200 and b"ran" in reply.body:
+            ran = reply.json()["error"]["ran"]
+            said.add(ran)
+            assert ran != "not_run" or seen == 0
+    assert {"unknown", "not_run"} <= said, said
+
+
+@when("dispatch: an endpoint answers with another attempt's id")
+def crossed(context: Any) -> None:
+    async def answer_crossed(endpoint: ScriptedEndpoint, exchange: Exchange) -> HttpReply:
+        reply = json_reply({"endpoint": "crossed"})
+        return HttpReply(200, {**reply.headers, "x-parsley-attempt": "other"}, reply.body)
+
+    async def main(runtime: Runtime) -> None:
+        wrong = ScriptedEndpoint(runtime, "wrong", answer_crossed)
+        entry = start_entry(runtime, wrong, ScriptedEndpoint(runtime, "good", answer_ok))
+        context.reply = await entry.post(CHAT_PATH, CHAT)
+        context.crossed = runtime.metrics.get_sample_value("parsley_answers_crossed_total")
+
+    run_on_loop(main)
+
+
+@then("dispatch: the answer comes from the other endpoint and the crossing is counted")
+def crossing_dropped(context: Any) -> None:
+    assert context.reply.json()["endpoint"] == "good" and context.crossed == 1
+
+
+@when("dispatch: many requests with short deadlines meet a slow endpoint")
+def late_answers(context: Any) -> None:
+    async def slow(endpoint: ScriptedEndpoint, exchange: Exchange) -> HttpReply | None:
+        number = json.loads(exchange.request.body)["n"]
+        await endpoint.runtime.loop.sleep(0.01 * (number * 7 % 13))
+        return json_reply({"n": number})
+
+    async def main(runtime: Runtime) -> None:
+        entry = start_entry(runtime, ScriptedEndpoint(runtime, "slow", slow))
+
+        async def ask(number: int) -> tuple[int, Any]:
+            body = CHAT | {"n": number}
+            return number, await entry.post(CHAT_PATH, body, x_parsley_deadline_s="0.06")
+
+        tasks = [runtime.loop.spawn(ask(number)) for number in range(60)]
+        context.late = await runtime.loop.gather(tasks)
+
+    run_on_loop(main)
+
+
+@then("dispatch: each caller got its own answer or a refusal")
+def own_or_refused(context: Any) -> None:
+    statuses = {reply.status for _, reply in context.late}
+    assert statuses == {200, 504}, statuses
+    for number, reply in context.late:
+        if reply.status == 200:
+            assert reply.json() == {"n": number}
+        else:
+            assert reply.json()["error"]["ran"] == "unknown"
+
+
+@when("dispatch: callers go before and during the answer")
+def callers_go(context: Any) -> None:
+    async def trickle(endpoint: ScriptedEndpoint, exchange: Exchange) -> HttpReply | None:
+        stream = exchange.open_stream(200, EVENTS)
+        while not stream.gone:
+            stream.send(chunk("x"))
+            await endpoint.runtime.loop.sleep(0.01)
+        endpoint.gone += 1
+        stream.abort()
+        return None
+
+    async def main(runtime: Runtime) -> None:
+        endpoint = ScriptedEndpoint(runtime, "e", hang, trickle)
+        entry = start_entry(runtime, endpoint)
+        for body in (CHAT, STREAM):
+            exchange = await runtime.http.begin(
+                entry.address,
+                "POST",
+                CHAT_PATH,
+                {"authorization": f"Bearer {KEY}"},
+                json.dumps(body).encode(),
+            )
+            await runtime.loop.sleep(0.1)
+            exchange.cancel()
+        await runtime.loop.sleep(0.2)
+        context.gone, context.entry = endpoint.gone, entry
+
+    run_on_loop(main)
+
+
+@then("dispatch: the endpoint saw them go and every slot was given back")
+def saw_them_go(context: Any) -> None:
+    assert context.gone == 2, context.gone
+    assert len(context.entry.grants.results) == 2 and not context.entry.grants.open
+
+
+@when("dispatch: batch calls are revoked at any time")
+def revoke_any(context: Any) -> None:
+    context.yields = []
+
+    async def main(runtime: Runtime) -> None:
+        engine = Engine(runtime, model=FAST).register(runtime)
+        grants = FixedGrants(_Named("e", await engine.address))  # type: ignore[arg-type]
+        runner = CallRunner(runtime, grants, FixedView(start_entry(runtime).view.me))
+        for delay_ms in (0, 1, 5, 10, 20, 30):
+            call = _batch_call(CHAT | {"max_tokens": 20})
+            task = runtime.loop.spawn(runner.run(call))
+            await runtime.loop.sleep(delay_ms / 1000)
+            for revoke in list(grants.open.values()):
+                assert revoke is not None
+                revoke()
+            first = await runtime.loop.within(5, task)
+            running = len(engine.batch.running)
+            token = first.resume_token if isinstance(first, Yielded) else ""
+            again = await runner.run(replace(call, resume_token=token))
+            context.yields.append((delay_ms, first, running, again))
+        context.open = grants.open
+        context.whole = answer_text("small", prompt_text(CHAT), 20)
+
+    run_on_loop(main)
+
+
+def _batch_call(body: dict[str, Any]) -> Call:
+    return Call(
+        request=RequestId("r"),
+        team=TeamName("t"),
+        kind=KindName("batch"),
+        settings=KindSettings(kind_class=KindClass.BATCH),
+        method="POST",
+        path=CHAT_PATH,
+        body=json.dumps(body).encode(),
+        model=ModelName("small"),
+    )
+
+
+@then("dispatch: each yields, frees the engine and continues to the whole answer")
+def yielded_and_resumed(context: Any) -> None:
+    assert not context.open
+    assert any(isinstance(y[1], Yielded) and y[1].resume_token for y in context.yields)
+    for delay_ms, first, running, again in context.yields:
+        assert isinstance(first, Yielded), (delay_ms, first)
+        assert running == 0 and isinstance(again, Reply), (delay_ms, running, again)
+        content = json.loads(again.body)["choices"][0]["message"]["content"]
+        assert content == context.whole
--- a/parsleyrouter/connection/api_online.py
+++ b/parsleyrouter/connection/api_online.py
@@ -12,6 +12,7 @@
 from parsleyrouter.process.call_port import Call
 from parsleyrouter.request.classification import KIND_HEADER, classify_model, model_refusal
 from parsleyrouter.request.deadline import DEADLINE_HEADER, choose_deadline
+from parsleyrouter.request.resume import RESUME_FIELD
 from parsleyrouter.request.token_estimate import estimate_tokens
 from parsleyrouter.version.schema import TeamSettings
 
@@ -77,6 +78,8 @@
         return _bad("the body must be a JSON object")
     if not isinstance(body.get("model"), str):
         return _bad("'model' must name a model; GET /v1/models lists them")
+    if RESUME_FIELD in body:
+        return _bad(f"{RESUME_FIELD!r} is not for callers: leave it out")
     if body.get(needed) is None:
         return _bad(f"{needed!r} is missing")
     return body
--- a/parsleyrouter/process/attempt.py
+++ b/parsleyrouter/process/attempt.py
@@ -3,15 +3,19 @@
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
-from parsleyrouter.connection.http import Sent, TransportFailure
+import msgspec
+
+from parsleyrouter.connection.http import HttpReply, Sent, TransportFailure
 from parsleyrouter.connection.http_client import HttpExchange
 from parsleyrouter.connection.sse import EventSplitter, is_event_stream
 from parsleyrouter.ids import Address, AttemptId
 from parsleyrouter.process.call_port import Call, Yielded
 from parsleyrouter.process.grant_port import CallResult, Grant
+from parsleyrouter.process.loop import Task
 from parsleyrouter.request.answer import Answer
 from parsleyrouter.request.attempts import AttemptFailure, Happened
 from parsleyrouter.request.deadline import DEADLINE_HEADER, Deadline
+from parsleyrouter.request.resume import finish_seen, resume_body, resume_token, token_of_cancel
 
 if TYPE_CHECKING:
     from parsleyrouter.process.dispatch import CallRunner
@@ -22,6 +26,10 @@
 REQUEST_HEADER = "x-request-id"
 LONGEST_SILENCE_S = 300.0
 STREAM_GAP_S = 30.0
+CANCEL_TIMEOUT_S = 0.25
+LAST_ANSWER_S = 0.05
+CANCEL_PATH = "/cancel"
+CANCELLED_STATUS = 409
 MOST_ANSWER_BYTES = 64 * 1024 * 1024
 
 _TURNED_AWAY = frozenset({429, 502, 503, 504})
@@ -54,13 +62,17 @@
         self.grant: Grant | None = None
         self.exchange: HttpExchange | None = None
         self.revoked = False
+        self.finishing = False
+        self.cancelling: Task[None] | None = None
         self.result = CallResult(ok=False)
 
     def revoke(self) -> None:
         """Give the slot to online work, unless the call may have run and must not run again."""
         self.revoked = True
-        if self.exchange is not None and self.call.settings.idempotent:
-            self.exchange.cancel()
+        if self.exchange is None or self.cancelling is not None:
+            return
+        if self.call.settings.idempotent:
+            self.cancelling = self.runner.loop.spawn(self._cancel_at_endpoint(), "cancel")
 
     def close(self) -> None:
         """Cancel at the endpoint what is still under way."""
@@ -78,13 +90,40 @@
         end = await self._send()
         if end is None:
             end = await self._read(started_s)
-        if end is not None and self.revoked and self.call.settings.idempotent:
+        if self.cancelling is not None and self._yields(end):
+            await self.cancelling
+            self.result = CallResult(ok=False)
             return Yielded(self.resume_token)
         if isinstance(end, AttemptFailure):
             in_time = self.answer.shown or not self.deadline.expired(self.runner.loop.now())
             self.result = CallResult(ok=False, endpoint_at_fault=in_time)
         return end
 
+    def _yields(self, end: AttemptFailure | None) -> bool:
+        """Tell whether a revoked attempt has no answer; an engine ends it by a status."""
+        assert self.exchange is not None
+        return end is not None or (
+            bool(self.call.model) and self.exchange.status == CANCELLED_STATUS
+        )
+
+    async def _cancel_at_endpoint(self) -> None:
+        """Cancel, keeping the engine's resume token, and close the connection."""
+        assert self.exchange is not None
+        if self.call.model:
+            reply = await self.runner.http.request(
+                self.exchange.stream.address,
+                "POST",
+                CANCEL_PATH,
+                body=msgspec.json.encode({"id": self.id}),
+                timeout_s=CANCEL_TIMEOUT_S,
+            )
+            token = token_of_cancel(reply.body) if isinstance(reply, HttpReply) else None
+            if token is None:
+                await self.runner.loop.sleep(LAST_ANSWER_S)
+            else:
+                self.resume_token = token
+        self.exchange.cancel()
+
     async def _send(self) -> AttemptFailure | None:
         assert self.grant is not None
         call = self.call
@@ -93,7 +132,7 @@
             call.method,
             call.path,
             self._headers(),
-            call.body,
+            resume_body(call.body, self.resume_token) if self.resume_token else call.body,
             fresh=not call.settings.idempotent,
         )
         if isinstance(exchange, TransportFailure):
@@ -169,6 +208,8 @@
                 begun = True
                 self._answered(started_s)
                 self.answer.begin(exchange.status, _kept_headers(exchange.headers))
+            self.resume_token = resume_token(events) or self.resume_token
+            self.finishing = self.finishing or finish_seen(events)
             await self.answer.send(events)
         if splitter.done:
             return None
@@ -190,9 +231,8 @@
 
     def _failure(self, happened: Happened, message: str) -> AttemptFailure:
         assert self.grant is not None
-        return AttemptFailure(
-            self.grant.endpoint, happened, message, self.answer.shown, bool(self.resume_token)
-        )
+        resumable = bool(self.resume_token) and not self.finishing
+        return AttemptFailure(self.grant.endpoint, happened, message, self.answer.shown, resumable)
 
 
 def _kept_headers(headers: Mapping[str, str]) -> dict[str, str]:
--- a/parsleyrouter/process/dispatch.py
+++ b/parsleyrouter/process/dispatch.py
@@ -104,6 +104,8 @@
             if isinstance(step, GiveUp):
                 return step.refusal
             self.metrics.retries.inc()
+            if answer.shown:
+                self.metrics.resumed.inc()
             history, token = step.history, attempt.resume_token
 
     async def _attempt(
