Prove the key-value client, and keep processes from coming back in step

Cause: calls spaced evenly during an outage undid the jitter of the back-off, so clients that met the outage together called together, and the whole burst came back at once when the slow return ended. Ruled out: the jitter itself, which was drawn per client. Change: in an outage the back-off alone spaces the calls; the burst grows with the returning rate. The features compare the client over HTTP with the port in memory, judge maybe_applied and swap_checked by the store's own history, and follow watches over outages.

--- /dev/null
+++ b/features/steps/key_value_steps.py
@@ -0,0 +1,323 @@
+"""Steps for the key-value client against the stand-in service."""
+
+from collections.abc import Callable
+from typing import Any
+
+from behave import then, when
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from features.support.control import until
+from features.support.loop import run_on_loop
+from parsleyrouter.connection.call_budget import BudgetSettings
+from parsleyrouter.connection.checked_swap import swap_checked
+from parsleyrouter.connection.etcd import EtcdKeyValue
+from parsleyrouter.connection.key_value import (
+    ABSENT,
+    Changed,
+    Conflict,
+    Entry,
+    KeyValue,
+    KeyValueFailure,
+    KeyValueFailureKind,
+    Swapped,
+)
+from parsleyrouter.ids import Revision
+from parsleyrouter.process.runtime import Runtime
+from parsleyrouter.standins.key_value_faults import CallFault, CallKind, KeyValueFaults
+from parsleyrouter.standins.key_value_server import KeyValueServer
+from parsleyrouter.standins.key_value_store import KeyValueStore
+from parsleyrouter.standins.memory_key_value import MemoryKeyValue
+
+FREE = BudgetSettings(
+    calls_per_s=1e6, burst_calls=1e6, backoff_base_s=0.001, backoff_limit_s=0.002, ramp_s=0.001
+)
+KEYS = st.sampled_from(["/a/1", "/a/1", "/a/2/x", "/é/1"])
+PREFIXES = st.sampled_from(["/a/", "/a", "/é/", "/a/2"])
+EXPECTATIONS = st.sampled_from(["absent", "current", "stale"])
+LEASES = st.sampled_from([0, 0, 1001, 1002, 4000])
+OPERATIONS = st.one_of(
+    st.tuples(st.just("get"), KEYS),
+    st.tuples(st.just("scan"), PREFIXES, KEYS | st.just(""), st.integers(1, 4)),
+    st.tuples(st.just("swap"), KEYS, st.binary(max_size=8), EXPECTATIONS, LEASES),
+    st.tuples(st.just("delete"), KEYS, EXPECTATIONS),
+    st.tuples(st.just("grant"), st.integers(60, 90)),
+    st.tuples(st.just("renew"), LEASES),
+    st.tuples(st.just("revoke"), LEASES),
+)
+
+
+def expected_revision(store: KeyValueStore, key: str, expectation: str) -> Revision:
+    entry = store.get(key)
+    if expectation == "absent" or entry is None:
+        return ABSENT
+    return entry.revision if expectation == "current" else Revision(entry.revision - 1)
+
+
+async def operate(key_value: KeyValue, store: KeyValueStore, operation: tuple[Any, ...]) -> Any:
+    match operation:
+        case ("get", key):
+            return await key_value.get(key)
+        case ("scan", prefix, after, limit):
+            return await key_value.scan(prefix, after=after, limit=limit)
+        case ("swap", key, value, expectation, lease):
+            expected = expected_revision(store, key, expectation)
+            return await key_value.swap(key, value, expected, lease=lease)
+        case ("delete", key, expectation):
+            return await key_value.delete(key, expected_revision(store, key, expectation))
+        case ("grant", ttl_s):
+            return await key_value.grant(float(ttl_s))
+        case (("renew" | "revoke") as name, lease):
+            return await getattr(key_value, name)(lease)
+    raise AssertionError(operation)
+
+
+def comparable(outcome: Any) -> Any:
+    if isinstance(outcome, KeyValueFailure):
+        return outcome.kind, outcome.maybe_applied
+    return outcome
+
+
+async def serve(runtime: Runtime, **named: Any) -> tuple[KeyValueServer, EtcdKeyValue]:
+    server = KeyValueServer(runtime).register(runtime)
+    options = {"budget": FREE, "timeout_s": 5.0} | named
+    return server, EtcdKeyValue(runtime, await server.address, **options)
+
+
+@when("key-value: any sequence of operations runs over HTTP and in memory")
+def run_both(context: Any) -> None:
+    context.pairs = []
+
+    @settings(max_examples=100)
+    @given(st.lists(OPERATIONS, min_size=5, max_size=25))
+    def check(operations: list[tuple[Any, ...]]) -> None:
+        async def main(runtime: Runtime) -> None:
+            server, over_http = await serve(runtime)
+            in_memory = MemoryKeyValue(runtime.loop)
+            for operation in operations:
+                one = await operate(over_http, server.store, operation)
+                other = await operate(in_memory, in_memory.store, operation)
+                context.pairs.append((operation, comparable(one), comparable(other)))
+
+        run_on_loop(main)
+
+    check()
+
+
+@then("key-value: every outcome is the same")
+def same_outcomes(context: Any) -> None:
+    kinds = {type(one) for _, one, _ in context.pairs}
+    assert {Swapped, Conflict, Entry} <= kinds, kinds
+    for operation, one, other in context.pairs:
+        assert one == other, (operation, one, other)
+
+
+FAULTS: dict[str, dict[str, Any]] = {
+    "none": {},
+    "outage": {"outage": True},
+    "hang": {"hang": True},
+    "limited": {"calls_per_s": 0.5},
+    "lost before": {"lose_before": 1},
+    "lost after": {"lose_after": 1},
+}
+
+
+@when("key-value: writes meet outages, rate limits, silence and lost replies")
+def write_under_faults(context: Any) -> None:
+    context.judged = []
+
+    @settings(max_examples=8)
+    @given(st.lists(st.sampled_from(sorted(FAULTS)), min_size=3, max_size=8))
+    def check(names: list[str]) -> None:
+        async def main(runtime: Runtime) -> None:
+            server, client = await serve(runtime, timeout_s=0.2)
+            for number, name in enumerate(names):
+                server.faults = type(server.faults)(**FAULTS[name])
+                key = f"/k/{number}"
+                outcome = await client.swap(key, b"v", ABSENT)
+                context.judged.append((name, outcome, server.store.get(key) is not None))
+
+        run_on_loop(main)
+
+    check()
+
+
+@then("key-value: no write reported as not applied took effect")
+def truthful_failures(context: Any) -> None:
+    assert {name for name, _, _ in context.judged} == set(FAULTS)
+    for name, outcome, applied in context.judged:
+        if isinstance(outcome, KeyValueFailure):
+            assert outcome.maybe_applied or not applied, (name, outcome)
+        else:
+            assert applied, (name, outcome)
+    limited = [outcome for name, outcome, _ in context.judged if name == "limited"]
+    refused = [one for one in limited if isinstance(one, KeyValueFailure)]
+    assert {one.kind for one in refused} <= {KeyValueFailureKind.OVER_BUDGET}, refused
+
+
+@when("key-value: checked swaps lose any replies while another writer races")
+def swap_with_races(context: Any) -> None:
+    context.judged = []
+    turns = st.tuples(
+        st.lists(st.sampled_from(sorted(CallFault, key=str)), max_size=5),
+        st.sampled_from(["nobody", "before", "between"]),
+    )
+
+    @settings(max_examples=150)
+    @given(st.lists(turns, min_size=1, max_size=6))
+    def check(turns: list[tuple[list[CallFault], str]]) -> None:
+        async def main(runtime: Runtime) -> None:
+            store = KeyValueStore()
+            for number, (faults, racer) in enumerate(turns):
+                await judge_swap(context, runtime, store, f"ours-{number}", list(faults), racer)
+
+        run_on_loop(main)
+
+    check()
+
+
+async def judge_swap(
+    context: Any,
+    runtime: Runtime,
+    store: KeyValueStore,
+    value: str,
+    faults: list[CallFault],
+    racer: str,
+) -> None:
+    entry = store.get("/k")
+    calls = [0]
+
+    def script(kind: CallKind, key: str) -> CallFault:
+        calls[0] += 1
+        if (racer, calls[0]) in {("before", 1), ("between", 2)}:
+            store.put("/k", b"theirs")
+        return faults.pop(0) if faults else CallFault.NONE
+
+    key_value = MemoryKeyValue(runtime.loop, store=store, faults=KeyValueFaults(script=script))
+    expected = entry.revision if entry else ABSENT
+    outcome = await swap_checked(key_value, "/k", value.encode(), expected)
+    applied = [
+        change
+        for change in store.changes(Revision(1), "/k")
+        if change.entry is not None and change.entry.value == value.encode()
+    ]
+    context.judged.append((outcome, [change.revision for change in applied]))
+
+
+@then("key-value: each is reported as it was")
+def swaps_truthful(context: Any) -> None:
+    kinds = {type(outcome) for outcome, _ in context.judged}
+    assert kinds == {Swapped, Conflict, KeyValueFailure}, kinds
+    for outcome, applied in context.judged:
+        if isinstance(outcome, Swapped):
+            assert applied == [outcome.revision], (outcome, applied)
+        elif isinstance(outcome, Conflict) or not outcome.maybe_applied:
+            assert not applied, (outcome, applied)
+
+
+@when("key-value: keys change while the connection breaks and the service is out")
+def change_and_break(context: Any) -> None:
+    context.seen = []
+    events = st.sampled_from(["put", "put", "delete", "break", "outage", "back", "pause"])
+
+    @settings(max_examples=12)
+    @given(st.lists(events, min_size=5, max_size=30))
+    def check(events: list[str]) -> None:
+        async def main(runtime: Runtime) -> None:
+            server, client = await serve(runtime)
+            seen: list[Changed] = []
+            lost: list[str] = []
+            client.watch("/w/", Revision(2), seen.append, lost.append)
+            for number, event in enumerate(events):
+                await happen(runtime, server, event, number)
+            server.faults.outage = False
+            server.store.put("/w/last", b"")
+            await until(runtime, lambda: seen and seen[-1].key == "/w/last")
+            context.seen.append((seen, server.store.changes(Revision(2), "/w/"), lost))
+
+        run_on_loop(main)
+
+    check()
+
+
+async def happen(runtime: Runtime, server: KeyValueServer, event: str, number: int) -> None:
+    if event == "put":
+        server.store.put(f"/w/{number % 3}", str(number).encode())
+        server.store.put("/other", b"")
+    elif event == "delete":
+        server.store.delete_keys([f"/w/{number % 3}"])
+    elif event == "pause":
+        await runtime.loop.sleep(0.02)
+    else:
+        server.faults.outage = event == "outage" or (event == "break" and server.faults.outage)
+        server.break_watches()
+
+
+@then("key-value: the watch has seen every change once and in order")
+def no_gaps(context: Any) -> None:
+    assert context.seen
+    for seen, happened, lost in context.seen:
+        assert seen == happened and not lost, (seen, happened, lost)
+
+
+@when("key-value: the history is compacted during an outage or the service goes back")
+def lose_history(context: Any) -> None:
+    context.reasons = []
+
+    def lose(act: Callable[[KeyValueServer], None]) -> None:
+        async def main(runtime: Runtime) -> None:
+            server, client = await serve(runtime)
+            seen: list[Changed] = []
+            lost: list[str] = []
+            client.watch("/w/", Revision(2), seen.append, lost.append)
+            server.store.put("/w/1", b"")
+            await until(runtime, lambda: seen)
+            server.faults.outage = True
+            server.break_watches()
+            act(server)
+            server.faults.outage = False
+            await until(runtime, lambda: lost)
+            context.reasons.append((lost, len(seen)))
+
+        run_on_loop(main)
+
+    def compact(server: KeyValueServer) -> None:
+        for number in range(3):
+            server.store.put(f"/w/{number}", b"new")
+        server.store.compact(server.store.revision)
+
+    def go_back(server: KeyValueServer) -> None:
+        server.store.revision = Revision(1)
+        server.store.history.clear()
+        server.store.entries.clear()
+        server.store.keys.clear()
+
+    lose(compact)
+    lose(go_back)
+
+
+@then("key-value: the watch reports that it is lost")
+def told_lost(context: Any) -> None:
+    reasons = [(len(lost), seen) for lost, seen in context.reasons]
+    assert reasons == [(1, 1), (1, 1)], context.reasons
+
+
+@when("key-value: a lease is left to lapse and another one renewed")
+def lapse(context: Any) -> None:
+    async def main(runtime: Runtime) -> None:
+        server, client = await serve(runtime)
+        lapsing, kept = await client.grant(1.0), await client.grant(1.0)
+        await client.swap("/l/lapsing", b"", ABSENT, lease=lapsing.id)
+        await client.swap("/l/kept", b"", ABSENT, lease=kept.id)
+        while server.store.get("/l/lapsing") is not None:
+            assert await client.renew(kept.id) is not None
+            await runtime.loop.sleep(0.1)
+        context.keys = list(server.store.keys)
+        context.renewed = await client.renew(lapsing.id)
+
+    run_on_loop(main)
+
+
+@then("key-value: only the keys of the renewed one are left")
+def lapsed(context: Any) -> None:
+    assert context.keys == ["/l/kept"] and context.renewed is None, context.keys
--- a/parsleyrouter/connection/call_budget.py
+++ b/parsleyrouter/connection/call_budget.py
@@ -51,7 +51,7 @@
     def reserve(self, now: float) -> float | BudgetRefusal:
         """Return how long to wait before the call, in seconds, or why it may not be made."""
         interval_s = 1 / self.rate(now)
-        allowance_s = interval_s * max(1.0, self._burst(now))
+        allowance_s = interval_s * self._burst(now)
         full_at_s = max(self.full_at_s, now) + interval_s
         wait_s = max(0.0, full_at_s - allowance_s - now)
         if self.blocked_until_s - now > self.settings.wait_limit_s:
@@ -76,6 +76,8 @@
         self.blocked_until_s = now + ceiling_s * (0.5 + 0.5 * self.rng())
         self.full_at_s = max(self.full_at_s, self.blocked_until_s)
         if self.failures >= OUTAGE_FAILURES:
+            # The even spacing of calls would undo the jitter and keep processes in step.
+            self.full_at_s = self.blocked_until_s
             self.recovered_at_s = None
 
     def succeeded(self, now: float) -> None:
@@ -93,5 +95,4 @@
         return min(1.0, RAMP_START_SHARE + (now - self.recovered_at_s) / self.settings.ramp_s)
 
     def _burst(self, now: float) -> float:
-        share = self._share(now)
-        return self.settings.burst_calls if share >= 1.0 else 1.0
+        return max(1.0, self.settings.burst_calls * self._share(now))
