--- a/parsleyrouter/process/claims.py
+++ b/parsleyrouter/process/claims.py
@@ -4,7 +4,6 @@
 import secrets
 import time
 from collections.abc import Awaitable, Callable
-from typing import TypeVar
 
 import msgspec
 
@@ -14,6 +13,7 @@
     Entry,
     KeyValue,
     KeyValueFailure,
+    KeyValueFailureKind,
     Lease,
     Swapped,
 )
@@ -46,13 +46,12 @@
 SETTLE_TRIES = 12
 MOST_UNSETTLED = 1000
 
-T = TypeVar("T")
-
 log = logging.getLogger(__name__)
 
 _DOWN = Refusal(
     RefusalKind.PLATFORM_UNAVAILABLE,
-    "the request could not be claimed, as the key-value service does not answer: try again",
+    "this sending was not run, as the key-value service does not answer: send it again with the"
+    " same Idempotency-Key",
     Ran.NOT_RUN,
     retry_after_s=2.0,
 )
@@ -67,10 +66,13 @@
 class Claims:
     """Claim, run and remember keyed requests; construct one per entry process."""
 
-    def __init__(self, loop: Loop, key_value: KeyValue, entry: NodeId) -> None:
+    def __init__(
+        self, loop: Loop, key_value: KeyValue, entry: NodeId, *, grace_s: float = GRACE_S
+    ) -> None:
         self.loop = loop
         self.key_value = key_value
         self.entry = entry
+        self.grace_s = grace_s
         self.running: dict[str, tuple[str, Task[Reply | Refusal]]] = {}
         self.lease: Lease | None = None
         self.lease_taken_s = 0.0
@@ -106,7 +108,7 @@
             nonce=secrets.token_hex(8),
             entry=self.entry,
             content=content,
-            until_s=time.time() + call.deadline_in_s + GRACE_S,
+            until_s=time.time() + call.deadline_in_s + self.grace_s,
         )
         held = await self._create(where, record, lease)
         if isinstance(held, Entry):
@@ -129,8 +131,8 @@
                 return written.revision
             if isinstance(written, Conflict) and written.current is not None:
                 return _ours(written.current, record) or written.current
-            if isinstance(written, KeyValueFailure) and not written.maybe_applied and attempt:
-                return None
+            if isinstance(written, KeyValueFailure):
+                self._renew_if_refused(written)
             await self.loop.sleep(FIRST_POLL_S * 2**attempt)
         found = await self.key_value.get(where)
         if isinstance(found, Entry):
@@ -220,6 +222,10 @@
             self.lease, self.lease_taken_s = taken, now
         return self.lease.id
 
+    def _renew_if_refused(self, failure: KeyValueFailure) -> None:
+        if failure.kind is KeyValueFailureKind.REFUSED:
+            self.lease = None
+
     def _take_token(self) -> bool:
         now = self.loop.now()
         self.tokens = min(WRITES_BURST, self.tokens + (now - self.filled_s) * WRITES_PER_S)
