Guard the callers' HTTP surface against bad input

Cause: circuits.web keeps whole bodies, ignores a bad Content-Length, decodes headers as Python escapes and lets pipelined bytes reach the request under way, so answers could be crossed. GuardedHttpServer parses with h11, one request of a connection at a time, within bounds of head, body, connections, uploads and buffered bytes; slow senders and callers that do not read are cut off. Batch bodies are handed to the job desk as they arrive, with back-pressure. Found by features/bad_input.feature: deeply nested JSON ended as an internal error.

--- a/parsleyrouter/connection/api_batches.py
+++ b/parsleyrouter/connection/api_batches.py
@@ -6,6 +6,7 @@
 from parsleyrouter.connection.api_calls import IDEMPOTENCY_HEADER, team_of
 from parsleyrouter.connection.http import HttpReply, json_reply, refusal_reply
 from parsleyrouter.connection.http_server import Exchange, Routes
+from parsleyrouter.connection.upload import UploadBroken
 from parsleyrouter.ids import JobId, TeamName
 from parsleyrouter.outcome import Ran, Refusal, RefusalKind
 from parsleyrouter.process.job_port import JobSpec, JobStatus
@@ -37,7 +38,10 @@
         spec = _spec(exchange, *known)
         if isinstance(spec, Refusal):
             return refusal_reply(spec)
-        outcome = await context.jobs.submit(spec, body_pieces(exchange))
+        try:
+            outcome = await context.jobs.submit(spec, body_pieces(exchange))
+        except UploadBroken as error:
+            outcome = _bad(f"the job was not accepted: {error}")
         return _status_reply(outcome, 202)
 
     @routes.add("GET", "/v1/batches")
@@ -81,7 +85,10 @@
 
 
 async def body_pieces(exchange: Exchange) -> AsyncIterator[bytes]:
-    """Yield a request's body in pieces."""
+    """Yield a request's body in pieces; raise ``UploadBroken`` when the rest will not come."""
+    if exchange.upload is not None:
+        async for piece in exchange.upload:
+            yield piece
     body = exchange.request.body
     for start in range(0, len(body), BODY_PIECE_BYTES):
         yield body[start : start + BODY_PIECE_BYTES]
@@ -106,8 +113,8 @@
 def _spec(exchange: Exchange, team: TeamName, settings: TeamSettings) -> JobSpec | Refusal:
     headers = exchange.request.headers
     key = headers.get(IDEMPOTENCY_HEADER, "")
-    if not 0 < len(key) <= LONGEST_KEY_LETTERS:
-        allowed = f"1 to {LONGEST_KEY_LETTERS} letters, the same in every resend of the job"
+    if not 0 < len(key) <= LONGEST_KEY_LETTERS or not key.isascii():
+        allowed = f"1 to {LONGEST_KEY_LETTERS} ASCII letters, the same in every resend of the job"
         return _bad(f"Idempotency-Key: got {key[:40]!r}; allowed: {allowed}")
     found = classify_batch(settings, headers.get(KIND_HEADER))
     if isinstance(found, Refusal):
--- a/parsleyrouter/connection/api_online.py
+++ b/parsleyrouter/connection/api_online.py
@@ -72,7 +72,7 @@
 def _decode(data: bytes, needed: str) -> dict[str, Any] | Refusal:
     try:
         body = msgspec.json.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return _bad(f"the body is not JSON in UTF-8: {error}")
     if not isinstance(body, dict):
         return _bad("the body must be a JSON object")
--- /dev/null
+++ b/parsleyrouter/connection/guarded_connection.py
@@ -0,0 +1,227 @@
+"""One caller's connection: requests parsed one after another within limits."""
+
+from enum import Enum
+from typing import TYPE_CHECKING, Any
+
+import h11
+
+from parsleyrouter.connection.http_limits import RequestHead, check_head, read_head, too_large
+from parsleyrouter.connection.upload import Upload
+from parsleyrouter.outcome import Ran, Refusal, RefusalKind
+
+if TYPE_CHECKING:
+    from parsleyrouter.connection.http_guard import GuardedHttpServer
+
+__all__ = ["GuardedConnection", "Stage"]
+
+HELD_BYTES = 64 * 1024
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+_BUSY = Refusal(
+    RefusalKind.OVERLOADED,
+    "too much is being uploaded here: try another entry or come again",
+    Ran.NOT_RUN,
+    retry_after_s=2.0,
+)
+
+
+class Stage(Enum):
+    """Say what a connection waits for."""
+
+    IDLE = "idle"
+    HEAD = "head"
+    BODY = "body"
+    ANSWER = "answer"
+    DISCARD = "discard"
+
+
+class GuardedConnection:
+    """Parse, check and hand on requests; what follows the one under way waits."""
+
+    def __init__(self, server: "GuardedHttpServer", sock: Any, remote: str) -> None:
+        self.server = server
+        self.sock = sock
+        self.remote = remote
+        self.limits = server.limits
+        self.parser = self._new_parser()
+        self.stage = Stage.IDLE
+        self.since_s = server.loop.now()
+        self.head: RequestHead | None = None
+        self.body: list[bytes] = []
+        self.body_bytes = 0
+        self.counted_bytes = 0
+        self.upload: Upload | None = None
+        self.body_pending = False
+        self.held = b""
+        self.held_paused = False
+        self.unsent = 0
+        self.unsent_since_s = 0.0
+
+    def describe(self) -> str:
+        """Name the request for a log line."""
+        return f"{self.head.method} {self.head.path}" if self.head else self.remote
+
+    def receive(self, data: bytes) -> None:
+        """Take what has arrived."""
+        if self.stage is Stage.DISCARD:
+            return
+        if self.stage is Stage.ANSWER and not self.body_pending:
+            self._hold(data)
+            return
+        if self.stage is Stage.IDLE:
+            self._enter(Stage.HEAD)
+        elif self.stage is Stage.BODY or self.body_pending:
+            self.since_s = self.server.loop.now()
+        self._parse(data)
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Send a refusal and close once the caller has had time to read it."""
+        if self.upload is not None:
+            self.upload.break_off(refusal.message)
+        if not self.body_pending or self.stage is not Stage.ANSWER:
+            self.server.refuse(self.sock, refusal)
+        self.discard()
+
+    def discard(self) -> None:
+        """Drop what still arrives and close soon."""
+        self._drop_body()
+        self.upload = None
+        self.body_pending = False
+        self._enter(Stage.DISCARD)
+        self.server.resume(self.sock)
+
+    def next(self) -> None:
+        """Go on with the next request."""
+        trailing = self.parser.trailing_data[0] + self.held
+        self.held = b""
+        self.head = None
+        self.upload = None
+        self._drop_body()
+        self.parser = self._new_parser()
+        self._enter(Stage.IDLE)
+        if self.held_paused:
+            self.held_paused = False
+            self.server.resume(self.sock)
+        if trailing:
+            self.server.loop.call_soon(lambda: self.receive(trailing))
+
+    def lost(self) -> None:
+        """Clean up after the connection has closed."""
+        self._drop_body()
+        if self.upload is not None:
+            self.upload.break_off("the caller closed the connection")
+
+    def overdue(self, now: float, unsent: int) -> bool:
+        """Tell whether the caller has kept the connection waiting for too long."""
+        if unsent == 0 or unsent != self.unsent:
+            self.unsent, self.unsent_since_s = unsent, now
+        waited_s = now - self.since_s
+        if unsent and now - self.unsent_since_s > self.limits.unread_s:
+            return True
+        if self.upload is not None and self.body_pending and not self.upload.paused:
+            return waited_s > self.limits.body_gap_s
+        limit_s = {
+            Stage.IDLE: self.limits.idle_s,
+            Stage.HEAD: self.limits.header_s,
+            Stage.BODY: self.limits.body_gap_s,
+            Stage.DISCARD: self.limits.discard_s,
+        }.get(self.stage)
+        return limit_s is not None and waited_s > limit_s
+
+    def _new_parser(self) -> h11.Connection:
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.header_bytes)
+
+    def _enter(self, stage: Stage) -> None:
+        self.stage = stage
+        self.since_s = self.server.loop.now()
+
+    def _hold(self, data: bytes) -> None:
+        """Keep what came before its turn; stop reading when it is much."""
+        self.held += data
+        if len(self.held) > HELD_BYTES and not self.held_paused:
+            self.held_paused = True
+            self.server.pause(self.sock)
+
+    def _parse(self, data: bytes) -> None:
+        try:
+            self.parser.receive_data(data)
+            while self.stage is not Stage.DISCARD and self._take_event():
+                pass
+        except h11.RemoteProtocolError as error:
+            message = f"not a valid HTTP request: {error}"
+            self.refuse(Refusal(RefusalKind.BAD_REQUEST, message, Ran.NOT_RUN))
+
+    def _take_event(self) -> bool:
+        event: Any = self.parser.next_event()
+        if isinstance(event, h11.Request):
+            return self._take_head(read_head(event))
+        if isinstance(event, h11.Data):
+            return self._take_data(bytes(event.data))
+        if isinstance(event, h11.EndOfMessage):
+            self._finish_body()
+        return False
+
+    def _take_head(self, head: RequestHead) -> bool:
+        from parsleyrouter.connection.http_guard import STREAMED
+
+        self.head = head
+        streamed = (head.method, head.path.rstrip("/")) in STREAMED
+        refusal = check_head(head, self.limits, streamed=streamed)
+        if streamed and self.server.uploads() >= self.limits.uploads:
+            refusal = refusal or _BUSY
+        if refusal is not None:
+            self.refuse(refusal)
+            return False
+        if self.parser.they_are_waiting_for_100_continue:
+            self.server.send(self.sock, CONTINUE)
+        self._enter(Stage.BODY)
+        self.body_pending = True
+        if streamed:
+            self._begin_upload()
+        return True
+
+    def _begin_upload(self) -> None:
+        self._enter(Stage.ANSWER)
+        self.upload = Upload(
+            self.server.loop,
+            pause=lambda: self.server.pause(self.sock),
+            resume=self._resume_upload,
+        )
+        self.server.begin(self, b"", self.upload)
+
+    def _resume_upload(self) -> None:
+        self.since_s = self.server.loop.now()
+        self.server.resume(self.sock)
+
+    def _take_data(self, data: bytes) -> bool:
+        self.body_bytes += len(data)
+        most = self.limits.body_bytes if self.upload is None else self.limits.upload_bytes
+        if self.body_bytes > most:
+            self.refuse(too_large(most))
+            return False
+        if self.upload is not None:
+            self.upload.feed(data)
+            return True
+        self.server.buffered += len(data)
+        self.counted_bytes += len(data)
+        self.body.append(data)
+        if self.server.buffered > self.limits.buffered_bytes:
+            self.refuse(_BUSY)
+            return False
+        return True
+
+    def _finish_body(self) -> None:
+        self.body_pending = False
+        if self.upload is not None:
+            self.upload.finish()
+            return
+        body = b"".join(self.body)
+        self.body.clear()
+        self._enter(Stage.ANSWER)
+        self.server.begin(self, body, None)
+
+    def _drop_body(self) -> None:
+        self.server.buffered -= self.counted_bytes
+        self.counted_bytes = 0
+        self.body.clear()
+        self.body_bytes = 0
--- a/parsleyrouter/connection/http_guard.py
+++ b/parsleyrouter/connection/http_guard.py
@@ -1,13 +1,176 @@
-"""An HTTP server for callers that are not trusted."""
+"""An HTTP server for callers that are not trusted: bounded memory, one answer at a time.
 
-from parsleyrouter.connection.http_server import HttpServer
+circuits.web keeps whole bodies, does not check their length and lets bytes that follow a request
+reach the object of the one under way. Here h11 parses instead, one request at a time, and a large
+batch body is handed on as it arrives.
+"""
+
+import logging
+from typing import Any
+from urllib.parse import parse_qsl
+
+from circuits import handler
+from circuits.net.events import close
+from circuits.web import wrappers
+
+from parsleyrouter.connection.guarded_connection import GuardedConnection, Stage
+from parsleyrouter.connection.http import HttpRequest
+from parsleyrouter.connection.http_limits import HttpLimits, RequestHead, raw_reply
+from parsleyrouter.connection.http_server import Exchange, HttpServer, Routes
+from parsleyrouter.connection.upload import Upload
+from parsleyrouter.ids import Address
+from parsleyrouter.outcome import Ran, Refusal, RefusalKind
+from parsleyrouter.process.loop import Loop
 
 __all__ = ["GuardedHttpServer"]
 
+READ_BYTES = 64 * 1024
+SWEEP_S = 0.5
+STREAMED = frozenset({("POST", "/v1/batches")})
+
+log = logging.getLogger(__name__)
+
+_FULL = Refusal(
+    RefusalKind.OVERLOADED,
+    "too many connections or uploads here: try another entry",
+    Ran.NOT_RUN,
+    retry_after_s=1.0,
+)
+_SLOW = Refusal(
+    RefusalKind.BAD_REQUEST, "the request came too slowly: send it again whole", Ran.NOT_RUN
+)
+
+
+class _Asked:
+    """What an answer of circuits.web needs to know of its request."""
+
+    def __init__(self, server: "GuardedHttpServer", sock: Any, head: RequestHead) -> None:
+        self.server = server
+        self.sock = sock
+        self.method = head.method
+        self.protocol = head.protocol
+        self.cookie: dict[str, Any] = {}
+
 
 class GuardedHttpServer(HttpServer):
     """Refuse what would cost too much memory or mix up answers."""
 
+    def __init__(
+        self,
+        loop: Loop,
+        bind: Address,
+        routes: Routes,
+        context: Any,
+        channel: str = "web",
+        limits: HttpLimits | None = None,
+    ) -> None:
+        super().__init__(loop, bind, routes, context, channel=channel)
+        self.limits = limits or HttpLimits()
+        self.connections: dict[Any, GuardedConnection] = {}
+        self.buffered = 0
+        self.server._bufsize = READ_BYTES
+        loop.call_later(SWEEP_S, self._sweep)
+
     def busy(self) -> bool:
-        """Tell whether a request is being answered."""
-        return bool(self.tasks)
+        """Tell whether a request arrives or is being answered."""
+        return bool(self.open_requests())
+
+    def open_requests(self) -> list[str]:
+        """Name the requests that are arriving, being answered or not yet sent in full."""
+        arriving = [
+            f"request still arriving: {connection.describe()}"
+            for sock, connection in self.connections.items()
+            if connection.stage in (Stage.HEAD, Stage.BODY) and sock not in self.tasks
+        ]
+        return super().open_requests() + arriving
+
+    def uploads(self) -> int:
+        """Return how many large bodies are arriving."""
+        return sum(1 for one in self.connections.values() if one.upload is not None)
+
+    def refuse(self, sock: Any, refusal: Refusal) -> None:
+        """Send a refusal; the connection closes once it is read."""
+        self.send(sock, raw_reply(refusal))
+
+    def begin(self, connection: GuardedConnection, body: bytes, upload: Upload | None) -> None:
+        """Answer a request whose body is whole, or arrives as an upload."""
+        head = connection.head
+        assert head is not None
+        sock = connection.sock
+        request = HttpRequest(
+            method=head.method,
+            path=head.path,
+            query=dict(parse_qsl(head.query)),
+            headers=head.headers,
+            body=body,
+            remote=connection.remote,
+        )
+        res = wrappers.Response(_Asked(self, sock, head))
+        res.close = not head.keep_alive or upload is not None
+        self.start_answer(Exchange(self, res, request, upload=upload))
+
+    def end(self, res: Any) -> None:
+        """Forget an answered request and read the next one, or close."""
+        sock = res.request.sock
+        connection = self.connections.get(sock)
+        if connection is None:
+            super().end(res)
+            return
+        if connection.body_pending:
+            res.close = False
+            super().end(res)
+            connection.discard()
+            return
+        super().end(res)
+        if not res.close:
+            connection.next()
+
+    def pause(self, sock: Any) -> None:
+        """Stop reading from a caller."""
+        if sock in self.server._clients:
+            self.server._poller.removeReader(sock)
+
+    def resume(self, sock: Any) -> None:
+        """Read from a caller again."""
+        if sock in self.server._clients:
+            self.server._poller.addReader(self.server, sock)
+
+    def close_later(self, sock: Any) -> None:
+        """Close once what is queued has been sent."""
+        self.fire(close(sock))
+
+    @handler("connect", priority=100)
+    def _on_guarded_connect(self, sock: Any, host: str, port: int) -> None:
+        self.connections[sock] = connection = GuardedConnection(self, sock, host)
+        if len(self.connections) > self.limits.connections:
+            connection.refuse(_FULL)
+
+    @handler("read", priority=100)
+    def _on_guarded_read(self, event: Any, sock: Any, data: bytes) -> None:
+        event.stop()
+        connection = self.connections.get(sock)
+        if connection is not None:
+            connection.receive(data)
+
+    @handler("disconnect", priority=100)
+    def _on_guarded_disconnect(self, sock: Any) -> None:
+        connection = self.connections.pop(sock, None)
+        if connection is not None:
+            connection.lost()
+
+    def _sweep(self) -> None:
+        now = self.loop.now()
+        for sock, connection in list(self.connections.items()):
+            unsent = self.buffered_bytes(sock)
+            if connection.overdue(now, unsent):
+                self._give_up(sock, connection)
+        self.loop.call_later(SWEEP_S, self._sweep)
+
+    def _give_up(self, sock: Any, connection: GuardedConnection) -> None:
+        if connection.stage in (Stage.HEAD, Stage.BODY):
+            log.warning("caller is too slow", extra={"remote": connection.remote})
+            connection.refuse(_SLOW)
+        elif connection.upload is not None and connection.body_pending:
+            connection.upload.break_off("nothing more of the body came in time")
+        else:
+            self.server._close(sock)
--- a/parsleyrouter/connection/http_server.py
+++ b/parsleyrouter/connection/http_server.py
@@ -1,7 +1,7 @@
 """The HTTP server side: circuits.web with handlers that answer later or piece by piece."""
 
 import logging
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qsl
@@ -127,6 +127,7 @@
     request: HttpRequest
     values: Mapping[str, str] = field(default_factory=dict)
     stream: ReplyStream | None = None
+    upload: AsyncIterator[bytes] | None = None
 
     def open_stream(self, status: int, headers: Mapping[str, str]) -> ReplyStream:
         """Send status and headers and return the stream of the body."""
@@ -225,12 +226,16 @@
             body=req.body.getvalue(),
             remote=req.remote.ip or "",
         )
+        self.start_answer(Exchange(self, res, request))
+        return True
+
+    def start_answer(self, exchange: Exchange) -> None:
+        """Run the handler of a request as a task."""
+        res, request = exchange.res, exchange.request
         res.close = res.close or self.closing
-        exchange = Exchange(self, res, request)
-        task = self.loop.spawn(self._answer(exchange), f"{req.method} {req.path}")
+        task = self.loop.spawn(self._answer(exchange), f"{request.method} {request.path}")
         if not task.done:
-            self.tasks[req.sock] = task
-        return True
+            self.tasks[res.request.sock] = task
 
     async def _answer(self, exchange: Exchange) -> None:
         request = exchange.request
--- /dev/null
+++ b/parsleyrouter/connection/upload.py
@@ -0,0 +1,77 @@
+"""A request body that is handed on while it arrives."""
+
+from collections import deque
+from collections.abc import Callable
+
+from parsleyrouter.process.loop import Loop, Promise
+
+__all__ = ["Upload", "UploadBroken"]
+
+PAUSE_ABOVE_BYTES = 256 * 1024
+
+
+class UploadBroken(Exception):
+    """Report a body whose rest will not come; send the whole request again."""
+
+
+class Upload:
+    """Queue pieces of a body for its reader; ``pause`` and ``resume`` steer the sender."""
+
+    def __init__(self, loop: Loop, pause: Callable[[], None], resume: Callable[[], None]) -> None:
+        self.loop = loop
+        self.pause = pause
+        self.resume = resume
+        self.pieces: deque[bytes] = deque()
+        self.queued_bytes = 0
+        self.total_bytes = 0
+        self.paused = False
+        self.ended = False
+        self.broken = ""
+        self.waiter: Promise[None] | None = None
+
+    def feed(self, data: bytes) -> None:
+        """Queue a piece; the sender is paused while much is queued."""
+        self.pieces.append(data)
+        self.queued_bytes += len(data)
+        self.total_bytes += len(data)
+        if self.queued_bytes > PAUSE_ABOVE_BYTES and not self.paused:
+            self.paused = True
+            self.pause()
+        self._wake()
+
+    def finish(self) -> None:
+        """Say that the body is whole."""
+        self.ended = True
+        self._wake()
+
+    def break_off(self, reason: str) -> None:
+        """Say that the rest will not come."""
+        if not self.ended and not self.broken:
+            self.broken = reason
+            self._wake()
+
+    def __aiter__(self) -> "Upload":
+        return self
+
+    async def __anext__(self) -> bytes:
+        while not self.pieces and not self.ended and not self.broken:
+            self.waiter = self.loop.promise()
+            await self.waiter
+        if self.broken:
+            raise UploadBroken(self.broken)
+        if not self.pieces:
+            raise StopAsyncIteration
+        return self._take()
+
+    def _take(self) -> bytes:
+        data = b"".join(self.pieces)
+        self.pieces.clear()
+        self.queued_bytes = 0
+        if self.paused:
+            self.paused = False
+            self.resume()
+        return data
+
+    def _wake(self) -> None:
+        if self.waiter is not None:
+            self.waiter.resolve(None)
