--- a/parsleyrouter/commands/load.py
+++ b/parsleyrouter/commands/load.py
@@ -11,13 +11,16 @@
 from rich.console import Console
 
 from parsleyrouter.commands.program import EXIT_BAD_SETTING
-from parsleyrouter.experiment.measures import Result
+from parsleyrouter.experiment.arrivals import arrivals
+from parsleyrouter.experiment.drive import Target, drive_system
+from parsleyrouter.experiment.measures import Measures, Result
 from parsleyrouter.experiment.report import compare as compare_results
 from parsleyrouter.experiment.report import plot as plot_result
 from parsleyrouter.experiment.report import read_result, table
 from parsleyrouter.experiment.runner import ARMS, Arm, Plan, run_arms
 from parsleyrouter.experiment.scenario import Scenario, load
-from parsleyrouter.process.options import BadSetting, check_range
+from parsleyrouter.ids import Address
+from parsleyrouter.process.options import BadSetting, check_address, check_range
 from parsleyrouter.process.sharing_policies import PROFILES, Profile
 from parsleyrouter.version.schema import PolicyProfile
 
@@ -92,6 +95,48 @@
     _run(chosen, arms, _plan(rounds, slice_s, warmup_s, seed), out, suffix="-sweep")
 
 
+@app.command
+def drive(
+    scenario: Path,
+    *,
+    entry: str,
+    key: str,
+    model: str,
+    name: str = "driven",
+    out: Path = Path("out"),
+    length_s: float = 30.0,
+    warmup_s: float = 4.0,
+    seed: int = 1,
+) -> None:
+    """Send the model requests of a scenario to a running system and write what came back.
+
+    Parameters
+    ----------
+    scenario
+        Scenario file in TOML; its own endpoints, batch and plain services are left out.
+    entry
+        Address of any entry, ip:port.
+    key
+        Caller's key of the team.
+    model
+        Model that all requests name.
+    name
+        Name of the result file.
+    length_s
+        How long requests are sent, in seconds.
+    """
+    check_address("entry", entry)
+    check_range("length-s", length_s, 2, 3600, "seconds")
+    check_range("warmup-s", warmup_s, 0, length_s - 1, "seconds")
+    chosen = load(scenario)
+    kinds = [kind for kind in chosen.online if kind.target == chosen.engines.model]
+    load_only = msgspec.structs.replace(chosen, online=kinds)
+    target = Target(Address(entry), key, model)
+    measures = drive_system(target, arrivals(load_only, length_s, seed), warmup_s)
+    plan = Plan(1, length_s, warmup_s, seed)
+    _write(load_only, {name: measures}, plan, out / f"{scenario.stem}-{name}.json")
+
+
 @app.command
 def show(result: Path) -> None:
     """Print a result."""
@@ -119,23 +164,34 @@
 
 def _run(scenario: Scenario, arms: Iterable[Arm], plan: Plan, out: Path, suffix: str = "") -> None:
     measures = run_arms(scenario, tuple(arms), plan, console.print)
+    _write(scenario, measures, plan, out / f"{scenario.name}{suffix}.json")
+
+
+def _write(scenario: Scenario, measures: dict[str, Measures], plan: Plan, path: Path) -> None:
     result = Result(
         scenario=scenario.name,
         online_share=scenario.online_share,
-        command=" ".join(["parsley-load", *sys.argv[1:]]),
+        command=" ".join(["parsley-load", *_without_keys(sys.argv[1:])]),
         rounds=plan.rounds,
         slice_s=plan.slice_s,
         seed=plan.seed,
         arms={name: measure.result() for name, measure in measures.items()},
     )
-    out.mkdir(parents=True, exist_ok=True)
-    path = out / f"{scenario.name}{suffix}.json"
+    path.parent.mkdir(parents=True, exist_ok=True)
     path.write_bytes(msgspec.json.format(msgspec.json.encode(result)))
     plot_result(result, path.with_suffix(".png"))
     Console(width=200).print(table(result))
     console.print(f"written: {path} and {path.with_suffix('.png')}")
 
 
+def _without_keys(arguments: list[str]) -> list[str]:
+    hidden = {index + 1 for index, argument in enumerate(arguments) if argument == "--key"}
+    return [
+        "…" if index in hidden or argument.startswith("--key=") else argument
+        for index, argument in enumerate(arguments)
+    ]
+
+
 def _changed(profile: Profile, text: str) -> Profile:
     known = {field.name for field in fields(Profile)}
     changes: dict[str, float | bool] = {}
