--- a/features/membership.feature
+++ b/features/membership.feature
@@ -32,6 +32,10 @@
     When agents meet over loopback and one falls silent
     Then the agents that remain lose it and keep each other
 
+  Scenario: A node that has ended is not brought back by its open port
+    When an agent that has fallen silent is asked for its beliefs
+    Then the silent agent claims nothing and stays out of all views
+
   Scenario: A restarted agent replaces its former life
     When an agent is restarted under its old name at another address
     Then every other agent knows it at the new address only
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -257,6 +257,26 @@
     assert context.names == [["n0", "n1", "n2", "n4"]] * 4
 
 
+@when("an agent that has fallen silent is asked for its beliefs")
+def silent_asked(context: Any) -> None:
+    async def main(runtime: Runtime) -> None:
+        key_value = MemoryKeyValue(runtime.loop)
+        first = start_agent(runtime, key_value, "n0")
+        second = start_agent(runtime, key_value, "n1", first.address)
+        await until(runtime, lambda: len(first.nodes()) == 2)
+        second.prober.close()
+        await until(runtime, lambda: len(first.nodes()) == 1)
+        await first.prober._sync(second.address)
+        context.names = _names(first)
+
+    run_on_loop(main)
+
+
+@then("the silent agent claims nothing and stays out of all views")
+def silent_stays_out(context: Any) -> None:
+    assert context.names == ["n0"]
+
+
 @when("an agent is restarted under its old name at another address")
 def agent_restarts(context: Any) -> None:
     async def main(runtime: Runtime) -> None:
--- a/parsleyrouter/process/agent.py
+++ b/parsleyrouter/process/agent.py
@@ -6,10 +6,13 @@
 from collections.abc import Callable, Iterable
 
 from parsleyrouter.connection.key_value import KeyValue
-from parsleyrouter.connection.peer import PeerFailure, PeerMethods, PeerServer
+from parsleyrouter.connection.peer import PeerFailure, PeerServer
 from parsleyrouter.ids import Address, DomainName, NodeId, Revision
+from parsleyrouter.process.agent_methods import AGENT_METHODS
+from parsleyrouter.process.agent_metrics import AgentMetrics
 from parsleyrouter.process.agent_options import AgentOptions
 from parsleyrouter.process.fleet_wire import from_mark, from_record, to_mark, to_member, to_record
+from parsleyrouter.process.loop import Promise
 from parsleyrouter.process.prober import Prober
 from parsleyrouter.process.relays import SettingsFeed, is_relay
 from parsleyrouter.process.runtime import Runtime
@@ -37,8 +40,6 @@
 
 log = logging.getLogger(__name__)
 
-agent_methods = PeerMethods()
-
 
 class Agent:
     """See the fleet for the processes of one VM; it is their ``FleetView``.
@@ -60,7 +61,7 @@
         self.loop = runtime.loop
         self.options = options
         self.server = PeerServer(
-            self.loop, Address(options.agent), agent_methods, self, channel=f"agent-{node}"
+            self.loop, Address(options.agent), AGENT_METHODS, self, channel=f"agent-{node}"
         ).register(runtime)
         started_ms = time.time_ns() // 1_000_000
         addresses = {Service.AGENT: self.address}
@@ -80,6 +81,10 @@
         self.snapshot = SettingsSnapshot()
         self.feed = SettingsFeed(self.loop, key_value, node, self.replica, self._settings_changed)
         self.fetching = False
+        self.fetched_bytes = 0
+        self.served_bytes = 0
+        runtime.metrics.register(AgentMetrics(self))
+        self.news: Promise[None] = self.loop.promise()
         self.callbacks: list[Callable[[], None]] = []
         self.version = started_ms
 
@@ -170,6 +175,7 @@
             self.fetching = False
         if isinstance(update, PeerFailure):
             return
+        self.fetched_bytes += sum(len(record.data) for record in update.records)
         records = map(from_record, update.records)
         mark = from_mark(update.mark)
         self._settings_changed(self.replica.take_update(records, since, mark, asked_s))
@@ -194,7 +200,17 @@
 
     def settings_since(self, revision: Revision) -> SettingsUpdate:
         """Return the records that are newer than a revision."""
-        return self._update(self.replica.since(revision))
+        records = self.replica.since(revision)
+        self.served_bytes += sum(len(record.data) for record in records)
+        return self._update(records)
+
+    def sent_bytes(self) -> int:
+        """Return the bytes sent to other agents, without those of TCP headers."""
+        return self.prober.sent_bytes() + self.served_bytes
+
+    def received_bytes(self) -> int:
+        """Return the bytes received from other agents, without those of TCP headers."""
+        return self.prober.received_bytes() + self.fetched_bytes
 
     def _update(self, records: Iterable[HeldRecord]) -> SettingsUpdate:
         mark = to_mark(self.replica.mark(self.loop.now()))
@@ -255,26 +271,7 @@
 
     def _changed(self) -> None:
         self.version += 1
+        news, self.news = self.news, self.loop.promise()
+        news.resolve(None)
         for callback in self.callbacks:
             callback()
-
-
-@agent_methods.add("fleet.sync", MemberList)
-async def _sync(agent: Agent, request: MemberList) -> MemberList:
-    agent.prober.hear(request.beliefs)
-    return agent.prober.beliefs()
-
-
-@agent_methods.add("fleet.settings", FetchSettings)
-async def _settings(agent: Agent, request: FetchSettings) -> SettingsUpdate:
-    return agent.settings_since(Revision(request.since))
-
-
-@agent_methods.add("fleet.follow", Follow)
-async def _follow(agent: Agent, request: Follow) -> FollowAnswer:
-    return agent.follow(request)
-
-
-@agent_methods.add("fleet.status", StatusQuery)
-async def _status(agent: Agent, request: StatusQuery) -> NodeStatus:
-    return agent.status(Revision(request.revision))
--- a/parsleyrouter/process/follower.py
+++ b/parsleyrouter/process/follower.py
@@ -16,7 +16,8 @@
 
 __all__ = ["Follower"]
 
-ASK_EVERY_S = 0.5
+ASK_PAUSE_S = 0.1
+RETRY_PAUSE_S = 0.5
 CALL_TIMEOUT_S = 2.0
 
 log = logging.getLogger(__name__)
@@ -25,6 +26,8 @@
 class Follower:
     """Implement ``FleetView`` by what the VM's agent tells; keep the last view while it is gone.
 
+    The agent holds each question until it has news or a second has passed.
+
     ``address`` is where this process serves ``service``; then ``start``.
     """
 
@@ -91,8 +94,10 @@
 
     async def _run(self) -> None:
         while True:
-            self._take(await self._ask())
-            await self.loop.sleep(ASK_EVERY_S)
+            answer = await self._ask()
+            self._take(answer)
+            gone = isinstance(answer, PeerFailure)
+            await self.loop.sleep(RETRY_PAUSE_S if gone else ASK_PAUSE_S)
 
     async def _ask(self) -> FollowAnswer | PeerFailure:
         request = Follow(
--- a/parsleyrouter/process/prober.py
+++ b/parsleyrouter/process/prober.py
@@ -18,6 +18,8 @@
 
 TICK_S = 0.1
 SYNC_TIMEOUT_S = 2.0
+BELIEF_BYTES = 200
+"""About what one belief with its description takes in an exchange of all beliefs."""
 
 log = logging.getLogger(__name__)
 
@@ -49,6 +51,8 @@
         self.told_version = -1
         self.ticks_s = (runtime.loop.now(), runtime.loop.now())
         self.dropped: Callable[[], bool] = lambda: False
+        self.listed_sent = 0
+        self.listed_received = 0
         self.ended = False
 
     def start(self) -> None:
@@ -75,6 +79,24 @@
         self.ended = True
         self.socket.close()
 
+    def exchange(self, request: MemberList) -> MemberList:
+        """Answer another node's beliefs with one's own; with none once this node has ended."""
+        if self.ended:
+            return MemberList(node=self.core.me.node, beliefs=[])
+        self.listed_received += len(request.beliefs)
+        self.hear(request.beliefs)
+        answer = self.beliefs()
+        self.listed_sent += len(answer.beliefs)
+        return answer
+
+    def sent_bytes(self) -> int:
+        """Return the bytes of all datagrams, and about those of all exchanges, sent."""
+        return self.socket.sent_bytes + self.listed_sent * BELIEF_BYTES
+
+    def received_bytes(self) -> int:
+        """Return the bytes of all datagrams, and about those of all exchanges, received."""
+        return self.socket.received_bytes + self.listed_received * BELIEF_BYTES
+
     def beliefs(self) -> MemberList:
         """Return all that this node believes."""
         rumors = self.core.table.all_rumors()
@@ -123,10 +145,13 @@
                 self.loop.spawn(self._sync(action.to), "sync members")
 
     async def _sync(self, address: Address) -> None:
+        mine = self.beliefs()
+        self.listed_sent += len(mine.beliefs)
         answer = await self.runtime.peers.call(
-            address, "fleet.sync", self.beliefs(), MemberList, SYNC_TIMEOUT_S
+            address, "fleet.sync", mine, MemberList, SYNC_TIMEOUT_S
         )
         if not isinstance(answer, PeerFailure) and not self.ended:
+            self.listed_received += len(answer.beliefs)
             self.hear(answer.beliefs)
 
     def _tell(self) -> None:
