Set the call budget by flag, and open silent watches anew after 10 s

Cause: a watch over a half-open connection stayed silent for 30 s, longer than a change of settings may take; and 40 calls/s a process suits 8 nodes but not 360. Ruled out: progress messages, which the service sends only every ten minutes by default. Shared files touched: an optional field of NodeOptions, and the composition root passes it on.

--- a/features/key_value.feature
+++ b/features/key_value.feature
@@ -16,6 +16,10 @@
     When key-value: keys change while the connection breaks and the service is out
     Then key-value: the watch has seen every change once and in order
 
+  Scenario: A watch over a half-open connection goes on
+    When key-value: the network loses what a watch is sent and later heals
+    Then key-value: the watch sees every change after all
+
   Scenario: A watch that cannot go on without a gap says so
     When key-value: the history is compacted during an outage or the service goes back
     Then key-value: the watch reports that it is lost
--- /dev/null
+++ b/features/steps/key_value_doubt_steps.py
@@ -0,0 +1,125 @@
+"""Steps for writes to the key-value service whose outcome is in doubt."""
+
+from typing import Any
+
+from behave import then, when
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from features.support.loop import run_on_loop
+from features.support.stand_ins import serve_key_value
+from parsleyrouter.connection.checked_swap import swap_checked
+from parsleyrouter.connection.key_value import (
+    ABSENT,
+    Conflict,
+    KeyValueFailure,
+    KeyValueFailureKind,
+    Swapped,
+)
+from parsleyrouter.ids import Revision
+from parsleyrouter.process.runtime import Runtime
+from parsleyrouter.standins.key_value_faults import CallFault, CallKind, KeyValueFaults
+from parsleyrouter.standins.key_value_store import KeyValueStore
+from parsleyrouter.standins.memory_key_value import MemoryKeyValue
+
+FAULTS: dict[str, dict[str, Any]] = {
+    "none": {},
+    "outage": {"outage": True},
+    "hang": {"hang": True},
+    "limited": {"calls_per_s": 0.5},
+    "lost before": {"lose_before": 1},
+    "lost after": {"lose_after": 1},
+}
+
+
+@when("key-value: writes meet outages, rate limits, silence and lost replies")
+def write_under_faults(context: Any) -> None:
+    context.judged = []
+
+    @settings(max_examples=8)
+    @given(st.lists(st.sampled_from(sorted(FAULTS)), min_size=3, max_size=8))
+    def check(names: list[str]) -> None:
+        async def main(runtime: Runtime) -> None:
+            server, client = await serve_key_value(runtime, timeout_s=0.2)
+            for number, name in enumerate(names):
+                server.faults = type(server.faults)(**FAULTS[name])
+                key = f"/k/{number}"
+                outcome = await client.swap(key, b"v", ABSENT)
+                context.judged.append((name, outcome, server.store.get(key) is not None))
+
+        run_on_loop(main)
+
+    check()
+
+
+@then("key-value: no write reported as not applied took effect")
+def truthful_failures(context: Any) -> None:
+    assert {name for name, _, _ in context.judged} == set(FAULTS)
+    for name, outcome, applied in context.judged:
+        if isinstance(outcome, KeyValueFailure):
+            assert outcome.maybe_applied or not applied, (name, outcome)
+        else:
+            assert applied, (name, outcome)
+    limited = [outcome for name, outcome, _ in context.judged if name == "limited"]
+    refused = [one for one in limited if isinstance(one, KeyValueFailure)]
+    assert {one.kind for one in refused} <= {KeyValueFailureKind.OVER_BUDGET}, refused
+
+
+@when("key-value: checked swaps lose any replies while another writer races")
+def swap_with_races(context: Any) -> None:
+    context.judged = []
+    turns = st.tuples(
+        st.lists(st.sampled_from(sorted(CallFault, key=str)), max_size=5),
+        st.sampled_from(["nobody", "before", "between"]),
+    )
+
+    @settings(max_examples=150)
+    @given(st.lists(turns, min_size=1, max_size=6))
+    def check(turns: list[tuple[list[CallFault], str]]) -> None:
+        async def main(runtime: Runtime) -> None:
+            store = KeyValueStore()
+            for number, (faults, racer) in enumerate(turns):
+                await judge_swap(context, runtime, store, f"ours-{number}", list(faults), racer)
+
+        run_on_loop(main)
+
+    check()
+
+
+async def judge_swap(
+    context: Any,
+    runtime: Runtime,
+    store: KeyValueStore,
+    value: str,
+    faults: list[CallFault],
+    racer: str,
+) -> None:
+    entry = store.get("/k")
+    calls = [0]
+
+    def script(kind: CallKind, key: str) -> CallFault:
+        calls[0] += 1
+        if (racer, calls[0]) in {("before", 1), ("between", 2)}:
+            store.put("/k", b"theirs")
+        return faults.pop(0) if faults else CallFault.NONE
+
+    key_value = MemoryKeyValue(runtime.loop, store=store, faults=KeyValueFaults(script=script))
+    expected = entry.revision if entry else ABSENT
+    outcome = await swap_checked(key_value, "/k", value.encode(), expected)
+    applied = [
+        change
+        for change in store.changes(Revision(1), "/k")
+        if change.entry is not None and change.entry.value == value.encode()
+    ]
+    context.judged.append((outcome, [change.revision for change in applied]))
+
+
+@then("key-value: each is reported as it was")
+def swaps_truthful(context: Any) -> None:
+    kinds = {type(outcome) for outcome, _ in context.judged}
+    assert kinds == {Swapped, Conflict, KeyValueFailure}, kinds
+    for outcome, applied in context.judged:
+        if isinstance(outcome, Swapped):
+            assert applied == [outcome.revision], (outcome, applied)
+        elif isinstance(outcome, Conflict) or not outcome.maybe_applied:
+            assert not applied, (outcome, applied)
--- a/features/steps/key_value_steps.py
+++ b/features/steps/key_value_steps.py
@@ -9,8 +9,7 @@
 
 from features.support.control import until
 from features.support.loop import run_on_loop
-from parsleyrouter.connection.call_budget import BudgetSettings
-from parsleyrouter.connection.checked_swap import swap_checked
+from features.support.stand_ins import FREE, serve_key_value
 from parsleyrouter.connection.etcd import EtcdKeyValue
 from parsleyrouter.connection.key_value import (
     ABSENT,
@@ -19,19 +18,15 @@
     Entry,
     KeyValue,
     KeyValueFailure,
-    KeyValueFailureKind,
     Swapped,
 )
 from parsleyrouter.ids import Revision
 from parsleyrouter.process.runtime import Runtime
-from parsleyrouter.standins.key_value_faults import CallFault, CallKind, KeyValueFaults
+from parsleyrouter.standins.fault_proxy import FaultProxy
 from parsleyrouter.standins.key_value_server import KeyValueServer
 from parsleyrouter.standins.key_value_store import KeyValueStore
 from parsleyrouter.standins.memory_key_value import MemoryKeyValue
 
-FREE = BudgetSettings(
-    calls_per_s=1e6, burst_calls=1e6, backoff_base_s=0.001, backoff_limit_s=0.002, ramp_s=0.001
-)
 KEYS = st.sampled_from(["/a/1", "/a/1", "/a/2/x", "/é/1"])
 PREFIXES = st.sampled_from(["/a/", "/a", "/é/", "/a/2"])
 EXPECTATIONS = st.sampled_from(["absent", "current", "stale"])
@@ -78,12 +73,6 @@
     return outcome
 
 
-async def serve(runtime: Runtime, **named: Any) -> tuple[KeyValueServer, EtcdKeyValue]:
-    server = KeyValueServer(runtime).register(runtime)
-    options = {"budget": FREE, "timeout_s": 5.0} | named
-    return server, EtcdKeyValue(runtime, await server.address, **options)
-
-
 @when("key-value: any sequence of operations runs over HTTP and in memory")
 def run_both(context: Any) -> None:
     context.pairs = []
@@ -92,7 +81,7 @@
     @given(st.lists(OPERATIONS, min_size=5, max_size=25))
     def check(operations: list[tuple[Any, ...]]) -> None:
         async def main(runtime: Runtime) -> None:
-            server, over_http = await serve(runtime)
+            server, over_http = await serve_key_value(runtime)
             in_memory = MemoryKeyValue(runtime.loop)
             for operation in operations:
                 one = await operate(over_http, server.store, operation)
@@ -112,109 +101,6 @@
         assert one == other, (operation, one, other)
 
 
-FAULTS: dict[str, dict[str, Any]] = {
-    "none": {},
-    "outage": {"outage": True},
-    "hang": {"hang": True},
-    "limited": {"calls_per_s": 0.5},
-    "lost before": {"lose_before": 1},
-    "lost after": {"lose_after": 1},
-}
-
-
-@when("key-value: writes meet outages, rate limits, silence and lost replies")
-def write_under_faults(context: Any) -> None:
-    context.judged = []
-
-    @settings(max_examples=8)
-    @given(st.lists(st.sampled_from(sorted(FAULTS)), min_size=3, max_size=8))
-    def check(names: list[str]) -> None:
-        async def main(runtime: Runtime) -> None:
-            server, client = await serve(runtime, timeout_s=0.2)
-            for number, name in enumerate(names):
-                server.faults = type(server.faults)(**FAULTS[name])
-                key = f"/k/{number}"
-                outcome = await client.swap(key, b"v", ABSENT)
-                context.judged.append((name, outcome, server.store.get(key) is not None))
-
-        run_on_loop(main)
-
-    check()
-
-
-@then("key-value: no write reported as not applied took effect")
-def truthful_failures(context: Any) -> None:
-    assert {name for name, _, _ in context.judged} == set(FAULTS)
-    for name, outcome, applied in context.judged:
-        if isinstance(outcome, KeyValueFailure):
-            assert outcome.maybe_applied or not applied, (name, outcome)
-        else:
-            assert applied, (name, outcome)
-    limited = [outcome for name, outcome, _ in context.judged if name == "limited"]
-    refused = [one for one in limited if isinstance(one, KeyValueFailure)]
-    assert {one.kind for one in refused} <= {KeyValueFailureKind.OVER_BUDGET}, refused
-
-
-@when("key-value: checked swaps lose any replies while another writer races")
-def swap_with_races(context: Any) -> None:
-    context.judged = []
-    turns = st.tuples(
-        st.lists(st.sampled_from(sorted(CallFault, key=str)), max_size=5),
-        st.sampled_from(["nobody", "before", "between"]),
-    )
-
-    @settings(max_examples=150)
-    @given(st.lists(turns, min_size=1, max_size=6))
-    def check(turns: list[tuple[list[CallFault], str]]) -> None:
-        async def main(runtime: Runtime) -> None:
-            store = KeyValueStore()
-            for number, (faults, racer) in enumerate(turns):
-                await judge_swap(context, runtime, store, f"ours-{number}", list(faults), racer)
-
-        run_on_loop(main)
-
-    check()
-
-
-async def judge_swap(
-    context: Any,
-    runtime: Runtime,
-    store: KeyValueStore,
-    value: str,
-    faults: list[CallFault],
-    racer: str,
-) -> None:
-    entry = store.get("/k")
-    calls = [0]
-
-    def script(kind: CallKind, key: str) -> CallFault:
-        calls[0] += 1
-        if (racer, calls[0]) in {("before", 1), ("between", 2)}:
-            store.put("/k", b"theirs")
-        return faults.pop(0) if faults else CallFault.NONE
-
-    key_value = MemoryKeyValue(runtime.loop, store=store, faults=KeyValueFaults(script=script))
-    expected = entry.revision if entry else ABSENT
-    outcome = await swap_checked(key_value, "/k", value.encode(), expected)
-    applied = [
-        change
-        for change in store.changes(Revision(1), "/k")
-        if change.entry is not None and change.entry.value == value.encode()
-    ]
-    context.judged.append((outcome, [change.revision for change in applied]))
-
-
-@then("key-value: each is reported as it was")
-def swaps_truthful(context: Any) -> None:
-    kinds = {type(outcome) for outcome, _ in context.judged}
-    assert kinds == {Swapped, Conflict, KeyValueFailure}, kinds
-    for outcome, applied in context.judged:
-        if isinstance(outcome, Swapped):
-            assert applied == [outcome.revision], (outcome, applied)
-        elif isinstance(outcome, Conflict) or not outcome.maybe_applied:
-            assert not applied, (outcome, applied)
-
-
 @when("key-value: keys change while the connection breaks and the service is out")
 def change_and_break(context: Any) -> None:
     context.seen = []
@@ -224,7 +110,7 @@
     @given(st.lists(events, min_size=5, max_size=30))
     def check(events: list[str]) -> None:
         async def main(runtime: Runtime) -> None:
-            server, client = await serve(runtime)
+            server, client = await serve_key_value(runtime)
             seen: list[Changed] = []
             lost: list[str] = []
             client.watch("/w/", Revision(2), seen.append, lost.append)
@@ -260,13 +146,39 @@
         assert seen == happened and not lost, (seen, happened, lost)
 
 
+@when("key-value: the network loses what a watch is sent and later heals")
+def half_open(context: Any) -> None:
+    async def main(runtime: Runtime) -> None:
+        server = KeyValueServer(runtime).register(runtime)
+        proxy = FaultProxy(runtime, await server.address).register(runtime)
+        client = EtcdKeyValue(runtime, await proxy.address, watch_silence_s=0.3, budget=FREE)
+        seen: list[Changed] = []
+        client.watch("/w/", Revision(2), seen.append, seen.append)
+        server.store.put("/w/1", b"")
+        await until(runtime, lambda: seen)
+        proxy.faults.drop_down = proxy.faults.hide_close = True
+        server.store.put("/w/2", b"")
+        await until(runtime, lambda: proxy.accepted > 2)
+        proxy.faults.drop_down = proxy.faults.hide_close = False
+        server.store.put("/w/3", b"")
+        await until(runtime, lambda: len(seen) > 2)
+        context.seen = [(seen, server.store.changes(Revision(2), "/w/"), [])]
+
+    run_on_loop(main)
+
+
+@then("key-value: the watch sees every change after all")
+def sees_after_all(context: Any) -> None:
+    no_gaps(context)
+
+
 @when("key-value: the history is compacted during an outage or the service goes back")
 def lose_history(context: Any) -> None:
     context.reasons = []
 
     def lose(act: Callable[[KeyValueServer], None]) -> None:
         async def main(runtime: Runtime) -> None:
-            server, client = await serve(runtime)
+            server, client = await serve_key_value(runtime)
             seen: list[Changed] = []
             lost: list[str] = []
             client.watch("/w/", Revision(2), seen.append, lost.append)
@@ -305,7 +217,7 @@
 @when("key-value: a lease is left to lapse and another one renewed")
 def lapse(context: Any) -> None:
     async def main(runtime: Runtime) -> None:
-        server, client = await serve(runtime)
+        server, client = await serve_key_value(runtime)
         lapsing, kept = await client.grant(1.0), await client.grant(1.0)
         await client.swap("/l/lapsing", b"", ABSENT, lease=lapsing.id)
         await client.swap("/l/kept", b"", ABSENT, lease=kept.id)
--- a/parsleyrouter/connection/etcd.py
+++ b/parsleyrouter/connection/etcd.py
@@ -33,6 +33,7 @@
 __all__ = ["EtcdKeyValue"]
 
 CALL_TIMEOUT_S = 2.0
+WATCH_SILENCE_S = 10.0
 TOO_MANY_STATUS = 429
 SERVER_ERROR_STATUS = 500
 WRITES = frozenset({"swap", "delete", "grant", "revoke"})
@@ -50,12 +51,14 @@
         address: str,
         *,
         timeout_s: float = CALL_TIMEOUT_S,
+        watch_silence_s: float = WATCH_SILENCE_S,
         budget: BudgetSettings | None = None,
     ) -> None:
         self.runtime = runtime
         self.loop = runtime.loop
         self.address = Address(address)
         self.timeout_s = timeout_s
+        self.watch_silence_s = watch_silence_s
         self.budget = CallBudget(budget)
         self.metrics = KeyValueMetrics.of(runtime.metrics)
 
--- a/parsleyrouter/connection/etcd_watch.py
+++ b/parsleyrouter/connection/etcd_watch.py
@@ -23,7 +23,6 @@
 
 __all__ = ["EtcdWatch"]
 
-SILENCE_LIMIT_S = 30.0
 REOPEN_BASE_S = 0.1
 REOPEN_LIMIT_S = 5.0
 
@@ -31,7 +30,10 @@
 
 
 class EtcdWatch:
-    """Follow a prefix from a revision on, without gaps; each opening counts as one call."""
+    """Follow a prefix from a revision on, without gaps; each opening counts as one call.
+
+    A watch that stays silent is opened anew, since its connection may be half open.
+    """
 
     def __init__(
         self,
@@ -106,7 +108,7 @@
     async def _read(self, exchange: HttpExchange) -> None:
         rest = b""
         while not self.ended:
-            data = await exchange.read(SILENCE_LIMIT_S)
+            data = await exchange.read(self.client.watch_silence_s)
             if not isinstance(data, bytes):
                 return
             *lines, rest = (rest + data).split(b"\n")
--- a/parsleyrouter/process/assembly.py
+++ b/parsleyrouter/process/assembly.py
@@ -5,6 +5,7 @@
 
 from parsleyrouter.connection.api_settings import SettingsApi, add_settings_routes
 from parsleyrouter.connection.authentication import Authentication
+from parsleyrouter.connection.call_budget import BudgetSettings
 from parsleyrouter.connection.etcd import EtcdKeyValue
 from parsleyrouter.connection.http_guard import GuardedHttpServer
 from parsleyrouter.connection.http_server import HttpServer, Routes
@@ -36,6 +37,8 @@
 
 __all__ = ["assemble_batch", "assemble_entry", "assemble_scheduler", "assemble_store"]
 
+BURST_SECONDS = 2.0
+
 log = logging.getLogger(__name__)
 
 Addresses = dict[str, Address]
@@ -44,7 +47,7 @@
 
 def assemble_entry(runtime: Runtime, options: EntryOptions) -> Addresses:
     """Wire an entry: the callers' and the operators' HTTP, and the agent of the VM."""
-    kv = EtcdKeyValue(runtime, options.key_value)
+    kv = _key_value(runtime, options)
     node = NodeId(options.node)
     agent = Agent(runtime, options, kv, node=node, domain=DomainName(options.domain))
     grants = _agent_grants(runtime, agent)
@@ -87,7 +90,7 @@
 
 def assemble_batch(runtime: Runtime, options: BatchOptions) -> Addresses:
     """Wire a batch process: runs the parts of jobs that it claims."""
-    kv = EtcdKeyValue(runtime, options.key_value)
+    kv = _key_value(runtime, options)
     follower = _follower(runtime, options, Service.BATCH)
     chunk_limits = ChunkLimits(min_copies=options.min_copies)
     chunks = ChunkClient(runtime, follower, kv=kv, limits=chunk_limits)
@@ -123,6 +126,12 @@
     return _serve_health(runtime, options, "parsley-store", follower, store.address())
 
 
+def _key_value(runtime: Runtime, options: NodeOptions) -> EtcdKeyValue:
+    rate = options.key_value_calls_per_s
+    budget = BudgetSettings(calls_per_s=rate, burst_calls=BURST_SECONDS * rate)
+    return EtcdKeyValue(runtime, options.key_value, budget=budget)
+
+
 def _agent_grants(runtime: Runtime, agent: Agent) -> GrantClient:
     grants = GrantClient(runtime, agent, lambda: agent.address)
     agent.server.methods = agent.server.methods.copy()
--- a/parsleyrouter/process/options.py
+++ b/parsleyrouter/process/options.py
@@ -49,6 +49,9 @@
     key_value: str = "127.0.0.1:2379"
     """Address of the platform's key-value service."""
 
+    key_value_calls_per_s: float = 40.0
+    """Most calls a second to the key-value service, in bursts twice that number at once."""
+
     log_level: str = "info"
     """Least level logged: debug, info, warning or error."""
 
@@ -56,6 +59,7 @@
         """Raise ``BadSetting`` for the first setting that is not allowed."""
         for name in ("http", "peer", "key_value"):
             check_address(name.replace("_", "-"), getattr(self, name))
+        check_range("key-value-calls-per-s", self.key_value_calls_per_s, 0.1, 10_000, "calls/s")
         if self.log_level.lower() not in ("debug", "info", "warning", "error"):
             raise BadSetting("log-level", self.log_level, "debug, info, warning or error")
         for name in ("node", "domain"):
