--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 .DEFAULT_GOAL := help
-.PHONY: help setup format lint test demo ci thrift bench-online prove prove-mutants
+.PHONY: help setup format lint test demo ci thrift bench-online prove prove-mutants bench-control
 
 help: ## list the targets
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -34,6 +34,10 @@
 	$(VENV)/bin/parsley-load run scenarios/nkabom.toml --rounds 3
 	$(VENV)/bin/parsley-load run scenarios/ardoise.toml --rounds 3
 
+bench-control: $(STAMP) ## measure settings and membership over the number of nodes
+	$(PYTHON) benches/control_processes.py
+	$(PYTHON) benches/control.py
+
 ci: ## what CI runs
 	bash .ci/run
 
