--- a/parsleyrouter/process/batch_options.py
+++ b/parsleyrouter/process/batch_options.py
@@ -9,6 +9,7 @@
 class BatchLimits:
     """How one batch process runs parts; times are in seconds."""
 
+    part_items: int = 2048
     parts: int = 8
     items_at_once: int = 32
     wave_items: int = 32
--- a/parsleyrouter/process/job_desk.py
+++ b/parsleyrouter/process/job_desk.py
@@ -76,7 +76,7 @@
         job = job_id(spec.team, spec.idempotency_key)
         now = time.time()
         expires_s = int(now + spec.deadline_in_s + team.retention_s)
-        intake = JobIntake(team.limits)
+        intake = JobIntake(team.limits, self.limits.part_items)
         inputs = await JobInput(self.chunks, job, expires_s).take(intake, body)
         if isinstance(inputs, Refusal):
             return inputs
--- a/parsleyrouter/process/part_progress.py
+++ b/parsleyrouter/process/part_progress.py
@@ -89,8 +89,11 @@
         return frozenset(index for index, _ in zip(self.unmarked, range(room), strict=False))
 
     def ended(self, index: ItemIndex, line: bytes) -> None:
-        """Take the result of an item; only its first one counts."""
-        self.in_flight.discard(index)
+        """Take the result of an item, run here or judged; only its first one counts."""
+        if index in self.in_flight:
+            self.in_flight.remove(index)
+        else:
+            self._drop({index})
         if index in self.lines:
             return
         self.lines[index] = line
--- a/parsleyrouter/request/job_intake.py
+++ b/parsleyrouter/request/job_intake.py
@@ -21,6 +21,7 @@
     """Take pieces of JSON lines and hand out parts, holding no more than one part."""
 
     limits: LimitSettings
+    part_items: int = PART_ITEMS
     problems: list[str] = field(default_factory=list)
     firsts: list[int] = field(default_factory=list)
     items: int = 0
@@ -88,7 +89,7 @@
     def _add(self, line: bytes) -> list[bytes]:
         full = []
         size = len(line) + 1
-        if len(self.part) == PART_ITEMS or (self.part and self.part_bytes + size > PART_BYTES):
+        if len(self.part) == self.part_items or (self.part and self.part_bytes + size > PART_BYTES):
             full.append(self._cut())
         if not self.part:
             self.firsts.append(self.items)
