--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 .DEFAULT_GOAL := help
-.PHONY: help setup format lint test demo ci thrift bench-online prove prove-mutants bench-control
+.PHONY: help setup format lint test demo ci thrift bench-online bench-path prove prove-mutants bench-control
 
 help: ## list the targets
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -30,6 +30,9 @@
 demo: $(STAMP) ## set up and run the whole system on embedded stand-ins
 	$(VENV)/bin/parsley-dev demo
 
+bench-path: $(STAMP) ## measure what an entry adds to a streamed answer
+	$(PYTHON) benches/path.py --profile
+
 bench-online: $(STAMP) ## measure sharing on both scenarios, results in out/
 	$(VENV)/bin/parsley-load run scenarios/nkabom.toml --rounds 3
 	$(VENV)/bin/parsley-load run scenarios/ardoise.toml --rounds 3
--- /dev/null
+++ b/benches/path.py
@@ -0,0 +1,201 @@
+"""Measure what an entry adds to a streamed answer, paired with a direct connection to the engine.
+
+Usage: python benches/path.py [--seconds S] [--profile]. One node of real processes and two stand-in
+engines run on the loopback. Arrivals are open loop; the paired phase sends every other request
+straight to an engine. Processor time is the entry process's own, from /proc.
+"""
+
+import argparse
+import json
+import os
+import pstats
+import random
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from hdrh.histogram import HdrHistogram  # noqa: E402
+
+from features.support.cluster import MODEL, TEAM_KEY, Cluster, ClusterPlan  # noqa: E402
+from features.support.processes import wait_until  # noqa: E402
+from parsleyrouter.connection.http import TransportFailure  # noqa: E402
+from parsleyrouter.ids import Address  # noqa: E402
+from parsleyrouter.process.runtime import Runtime  # noqa: E402
+
+TOKENS = 30
+FULL_REQUESTS_PER_S = 100
+SLOTS = 64
+STEP_S = 0.008
+SEED = 7
+PATH = "/v1/chat/completions"
+US_PER_S = 1_000_000
+LONGEST_US = 60 * US_PER_S
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+OUT = Path("out")
+
+
+@dataclass
+class Seen:
+    """What one way of asking showed; histograms in microseconds."""
+
+    first_byte: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, LONGEST_US, 3))
+    answers: int = 0
+    failures: int = 0
+    chunks: int = 0
+
+
+def processor_s(pid: int) -> float:
+    """Return the processor seconds that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+async def ask(runtime: Runtime, address: str, seen: Seen, number: int) -> None:
+    """Send one streamed chat and note its first byte and its end."""
+    content = f"question {number} " + "word " * 50
+    body = {
+        "model": MODEL,
+        "messages": [{"role": "user", "content": content}],
+        "max_tokens": TOKENS,
+        "stream": True,
+    }
+    headers = {"authorization": f"Bearer {TEAM_KEY}", "content-type": "application/json"}
+    start_s = runtime.loop.now()
+    exchange = await runtime.http.open(
+        Address(address), "POST", PATH, headers=headers, body=json.dumps(body).encode()
+    )
+    last, first = b"", True
+    while not isinstance(exchange, TransportFailure):
+        piece = await exchange.read()
+        if not isinstance(piece, bytes):
+            break
+        if first:
+            seen.first_byte.record_value(int((runtime.loop.now() - start_s) * US_PER_S))
+            first = False
+        seen.chunks += piece.count(b"data: ")
+        last = piece
+    whole = last.endswith(b"data: [DONE]\n\n")
+    seen.answers += whole
+    seen.failures += not whole
+
+
+async def arrive(
+    runtime: Runtime, ways: list[tuple[list[str], Seen]], rate: float, seconds: float
+) -> None:
+    """Send requests at random times, each way in turn, and wait for all answers."""
+    chance = random.Random(SEED)
+    loop, tasks, number = runtime.loop, [], 0
+    due_s = loop.now()
+    end_s = due_s + seconds
+    while due_s < end_s:
+        await loop.sleep(max(0.0, due_s - loop.now()))
+        addresses, seen = ways[number % len(ways)]
+        address = addresses[(number // len(ways)) % len(addresses)]
+        tasks.append(loop.spawn(ask(runtime, address, seen, number)))
+        number += 1
+        due_s += chance.expovariate(rate)
+    await loop.gather(tasks)
+
+
+def run_phase(ways: list[tuple[list[str], Seen]], rate: float, seconds: float) -> None:
+    """Run arrivals on a loop of their own."""
+    runtime = Runtime()
+
+    async def main() -> None:
+        await arrive(runtime, ways, rate, seconds)
+        runtime.stop()
+
+    runtime.loop.spawn(main())
+    runtime.run()
+
+
+def measure(cluster: Cluster, seconds: float) -> dict[str, Any]:
+    """Return the figures of the paired phase and of the full load."""
+    entry = cluster.nodes[0].entry
+    assert entry.popen is not None
+    direct = [process.http for process in cluster.engines]
+    run_phase([([entry.http], Seen()), (direct, Seen())], FULL_REQUESTS_PER_S, 2.0)
+    through, beside = Seen(), Seen()
+    run_phase([([entry.http], through), (direct, beside)], FULL_REQUESTS_PER_S, seconds)
+    full = Seen()
+    before_s = processor_s(entry.popen.pid)
+    run_phase([([entry.http], full)], FULL_REQUESTS_PER_S, seconds)
+    used_s = processor_s(entry.popen.pid) - before_s
+    return {
+        "paired": {
+            "requests_per_s": FULL_REQUESTS_PER_S / 2,
+            "added_p50_ms": _added_ms(through, beside, 50),
+            "added_p99_ms": _added_ms(through, beside, 99),
+            "entry": _first_byte(through),
+            "direct": _first_byte(beside),
+        },
+        "full": {
+            "seconds": seconds,
+            "entry_cores": round(used_s / seconds, 3),
+            "requests_per_s": round(full.answers / seconds, 1),
+            "chunks_per_s": round(full.chunks / seconds, 1),
+            "requests_per_s_per_core": round(full.answers / used_s, 1),
+            "chunks_per_s_per_core": round(full.chunks / used_s, 1),
+        }
+        | _first_byte(full),
+    }
+
+
+def _added_ms(through: Seen, beside: Seen, share: float) -> float:
+    added = through.first_byte.get_value_at_percentile(
+        share
+    ) - beside.first_byte.get_value_at_percentile(share)
+    return round(added / 1000, 2)
+
+
+def _first_byte(seen: Seen) -> dict[str, Any]:
+    return {
+        "first_byte_p50_ms": seen.first_byte.get_value_at_percentile(50) / 1000,
+        "first_byte_p99_ms": seen.first_byte.get_value_at_percentile(99) / 1000,
+        "answers": seen.answers,
+        "failures": seen.failures,
+    }
+
+
+def profile(cluster: Cluster, seconds: float) -> None:
+    """Run the entry under the profiler at full load and print what costs most."""
+    node, path = cluster.nodes[0], OUT / "path.prof"
+    node.entry.kill()
+    node.entry.command = [sys.executable, "-m", "cProfile", "-o", str(path), *node.entry.command]
+    node.entry.start().wait_ready()
+    wait_until(lambda: cluster.serves(node), "the profiled entry serves")
+    run_phase([([node.entry.http], Seen())], FULL_REQUESTS_PER_S / 2, seconds)
+    node.entry.stop()
+    pstats.Stats(str(path)).sort_stats("tottime").print_stats(22)
+
+
+def main() -> int:
+    """Run the bench and print its figures."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--profile", action="store_true")
+    options = parser.parse_args()
+    OUT.mkdir(exist_ok=True)
+    engine = ("--step-s", str(STEP_S), "--step-per-running-s", "0")
+    engine += ("--prompt-tokens-per-s", "1000000")
+    plan = ClusterPlan(nodes=1, disks=1, engines=2, services=0, slots=SLOTS, engine_options=engine)
+    cluster = Cluster(plan)
+    try:
+        cluster.start_stand_ins()
+        cluster.start_node(1)
+        cluster.set_up()
+        figures = measure(cluster, options.seconds)
+        (OUT / "path.json").write_text(json.dumps(figures, indent=2))
+        print(json.dumps(figures, indent=2))
+        if options.profile:
+            profile(cluster, options.seconds)
+    finally:
+        cluster.clean_up()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/parsleyrouter/process/call_metrics.py
+++ b/parsleyrouter/process/call_metrics.py
@@ -7,6 +7,7 @@
 __all__ = ["CallMetrics"]
 
 FIRST_BYTE_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.2, 2.5, 5.0, 10.0, 30.0)
+GRANT_BUCKETS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 1.0, 10.0)
 
 _BY_REGISTRY: "WeakKeyDictionary[CollectorRegistry, CallMetrics]" = WeakKeyDictionary()
 
@@ -27,6 +28,13 @@
             "parsley_answers_crossed", "Answers dropped for a foreign attempt id", registry=registry
         )
         self.resumed = Counter("parsley_streams_resumed", "Streams resumed", registry=registry)
+        self.grant_wait = Histogram(
+            "parsley_grant_wait_seconds",
+            "Time from asking for a slot to the answer",
+            ("kind_class",),
+            buckets=GRANT_BUCKETS_S,
+            registry=registry,
+        )
         self.first_byte = Histogram(
             "parsley_first_byte_seconds",
             "Time from dispatch decision to the first byte of the answer",
