Keep two halves from taking each other's nodes down when they meet

A mutant that believed at once in the word that a node is down passed the test of a healed cut. With the test made to look at both halves during the healing, the code failed too: a second such word turned the suspicion made of the first one into down before the node could refute it. That word never counts for more than a suspicion now; each node waits by its own clock.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -22,7 +22,7 @@
 
   Scenario: A fleet cut in two goes on in both halves and heals
     When membership is cut in two for any time and joined again
-    Then each half agreed on itself and all membership views agree at the end
+    Then each half kept its own nodes throughout and all membership views agree at the end
 
   Scenario: A node that leaves is known to leave within 3 s
     When a member announces that it leaves
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -186,16 +186,19 @@
             net.up(node) == {other for other in net.cores if net.side[other] == net.side[node]}
             for node in net.cores
         )
-        net.side = {}
+        side, net.side = net.side, {}
         net.run(HEAL_S)
-        context.cuts.append((size, seed, cut_s, halves, net.all_agree()))
+        own_kept = all(side[node] != side[other] for node, other in net.wrong_downs)
+        context.cuts.append((size, seed, cut_s, halves, own_kept, net.all_agree()))
 
     check()
 
 
-@then("each half agreed on itself and all membership views agree at the end")
+@then("each half kept its own nodes throughout and all membership views agree at the end")
 def cut_healed(context: Any) -> None:
-    assert all(halves and healed for *_, halves, healed in context.cuts), context.cuts
+    for cut in context.cuts:
+        *_, halves, own_kept, healed = cut
+        assert halves and own_kept and healed, cut
 
 
 @when("a member announces that it leaves")
--- a/parsleyrouter/process/member_table.py
+++ b/parsleyrouter/process/member_table.py
@@ -2,6 +2,8 @@
 
 A node's own word carries its incarnation, which only that node raises. At one incarnation a
 suspicion replaces the belief that the node is alive, and the belief that it is down replaces both.
+The word of others that a node is down is taken as a suspicion only: each node waits by its own
+clock for the refutation, so that two halves that meet again do not take each other down.
 """
 
 from dataclasses import dataclass, replace
@@ -158,16 +160,19 @@
             entry.info = rumor.info
             self._set_health(entry, Health.ALIVE, now)
             return True
+        health = self._doubt(entry, rumor.health)
+        if (rumor.incarnation, health.value) <= known:
+            return False
         if rumor.incarnation > entry.info.incarnation:
             entry.info = replace(entry.info, incarnation=rumor.incarnation)
-        self._set_health(entry, self._doubt(entry, rumor.health), now)
+        self._set_health(entry, health, now)
         return True
 
     def _doubt(self, entry: MemberEntry, told: Health) -> Health:
-        """Let a node that others hold to be down refute it, unless it was doubted or leaving."""
-        if told is Health.DOWN and entry.health is Health.ALIVE:
-            leaving = entry.info.state is NodeState.LEAVING
-            return Health.DOWN if leaving else Health.SUSPECT
+        """Let a node that others hold to be down refute it here too, unless it was leaving."""
+        leaving = entry.info.state is NodeState.LEAVING
+        if told is Health.DOWN and entry.health is not Health.DOWN and not leaving:
+            return Health.SUSPECT
         return told
 
     def _meet(self, rumor: Rumor, now: float) -> bool:
