Test that a suspicion does not ripen during the own pause

A mutant without the notice of pauses passed all scenarios: what was sent to a paused node came before its first tick. The new scenario ticks first.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -20,6 +20,10 @@
     When a member is paused for any time and goes on
     Then all membership views agree again and nobody else was held to be down
 
+  Scenario: A suspicion does not ripen while the node that holds it is paused
+    When a member that suspects another is paused before the refutation comes
+    Then the suspected member was never held to be down
+
   Scenario: A fleet cut in two goes on in both halves and heals
     When membership is cut in two for any time and joined again
     Then each half kept its own nodes throughout and all membership views agree at the end
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -171,6 +171,33 @@
         assert {other for _, other in net.wrong_downs} <= {victim}, net.wrong_downs
 
 
+@when("a member that suspects another is paused before the refutation comes")
+def pause_suspecting(context: Any) -> None:
+    context.healths = []
+
+    @settings(max_examples=50)
+    @given(st.floats(1.5, 300), st.integers(0, 10_000))
+    def check(pause_s: float, seed: int) -> None:
+        net = MemberNet(3, seed)
+        net.run(MEET_S)
+        core, other = net.cores[NodeId("n000")], NodeId("n001")
+        core.table.suspect(other, net.now)
+        net.pause(NodeId("n000"))
+        net.now += pause_s
+        core.tick(net.now)
+        context.healths.append(core.table.entries[other].health)
+        net.resume(NodeId("n000"))
+        net.run(HEAL_S)
+        assert net.all_agree()
+
+    check()
+
+
+@then("the suspected member was never held to be down")
+def suspected_not_down(context: Any) -> None:
+    assert set(context.healths) == {Health.SUSPECT}
+
+
 @when("membership is cut in two for any time and joined again")
 def cut_in_two(context: Any) -> None:
     context.cuts = []
