Wait for a reply with one timer an exchange instead of one a read

Cause: each read of a streamed answer pushed a timer of 30 s that was cancelled at once but stayed in the heap until due, some 90,000 at 3,000 chunks/s; call_later, within and its callbacks led the profile behind the system calls.

--- a/parsleyrouter/connection/http_client.py
+++ b/parsleyrouter/connection/http_client.py
@@ -9,7 +9,7 @@
 from parsleyrouter.connection.http import HttpReply, Sent, TransportFailure
 from parsleyrouter.connection.stream import ConnectFailed, Connector, Stream
 from parsleyrouter.ids import Address
-from parsleyrouter.process.loop import Loop, Promise, TimedOut
+from parsleyrouter.process.loop import Loop, Promise, Timer
 
 __all__ = ["HttpClient", "HttpExchange"]
 
@@ -33,6 +33,9 @@
         self.ended = False
         self.failure: TransportFailure | None = None
         self.waiter: Promise[None] | None = None
+        self.wait_until_s = 0.0
+        self.wait_reason = ""
+        self.watch: Timer | None = None
         self.attach()
 
     def attach(self) -> None:
@@ -94,15 +97,40 @@
             return
         sent = Sent.MAYBE if self.stream.bytes_sent else Sent.NOTHING
         self.failure = TransportFailure(f"{self.stream.address}: {message}", sent)
+        self._end_watch()
         self.stream.close()
         self._notify()
 
     async def _wait(self, timeout_s: float, what: str) -> None:
-        self.waiter = self.client.loop.promise()
-        try:
-            await self.client.loop.within(timeout_s, self.waiter)
-        except TimedOut:
-            self.fail(f"{what} within {timeout_s:g} s")
+        """Wait for news; one timer serves all waits of the exchange."""
+        loop = self.client.loop
+        self.wait_until_s = loop.now() + timeout_s
+        self.wait_reason = f"{what} within {timeout_s:g} s"
+        if self.watch is None or self.watch.due_s > self.wait_until_s:
+            self._watch_after(timeout_s)
+        self.waiter = loop.promise()
+        await self.waiter
+        self.waiter = None
+
+    def _watch_after(self, delay_s: float) -> None:
+        if self.watch is not None:
+            self.watch.cancel()
+        self.watch = self.client.loop.call_later(delay_s, self._check_wait)
+
+    def _check_wait(self) -> None:
+        self.watch = None
+        if self.waiter is None or self.ended or self.failure is not None:
+            return
+        left_s = self.wait_until_s - self.client.loop.now()
+        if left_s <= 0:
+            self.fail(self.wait_reason)
+        else:
+            self._watch_after(left_s)
+
+    def _end_watch(self) -> None:
+        if self.watch is not None:
+            self.watch.cancel()
+            self.watch = None
 
     def _on_data(self, data: bytes) -> None:
         try:
@@ -126,6 +154,7 @@
                 self.pending_bytes += len(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self.ended = True
+                self._end_watch()
                 self.client.release(self)
                 break
             elif isinstance(event, h11.ConnectionClosed):
