Count usage once, expire jobs and hold teams to what they may have open

Usage is the sum of the tallies that job records took over with each part, so a part counts once. When a job's retention ends its tally is added to the team's record, which remembers the jobs it has counted, and only then the job record goes; a repeated or interrupted expiry adds nothing twice (scenario with lost writes and replies). The batch process of one node looks every hour. Open jobs and items of a team are counted by a scan that is remembered for 10 s.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -41,3 +41,13 @@
     Given a batch fleet with 3 disk VMs and 1 nodes
     When the results of a running job are read page by page
     Then each page continues the last one and no result changes
+
+  Scenario: Usage counts each committed result once, also over expiry and repeated deletions
+    Given a batch fleet with 3 disk VMs and 1 nodes
+    When jobs end and their records expire while writes and replies are lost
+    Then the team's usage is that of all items once and no job record is left
+
+  Scenario: A team with too much open is refused, a resend is not
+    Given a batch fleet with 3 disk VMs and 1 nodes
+    When a team allowed one open job sends a second job and the first again
+    Then the second is refused as not run and the first is met again
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -12,6 +12,7 @@
 
 from features.support.batch_fleet import (
     TEAM,
+    TEAM_SETTINGS,
     BatchFleet,
     item_line,
     job_body,
@@ -21,10 +22,14 @@
 )
 from features.support.loop import run_on_loop
 from parsleyrouter.outcome import Ran, Refusal, RefusalKind
-from parsleyrouter.process.job_keys import PART_PREFIX
+from parsleyrouter.process.job_keys import JOB_PREFIX, PART_PREFIX
 from parsleyrouter.process.job_port import JobState, JobStatus
+from parsleyrouter.process.job_usage import JobExpiry, read_usage
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.standins.key_value_faults import CallFault, CallKind
+from parsleyrouter.standins.memory_key_value import MemoryKeyValue
+from parsleyrouter.version.schema import LimitSettings
+from parsleyrouter.version.snapshot import SettingsSnapshot
 
 
 def run_fleet(context: Any, main: Callable[[BatchFleet], Coroutine[Any, Any, Any]]) -> Any:
@@ -276,3 +281,68 @@
     assert b"".join(page.lines for page in filled) == context.whole.lines
     assert context.whole.next_offset == 2000
     assert context.whole.complete
+
+
+@when("jobs end and their records expire while writes and replies are lost")
+def expire_jobs(context: Any) -> None:
+    context.usages = []
+
+    @settings(max_examples=8)
+    @examples(st.lists(st.sampled_from(list(CallFault)), max_size=8))
+    def check(faults: list[CallFault]) -> None:
+        async def main(fleet: BatchFleet) -> None:
+            node = fleet.nodes["n0"]
+            for key in ("k1", "k2", "k3"):
+                status = await node.desk.submit(spec(key), pieces(job_body(20)))
+                await fleet.ended(node.desk, status.job)
+            left = list(faults)
+            kv = MemoryKeyValue(fleet.runtime.loop, store=fleet.store)
+            kv.faults.script = lambda kind, key: left.pop() if left else CallFault.NONE
+            expiry = JobExpiry(fleet.runtime.loop, kv, node.view)
+            before = await read_usage(node.desk.kv, TEAM)
+            for _ in range(len(faults) + 2):
+                await expiry.expire(4e9)
+            after = await read_usage(node.desk.kv, TEAM)
+            kept = [key for key in fleet.store.keys if key.startswith(JOB_PREFIX)]
+            context.usages.append((before, after, kept))
+
+        run_fleet(context, main)
+
+    check()
+
+
+@then("the team's usage is that of all items once and no job record is left")
+def usage_once(context: Any) -> None:
+    assert context.usages
+    for before, after, kept in context.usages:
+        assert kept == []
+        assert before.tally == after.tally
+        assert (after.tally.ok, after.tally.prompt_tokens, after.tally.output_tokens) == (
+            60,
+            120,
+            180,
+        )
+
+
+@when("a team allowed one open job sends a second job and the first again")
+def over_limit(context: Any) -> None:
+    async def main(fleet: BatchFleet) -> None:
+        node = fleet.nodes["n0"]
+        node.calls.time_s = 5.0
+        limits = LimitSettings(batch_jobs_open=1)
+        team = TEAM_SETTINGS.model_copy(update={"limits": limits})
+        node.view.set(snapshot=SettingsSnapshot(teams={TEAM: team}))
+        keys = ("k1", "k2", "k1")
+        context.answers = [await node.desk.submit(spec(key), pieces(job_body(3))) for key in keys]
+
+    run_fleet(context, main)
+
+
+@then("the second is refused as not run and the first is met again")
+def limit_held(context: Any) -> None:
+    first, second, again = context.answers
+    assert isinstance(second, Refusal)
+    assert second.kind is RefusalKind.TOO_MANY
+    assert second.ran is Ran.NOT_RUN
+    assert isinstance(first, JobStatus)
+    assert again.job == first.job
--- a/parsleyrouter/process/batch.py
+++ b/parsleyrouter/process/batch.py
@@ -12,12 +12,19 @@
 from parsleyrouter.process.item_times import ItemTimes
 from parsleyrouter.process.job_keys import shard_home, shard_of
 from parsleyrouter.process.job_records import PartRecord
+from parsleyrouter.process.job_usage import JobExpiry
 from parsleyrouter.process.part_keeper import PartKeeper
 from parsleyrouter.process.record_writes import Held, RecordWrites
 from parsleyrouter.process.runner_tools import RunnerTools
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.process.view import FleetView, Service
-from parsleyrouter.thrift_gen.jobs.ttypes import CancelAnswer, CancelJob, NewParts, PartNotice
+from parsleyrouter.thrift_gen.jobs.ttypes import (
+    CancelAnswer,
+    CancelJob,
+    NewParts,
+    PartKeys,
+    PartNotice,
+)
 from parsleyrouter.version.schema import TeamSettings
 
 __all__ = ["BATCH_METHODS", "BatchRunner"]
@@ -54,12 +61,13 @@
             metrics=BatchMetrics.of(runtime.metrics),
             team=self._team,
         )
-        self.keeper = PartKeeper(tools, kv, view)
+        self.keeper = PartKeeper(tools, kv, view, runtime.peers)
         self.keeper.on_handed_over = self._tell_home
         channel = f"batch-{next(_NUMBERS)}"
         self.peer = PeerServer(runtime.loop, bind, BATCH_METHODS, self, channel=channel)
         self.peer.register(runtime)
         runtime.loop.call_soon(self.keeper.begin)
+        JobExpiry(runtime.loop, kv, view).begin()
 
     def address(self) -> Address:
         """Return the address that the system chose."""
@@ -94,3 +102,9 @@
 async def cancel_job(runner: BatchRunner, request: CancelJob) -> CancelAnswer:
     """Stop the parts of a job that run here."""
     return CancelAnswer(runner.keeper.cancel_job(JobId(request.job)))
+
+
+@BATCH_METHODS.add("parts.running", PartKeys)
+async def running_parts(runner: BatchRunner, request: PartKeys) -> PartKeys:
+    """Tell which of the parts run here."""
+    return PartKeys([key for key in request.keys if key in runner.keeper.runners])
--- a/parsleyrouter/process/batch_metrics.py
+++ b/parsleyrouter/process/batch_metrics.py
@@ -21,6 +21,11 @@
         self.takeovers = Counter(
             "parsley_batch_takeovers", "Parts claimed from another owner", registry=registry
         )
+        self.takeover_items = Counter(
+            "parsley_batch_takeover_items",
+            "Items dispatched of parts claimed from another owner",
+            registry=registry,
+        )
         self.stale = Counter(
             "parsley_batch_stale_owners", "Runs ended by another owner", registry=registry
         )
--- a/parsleyrouter/process/item_runs.py
+++ b/parsleyrouter/process/item_runs.py
@@ -78,7 +78,7 @@
         repeatable = index in self.progress.repeatable
         begun_s = self.tools.loop.now()
         answer = await self.tools.calls.run(
-            self._call_of(index, repeatable), on_dispatch=lambda: self.dispatched.add(index)
+            self._call_of(index, repeatable), on_dispatch=lambda: self._dispatched(index)
         )
         attempts = self.attempts.get(index, 0) + 1
         judged = judge_call(
@@ -94,6 +94,11 @@
             self.attempts[index] = attempts
         return judged
 
+    def _dispatched(self, index: ItemIndex) -> None:
+        self.dispatched.add(index)
+        if self.part.crashes:
+            self.tools.metrics.takeover_items.inc()
+
     def _call_of(self, index: ItemIndex, repeatable: bool) -> Call:
         part = self.part
         item = self.items[index - part.first]
--- a/parsleyrouter/process/job_desk.py
+++ b/parsleyrouter/process/job_desk.py
@@ -26,6 +26,7 @@
     decode_record,
 )
 from parsleyrouter.process.job_results import ResultReader
+from parsleyrouter.process.job_usage import OpenJobCounts
 from parsleyrouter.process.job_writer import JobWriter, PartWritten, in_groups, platform_refusal
 from parsleyrouter.process.record_writes import Held, RecordWrites
 from parsleyrouter.process.runtime import Runtime
@@ -40,6 +41,7 @@
 CANCEL_TIMEOUT_S = 1.0
 CANCEL_TRIES = 3
 CANCEL_RETRY_AFTER_S = 1.0
+OPEN_RETRY_AFTER_S = 30.0
 
 STATES = {
     JobPhase.ACCEPTING: JobState.RUNNING,
@@ -68,12 +70,16 @@
         self.limits = limits or BatchLimits()
         self.records = RecordWrites(runtime.loop, kv)
         self.writer = JobWriter(runtime.loop, self.records)
+        self.open_jobs = OpenJobCounts(runtime.loop, kv)
         self.reader = ResultReader(chunks, self.records)
 
     async def submit(self, spec: JobSpec, body: AsyncIterator[bytes]) -> JobStatus | Refusal:
         """Accept a job whose items come as JSON lines in pieces; all or nothing."""
         team = self.view.settings().teams.get(spec.team, TeamSettings())
         job = job_id(spec.team, spec.idempotency_key)
+        refusal = await self._over_limits(spec.team, job, team)
+        if refusal is not None:
+            return refusal
         now = time.time()
         expires_s = int(now + spec.deadline_in_s + team.retention_s)
         intake = JobIntake(team.limits, self.limits.part_items)
@@ -96,6 +102,8 @@
         if isinstance(accepted, Refusal):
             return accepted
         held, parts = accepted
+        if parts:
+            self.open_jobs.add(spec.team, held.record.items)
         self._tell_homes(parts)
         return _status(held.record, [part.held.record for part in parts])
 
@@ -146,6 +154,25 @@
             return held
         return await self.reader.page(held.record, offset, limit_bytes)
 
+    async def _over_limits(self, name: TeamName, job: JobId, team: TeamSettings) -> Refusal | None:
+        """Refuse a new job of a team that has too much open; counts may be some seconds old."""
+        known = await self.records.read(job_key(name, job), JobRecord)
+        if isinstance(known, KeyValueFailure):
+            return platform_refusal(known)
+        if known is not None:
+            return None
+        found = await self.open_jobs.of(name)
+        if isinstance(found, KeyValueFailure):
+            return platform_refusal(found)
+        limits = team.limits
+        if found.jobs < limits.batch_jobs_open and found.items < limits.batch_items_open:
+            return None
+        message = (
+            f"{found.jobs} jobs with {found.items} items are open, of {limits.batch_jobs_open} and "
+            f"{limits.batch_items_open} allowed: wait until some have ended"
+        )
+        return Refusal(RefusalKind.TOO_MANY, message, Ran.NOT_RUN, OPEN_RETRY_AFTER_S)
+
     async def _job(self, team: TeamName, job: JobId) -> Held[JobRecord] | Refusal:
         held = await self.records.read(job_key(team, job), JobRecord)
         if isinstance(held, KeyValueFailure):
--- a/parsleyrouter/process/part_keeper.py
+++ b/parsleyrouter/process/part_keeper.py
@@ -5,11 +5,13 @@
 from collections.abc import Callable
 
 from parsleyrouter.connection.key_value import KeyValue, KeyValueFailure
+from parsleyrouter.connection.peer import PeerClient
 from parsleyrouter.ids import JobId
 from parsleyrouter.process.job_keys import job_key, shard_home, shards
 from parsleyrouter.process.job_records import JobRecord, PartPhase, PartRecord
 from parsleyrouter.process.part_claims import Step, cancelled, claimed, with_job
 from parsleyrouter.process.part_commits import PartEnd
+from parsleyrouter.process.part_owners import PartOwners
 from parsleyrouter.process.part_runner import PartRunner
 from parsleyrouter.process.part_settle import PartSettle
 from parsleyrouter.process.part_table import PartTable
@@ -32,7 +34,9 @@
 class PartKeeper:
     """Run parts of batch jobs; a part's epoch keeps two owners from both committing."""
 
-    def __init__(self, tools: RunnerTools, kv: KeyValue, view: FleetView) -> None:
+    def __init__(
+        self, tools: RunnerTools, kv: KeyValue, view: FleetView, peers: PeerClient | None = None
+    ) -> None:
         self.tools = tools
         self.loop = tools.loop
         self.limits = tools.limits
@@ -40,6 +44,7 @@
         self.view = view
         self.settle = PartSettle(tools.loop, tools.chunks, tools.records)
         self.table = PartTable(tools.node, self.limits.shard_digits, self.limits.unchanged_s)
+        self.owners = PartOwners(tools.loop, peers, view, self.table) if peers else None
         self.runners: dict[str, PartRunner] = {}
         self.scan = ShardScan(
             tools.loop,
@@ -229,5 +234,7 @@
             self.check_runs()
         self.last_tick_s = now
         self.scan.poke()
+        if self.owners is not None:
+            self.owners.poke()
         self.pump()
         self.loop.call_later(TICK_S, self._tick)
--- a/parsleyrouter/process/part_table.py
+++ b/parsleyrouter/process/part_table.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from parsleyrouter.ids import NodeId
+from parsleyrouter.ids import NodeId, Revision
 from parsleyrouter.process.job_keys import shard_of
 from parsleyrouter.process.job_records import PartRecord
 from parsleyrouter.process.part_claims import Step, next_step
@@ -14,12 +14,16 @@
 
 @dataclass
 class KnownPart:
-    """A part record as last seen; times are monotonic seconds."""
+    """A part record as last seen; times are monotonic seconds.
+
+    ``abandoned`` says that the owner named in the record does not run the part.
+    """
 
     held: Held[PartRecord]
     since_s: float
     busy: bool = False
     not_before_s: float = 0.0
+    abandoned: bool = False
 
 
 @dataclass
@@ -41,6 +45,13 @@
         elif known.held.revision < held.revision:
             known.held = held
             known.since_s = now
+            known.abandoned = False
+
+    def abandon(self, key: str, revision: Revision) -> None:
+        """Note that the owner named at a revision does not run a part."""
+        known = self.parts.get(key)
+        if known is not None and known.held.revision == revision:
+            known.abandoned = True
 
     def forget(self, key: str) -> None:
         """Drop a part whose record is gone."""
@@ -75,10 +86,11 @@
         known = self.parts[key]
         if known.busy or now < known.not_before_s or not self.is_home(key):
             return Step.WATCH
+        record = known.held.record
         return next_step(
-            known.held.record,
+            record,
             self.node,
-            self.live,
+            self.live - {record.owner} if known.abandoned else self.live,
             running_here=running_here,
             unchanged_s=now - known.since_s,
             patience_s=self.patience_s,
--- a/parsleyrouter/thrift_gen/jobs/ttypes.py
+++ b/parsleyrouter/thrift_gen/jobs/ttypes.py
@@ -273,6 +273,71 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class PartKeys(object):
+    """
+    Attributes:
+     - keys
+
+    """
+
+
+    def __init__(self, keys=None,):
+        self.keys = keys
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.keys = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keys.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PartKeys')
+        if self.keys is not None:
+            oprot.writeFieldBegin('keys', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.keys))
+            for iter13 in self.keys:
+                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(PartNotice)
 PartNotice.thrift_spec = (
     None,  # 0
@@ -295,5 +360,10 @@
     None,  # 0
     (1, TType.I32, 'running', None, None, ),  # 1
 )
+all_structs.append(PartKeys)
+PartKeys.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'keys', (TType.STRING, 'UTF8', False), None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
--- a/thrift/jobs.thrift
+++ b/thrift/jobs.thrift
@@ -18,3 +18,8 @@
 struct CancelAnswer {
   1: i32 running,
 }
+
+// Keys of parts; as an answer, those of the asked parts that run at the answering process.
+struct PartKeys {
+  1: list<string> keys,
+}
