--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -24,6 +24,7 @@
 TTL_S = 0.6
 STREAM_PIECES = 40
 BIG_BYTES = 12_000_000
+SLOW_READ_S = 0.05
 
 
 @when("a stop plan meets any course of answers and requests")
@@ -113,7 +114,7 @@
         sock.setblocking(False)
         data = bytearray()
         while True:
-            await runtime.loop.sleep(0.005)
+            await runtime.loop.sleep(SLOW_READ_S)
             try:
                 piece = sock.recv(100_000)
             except BlockingIOError:
@@ -156,6 +157,7 @@
     context.after = entry.locate.answer()
     await stopping
     context.ended_open = entry.server.open_requests()
+    context.unsent = any(entry.server.server._buffers.values())
     context.replies = await loop.gather(callers)
     context.read_bytes = await slow_reader
     context.states = states
@@ -172,6 +174,7 @@
     assert slow.status == late.status == 200
     assert context.read_bytes == BIG_BYTES
     assert context.ended_open == []
+    assert not context.unsent
 
 
 @then("the stopping entry was known to leave before it ended")
