--- a/features/orders.feature
+++ b/features/orders.feature
@@ -23,3 +23,7 @@
   Scenario: A former holder's order is refused or waited out
     When an engine has an unreleased holder that fell silent
     Then an engine that checks fences gets orders after the hold, another after the longest order
+
+  Scenario: An endpoint that names no models keeps what it has loaded
+    When an engine's endpoint in the settings names no models
+    Then the engine got no order
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -257,3 +257,20 @@
     assert context.fence == 8
     assert context.waits[True] >= QUICK.hold_s
     assert context.waits[False] >= QUICK.hold_s + QUICK.longest_order_s
+
+
+@when("an engine's endpoint in the settings names no models")
+def no_models(context: Any) -> None:
+    async def main(runtime: Runtime) -> None:
+        fixture = Fixture(runtime, engines=1)
+        await fixture.want([])
+        fixture.orders.start(round_s=0.05)
+        await runtime.loop.sleep(6 * QUICK.settle_s)
+        context.record = list(fixture.engines[0].orders.record)
+
+    run_on_loop(main)
+
+
+@then("the engine got no order")
+def no_order(context: Any) -> None:
+    assert context.record == []
--- a/parsleyrouter/process/order_plan.py
+++ b/parsleyrouter/process/order_plan.py
@@ -125,7 +125,7 @@
         loaded = state.models.get(model)
         if loaded is None or (version and version != loaded):
             return Order(OrderKind.LOAD, model, version or "1")
-    free = set(idle)
+    free = set(idle) if wanted.models else set()
     for model in sorted(state.models):
         if model not in wanted.models and model in free:
             return Order(OrderKind.UNLOAD, model)
--- a/parsleyrouter/process/orders.py
+++ b/parsleyrouter/process/orders.py
@@ -1,7 +1,7 @@
 """Keep the engines that are at home here loaded as the settings ask.
 
 Construct in the entry process: ``Orders(runtime, key_value, agent)``, then ``start``. Engines
-without ``/admin/state`` take no orders and are left alone.
+without ``/admin/state`` take no orders; they and endpoints that name no models are left alone.
 """
 
 import logging
@@ -113,6 +113,8 @@
         self.busy.add(name)
         try:
             wanted = wanted_of(endpoint, self.agent.settings())
+            if not wanted.models and not wanted.role:
+                return None
             state = await self._state(endpoint)
             if state is None or await self._choose(name, state, wanted) is None:
                 return None
