--- a/parsleyrouter/process/claims.py
+++ b/parsleyrouter/process/claims.py
@@ -41,8 +41,8 @@
 CREATE_TRIES = 3
 FIRST_POLL_S = 0.05
 LONGEST_POLL_S = 1.0
-WRITES_PER_S = 20.0
-WRITES_BURST = 40.0
+CLAIMS_PER_S = 9.0
+CLAIMS_BURST = 40.0
 SETTLE_TRIES = 12
 MOST_UNSETTLED = 1000
 
@@ -76,7 +76,7 @@
         self.running: dict[str, tuple[str, Task[Reply | Refusal]]] = {}
         self.lease: Lease | None = None
         self.lease_taken_s = 0.0
-        self.tokens = WRITES_BURST
+        self.tokens = CLAIMS_BURST
         self.filled_s = loop.now()
         self.unsettled = 0
 
@@ -228,7 +228,7 @@
 
     def _take_token(self) -> bool:
         now = self.loop.now()
-        self.tokens = min(WRITES_BURST, self.tokens + (now - self.filled_s) * WRITES_PER_S)
+        self.tokens = min(CLAIMS_BURST, self.tokens + (now - self.filled_s) * CLAIMS_PER_S)
         self.filled_s = now
         if self.tokens < 1.0:
             return False
