Ask only a node that answers a datagram for its beliefs

A node whose datagrams are lost but whose TCP port answers was taken back at each exchange and lost again: 60 to 390 sightings a minute in the new scenario before, none after. A node not believed up is probed first now.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -40,6 +40,10 @@
     When an agent that has fallen silent is asked for its beliefs
     Then the silent agent claims nothing and stays out of all views
 
+  Scenario: A node that no datagram reaches stays out although its TCP port answers
+    When all datagrams of a member are lost while exchanges of beliefs go through
+    Then the unreached member leaves all views and does not come back until it is reached
+
   Scenario: A restarted agent replaces its former life
     When an agent is restarted under its old name at another address
     Then every other agent knows it at the new address only
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -287,6 +287,34 @@
     assert context.names == [["n0", "n1", "n2", "n4"]] * 4
 
 
+@when("all datagrams of a member are lost while exchanges of beliefs go through")
+def unreached(context: Any) -> None:
+    context.unreached = []
+
+    @settings(max_examples=10)
+    @given(st.integers(3, 12), st.integers(0, 10_000))
+    def check(size: int, seed: int) -> None:
+        net = MemberNet(size, seed)
+        net.run(MEET_S)
+        node = NodeId(f"n{seed % size:03d}")
+        net.deaf.add(node)
+        net.run(5.0)
+        seen = 0
+        for _ in range(60):
+            net.run(1.0)
+            seen += sum(node in net.up(other) for other in net.cores if other != node)
+        net.deaf.clear()
+        net.run(HEAL_S)
+        context.unreached.append((size, seed, seen, net.all_agree()))
+
+    check()
+
+
+@then("the unreached member leaves all views and does not come back until it is reached")
+def unreached_out(context: Any) -> None:
+    assert all(not seen and back for *_, seen, back in context.unreached), context.unreached
+
+
 @when("an agent that has fallen silent is asked for its beliefs")
 def silent_asked(context: Any) -> None:
     async def main(runtime: Runtime) -> None:
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -15,7 +15,7 @@
 from parsleyrouter.connection.stream import split_address
 from parsleyrouter.ids import Address, NodeId, Revision
 from parsleyrouter.process.fleet_wire import encode
-from parsleyrouter.process.membership import Message, MessageKind
+from parsleyrouter.process.member_messages import Message, MessageKind
 from parsleyrouter.process.relays import is_relay
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.process.settings_desk import (
--- a/features/support/member_net.py
+++ b/features/support/member_net.py
@@ -6,8 +6,9 @@
 from typing import Any
 
 from parsleyrouter.ids import Address, DomainName, NodeId
+from parsleyrouter.process.member_messages import Action, Send
 from parsleyrouter.process.member_table import Health
-from parsleyrouter.process.membership import Action, Membership, Send
+from parsleyrouter.process.membership import Membership
 from parsleyrouter.process.view import NodeInfo, Service
 
 TICK_S = 0.1
@@ -26,6 +27,7 @@
         self.paused: set[NodeId] = set()
         self.held: list[tuple[NodeId, Any]] = []
         self.side: dict[NodeId, int] = {}
+        self.deaf: set[NodeId] = set()
         self.wrong_downs: set[tuple[NodeId, NodeId]] = set()
         for index in range(nodes):
             self.add(NodeId(f"n{index:03d}"))
@@ -90,6 +92,8 @@
             if not self._reaches(node, to):
                 continue
             if isinstance(action, Send):
+                if self.deaf & {node, to}:
+                    continue
                 if self.chance.random() >= self.loss:
                     due = self.now + self.chance.uniform(0.0, 0.1)
                     heapq.heappush(self.queue, (due, next(self.order), to, action.message))
--- a/parsleyrouter/process/fleet_wire.py
+++ b/parsleyrouter/process/fleet_wire.py
@@ -6,8 +6,8 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from parsleyrouter.ids import Address, DomainName, NodeId, Revision
+from parsleyrouter.process.member_messages import Message, MessageKind
 from parsleyrouter.process.member_table import Health, Rumor
-from parsleyrouter.process.membership import Message, MessageKind
 from parsleyrouter.process.view import NodeInfo, NodeState, Service
 from parsleyrouter.thrift_gen.fleet.ttypes import (
     Belief,
--- a/parsleyrouter/process/membership.py
+++ b/parsleyrouter/process/membership.py
@@ -8,15 +8,15 @@
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
-from enum import Enum
 
 from parsleyrouter.ids import Address, NodeId
 from parsleyrouter.process.gossip import GossipQueue
+from parsleyrouter.process.member_messages import Action, Message, MessageKind, Send, Sync
 from parsleyrouter.process.member_table import Health, MemberTable, Rumor
 from parsleyrouter.process.probe_order import ProbeOrder
 from parsleyrouter.process.view import NodeInfo, Service
 
-__all__ = ["Action", "Membership", "Message", "MessageKind", "Send", "Sync"]
+__all__ = ["Membership"]
 
 PROBE_EVERY_S = 0.5
 RETRY_AFTER_S = 0.2
@@ -30,48 +30,6 @@
 MISMATCH_PATIENCE_S = 4.0
 
 
-class MessageKind(Enum):
-    """Say what a datagram asks."""
-
-    PING = 0
-    ACK = 1
-    HELP = 2
-    NEWS = 3
-
-
-@dataclass(frozen=True)
-class Message:
-    """One datagram; ``target`` is the node to be probed or the node that answered."""
-
-    kind: MessageKind
-    sender: NodeId
-    reply_to: Address
-    sequence: int = 0
-    target: NodeId = NodeId("")
-    target_agent: Address = Address("")
-    rumors: tuple[Rumor, ...] = ()
-    digest: int = 0
-    load: float = 0.0
-
-
-@dataclass(frozen=True)
-class Send:
-    """Send a datagram."""
-
-    to: Address
-    message: Message
-
-
-@dataclass(frozen=True)
-class Sync:
-    """Exchange all beliefs with an agent."""
-
-    to: Address
-
-
-Action = Send | Sync
-
-
 @dataclass
 class _Probe:
     node: NodeId
@@ -106,6 +64,7 @@
         self.last_tick_s: float | None = None
         self.mismatch_s: float | None = None
         self.contacts: tuple[Address, ...] = ()
+        self.contact_sequence = 0
         self.push_due = False
         self.suspicions = 0
 
@@ -241,6 +200,9 @@
         probe = self.probes.get(message.sequence)
         if probe is not None and probe.node in (message.sender, message.target):
             del self.probes[message.sequence]
+        if message.sequence == self.contact_sequence:
+            self.contact_sequence = 0
+            return [Sync(message.reply_to)]
         helped = self.helping.pop(message.sequence, None)
         if helped is None:
             return []
@@ -248,6 +210,7 @@
         return [Send(helped.asker, replace(answer, target=message.sender))]
 
     def _contact(self, now: float) -> list[Action]:
+        """Probe a node that is not believed up; only one that answers is asked for its beliefs."""
         if now < self.next_contact_s:
             return []
         up = self.table.up()
@@ -256,7 +219,12 @@
         known = {info.addresses[Service.AGENT] for info in (self.me, *up)}
         wanted = {*self.contacts, *(info.addresses[Service.AGENT] for info in self.table.down())}
         strangers = sorted(wanted - known)
-        return [Sync(self.chance.choice(strangers))] if strangers else []
+        if not strangers:
+            return []
+        self.sequence += 1
+        self.contact_sequence = self.sequence
+        ping = self._message(MessageKind.PING, None, self.sequence)
+        return [Send(self.chance.choice(strangers), ping)]
 
     def _compare(self, message: Message, now: float) -> list[Action]:
         """Exchange all beliefs with a node that has held other beliefs for some time."""
--- a/parsleyrouter/process/prober.py
+++ b/parsleyrouter/process/prober.py
@@ -8,7 +8,8 @@
 from parsleyrouter.connection.peer import PeerFailure
 from parsleyrouter.ids import Address, NodeId
 from parsleyrouter.process.fleet_wire import BadDatagram, decode, encode, from_rumor, to_rumor
-from parsleyrouter.process.membership import Action, Membership, Send
+from parsleyrouter.process.member_messages import Action, Send
+from parsleyrouter.process.membership import Membership
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.process.view import NodeInfo
 from parsleyrouter.thrift_gen.fleet.ttypes import Belief, MemberList
