--- a/parsleyrouter/commands/ctl_settings.py
+++ b/parsleyrouter/commands/ctl_settings.py
@@ -75,7 +75,7 @@
 
 
 @settings_app.command
-def get(path: str, *, options: CtlOptions | None = None) -> None:
+def get(path: str, /, *, options: CtlOptions | None = None) -> None:
     """Print what stands at PATH."""
     chosen = options or CtlOptions()
     found = chosen.run(lambda client: read(client, parse_path(path)))
@@ -88,6 +88,7 @@
 def set_value(
     path: str,
     value: str,
+    /,
     *,
     version: int | None = None,
     dry_run: bool = False,
@@ -113,6 +114,7 @@
 @settings_app.command
 def unset(
     path: str,
+    /,
     *,
     version: int | None = None,
     dry_run: bool = False,
@@ -136,7 +138,7 @@
 
 @settings_app.command
 def edit(
-    path: str, file: Path, *, dry_run: bool = False, options: CtlOptions | None = None
+    path: str, file: Path, /, *, dry_run: bool = False, options: CtlOptions | None = None
 ) -> None:
     """Change PATH through a draft in FILE.
 
@@ -197,7 +199,7 @@
 
 
 @settings_app.command
-def diff(file: Path, *, options: CtlOptions | None = None) -> None:
+def diff(file: Path, /, *, options: CtlOptions | None = None) -> None:
     """Show where FILE differs from what stands; exit 1 if it does.
 
     FILE holds paths and their values, such as {"/teams/a": {...}}, as JSON or TOML.
@@ -224,7 +226,7 @@
 
 
 @settings_app.command
-def apply(file: Path, *, dry_run: bool = False, options: CtlOptions | None = None) -> None:
+def apply(file: Path, /, *, dry_run: bool = False, options: CtlOptions | None = None) -> None:
     """Set every path in FILE to its value; nothing is changed unless all of it is valid.
 
     Parameters
@@ -273,7 +275,7 @@
 
 
 @settings_app.command
-def history(path: str, *, limit: int = 20, options: CtlOptions | None = None) -> None:
+def history(path: str, /, *, limit: int = 20, options: CtlOptions | None = None) -> None:
     """Show the last changes at PATH, the newest first.
 
     Parameters
@@ -311,7 +313,7 @@
 
 
 @settings_app.command
-def wait(revision: int, *, timeout_s: float = 30.0, options: CtlOptions | None = None) -> None:
+def wait(revision: int, /, *, timeout_s: float = 30.0, options: CtlOptions | None = None) -> None:
     """Wait until REVISION is in force on every live node.
 
     Parameters
--- a/parsleyrouter/commands/ctl_views.py
+++ b/parsleyrouter/commands/ctl_views.py
@@ -57,7 +57,7 @@
     ]
 
 
-def jobs(team: str = "", *, limit: int = 100, options: CtlOptions | None = None) -> None:
+def jobs(team: str = "", /, *, limit: int = 100, options: CtlOptions | None = None) -> None:
     """List the batch jobs of TEAM, by default those of all teams.
 
     Parameters
@@ -90,7 +90,7 @@
     return [job["job"], job["state"], *counts, when(job["deadline_s"]), late]
 
 
-def audit(path: str = "/fleet", *, limit: int = 50, options: CtlOptions | None = None) -> None:
+def audit(path: str = "/fleet", /, *, limit: int = 50, options: CtlOptions | None = None) -> None:
     """Show who changed what at PATH, when and from where.
 
     Parameters
