--- a/parsleyrouter/commands/ctl.py
+++ b/parsleyrouter/commands/ctl.py
@@ -9,7 +9,6 @@
 
 import msgspec
 from cyclopts import App, CycloptsError
-from cyclopts.config import Env
 
 from parsleyrouter.commands.ctl_client import CtlError, ExitCode
 from parsleyrouter.commands.ctl_settings import settings_app
@@ -19,7 +18,7 @@
 
 __all__ = ["main"]
 
-app = App(name="parsleyctl", help=__doc__, config=Env("PARSLEY_", command=False))
+app = App(name="parsleyctl", help=__doc__)
 app.command(settings_app)
 add_views(app)
 
--- a/parsleyrouter/commands/ctl_options.py
+++ b/parsleyrouter/commands/ctl_options.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 
 from cyclopts import Parameter
 
@@ -22,10 +22,10 @@
 class CtlOptions:
     """Where to call and how to show what came."""
 
-    entry: str = "127.0.0.1:8080"
+    entry: Annotated[str, Parameter(env_var="PARSLEY_ENTRY")] = "127.0.0.1:8080"
     """Address of any entry."""
 
-    key_file: str = ""
+    key_file: Annotated[str, Parameter(env_var="PARSLEY_KEY_FILE")] = ""
     """File that holds the operator's key; without it the variable PARSLEY_OPERATOR_KEY counts."""
 
     json: bool = False
