--- a/benches/path.py
+++ b/benches/path.py
@@ -1,8 +1,8 @@
 """Measure what an entry adds to a streamed answer, paired with a direct connection to the engine.
 
-Usage: python benches/path.py [--seconds S] [--profile]. One node of real processes and two stand-in
-engines run on the loopback. Arrivals are open loop; the paired phase sends every other request
-straight to an engine. Processor time is the entry process's own, from /proc.
+Usage: python benches/path.py [--seconds S] [--idle N] [--profile]. One node of real processes and
+two stand-in engines run on the loopback. Arrivals are open loop; the paired phase sends every
+other request straight to an engine. Processor time is the entry process's own, from /proc.
 """
 
 import argparse
@@ -10,6 +10,7 @@
 import os
 import pstats
 import random
+import socket
 import sys
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -176,6 +177,7 @@
     """Run the bench and print its figures."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--idle", type=int, default=0, help="idle connections held open")
     parser.add_argument("--profile", action="store_true")
     options = parser.parse_args()
     OUT.mkdir(exist_ok=True)
@@ -187,7 +189,9 @@
         cluster.start_stand_ins()
         cluster.start_node(1)
         cluster.set_up()
-        figures = measure(cluster, options.seconds)
+        host, _, port = cluster.nodes[0].entry.http.rpartition(":")
+        idle = [socket.create_connection((host, int(port))) for _ in range(options.idle)]
+        figures = {"idle_connections": len(idle)} | measure(cluster, options.seconds)
         (OUT / "path.json").write_text(json.dumps(figures, indent=2))
         print(json.dumps(figures, indent=2))
         if options.profile:
--- a/parsleyrouter/connection/http_server.py
+++ b/parsleyrouter/connection/http_server.py
@@ -11,6 +11,7 @@
 from circuits.web.servers import BaseServer
 
 from parsleyrouter.connection.http import HttpReply, HttpRequest, refusal_reply
+from parsleyrouter.connection.socket_set import SocketSet
 from parsleyrouter.ids import Address
 from parsleyrouter.outcome import Ran, Refusal, RefusalKind
 from parsleyrouter.process.loop import Loop, Promise, Task
@@ -155,6 +156,7 @@
         self, loop: Loop, bind: Address, routes: Routes, context: Any, channel: str = "web"
     ) -> None:
         super().__init__(bind, channel=channel, display_banner=False)
+        self.server._clients = SocketSet()
         self.loop = loop
         self.routes = routes
         self.context = context
