Give a frozen endpoint up while another can still answer a stream

Cause: the first attempt of a streamed call waited for its first byte until the whole deadline had passed, so nothing was left for a second one. It now gets half of what is left; a stream that stands still for 10 s instead of 30 s is resumed elsewhere or ended.

--- a/features/dispatch.feature
+++ b/features/dispatch.feature
@@ -27,6 +27,10 @@
     When dispatch: calls that must not be repeated meet endpoints that fail in any way
     Then dispatch: no call was executed twice and not_run was said only of calls never executed
 
+  Scenario: A frozen endpoint is given up while another can still answer
+    When dispatch: the first endpoint freezes before and after the start of a stream
+    Then dispatch: the second endpoint answers before the deadline
+
   Scenario: A crossed answer is dropped
     When dispatch: an endpoint answers with another attempt's id
     Then dispatch: the answer comes from the other endpoint and the crossing is counted
--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -273,6 +273,28 @@
     assert {"unknown", "not_run"} <= said, said
 
 
+@when("dispatch: the first endpoint freezes before and after the start of a stream")
+def freeze(context: Any) -> None:
+    async def start_and_hang(endpoint: ScriptedEndpoint, exchange: Exchange) -> HttpReply | None:
+        exchange.open_stream(200, EVENTS)
+        return await hang(endpoint, exchange)
+
+    async def main(runtime: Runtime) -> None:
+        frozen = ScriptedEndpoint(runtime, "frozen", hang, start_and_hang)
+        entry = start_entry(runtime, frozen, ScriptedEndpoint(runtime, "good", answer_ok))
+        context.thawed = [
+            await entry.post(CHAT_PATH, STREAM, x_parsley_deadline_s="1") for _ in range(2)
+        ]
+
+    run_on_loop(main)
+
+
+@then("dispatch: the second endpoint answers before the deadline")
+def answered_in_time(context: Any) -> None:
+    for reply in context.thawed:
+        assert reply.status == 200 and reply.body.endswith(b"data: [DONE]\n\n"), reply
+
+
 @when("dispatch: an endpoint answers with another attempt's id")
 def crossed(context: Any) -> None:
     async def answer_crossed(endpoint: ScriptedEndpoint, exchange: Exchange) -> HttpReply:
--- a/parsleyrouter/process/attempt.py
+++ b/parsleyrouter/process/attempt.py
@@ -25,7 +25,8 @@
 ATTEMPT_HEADER = "x-parsley-attempt"
 REQUEST_HEADER = "x-request-id"
 LONGEST_SILENCE_S = 300.0
-STREAM_GAP_S = 30.0
+STREAM_GAP_S = 10.0
+LEAST_PATIENCE_S = 0.25
 CANCEL_TIMEOUT_S = 0.25
 LAST_ANSWER_S = 0.05
 CANCEL_PATH = "/cancel"
@@ -223,7 +224,14 @@
         self.result = CallResult(ok=True, ttft_s=ttft_s, output_tokens=self.call.output_tokens)
 
     def _patience_s(self) -> float:
-        return min(LONGEST_SILENCE_S, self.deadline.remaining_s(self.runner.loop.now()))
+        """Return how long to wait for the next byte before the answer has begun.
+
+        A stream begins early, so that a frozen endpoint can be given up in time for another.
+        """
+        remaining_s = self.deadline.remaining_s(self.runner.loop.now())
+        if self.answer.streamed and self.call.settings.idempotent:
+            remaining_s = min(remaining_s, max(LEAST_PATIENCE_S, remaining_s / 2))
+        return min(LONGEST_SILENCE_S, remaining_s)
 
     def _broken(self, failure: TransportFailure) -> AttemptFailure:
         happened = Happened.NOT_SENT if failure.sent is Sent.NOTHING else Happened.MAYBE_SENT
--- a/parsleyrouter/request/answer.py
+++ b/parsleyrouter/request/answer.py
@@ -10,6 +10,7 @@
 class Answer(Protocol):
     """What an attempt writes its answer to; ``shown`` once the caller has seen a part."""
 
+    streamed: bool
     shown: bool
 
     def begin(self, status: int, headers: dict[str, str]) -> None:
@@ -22,6 +23,8 @@
 class KeptAnswer:
     """Keep an answer until it is whole."""
 
+    streamed = False
+
     def __init__(self) -> None:
         self.shown = False
         self.status = 0
@@ -46,6 +49,8 @@
 class StreamedAnswer:
     """Hand an answer on; a resumed one continues under the first one's status."""
 
+    streamed = True
+
     def __init__(self, sink: CallSink) -> None:
         self.sink = sink
         self.shown = False
