Claim streamed calls that must not be repeated

Cause: the streamed path passed the claims by, so a resend of a keyed streamed call of a non-idempotent kind ran again. Such a stream is now kept and sent once it is whole. The scenario failed first with two executions.

--- a/features/claims.feature
+++ b/features/claims.feature
@@ -21,3 +21,7 @@
   Scenario: The resend of a request whose entry died is told that the outcome is unknown
     When claims: an entry dies while it runs a card
     Then claims: the resend is answered unknown and the card is not run again
+
+  Scenario: A streamed call that must not be repeated is claimed like any other
+    When claims: a streamed chat of a kind that must not be repeated is sent to two entries
+    Then claims: it ran once and both callers got the whole stream
--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -10,7 +10,14 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from features.support.entry import KEY, ScriptedEndpoint, answer_ok, start_entry
+from features.support.entry import (
+    CHAT_PATH,
+    KEY,
+    STREAM,
+    ScriptedEndpoint,
+    answer_ok,
+    start_entry,
+)
 from features.support.loop import run_on_loop
 from parsleyrouter.connection.http import HttpReply, json_reply
 from parsleyrouter.connection.http_server import Exchange
@@ -273,3 +280,30 @@
     assert context.executions == 1
     for refusal in (context.early, context.late):
         assert isinstance(refusal, Refusal) and refusal.ran is Ran.UNKNOWN, refusal
+
+
+@when("claims: a streamed chat of a kind that must not be repeated is sent to two entries")
+def stream_twice(context: Any) -> None:
+    async def main(runtime: Runtime) -> None:
+        endpoint = ScriptedEndpoint(runtime, "e", answer_ok)
+        shared = MemoryKeyValue(runtime.loop)
+        kinds = {"order": {"idempotent": False}}
+        entries = [
+            start_entry(runtime, endpoint, key_value=shared, name=f"entry-{n}", kinds=kinds)
+            for n in range(2)
+        ]
+        context.replies = [
+            await entry.post(CHAT_PATH, STREAM, idempotency_key="k", x_parsley_kind="order")
+            for entry in entries
+        ]
+        context.executions = sum(endpoint.executions.values())
+
+    run_on_loop(main)
+
+
+@then("claims: it ran once and both callers got the whole stream")
+def streamed_once(context: Any) -> None:
+    assert context.executions == 1, context.executions
+    for reply in context.replies:
+        assert reply.headers["content-type"] == "text/event-stream"
+        assert reply.body.endswith(b"data: [DONE]\n\n") and reply.body.count(b"data: ") == 4
--- a/parsleyrouter/connection/api_calls.py
+++ b/parsleyrouter/connection/api_calls.py
@@ -48,7 +48,7 @@
     started_s = loop.now()
     status = 499
     try:
-        if streamed:
+        if streamed and not _claim_key(exchange, call):
             reply = await _stream(context, exchange, call)
         else:
             reply = await _run(context, exchange, call)
@@ -59,9 +59,16 @@
         _log_call(call, status, loop.now() - started_s)
 
 
+def _claim_key(exchange: Exchange, call: Call) -> str:
+    """Return the key under which a call must be claimed; such a stream is sent once it is whole."""
+    if call.settings.idempotent:
+        return ""
+    return exchange.request.headers.get(IDEMPOTENCY_HEADER, "")
+
+
 async def _run(context: "EntryContext", exchange: Exchange, call: Call) -> HttpReply:
-    key = exchange.request.headers.get(IDEMPOTENCY_HEADER)
-    if key and not call.settings.idempotent:
+    key = _claim_key(exchange, call)
+    if key:
         if context.claims is None:
             message = "no Idempotency-Key can be kept here: try another entry"
             refusal = Refusal(RefusalKind.PLATFORM_UNAVAILABLE, message, Ran.NOT_RUN)
