Weight locate answers by the measured load of entries

Nothing ever set a node's load, so the weights were all the same. An agent now meters its process's share of a core; it rides on every datagram.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -55,3 +55,9 @@
   Scenario: A datagram that is no message is dropped
     When an agent receives any bytes as a datagram
     Then the agent still answers
+
+  Scenario: Nodes know how busy the others are
+    When any use of the processor is metered
+    Then the load lies between 0 and 1 and follows steady use
+    When agents meet and one of them is busy
+    Then the other agent sees its load
--- a/parsleyrouter/process/agent.py
+++ b/parsleyrouter/process/agent.py
@@ -11,6 +11,7 @@
 from parsleyrouter.process.agent_methods import AGENT_METHODS
 from parsleyrouter.process.agent_metrics import AgentMetrics
 from parsleyrouter.process.agent_options import AgentOptions
+from parsleyrouter.process.busy_meter import BusyMeter
 from parsleyrouter.process.fleet_wire import from_mark, from_record, to_mark, to_member, to_record
 from parsleyrouter.process.loop import Promise
 from parsleyrouter.process.prober import Prober
@@ -80,6 +81,7 @@
         self.builder = SnapshotBuilder()
         self.snapshot = SettingsSnapshot()
         self.feed = SettingsFeed(self.loop, key_value, node, self.replica, self._settings_changed)
+        self.meter = BusyMeter(self.loop.now(), time.process_time())
         self.fetching = False
         self.fetched_bytes = 0
         self.served_bytes = 0
@@ -126,10 +128,6 @@
         self.own_services[service] = address
         self._refresh_self()
 
-    def set_load(self, load: float) -> None:
-        """Tell how busy the node is, from 0 to 1."""
-        self.prober.core.set_load(load)
-
     def leave(self) -> None:
         """Announce that this node takes no new work."""
         self.prober.describe(dataclasses.replace(self.me, state=NodeState.LEAVING))
@@ -152,6 +150,7 @@
             return
         self.loop.call_later(CHECK_S, self._check)
         self._drop_lapsed()
+        self.prober.core.set_load(self.meter.read(self.loop.now(), time.process_time()))
         self.feed.want(is_relay(self.me.node, (info.node for info in self.prober.up())))
         self._settings_changed(False)
 
--- a/parsleyrouter/process/follower.py
+++ b/parsleyrouter/process/follower.py
@@ -53,7 +53,6 @@
         self.replica = Replica()
         self.builder = SnapshotBuilder()
         self.snapshot = SettingsSnapshot()
-        self.load = 0.0
         self.leaving = False
         self.agent_answers = False
         self.callbacks: list[Callable[[], None]] = []
@@ -83,10 +82,6 @@
         """Call back after nodes or settings have changed."""
         self.callbacks.append(callback)
 
-    def set_load(self, load: float) -> None:
-        """Tell how busy this process is, from 0 to 1."""
-        self.load = load
-
     async def leave(self) -> None:
         """Tell the agent that this process takes no new work."""
         self.leaving = True
@@ -105,7 +100,6 @@
             address="" if self.leaving else self.address,
             view=self.view_version,
             settings=self.settings_sequence,
-            load=self.load,
         )
         return await self.runtime.peers.call(
             self.agent, "fleet.follow", request, FollowAnswer, CALL_TIMEOUT_S
--- a/parsleyrouter/thrift_gen/fleet/ttypes.py
+++ b/parsleyrouter/thrift_gen/fleet/ttypes.py
@@ -794,17 +794,15 @@
      - address
      - view
      - settings
-     - load
 
     """
 
 
-    def __init__(self, role=None, address=None, view=None, settings=None, load=None,):
+    def __init__(self, role=None, address=None, view=None, settings=None,):
         self.role = role
         self.address = address
         self.view = view
         self.settings = settings
-        self.load = load
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -835,11 +833,6 @@
                     self.settings = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.DOUBLE:
-                    self.load = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -866,10 +859,6 @@
             oprot.writeFieldBegin('settings', TType.I64, 4)
             oprot.writeI64(self.settings)
             oprot.writeFieldEnd()
-        if self.load is not None:
-            oprot.writeFieldBegin('load', TType.DOUBLE, 5)
-            oprot.writeDouble(self.load)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1230,7 +1219,6 @@
     (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
     (3, TType.I64, 'view', None, None, ),  # 3
     (4, TType.I64, 'settings', None, None, ),  # 4
-    (5, TType.DOUBLE, 'load', None, None, ),  # 5
 )
 all_structs.append(FollowAnswer)
 FollowAnswer.thrift_spec = (
--- a/thrift/fleet.thrift
+++ b/thrift/fleet.thrift
@@ -67,7 +67,6 @@
   2: string address,
   3: i64 view,
   4: i64 settings,
-  5: double load,
 }
 
 struct FollowAnswer {
