--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 .DEFAULT_GOAL := help
-.PHONY: help setup format lint test demo ci thrift bench-online bench-path prove prove-mutants bench-control
+.PHONY: help setup format lint test demo ci thrift bench-online bench-online-whole bench-path prove prove-mutants bench-control
 
 help: ## list the targets
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -41,6 +41,9 @@
 	$(PYTHON) benches/control_processes.py
 	$(PYTHON) benches/control.py
 
+bench-online-whole: $(STAMP) ## measure sharing over real processes, results in out/
+	$(PYTHON) tools/bench_whole.py scenarios/nkabom.toml
+
 ci: ## what CI runs
 	bash .ci/run
 
--- a/parsleyrouter/experiment/endpoints.py
+++ b/parsleyrouter/experiment/endpoints.py
@@ -22,13 +22,14 @@
 
 
 class BenchEngine:
-    """Admit as requests arrive, step, and count the slot seconds of each class."""
+    """Admit between steps, so that every prompt takes its time, and count slot seconds."""
 
     def __init__(self, loop: Loop, name: str, model: EngineModel) -> None:
         self.loop = loop
         self.name = name
         self.batch = ContinuousBatch(model)
         self.runs: dict[str, Run] = {}
+        self.arriving: list[Generation] = []
         self.stepping = False
         self.count = 0
         self.online_slot_s = 0.0
@@ -47,7 +48,7 @@
             on_token=lambda generation: self._token(run, generation),
         )
         self.runs[run.generation.id] = run
-        self.batch.arrive(run.generation)
+        self.arriving.append(run.generation)
         if not self.stepping:
             self.stepping = True
             self.loop.spawn(self._step_on(), f"steps of {self.name}")
@@ -57,6 +58,8 @@
         """Stop a request; what it has emitted is kept."""
         assert run.generation is not None
         if self.runs.pop(run.generation.id, None) is not None:
+            if run.generation in self.arriving:
+                self.arriving.remove(run.generation)
             self.batch.cancel(run.generation)
             run.ended.resolve(False)
 
@@ -68,16 +71,23 @@
 
     async def _step_on(self) -> None:
         due_s = self.loop.now()
-        while self.batch.running or self.batch.waiting:
+        while self._admit():
             step_s = self.batch.step_s()
             self._count(step_s)
             due_s = max(due_s + step_s, self.loop.now())
             await self.loop.sleep(due_s - self.loop.now())
             for generation in self.batch.step():
                 generation.on_token(generation)
-            self.batch.admit()
         self.stepping = False
 
+    def _admit(self) -> bool:
+        """Admit what arrived during the last step; tell whether there is work."""
+        arrived, self.arriving = self.arriving, []
+        for generation in arrived:
+            self.batch.arrive(generation)
+        self.batch.admit()
+        return bool(self.batch.running)
+
     def _count(self, step_s: float) -> None:
         running = self.batch.running
         batch = sum(self._is_batch(generation) for generation in running)
--- /dev/null
+++ b/tools/bench_whole.py
@@ -0,0 +1,137 @@
+"""Measure sharing over real processes: one cluster, each way of sharing in turns.
+
+Results go to ``out/``; show them with ``parsley-load show`` or ``compare``.
+"""
+
+import argparse
+import sys
+import time
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import msgspec
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT))
+
+from features.support.cluster import MODEL, TEAM_KEY, Cluster, ClusterPlan  # noqa: E402
+from features.support.workload import executions, job_lines, submit  # noqa: E402
+from parsleyrouter.experiment.arrivals import arrivals  # noqa: E402
+from parsleyrouter.experiment.drive import Target, drive_system  # noqa: E402
+from parsleyrouter.experiment.measures import Measures, Result  # noqa: E402
+from parsleyrouter.experiment.report import table  # noqa: E402
+from parsleyrouter.experiment.scenario import Scenario, load  # noqa: E402
+from parsleyrouter.ids import Address  # noqa: E402
+
+NO_BATCH = "no-batch"
+WAYS = (NO_BATCH, "online-first", "first-come", "fixed-split")
+ITEMS = 4000
+ITEM_TOKENS = 48
+SETTLE_S = 4.0
+
+
+def main() -> None:
+    """Start a cluster, run all arms and print the result."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("scenario", type=Path)
+    parser.add_argument("--engines", type=int, default=3)
+    parser.add_argument("--share", type=float, default=0.5, help="part of the scenario's rates")
+    parser.add_argument("--length-s", type=float, default=24.0)
+    parser.add_argument("--warmup-s", type=float, default=4.0)
+    parser.add_argument("--rounds", type=int, default=1)
+    chosen = parser.parse_args()
+    cleanups: list[Any] = []
+    passed = SimpleNamespace(status=SimpleNamespace(name="passed"))
+    context = SimpleNamespace(add_cleanup=cleanups.append, scenario=passed)
+    plan = ClusterPlan(nodes=3, engines=chosen.engines, engine_options=())
+    try:
+        _run(Cluster.start(context, plan), chosen)
+    finally:
+        for cleanup in reversed(cleanups):
+            cleanup()
+
+
+def _run(cluster: Cluster, chosen: argparse.Namespace) -> None:
+    scenario = _model_load(load(chosen.scenario), chosen.share)
+    measures = {way: Measures() for way in WAYS}
+    for number in range(chosen.rounds):
+        for way in (*WAYS[number % 4 :], *WAYS[: number % 4]):
+            print(f"round {number + 1}: {way}", file=sys.stderr)
+            seen = _slice(cluster, scenario, way, chosen, number)
+            _add(measures[way], seen)
+    result = Result(
+        scenario=f"{scenario.name} over processes",
+        online_share=scenario.online_share,
+        command=" ".join(sys.argv),
+        rounds=chosen.rounds,
+        slice_s=chosen.length_s,
+        seed=1,
+        arms={way: measure.result() for way, measure in measures.items()},
+    )
+    path = ROOT / "out" / f"{scenario.name}-whole.json"
+    path.parent.mkdir(exist_ok=True)
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(result)))
+    from rich.console import Console
+
+    Console(width=200).print(table(result))
+
+
+def _slice(
+    cluster: Cluster, scenario: Scenario, way: str, chosen: argparse.Namespace, number: int
+) -> Measures:
+    policy = {"profile": scenario.profile, "sharing": way if way != NO_BATCH else "online-first"}
+    cluster.put_settings("fleet", {"endpoints": cluster.endpoints(), "policy": policy})
+    entry = cluster.nodes[0].entry.http
+    job = ""
+    if way != NO_BATCH:
+        lines = job_lines(ITEMS, 0, ITEM_TOKENS)
+        accepted = submit(cluster, entry, f"{way}-{number}-{time.time()}", lines)
+        assert accepted.status == 202, accepted
+        job = accepted.json()["id"]
+    time.sleep(SETTLE_S)
+    target = Target(Address(entry), TEAM_KEY, MODEL)
+    load_now = arrivals(scenario, chosen.length_s, 1 + number)
+    before, began_s = _finished(cluster), time.monotonic()
+    measures = drive_system(target, load_now, chosen.warmup_s)
+    elapsed_s = time.monotonic() - began_s
+    done = _finished(cluster) - before
+    if job:
+        cluster.caller.call(entry, "DELETE", f"/v1/batches/{job}")
+    measures.batch_items = round(done * measures.measured_s / elapsed_s)
+    measures.batch_tokens = measures.batch_items * ITEM_TOKENS
+    time.sleep(SETTLE_S)
+    return measures
+
+
+def _finished(cluster: Cluster) -> int:
+    """Return the batch items that the engines have finished, by their own records."""
+    return sum(
+        record["state"] == "finished" and "introduce" in record["prompt"]
+        for record in executions(cluster)
+    )
+
+
+def _model_load(scenario: Scenario, share: float) -> Scenario:
+    kinds = []
+    for kind in scenario.online:
+        if kind.target == scenario.engines.model:
+            burst = kind.burst
+            if burst is not None:
+                burst = msgspec.structs.replace(burst, rate_per_s=burst.rate_per_s * share)
+            rate = kind.rate_per_s * share
+            kinds.append(msgspec.structs.replace(kind, rate_per_s=rate, burst=burst))
+    return msgspec.structs.replace(scenario, online=kinds)
+
+
+def _add(into: Measures, seen: Measures) -> None:
+    for name in ("ttft", "between", "freed", "lag"):
+        getattr(into, name).add(getattr(seen, name))
+    for name in ("offered", "answered", "refused", "weight_offered", "weight_answered"):
+        setattr(into, name, getattr(into, name) + getattr(seen, name))
+    for name in ("batch_items", "batch_tokens", "measured_s"):
+        setattr(into, name, getattr(into, name) + getattr(seen, name))
+
+
+if __name__ == "__main__":
+    main()
