--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 	$(PYTHON) benches/control.py
 
 bench-online-whole: $(STAMP) ## measure sharing over real processes, results in out/
-	$(PYTHON) tools/bench_whole.py scenarios/nkabom.toml
+	$(PYTHON) benches/sharing_processes.py scenarios/nkabom.toml
 
 ci: ## what CI runs
 	bash .ci/run
