--- a/features/ctl.feature
+++ b/features/ctl.feature
@@ -99,3 +99,8 @@
   Scenario: An entry that cannot be reached is told apart from a refusal
     When parsleyctl runs "settings get /fleet --entry 127.0.0.1:1"
     Then parsleyctl exits with 6 and prints "name another entry"
+
+  Scenario: A stored record that cannot be read is told with its remedy
+    Given a settings record of "teams/a" that cannot be read
+    When parsleyctl runs "settings get /teams/a"
+    Then parsleyctl exits with 1 and prints "restore it from the audit trail"
--- a/features/steps/ctl_steps.py
+++ b/features/steps/ctl_steps.py
@@ -13,10 +13,12 @@
 from features.support.control import OPERATOR_KEY, serve_settings, start_agent
 from parsleyrouter.commands import ctl, ctl_output
 from parsleyrouter.connection.authentication import hash_key
+from parsleyrouter.connection.key_value import ABSENT
 from parsleyrouter.ids import JobId
 from parsleyrouter.process.job_port import JobState, JobStatus
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.standins.memory_key_value import MemoryKeyValue
+from parsleyrouter.version.paths import settings_key
 
 WIDE = 200
 
@@ -41,7 +43,7 @@
 
     def run(self) -> None:
         """Serve until stopped."""
-        key_value = MemoryKeyValue(self.runtime.loop)
+        key_value = self.key_value = MemoryKeyValue(self.runtime.loop)
         agent = start_agent(self.runtime, key_value, "n0")
         server = serve_settings(self.runtime, agent, key_value)
         server.context = self
@@ -62,6 +64,7 @@
     assert thread.ready.wait(10)
     folder = tempfile.TemporaryDirectory()
     context.entry = thread.address
+    context.thread = thread
     context.folder = Path(folder.name)
     context.cleanups = [thread.stop, folder.cleanup]
 
@@ -115,6 +118,19 @@
     assert context.code == 0, context.printed
 
 
+@given('a settings record of "{subtree}" that cannot be read')
+def record_broken(context: Any, subtree: str) -> None:
+    written = threading.Event()
+
+    async def write() -> None:
+        await context.thread.key_value.swap(settings_key(subtree), b"broken", ABSENT)
+        written.set()
+
+    loop = context.thread.runtime.loop
+    loop.call_from_thread(lambda: loop.spawn(write()))
+    assert written.wait(10)
+
+
 @given("a settings file of two teams, one of them wrong")
 def file_wrong(context: Any) -> None:
     content = {"/teams/good": {"weight": 2}, "/teams/bad": {"weight": -2}}
--- a/parsleyrouter/connection/api_settings.py
+++ b/parsleyrouter/connection/api_settings.py
@@ -26,6 +26,7 @@
 from parsleyrouter.process.view import NodeInfo
 from parsleyrouter.thrift_gen.fleet.ttypes import NodeStatus
 from parsleyrouter.version.paths import BadPath, SettingsPath, get_at, nearest, parse_path
+from parsleyrouter.version.records import BadRecord
 from parsleyrouter.version.schema import OperatorRole
 
 __all__ = ["SettingsApi", "add_settings_routes"]
@@ -114,6 +115,8 @@
             return await action(api, operator, exchange)
         except BadPath as error:
             return _refuse(RefusalKind.BAD_REQUEST, str(error))
+        except BadRecord as error:
+            return _refuse(RefusalKind.INTERNAL, str(error))
 
 
 async def _read(api: SettingsApi, operator: Operator, exchange: Exchange) -> HttpReply:
