Read committed results while the key-value service is down

An entry keeps the job and part records it has read; after a failure it answers from them. A job that has ended is also found without its record: its manifest is written only once the record names every part, so a manifest beside the chunks is proof of commitment and carries the record. Weighed: a marker chunk after each group commit, which would let any entry read running jobs too, at three more files for each commit; not taken. Also shown: a job that will be late says so before its deadline.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -51,3 +51,14 @@
     Given a batch fleet with 3 disk VMs and 1 nodes
     When a team allowed one open job sends a second job and the first again
     Then the second is refused as not run and the first is met again
+
+  Scenario: Committed results stay readable while the key-value service is down
+    Given a batch fleet with 3 disk VMs and 2 nodes
+    When the key-value service goes down after one job has ended and another is half done
+    Then the ended job reads the same at both entries and the half done one where it was read
+    And a new job is refused as not run
+
+  Scenario: A job that will miss its deadline is reported before it does
+    Given a batch fleet with 3 disk VMs and 1 nodes
+    When a job is sent whose items take longer than its deadline allows
+    Then its status says late while the deadline is still ahead
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -1,6 +1,7 @@
 """Steps for accepting, reading and cancelling batch jobs."""
 
 import tempfile
+import time
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
@@ -346,3 +347,61 @@
     assert second.ran is Ran.NOT_RUN
     assert isinstance(first, JobStatus)
     assert again.job == first.job
+
+
+@when("the key-value service goes down after one job has ended and another is half done")
+def read_in_outage(context: Any) -> None:
+    async def main(fleet: BatchFleet) -> None:
+        desks = [node.desk for node in fleet.nodes.values()]
+        done = await desks[0].submit(spec("done"), pieces(job_body(2500)))
+        await fleet.ended(desks[0], done.job)
+        context.whole = await read_all(desks[0], done.job)
+        for node in fleet.nodes.values():
+            node.calls.time_s = 0.1
+        half = await desks[0].submit(spec("half"), pieces(job_body(2000)))
+        context.half = []
+        while not context.half:
+            await fleet.runtime.loop.sleep(0.05)
+            context.half = await read_all(desks[0], half.job)
+        for node in fleet.nodes.values():
+            node.faults.outage = True
+        context.done_reads = [await read_all(desk, done.job) for desk in desks]
+        context.half_read = await read_all(desks[0], half.job)
+        context.refusal = await desks[0].submit(spec("new"), pieces(job_body(3)))
+
+    run_fleet(context, main)
+
+
+@then("the ended job reads the same at both entries and the half done one where it was read")
+def outage_reads(context: Any) -> None:
+    assert len(context.whole) == 2500
+    assert context.done_reads == [context.whole, context.whole]
+    assert context.half
+    assert context.half_read == context.half
+
+
+@then("a new job is refused as not run")
+def refused_in_outage(context: Any) -> None:
+    assert isinstance(context.refusal, Refusal)
+    assert context.refusal.kind is RefusalKind.PLATFORM_UNAVAILABLE
+    assert context.refusal.ran is Ran.NOT_RUN
+
+
+@when("a job is sent whose items take longer than its deadline allows")
+def late_job(context: Any) -> None:
+    async def main(fleet: BatchFleet) -> None:
+        node = fleet.nodes["n0"]
+        node.calls.time_s = 0.5
+        submitted = await node.desk.submit(spec(deadline_in_s=10.0), pieces(job_body(2000)))
+        context.reports = []
+        while time.time() < submitted.deadline_s and not any(late for _, late in context.reports):
+            await fleet.runtime.loop.sleep(0.1)
+            status = await node.desk.status(TEAM, submitted.job)
+            context.reports.append((time.time() < status.deadline_s, status.late))
+
+    run_fleet(context, main)
+
+
+@then("its status says late while the deadline is still ahead")
+def reported_late(context: Any) -> None:
+    assert (True, True) in context.reports, context.reports[-3:]
--- a/parsleyrouter/process/job_desk.py
+++ b/parsleyrouter/process/job_desk.py
@@ -28,7 +28,7 @@
 from parsleyrouter.process.job_results import ResultReader
 from parsleyrouter.process.job_usage import OpenJobCounts
 from parsleyrouter.process.job_writer import JobWriter, PartWritten, in_groups, platform_refusal
-from parsleyrouter.process.record_writes import Held, RecordWrites
+from parsleyrouter.process.record_writes import Held, RecordCache, RecordWrites
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.process.view import FleetView, Service
 from parsleyrouter.request.job_intake import JobIntake
@@ -71,7 +71,8 @@
         self.records = RecordWrites(runtime.loop, kv)
         self.writer = JobWriter(runtime.loop, self.records)
         self.open_jobs = OpenJobCounts(runtime.loop, kv)
-        self.reader = ResultReader(chunks, self.records)
+        self.cache = RecordCache(self.records)
+        self.reader = ResultReader(chunks, self.cache)
 
     async def submit(self, spec: JobSpec, body: AsyncIterator[bytes]) -> JobStatus | Refusal:
         """Accept a job whose items come as JSON lines in pieces; all or nothing."""
@@ -109,13 +110,13 @@
 
     async def status(self, team: TeamName, job: JobId) -> JobStatus | Refusal:
         """Return one job."""
-        held = await self._job(team, job)
-        if isinstance(held, Refusal):
-            return held
-        parts = await self._open_parts(held.record)
+        found = await self._job(team, job)
+        if isinstance(found, Refusal):
+            return found
+        parts = await self._open_parts(found)
         if isinstance(parts, Refusal):
             return parts
-        return _status(held.record, parts)
+        return _status(found, parts)
 
     async def list(self, team: TeamName, after: str, limit: int) -> tuple[JobStatus, ...] | Refusal:
         """Return a team's jobs in order of their ids, with the items of finished parts counted."""
@@ -149,10 +150,10 @@
         self, team: TeamName, job: JobId, offset: int, limit_bytes: int
     ) -> ResultPage | Refusal:
         """Return committed results from an item offset on."""
-        held = await self._job(team, job)
-        if isinstance(held, Refusal):
-            return held
-        return await self.reader.page(held.record, offset, limit_bytes)
+        found = await self._job(team, job)
+        if isinstance(found, Refusal):
+            return found
+        return await self.reader.page(found, offset, limit_bytes)
 
     async def _over_limits(self, name: TeamName, job: JobId, team: TeamSettings) -> Refusal | None:
         """Refuse a new job of a team that has too much open; counts may be some seconds old."""
@@ -173,11 +174,12 @@
         )
         return Refusal(RefusalKind.TOO_MANY, message, Ran.NOT_RUN, OPEN_RETRY_AFTER_S)
 
-    async def _job(self, team: TeamName, job: JobId) -> Held[JobRecord] | Refusal:
-        held = await self.records.read(job_key(team, job), JobRecord)
+    async def _job(self, team: TeamName, job: JobId) -> JobRecord | Refusal:
+        """Return a job's record; in an outage from the cache or the manifest beside its chunks."""
+        held = await self.cache.read(job_key(team, job), JobRecord)
         if isinstance(held, KeyValueFailure):
-            return platform_refusal(held)
-        return _not_found(job) if held is None else held
+            return await self.reader.find_done(team, job) or platform_refusal(held)
+        return _not_found(job) if held is None else held.record
 
     async def _open_parts(self, job: JobRecord) -> tuple[PartRecord, ...] | Refusal:
         if job.manifest:
@@ -186,7 +188,7 @@
             part_key(job.job, PartIndex(n)) for n in range(len(job.firsts)) if n not in job.parts
         ]
         found = await in_groups(
-            self.runtime.loop, READS_AT_ONCE, (self.records.read(key, PartRecord) for key in keys)
+            self.runtime.loop, READS_AT_ONCE, (self.cache.read(key, PartRecord) for key in keys)
         )
         failure = next((one for one in found if isinstance(one, KeyValueFailure)), None)
         if failure is not None:
--- a/parsleyrouter/process/job_results.py
+++ b/parsleyrouter/process/job_results.py
@@ -1,15 +1,18 @@
 """Read the committed results of a job in item order."""
 
 from collections import OrderedDict
+from dataclasses import replace
+
+import msgspec
 
 from parsleyrouter.connection.key_value import KeyValueFailure
-from parsleyrouter.ids import ChunkName, ItemIndex, JobId, PartIndex
+from parsleyrouter.ids import ChunkName, ItemIndex, JobId, PartIndex, TeamName
 from parsleyrouter.outcome import Ran, Refusal, RefusalKind
 from parsleyrouter.process.chunk_client import ChunkClient
 from parsleyrouter.process.chunk_folder import ChunkRole
 from parsleyrouter.process.job_keys import part_key
 from parsleyrouter.process.job_port import ResultPage
-from parsleyrouter.process.job_records import JobRecord, PartOutcome, PartRecord
+from parsleyrouter.process.job_records import JobPhase, JobRecord, PartOutcome, PartRecord
 from parsleyrouter.process.job_writer import platform_refusal
 from parsleyrouter.process.part_results import (
     JobManifest,
@@ -17,7 +20,7 @@
     decode_manifest,
     lines_by_index,
 )
-from parsleyrouter.process.record_writes import RecordWrites
+from parsleyrouter.process.record_writes import RecordCache
 
 __all__ = ["ResultReader"]
 
@@ -28,7 +31,7 @@
 class ResultReader:
     """Read result lines through a small cache of chunks."""
 
-    def __init__(self, chunks: ChunkClient, records: RecordWrites) -> None:
+    def __init__(self, chunks: ChunkClient, records: RecordCache) -> None:
         self.chunks = chunks
         self.records = records
         self.cache: OrderedDict[ChunkName, bytes] = OrderedDict()
@@ -46,6 +49,22 @@
         parts = dict(enumerate(manifest.parts))
         return await self._pages(job, manifest.firsts, parts, offset, limit_bytes)
 
+    async def find_done(self, team: TeamName, job: JobId) -> JobRecord | None:
+        """Return a job that has ended from the manifest beside its chunks, without its record."""
+        for meta in await self.chunks.of_part(job, PartIndex(0), ChunkRole.MANIFEST):
+            data = await self._chunk(job, PartIndex(0), ChunkRole.MANIFEST, meta.name)
+            try:
+                manifest = decode_manifest(JobManifest, data or b"")
+            except msgspec.DecodeError:
+                continue
+            assert isinstance(manifest, JobManifest)
+            found = manifest.job
+            if found.team == team:
+                stopped = found.phase is JobPhase.CANCELLED
+                phase = found.phase if stopped else JobPhase.COMPLETED
+                return replace(found, phase=phase, manifest=meta.name)
+        return None
+
     async def _pages(
         self,
         job: JobRecord,
--- a/parsleyrouter/process/part_results.py
+++ b/parsleyrouter/process/part_results.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from parsleyrouter.ids import ChunkName, ItemIndex
-from parsleyrouter.process.job_records import PartOutcome, Tally
+from parsleyrouter.process.job_records import JobRecord, PartOutcome, Tally
 from parsleyrouter.request.batch_item import ItemOutcome, index_of_line
 
 __all__ = [
@@ -44,10 +44,15 @@
 
 @dataclass(frozen=True)
 class JobManifest:
-    """The parts of a job that is done; ``firsts`` are the indexes of their first items."""
+    """The parts of a job that is done; ``firsts`` are the indexes of their first items.
+
+    It is written only once the job's record holds every part, so what it names is committed.
+    ``job`` is that record; it serves while the key-value service is down.
+    """
 
     firsts: tuple[int, ...]
     parts: tuple[PartOutcome, ...]
+    job: JobRecord
 
 
 class _Usage(msgspec.Struct):
--- a/parsleyrouter/process/part_settle.py
+++ b/parsleyrouter/process/part_settle.py
@@ -107,7 +107,7 @@
         if job.manifest or len(job.parts) < len(job.firsts):
             return True
         outcomes = tuple(job.parts[number] for number in range(len(job.firsts)))
-        data = encode_manifest(JobManifest(job.firsts, outcomes))
+        data = encode_manifest(JobManifest(job.firsts, outcomes, replace(job, parts={}, firsts=())))
         name = await self.chunks.put(
             job.job, PartIndex(0), ChunkRole.MANIFEST, data, chunk_expiry(job.expires_s)
         )
--- a/parsleyrouter/process/record_writes.py
+++ b/parsleyrouter/process/record_writes.py
@@ -2,6 +2,7 @@
 
 import random
 import secrets
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Generic, TypeVar
@@ -19,12 +20,13 @@
 from parsleyrouter.process.job_records import JobRecord, PartRecord, decode_record, encode_record
 from parsleyrouter.process.loop import Loop
 
-__all__ = ["Beaten", "Held", "RecordWrites"]
+__all__ = ["Beaten", "Held", "RecordCache", "RecordWrites"]
 
 LOST_REPLY_TRIES = 4
 CHANGE_TRIES = 20
 RETRY_S = 0.05
 NONCE_BYTES = 6
+CACHED_RECORDS = 4096
 
 R = TypeVar("R", JobRecord, PartRecord)
 
@@ -109,6 +111,30 @@
         return KeyValueFailure(KeyValueFailureKind.REFUSED, f"{key} changes too often: try again")
 
 
+class RecordCache:
+    """Read records; while the key-value service is down, return what was read of them last."""
+
+    def __init__(self, records: RecordWrites, size: int = CACHED_RECORDS) -> None:
+        self.records = records
+        self.size = size
+        self.cache: OrderedDict[str, Held[JobRecord] | Held[PartRecord]] = OrderedDict()
+
+    async def read(self, key: str, record_type: type[R]) -> Held[R] | None | KeyValueFailure:
+        """Read one record, or return it from the cache after a failure."""
+        held = await self.records.read(key, record_type)
+        if isinstance(held, KeyValueFailure):
+            old = self.cache.get(key)
+            return held if old is None else old  # type: ignore[return-value]
+        if held is None:
+            self.cache.pop(key, None)
+            return None
+        self.cache[key] = held
+        self.cache.move_to_end(key)
+        if len(self.cache) > self.size:
+            self.cache.popitem(last=False)
+        return held
+
+
 def _judge(marked: R, entry: Entry | None) -> Held[R] | Beaten[R]:
     if entry is None:
         return Beaten(None)
