--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 .DEFAULT_GOAL := help
-.PHONY: help setup format lint test demo ci thrift bench-online bench-online-whole bench-path prove prove-mutants bench-control
+.PHONY: help setup format lint test demo ci thrift bench-online bench-online-whole bench-path prove prove-mutants bench-control bench-batch
 
 help: ## list the targets
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -44,6 +44,10 @@
 bench-online-whole: $(STAMP) ## measure sharing over real processes, results in out/
 	$(PYTHON) benches/sharing_processes.py scenarios/nkabom.toml
 
+bench-batch: $(STAMP) ## measure batch jobs, takeover and ways to keep chunks
+	$(PYTHON) benches/batch.py
+	$(PYTHON) benches/storage.py
+
 ci: ## what CI runs
 	bash .ci/run
 
