Pace group commits by the fleet's size and use 256 shards

Cause: 360 nodes with 8 parts each, committing every 10 s, would write 288 times a second, against 150 for the whole system; a part now commits every max(10 s, nodes x parts / 100 a second). Ruled out: deriving the number from the fleet view, as every node would scan anew whenever the fleet crosses a bound.

--- a/features/parts.feature
+++ b/features/parts.feature
@@ -34,3 +34,7 @@
     Given simulated processes that run a job of 12 items
     When a part record comes back after its job has taken the part over
     Then the record is deleted and no item of it was dispatched again
+
+  Scenario: The fleet's group commits stay in their budget at any size
+    When parts are committed in fleets of any size
+    Then all nodes together stay within the budget and none commits faster than its setting
--- a/features/steps/parts_steps.py
+++ b/features/steps/parts_steps.py
@@ -7,7 +7,9 @@
 from typing import Any
 
 from behave import given, then, when
+from hypothesis import given as examples
 from hypothesis import settings
+from hypothesis import strategies as st
 from hypothesis.stateful import run_state_machine_as_test
 
 from features.support.batch_fleet import TEAM
@@ -16,6 +18,7 @@
 from parsleyrouter.connection.key_value import ABSENT
 from parsleyrouter.ids import Epoch, NodeId, PartIndex
 from parsleyrouter.outcome import Ran, Refusal, RefusalKind
+from parsleyrouter.process.batch_options import BatchLimits
 from parsleyrouter.process.call_port import Call, Reply
 from parsleyrouter.process.job_keys import job_id, part_key
 from parsleyrouter.process.job_records import (
@@ -24,6 +27,7 @@
     decode_record,
     encode_record,
 )
+from parsleyrouter.process.runner_tools import CommitPace
 
 MODEL_EXAMPLES = 500
 MODEL_STEPS = 40
@@ -213,3 +217,24 @@
 @then("the record is deleted and no item of it was dispatched again")
 def not_run_again(context: Any) -> None:
     assert context.came_back == (None, 0)
+
+
+@when("parts are committed in fleets of any size")
+def commit_pace(context: Any) -> None:
+    context.paces = []
+
+    @settings(max_examples=100)
+    @examples(st.integers(1, 1000), st.integers(1, 64))
+    def check(nodes: int, parts: int) -> None:
+        pace = CommitPace(BatchLimits(), nodes, parts)
+        context.paces.append((nodes * parts / pace.commit_s(), pace.commit_s()))
+
+    check()
+
+
+@then("all nodes together stay within the budget and none commits faster than its setting")
+def pace_in_budget(context: Any) -> None:
+    limits = BatchLimits()
+    assert context.paces
+    assert max(rate for rate, _ in context.paces) <= limits.fleet_commits_per_s * 1.001
+    assert min(seconds for _, seconds in context.paces) == limits.commit_s
--- a/features/support/batch_fleet.py
+++ b/features/support/batch_fleet.py
@@ -28,6 +28,7 @@
 KIND = KindName("introductions")
 ANY_PORT = Address("127.0.0.1:0")
 FAST = BatchLimits(
+    shard_digits=1,
     flush_s=0.02,
     commit_s=0.05,
     idle_commit_s=1.0,
--- a/features/support/batch_sim.py
+++ b/features/support/batch_sim.py
@@ -31,7 +31,7 @@
     lines_by_index,
 )
 from parsleyrouter.process.record_writes import RecordWrites
-from parsleyrouter.process.runner_tools import RunnerTools
+from parsleyrouter.process.runner_tools import CommitPace, RunnerTools
 from parsleyrouter.process.view import FixedView, NodeInfo, Service
 from parsleyrouter.standins.key_value_faults import KeyValueFaults
 from parsleyrouter.standins.key_value_store import KeyValueStore
@@ -40,6 +40,7 @@
 from parsleyrouter.version.snapshot import SettingsSnapshot
 
 SMALL = BatchLimits(
+    shard_digits=1,
     part_items=4,
     parts=3,
     items_at_once=2,
@@ -225,6 +226,7 @@
         kv.gate = gate
         chunks: Any = MemoryChunks(gate, self.chunks)
         tools = RunnerTools(
+            pace=CommitPace(SMALL),
             loop=self.loop,
             node=me.node,
             calls=SimCalls(self, name, gate),
--- a/parsleyrouter/process/batch.py
+++ b/parsleyrouter/process/batch.py
@@ -15,7 +15,7 @@
 from parsleyrouter.process.job_usage import JobExpiry
 from parsleyrouter.process.part_keeper import PartKeeper
 from parsleyrouter.process.record_writes import Held, RecordWrites
-from parsleyrouter.process.runner_tools import RunnerTools
+from parsleyrouter.process.runner_tools import CommitPace, RunnerTools
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.process.view import FleetView, Service
 from parsleyrouter.thrift_gen.jobs.ttypes import (
@@ -51,6 +51,7 @@
         self.view = view
         self.limits = limits or BatchLimits()
         tools = RunnerTools(
+            pace=CommitPace(self.limits),
             loop=runtime.loop,
             node=view.self_node().node,
             calls=calls,
--- a/parsleyrouter/process/batch_options.py
+++ b/parsleyrouter/process/batch_options.py
@@ -7,7 +7,11 @@
 
 @dataclass(frozen=True)
 class BatchLimits:
-    """How one batch process runs parts; times are in seconds."""
+    """How one batch process runs parts; times are in seconds.
+
+    ``shard_digits`` must be the same on all VMs: 2 up to about 60 nodes, then 3, so that every node
+    is home of some shards.
+    """
 
     part_items: int = 2048
     parts: int = 8
@@ -22,7 +26,8 @@
     idle_commit_s: float = 60.0
     unchanged_s: float = 240.0
     scan_s: float = 60.0
-    shard_digits: int = 1
+    shard_digits: int = 2
+    fleet_commits_per_s: float = 100.0
     retry_s: float = 0.25
     retry_limit_s: float = 5.0
     chunks_before_merge: int = 16
--- a/parsleyrouter/process/part_commits.py
+++ b/parsleyrouter/process/part_commits.py
@@ -75,7 +75,7 @@
                 return
             progress.written(name, lines_by_index([data]))
         self.pause_s = limits.retry_s
-        soon_s = self.tools.loop.now() + limits.commit_s
+        soon_s = self.tools.loop.now() + self.tools.pace.commit_s()
         self.commit_due_s = min(self.commit_due_s, soon_s)
 
     async def commit(self, progress: PartProgress, *, late: bool) -> None:
--- a/parsleyrouter/process/part_keeper.py
+++ b/parsleyrouter/process/part_keeper.py
@@ -166,6 +166,7 @@
     def _run(self, key: str, held: Held[PartRecord]) -> None:
         runner = PartRunner(self.tools, key, held)
         self.runners[key] = runner
+        self.tools.pace.parts = len(self.runners)
         self.tools.metrics.parts_running.inc()
         self.tools.metrics.claims.inc()
         if held.record.crashes:
@@ -180,6 +181,7 @@
             end = await runner.run()
         finally:
             del self.runners[key]
+            self.tools.pace.parts = max(1, len(self.runners))
             self.tools.metrics.parts_running.dec()
             self._after_run(key, runner, end)
         if end is PartEnd.DONE:
@@ -223,6 +225,7 @@
         own = frozenset(name for name in names if shard_home(name, nodes) == self.tools.node)
         self.table.set_homes(own, self.runners)
         self.table.live = frozenset(info.node for info in nodes if Service.BATCH in info.addresses)
+        self.tools.pace.nodes = max(1, len(self.table.live))
         self.scan.set_shards(own)
         self.scan.poke()
         self.pump()
--- a/parsleyrouter/process/runner_tools.py
+++ b/parsleyrouter/process/runner_tools.py
@@ -14,7 +14,7 @@
 from parsleyrouter.process.record_writes import RecordWrites
 from parsleyrouter.version.schema import KindClass, KindSettings, TeamSettings
 
-__all__ = ["RunnerTools", "Signal"]
+__all__ = ["CommitPace", "RunnerTools", "Signal"]
 
 
 class Signal:
@@ -37,6 +37,20 @@
             return
 
 
+@dataclass
+class CommitPace:
+    """Spread the fleet's budget of group commits over the parts that run."""
+
+    limits: BatchLimits
+    nodes: int = 1
+    parts: int = 1
+
+    def commit_s(self) -> float:
+        """Return the seconds between two commits of a part, if all nodes run as many parts."""
+        shared_s = self.nodes * self.parts / self.limits.fleet_commits_per_s
+        return max(self.limits.commit_s, shared_s)
+
+
 @dataclass(frozen=True)
 class RunnerTools:
     """Connections, limits and measures of a batch process."""
@@ -50,6 +64,7 @@
     times: ItemTimes
     metrics: BatchMetrics
     team: Callable[[PartRecord], TeamSettings]
+    pace: CommitPace
 
     def kind(self, part: PartRecord) -> KindSettings:
         """Return the settings of a part's kind."""
