Send again on a new connection when a pooled one had been closed

Cause: an endpoint that closes an idle connection as the next call arrives looked like a failed endpoint: the call left it, spent the retry budget and laid the failure to it. What the first sending may have done still counts for 'ran'.

--- a/features/dispatch.feature
+++ b/features/dispatch.feature
@@ -31,6 +31,10 @@
     When dispatch: the first endpoint freezes before and after the start of a stream
     Then dispatch: the second endpoint answers before the deadline
 
+  Scenario: A pooled connection that the endpoint has closed is no fault of the endpoint
+    When dispatch: an endpoint closes a connection on its second request
+    Then dispatch: the call is answered there on a new connection and nobody is blamed
+
   Scenario: A crossed answer is dropped
     When dispatch: an endpoint answers with another attempt's id
     Then dispatch: the answer comes from the other endpoint and the crossing is counted
--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -295,6 +295,23 @@
         assert reply.status == 200 and reply.body.endswith(b"data: [DONE]\n\n"), reply
 
 
+@when("dispatch: an endpoint closes a connection on its second request")
+def stale_connection(context: Any) -> None:
+    async def main(runtime: Runtime) -> None:
+        endpoint = ScriptedEndpoint(runtime, "e", answer_ok, close_unanswered, answer_ok)
+        entry = start_entry(runtime, endpoint)
+        context.pooled = [await entry.post(CHAT_PATH, CHAT) for _ in range(2)]
+        context.results = entry.grants.results
+
+    run_on_loop(main)
+
+
+@then("dispatch: the call is answered there on a new connection and nobody is blamed")
+def nobody_blamed(context: Any) -> None:
+    assert [reply.status for reply in context.pooled] == [200, 200], context.pooled
+    assert [result.ok for result in context.results] == [True, True], context.results
+
+
 @when("dispatch: an endpoint answers with another attempt's id")
 def crossed(context: Any) -> None:
     async def answer_crossed(endpoint: ScriptedEndpoint, exchange: Exchange) -> HttpReply:
--- a/parsleyrouter/connection/http_client.py
+++ b/parsleyrouter/connection/http_client.py
@@ -32,6 +32,8 @@
         self.pending_bytes = 0
         self.ended = False
         self.failure: TransportFailure | None = None
+        self.reused = False
+        self.closed_early = False
         self.waiter: Promise[None] | None = None
         self.wait_until_s = 0.0
         self.wait_reason = ""
@@ -133,6 +135,8 @@
             self.watch = None
 
     def _on_data(self, data: bytes) -> None:
+        if not data and self.failure is None and not self.ended:
+            self.closed_early = True
         try:
             self.parser.receive_data(data)
             self._take_events()
@@ -258,6 +262,7 @@
                 old.stream.bytes_sent = 0
                 exchange = HttpExchange(self, old.stream)
                 exchange.parser = old.parser
+                exchange.reused = True
                 return exchange
         return None
 
--- a/parsleyrouter/process/attempt.py
+++ b/parsleyrouter/process/attempt.py
@@ -1,6 +1,7 @@
 """One attempt of a call at one endpoint."""
 
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -88,9 +89,12 @@
         if on_dispatch is not None:
             on_dispatch()
         started_s = self.runner.loop.now()
-        end = await self._send()
+        end = await self._send(fresh=not self.call.settings.idempotent)
         if end is None:
             end = await self._read(started_s)
+        if end is not None and self._was_stale():
+            end = await self._send(fresh=True) or await self._read(started_s)
+            end = end and replace(end, happened=_at_least_maybe(end.happened))
         if self.cancelling is not None and self._yields(end):
             await self.cancelling
             self.result = CallResult(ok=False)
@@ -125,7 +129,14 @@
                 self.resume_token = token
         self.exchange.cancel()
 
-    async def _send(self) -> AttemptFailure | None:
+    def _was_stale(self) -> bool:
+        """Tell whether a pooled connection was closed by the endpoint before its first byte."""
+        exchange = self.exchange
+        if exchange is None or self.revoked or not self.call.settings.idempotent:
+            return False
+        return exchange.reused and exchange.closed_early and not exchange.status
+
+    async def _send(self, *, fresh: bool) -> AttemptFailure | None:
         assert self.grant is not None
         call = self.call
         exchange = await self.runner.http.begin(
@@ -134,7 +145,7 @@
             call.path,
             self._headers(),
             resume_body(call.body, self.resume_token) if self.resume_token else call.body,
-            fresh=not call.settings.idempotent,
+            fresh=fresh,
         )
         if isinstance(exchange, TransportFailure):
             return self._broken(exchange)
@@ -243,5 +254,9 @@
         return AttemptFailure(self.grant.endpoint, happened, message, self.answer.shown, resumable)
 
 
+def _at_least_maybe(happened: Happened) -> Happened:
+    return Happened.MAYBE_SENT if happened is Happened.NOT_SENT else happened
+
+
 def _kept_headers(headers: Mapping[str, str]) -> dict[str, str]:
     return {name: value for name, value in headers.items() if name not in _DROPPED_HEADERS}
