Ask the owners of parts whether they still run them

Cause: a part whose claim took effect while its answer was lost, or whose owner restarted faster than membership notices, names a live owner that runs nothing; its home watched it for 240 s. Seen over real processes: the VM of the owner killed during an outage of the key-value service left the job at 0 of 480 items for 120 s. Ruled out: the home's scan (it found the record) and chunk reads.

--- /dev/null
+++ b/features/part_owners.feature
@@ -0,0 +1,17 @@
+Feature: Parts whose live owner does not run them
+
+  @promise-1 @fault-restart @fault-lost-reply
+  Scenario: An owner that does not run its part loses it to the part's home
+    Given a part whose record names a live owner
+    When the owner is asked and does not run the part
+    Then the home of the part claims it
+
+  Scenario: An owner that runs its part keeps it
+    Given a part whose record names a live owner
+    When the owner is asked and runs the part
+    Then the home of the part leaves it alone
+
+  Scenario: An answer about an older record changes nothing
+    Given a part whose record names a live owner
+    When the record changes while the owner is asked
+    Then the home of the part leaves it alone
