--- a/benches/control_processes.py
+++ b/benches/control_processes.py
@@ -152,6 +152,21 @@
     )
 
 
+def measure_kills(entries: list[Entry]) -> None:
+    """Kill half of the processes one after the other and watch the views of the rest."""
+    took = []
+    for _ in range(len(entries) // 2):
+        lost = entries.pop()
+        lost.process.kill()
+        lost.process.wait()
+        took.append(until(lambda name=lost.name: unseen(name, entries)))
+    print(
+        f"{len(took)} kills: lost one out of all views within {max(took):.1f} s,"
+        f" each: {", ".join(f"{one:.1f}" for one in took)}",
+        flush=True,
+    )
+
+
 def main() -> None:
     """Run the processes and end them."""
     count = int(sys.argv[1]) if len(sys.argv) > 1 else PROCESSES
@@ -173,6 +188,7 @@
         seconds = service.service.by_second
         print(f"key-value calls, busiest second: {max(seconds.values())}", flush=True)
         measure_freezes(entries)
+        measure_kills(entries)
     finally:
         for entry in entries:
             entry.process.kill()
