Let an answer that has arrived win against its timeout

Cause: due timers ran before the poll, so after a standstill of a process every wait that had run out failed although its answer lay in the socket.

--- a/features/loop.feature
+++ b/features/loop.feature
@@ -15,3 +15,7 @@
   Scenario: An event fired by a timer is handled without waiting for the next timer
     When a timer fires an event and another timer follows
     Then the loop never polled while the event was queued
+
+  Scenario: An answer that came while the process stood still wins against its timeout
+    When a process stands still past a timeout while the answer waits in the socket
+    Then the waiter gets the answer
--- a/features/steps/loop_steps.py
+++ b/features/steps/loop_steps.py
@@ -1,5 +1,8 @@
 """Steps for the loop and for calls between processes."""
 
+import socket
+import threading
+import time
 from typing import Any
 
 from behave import then, when
@@ -134,3 +137,41 @@
 def never_polled(context: Any) -> None:
     assert context.waits, "no event was ever queued at a poll"
     assert set(context.waits) == {0}, context.waits
+
+
+@when("a process stands still past a timeout while the answer waits in the socket")
+def stand_still(context: Any) -> None:
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def answer() -> None:
+        sock, _ = listener.accept()
+        sock.recv(1)
+        sock.sendall(b"answer")
+
+    thread = threading.Thread(target=answer, daemon=True)
+    thread.start()
+
+    async def main(runtime: Runtime) -> bytes:
+        address = Address(f"127.0.0.1:{listener.getsockname()[1]}")
+        stream = await runtime.connector.open(address)
+        arrived = runtime.loop.promise()
+        stream.on_data = arrived.resolve
+        stream.send(b"?")
+        thread.join()
+        waiting = runtime.loop.spawn(runtime.loop.within(0.1, arrived))
+        runtime.loop.call_soon(lambda: time.sleep(0.2))
+        try:
+            return await waiting
+        finally:
+            stream.close()
+            listener.close()
+
+    try:
+        context.answer = run_on_loop(main)
+    except TimedOut as error:
+        context.answer = error
+
+
+@then("the waiter gets the answer")
+def got_answer(context: Any) -> None:
+    assert context.answer == b"answer", repr(context.answer)
--- a/parsleyrouter/process/loop.py
+++ b/parsleyrouter/process/loop.py
@@ -199,7 +199,7 @@
         if promise.done:
             return promise.result()
         first: Promise[bool] = Promise(self)
-        timer = self.call_later(timeout_s, lambda: first.resolve(False))
+        timer = self.call_later(timeout_s, lambda: self._after_poll(lambda: first.resolve(False)))
         promise.on_done(lambda _: first.resolve(True))
         try:
             arrived = await first
@@ -215,6 +215,10 @@
             promise.cancel()
         raise TimedOut(f"no result within {timeout_s:g} s")
 
+    def _after_poll(self, call: Callable[[], object]) -> None:
+        """Make the call after what has already arrived has been read, as after a standstill."""
+        self.call_later(0.0, call)
+
     async def gather(self, promises: Iterable[Promise[T]]) -> list[T]:
         """Await all promises; raise the first error after all have settled."""
         settled = list(promises)
