Drop the entry's own drain; PlannedStop took its place

The drain stood twice: PlannedStop waits for more, and features/planned_stop.feature demands more than the drain's scenario did. That scenario now checks what PlannedStop relies on here: a leaving entry is not named and counts what it has to answer. The paths of streamed bodies moved to the limits.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -17,10 +17,10 @@
     When entry: nodes of any states, domains and loads are ordered
     Then entry: only live entries are given and those of the domain come first
 
-  Scenario: An entry that stops leaves the answers and serves on until they lapse
+  Scenario: A leaving entry is named no more and counts what it still has to answer
     Given entry: two endpoints that answer
-    When entry: it drains while a request is under way
-    Then entry: locate no longer names it, the request is answered and the drain waits for both
+    When entry: it leaves while a request is under way
+    Then entry: locate no longer names it and the request is counted until it is answered
 
   Scenario: A request over a team's limits is told when to come again
     When entry: requests of a team come at any rate
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -26,8 +26,7 @@
 from parsleyrouter.connection.http_server import Exchange
 from parsleyrouter.ids import Address, DomainName, NodeId, TeamName
 from parsleyrouter.outcome import Refusal
-from parsleyrouter.process.entry import drain
-from parsleyrouter.process.locate import order_entries
+from parsleyrouter.process.locate import TIME_TO_LIVE_S, order_entries
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.process.team_limits import TeamLimits
 from parsleyrouter.process.view import NodeInfo, NodeState, Service
@@ -156,8 +155,8 @@
         assert far == sorted(far)
 
 
-@when("entry: it drains while a request is under way")
-def drain_busy(context: Any) -> None:
+@when("entry: it leaves while a request is under way")
+def leave_busy(context: Any) -> None:
     async def work(entry: TestEntry, _: Any) -> None:
         loop = entry.runtime.loop
         release = loop.promise()
@@ -167,29 +166,26 @@
             return json_reply({"slow": True})
 
         context.endpoints[0].script = [wait]
-        entry.context.locate.ttl_s = 0.3
         context.before = (await entry.get("/v1/locate")).json()["entries"]
-        lapses_s = loop.now() + 0.25
+        context.used_until_s = entry.context.locate.used_until_s - loop.now()
         asked = loop.spawn(entry.post(CHAT_PATH, CHAT))
         await loop.sleep(0.05)
-        drained = loop.spawn(drain(entry.context, entry.server))
-        await loop.sleep(0.05)
+        entry.context.locate.leaving = True
         context.during = (await entry.get("/v1/locate")).json()["entries"]
-        await loop.sleep(0.5)
-        context.waited_for_request = not drained.done
+        context.counted = entry.server.open_requests()
         release.resolve(None)
         context.slow = await asked
-        await drained
-        context.waited_for_lapse = loop.now() >= lapses_s
+        context.left = entry.server.open_requests()
 
     on_entry(context, work)
 
 
-@then("entry: locate no longer names it, the request is answered and the drain waits for both")
-def drained_well(context: Any) -> None:
+@then("entry: locate no longer names it and the request is counted until it is answered")
+def left_well(context: Any) -> None:
     assert len(context.before) == 1 and context.during == []
-    assert context.slow.json() == {"slow": True}
-    assert context.waited_for_request and context.waited_for_lapse
+    assert 0 < context.used_until_s <= TIME_TO_LIVE_S
+    assert context.counted == [f"POST {CHAT_PATH}"], context.counted
+    assert context.slow.json() == {"slow": True} and context.left == []
 
 
 @when("entry: requests of a team come at any rate")
--- a/parsleyrouter/connection/guarded_connection.py
+++ b/parsleyrouter/connection/guarded_connection.py
@@ -162,12 +162,9 @@
         return False
 
     def _take_head(self, head: RequestHead) -> bool:
-        from parsleyrouter.connection.http_guard import STREAMED
-
         self.head = head
-        streamed = (head.method, head.path.rstrip("/")) in STREAMED
-        refusal = check_head(head, self.limits, streamed=streamed)
-        if streamed and self.server.uploads() >= self.limits.uploads:
+        refusal = check_head(head, self.limits)
+        if head.streamed and self.server.uploads() >= self.limits.uploads:
             refusal = refusal or _BUSY
         if refusal is not None:
             self.refuse(refusal)
@@ -176,7 +173,7 @@
             self.server.send(self.sock, CONTINUE)
         self._enter(Stage.BODY)
         self.body_pending = True
-        if streamed:
+        if head.streamed:
             self._begin_upload()
         return True
 
--- a/parsleyrouter/connection/http_guard.py
+++ b/parsleyrouter/connection/http_guard.py
@@ -26,7 +26,6 @@
 
 READ_BYTES = 64 * 1024
 SWEEP_S = 0.5
-STREAMED = frozenset({("POST", "/v1/batches")})
 
 log = logging.getLogger(__name__)
 
@@ -71,10 +70,6 @@
         self.server._bufsize = READ_BYTES
         loop.call_later(SWEEP_S, self._sweep)
 
-    def busy(self) -> bool:
-        """Tell whether a request arrives or is being answered."""
-        return bool(self.open_requests())
-
     def open_requests(self) -> list[str]:
         """Name the requests that are arriving, being answered or not yet sent in full."""
         arriving = [
--- a/parsleyrouter/connection/http_limits.py
+++ b/parsleyrouter/connection/http_limits.py
@@ -11,6 +11,7 @@
 
 __all__ = ["HttpLimits", "RequestHead", "check_head", "raw_reply", "read_head", "too_large"]
 
+_STREAMED = frozenset({("POST", "/v1/batches")})
 _REASONS = {400: b"Bad Request", 413: b"Content Too Large", 503: b"Service Unavailable"}
 _DOT_SEGMENTS = frozenset({".", ".."})
 
@@ -44,6 +45,11 @@
     protocol: tuple[int, int]
     length: int | None
 
+    @property
+    def streamed(self) -> bool:
+        """Tell whether the body is handed on as it arrives."""
+        return (self.method, self.path.rstrip("/")) in _STREAMED
+
     @property
     def keep_alive(self) -> bool:
         """Tell whether the connection may serve another request."""
@@ -67,7 +73,7 @@
     )
 
 
-def check_head(head: RequestHead, limits: HttpLimits, *, streamed: bool) -> Refusal | None:
+def check_head(head: RequestHead, limits: HttpLimits) -> Refusal | None:
     """Return why a request is refused before its body is read."""
     if len(head.headers) > limits.header_count:
         return _bad(f"more than {limits.header_count} headers: send fewer")
@@ -77,7 +83,7 @@
         return _bad("the path must not contain '.' or '..' segments")
     if head.headers.get("content-encoding", "identity").lower() != "identity":
         return _bad("content-encoding is not supported: send the body as it is")
-    most = limits.upload_bytes if streamed else limits.body_bytes
+    most = limits.upload_bytes if head.streamed else limits.body_bytes
     if head.length is not None and head.length > most:
         return too_large(most)
     return None
--- a/parsleyrouter/process/entry.py
+++ b/parsleyrouter/process/entry.py
@@ -13,24 +13,17 @@
         claims=Claims(runtime.loop, key_value, node),
     )
     server = GuardedHttpServer(runtime.loop, bind, entry_routes(), context).register(runtime)
-    runtime.on_stop(lambda: drain(context, server))
+    PlannedStop(runtime, agent, context.locate, server, limit_s=limit_s)
 """
 
-import logging
-
 from parsleyrouter.connection.api_batches import add_batch_routes
 from parsleyrouter.connection.api_locate import add_locate_routes
 from parsleyrouter.connection.api_online import add_online_routes
 from parsleyrouter.connection.api_services import add_service_routes
-from parsleyrouter.connection.http_guard import GuardedHttpServer
 from parsleyrouter.connection.http_server import Routes
 from parsleyrouter.process.entry_context import EntryContext
 
-__all__ = ["EntryContext", "drain", "entry_routes"]
-
-DRAIN_CHECK_S = 0.05
-
-log = logging.getLogger(__name__)
+__all__ = ["EntryContext", "entry_routes"]
 
 
 def entry_routes() -> Routes:
@@ -41,13 +34,3 @@
     add_service_routes(routes)
     add_batch_routes(routes)
     return routes
-
-
-async def drain(context: EntryContext, server: GuardedHttpServer) -> None:
-    """Leave locate's answers, then serve until the last of them has lapsed and no request runs."""
-    loop = context.runtime.loop
-    locate = context.locate
-    locate.leaving = True
-    while loop.now() < locate.used_until_s or server.busy():
-        await loop.sleep(DRAIN_CHECK_S)
-    log.info("entry drained")
