--- a/features/steps/key_value_steps.py
+++ b/features/steps/key_value_steps.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from behave import then, when
-from hypothesis import given, settings
+from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
 from features.support.control import until
@@ -106,7 +106,8 @@
     context.seen = []
     events = st.sampled_from(["put", "put", "delete", "break", "outage", "back", "pause"])
 
-    @settings(max_examples=12)
+    # Each failing example waits to its limit, so none is shrunk.
+    @settings(max_examples=12, phases=[Phase.generate])
     @given(st.lists(events, min_size=5, max_size=30))
     def check(events: list[str]) -> None:
         async def main(runtime: Runtime) -> None:
