--- a/parsleyrouter/process/claims.py
+++ b/parsleyrouter/process/claims.py
@@ -22,6 +22,7 @@
 from parsleyrouter.process.call_port import Call, Calls, Reply, Yielded
 from parsleyrouter.process.loop import Loop, Task
 from parsleyrouter.request.claim_record import (
+    CONTENT_CONFLICT,
     ClaimRecord,
     Wait,
     claim_key,
@@ -93,7 +94,7 @@
             here = self.running[where] = (content, task)
             task.on_done(lambda _: self.running.pop(where, None))
         elif here[0] != content:
-            return _conflict(content)
+            return CONTENT_CONFLICT
         return await here[1]
 
     async def _claim_and_run(
@@ -244,13 +245,6 @@
     return found.revision if known.nonce == record.nonce else None
 
 
-def _conflict(content: str) -> Refusal:
-    other = ClaimRecord(nonce="", entry="", content="", until_s=0)
-    verdict = judge(other, content, 0)
-    assert isinstance(verdict, Refusal)
-    return verdict
-
-
 def _still_running() -> Refusal:
     message = "the first sending of this request is still running: send it again to learn more"
     return Refusal(RefusalKind.DEADLINE, message, Ran.UNKNOWN, retry_after_s=1.0)
--- a/parsleyrouter/request/claim_record.py
+++ b/parsleyrouter/request/claim_record.py
@@ -11,6 +11,7 @@
 from parsleyrouter.process.call_port import Call, Reply
 
 __all__ = [
+    "CONTENT_CONFLICT",
     "ClaimRecord",
     "ClaimState",
     "Wait",
@@ -25,6 +26,12 @@
 CLAIMS_PREFIX = "/parsley/claims/"
 LARGEST_KEPT_BYTES = 64 * 1024
 
+CONTENT_CONFLICT = Refusal(
+    RefusalKind.CONFLICT,
+    "the Idempotency-Key was used with other content: take a new key",
+    Ran.NOT_RUN,
+)
+
 
 class ClaimState(Enum):
     """Say whether the claimed request has ended."""
@@ -95,8 +102,7 @@
 def judge(record: ClaimRecord, content: str, now_s: float) -> Reply | Refusal | Wait:
     """Return what a resend gets; ``now_s`` is in seconds since 1970."""
     if record.content != content:
-        message = "the Idempotency-Key was used with other content: take a new key"
-        return Refusal(RefusalKind.CONFLICT, message, Ran.NOT_RUN)
+        return CONTENT_CONFLICT
     if record.state is ClaimState.DONE:
         return _replay(record)
     if now_s > record.until_s:
