--- a/parsleyrouter/experiment/batch_load.py
+++ b/parsleyrouter/experiment/batch_load.py
@@ -25,6 +25,7 @@
         self.prompt_tokens = prompt_tokens
         self.tokens = tokens
         self.emitted = 0
+        self.resume_of = ""
 
 
 class BatchItems:
@@ -81,6 +82,7 @@
             prompt_tokens=item.prompt_tokens,
             output_tokens=item.tokens - item.emitted,
             job=JobId(f"job-{team}"),
+            prefix_key=item.prompt,
             slack_s=self.random.uniform(0, MOST_SLACK_S),
         )
 
@@ -110,10 +112,17 @@
         engine = self.items.fleet.engines[grant.endpoint]
         item = self.item
         if self.revoked_s is None:
-            run = engine.start(item.prompt, item.tokens, batch=True, emitted=item.emitted)
+            run = engine.start(
+                item.prompt,
+                item.tokens,
+                batch=True,
+                emitted=item.emitted,
+                resume_of=item.resume_of,
+            )
             self.running = run
             whole = await run.ended
             item.emitted += len(run.times)
+            item.resume_of = run.generation.id if run.generation else ""
         else:
             whole = False
         await self.loop.sleep(self.link_s)
--- a/parsleyrouter/experiment/endpoints.py
+++ b/parsleyrouter/experiment/endpoints.py
@@ -35,8 +35,10 @@
         self.online_slot_s = 0.0
         self.batch_slot_s = 0.0
 
-    def start(self, prompt: str, tokens: int, *, batch: bool, emitted: int = 0) -> Run:
-        """Begin a request, from the token ``emitted`` on."""
+    def start(
+        self, prompt: str, tokens: int, *, batch: bool, emitted: int = 0, resume_of: str = ""
+    ) -> Run:
+        """Begin a request, from the token ``emitted`` on; an engine keeps what it has cancelled."""
         self.count += 1
         run = Run(batch, self.loop.promise())
         run.generation = Generation(
@@ -45,6 +47,7 @@
             prompt=prompt,
             count=tokens,
             emitted=emitted,
+            resume_of=resume_of,
             on_token=lambda generation: self._token(run, generation),
         )
         self.runs[run.generation.id] = run
--- a/parsleyrouter/process/endpoint_choice.py
+++ b/parsleyrouter/process/endpoint_choice.py
@@ -67,9 +67,10 @@
         """Learn from what came of a grant."""
         if result.endpoint_at_fault:
             self.ejections.failed(endpoint, now)
-        elif result.ok:
+            return
+        self.affinity.used(request.prefix_key, endpoint, now)
+        if result.ok:
             self.ejections.succeeded(endpoint, now)
-            self.affinity.used(request.prefix_key, endpoint, now)
 
     def mark_silent(self, home: Address, until_s: float) -> None:
         """Ask a home that did not answer no more until a time."""
