--- a/features/membership.feature
+++ b/features/membership.feature
@@ -12,6 +12,10 @@
     When a member of fleets of several sizes is lost while messages are lost too
     Then every membership view is without it 5 s later
 
+  Scenario: Nodes that missed the same news learn it from the others
+    When some members have missed that another one joined
+    Then all membership views agree within 15 s
+
   Scenario: Lost messages bring no live node down
     When membership runs for minutes while 5 in 100 messages are lost
     Then no membership view ever held a live node to be down
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -10,6 +10,7 @@
 from features.support.member_net import MemberNet
 from parsleyrouter.ids import Address, DomainName, NodeId
 from parsleyrouter.process.member_table import Health, MemberTable, Rumor
+from parsleyrouter.process.probe_order import ring_place
 from parsleyrouter.process.view import NodeInfo, NodeState, Service
 
 MEET_S = 15.0
@@ -115,6 +116,32 @@
     assert all(agreed for *_, agreed in context.late), context.late
 
 
+@when("some members have missed that another one joined")
+def missed_news(context: Any) -> None:
+    context.missed = []
+
+    @settings(max_examples=20)
+    @given(st.integers(6, 24), st.integers(0, 10_000), st.integers(1, 4))
+    def check(size: int, seed: int, missing: int) -> None:
+        net = MemberNet(size, seed, 0.05)
+        net.run(MEET_S)
+        unknown = NodeId(f"n{seed % size:03d}")
+        ring = sorted(net.cores, key=ring_place)
+        for node in [node for node in ring if node != unknown][:missing]:
+            table = net.cores[node].table
+            del table.entries[unknown]
+            table.version += 1
+        net.run(MEET_S)
+        context.missed.append((size, seed, missing, net.all_agree()))
+
+    check()
+
+
+@then("all membership views agree within 15 s")
+def missed_learnt(context: Any) -> None:
+    assert all(agreed for *_, agreed in context.missed), context.missed
+
+
 @when("membership runs for minutes while 5 in 100 messages are lost")
 def run_lossy(context: Any) -> None:
     context.nets = []
--- a/parsleyrouter/process/member_table.py
+++ b/parsleyrouter/process/member_table.py
@@ -134,6 +134,14 @@
                 found.append(entry.rumor())
         return found
 
+    def due_within(self, until_s: float) -> list[NodeId]:
+        """Return the suspects that would be held to be down by a time."""
+        return [
+            node
+            for node, entry in self.entries.items()
+            if entry.health is Health.SUSPECT and entry.due_s <= until_s
+        ]
+
     def postpone(self, gap_s: float) -> None:
         """Give suspicions more time after this node was paused itself."""
         for entry in self.entries.values():
--- a/parsleyrouter/process/membership.py
+++ b/parsleyrouter/process/membership.py
@@ -28,6 +28,9 @@
 CONTACT_EVERY_S = 5.0
 CONTACT_ALONE_S = 1.0
 MISMATCH_PATIENCE_S = 4.0
+MOST_DIGESTS = 200
+LAST_CHANCE_S = 0.8
+ASK_SUSPECTS_EVERY_S = 0.4
 
 
 @dataclass
@@ -62,7 +65,8 @@
         self.next_probe_s = 0.0
         self.next_contact_s = 0.0
         self.last_tick_s: float | None = None
-        self.mismatch_s: float | None = None
+        self.other_digests: dict[int, float] = {}
+        self.next_ask_s = 0.0
         self.contacts: tuple[Address, ...] = ()
         self.contact_sequence = 0
         self.push_due = False
@@ -77,10 +81,12 @@
         """Do what is due."""
         self._notice_pause(now)
         self._reorder()
+        if len(self.other_digests) > MOST_DIGESTS:
+            self.other_digests.clear()
         actions: list[Action] = self._contact(now)
         for rumor in self.table.expire(now):
             self._spread(rumor)
-        actions += self._check_probes(now)
+        actions += self._check_probes(now) + self._ask_suspects(now)
         if now >= self.next_probe_s:
             self.next_probe_s = now + PROBE_EVERY_S * self.chance.uniform(0.9, 1.1)
             actions += self._probe(now)
@@ -90,7 +96,7 @@
         """Take in a datagram."""
         self.hear(message.rumors, now)
         self.table.note_load(message.sender, message.load)
-        actions = self._compare(message, now)
+        actions = self._compare(message, now) + self._refute(message)
         if message.kind is MessageKind.PING:
             answer = self._message(MessageKind.ACK, message.sender, message.sequence)
             actions.append(Send(message.reply_to, answer))
@@ -184,6 +190,15 @@
         self._spread(self.table.entries[node].rumor())
         return [Send(self._address(node), self._message(MessageKind.NEWS, node))]
 
+    def _ask_suspects(self, now: float) -> list[Action]:
+        """Give each suspect a last chance to refute before it is held to be down."""
+        if now < self.next_ask_s:
+            return []
+        self.next_ask_s = now + ASK_SUSPECTS_EVERY_S
+        asked = self.table.due_within(now + LAST_CHANCE_S)
+        self.sequence += 1
+        return [self._ping(node, self.sequence) for node in asked]
+
     def _ask_help(self, node: NodeId, sequence: int) -> list[Action]:
         asked = self._message(MessageKind.HELP, None, sequence)
         message = replace(asked, target=node, target_agent=self._address(node))
@@ -226,16 +241,27 @@
         ping = self._message(MessageKind.PING, None, self.sequence)
         return [Send(self.chance.choice(strangers), ping)]
 
+    def _refute(self, message: Message) -> list[Action]:
+        """Answer a node that doubts this one with the newest word of itself."""
+        doubts = (
+            one.node == self.me.node and one.health is not Health.ALIVE for one in message.rumors
+        )
+        if not any(doubts):
+            return []
+        own = replace(self._message(MessageKind.NEWS, None), rumors=(self.table.own_rumor(),))
+        return [Send(message.reply_to, own)]
+
     def _compare(self, message: Message, now: float) -> list[Action]:
-        """Exchange all beliefs with a node that has held other beliefs for some time."""
+        """Exchange all beliefs with a node when beliefs other than these have lasted.
+
+        It does not count that some other node agrees: both may have missed the same news.
+        """
         if message.digest == self.table.digest():
-            self.mismatch_s = None
             return []
-        if self.mismatch_s is None:
-            self.mismatch_s = now
-        if now - self.mismatch_s < MISMATCH_PATIENCE_S:
+        since_s = self.other_digests.setdefault(message.digest, now)
+        if now - since_s < MISMATCH_PATIENCE_S:
             return []
-        self.mismatch_s = now
+        self.other_digests.clear()
         return [Sync(message.reply_to)]
 
     def _push(self) -> list[Action]:
--- a/parsleyrouter/process/probe_order.py
+++ b/parsleyrouter/process/probe_order.py
@@ -11,12 +11,13 @@
 
 from parsleyrouter.ids import NodeId
 
-__all__ = ["ProbeOrder"]
+__all__ = ["ProbeOrder", "ring_place"]
 
 NEIGHBOURS = 2
 
 
-def _place(node: NodeId) -> tuple[int, NodeId]:
+def ring_place(node: NodeId) -> tuple[int, NodeId]:
+    """Return where a node stands on the ring."""
     return xxh3_64_intdigest(node.encode()), node
 
 
@@ -34,7 +35,7 @@
     def set_members(self, others: Iterable[NodeId]) -> None:
         """Take the other nodes that are up."""
         self.members = list(others)
-        ring = sorted([*self.members, self.me], key=_place)
+        ring = sorted([*self.members, self.me], key=ring_place)
         at = ring.index(self.me)
         after = ring[at + 1 :] + ring[:at]
         self.neighbours = after[:NEIGHBOURS]
