Let go of input and small result chunks once a part's manifest has replaced them

When a part has entered its job's record, its disk VMs are told which result chunks the committed manifest names; the others and the input expire an hour later. A run that waits for a chunk now checks that it still owns its part, else a stale one would wait for ever. The simulated chunks delete at once, so the stateful model covers it. Tests of the store waited fixed times and failed twice on a slow disk (put took seconds); they now wait until what they check holds, with a limit, and check the same.

--- a/features/chunks.feature
+++ b/features/chunks.feature
@@ -39,3 +39,7 @@
   Scenario: The audit finds damage that nobody has read
     When a copy is damaged that nobody reads
     Then the audit finds it and writes it again
+
+  Scenario: What a part's manifest has replaced is let go and the rest stays
+    When a part is released but for one chunk of its results
+    Then only that chunk and manifests keep their time
--- a/features/steps/chunks_steps.py
+++ b/features/steps/chunks_steps.py
@@ -1,6 +1,7 @@
 """Steps for the chunk store."""
 
 import tempfile
+import time
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
@@ -33,6 +34,7 @@
 PART = PartIndex(3)
 ROLE = ChunkRole.RESULTS
 FAR_S = 4_000_000_000
+WAIT_S = 40.0
 
 
 def chunk_of(data: bytes) -> Chunk:
@@ -80,6 +82,13 @@
         return await self.client.get(JOB, PART, ROLE, name)
 
 
+async def settled(disks: Disks, condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds, however slow the disk is; the step after it judges."""
+    end_s = time.monotonic() + WAIT_S
+    while not condition() and time.monotonic() < end_s:
+        await disks.runtime.loop.sleep(0.02)
+
+
 def with_disks(main: Callable[[Disks], Coroutine[Any, Any, None]], domains: list[str]) -> None:
     """Run a coroutine on new disk VMs."""
 
@@ -177,7 +186,7 @@
                 content[-1] ^= 1
                 file.write_bytes(bytes(content))
             data = await disks.get(name)
-            await disks.runtime.loop.sleep(0.2)
+            await settled(disks, lambda: len(disks.holders(name)) == 3)
             whole = [await server.get(name) for server in disks.servers.values()]
             context.damage_rounds.append((data, [chunk and chunk.data for chunk in whole]))
 
@@ -286,7 +295,8 @@
         repairs = await repairs_of(disks, wait_s=0.05)
         lost_chunks = {name for name in names if "s1" in disks.holders(name)}
         lose(disks, repairs, "s1")
-        await disks.runtime.loop.sleep(1.5)
+        left = {"s0", "s2", "s3"}
+        await settled(disks, lambda: all(disks.holders(name) >= left for name in names))
         context.copies_left = [len(disks.holders(name) - {"s1"}) for name in names]
         context.lost_chunks = len(lost_chunks)
         repair = repairs["s0"][1]
@@ -318,8 +328,10 @@
         (file,) = disks.folder.glob("s2/*/*.chunk")
         file.write_bytes(file.read_bytes()[:-1] + b"!")
         await repairs_of(disks, wait_s=60.0, audit_s=0.1)
-        await disks.runtime.loop.sleep(1.0)
-        whole = await disks.servers["s2"].get(name)
+        server = disks.servers["s2"]
+        dropped = server.metrics.corrupt._value
+        await settled(disks, lambda: dropped.get() > 0 and name in server.chunks)
+        whole = await server.get(name)
         context.scrubbed = whole is not None and whole.data
 
     with_disks(main, ["a", "b", "c"])
@@ -344,3 +356,28 @@
 @then("its chunks have three copies without it")
 def copies_elsewhere(context: Any) -> None:
     assert set(context.copies_left) == {3}, context.copies_left
+
+
+@when("a part is released but for one chunk of its results")
+def release_part(context: Any) -> None:
+    async def main(disks: Disks) -> None:
+        put = disks.client.put
+        kept = [await disks.put(b"final"), await put(JOB, PART, ChunkRole.MANIFEST, b"m", FAR_S)]
+        kept.append(await put(JOB, PartIndex(4), ROLE, b"other part", FAR_S))
+        gone = [await disks.put(b"early"), await put(JOB, PART, ChunkRole.INPUT, b"in", FAR_S)]
+        disks.client.release(JOB, PART, kept[:1])
+        servers = disks.servers.values()
+        early = [(server, name) for server in servers for name in gone]
+        await settled(disks, lambda: all(s.chunks[n].expires_s < FAR_S for s, n in early))
+        context.kept = {server.chunks[name].expires_s for server in servers for name in kept}
+        context.gone = {
+            server.chunks[name].expires_s < FAR_S for server in servers for name in gone
+        }
+
+    with_disks(main, ["a", "b", "c"])
+
+
+@then("only that chunk and manifests keep their time")
+def released(context: Any) -> None:
+    assert context.kept == {FAR_S}
+    assert context.gone == {True}
--- a/features/support/batch_sim.py
+++ b/features/support/batch_sim.py
@@ -2,7 +2,7 @@
 
 import json
 from collections import Counter, defaultdict
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterable
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 from typing import Any
@@ -142,6 +142,14 @@
         found = self.chunks.get(name)
         return None if found is None else found[1]
 
+    def release(self, job: JobId, part: PartIndex, keep: Iterable[ChunkName]) -> None:
+        """Delete the input and results of a part at once, but for those named."""
+        kept = set(keep)
+        for name, (meta, _) in list(self.chunks.items()):
+            own = (meta.job, meta.part) == (job, part) and meta.role is not ChunkRole.MANIFEST
+            if own and name not in kept:
+                del self.chunks[name]
+
     async def of_part(self, job: JobId, part: PartIndex, role: ChunkRole) -> list[ChunkMeta]:
         """Return the chunks of a part."""
         await self.gate.passed()
--- a/parsleyrouter/process/chunk_client.py
+++ b/parsleyrouter/process/chunk_client.py
@@ -1,5 +1,6 @@
 """Write chunks to several failure domains and read them back from any copy."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from itertools import islice
 
@@ -26,6 +27,7 @@
     ListChunks,
     PutAnswer,
     PutChunk,
+    ReleaseChunks,
 )
 
 __all__ = ["ChunkClient", "ChunkLimits"]
@@ -118,6 +120,12 @@
             found |= {meta.name: meta for meta in metas}
         return [found[name] for name in sorted(found)]
 
+    def release(self, job: JobId, part: PartIndex, keep: Iterable[ChunkName]) -> None:
+        """Tell the disk VMs that only some chunks of a part are still needed; it may be lost."""
+        request = ReleaseChunks(job, part, list(keep))
+        for disk in islice(rank_disks(job, part, disks_of(self.view.nodes())), LIST_DISKS):
+            self.runtime.peers.tell(disk.address, "chunks.release", request)
+
     async def _copy(self, chunk: Chunk) -> set[DomainName]:
         meta = chunk.meta
         ranked = rank_disks(meta.job, meta.part, disks_of(self.view.nodes()))
--- a/parsleyrouter/process/chunk_server.py
+++ b/parsleyrouter/process/chunk_server.py
@@ -3,6 +3,7 @@
 import itertools
 import time
 from collections import defaultdict
+from dataclasses import replace
 from pathlib import Path
 
 from parsleyrouter.connection.peer import PeerMethods, PeerServer
@@ -29,13 +30,15 @@
     MissingQuery,
     PutAnswer,
     PutChunk,
+    ReleaseChunks,
 )
 
 __all__ = ["CHUNK_METHODS", "ChunkServer"]
 
 CHUNK_METHODS = PeerMethods()
 EXPIRY_CHECK_S = 60.0
-EXPIRY_BATCH = 500
+EXPIRY_BATCH = 5000
+RELEASE_S = 3600
 CORRUPT = "corrupt"
 _NUMBERS = itertools.count()
 
@@ -102,6 +105,14 @@
         found = [self.chunks[name] for name in names]
         return [meta for meta in found if role in ("", meta.role.value)]
 
+    def release(self, job: JobId, part: PartIndex, keep: set[ChunkName]) -> None:
+        """Let other input and results of a part expire soon; a restart forgets it."""
+        soon_s = int(time.time()) + RELEASE_S
+        for meta in self.of_part(job, part):
+            passing = meta.role is not ChunkRole.MANIFEST and meta.name not in keep
+            if passing and meta.expires_s > soon_s:
+                self.chunks[meta.name] = replace(meta, expires_s=soon_s)
+
     async def _write_waiting(self) -> None:
         while self.waiting:
             batch, self.waiting = self.waiting, []
@@ -189,3 +200,10 @@
 async def missing_chunks(server: ChunkServer, request: MissingQuery) -> MissingAnswer:
     """Return which of the named chunks are not stored here."""
     return MissingAnswer([name for name in request.names if name not in server.chunks])
+
+
+@CHUNK_METHODS.add("chunks.release", ReleaseChunks)
+async def release_chunks(server: ChunkServer, request: ReleaseChunks) -> None:
+    """Let the input and results of a part go that its manifest does not name."""
+    keep = {ChunkName(name) for name in request.keep}
+    server.release(JobId(request.job), PartIndex(request.part), keep)
--- a/parsleyrouter/process/part_keeper.py
+++ b/parsleyrouter/process/part_keeper.py
@@ -25,6 +25,8 @@
 log = logging.getLogger(__name__)
 
 TICK_S = 0.5
+SETTLE_S = 3.0
+"""Seconds after its start in which a process may not yet know all live nodes."""
 PAUSE_S = 2.0
 URGENT_FACTOR = 2
 FAILED_RUN_PAUSE_S = 30.0
@@ -60,6 +62,8 @@
 
     def begin(self) -> None:
         """Follow the fleet view and start to work."""
+        self.table.settled = False
+        self.loop.call_later(SETTLE_S, self._settle_view)
         self.view.on_change(self._on_view)
         self._on_view()
         self.loop.call_later(TICK_S, self._tick)
@@ -219,6 +223,10 @@
         self.table.forget(key)
         return True
 
+    def _settle_view(self) -> None:
+        self.table.settled = True
+        self.pump()
+
     def _on_view(self) -> None:
         nodes = self.view.nodes()
         names = shards(self.limits.shard_digits)
--- a/parsleyrouter/process/part_load.py
+++ b/parsleyrouter/process/part_load.py
@@ -1,6 +1,6 @@
 """Read a claimed part: its items, its committed results and what an earlier owner left."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from parsleyrouter.ids import ChunkName, ItemIndex
@@ -37,12 +37,18 @@
     """Load one part; ``wanted`` says whether the run goes on."""
 
     def __init__(
-        self, tools: RunnerTools, part: PartRecord, wanted: Callable[[], bool], signal: Signal
+        self,
+        tools: RunnerTools,
+        part: PartRecord,
+        wanted: Callable[[], bool],
+        signal: Signal,
+        check_owned: Callable[[], Awaitable[None]],
     ) -> None:
         self.tools = tools
         self.part = part
         self.wanted = wanted
         self.signal = signal
+        self.check_owned = check_owned
 
     async def load(self) -> LoadedPart | None:
         """Return the part, as long as it takes; ``None`` when the run has ended meanwhile."""
@@ -76,6 +82,7 @@
             data = await self.tools.chunks.get(self.part.job, self.part.part, role, name)
             if data is not None:
                 return data
+            await self.check_owned()
             await self.signal.wait(pause_s)
             pause_s = min(2 * pause_s, self.tools.limits.retry_limit_s)
         return None
--- a/parsleyrouter/process/part_runner.py
+++ b/parsleyrouter/process/part_runner.py
@@ -46,7 +46,7 @@
 
     async def run(self) -> PartEnd:
         """Run the part to its end on this node."""
-        load = PartLoad(self.tools, self.record, self._wanted, self.signal)
+        load = PartLoad(self.tools, self.record, self._wanted, self.signal, self.check_owned)
         loaded = await load.load()
         if loaded is not None:
             self.runs = ItemRuns(self.tools, self.record, loaded, self.signal)
--- a/parsleyrouter/process/part_settle.py
+++ b/parsleyrouter/process/part_settle.py
@@ -24,6 +24,7 @@
     PartManifest,
     ResultChunk,
     chunk_expiry,
+    decode_manifest,
     encode_manifest,
     lines_by_index,
     pack_lines,
@@ -73,9 +74,20 @@
             return False
         if job is not None and not await self._complete(job.record):
             return False
+        if job is not None and part.part in job.record.parts:
+            await self._release(part, job.record.parts[part.part].manifest)
         deleted = await self.records.kv.delete(key, held.revision)
         return not isinstance(deleted, KeyValueFailure)
 
+    async def _release(self, part: PartRecord, manifest: ChunkName) -> None:
+        """Let go of input and results that the committed manifest has replaced."""
+        data = await self.chunks.get(part.job, part.part, ChunkRole.MANIFEST, manifest)
+        if data is None:
+            return
+        whole = decode_manifest(PartManifest, data)
+        assert isinstance(whole, PartManifest)
+        self.chunks.release(part.job, part.part, (chunk.name for chunk in whole.chunks))
+
     async def _outcome(self, part: PartRecord) -> PartOutcome | None:
         if part.phase is PartPhase.DONE:
             return PartOutcome(part.manifest, part.tally)
--- a/parsleyrouter/process/part_table.py
+++ b/parsleyrouter/process/part_table.py
@@ -28,7 +28,11 @@
 
 @dataclass
 class PartTable:
-    """Hold known parts; the table may be old, every change is checked by compare-and-swap."""
+    """Hold known parts; the table may be old, every change is checked by compare-and-swap.
+
+    ``settled`` says that ``live`` has had time to name all nodes; until then an owner that it does
+    not name is not held to be lost.
+    """
 
     node: NodeId
     shard_digits: int
@@ -36,6 +40,7 @@
     parts: dict[str, KnownPart] = field(default_factory=dict)
     homes: frozenset[str] = frozenset()
     live: frozenset[NodeId] = frozenset()
+    settled: bool = True
 
     def learn(self, key: str, held: Held[PartRecord], now: float) -> None:
         """Take a record as read or told; an older one changes nothing."""
@@ -90,12 +95,18 @@
         return next_step(
             record,
             self.node,
-            self.live - {record.owner} if known.abandoned else self.live,
+            self._live_for(known),
             running_here=running_here,
             unchanged_s=now - known.since_s,
             patience_s=self.patience_s,
         )
 
+    def _live_for(self, known: KnownPart) -> frozenset[NodeId]:
+        owner = known.held.record.owner
+        if known.abandoned:
+            return self.live - {owner}
+        return self.live if self.settled else self.live | {owner}
+
     def due(self, now: float, running: Iterable[str]) -> list[tuple[str, Step]]:
         """Return what is to be done, the earliest deadline first."""
         here = set(running)
--- a/parsleyrouter/thrift_gen/chunks/ttypes.py
+++ b/parsleyrouter/thrift_gen/chunks/ttypes.py
@@ -761,6 +761,93 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class ReleaseChunks(object):
+    """
+    Attributes:
+     - job
+     - part
+     - keep
+
+    """
+
+
+    def __init__(self, job=None, part=None, keep=None,):
+        self.job = job
+        self.part = part
+        self.keep = keep
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.job = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.part = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.keep = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keep.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReleaseChunks')
+        if self.job is not None:
+            oprot.writeFieldBegin('job', TType.STRING, 1)
+            oprot.writeString(self.job.encode('utf-8') if sys.version_info[0] == 2 else self.job)
+            oprot.writeFieldEnd()
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.I32, 2)
+            oprot.writeI32(self.part)
+            oprot.writeFieldEnd()
+        if self.keep is not None:
+            oprot.writeFieldBegin('keep', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.keep))
+            for iter27 in self.keep:
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(PutChunk)
 PutChunk.thrift_spec = (
     None,  # 0
@@ -825,5 +912,12 @@
     None,  # 0
     (1, TType.LIST, 'names', (TType.STRING, 'UTF8', False), None, ),  # 1
 )
+all_structs.append(ReleaseChunks)
+ReleaseChunks.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'job', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'part', None, None, ),  # 2
+    (3, TType.LIST, 'keep', (TType.STRING, 'UTF8', False), None, ),  # 3
+)
 fix_spec(all_structs)
 del all_structs
--- a/thrift/chunks.thrift
+++ b/thrift/chunks.thrift
@@ -55,3 +55,10 @@
 struct MissingAnswer {
   1: list<string> names,
 }
+
+// Let the input and results of a part go soon, but for those named.
+struct ReleaseChunks {
+  1: string job,
+  2: i32 part,
+  3: list<string> keep,
+}
