Take no part from an owner that a new process does not know yet

Cause: a process that has just started knows only its own node, holds itself home of every shard and every owner lost, and claims running parts; the epoch keeps the results safe, but the claim counts as a crash of the owner and its work is done twice. Seen over real processes: a restarted VM claimed a part within a second of its start while another VM was its home. Ruled out: shards that move (the home was the same before and after).

--- a/features/part_owners.feature
+++ b/features/part_owners.feature
@@ -15,3 +15,11 @@
     Given a part whose record names a live owner
     When the record changes while the owner is asked
     Then the home of the part leaves it alone
+
+  @promise-1 @fault-restart
+  Scenario: A process that has just started takes no part from an owner it does not know yet
+    Given a part whose record names a live owner
+    When a process that has just started and knows no other node looks at it
+    Then the home of the part leaves it alone
+    When it has had time to learn all nodes
+    Then the home of the part claims it
--- a/features/steps/part_owners_steps.py
+++ b/features/steps/part_owners_steps.py
@@ -67,6 +67,22 @@
     context.step = _ask(context, running=False, changes=True)
 
 
+@when("a process that has just started and knows no other node looks at it")
+def fresh_process(context: Any) -> None:
+    context.part_table = PartTable(HOME, 1, patience_s=1000)
+    context.part_table.homes = frozenset({shard_of(context.key, 1)})
+    context.part_table.live = frozenset({HOME})
+    context.part_table.settled = False
+    context.part_table.learn(context.key, Held(context.record, Revision(7)), 0.0)
+    context.step = context.part_table.step(context.key, 1.0, running_here=False)
+
+
+@when("it has had time to learn all nodes")
+def settled_process(context: Any) -> None:
+    context.part_table.settled = True
+    context.step = context.part_table.step(context.key, 4.0, running_here=False)
+
+
 @then("the home of the part claims it")
 def claims(context: Any) -> None:
     assert context.step is Step.CLAIM, context.step
