--- a/parsleyrouter/process/sharing_policies.py
+++ b/parsleyrouter/process/sharing_policies.py
@@ -27,15 +27,15 @@
     that a fixed split gives to batch.
     """
 
-    headroom_share: float = 0.5
+    headroom_share: float = 0.25
     headroom_limit: float = 0.25
-    restore_headroom: bool = True
+    restore_headroom: bool = False
     batch_share: float = 0.5
 
 
 PROFILES: dict[PolicyProfile, Profile] = {
     PolicyProfile.ONLINE_TAIL: Profile(),
-    PolicyProfile.BATCH_THROUGHPUT: Profile(headroom_share=0.0, restore_headroom=False),
+    PolicyProfile.BATCH_THROUGHPUT: Profile(headroom_share=0.0),
 }
 
 
