Start the orders to engines in every entry, and prove loads through a small weight store

Cause: the part that gives orders was never wired into the composition root, so no entry gave any; its own feature constructs it and could not see that. The new feature starts real processes and failed first: no load began within 30 s. Change: assemble_entry starts Orders; stand-in engines may read their weights from the stand-in weight store, whose own record shows that two readers at most were ever let in, also when an entry is killed during the loads.

--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -25,7 +25,10 @@
 
 @dataclass
 class ClusterPlan:
-    """Size and speed of a cluster; ``proxied`` names stand-ins to put behind fault proxies."""
+    """Size and speed of a cluster; ``proxied`` names stand-ins to put behind fault proxies.
+
+    ``weights`` are the options of a weight store that the engines load from, ``None`` for none.
+    """
 
     nodes: int = 3
     disks: int = 2
@@ -37,6 +40,7 @@
     service_options: tuple[str, ...] = ()
     entry_options: tuple[str, ...] = ("--locate-ttl-s", "1")
     batch_options: tuple[str, ...] = ()
+    weights: tuple[str, ...] | None = None
     slots: int = 8
     team: dict[str, Any] = field(default_factory=dict)
 
@@ -112,6 +116,9 @@
         self.key_value = self.stand_in("key-value", "key-value")
         self.vm_list = self.stand_in("vm-list", "vm-list")
         engine = ("--models", MODEL, "--slots", str(plan.slots), *plan.engine_options)
+        if plan.weights is not None:
+            self.weights = self.stand_in("weights", "weights", *plan.weights)
+            engine += ("--weight-store", self.weights.http)
         self.engines = [
             self.stand_in(f"engine-{number}", "engine", *engine)
             for number in range(1, plan.engines + 1)
--- a/parsleyrouter/commands/standin.py
+++ b/parsleyrouter/commands/standin.py
@@ -75,6 +75,7 @@
     answer_tokens: int = EngineModel.answer_tokens,
     load_lag_s: float = EngineModel.load_lag_s,
     checks_fencing: bool = False,
+    weight_store: str = "",
 ) -> None:
     """Run a model engine with the OpenAI-compatible API.
 
@@ -100,6 +101,8 @@
         Seconds by which load reports lag.
     checks_fencing
         Refuse orders with an old fencing number.
+    weight_store
+        Address from which a load reads the weights; empty for none.
     """
     model = EngineModel(
         models=tuple(name.strip() for name in models.split(",")),
@@ -112,7 +115,14 @@
         load_lag_s=load_lag_s,
         checks_fencing=checks_fencing,
     )
-    _serve(http, lambda runtime: {"http": Engine(runtime, http, model).register(runtime).address})
+    if weight_store:
+        check_address("weight-store", weight_store)
+
+    def start(runtime: Runtime) -> dict[str, Promise[Address]]:
+        part = Engine(runtime, http, model, weight_store=weight_store).register(runtime)
+        return {"http": part.address}
+
+    _serve(http, start)
 
 
 @app.command
--- a/parsleyrouter/process/assembly.py
+++ b/parsleyrouter/process/assembly.py
@@ -26,6 +26,7 @@
 from parsleyrouter.process.locate import Locate
 from parsleyrouter.process.operators import Operators
 from parsleyrouter.process.options import NodeOptions
+from parsleyrouter.process.orders import Orders
 from parsleyrouter.process.planned_stop import PlannedStop, leave_first
 from parsleyrouter.process.role_options import BatchOptions, EntryOptions, FollowerOptions
 from parsleyrouter.process.runtime import Runtime
@@ -72,6 +73,7 @@
     server.register(runtime)
     agent.set_service(Service.ENTRY, server.bound_address())
     agent.start()
+    Orders(runtime, kv, agent).start()
 
     PlannedStop(runtime, agent, context.locate, server, limit_s=options.stop_limit_s)
     return _announce(runtime, {"http": server.bound_address(), "agent": agent.address})
--- a/parsleyrouter/standins/engine.py
+++ b/parsleyrouter/standins/engine.py
@@ -8,7 +8,9 @@
 from typing import Any
 
 import parsleyrouter.standins.engine_admin  # noqa: F401 - registers its routes
+from parsleyrouter.connection.http import HttpReply
 from parsleyrouter.connection.http_server import Exchange
+from parsleyrouter.ids import Address
 from parsleyrouter.process.loop import Promise
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.standins.engine_batch import ContinuousBatch, EngineModel, Generation
@@ -101,8 +103,10 @@
         model: EngineModel | None = None,
         *,
         seed: int = 0,
+        weight_store: str = "",
     ) -> None:
         super().__init__(runtime, bind, routes)
+        self.weight_store = Address(weight_store)
         self.model = model or EngineModel()
         self.faults = EngineFaults()
         self.batch = ContinuousBatch(self.model)
@@ -152,6 +156,15 @@
             close_unanswered(running.exchange)
         return len(lost)
 
+    async def fetch_weights(self, model: str) -> bool:
+        """Read a model's weights from the weight store, if there is one; ``False`` if refused."""
+        if not self.weight_store:
+            return True
+        reply = await self.runtime.http.request(
+            self.weight_store, "GET", f"/weights/{model}", fresh=True
+        )
+        return isinstance(reply, HttpReply) and reply.status == 200
+
     def load(self) -> tuple[int, int]:
         """Return the running and waiting generations that the load report shows now."""
         return self.loads.shown(self.loop.now())
--- a/parsleyrouter/standins/engine_admin.py
+++ b/parsleyrouter/standins/engine_admin.py
@@ -13,6 +13,7 @@
 __all__ = ["STALE_FENCE_STATUS"]
 
 STALE_FENCE_STATUS = 409
+WEIGHTS_REFUSED_STATUS = 503
 
 
 def _obey(engine: "Engine", order: str, body: dict[str, Any]) -> HttpReply | None:
@@ -38,7 +39,10 @@
     name = str(body["model"])
     engine.orders.loading.add(name)
     await engine.loop.sleep(engine.model.order_s)
+    fetched = await engine.fetch_weights(name)
     engine.orders.loading.discard(name)
+    if not fetched:
+        return error_reply(WEIGHTS_REFUSED_STATUS, f"no weights of {name}: load it again later")
     engine.orders.models[name] = str(body.get("version", "1"))
     return _state(engine)
 
