--- a/parsleyrouter/process/job_results.py
+++ b/parsleyrouter/process/job_results.py
@@ -45,7 +45,6 @@
         if data is None:
             return _unreadable()
         manifest = decode_manifest(JobManifest, data)
-        assert isinstance(manifest, JobManifest)
         parts = dict(enumerate(manifest.parts))
         return await self._pages(job, manifest.firsts, parts, offset, limit_bytes)
 
@@ -57,7 +56,6 @@
                 manifest = decode_manifest(JobManifest, data or b"")
             except msgspec.DecodeError:
                 continue
-            assert isinstance(manifest, JobManifest)
             found = manifest.job
             if found.team == team:
                 stopped = found.phase is JobPhase.CANCELLED
@@ -125,7 +123,6 @@
         if data is None:
             return _unreadable()
         manifest = decode_manifest(PartManifest, data)
-        assert isinstance(manifest, PartManifest)
         found: dict[ItemIndex, bytes] = {}
         for chunk in manifest.chunks:
             if chunk.first + chunk.count <= index:
--- a/parsleyrouter/process/part_results.py
+++ b/parsleyrouter/process/part_results.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from typing import TypeVar
 
 import msgspec
 
@@ -55,6 +56,9 @@
     job: JobRecord
 
 
+M = TypeVar("M", PartManifest, JobManifest)
+
+
 class _Usage(msgspec.Struct):
     prompt_tokens: int = 0
     completion_tokens: int = 0
@@ -87,7 +91,7 @@
     return msgspec.json.encode(manifest)
 
 
-def decode_manifest(manifest_type: type, data: bytes) -> PartManifest | JobManifest:
+def decode_manifest(manifest_type: type[M], data: bytes) -> M:
     """Decode a manifest; raise ``msgspec.ValidationError`` when it is of another type."""
     return msgspec.json.decode(data, type=manifest_type)
 
--- a/parsleyrouter/process/part_settle.py
+++ b/parsleyrouter/process/part_settle.py
@@ -85,7 +85,6 @@
         if data is None:
             return
         whole = decode_manifest(PartManifest, data)
-        assert isinstance(whole, PartManifest)
         self.chunks.release(part.job, part.part, (chunk.name for chunk in whole.chunks))
 
     async def _outcome(self, part: PartRecord) -> PartOutcome | None:
