Choose the ports of test processes below those of outgoing connections

Ruled out: orders at start, since the failing process ended while binding. Change: ports come from 10240 to 32639, in a block for each test process, free for TCP and UDP.

--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -1,5 +1,6 @@
 """Real processes of the tests: started, watched by their logs, paused, killed and cleaned up."""
 
+import itertools
 import json
 import os
 import signal
@@ -15,6 +16,11 @@
 STOP_LIMIT_S = 60.0
 CHECK_S = 0.02
 LOG_TAIL_LINES = 30
+FIRST_PORT = 10_240
+BLOCK_PORTS = 200
+PORT_BLOCKS = 112
+
+_ports = itertools.count()
 
 
 def binary(name: str) -> str:
@@ -23,10 +29,27 @@
 
 
 def free_address() -> str:
-    """Return a loopback address that no process listens on now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """Return a loopback address that no process listens on now, over TCP or UDP.
+
+    Its port lies below those that the system gives to outgoing connections, which would otherwise
+    take it before its process has started; each test process has a block of ports of its own.
+    """
+    block = FIRST_PORT + os.getpid() % PORT_BLOCKS * BLOCK_PORTS
+    for _ in range(BLOCK_PORTS):
+        port = block + next(_ports) % BLOCK_PORTS
+        if _is_free(port):
+            return f"127.0.0.1:{port}"
+    raise AssertionError(f"no free port from {block} on")
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
 
 
 def wait_until(condition: Callable[[], Any], what: str, limit_s: float = START_LIMIT_S) -> Any:
