--- a/parsleyrouter/commands/ctl_settings.py
+++ b/parsleyrouter/commands/ctl_settings.py
@@ -1,14 +1,13 @@
 """The commands ``parsleyctl settings ...``."""
 
 import sys
-import tomllib
 from pathlib import Path
 from typing import Any
 
-import msgspec
 from cyclopts import App
 
 from parsleyrouter.commands.ctl_client import CtlClient, CtlError, ExitCode
+from parsleyrouter.commands.ctl_files import load_file, parse_value, read_draft, write_draft
 from parsleyrouter.commands.ctl_options import CtlOptions
 from parsleyrouter.commands.ctl_output import short, show_json, show_lines, show_table, when
 from parsleyrouter.version.diff import differences
@@ -21,14 +20,6 @@
 settings_app = App(name="settings", help="Read and change settings by path.")
 
 
-def parse_value(text: str) -> Any:
-    """Return JSON as its value and any other text as a string."""
-    try:
-        return msgspec.json.decode(text)
-    except msgspec.DecodeError:
-        return text
-
-
 async def read(client: CtlClient, path: SettingsPath) -> Any:
     """Return what stands at a path with its version."""
     return await client.call("GET", f"/v1/settings{path}")
@@ -166,38 +157,6 @@
         file.unlink()
 
 
-def write_draft(file: Path, found: Any) -> None:
-    """Write what stands at a path and its version."""
-    draft = {name: found[name] for name in ("path", "version", "value")}
-    file.write_bytes(msgspec.json.format(msgspec.json.encode(draft), indent=2) + b"\n")
-
-
-def read_draft(file: Path, path: SettingsPath) -> Any:
-    """Read a draft; raise ``CtlError`` when it is none of this path."""
-    try:
-        draft = msgspec.json.decode(file.read_bytes())
-    except (OSError, msgspec.DecodeError) as error:
-        message = f"{file} cannot be read, nothing was changed: {error}"
-        raise CtlError(message, ExitCode.USAGE) from error
-    if not isinstance(draft, dict) or draft.get("path") != str(path):
-        message = f"{file} is no draft of {path}: name another file"
-        raise CtlError(message, ExitCode.USAGE)
-    return draft
-
-
-def load_file(file: Path) -> dict[SettingsPath, Any]:
-    """Read a file of paths and values, JSON or TOML; raise ``CtlError``."""
-    try:
-        data = sys.stdin.buffer.read() if str(file) == "-" else file.read_bytes()
-        toml = file.suffix == ".toml"
-        content = tomllib.loads(data.decode()) if toml else msgspec.json.decode(data)
-    except (OSError, ValueError, msgspec.DecodeError) as error:
-        raise CtlError(f"{file}: {error}", ExitCode.USAGE) from error
-    if not isinstance(content, dict):
-        raise CtlError(f"{file}: use an object of paths and values", ExitCode.USAGE)
-    return {parse_path(path): value for path, value in content.items()}
-
-
 @settings_app.command
 def diff(file: Path, /, *, options: CtlOptions | None = None) -> None:
     """Show where FILE differs from what stands; exit 1 if it does.
