--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -1,5 +1,6 @@
 Feature: Callers that send too much, too slowly or what is no request
 
+  @promise-5 @fault-bad-input
   Scenario: Broken and oversized requests are refused as not run
     When bad input: broken and oversized requests of many kinds are sent
     Then bad input: each is refused with its status and not_run, and no endpoint saw it
@@ -12,6 +13,7 @@
     When bad input: callers dribble a head, a body and a job, and one does not read its answer
     Then bad input: all are cut off, nothing was run and the slot was given back
 
+  @promise-4 @fault-pipelining
   Scenario: Requests sent before their turn are answered in order, each with its own answer
     When bad input: several requests are sent at once on one connection
     Then bad input: the answers come in order and one request ran at a time
--- a/features/chunks.feature
+++ b/features/chunks.feature
@@ -12,10 +12,12 @@
     When a chunk is put with 5 disk VMs in 3 failure domains
     Then 3 copies lie in 3 failure domains
 
+  @promise-1 @fault-corrupt
   Scenario: A damaged copy is read elsewhere and written again
     When one copy of a chunk is damaged and the chunk is read
     Then the right bytes are returned and all copies are whole again
 
+  @promise-1 @fault-disk
   Scenario: A chunk is never acknowledged with fewer than two copies
     When a large chunk is put while one failure domain can be reached
     Then it is refused and the refusal names the remedy
@@ -24,10 +26,12 @@
     When small chunks are put while one failure domain can be reached
     Then they are kept and read back after the disk is lost, up to the byte budget
 
+  @promise-1 @fault-disk-full
   Scenario: A full disk is passed over
     When a chunk is put while one of 4 disk VMs is full
     Then copies lie on three others
 
+  @promise-1 @fault-disk
   Scenario: Copies lost with a disk VM are written elsewhere
     When a disk VM is lost for good
     Then its chunks have three copies again and the newest loss was repaired first
--- a/features/claims.feature
+++ b/features/claims.feature
@@ -1,5 +1,6 @@
 Feature: A keyed request that must not be repeated runs at most once
 
+  @promise-5 @promise-6 @fault-kill @fault-outage @fault-lost-reply @fault-resend
   Scenario: At most one execution per key under resends, lost replies, outages and killed entries
     When claims: requests are sent and resent to entries whose service loses replies and that die
     Then claims: no key is executed twice
@@ -10,6 +11,7 @@
     When claims: a card is sent to one entry, then again to another, then with other content
     Then claims: the card ran once, the answers are the same and the other content is a conflict
 
+  @promise-5 @fault-outage
   Scenario: Nothing runs without the key-value service
     When claims: a card is sent during an outage and again after it
     Then claims: the first is refused as not run and the second runs once
@@ -18,6 +20,7 @@
     When claims: a caller goes while its card is being written
     Then claims: the resend gets the answer of the one execution
 
+  @promise-6 @fault-kill @fault-resend
   Scenario: The resend of a request whose entry died is told that the outcome is unknown
     When claims: an entry dies while it runs a card
     Then claims: the resend is answered unknown and the card is not run again
--- a/features/dispatch.feature
+++ b/features/dispatch.feature
@@ -1,5 +1,6 @@
 Feature: Running a call at endpoints under failure
 
+  @promise-5 @promise-6 @fault-kill @fault-cut
   Scenario: What follows a failed attempt depends on what provably happened
     When dispatch: any series of failed attempts is decided on
     Then dispatch: a call that must not be repeated is tried again only after nothing was sent
@@ -15,14 +16,17 @@
     Then dispatch: both answers are whole and come from the second endpoint
     And dispatch: the failure was laid to the first endpoint and every slot was given back
 
+  @promise-4 @fault-cut
   Scenario: A stream cut midway without a resume ends as an explicit error
     When dispatch: an endpoint without resume is cut midway
     Then dispatch: the caller sees an error event that says ran, no end mark and a closed connection
 
+  @promise-4 @fault-cut
   Scenario: A stream cut midway is resumed through the engine
     When dispatch: an engine breaks a stream after any number of tokens
     Then dispatch: the caller sees the whole text once
 
+  @promise-6 @fault-kill @fault-lost-reply
   Scenario: A call that must not be repeated reaches an endpoint at most once
     When dispatch: calls that must not be repeated meet endpoints that fail in any way
     Then dispatch: no call was executed twice and not_run was said only of calls never executed
@@ -35,10 +39,12 @@
     When dispatch: an endpoint closes a connection on its second request
     Then dispatch: the call is answered there on a new connection and nobody is blamed
 
+  @promise-4 @fault-crossed
   Scenario: A crossed answer is dropped
     When dispatch: an endpoint answers with another attempt's id
     Then dispatch: the answer comes from the other endpoint and the crossing is counted
 
+  @promise-4 @fault-late
   Scenario: Late answers reach nobody else
     When dispatch: many requests with short deadlines meet a slow endpoint
     Then dispatch: each caller got its own answer or a refusal
--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -11,6 +11,7 @@
     When a job with bad lines is submitted
     Then the refusal names the bad lines and nothing of the job is recorded or run
 
+  @promise-1 @fault-resend
   Scenario: Resends of a job meet the same job
     Given a batch fleet with 3 disk VMs and 2 nodes
     When a job is sent to two entries at once and again after it has ended
@@ -21,16 +22,19 @@
     When a job is sent and then other items under its key
     Then the second job is refused as a conflict that was not run
 
+  @promise-1 @fault-lost-reply
   Scenario: Lost replies of the key-value service leave one job
     Given a batch fleet with 3 disk VMs and 1 nodes
     When a job is sent while replies of the key-value service are lost
     Then the job's results are those of its 2500 items in order
 
+  @promise-1 @fault-kill @fault-resend
   Scenario: An accept that stopped halfway is completed by a resend and runs nothing before
     Given a batch fleet with 3 disk VMs and 1 nodes
     When the key-value service fails after any number of writes of a submission
     Then nothing ran before the resend and afterwards each item has one result
 
+  @promise-2
   Scenario: A cancelled job stops and keeps what was committed
     Given a batch fleet with 3 disk VMs and 2 nodes
     When a running job is cancelled
@@ -52,6 +56,7 @@
     When a team allowed one open job sends a second job and the first again
     Then the second is refused as not run and the first is met again
 
+  @promise-1 @fault-outage
   Scenario: Committed results stay readable while the key-value service is down
     Given a batch fleet with 3 disk VMs and 2 nodes
     When the key-value service goes down after one job has ended and another is half done
--- a/features/key_value_outage.feature
+++ b/features/key_value_outage.feature
@@ -8,6 +8,7 @@
     And key-value outage: settings changed afterwards come into force everywhere
 
   @fault-freeze @fault-cut
+  @promise-4 @fault-outage @fault-cut @fault-freeze
   Scenario: Questions are answered while the way to the service is frozen and cut
     Given key-value outage: a fleet whose key-value service is behind a fault proxy
     When key-value outage: the way to the service is frozen, then cut, while questions are asked
--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -1,9 +1,11 @@
 Feature: Planned stop
 
+  @promise-8 @fault-stop
   Scenario: A stop waits for every answer and request whatever comes in which order
     When a stop plan meets any course of answers and requests
     Then the stop plan never ends while a caller may come or is served
 
+  @promise-8 @fault-stop
   Scenario: A stop cuts no request
     When an entry is stopped while callers stream, read slowly and come with old answers
     Then every caller of the stopping entry got its whole answer
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -1,5 +1,6 @@
 Feature: requests go to endpoints that can serve them, the better of two choices first
 
+  @promise-7 @fault-leaving
   Scenario: only endpoints that serve the request and stay are tried
     When requests of any kind are routed over any endpoints
     Then only fitting endpoints are tried, never a leaving one, and none is forgotten
--- a/features/scheduler.feature
+++ b/features/scheduler.feature
@@ -1,5 +1,6 @@
 Feature: the home scheduler of an endpoint decides who uses its slots
 
+  @promise-3 @fault-load
   Scenario: any course of asks, releases, renewals, withdrawals, corrections and time
     When a slot table is driven through any course of events under each sharing policy
     Then every grant and every refusal kept its promise
@@ -29,6 +30,7 @@
     When its home is lost while grants live
     Then the new home counts the live grants and gives no more than the slots
 
+  @promise-7 @fault-leaving
   Scenario: an endpoint that is leaving gets nothing new
     Given a scheduler fleet with two nodes and 2 endpoints of 4 slots
     When one endpoint is set to leaving while requests wait for it
--- a/features/whole_path.feature
+++ b/features/whole_path.feature
@@ -7,6 +7,7 @@
     When whole path: the OpenAI client lists models, chats, streams and completes at each entry
     Then whole path: every answer is whole and that of its own prompt
 
+  @promise-6 @fault-resend
   Scenario: Cards are made once through any entry
     When whole path: cards are sent again to other entries under the same key
     Then whole path: the service made each card once and every caller got that card
@@ -16,6 +17,7 @@
     Then whole path: every item has one result, its own, and every question its answer
 
   @fault-kill @fault-cut
+  @promise-4 @fault-kill @fault-cut
   Scenario: An engine that dies and a network that cuts leave no answer short
     When whole path: questions are asked while engines crash and their connections are cut
     Then whole path: every answer is whole and its own or an explicit error
--- a/parsleyrouter/process/item_runs.py
+++ b/parsleyrouter/process/item_runs.py
@@ -117,6 +117,7 @@
             deadline_in_s=CALL_DEADLINE_S,
             prompt_tokens=len(item.body) // BYTES_PER_TOKEN,
             output_tokens=item.output_tokens,
+            prefix_key=f"{part.job}-{index}",
             job=part.job,
             slack_s=self.slack_s(),
             resume_token=self.tokens.get(index, ""),
