Check the parts of a paused process over a copy of its table

Cause: checking a part's owner may end its run at once, which changes the table that is being walked; the check stopped with an error and left parts unchecked. The stateful model of batch jobs found it. Ruled out: the model's own resume, which calls what the tick calls. Change: walk a copy. Also: the scenario of a cancelled job waits until something is committed before it cancels, and demands that it was; under load it cancelled before the first commit.

--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -229,6 +229,9 @@
         status = await desk.submit(spec(), pieces(job_body(4000)))
         await fleet.until(lambda: sum(fleet.dispatched.values()) > 500)
         context.before = await read_all(desk, status.job)
+        while not context.before:
+            await fleet.runtime.loop.sleep(0.02)
+            context.before = await read_all(desk, status.job)
         answer = await desk.cancel(TEAM, status.job)
         assert isinstance(answer, JobStatus), answer
         assert answer.state is JobState.CANCELLED
@@ -253,6 +256,7 @@
 
 @then("committed results are unchanged by the cancel")
 def unchanged(context: Any) -> None:
+    assert context.before
     assert context.after[: len(context.before)] == context.before
 
 
--- a/parsleyrouter/process/part_keeper.py
+++ b/parsleyrouter/process/part_keeper.py
@@ -103,7 +103,7 @@
 
     def check_runs(self) -> None:
         """Start no item until the records show which parts are still owned here."""
-        for runner in self.runners.values():
+        for runner in list(self.runners.values()):
             self.loop.spawn(runner.check_owned(), "check part")
 
     def _has_room(self, part: PartRecord) -> bool:
