Send to sockets and find the team of batch calls in one place each

The same lines stood in the HTTP server, the peer server and outbound streams, and in five batch handlers.

--- a/parsleyrouter/connection/api_batches.py
+++ b/parsleyrouter/connection/api_batches.py
@@ -1,9 +1,9 @@
 """``/v1/batches``: submit, watch, read and cancel batch jobs."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import TYPE_CHECKING, Any
 
-from parsleyrouter.connection.api_calls import IDEMPOTENCY_HEADER, team_of
+from parsleyrouter.connection.api_calls import IDEMPOTENCY_HEADER
 from parsleyrouter.connection.http import HttpReply, json_reply, refusal_reply
 from parsleyrouter.connection.http_server import Exchange, Routes
 from parsleyrouter.connection.upload import UploadBroken
@@ -27,15 +27,31 @@
 BODY_PIECE_BYTES = 64 * 1024
 
 
+TeamHandler = Callable[["EntryContext", Exchange, TeamName], Awaitable[HttpReply]]
+
+
+def _add(routes: Routes, method: str, path: str) -> Callable[[TeamHandler], TeamHandler]:
+    """Register a handler that is called only for a known team."""
+
+    def register(function: TeamHandler) -> TeamHandler:
+        @routes.add(method, path)
+        async def answer(context: "EntryContext", exchange: Exchange) -> HttpReply:
+            team = context.authentication.team(exchange.request.headers)
+            if isinstance(team, Refusal):
+                return refusal_reply(team)
+            return await function(context, exchange, team)
+
+        return function
+
+    return register
+
+
 def add_batch_routes(routes: Routes) -> None:
     """Add the routes."""
 
-    @routes.add("POST", "/v1/batches")
-    async def submit(context: "EntryContext", exchange: Exchange) -> HttpReply:
-        known = team_of(context, exchange)
-        if isinstance(known, Refusal):
-            return refusal_reply(known)
-        spec = _spec(exchange, *known)
+    @_add(routes, "POST", "/v1/batches")
+    async def submit(context: "EntryContext", exchange: Exchange, team: TeamName) -> HttpReply:
+        spec = _spec(exchange, team, context.view.settings().teams[team])
         if isinstance(spec, Refusal):
             return refusal_reply(spec)
         try:
@@ -44,44 +60,32 @@
             outcome = _bad(f"the job was not accepted: {error}")
         return _status_reply(outcome, 202)
 
-    @routes.add("GET", "/v1/batches")
-    async def list_jobs(context: "EntryContext", exchange: Exchange) -> HttpReply:
-        known = team_of(context, exchange)
-        if isinstance(known, Refusal):
-            return refusal_reply(known)
+    @_add(routes, "GET", "/v1/batches")
+    async def list_jobs(context: "EntryContext", exchange: Exchange, team: TeamName) -> HttpReply:
         query = exchange.request.query
         limit = _whole_number(query.get("limit"), LIST_LIMIT, 1, MOST_LISTED, "limit")
         if isinstance(limit, Refusal):
             return refusal_reply(limit)
-        found = await context.jobs.list(known[0], query.get("after", ""), limit)
+        found = await context.jobs.list(team, query.get("after", ""), limit)
         if isinstance(found, Refusal):
             return refusal_reply(found)
         data = [_job(status) for status in found]
         more = len(data) == limit
         return json_reply({"object": "list", "data": data, "has_more": more})
 
-    @routes.add("GET", "/v1/batches/{job}")
-    async def status(context: "EntryContext", exchange: Exchange) -> HttpReply:
-        known = team_of(context, exchange)
-        if isinstance(known, Refusal):
-            return refusal_reply(known)
-        outcome = await context.jobs.status(known[0], JobId(exchange.values["job"]))
+    @_add(routes, "GET", "/v1/batches/{job}")
+    async def status(context: "EntryContext", exchange: Exchange, team: TeamName) -> HttpReply:
+        outcome = await context.jobs.status(team, JobId(exchange.values["job"]))
         return _status_reply(outcome, 200)
 
-    @routes.add("DELETE", "/v1/batches/{job}")
-    async def cancel(context: "EntryContext", exchange: Exchange) -> HttpReply:
-        known = team_of(context, exchange)
-        if isinstance(known, Refusal):
-            return refusal_reply(known)
-        outcome = await context.jobs.cancel(known[0], JobId(exchange.values["job"]))
+    @_add(routes, "DELETE", "/v1/batches/{job}")
+    async def cancel(context: "EntryContext", exchange: Exchange, team: TeamName) -> HttpReply:
+        outcome = await context.jobs.cancel(team, JobId(exchange.values["job"]))
         return _status_reply(outcome, 200)
 
-    @routes.add("GET", "/v1/batches/{job}/results")
-    async def results(context: "EntryContext", exchange: Exchange) -> HttpReply:
-        known = team_of(context, exchange)
-        if isinstance(known, Refusal):
-            return refusal_reply(known)
-        return await _results(context, exchange, known[0])
+    @_add(routes, "GET", "/v1/batches/{job}/results")
+    async def results(context: "EntryContext", exchange: Exchange, team: TeamName) -> HttpReply:
+        return await _results(context, exchange, team)
 
 
 async def body_pieces(exchange: Exchange) -> AsyncIterator[bytes]:
--- a/parsleyrouter/connection/http_server.py
+++ b/parsleyrouter/connection/http_server.py
@@ -12,6 +12,7 @@
 
 from parsleyrouter.connection.http import HttpReply, HttpRequest, refusal_reply
 from parsleyrouter.connection.socket_set import SocketSet
+from parsleyrouter.connection.stream import send_some
 from parsleyrouter.ids import Address
 from parsleyrouter.outcome import Ran, Refusal, RefusalKind
 from parsleyrouter.process.loop import Loop, Promise, Task
@@ -190,9 +191,7 @@
             return
         if not self.server._buffers.get(sock):
             try:
-                data = data[sock.send(data) :]
-            except (BlockingIOError, InterruptedError):
-                pass
+                data = send_some(sock, data)
             except OSError:
                 self.fire(close(sock))
                 return
--- a/parsleyrouter/connection/peer.py
+++ b/parsleyrouter/connection/peer.py
@@ -13,7 +13,7 @@
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
-from parsleyrouter.connection.stream import ConnectFailed, Connector, Stream
+from parsleyrouter.connection.stream import ConnectFailed, Connector, Stream, send_some
 from parsleyrouter.ids import Address
 from parsleyrouter.process.loop import Loop, Promise, TimedOut
 from parsleyrouter.thrift_gen.peer.ttypes import Envelope
@@ -174,9 +174,7 @@
     def _send(self, sock: Any, data: bytes) -> None:
         if not self._buffers.get(sock):
             try:
-                data = data[sock.send(data) :]
-            except (BlockingIOError, InterruptedError):
-                pass
+                data = send_some(sock, data)
             except OSError:
                 self.fire(close(sock))
                 return
--- a/parsleyrouter/connection/stream.py
+++ b/parsleyrouter/connection/stream.py
@@ -11,7 +11,7 @@
 from parsleyrouter.ids import Address
 from parsleyrouter.process.loop import Loop, Promise, TimedOut
 
-__all__ = ["ConnectFailed", "Connector", "Stream", "split_address"]
+__all__ = ["ConnectFailed", "Connector", "Stream", "send_some", "split_address"]
 
 READ_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 1.0
@@ -27,6 +27,14 @@
     return host, int(port)
 
 
+def send_some(sock: socket.socket, data: bytes) -> bytes:
+    """Send what the socket takes now and return the rest; raise ``OSError`` when it is broken."""
+    try:
+        return data[sock.send(data) :]
+    except (BlockingIOError, InterruptedError):
+        return data
+
+
 class Stream:
     """One open connection; data and end of stream arrive by callback."""
 
@@ -107,14 +115,12 @@
 
     def _send_now(self, data: bytes) -> bytes:
         try:
-            sent = self.sock.send(data)
-        except (BlockingIOError, InterruptedError):
-            return data
+            rest = send_some(self.sock, data)
         except OSError:
             self.connector.loop.call_soon(self.lose)
             return b""
-        self.bytes_sent += sent
-        return data[sent:]
+        self.bytes_sent += len(data) - len(rest)
+        return rest
 
 
 class Connector(Component):
