--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -33,7 +33,7 @@
 from parsleyrouter.version.records import Change, SubtreeRecord
 from parsleyrouter.version.records import encode as encode_record
 
-AUTHOR = Author("ama", "127.0.0.1", 1.0)
+AUTHOR = Author("oncall", "127.0.0.1", 1.0)
 TEAM = parse_path("/teams/a")
 OUTAGE_S = 1.0
 FREEZE_S = 1.5
