Make shared metrics and read process costs in one place each

Five classes of metrics each kept their own table by registry; MetricSet keeps it now. Three benches read processor time and memory from /proc, each in its own way; features/support/process_cost.py does.

--- a/benches/control_processes.py
+++ b/benches/control_processes.py
@@ -7,7 +7,6 @@
 import hashlib
 import http.client
 import json
-import os
 import signal
 import subprocess
 import sys
@@ -15,7 +14,11 @@
 from pathlib import Path
 from typing import Any
 
-from control import ServiceThread, percentile
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from control import ServiceThread, percentile  # noqa: E402
+
+from features.support.process_cost import memory_mb, processor_s  # noqa: E402
 
 KEY = "bench-operator"
 PROCESSES = 8
@@ -24,7 +27,6 @@
 FREEZES = 4
 FREEZE_S = 10.0
 LIMIT_S = 60.0
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
 class Entry:
@@ -67,18 +69,6 @@
         """Return the nodes that this one believes up."""
         return {node["node"] for node in self.call("GET", "/v1/status")["nodes"]}
 
-    def cpu_s(self) -> float:
-        """Return the processor time used so far, in seconds."""
-        words = Path(f"/proc/{self.process.pid}/stat").read_text().rsplit(")", 1)[1].split()
-        return (int(words[11]) + int(words[12])) / TICKS_PER_S
-
-    def memory_mb(self) -> float:
-        """Return the resident memory in MB."""
-        for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
-            if line.startswith("VmRSS:"):
-                return float(line.split()[1]) / 1024
-        return 0.0
-
 
 def until(condition: Any) -> float:
     """Wait until a condition holds and return how long it took."""
@@ -113,10 +103,10 @@
 
 def measure_rest(entries: list[Entry]) -> None:
     """Measure what a process costs at rest."""
-    before = [entry.cpu_s() for entry in entries]
+    before = [processor_s(entry.process.pid) for entry in entries]
     time.sleep(QUIET_S)
-    share = sum(entry.cpu_s() for entry in entries) - sum(before)
-    memory = max(entry.memory_mb() for entry in entries)
+    share = sum(processor_s(entry.process.pid) for entry in entries) - sum(before)
+    memory = max(memory_mb(entry.process.pid) for entry in entries)
     print(
         f"at rest: {100 * share / QUIET_S / len(entries):.2f} % of a core a process,"
         f" at most {memory:.0f} MB resident",
--- a/benches/path.py
+++ b/benches/path.py
@@ -7,7 +7,6 @@
 
 import argparse
 import json
-import os
 import pstats
 import random
 import socket
@@ -21,6 +20,7 @@
 from hdrh.histogram import HdrHistogram  # noqa: E402
 
 from features.support.cluster import MODEL, TEAM_KEY, Cluster, ClusterPlan  # noqa: E402
+from features.support.process_cost import processor_s  # noqa: E402
 from features.support.processes import wait_until  # noqa: E402
 from parsleyrouter.connection.http import TransportFailure  # noqa: E402
 from parsleyrouter.ids import Address  # noqa: E402
@@ -34,7 +34,6 @@
 PATH = "/v1/chat/completions"
 US_PER_S = 1_000_000
 LONGEST_US = 60 * US_PER_S
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 OUT = Path("out")
 
 
@@ -48,12 +47,6 @@
     chunks: int = 0
 
 
-def processor_s(pid: int) -> float:
-    """Return the processor seconds that a process has used."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
-
-
 async def ask(runtime: Runtime, address: str, seen: Seen, number: int) -> None:
     """Send one streamed chat and note its first byte and its end."""
     content = f"question {number} " + "word " * 50
--- a/benches/rest.py
+++ b/benches/rest.py
@@ -7,7 +7,6 @@
 
 import argparse
 import json
-import os
 import sys
 import time
 from collections import defaultdict
@@ -18,7 +17,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from features.support.cluster import Cluster, ClusterPlan  # noqa: E402
-from features.support.processes import Process  # noqa: E402
+from features.support.process_cost import memory_mb, processor_s  # noqa: E402
 from parsleyrouter.connection.peer import pack  # noqa: E402
 from parsleyrouter.thrift_gen.grants.ttypes import (  # noqa: E402
     AskGrant,
@@ -27,7 +26,6 @@
 )
 from parsleyrouter.thrift_gen.peer.ttypes import Envelope  # noqa: E402
 
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 NODES = (2, 4)
 EXTRA_ENDPOINTS = 600
 SETTLE_S = 5.0
@@ -47,34 +45,18 @@
         self.cleanups.append(cleanup)
 
 
-def processor_s(process: Process) -> float:
-    """Return the processor time used so far."""
-    assert process.popen is not None
-    fields = Path(f"/proc/{process.popen.pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
-
-
-def memory_mb(process: Process) -> float:
-    """Return the resident memory."""
-    assert process.popen is not None
-    for line in Path(f"/proc/{process.popen.pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) / 1024
-    return 0.0
-
-
 def at_rest(cluster: Cluster, seconds: float) -> dict[str, dict[str, float]]:
     """Return the mean cost of each role."""
     time.sleep(SETTLE_S)
-    processes = {
-        role: [process for node in cluster.nodes if (process := getattr(node, role))]
+    pids = {
+        role: [one.popen.pid for node in cluster.nodes if (one := getattr(node, role))]
         for role in ("entry", "scheduler", "batch", "store")
     }
-    before = {id(one): processor_s(one) for found in processes.values() for one in found}
+    before = {pid: processor_s(pid) for found in pids.values() for pid in found}
     time.sleep(seconds)
     costs: dict[str, dict[str, float]] = defaultdict(dict)
-    for role, found in processes.items():
-        used = [(processor_s(one) - before[id(one)]) / seconds for one in found]
+    for role, found in pids.items():
+        used = [(processor_s(pid) - before[pid]) / seconds for pid in found]
         costs[role]["core_percent"] = round(100 * mean(used), 3)
         costs[role]["memory_mb"] = round(mean(map(memory_mb, found)), 1)
     return costs
--- a/parsleyrouter/connection/key_value_metrics.py
+++ b/parsleyrouter/connection/key_value_metrics.py
@@ -1,15 +1,13 @@
 """Counts of the calls that this process makes to the key-value service."""
 
-from weakref import WeakKeyDictionary
-
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
-__all__ = ["KeyValueMetrics"]
+from parsleyrouter.process.metric_set import MetricSet
 
-_by_registry: "WeakKeyDictionary[CollectorRegistry, KeyValueMetrics]" = WeakKeyDictionary()
+__all__ = ["KeyValueMetrics"]
 
 
-class KeyValueMetrics:
+class KeyValueMetrics(MetricSet):
     """Metrics shared by all clients of one registry."""
 
     def __init__(self, registry: CollectorRegistry) -> None:
@@ -35,10 +33,3 @@
             "Time from sending a call to its answer, in seconds.",
             registry=registry,
         )
-
-    @staticmethod
-    def of(registry: CollectorRegistry) -> "KeyValueMetrics":
-        """Return the metrics of a registry."""
-        if registry not in _by_registry:
-            _by_registry[registry] = KeyValueMetrics(registry)
-        return _by_registry[registry]
--- a/parsleyrouter/process/batch_metrics.py
+++ b/parsleyrouter/process/batch_metrics.py
@@ -1,15 +1,13 @@
 """Metrics of batch parts and chunks."""
 
-from weakref import WeakKeyDictionary
-
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
-__all__ = ["BatchMetrics"]
+from parsleyrouter.process.metric_set import MetricSet
 
-_BY_REGISTRY: "WeakKeyDictionary[CollectorRegistry, BatchMetrics]" = WeakKeyDictionary()
+__all__ = ["BatchMetrics"]
 
 
-class BatchMetrics:
+class BatchMetrics(MetricSet):
     """Count parts, items and chunks."""
 
     def __init__(self, registry: CollectorRegistry) -> None:
@@ -41,11 +39,3 @@
         self.repaired = Counter(
             "parsley_chunk_copies_repaired", "Copies of chunks written again", registry=registry
         )
-
-    @classmethod
-    def of(cls, registry: CollectorRegistry) -> "BatchMetrics":
-        """Return the metrics of a registry, made once."""
-        found = _BY_REGISTRY.get(registry)
-        if found is None:
-            found = _BY_REGISTRY[registry] = cls(registry)
-        return found
--- a/parsleyrouter/process/call_metrics.py
+++ b/parsleyrouter/process/call_metrics.py
@@ -1,18 +1,16 @@
 """Metrics of calls and attempts."""
 
-from weakref import WeakKeyDictionary
-
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from parsleyrouter.process.metric_set import MetricSet
+
 __all__ = ["CallMetrics"]
 
 FIRST_BYTE_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.2, 2.5, 5.0, 10.0, 30.0)
 GRANT_BUCKETS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 1.0, 10.0)
 
-_BY_REGISTRY: "WeakKeyDictionary[CollectorRegistry, CallMetrics]" = WeakKeyDictionary()
 
-
-class CallMetrics:
+class CallMetrics(MetricSet):
     """Count what callers and endpoints saw."""
 
     def __init__(self, registry: CollectorRegistry) -> None:
@@ -42,11 +40,3 @@
             buckets=FIRST_BYTE_BUCKETS_S,
             registry=registry,
         )
-
-    @classmethod
-    def of(cls, registry: CollectorRegistry) -> "CallMetrics":
-        """Return the metrics of a registry, made once."""
-        found = _BY_REGISTRY.get(registry)
-        if found is None:
-            found = _BY_REGISTRY[registry] = cls(registry)
-        return found
--- a/parsleyrouter/process/grant_metrics.py
+++ b/parsleyrouter/process/grant_metrics.py
@@ -1,16 +1,13 @@
 """Metrics of grants, on the side that asks and on the side that gives."""
 
-from weakref import WeakKeyDictionary
-
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
-__all__ = ["ClientMetrics", "SchedulerMetrics"]
+from parsleyrouter.process.metric_set import MetricSet
 
-_CLIENTS: "WeakKeyDictionary[CollectorRegistry, ClientMetrics]" = WeakKeyDictionary()
-_SCHEDULERS: "WeakKeyDictionary[CollectorRegistry, SchedulerMetrics]" = WeakKeyDictionary()
+__all__ = ["ClientMetrics", "SchedulerMetrics"]
 
 
-class ClientMetrics:
+class ClientMetrics(MetricSet):
     """Count what a process that asks for slots saw."""
 
     def __init__(self, registry: CollectorRegistry) -> None:
@@ -22,16 +19,8 @@
             "parsley_schedulers_silent", "Asks that no scheduler answered", registry=registry
         )
 
-    @classmethod
-    def of(cls, registry: CollectorRegistry) -> "ClientMetrics":
-        """Return the metrics of a registry, made once."""
-        found = _CLIENTS.get(registry)
-        if found is None:
-            found = _CLIENTS[registry] = cls(registry)
-        return found
 
-
-class SchedulerMetrics:
+class SchedulerMetrics(MetricSet):
     """Count what a scheduler decided."""
 
     def __init__(self, registry: CollectorRegistry) -> None:
@@ -53,11 +42,3 @@
         self.foreign = Gauge(
             "parsley_slots_foreign", "Slots that others use", ("endpoint",), registry=registry
         )
-
-    @classmethod
-    def of(cls, registry: CollectorRegistry) -> "SchedulerMetrics":
-        """Return the metrics of a registry, made once."""
-        found = _SCHEDULERS.get(registry)
-        if found is None:
-            found = _SCHEDULERS[registry] = cls(registry)
-        return found
