--- /dev/null
+++ b/parsleyrouter/connection/endpoint_client.py
@@ -0,0 +1,126 @@
+"""Requests to endpoints: headers as they came, answers matched to the request by its id."""
+
+from collections.abc import Sequence
+from typing import Any
+
+import h11
+
+from parsleyrouter.connection.http import TransportFailure
+from parsleyrouter.connection.http_client import HttpClient
+from parsleyrouter.connection.http_exchange import PAUSE_ABOVE_BYTES, HttpExchange
+from parsleyrouter.ids import Address, RequestId
+
+__all__ = ["EndpointClient", "EndpointExchange", "RawHeaders"]
+
+RawHeaders = Sequence[tuple[bytes, bytes]]
+
+
+class EndpointExchange(HttpExchange):
+    """One request under way at an endpoint.
+
+    An endpoint may send an answer twice or late, where the next one is expected; an answer with
+    another id than ``request`` is skipped.
+    """
+
+    id_header = ""
+    request = RequestId("")
+    sent_head: h11.Request | None = None
+    raw_headers: RawHeaders = ()
+    reason = b""
+    skipping = False
+    skipped = 0
+
+    def send_request(
+        self, method: str, target: str, headers: RawHeaders, body: bytes, *, request: RequestId
+    ) -> None:
+        """Send the whole request; ``headers`` hold its host and no length."""
+        self.request = request
+        lines = [*headers]
+        if body or method not in ("GET", "HEAD", "DELETE"):
+            lines.append((b"Content-Length", b"%d" % len(body)))
+        self.sent_head = h11.Request(method=method, target=target, headers=lines)
+        data = self.parser.send(self.sent_head) or b""
+        if body:
+            data += self.parser.send(h11.Data(data=body)) or b""
+        data += self.parser.send(h11.EndOfMessage()) or b""
+        self.stream.send(data)
+
+    @property
+    def identified(self) -> bool:
+        """Tell whether the answer names the request that it answers."""
+        return self.headers.get(self.id_header) == self.request
+
+    @property
+    def framed(self) -> bool:
+        """Tell whether the answer's length can be told without the end of the connection."""
+        return "content-length" in self.headers or "transfer-encoding" in self.headers
+
+    def _take_events(self) -> None:
+        while True:
+            event: Any = self.parser.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                break
+            if isinstance(event, h11.Response):
+                self._take_head(event)
+            elif isinstance(event, h11.Data):
+                if not self.skipping:
+                    self.pieces.append(bytes(event.data))
+                    self.pending_bytes += len(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                if self.skipping and self._expect_next():
+                    continue
+                self.ended = True
+                self._end_watch()
+                self.client.release(self)
+                break
+            elif isinstance(event, h11.ConnectionClosed):
+                self.fail("connection closed early")
+                return
+        if self.pending_bytes > PAUSE_ABOVE_BYTES and not self.ended:
+            self.stream.pause()
+        self._notify()
+
+    def _take_head(self, event: h11.Response) -> None:
+        headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
+        if headers.get(self.id_header, self.request) != self.request:
+            self.skipping = True
+            return
+        self.headers = headers
+        self.raw_headers = event.headers.raw_items()
+        self.reason = bytes(event.reason)
+        self.status = event.status_code
+
+    def _expect_next(self) -> bool:
+        """Go on to the answer behind a skipped one; return whether the connection allows it."""
+        self.skipping = False
+        self.skipped += 1
+        trailing = self.parser.trailing_data[0]
+        if self.parser.their_state is not h11.DONE or self.sent_head is None:
+            self.fail("the connection ended with the answer to another request")
+            return False
+        self.parser = h11.Connection(h11.CLIENT)
+        self.parser.send(self.sent_head)
+        length = dict(self.sent_head.headers).get(b"content-length", b"0")
+        if int(length):
+            self.parser.send(h11.Data(data=bytes(int(length))))
+        self.parser.send(h11.EndOfMessage())
+        if trailing:
+            self.parser.receive_data(trailing)
+        return True
+
+
+class EndpointClient(HttpClient):
+    """Open exchanges with endpoints; ``id_header`` names the header that carries request ids."""
+
+    exchange_type = EndpointExchange
+    id_header = ""
+
+    async def start(
+        self, address: Address, fresh: bool = False
+    ) -> EndpointExchange | TransportFailure:
+        """Return an exchange on an idle or a new connection; nothing is sent yet."""
+        exchange = await self.connect(address, fresh)
+        if isinstance(exchange, EndpointExchange):
+            exchange.id_header = self.id_header
+        assert isinstance(exchange, EndpointExchange | TransportFailure)
+        return exchange
--- a/parsleyrouter/connection/etcd.py
+++ b/parsleyrouter/connection/etcd.py
@@ -5,9 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
-
-from parsleyrouter.connection.call_budget import BudgetRefusal, BudgetSettings, CallBudget
+from parsleyrouter.connection.call_budget import BudgetSettings
 from parsleyrouter.connection.etcd_format import (
     decode_entries,
     decode_revision,
@@ -15,7 +13,6 @@
     range_end,
 )
 from parsleyrouter.connection.etcd_watch import EtcdWatch
-from parsleyrouter.connection.http import HttpReply, Sent, TransportFailure
 from parsleyrouter.connection.key_value import (
     Changed,
     Conflict,
@@ -26,20 +23,16 @@
     Lease,
     Swapped,
 )
-from parsleyrouter.connection.key_value_metrics import KeyValueMetrics
-from parsleyrouter.ids import Address, Revision
+from parsleyrouter.connection.key_value_calls import CALL_TIMEOUT_S, KeyValueCalls
+from parsleyrouter.ids import Revision
 from parsleyrouter.process.runtime import Runtime
 
 __all__ = ["EtcdKeyValue"]
 
-CALL_TIMEOUT_S = 2.0
 WATCH_SILENCE_S = 10.0
-TOO_MANY_STATUS = 429
-SERVER_ERROR_STATUS = 500
-WRITES = frozenset({"swap", "delete", "grant", "revoke"})
 
 
-class EtcdKeyValue:
+class EtcdKeyValue(KeyValueCalls):
     """Call the key-value service within this process's budget.
 
     ``watch`` starts with the change of revision ``start`` itself; 0 means from now on.
@@ -54,13 +47,8 @@
         watch_silence_s: float = WATCH_SILENCE_S,
         budget: BudgetSettings | None = None,
     ) -> None:
-        self.runtime = runtime
-        self.loop = runtime.loop
-        self.address = Address(address)
-        self.timeout_s = timeout_s
+        super().__init__(runtime, address, timeout_s=timeout_s, budget=budget)
         self.watch_silence_s = watch_silence_s
-        self.budget = CallBudget(budget)
-        self.metrics = KeyValueMetrics.of(runtime.metrics)
 
     async def get(self, key: str) -> Entry | None | KeyValueFailure:
         """Read one key."""
@@ -131,47 +119,6 @@
         """Report changes from a revision on; after ``on_lost`` scan and watch anew."""
         return EtcdWatch(self, prefix, start, on_change, on_lost)
 
-    async def admit(self, kind: str) -> KeyValueFailure | None:
-        """Wait for a place in the budget and count the call."""
-        place = self.budget.reserve(self.loop.now())
-        if isinstance(place, BudgetRefusal):
-            return self._failure(kind, _REFUSED[place])
-        if place > 0:
-            await self.loop.sleep(place)
-        self.metrics.calls.labels(kind).inc()
-        return None
-
-    async def call(
-        self, kind: str, path: str, request: dict[str, Any]
-    ) -> dict[str, Any] | KeyValueFailure:
-        """Make one call and return the reply's JSON object."""
-        refused = await self.admit(kind)
-        if refused is not None:
-            return refused
-        begun_s = self.loop.now()
-        reply = await self.runtime.http.request(
-            self.address,
-            "POST",
-            path,
-            headers={"content-type": "application/json"},
-            body=msgspec.json.encode(request),
-            timeout_s=self.timeout_s,
-        )
-        outcome = read_reply(reply, kind)
-        if isinstance(outcome, KeyValueFailure):
-            return self.note_failure(kind, outcome)
-        self.budget.succeeded(self.loop.now())
-        self.metrics.seconds.observe(self.loop.now() - begun_s)
-        return outcome
-
-    def note_failure(self, kind: str, failure: KeyValueFailure) -> KeyValueFailure:
-        """Count a failure; back off unless the service answered with a refusal."""
-        if failure.kind is KeyValueFailureKind.REFUSED:
-            self.budget.succeeded(self.loop.now())
-        else:
-            self.budget.failed(self.loop.now())
-        return self._failure(kind, failure)
-
     async def _transact(
         self, kind: str, key: str, expected: Revision, change: dict[str, Any]
     ) -> Swapped | Conflict | KeyValueFailure:
@@ -193,38 +140,3 @@
             return Swapped(decode_revision(body))
         found = decode_entries(body["responses"][0].get("response_range", {}))
         return Conflict(found[0] if found else None)
-
-    def _failure(self, kind: str, failure: KeyValueFailure) -> KeyValueFailure:
-        self.metrics.failures.labels(kind, failure.kind.value).inc()
-        return failure
-
-
-_REFUSED = {
-    BudgetRefusal.OVER_BUDGET: KeyValueFailure(
-        KeyValueFailureKind.OVER_BUDGET, "call budget used up; make fewer calls or raise it"
-    ),
-    BudgetRefusal.BACKING_OFF: KeyValueFailure(
-        KeyValueFailureKind.UNAVAILABLE, "key-value service does not answer; try again later"
-    ),
-}
-
-
-def read_reply(reply: HttpReply | TransportFailure, kind: str) -> dict[str, Any] | KeyValueFailure:
-    """Return the JSON object of a reply or the failure that it means."""
-    writes = kind in WRITES
-    if isinstance(reply, TransportFailure):
-        if reply.sent is Sent.NOTHING:
-            return KeyValueFailure(KeyValueFailureKind.UNAVAILABLE, reply.message)
-        return KeyValueFailure(KeyValueFailureKind.TIMEOUT, reply.message, maybe_applied=writes)
-    if reply.status == TOO_MANY_STATUS:
-        return KeyValueFailure(KeyValueFailureKind.OVER_BUDGET, "key-value service is overloaded")
-    try:
-        body = msgspec.json.decode(reply.body.split(b"\n", 1)[0])
-    except msgspec.DecodeError:
-        body = None
-    if reply.status >= SERVER_ERROR_STATUS or not isinstance(body, dict):
-        message = f"key-value service failed with status {reply.status}; try again later"
-        return KeyValueFailure(KeyValueFailureKind.UNAVAILABLE, message, maybe_applied=writes)
-    if reply.status != 200:
-        return KeyValueFailure(KeyValueFailureKind.REFUSED, str(body.get("error", reply.status)))
-    return body
--- /dev/null
+++ b/parsleyrouter/connection/forward_server.py
@@ -0,0 +1,170 @@
+"""An HTTP server whose answers are passed on as they come, byte for byte."""
+
+import logging
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import Any
+
+from circuits.net.events import close
+
+from parsleyrouter.connection.endpoint_client import RawHeaders
+from parsleyrouter.connection.guarded_connection import GuardedConnection
+from parsleyrouter.connection.http_guard import GuardedHttpServer
+from parsleyrouter.connection.http_limits import HttpLimits, RequestHead
+from parsleyrouter.connection.http_server import Routes
+from parsleyrouter.connection.upload import Upload
+from parsleyrouter.ids import Address
+from parsleyrouter.process.loop import Loop
+
+__all__ = ["CallerExchange", "ForwardServer"]
+
+DRAIN_ABOVE_BYTES = 256 * 1024
+"""Bytes waiting for a slow caller above which reading from the endpoint pauses."""
+
+DRAIN_CHECK_S = 0.01
+
+log = logging.getLogger(__name__)
+
+
+class CallerExchange:
+    """One request of a caller and the answer to it."""
+
+    def __init__(
+        self, server: "ForwardServer", connection: GuardedConnection, head: RequestHead, body: bytes
+    ) -> None:
+        self.server = server
+        self.sock = connection.sock
+        self.head = head
+        self.body = body
+        self.received_s = connection.begun_s
+        self.chunked = False
+        self.begun = False
+        self.finished = False
+        self.on_gone: Callable[[], None] | None = None
+
+    @property
+    def gone(self) -> bool:
+        """Tell whether the caller has closed the connection."""
+        return self.sock not in self.server.server._clients
+
+    @property
+    def closes(self) -> bool:
+        """Tell whether the connection ends with this answer."""
+        return self.server.closing or not self.head.keep_alive
+
+    def begin(self, status: int, reason: bytes, headers: RawHeaders, length: int | None) -> None:
+        """Send status and headers; a body without a known length is sent in chunks."""
+        self.begun = True
+        if not reason:
+            reason = HTTPStatus(status).phrase.encode() if status in _KNOWN else b"Unknown"
+        lines = [b"HTTP/1.1 %d %s" % (status, reason)]
+        lines += [b"%s: %s" % header for header in headers]
+        if length is not None:
+            lines.append(b"Content-Length: %d" % length)
+        elif self.head.protocol >= (1, 1):
+            self.chunked = True
+            lines.append(b"Transfer-Encoding: chunked")
+        if self.closes:
+            lines.append(b"Connection: close")
+        self.server.send(self.sock, b"\r\n".join(lines) + b"\r\n\r\n")
+
+    def send(self, data: bytes) -> None:
+        """Send a piece of the body without waiting."""
+        if self.finished or not data:
+            return
+        if self.chunked:
+            data = b"%x\r\n%s\r\n" % (len(data), data)
+        self.server.send(self.sock, data)
+
+    async def drain(self) -> None:
+        """Wait until the caller has read enough for more to be sent."""
+        while not self.gone and self.server.buffered_bytes(self.sock) > DRAIN_ABOVE_BYTES:
+            await self.server.loop.sleep(DRAIN_CHECK_S)
+
+    def finish(self) -> None:
+        """End the answer as complete."""
+        if self.finished:
+            return
+        if self.chunked:
+            self.server.send(self.sock, b"0\r\n\r\n")
+        self._end(self.closes or (not self.chunked and self.head.protocol < (1, 1)))
+
+    def abort(self) -> None:
+        """Close the connection so that the caller sees an incomplete answer."""
+        if not self.finished:
+            self._end(close_now=True)
+
+    def reply(self, status: int, headers: RawHeaders, body: bytes) -> None:
+        """Send a whole answer."""
+        self.begin(status, b"", headers, len(body))
+        if self.head.method != "HEAD":
+            self.send(body)
+        self.finish()
+
+    def _end(self, close_now: bool) -> None:
+        self.finished = True
+        self.on_gone = None
+        self.server.ended(self.sock, close_now)
+
+
+Answer = Callable[[CallerExchange], Awaitable[None]]
+
+
+class ForwardServer(GuardedHttpServer):
+    """Hand each whole request to ``answer``, which must end the exchange."""
+
+    def __init__(
+        self, loop: Loop, bind: Address, answer: Answer, channel: str, limits: HttpLimits
+    ) -> None:
+        super().__init__(loop, bind, Routes(), None, channel=channel, limits=limits)
+        self.answer = answer
+        self.exchanges: dict[Any, CallerExchange] = {}
+
+    def begin(self, connection: GuardedConnection, body: bytes, upload: Upload | None) -> None:
+        """Answer a request whose body is whole."""
+        assert connection.head is not None
+        exchange = CallerExchange(self, connection, connection.head, body)
+        self.exchanges[exchange.sock] = exchange
+        self.watchers[exchange.sock] = lambda: self._lost(exchange)
+        name = f"{exchange.head.method} {exchange.head.path}"
+        task = self.loop.spawn(self._answer_one(exchange), name)
+        if not task.done:
+            self.tasks[exchange.sock] = task
+
+    def ended(self, sock: Any, close_now: bool) -> None:
+        """Forget an answered request and read the next one, or close."""
+        self.watchers.pop(sock, None)
+        self.tasks.pop(sock, None)
+        self.exchanges.pop(sock, None)
+        connection = self.connections.get(sock)
+        if connection is None:
+            return
+        if close_now:
+            self.fire(close(sock))
+        else:
+            connection.next()
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is under way."""
+        for sock, connection in list(self.connections.items()):
+            if connection.idle and sock not in self.exchanges:
+                self.fire(close(sock))
+
+    async def _answer_one(self, exchange: CallerExchange) -> None:
+        try:
+            await self.answer(exchange)
+        except Exception:
+            log.exception("request failed", extra={"path": exchange.head.path})
+            if not exchange.begun:
+                exchange.reply(HTTPStatus.INTERNAL_SERVER_ERROR, (), b"")
+        finally:
+            exchange.abort()
+
+    def _lost(self, exchange: CallerExchange) -> None:
+        self.exchanges.pop(exchange.sock, None)
+        exchange.finished = True
+        if exchange.on_gone is not None:
+            exchange.on_gone()
+
+
+_KNOWN = frozenset(HTTPStatus)
--- a/parsleyrouter/connection/guarded_connection.py
+++ b/parsleyrouter/connection/guarded_connection.py
@@ -46,6 +46,8 @@
         self.parser = self._new_parser()
         self.stage = Stage.IDLE
         self.since_s = server.loop.now()
+        self.begun_s = self.since_s
+        """When the first byte of the request under way was read."""
         self.head: RequestHead | None = None
         self.body: list[bytes] = []
         self.body_bytes = 0
@@ -57,6 +59,11 @@
         self.unsent = 0
         self.unsent_since_s = 0.0
 
+    @property
+    def idle(self) -> bool:
+        """Tell whether no request is under way."""
+        return self.stage is Stage.IDLE
+
     def describe(self) -> str:
         """Name the request for a log line."""
         return f"{self.head.method} {self.head.path}" if self.head else self.remote
@@ -70,6 +77,7 @@
             return
         if self.stage is Stage.IDLE:
             self._enter(Stage.HEAD)
+            self.begun_s = self.since_s
         elif self.stage is Stage.BODY or self.body_pending:
             self.since_s = self.server.loop.now()
         self._parse(data)
--- /dev/null
+++ b/parsleyrouter/connection/http_exchange.py
@@ -0,0 +1,184 @@
+"""One request under way over HTTP/1.1, and its reply read piece by piece."""
+
+import math
+from collections import deque
+from collections.abc import Mapping
+from typing import TYPE_CHECKING, Any
+
+import h11
+
+from parsleyrouter.connection.http import HttpReply, Sent, TransportFailure
+from parsleyrouter.connection.stream import Stream
+from parsleyrouter.process.loop import Promise, Timer
+
+if TYPE_CHECKING:
+    from parsleyrouter.connection.http_client import HttpClient
+
+__all__ = ["PAUSE_ABOVE_BYTES", "HttpExchange"]
+
+BODY_GAP_TIMEOUT_S = 30.0
+PAUSE_ABOVE_BYTES = 256 * 1024
+
+
+class HttpExchange:
+    """One request under way and its reply, read piece by piece."""
+
+    def __init__(self, client: "HttpClient", stream: Stream) -> None:
+        self.client = client
+        self.stream = stream
+        self.parser = h11.Connection(h11.CLIENT)
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.pieces: deque[bytes] = deque()
+        self.pending_bytes = 0
+        self.ended = False
+        self.failure: TransportFailure | None = None
+        self.reused = False
+        self.closed_early = False
+        self.idle_until_s = math.inf
+        """When a connection that is kept is no longer used again."""
+        self.waiter: Promise[None] | None = None
+        self.wait_until_s = 0.0
+        self.wait_reason = ""
+        self.watch: Timer | None = None
+        self.attach()
+
+    def attach(self) -> None:
+        """Take over the stream's callbacks."""
+        self.stream.on_data = self._on_data
+        self.stream.on_close = self._on_closed
+
+    def send(self, method: str, target: str, headers: Mapping[str, str], body: bytes) -> None:
+        """Send the whole request."""
+        lines = [("host", self.stream.address), ("content-length", str(len(body)))]
+        lines += list(headers.items())
+        data = self.parser.send(h11.Request(method=method, target=target, headers=lines)) or b""
+        if body:
+            data += self.parser.send(h11.Data(data=body)) or b""
+        data += self.parser.send(h11.EndOfMessage()) or b""
+        self.stream.send(data)
+
+    async def wait_headers(self, timeout_s: float) -> TransportFailure | None:
+        """Wait for status and headers; return the failure if there is one."""
+        while not self.status and self.failure is None:
+            await self._wait(timeout_s, "no reply headers")
+        return self.failure
+
+    async def read(self, timeout_s: float = BODY_GAP_TIMEOUT_S) -> bytes | None | TransportFailure:
+        """Return what has arrived of the body, ``None`` at its end."""
+        while not self.pieces and not self.ended and self.failure is None:
+            await self._wait(timeout_s, "no more of the body")
+        if self.pieces:
+            data = b"".join(self.pieces)
+            self.pieces.clear()
+            self.pending_bytes = 0
+            self.stream.resume()
+            return data
+        if self.ended:
+            return None
+        return self.failure
+
+    async def read_all(self, timeout_s: float) -> HttpReply | TransportFailure:
+        """Return the whole reply."""
+        failure = await self.wait_headers(timeout_s)
+        if failure is not None:
+            return failure
+        parts: list[bytes] = []
+        while True:
+            piece = await self.read(timeout_s)
+            if isinstance(piece, TransportFailure):
+                return piece
+            if piece is None:
+                return HttpReply(self.status, self.headers, b"".join(parts))
+            parts.append(piece)
+
+    def cancel(self) -> None:
+        """Close the connection; the other side sees the caller go."""
+        self.fail("cancelled")
+
+    def fail(self, message: str) -> None:
+        """End the exchange with a failure unless it has ended."""
+        if self.ended or self.failure is not None:
+            return
+        sent = Sent.MAYBE if self.stream.bytes_sent else Sent.NOTHING
+        self.failure = TransportFailure(f"{self.stream.address}: {message}", sent)
+        self._end_watch()
+        self.stream.close()
+        self._notify()
+
+    async def _wait(self, timeout_s: float, what: str) -> None:
+        """Wait for news; one timer serves all waits of the exchange."""
+        loop = self.client.loop
+        self.wait_until_s = loop.now() + timeout_s
+        self.wait_reason = f"{what} within {timeout_s:g} s"
+        if self.watch is None or self.watch.due_s > self.wait_until_s:
+            self._watch_after(timeout_s)
+        self.waiter = loop.promise()
+        await self.waiter
+        self.waiter = None
+
+    def _watch_after(self, delay_s: float) -> None:
+        if self.watch is not None:
+            self.watch.cancel()
+        self.watch = self.client.loop.call_later(delay_s, self._check_wait)
+
+    def _check_wait(self) -> None:
+        self.watch = None
+        if self.waiter is None or self.ended or self.failure is not None:
+            return
+        left_s = self.wait_until_s - self.client.loop.now()
+        if left_s <= 0:
+            self.fail(self.wait_reason)
+        else:
+            self._watch_after(left_s)
+
+    def _end_watch(self) -> None:
+        if self.watch is not None:
+            self.watch.cancel()
+            self.watch = None
+
+    def _on_closed(self) -> None:
+        """Take the end of the connection; one that was reset ends no answer."""
+        if self.stream.was_reset:
+            self.closed_early = not self.ended
+            self.fail("connection reset")
+        else:
+            self._on_data(b"")
+
+    def _on_data(self, data: bytes) -> None:
+        if not data and self.failure is None and not self.ended:
+            self.closed_early = True
+        try:
+            self.parser.receive_data(data)
+            self._take_events()
+        except h11.RemoteProtocolError as error:
+            self.fail(f"broken reply: {error}" if data else "connection closed early")
+        if not data:
+            self.fail("connection closed early")
+
+    def _take_events(self) -> None:
+        while True:
+            event: Any = self.parser.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                break
+            if isinstance(event, h11.Response):
+                self.headers = {k.decode(): v.decode("latin-1") for k, v in event.headers}
+                self.status = event.status_code
+            elif isinstance(event, h11.Data):
+                self.pieces.append(bytes(event.data))
+                self.pending_bytes += len(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self.ended = True
+                self._end_watch()
+                self.client.release(self)
+                break
+            elif isinstance(event, h11.ConnectionClosed):
+                self.fail("connection closed early")
+                return
+        if self.pending_bytes > PAUSE_ABOVE_BYTES and not self.ended:
+            self.stream.pause()
+        self._notify()
+
+    def _notify(self) -> None:
+        if self.waiter is not None:
+            self.waiter.resolve(None)
--- a/parsleyrouter/connection/http_limits.py
+++ b/parsleyrouter/connection/http_limits.py
@@ -44,6 +44,8 @@
     headers: Mapping[str, str]
     protocol: tuple[int, int]
     length: int | None
+    raw: tuple[tuple[bytes, bytes], ...] = ()
+    """The headers as they were sent, repeated ones included."""
 
     @property
     def streamed(self) -> bool:
@@ -70,6 +72,7 @@
         headers=headers,
         protocol=(int(major), int(minor)),
         length=int(length) if length is not None else None,
+        raw=tuple(request.headers.raw_items()),
     )
 
 
--- a/parsleyrouter/connection/key_value.py
+++ b/parsleyrouter/connection/key_value.py
@@ -1,6 +1,6 @@
 """The port to the platform's key-value service."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -9,16 +9,23 @@
 
 __all__ = [
     "ABSENT",
+    "ChangePage",
     "Changed",
     "Conflict",
     "Entry",
     "EntryPage",
+    "HistoryLost",
     "KeyValue",
     "KeyValueFailure",
     "KeyValueFailureKind",
     "Lease",
+    "LeaseLost",
     "Swapped",
+    "Transaction",
+    "TransactionConflict",
+    "TransactionalKeyValue",
     "Watch",
+    "Write",
 ]
 
 ABSENT = Revision(0)
@@ -96,6 +103,49 @@
     entry: Entry | None
 
 
+@dataclass(frozen=True)
+class ChangePage:
+    """Changes of a prefix in order, and the revision to ask on from."""
+
+    changes: tuple[Changed, ...]
+    revision: Revision
+
+
+@dataclass(frozen=True)
+class HistoryLost:
+    """Report that the changes asked for are no longer kept; read the keys anew."""
+
+
+@dataclass(frozen=True)
+class LeaseLost:
+    """Report a write that did not take effect because its lease has ended."""
+
+
+@dataclass(frozen=True)
+class Write:
+    """One key to be written; a lease of 0 means that the key stays."""
+
+    key: str
+    value: bytes
+    lease: int = 0
+
+
+@dataclass(frozen=True)
+class Transaction:
+    """Writes and deletions that take effect together if all keys have the expected revisions."""
+
+    expected: Mapping[str, Revision]
+    writes: tuple[Write, ...] = ()
+    deletes: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class TransactionConflict:
+    """Report a transaction without effect; ``current`` holds the expected keys that exist."""
+
+    current: Mapping[str, Entry]
+
+
 class Watch(Protocol):
     """A watch under way."""
 
@@ -139,3 +189,34 @@
         on_lost: Callable[[str], None],
     ) -> Watch:
         """Report changes from a revision on; after ``on_lost`` scan and watch anew."""
+
+
+class TransactionalKeyValue(Protocol):
+    """A key-value service with transactions over several keys and held-back reads of changes."""
+
+    async def get(self, key: str) -> Entry | None | KeyValueFailure:
+        """Read one key."""
+
+    async def scan(
+        self, prefix: str, *, after: str = "", stale: bool = False
+    ) -> EntryPage | KeyValueFailure:
+        """Read a page of keys under a prefix; a stale read is cheap and may be seconds old."""
+
+    async def transact(
+        self, transaction: Transaction
+    ) -> Swapped | TransactionConflict | LeaseLost | KeyValueFailure:
+        """Write several keys at once; after ``maybe_applied`` it may still take effect later."""
+
+    async def changes(
+        self, prefix: str, after: Revision, wait_s: float
+    ) -> ChangePage | HistoryLost | KeyValueFailure:
+        """Return the changes behind a revision, waiting up to ``wait_s`` for the first one."""
+
+    async def grant(self, ttl_s: float) -> Lease | KeyValueFailure:
+        """Take a lease."""
+
+    async def renew(self, lease: int) -> Lease | None | KeyValueFailure:
+        """Renew a lease; ``None`` when it has lapsed."""
+
+    async def revoke(self, lease: int) -> None | KeyValueFailure:
+        """Give a lease back, deleting its keys."""
--- /dev/null
+++ b/parsleyrouter/connection/key_value_calls.py
@@ -0,0 +1,141 @@
+"""What the clients of every key-value service share: budget, metrics and failures of calls."""
+
+from typing import Any
+
+import msgspec
+
+from parsleyrouter.connection.call_budget import BudgetRefusal, BudgetSettings, CallBudget
+from parsleyrouter.connection.http import HttpReply, Sent, TransportFailure
+from parsleyrouter.connection.key_value import KeyValueFailure, KeyValueFailureKind
+from parsleyrouter.connection.key_value_metrics import KeyValueMetrics
+from parsleyrouter.ids import Address
+from parsleyrouter.process.runtime import Runtime
+
+__all__ = ["CALL_TIMEOUT_S", "KeyValueCalls", "failure_of_reply"]
+
+CALL_TIMEOUT_S = 2.0
+"""Longest wait for a reply, in seconds; an answer of a service in order takes milliseconds."""
+
+TOO_MANY_STATUS = 429
+SERVER_ERROR_STATUS = 500
+WRITES = frozenset({"swap", "delete", "grant", "revoke", "transact"})
+
+
+class KeyValueCalls:
+    """Make calls within this process's budget."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        address: str,
+        *,
+        timeout_s: float = CALL_TIMEOUT_S,
+        budget: BudgetSettings | None = None,
+    ) -> None:
+        self.runtime = runtime
+        self.loop = runtime.loop
+        self.address = Address(address)
+        self.timeout_s = timeout_s
+        self.budget = CallBudget(budget)
+        self.metrics = KeyValueMetrics.of(runtime.metrics)
+
+    async def admit(self, kind: str) -> KeyValueFailure | None:
+        """Wait for a place in the budget and count the call."""
+        place = self.budget.reserve(self.loop.now())
+        if isinstance(place, BudgetRefusal):
+            return self.count_failure(kind, _REFUSED[place])
+        if place > 0:
+            await self.loop.sleep(place)
+        self.metrics.calls.labels(kind).inc()
+        return None
+
+    async def call(
+        self, kind: str, path: str, request: dict[str, Any]
+    ) -> dict[str, Any] | KeyValueFailure:
+        """POST one call and return the reply's JSON object."""
+        reply = await self.exchange(kind, "POST", path, msgspec.json.encode(request))
+        if isinstance(reply, KeyValueFailure):
+            return reply
+        outcome = _read_object(reply, kind)
+        if isinstance(outcome, KeyValueFailure):
+            return self.note_failure(kind, outcome)
+        return outcome
+
+    async def exchange(
+        self, kind: str, method: str, target: str, body: bytes = b"", *, wait_s: float = 0.0
+    ) -> HttpReply | KeyValueFailure:
+        """Make one call and return the reply unless it says that the service failed.
+
+        ``wait_s`` is how long the service may hold the call back.
+        """
+        refused = await self.admit(kind)
+        if refused is not None:
+            return refused
+        begun_s = self.loop.now()
+        reply = await self.runtime.http.request(
+            self.address,
+            method,
+            target,
+            headers={"content-type": "application/json"},
+            body=body,
+            timeout_s=self.timeout_s + wait_s,
+        )
+        failure = failure_of_reply(reply, kind)
+        if failure is not None:
+            return self.note_failure(kind, failure)
+        assert isinstance(reply, HttpReply)
+        self.budget.succeeded(self.loop.now())
+        if not wait_s:
+            self.metrics.seconds.observe(self.loop.now() - begun_s)
+        return reply
+
+    def note_failure(self, kind: str, failure: KeyValueFailure) -> KeyValueFailure:
+        """Count a failure; back off unless the service answered with a refusal."""
+        if failure.kind is KeyValueFailureKind.REFUSED:
+            self.budget.succeeded(self.loop.now())
+        else:
+            self.budget.failed(self.loop.now())
+        return self.count_failure(kind, failure)
+
+    def count_failure(self, kind: str, failure: KeyValueFailure) -> KeyValueFailure:
+        """Count a failure and return it."""
+        self.metrics.failures.labels(kind, failure.kind.value).inc()
+        return failure
+
+
+_REFUSED = {
+    BudgetRefusal.OVER_BUDGET: KeyValueFailure(
+        KeyValueFailureKind.OVER_BUDGET, "call budget used up; make fewer calls or raise it"
+    ),
+    BudgetRefusal.BACKING_OFF: KeyValueFailure(
+        KeyValueFailureKind.UNAVAILABLE, "key-value service does not answer; try again later"
+    ),
+}
+
+
+def failure_of_reply(reply: HttpReply | TransportFailure, kind: str) -> KeyValueFailure | None:
+    """Return the failure of the service that a reply means."""
+    writes = kind in WRITES
+    if isinstance(reply, TransportFailure):
+        if reply.sent is Sent.NOTHING:
+            return KeyValueFailure(KeyValueFailureKind.UNAVAILABLE, reply.message)
+        return KeyValueFailure(KeyValueFailureKind.TIMEOUT, reply.message, maybe_applied=writes)
+    if reply.status == TOO_MANY_STATUS:
+        return KeyValueFailure(KeyValueFailureKind.OVER_BUDGET, "key-value service is overloaded")
+    if reply.status >= SERVER_ERROR_STATUS:
+        message = f"key-value service failed with status {reply.status}; try again later"
+        return KeyValueFailure(KeyValueFailureKind.UNAVAILABLE, message, maybe_applied=writes)
+    return None
+
+
+def _read_object(reply: HttpReply, kind: str) -> dict[str, Any] | KeyValueFailure:
+    try:
+        body = msgspec.json.decode(reply.body.split(b"\n", 1)[0])
+    except msgspec.DecodeError:
+        body = None
+    if not isinstance(body, dict):
+        message = f"key-value service sent no JSON object with status {reply.status}"
+        return KeyValueFailure(KeyValueFailureKind.UNAVAILABLE, message, kind in WRITES)
+    if reply.status != 200:
+        return KeyValueFailure(KeyValueFailureKind.REFUSED, str(body.get("error", reply.status)))
+    return body
--- a/parsleyrouter/connection/sse.py
+++ b/parsleyrouter/connection/sse.py
@@ -1,15 +1,27 @@
 """Split server-sent events from a byte stream and tell whether it came to its end."""
 
+import re
+
 import msgspec
 
 from parsleyrouter.outcome import Refusal
 
-__all__ = ["DONE_EVENT", "EVENT_STREAM_TYPE", "EventSplitter", "error_event", "is_event_stream"]
+__all__ = [
+    "DONE_EVENT",
+    "EVENT_STREAM_TYPE",
+    "EventSplitter",
+    "error_event",
+    "event_data",
+    "is_event_stream",
+    "last_event_id",
+]
 
 EVENT_STREAM_TYPE = "text/event-stream"
 DONE_EVENT = b"data: [DONE]\n\n"
 LONGEST_EVENT_BYTES = 4 * 1024 * 1024
 
+_EVENT_ID = re.compile(rb"^id:(.*)$", re.MULTILINE)
+_BLANK_LINE = re.compile(rb"\r?\n\r?\n")
 _DONE_FORMS = (b"data: [DONE]", b"data:[DONE]")
 
 
@@ -51,3 +63,21 @@
     if other > end:
         return other + 4
     return end + 2 if end >= 0 else 0
+
+
+def last_event_id(events: bytes) -> str:
+    """Return the id of the last event that has one, an empty text when none has."""
+    found = _EVENT_ID.findall(events)
+    return found[-1].decode("latin-1").strip() if found else ""
+
+
+def event_data(events: bytes) -> list[str]:
+    """Return the data of whole events in order; several data lines of one are joined."""
+    data = []
+    for block in _BLANK_LINE.split(events):
+        lines = [
+            line[5:].removeprefix(b" ") for line in block.splitlines() if line.startswith(b"data:")
+        ]
+        if lines:
+            data.append(b"\n".join(lines).decode("utf-8", "replace"))
+    return data
--- a/parsleyrouter/connection/stream.py
+++ b/parsleyrouter/connection/stream.py
@@ -46,6 +46,7 @@
         self.buffered_bytes = 0
         self.bytes_sent = 0
         self.closed = False
+        self.was_reset = False
         self.paused = False
         self.on_data: Callable[[bytes], None] = lambda data: None
         self.on_close: Callable[[], None] = lambda: None
@@ -101,6 +102,7 @@
         except (BlockingIOError, InterruptedError):
             return
         except OSError:
+            self.was_reset = True
             data = b""
         if data:
             self.on_data(data)
--- a/parsleyrouter/ids.py
+++ b/parsleyrouter/ids.py
@@ -10,6 +10,7 @@
     "EndpointId",
     "Epoch",
     "GrantId",
+    "ItemId",
     "ItemIndex",
     "JobId",
     "KindName",
@@ -18,6 +19,8 @@
     "PartIndex",
     "RequestId",
     "Revision",
+    "RouteName",
+    "ServiceName",
     "TeamName",
 ]
 
@@ -31,10 +34,13 @@
 ModelName = NewType("ModelName", str)
 KindName = NewType("KindName", str)
 RequestId = NewType("RequestId", str)
+RouteName = NewType("RouteName", str)
+ServiceName = NewType("ServiceName", str)
 AttemptId = NewType("AttemptId", str)
 GrantId = NewType("GrantId", str)
 JobId = NewType("JobId", str)
 PartIndex = NewType("PartIndex", int)
+ItemId = NewType("ItemId", str)
 ItemIndex = NewType("ItemIndex", int)
 ChunkName = NewType("ChunkName", str)
 Epoch = NewType("Epoch", int)
--- /dev/null
+++ b/parsleyrouter/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between the operators' platform and the types of the product, and nothing else."""
--- /dev/null
+++ b/parsleyrouter/platform/headers.py
@@ -0,0 +1,21 @@
+"""The platform's names of the headers that the product reads or sets."""
+
+from parsleyrouter.request.forwarded_request import HeaderNames
+
+__all__ = ["HEADERS"]
+
+HEADERS = HeaderNames(
+    request="x-attempt-id",
+    deadline_ms="x-deadline-ms",
+    expected_endpoint="x-expect-instance",
+    not_run="x-not-executed",
+    proof="x-response-signature",
+    # Running, waiting and slots of an endpoint, separated by commas.
+    load="x-server-load",
+    model="x-model",
+    # Prompt tokens and the most output tokens, separated by a comma.
+    tokens="x-token-usage",
+    prefix="x-prompt-prefix",
+    last_event="last-event-id",
+    wait_ms="x-wait-ms",
+)
--- /dev/null
+++ b/parsleyrouter/platform/routes.py
@@ -0,0 +1,117 @@
+"""Decode the operator's configuration record into a route table."""
+
+from typing import Any
+
+import msgspec
+
+from parsleyrouter.ids import RouteName, ServiceName
+from parsleyrouter.version.route_table import (
+    CallerLimits,
+    EngineTraits,
+    Route,
+    RouteKind,
+    RouteTable,
+    ServiceTraits,
+    Target,
+)
+
+__all__ = ["OPERATOR_PREFIX", "ROUTES_KEY", "decode_routes"]
+
+OPERATOR_PREFIX = "op/"
+ROUTES_KEY = "op/config"
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    host: str
+    prefix: str
+    kind: str = "safe"
+    service: str = ""
+    traffic_split: list[_Split] = []
+    timeout_ms: float = 30_000
+    target_latency_ms: float = 1000
+    # The most endpoints on which one request may run, not the number of sends.
+    max_attempts: int = 1
+    priority: int = 0
+    resumable: bool = False
+    gap_aim_ms: float = 0
+    # Due time of all results of a job, counted from its submission.
+    run_target_ms: float = 0
+    # Not how long results are kept: after it an item may be given up.
+    retention_s: float = 0
+
+
+class _Engine(msgspec.Struct, rename="camel"):
+    slots: int = 1
+    kv_capacity: int = 0
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+    max_connections: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15_000
+
+
+class _Config(msgspec.Struct, rename="camel"):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+def decode_routes(data: bytes) -> RouteTable:
+    """Return the route table; raise ``msgspec.DecodeError`` when the record cannot be read."""
+    config = msgspec.json.decode(data, type=_Config, strict=False)
+    limits = config.limits
+    services = [_service(service) for service in config.services]
+    return RouteTable(
+        version=config.version,
+        routes=tuple(_route(route) for route in config.routes if route.kind in _KINDS),
+        services={service.name: service for service in services},
+        limits=CallerLimits(
+            header_bytes=limits.max_header_bytes,
+            body_bytes=limits.max_body_bytes,
+            header_s=limits.header_timeout_ms / 1000,
+            idle_s=limits.idle_timeout_ms / 1000,
+        ),
+    )
+
+
+_KINDS: dict[str, Any] = {kind.value: kind for kind in RouteKind}
+
+
+def _route(route: _Route) -> Route:
+    split = [Target(ServiceName(one.service), one.weight) for one in route.traffic_split]
+    return Route(
+        name=RouteName(route.name),
+        host=route.host.lower(),
+        prefix=route.prefix,
+        kind=_KINDS[route.kind],
+        targets=tuple(split) or (Target(ServiceName(route.service)),),
+        timeout_s=route.timeout_ms / 1000,
+        latency_target_s=route.target_latency_ms / 1000,
+        most_runs=max(1, route.max_attempts),
+        priority=route.priority,
+        resumable=route.resumable,
+        longest_pause_s=route.gap_aim_ms / 1000,
+        job_due_s=route.run_target_ms / 1000,
+        job_kept_s=route.retention_s,
+    )
+
+
+def _service(service: _Service) -> ServiceTraits:
+    engine = service.engine
+    traits = EngineTraits(engine.slots, engine.kv_capacity) if engine is not None else None
+    return ServiceTraits(ServiceName(service.name), service.max_connections, traits)
--- /dev/null
+++ b/parsleyrouter/platform/settings.py
@@ -0,0 +1,69 @@
+"""Decode the settings file that the platform writes for a process."""
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from parsleyrouter.ids import Address, DomainName, NodeId
+from parsleyrouter.process.front_options import FrontOptions
+from parsleyrouter.process.options import BadSetting
+
+__all__ = ["SETTINGS_VARIABLE", "read_settings"]
+
+SETTINGS_VARIABLE = "PARSLEYROUTER_CONFIG"
+
+
+class _Listen(msgspec.Struct):
+    front: str
+    # Answers whether this process takes callers, not whether it runs.
+    ready: str
+    directory: str
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    memory_mb: int = 256
+    max_fds: int = 1024
+
+
+class _Bounds(msgspec.Struct, rename="camel"):
+    grace_s: float = 8.0
+
+
+class _Platform(msgspec.Struct, rename="camel"):
+    address: str
+    writes_per_s: float = 400.0
+    reads_per_s: float = 2000.0
+
+
+class _Settings(msgspec.Struct, rename="camel"):
+    node: str
+    ip: str
+    zone: str
+    internal_ports: list[int]
+    listen: _Listen
+    platform: _Platform
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def read_settings(path: Path) -> FrontOptions:
+    """Return the settings in a file; raise ``BadSetting`` when they cannot be used."""
+    try:
+        found = msgspec.convert(tomllib.loads(path.read_text()), _Settings)
+    except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        raise BadSetting(SETTINGS_VARIABLE, str(path), f"a settings file ({error})") from error
+    options = FrontOptions(
+        node=NodeId(found.node),
+        domain=DomainName(found.zone),
+        callers=Address(found.listen.front),
+        ready=Address(found.listen.ready),
+        locate=Address(found.listen.directory),
+        nodes=Address(f"{found.ip}:{found.internal_ports[0]}" if found.internal_ports else ""),
+        key_value=Address(found.platform.address),
+        grace_s=found.bounds.grace_s,
+        memory_mb=found.limits.memory_mb,
+        descriptors=found.limits.max_fds,
+    )
+    options.check()
+    return options
--- /dev/null
+++ b/parsleyrouter/platform/store.py
@@ -0,0 +1,170 @@
+"""The platform's store as a key-value service with transactions."""
+
+from base64 import b64decode, b64encode
+from binascii import Error as Base64Error
+from collections.abc import Iterable
+from typing import Any
+from urllib.parse import urlencode
+
+import msgspec
+
+from parsleyrouter.connection.http import HttpReply
+from parsleyrouter.connection.key_value import (
+    Changed,
+    ChangePage,
+    Entry,
+    EntryPage,
+    HistoryLost,
+    KeyValueFailure,
+    KeyValueFailureKind,
+    Lease,
+    LeaseLost,
+    Swapped,
+    Transaction,
+    TransactionConflict,
+)
+from parsleyrouter.connection.key_value_calls import KeyValueCalls
+from parsleyrouter.ids import Revision
+
+__all__ = ["PlatformStore"]
+
+MS_PER_S = 1000
+
+
+class PlatformStore(KeyValueCalls):
+    """Call the platform's store."""
+
+    async def get(self, key: str) -> Entry | None | KeyValueFailure:
+        """Read one key."""
+        reply = await self.exchange("get", "GET", "/kv-key?" + urlencode({"key": key}))
+        if isinstance(reply, KeyValueFailure):
+            return reply
+        if reply.status == 404:
+            return None
+        body = self._object("get", reply)
+        return body if isinstance(body, KeyValueFailure) else _entry(body)
+
+    async def scan(
+        self, prefix: str, *, after: str = "", stale: bool = False
+    ) -> EntryPage | KeyValueFailure:
+        """Read a page of keys under a prefix; a stale read is cheap and may be seconds old."""
+        query = {"prefix": prefix}
+        if after:
+            query["after"] = after
+        if stale:
+            query["staleOk"] = "1"
+        kind = "stale_scan" if stale else "scan"
+        reply = await self.exchange(kind, "GET", "/kv-range?" + urlencode(query))
+        if isinstance(reply, KeyValueFailure):
+            return reply
+        body = self._object(kind, reply)
+        if isinstance(body, KeyValueFailure):
+            return body
+        entries = tuple(_entries(body.get("items", ())))
+        return EntryPage(entries, bool(body.get("morePages")), _at(body))
+
+    async def transact(
+        self, transaction: Transaction
+    ) -> Swapped | TransactionConflict | LeaseLost | KeyValueFailure:
+        """Write several keys at once; after ``maybe_applied`` it may still take effect later."""
+        reply = await self.exchange("transact", "POST", "/kv-txn", _encode(transaction))
+        if isinstance(reply, KeyValueFailure):
+            return reply
+        if reply.status == 404:
+            return LeaseLost()
+        body = self._object("transact", reply, also=412)
+        if isinstance(body, KeyValueFailure):
+            return body
+        if reply.status == 412:
+            found = _entries(body.get("items", ()))
+            return TransactionConflict({entry.key: entry for entry in found if entry.revision})
+        return Swapped(Revision(int(body["revision"])))
+
+    async def changes(
+        self, prefix: str, after: Revision, wait_s: float
+    ) -> ChangePage | HistoryLost | KeyValueFailure:
+        """Return the changes behind a revision, waiting up to ``wait_s`` for the first one."""
+        query = {"prefix": prefix, "after": after, "waitMs": int(wait_s * MS_PER_S)}
+        target = "/kv-watch?" + urlencode(query)
+        reply = await self.exchange("changes", "GET", target, wait_s=wait_s)
+        if isinstance(reply, KeyValueFailure):
+            return reply
+        if reply.status == 410:
+            return HistoryLost()
+        body = self._object("changes", reply)
+        if isinstance(body, KeyValueFailure):
+            return body
+        return ChangePage(tuple(_changes(body.get("events", ()))), _at(body))
+
+    async def grant(self, ttl_s: float) -> Lease | KeyValueFailure:
+        """Take a lease."""
+        body = await self.call("grant", "/kv-lease", {"ttlMs": int(ttl_s * MS_PER_S)})
+        if isinstance(body, KeyValueFailure):
+            return body
+        return Lease(int(body["lease"]), float(body["ttlMs"]) / MS_PER_S)
+
+    async def renew(self, lease: int) -> Lease | None | KeyValueFailure:
+        """Renew a lease; ``None`` when it has lapsed."""
+        reply = await self.exchange("renew", "POST", f"/kv-keep/{lease}")
+        if isinstance(reply, KeyValueFailure):
+            return reply
+        if reply.status == 404:
+            return None
+        body = self._object("renew", reply)
+        if isinstance(body, KeyValueFailure):
+            return body
+        return Lease(lease, float(body["ttlMs"]) / MS_PER_S)
+
+    async def revoke(self, lease: int) -> None | KeyValueFailure:
+        """Give a lease back, deleting its keys; one that has lapsed counts as given back."""
+        reply = await self.exchange("revoke", "DELETE", f"/kv-lease-end/{lease}")
+        return reply if isinstance(reply, KeyValueFailure) else None
+
+    def _object(
+        self, kind: str, reply: HttpReply, also: int = 200
+    ) -> dict[str, Any] | KeyValueFailure:
+        """Return the JSON object of a reply with status 200 or ``also``."""
+        message = f"the store answered {kind} with status {reply.status}"
+        try:
+            body = msgspec.json.decode(reply.body)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            body = None
+        if reply.status in (200, also) and isinstance(body, dict):
+            return body
+        return self.note_failure(kind, KeyValueFailure(KeyValueFailureKind.REFUSED, message))
+
+
+def _encode(transaction: Transaction) -> bytes:
+    expected = [{"key": key, "revision": at} for key, at in transaction.expected.items()]
+    writes = []
+    for write in transaction.writes:
+        row: dict[str, Any] = {"key": write.key, "value": b64encode(write.value).decode()}
+        if write.lease:
+            row["lease"] = write.lease
+        writes.append(row)
+    body = {"expect": expected, "writes": writes, "deletes": list(transaction.deletes)}
+    return msgspec.json.encode(body)
+
+
+def _at(body: dict[str, Any]) -> Revision:
+    return Revision(int(body["currentRev"]))
+
+
+def _entry(row: dict[str, Any]) -> Entry:
+    try:
+        value = b64decode(row.get("value") or "", validate=True)
+    except (Base64Error, ValueError, TypeError):
+        # Another writer's junk: an empty value decodes to nothing in every reader.
+        value = b""
+    return Entry(str(row["key"]), value, Revision(int(row.get("revision", 0))))
+
+
+def _entries(rows: Iterable[Any]) -> Iterable[Entry]:
+    return (_entry(row) for row in rows if isinstance(row, dict) and "key" in row)
+
+
+def _changes(rows: Iterable[Any]) -> Iterable[Changed]:
+    for row in rows:
+        if isinstance(row, dict) and "key" in row:
+            entry = None if row.get("tombstone") else _entry(row)
+            yield Changed(str(row["key"]), Revision(int(row.get("revision", 0))), entry)
--- /dev/null
+++ b/parsleyrouter/process/endpoint_directory.py
@@ -0,0 +1,83 @@
+"""Know the endpoints by their registrations: the pure part of discovery.
+
+Registrations lapse while the store is away although their endpoints live, so a removal counts only
+when the store has been back for a while and the registration is still missing.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from parsleyrouter.ids import Address, DomainName, EndpointId, ServiceName
+
+__all__ = ["EndpointDirectory", "RETURN_S", "RegisteredEndpoint"]
+
+RETURN_S = 2.3
+"""Seconds after the store's return in which living endpoints register again, with some slack."""
+
+
+@dataclass(frozen=True)
+class RegisteredEndpoint:
+    """What an endpoint says of itself; ``born_ms`` tells its starts apart."""
+
+    endpoint: EndpointId
+    service: ServiceName
+    address: Address
+    domain: DomainName
+    slots: int
+    leaving: bool = False
+    born_ms: int = 0
+    cold_s: float = 0.0
+
+
+@dataclass
+class EndpointDirectory:
+    """Hold the registrations that count; times are monotonic seconds."""
+
+    endpoints: dict[EndpointId, RegisteredEndpoint] = field(default_factory=dict)
+    missing: set[EndpointId] = field(default_factory=set)
+    doubt_until_s: float = 0.0
+
+    def store_failed(self, now: float) -> None:
+        """Take note that the store does not answer; registrations may lapse meanwhile."""
+        self.doubt_until_s = max(self.doubt_until_s, now + RETURN_S)
+
+    def put(self, entry: RegisteredEndpoint) -> RegisteredEndpoint | None:
+        """Take a registration; return the former one if it was of another start or address."""
+        former = self.endpoints.get(entry.endpoint)
+        self.endpoints[entry.endpoint] = entry
+        self.missing.discard(entry.endpoint)
+        if former is None:
+            return None
+        same = former.born_ms == entry.born_ms and former.address == entry.address
+        return None if same else former
+
+    def removed(self, endpoint: EndpointId, now: float) -> list[RegisteredEndpoint]:
+        """Take note of a removal; return the endpoints that are gone."""
+        if endpoint in self.endpoints:
+            self.missing.add(endpoint)
+        return self.settle(now)
+
+    def replace(
+        self, entries: Mapping[EndpointId, RegisteredEndpoint], now: float
+    ) -> list[RegisteredEndpoint]:
+        """Take a whole listing; return the endpoints that are gone."""
+        for entry in entries.values():
+            self.put(entry)
+        self.missing.update(self.endpoints.keys() - entries.keys())
+        return self.settle(now)
+
+    def settle(self, now: float) -> list[RegisteredEndpoint]:
+        """Drop what is missing once the store has been back for long enough."""
+        if now < self.doubt_until_s or not self.missing:
+            return []
+        gone = [self.endpoints.pop(endpoint) for endpoint in sorted(self.missing)]
+        self.missing.clear()
+        return gone
+
+    def of_service(self, service: ServiceName) -> Iterable[RegisteredEndpoint]:
+        """Return the endpoints of a service that take new work."""
+        return [
+            entry
+            for entry in self.endpoints.values()
+            if entry.service == service and not entry.leaving
+        ]
--- /dev/null
+++ b/parsleyrouter/process/forward_attempt.py
@@ -0,0 +1,234 @@
+"""One attempt of a forwarded request at one endpoint."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from parsleyrouter.connection.endpoint_client import EndpointClient, EndpointExchange, RawHeaders
+from parsleyrouter.connection.http import Sent, TransportFailure
+from parsleyrouter.connection.sse import EventSplitter, is_event_stream, last_event_id
+from parsleyrouter.ids import EndpointId
+from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
+from parsleyrouter.process.endpoint_loads import EndpointLoads
+from parsleyrouter.process.loop import Loop
+from parsleyrouter.request.attempts import AttemptFailure, Happened
+from parsleyrouter.request.forwarded_request import ForwardedRequest, HeaderNames, end_to_end
+from parsleyrouter.version.route_table import RouteKind
+
+__all__ = ["AnswerSink", "EndpointCalls", "ForwardAttempt", "Patience"]
+
+MISDIRECTED_STATUS = 421
+WHOLE_ANSWER_BYTES = 256 * 1024
+"""Largest answer of a safe request that is held until it is whole, so that it can be retried."""
+
+REFUSAL_READ_S = 0.2
+"""How long the body of an endpoint's refusal may take before its connection is closed."""
+
+
+class AnswerSink(Protocol):
+    """Takes an answer as it comes."""
+
+    def begin(self, status: int, reason: bytes, headers: RawHeaders, length: int | None) -> None:
+        """Take status and headers."""
+
+    def send(self, data: bytes) -> None:
+        """Take a piece of the body."""
+
+    async def drain(self) -> None:
+        """Wait until more may be sent."""
+
+
+@dataclass(frozen=True)
+class Patience:
+    """How long an endpoint may send nothing, in seconds."""
+
+    first_s: float
+    gap_s: float
+
+
+@dataclass(frozen=True)
+class EndpointCalls:
+    """What attempts share: connections, loads and the names of headers."""
+
+    loop: Loop
+    client: EndpointClient
+    loads: EndpointLoads
+    names: HeaderNames
+
+
+@dataclass
+class ForwardAttempt:
+    """Send a request once and pass the answer on; the end says what provably happened."""
+
+    calls: EndpointCalls
+    request: ForwardedRequest
+    entry: RegisteredEndpoint
+    sink: AnswerSink
+    patience: Patience
+    begun: bool = False
+    """An earlier attempt has shown its status and headers."""
+    last_event: str = ""
+    may_retry: bool = True
+    batch: bool = False
+    status: int = 0
+    exchange: EndpointExchange | None = None
+    cancelled: bool = False
+    on_first: Callable[[], None] = field(default=lambda: None)
+
+    @property
+    def endpoint(self) -> EndpointId:
+        """Return the endpoint tried."""
+        return self.entry.endpoint
+
+    def cancel(self) -> None:
+        """Close the connection, so that the endpoint drops the request."""
+        self.cancelled = True
+        if self.exchange is not None:
+            self.exchange.cancel()
+
+    async def run(self) -> AttemptFailure | None:
+        """Send and read; ``None`` when the answer was whole."""
+        now = self.calls.loop.now()
+        self.calls.loads.begin(self.endpoint, batch=self.batch, now=now)
+        try:
+            failure = await self._run()
+        finally:
+            self.calls.loads.end(self.endpoint, batch=self.batch)
+        ended = self.calls.loop.now()
+        if failure is None and self.status < 500:
+            self.calls.loads.served(self.endpoint, self.request.service, ended - now, ended)
+        elif failure is None or (not self.cancelled and failure.happened is not Happened.REFUSED):
+            self.calls.loads.failed(self.endpoint, ended)
+        return failure
+
+    async def _run(self) -> AttemptFailure | None:
+        exchange = await self.calls.client.start(self.entry.address)
+        if isinstance(exchange, TransportFailure):
+            return self._failure(Happened.NOT_SENT, exchange.message)
+        self.exchange = exchange
+        if self.cancelled:
+            exchange.cancel()
+            return self._failure(Happened.NOT_SENT, "cancelled before it was sent")
+        self._send(exchange)
+        failure = await exchange.wait_headers(self.patience.first_s)
+        if failure is not None:
+            return self._broken(failure)
+        self.calls.loads.heard(self.endpoint, self.calls.loop.now())
+        self.status = exchange.status
+        refused = await self._check(exchange)
+        if refused is not None:
+            return refused
+        if self.request.route.kind is RouteKind.SAFE and not self.begun:
+            return await self._read_whole(exchange)
+        if self.request.route.resumable and is_event_stream(_content_type(exchange)):
+            return await self._pass_events(exchange)
+        return await self._pass_bytes(exchange)
+
+    def _send(self, exchange: EndpointExchange) -> None:
+        request = self.request
+        left_s = request.deadline_s - self.calls.loop.now()
+        headers = request.sent_headers(self.calls.names, self.endpoint, left_s, self.last_event)
+        exchange.send_request(
+            request.method, request.target, headers, request.body, request=request.request
+        )
+
+    async def _check(self, exchange: EndpointExchange) -> AttemptFailure | None:
+        """Return why an answer is not passed on."""
+        names, headers, status = self.calls.names, exchange.headers, exchange.status
+        if names.not_run in headers or status == MISDIRECTED_STATUS:
+            await exchange.read_all(REFUSAL_READ_S)
+            return self._failure(Happened.REFUSED, f"refused with status {status}")
+        whole = exchange.identified and names.proof in headers
+        if status < 300 and (not whole or "content-encoding" in headers):
+            exchange.cancel()
+            return self._failure(Happened.MAYBE_SENT, "sent an answer that is not its own")
+        if status >= 500 and self.may_retry and self.request.route.repeatable:
+            await exchange.read_all(REFUSAL_READ_S)
+            return self._failure(Happened.TURNED_AWAY, f"failed with status {status}")
+        if self.begun and status != 200:
+            exchange.cancel()
+            return self._failure(Happened.ANSWER_CUT, f"resumed with status {status}")
+        return None
+
+    async def _read_whole(self, exchange: EndpointExchange) -> AttemptFailure | None:
+        """Hold a small answer until it is whole; a large one is passed on as it comes."""
+        pieces: list[bytes] = []
+        size = 0
+        while size <= WHOLE_ANSWER_BYTES:
+            piece = await exchange.read(self.patience.gap_s)
+            if isinstance(piece, TransportFailure):
+                return self._failure(Happened.MAYBE_SENT, piece.message)
+            if piece is None:
+                self._begin(exchange, size)
+                self.sink.send(b"".join(pieces))
+                return None
+            pieces.append(piece)
+            size += len(piece)
+        self._begin(exchange, _length(exchange))
+        for piece in pieces:
+            self.sink.send(piece)
+        return await self._pass_rest(exchange)
+
+    async def _pass_bytes(self, exchange: EndpointExchange) -> AttemptFailure | None:
+        self._begin(exchange, _length(exchange))
+        return await self._pass_rest(exchange)
+
+    async def _pass_rest(self, exchange: EndpointExchange) -> AttemptFailure | None:
+        while True:
+            piece = await exchange.read(self.patience.gap_s)
+            if piece is None:
+                return None
+            if isinstance(piece, TransportFailure):
+                return self._failure(Happened.ANSWER_CUT, piece.message)
+            self.calls.loads.heard(self.endpoint, self.calls.loop.now())
+            self.sink.send(piece)
+            await self.sink.drain()
+
+    async def _pass_events(self, exchange: EndpointExchange) -> AttemptFailure | None:
+        """Pass whole events on, so that another endpoint can go on behind the last one."""
+        splitter = EventSplitter()
+        self._begin(exchange, None)
+        while True:
+            piece = await exchange.read(self.patience.gap_s)
+            if piece is None:
+                self.sink.send(splitter.rest)
+                return None
+            if isinstance(piece, TransportFailure):
+                return self._failure(Happened.ANSWER_CUT, piece.message)
+            self.calls.loads.heard(self.endpoint, self.calls.loop.now())
+            events = splitter.feed(piece)
+            if splitter.too_long:
+                exchange.cancel()
+                return self._failure(Happened.ANSWER_CUT, "an event without an end")
+            if events:
+                self.last_event = last_event_id(events) or self.last_event
+                self.sink.send(events)
+                await self.sink.drain()
+
+    def _begin(self, exchange: EndpointExchange, length: int | None) -> None:
+        if self.begun:
+            return
+        self.begun = True
+        connection = exchange.headers.get("connection", "")
+        headers = end_to_end(exchange.raw_headers, connection)
+        self.on_first()
+        self.sink.begin(exchange.status, exchange.reason, headers, length)
+
+    def _broken(self, failure: TransportFailure) -> AttemptFailure:
+        happened = Happened.NOT_SENT if failure.sent is Sent.NOTHING else Happened.MAYBE_SENT
+        return self._failure(happened, failure.message)
+
+    def _failure(self, happened: Happened, message: str) -> AttemptFailure:
+        resumable = self.request.route.resumable
+        return AttemptFailure(self.endpoint, happened, message, self.begun, resumable)
+
+
+def _content_type(exchange: EndpointExchange) -> str:
+    return exchange.headers.get("content-type", "")
+
+
+def _length(exchange: EndpointExchange) -> int | None:
+    if "transfer-encoding" in exchange.headers:
+        return None
+    length = exchange.headers.get("content-length")
+    return int(length) if length is not None else None
--- /dev/null
+++ b/parsleyrouter/process/item_attempts.py
@@ -0,0 +1,133 @@
+"""Run one batch item at endpoints until its output is whole, going on where it stopped."""
+
+from dataclasses import dataclass, field, replace
+from enum import Enum
+
+from parsleyrouter.connection.endpoint_client import RawHeaders
+from parsleyrouter.connection.sse import event_data
+from parsleyrouter.ids import RequestId, ServiceName
+from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
+from parsleyrouter.process.forward_attempt import EndpointCalls, ForwardAttempt, Patience
+from parsleyrouter.request.forwarded_request import ForwardedRequest, Headers
+from parsleyrouter.request.shared_job import JobItem
+from parsleyrouter.version.route_table import Route
+
+__all__ = ["ItemEnd", "ItemProgress", "ItemRun"]
+
+IMPOSSIBLE_STATUS = 422
+FAILED_STATUS = 500
+
+PATIENCE = Patience(first_s=2.0, gap_s=1.0)
+"""How long an endpoint may send nothing: a batch item may wait in a queue after a misjudged load,
+and nobody waits for its next event."""
+
+
+class ItemEnd(Enum):
+    """Say how one run of an item ended."""
+
+    WHOLE = "whole"
+    IMPOSSIBLE = "impossible"
+    FAILED = "failed"
+    """The endpoint ran it and failed."""
+    STOPPED = "stopped"
+    """Broken off, refused or given up; what came so far is kept."""
+
+
+@dataclass
+class ItemProgress:
+    """What an item has produced so far, kept from one run to the next."""
+
+    pieces: list[str] = field(default_factory=list)
+    last_event: str = ""
+    failures: int = 0
+    runs: int = 0
+
+    def begin(self, status: int, reason: bytes, headers: RawHeaders, length: int | None) -> None:
+        """Take status and headers."""
+
+    def send(self, data: bytes) -> None:
+        """Take whole events."""
+        self.pieces.extend(event_data(data))
+
+    async def drain(self) -> None:
+        """Take more at once."""
+
+    @property
+    def output(self) -> str:
+        """Return the data of all events."""
+        return "\n".join(self.pieces)
+
+
+class ItemRun:
+    """One run of an item at one endpoint."""
+
+    def __init__(
+        self,
+        calls: EndpointCalls,
+        route: Route,
+        service: ServiceName,
+        item: JobItem,
+        entry: RegisteredEndpoint,
+        progress: ItemProgress,
+        left_s: float,
+    ) -> None:
+        now = calls.loop.now()
+        self.item = item
+        self.entry = entry
+        self.progress = progress
+        self.started_s = now
+        self.yielding = False
+        request = ForwardedRequest(
+            request=RequestId(item.item),
+            route=replace(route, resumable=True),
+            service=service,
+            method="POST",
+            target=item.path,
+            headers=_headers(calls, route, item),
+            body=item.body,
+            received_s=now,
+            deadline_s=now + left_s,
+        )
+        self.attempt = ForwardAttempt(
+            calls,
+            request,
+            entry,
+            progress,
+            PATIENCE,
+            begun=bool(progress.last_event),
+            last_event=progress.last_event,
+            batch=True,
+        )
+
+    async def run(self) -> tuple[ItemEnd, str]:
+        """Run to the end; return how it ended and why."""
+        self.progress.runs += 1
+        failure = await self.attempt.run()
+        self.progress.last_event = self.attempt.last_event
+        status = self.attempt.status
+        if status == IMPOSSIBLE_STATUS:
+            return ItemEnd.IMPOSSIBLE, "the endpoint says that it can never be done"
+        if status == FAILED_STATUS:
+            self.progress.failures += 1
+            return ItemEnd.FAILED, "the endpoint failed"
+        if failure is not None:
+            return ItemEnd.STOPPED, failure.message
+        if status != 200:
+            return ItemEnd.STOPPED, f"answered with status {status}"
+        return ItemEnd.WHOLE, ""
+
+    def cancel(self) -> None:
+        """Give the slot up; what came so far is kept."""
+        self.yielding = True
+        self.attempt.cancel()
+
+
+def _headers(calls: EndpointCalls, route: Route, item: JobItem) -> Headers:
+    own = {"host", calls.names.request}
+    lines = [(b"Host", route.host.encode()), (calls.names.request.encode(), item.item.encode())]
+    lines += [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in item.headers.items()
+        if name.lower() not in own
+    ]
+    return lines
--- /dev/null
+++ b/parsleyrouter/process/job_run.py
@@ -0,0 +1,146 @@
+"""One batch job that this node runs: what is left to do and what waits to be listed."""
+
+import logging
+from dataclasses import dataclass, field
+
+from parsleyrouter.connection.key_value import KeyValueFailure, Swapped
+from parsleyrouter.ids import ItemIndex
+from parsleyrouter.process.item_attempts import ItemProgress, ItemRun
+from parsleyrouter.process.job_board import JobBoard, JobView
+from parsleyrouter.process.loop import Loop
+from parsleyrouter.process.shared_job_store import KeptJob, SharedJobStore
+from parsleyrouter.request.shared_job import ItemResult, JobItem, JobState
+
+__all__ = ["JobRun"]
+
+MOST_TOGETHER = 12
+"""Results listed by one transaction; the service takes 32 conditions and writes."""
+
+MOST_TOGETHER_BYTES = 400_000
+RETRY_S = 0.2
+
+log = logging.getLogger(__name__)
+
+
+@dataclass
+class JobRun:
+    """Hold the items of a job under the node that owns it."""
+
+    loop: Loop
+    store: SharedJobStore
+    board: JobBoard
+    kept: KeptJob
+    items: list[JobItem]
+    listed: set[ItemIndex]
+    progress: dict[ItemIndex, ItemProgress] = field(default_factory=dict)
+    running: dict[ItemIndex, ItemRun] = field(default_factory=dict)
+    retry_s: dict[ItemIndex, float] = field(default_factory=dict)
+    """When an item that failed may be run again; monotonic."""
+    waiting: dict[ItemIndex, ItemResult] = field(default_factory=dict)
+    """Results that are not listed yet."""
+    listing: bool = False
+    stopped: bool = False
+
+    @property
+    def job(self) -> str:
+        """Return the job's id."""
+        return self.kept.record.job
+
+    def pending(self, now: float) -> list[ItemIndex]:
+        """Return the items that may be run now."""
+        return [
+            index
+            for index in map(ItemIndex, range(len(self.items)))
+            if index not in self.listed
+            and index not in self.running
+            and index not in self.waiting
+            and self.retry_s.get(index, 0.0) <= now
+        ]
+
+    def progress_of(self, index: ItemIndex) -> ItemProgress:
+        """Return what an item has produced so far."""
+        return self.progress.setdefault(index, ItemProgress())
+
+    def finish(self, index: ItemIndex, result: ItemResult) -> None:
+        """Take a result that is to be listed."""
+        self.waiting[index] = result
+        self.progress.pop(index, None)
+        if not self.listing:
+            self.listing = True
+            self.loop.spawn(self._list_all(), "list results")
+
+    def close_if_done(self) -> None:
+        """Record the end of a job whose last owner listed all items and died before it could."""
+        if len(self.listed) == len(self.items) and not self.listing:
+            self.listing = True
+            self.loop.spawn(self._list_all(), "close the job")
+
+    def stop(self) -> None:
+        """Run nothing more of the job; results that wait are still listed."""
+        self.stopped = True
+        for run in list(self.running.values()):
+            run.cancel()
+
+    async def _list_all(self) -> None:
+        try:
+            while self.waiting:
+                await self._list_some()
+            if len(self.listed) == len(self.items):
+                await self._close()
+        finally:
+            self.listing = False
+
+    async def _list_some(self) -> None:
+        batch: dict[ItemIndex, ItemResult] = {}
+        size = 0
+        for index, result in self.waiting.items():
+            size += len(result.output)
+            if batch and (len(batch) >= MOST_TOGETHER or size > MOST_TOGETHER_BYTES):
+                break
+            batch[index] = result
+        record = self.kept.record
+        position = len(self.listed)
+        done = await self.store.list_results(record.job, position, batch)
+        if isinstance(done, Swapped):
+            self._mark(batch)
+            self._log("results listed", position, batch, revision=done.revision)
+            return
+        if isinstance(done, KeyValueFailure):
+            self._log("results not listed yet", position, batch, reason=done.message)
+        await self._read_listed()
+
+    async def _read_listed(self) -> None:
+        """Learn what is listed after a conflict or a lost answer."""
+        found = await self.store.listed(self.kept.record.job)
+        if isinstance(found, KeyValueFailure):
+            await self.loop.sleep(RETRY_S)
+            return
+        self.listed |= found.indexes
+        for index in found.indexes & self.waiting.keys():
+            del self.waiting[index]
+
+    def _mark(self, batch: dict[ItemIndex, ItemResult]) -> None:
+        self.listed.update(batch)
+        for index in batch:
+            self.waiting.pop(index, None)
+
+    async def _close(self) -> None:
+        """Record that all items are listed; without an answer the next owner does."""
+        view: JobView | None = self.board.jobs.get(self.kept.record.job)
+        if view is None or view.kept is None or not view.open:
+            return
+        done = await self.store.close(view.kept, JobState.DONE)
+        if isinstance(done, Swapped):
+            record = view.kept.record
+            log.info("job done", extra={"job": record.job, "revision": done.revision})
+            return
+        kept = await self.store.read(self.kept.record.job)
+        if isinstance(kept, KeptJob):
+            self.board.put(kept)
+
+    def _log(
+        self, message: str, position: int, batch: dict[ItemIndex, ItemResult], **more: object
+    ) -> None:
+        items = [result.item for result in batch.values()]
+        fields = {"job": self.job, "position": position, "items": items}
+        log.info(message, extra=fields | more)
--- /dev/null
+++ b/parsleyrouter/process/job_worker.py
@@ -0,0 +1,275 @@
+"""Run the items of the batch jobs that this node owns, beside online requests."""
+
+import logging
+import time
+from random import Random
+
+from parsleyrouter.connection.key_value import KeyValueFailure, LeaseLost, Swapped
+from parsleyrouter.ids import EndpointId, ItemIndex, JobId
+from parsleyrouter.process.endpoint_directory import EndpointDirectory
+from parsleyrouter.process.endpoint_loads import EndpointUse
+from parsleyrouter.process.forward_attempt import EndpointCalls
+from parsleyrouter.process.item_attempts import ItemEnd, ItemRun
+from parsleyrouter.process.job_board import JobBoard, JobView
+from parsleyrouter.process.job_metrics import JobMetrics
+from parsleyrouter.process.job_run import JobRun
+from parsleyrouter.process.node_registry import NodeRegistry
+from parsleyrouter.process.routes_in_force import RoutesInForce
+from parsleyrouter.process.shared_job_store import SharedJobStore
+from parsleyrouter.request.batch_room import place_batch, yields
+from parsleyrouter.request.placement import Candidate
+from parsleyrouter.request.shared_job import ItemResult, ItemState, JobRecord
+from parsleyrouter.version.route_table import Route
+
+__all__ = ["JobWorker"]
+
+TURN_S = 0.05
+"""Pause between looks for room; short against an item's seconds."""
+
+CLAIM_SPREAD_S = 0.4
+"""Nodes wait up to this long before they claim a job, so that they do not all try at once."""
+
+RERUN_S = 0.25
+"""Pause before an item that failed or was refused is run again."""
+
+ITEM_S = 5.0
+"""Time that an item is expected to take before any has been seen."""
+
+GIVE_UP_MARGIN_S = 2.0
+"""Items are given up this long after they may be, since clocks of nodes differ."""
+
+log = logging.getLogger(__name__)
+
+
+class JobWorker:
+    """Own jobs, place their items, give way to online requests and list results."""
+
+    def __init__(
+        self,
+        calls: EndpointCalls,
+        store: SharedJobStore,
+        board: JobBoard,
+        registry: NodeRegistry,
+        routes: RoutesInForce,
+        directory: EndpointDirectory,
+        metrics: JobMetrics,
+        random: Random,
+    ) -> None:
+        self.calls = calls
+        self.loop = calls.loop
+        self.store = store
+        self.board = board
+        self.registry = registry
+        self.routes = routes
+        self.directory = directory
+        self.metrics = metrics
+        self.random = random
+        self.runs: dict[JobId, JobRun] = {}
+        self.taking: set[JobId] = set()
+        self.leaving = False
+        board.on_change.append(self.look_at)
+        registry.on_lease.append(self.look_at_all)
+
+    def start(self) -> None:
+        """Begin to look for work."""
+        self.loop.spawn(self._turns(), "run batch items")
+
+    def look_at(self, view: JobView) -> None:
+        """Take up, give up or claim a job after a change."""
+        run = self.runs.get(view.job)
+        if run is not None and not view.open:
+            del self.runs[view.job]
+            run.stop()
+            self._log_job("job given up", view)
+        if not view.open or self.leaving:
+            return
+        mine = view.owner == self.registry.own.node
+        if view.owner is None or (mine and run is None):
+            self._take_soon(view)
+
+    def look_at_all(self) -> None:
+        """Look at every job, after the lease has been taken anew."""
+        for view in list(self.board.jobs.values()):
+            self.look_at(view)
+
+    def give_way(self) -> None:
+        """Cancel items where online requests wait for their slots."""
+        now = self.loop.now()
+        running = [run for job in self.runs.values() for run in job.running.values()]
+        by_endpoint: dict[EndpointId, list[ItemRun]] = {}
+        for run in running:
+            if not run.yielding:
+                by_endpoint.setdefault(run.entry.endpoint, []).append(run)
+        for endpoint, runs in by_endpoint.items():
+            entry = runs[0].entry
+            candidate = self.calls.loads.candidates([entry], now)[0]
+            if candidate.used <= candidate.slots:
+                continue
+            count = yields(self.registry.own.node, candidate, self._uses(endpoint, now))
+            runs.sort(key=lambda run: run.started_s, reverse=True)
+            for run in runs[:count]:
+                run.cancel()
+                self.metrics.yielded.inc()
+
+    async def leave(self, limit_s: float) -> None:
+        """Start nothing more and let items that run end within the limit."""
+        self.leaving = True
+        until_s = self.loop.now() + limit_s
+        while any(run.running for run in self.runs.values()) and self.loop.now() < until_s:
+            await self.loop.sleep(TURN_S)
+        for run in self.runs.values():
+            run.stop()
+        while any(run.listing for run in self.runs.values()) and self.loop.now() < until_s + 0.5:
+            await self.loop.sleep(TURN_S)
+
+    def _uses(self, endpoint: EndpointId, now: float) -> dict:
+        loads = self.calls.loads
+        uses = {
+            news.node: news.uses[endpoint]
+            for news in loads.live_nodes(now)
+            if endpoint in news.uses
+        }
+        uses[self.registry.own.node] = loads.own.get(endpoint, EndpointUse())
+        return uses
+
+    def _take_soon(self, view: JobView) -> None:
+        if view.job in self.taking or view.job in self.runs and view.owner is not None:
+            return
+        self.taking.add(view.job)
+        mine = view.owner == self.registry.own.node or view.job in self.runs
+        delay_s = 0.0 if mine else self.random.uniform(0.05, CLAIM_SPREAD_S)
+        self.loop.spawn(self._take(view, delay_s), f"take job {view.job}")
+
+    async def _take(self, view: JobView, delay_s: float) -> None:
+        try:
+            await self.loop.sleep(delay_s)
+            if await self._claim(view) and view.job not in self.runs:
+                await self._load(view)
+        finally:
+            self.taking.discard(view.job)
+
+    async def _claim(self, view: JobView) -> bool:
+        """Become the owner if nobody is; return whether this node owns the job."""
+        own = self.registry.own.node
+        if view.owner is not None or not view.open or self.leaving:
+            return view.open and view.owner == own
+        if not self.registry.lease or view.kept is None:
+            return False
+        done = await self.store.claim(view.kept, own, self.registry.lease, view.owner_revision)
+        if isinstance(done, Swapped):
+            view.owner, view.owner_revision = own, done.revision
+            self._log_job("job claimed", view)
+            return True
+        if isinstance(done, KeyValueFailure | LeaseLost):
+            await self.loop.sleep(RERUN_S)
+            self.loop.call_soon(lambda: self.look_at(view))
+        return False
+
+    async def _load(self, view: JobView) -> None:
+        assert view.kept is not None
+        record = view.kept.record
+        items = await self.store.items(record)
+        listed = await self.store.listed(record.job)
+        if isinstance(items, KeyValueFailure) or isinstance(listed, KeyValueFailure):
+            await self.loop.sleep(RERUN_S)
+            self.loop.call_soon(lambda: self.look_at(view))
+            return
+        if not view.open or view.owner != self.registry.own.node:
+            return
+        run = JobRun(self.loop, self.store, self.board, view.kept, items, set(listed.indexes))
+        self.runs[record.job] = run
+        fields = {"job": record.job, "items": len(items), "listed": len(run.listed)}
+        log.info("job taken up", extra=fields)
+        run.close_if_done()
+
+    async def _turns(self) -> None:
+        while True:
+            await self.loop.sleep(TURN_S)
+            if not self.runs:
+                continue
+            try:
+                self.give_way()
+                self._place_items()
+            except Exception:
+                log.exception("turn of batch work failed")
+
+    def _place_items(self) -> None:
+        if self.leaving:
+            return
+        now, wall_ms = self.loop.now(), time.time() * 1000
+        waiting = [
+            (self._slack_s(run.kept.record, wall_ms), run, index)
+            for run in self.runs.values()
+            for index in run.pending(now)
+        ]
+        waiting.sort(key=lambda one: (one[0], one[1].job, one[2]))
+        for slack_s, run, index in waiting:
+            if not self._start(run, index, slack_s, wall_ms):
+                return
+
+    def _slack_s(self, record: JobRecord, wall_ms: float) -> float:
+        return (record.due_ms - wall_ms) / 1000 - ITEM_S
+
+    def _start(self, run: JobRun, index: ItemIndex, slack_s: float, wall_ms: float) -> bool:
+        """Start an item; return whether there may be room for another one."""
+        record, item = run.kept.record, run.items[index]
+        route = self._route(record, item.path)
+        kept_s = (record.kept_until_ms - wall_ms) / 1000
+        if kept_s < -GIVE_UP_MARGIN_S:
+            run.finish(index, ItemResult(item.item, ItemState.GIVEN_UP, ""))
+            return True
+        if route is None:
+            run.retry_s[index] = self.loop.now() + RERUN_S
+            return True
+        service = route.pick_service(self.random)
+        now = self.loop.now()
+        entries = {entry.endpoint: entry for entry in self.directory.of_service(service)}
+        candidates: list[Candidate] = self.calls.loads.candidates(entries.values(), now)
+        best = place_batch(candidates, slack_s=slack_s)
+        if best is None:
+            return False
+        progress = run.progress_of(index)
+        left_s = max(1.0, kept_s)
+        one = ItemRun(self.calls, route, service, item, entries[best.endpoint], progress, left_s)
+        run.running[index] = one
+        self.loop.spawn(self._run_item(run, index, one, route), f"item {item.item}")
+        return True
+
+    def _route(self, record: JobRecord, path: str) -> Route | None:
+        table = self.routes.table
+        return table.find(record.host, path) if table is not None else None
+
+    async def _run_item(self, run: JobRun, index: ItemIndex, one: ItemRun, route: Route) -> None:
+        try:
+            end, reason = await one.run()
+        finally:
+            run.running.pop(index, None)
+        progress = one.progress
+        self.metrics.runs.labels(end.value).inc()
+        log.info(
+            "item run ended",
+            extra={
+                "job": run.job,
+                "request": one.item.item,
+                "endpoint": one.entry.endpoint,
+                "end": "yielded" if one.yielding and end is ItemEnd.STOPPED else end.value,
+                "reason": reason,
+                "run": progress.runs,
+                "failures": progress.failures,
+                "last_event": progress.last_event,
+                "took_s": round(self.loop.now() - one.started_s, 3),
+            },
+        )
+        if end is ItemEnd.WHOLE:
+            run.finish(index, ItemResult(one.item.item, ItemState.COMPLETED, progress.output))
+        elif end is ItemEnd.IMPOSSIBLE or progress.failures >= route.most_runs:
+            run.finish(index, ItemResult(one.item.item, ItemState.GIVEN_UP, ""))
+        elif not one.yielding:
+            run.retry_s[index] = self.loop.now() + RERUN_S
+
+    def _log_job(self, message: str, view: JobView) -> None:
+        kept = view.kept
+        fields = {"job": view.job, "owner": view.owner, "owner_revision": view.owner_revision}
+        if kept is not None:
+            fields |= {"state": kept.record.state.value, "revision": kept.revision}
+        log.info(message, extra=fields)
--- a/parsleyrouter/process/options.py
+++ b/parsleyrouter/process/options.py
@@ -5,7 +5,7 @@
 
 from cyclopts import Parameter
 
-__all__ = ["BadSetting", "NodeOptions", "check_address", "check_range"]
+__all__ = ["BadSetting", "NodeOptions", "address_is_valid", "check_address", "check_range"]
 
 _ADDRESS = re.compile(r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
 
@@ -17,9 +17,14 @@
         super().__init__(f"--{name}: got {given!r}; allowed: {allowed}")
 
 
+def address_is_valid(value: str) -> bool:
+    """Tell whether a value is ``ip:port``."""
+    return bool(_ADDRESS.match(value)) and int(value.rpartition(":")[2]) <= 65535
+
+
 def check_address(name: str, value: str) -> None:
     """Raise ``BadSetting`` unless the value is ``ip:port``."""
-    if not _ADDRESS.match(value) or int(value.rpartition(":")[2]) > 65535:
+    if not address_is_valid(value):
         raise BadSetting(name, value, "ip:port, such as 127.0.0.1:8080")
 
 
--- /dev/null
+++ b/parsleyrouter/process/platform_port.py
@@ -0,0 +1,41 @@
+"""What a front process needs to be told of the platform that it runs on."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from parsleyrouter.connection.call_budget import BudgetSettings
+from parsleyrouter.connection.key_value import Entry, TransactionalKeyValue, Write
+from parsleyrouter.ids import Address, DomainName, EndpointId, NodeId
+from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
+from parsleyrouter.process.runtime import Runtime
+from parsleyrouter.process.shared_job_desk import DecodeCall, EncodeResults
+from parsleyrouter.request.forwarded_request import HeaderNames
+from parsleyrouter.version.route_table import RouteTable
+
+__all__ = ["PlatformPort"]
+
+
+@dataclass(frozen=True)
+class PlatformPort:
+    """Names and translations; none of them decides or keeps anything."""
+
+    headers: HeaderNames
+    operator_prefix: str
+    """Prefix of what the operator writes."""
+    routes_key: str
+    endpoints_prefix: str
+    locate_path: str
+    ready_path: str
+    open_store: Callable[[Runtime, Address, BudgetSettings], TransactionalKeyValue]
+    decode_routes: Callable[[bytes], RouteTable]
+    """Raises ``msgspec.DecodeError`` for a record that cannot be read."""
+    decode_endpoint: Callable[[Entry], RegisteredEndpoint | None]
+    endpoint_of_key: Callable[[str], EndpointId]
+    caller_domain: Callable[[dict[str, str]], DomainName]
+    encode_addresses: Callable[[Sequence[Address], float], bytes]
+    decode_job_call: DecodeCall
+    encode_results: EncodeResults
+    node_to_empty: Callable[[str], NodeId | None]
+    """The store VM that the operator's key asks to be emptied."""
+    emptied: Callable[[NodeId], Write]
+    """The write that reports a store VM as empty."""
--- a/parsleyrouter/request/attempts.py
+++ b/parsleyrouter/request/attempts.py
@@ -26,6 +26,8 @@
     """Say how far a failed attempt came at the endpoint."""
 
     NOT_SENT = "not_sent"
+    REFUSED = "refused"
+    """The endpoint said that it has not run the request and will not."""
     MAYBE_SENT = "maybe_sent"
     TURNED_AWAY = "turned_away"
     ANSWER_CUT = "answer_cut"
@@ -33,6 +35,7 @@
 
 _RAN = {
     Happened.NOT_SENT: Ran.NOT_RUN,
+    Happened.REFUSED: Ran.NOT_RUN,
     Happened.MAYBE_SENT: Ran.UNKNOWN,
     Happened.TURNED_AWAY: Ran.UNKNOWN,
     Happened.ANSWER_CUT: Ran.RAN,
@@ -46,6 +49,8 @@
 
     idempotent: bool
     most: int = MOST_ATTEMPTS
+    most_runs: int = MOST_ATTEMPTS
+    """The most endpoints that may have begun the call."""
 
 
 @dataclass(frozen=True)
@@ -64,6 +69,8 @@
     """What the earlier attempts of a call left behind."""
 
     failed: int = 0
+    runs: int = 0
+    """Failures after which the call may have been run."""
     endpoints: frozenset[EndpointId] = field(default_factory=frozenset)
     ran: Ran = Ran.NOT_RUN
     message: str = ""
@@ -73,6 +80,7 @@
         return replace(
             self,
             failed=self.failed + 1,
+            runs=self.runs + (_RAN[failure.happened] is not Ran.NOT_RUN),
             endpoints=self.endpoints | {failure.endpoint},
             ran=max(self.ran, _RAN[failure.happened], key=_ORDER.index),
             message=failure.message,
@@ -108,7 +116,7 @@
         return GiveUp(Refusal(RefusalKind.DEADLINE, message, after.ran))
     if not _repeatable(rules, failure):
         return GiveUp(_failed(after, "ask again with the same Idempotency-Key to learn more"))
-    if after.failed >= rules.most:
+    if after.failed >= rules.most or after.runs >= rules.most_runs:
         return GiveUp(_failed(after, f"{after.failed} endpoints failed; try again later"))
     if not take_retry():
         return GiveUp(_failed(after, "too many requests are being retried; try again later"))
@@ -126,7 +134,7 @@
 def _repeatable(rules: AttemptRules, failure: AttemptFailure) -> bool:
     if failure.shown:
         return rules.idempotent and failure.resumable
-    return rules.idempotent or failure.happened is Happened.NOT_SENT
+    return rules.idempotent or failure.happened in (Happened.NOT_SENT, Happened.REFUSED)
 
 
 def _failed(history: AttemptHistory, remedy: str) -> Refusal:
--- /dev/null
+++ b/parsleyrouter/version/route_table.py
@@ -0,0 +1,128 @@
+"""One version of the routes: which service may run a request, and what may be repeated."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from random import Random
+
+from parsleyrouter.ids import RouteName, ServiceName
+
+__all__ = [
+    "CallerLimits",
+    "EngineTraits",
+    "Route",
+    "RouteKind",
+    "RouteTable",
+    "ServiceTraits",
+    "Target",
+]
+
+
+class RouteKind(Enum):
+    """Say what may be repeated and how an answer comes."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+    BATCH = "batch"
+
+
+@dataclass(frozen=True)
+class Target:
+    """A service with its share of a route's requests."""
+
+    service: ServiceName
+    weight: float = 1.0
+
+
+@dataclass(frozen=True)
+class Route:
+    """Requests of one host under one path prefix; times in seconds."""
+
+    name: RouteName
+    host: str
+    prefix: str
+    kind: RouteKind
+    targets: tuple[Target, ...]
+    timeout_s: float
+    latency_target_s: float
+    most_runs: int = 1
+    priority: int = 0
+    """The rank of the requests; 0 goes first."""
+    resumable: bool = False
+    longest_pause_s: float = 0.0
+    """The longest pause between events of an answer that is still on time."""
+    job_due_s: float = 0.0
+    job_kept_s: float = 0.0
+    """How long after the submission of a job its items may be given up."""
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether a request may run more than once."""
+        return self.kind is RouteKind.SAFE or self.resumable
+
+    def pick_service(self, random: Random) -> ServiceName:
+        """Return one of the services by weight."""
+        if len(self.targets) == 1:
+            return self.targets[0].service
+        weights = [target.weight for target in self.targets]
+        return random.choices(self.targets, weights)[0].service
+
+    def may_use(self, service: ServiceName) -> bool:
+        """Tell whether a service may run requests of the route."""
+        return any(target.service == service and target.weight > 0 for target in self.targets)
+
+
+@dataclass(frozen=True)
+class EngineTraits:
+    """What is declared of the model engines of a service."""
+
+    slots: int
+    memory_tokens: int
+
+
+@dataclass(frozen=True)
+class ServiceTraits:
+    """What is declared of a service."""
+
+    name: ServiceName
+    most_connections: int
+    engine: EngineTraits | None = None
+
+
+@dataclass(frozen=True)
+class CallerLimits:
+    """What callers may send and how long they may take; times in seconds."""
+
+    header_bytes: int = 16 * 1024
+    body_bytes: int = 4 * 1024 * 1024
+    header_s: float = 3.0
+    idle_s: float = 15.0
+
+
+@dataclass(frozen=True)
+class RouteTable:
+    """All routes of one version."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[ServiceName, ServiceTraits] = field(default_factory=dict)
+    limits: CallerLimits = CallerLimits()
+    by_host: dict[str, list[Route]] = field(init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        by_host: dict[str, list[Route]] = {}
+        for route in sorted(self.routes, key=lambda route: -len(route.prefix)):
+            by_host.setdefault(route.host, []).append(route)
+        object.__setattr__(self, "by_host", by_host)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of a host with the longest prefix that begins the path."""
+        for route in self.by_host.get(host.lower(), ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def serves_jobs(self, host: str) -> bool:
+        """Tell whether batch jobs may be submitted at a host."""
+        return any(route.kind is RouteKind.BATCH for route in self.by_host.get(host.lower(), ()))
