--- /dev/null
+++ b/features/steps/front_jobs_steps.py
@@ -0,0 +1,372 @@
+"""Steps for batch jobs that are kept in the platform's store."""
+
+import json
+from base64 import b64encode
+from typing import Any
+
+from behave import then, when
+
+from features.steps.front_requests_steps import play
+from features.support.front_fleet import CallerAnswer, FrontFleet
+from features.support.platform_endpoint import (
+    Arrival,
+    EndpointStandIn,
+    status,
+    stream,
+    stream_until,
+)
+from parsleyrouter.connection.forward_server import CallerExchange
+
+ITEMS = 4
+
+
+def items(count: int = ITEMS) -> list[dict[str, Any]]:
+    return [
+        {
+            "id": f"item{number}",
+            "path": f"/bulk/{number}",
+            "headers": {"X-Model": "m"},
+            "body": b64encode(b"body %d" % number).decode(),
+            "tokens": 10,
+        }
+        for number in range(count)
+    ]
+
+
+async def submit(
+    fleet: FrontFleet, node: int = 0, job: str = "job1", body: bytes | None = None
+) -> CallerAnswer:
+    data = json.dumps({"items": items()}).encode() if body is None else body
+    caller = fleet.caller(fleet.fronts[node])
+    return await caller.ask("POST", "/bulk/x", data, attempt=job, deadline_ms=None)
+
+
+async def read(fleet: FrontFleet, node: int = 0, after: int = 0, job: str = "job1") -> Any:
+    answer = await fleet.caller(fleet.fronts[node]).ask(
+        "GET", f"/lots/{job}?after={after}", headers=[("X-Wait-Ms", "1000")], deadline_ms=None
+    )
+    return json.loads(answer.body) if answer.status == 200 else answer.status
+
+
+async def read_all(fleet: FrontFleet, node: int = 0, job: str = "job1") -> list[dict[str, Any]]:
+    results: list[dict[str, Any]] = []
+    for _ in range(60):
+        page = await read(fleet, node, len(results), job)
+        if isinstance(page, dict):
+            results += page["results"]
+            assert page["next"] == len(results)
+            if len(results) == page["total"]:
+                return results
+    raise AssertionError(f"only {len(results)} results came")
+
+
+def runs(fleet: FrontFleet, item: str = "") -> list[Arrival]:
+    return [
+        arrival
+        for endpoint in fleet.endpoints.values()
+        for arrival in endpoint.arrivals
+        if arrival.target.startswith("/bulk/")
+        and (not item or arrival.header("X-Attempt-Id") == item)
+    ]
+
+
+def whole_output(events: int = 5) -> str:
+    return "\n".join(f"token {number}" for number in range(1, events + 1))
+
+
+@when("a job is submitted at one node and read at another")
+def step_submit_and_read(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("e1")
+        await fleet.start(2)
+        context.status = (await submit(fleet)).status
+        context.results = await read_all(fleet, 1)
+
+    play(context, scene)
+
+
+@then("every item is listed once with its whole output")
+def step_listed(context: Any) -> None:
+    assert context.status == 202
+    listed = [one["id"] for one in context.results]
+    assert sorted(listed) == [f"item{number}" for number in range(ITEMS)]
+    assert all(one["state"] == "completed" for one in context.results)
+    assert all(one["output"] == whole_output() for one in context.results)
+
+
+@when("a job is submitted three times at different nodes")
+def step_submit_again(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("e1")
+        await fleet.start(2)
+        context.statuses = [(await submit(fleet, node)).status for node in (0, 1, 0)]
+        await read_all(fleet)
+        context.statuses.append((await submit(fleet, 1)).status)
+        await fleet.loop.sleep(0.5)
+
+    play(context, scene)
+
+
+@then("all answers accept it and no item runs twice")
+def step_accepted_once(context: Any) -> None:
+    assert context.statuses == [202] * 4
+    assert len(runs(context.fleet)) == ITEMS
+
+
+@when("the store's answer to a submission is lost")
+def step_lose_answer(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("e1")
+        await fleet.start()
+        fleet.store.faults.lose_answers = 1
+        context.status = (await submit(fleet)).status
+        context.results = await read_all(fleet)
+
+    play(context, scene)
+
+
+@then("the job is accepted and every item is listed once")
+def step_accepted_and_listed(context: Any) -> None:
+    step_listed(context)
+
+
+@when("the store refuses all calls while a job is submitted")
+def step_store_refuses(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("e1")
+        await fleet.start()
+        fleet.store.faults.refuse = 503
+        context.answer = await submit(fleet)
+        fleet.store.faults.refuse = 0
+        await fleet.loop.sleep(1.0)
+
+    play(context, scene)
+
+
+@then("the answer is 503 and no item runs")
+def step_refused_not_run(context: Any) -> None:
+    assert context.answer.status == 503
+    assert not runs(context.fleet)
+
+
+@when("a reader comes back after the store has forgotten its history")
+def step_history_gone(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("e1")
+        await fleet.start(2)
+        context.status = (await submit(fleet)).status
+        context.first = await read(fleet, 1)
+        context.results = await read_all(fleet, 0)
+        fleet.store.forget_history()
+        context.again = await read(fleet, 1, len(context.first["results"]))
+
+    play(context, scene)
+
+
+@then("the results stand at the same positions")
+def step_same_positions(context: Any) -> None:
+    seen = context.first["results"] + context.again["results"]
+    assert seen == context.results
+
+
+@when("the node that runs a job is gone in the middle of an item")
+def step_node_gone(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        endpoint = fleet.register("e1")
+        endpoint.events, endpoint.gap_s = 40, 0.02
+        await fleet.start(2)
+        context.status = (await submit(fleet)).status
+        await fleet.until(lambda: len(runs(fleet)) == ITEMS)
+        gone = fleet.fronts[0]
+        gone.registry.leaving = gone.worker.leaving = True
+        for job in gone.worker.runs.values():
+            job.stop()
+            job.waiting.clear()
+        gone.exchange.datagrams.close()
+        fleet.store.end_lease(gone.registry.lease)
+        context.results = await read_all(fleet, 1)
+
+    play(context, scene)
+
+
+@then("another node lists all items")
+def step_other_lists(context: Any) -> None:
+    assert sorted(one["id"] for one in context.results) == [f"item{n}" for n in range(ITEMS)]
+    assert all(one["output"] == whole_output(40) for one in context.results)
+
+
+@when("the store's answers to listings are lost")
+def step_listing_lost(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("e1")
+        await fleet.start()
+        context.status = (await submit(fleet)).status
+        fleet.store.faults.lose_answers = 3
+        context.results = await read_all(fleet)
+
+    play(context, scene)
+
+
+@when("the endpoint says that an item can never be done")
+def step_never(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("e1").usual = status(422)
+        await fleet.start()
+        await submit(fleet)
+        context.results = await read_all(fleet)
+
+    play(context, scene)
+
+
+@then("the item is given up after one run")
+def step_given_up(context: Any) -> None:
+    assert all(one["state"] == "dead_lettered" for one in context.results)
+    assert all(len(runs(context.fleet, f"item{number}")) == 1 for number in range(ITEMS))
+
+
+@when("an item fails at every run")
+def step_fails(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        for name in ("e1", "e2"):
+            fleet.register(name).usual = status(500)
+        await fleet.start()
+        await submit(fleet)
+        context.results = await read_all(fleet)
+
+    play(context, scene)
+
+
+@then("the item is given up after three runs")
+def step_given_up_late(context: Any) -> None:
+    assert all(one["state"] == "dead_lettered" for one in context.results)
+    assert all(len(runs(context.fleet, f"item{number}")) == 3 for number in range(ITEMS))
+
+
+@when("endpoints break an item off again and again")
+def step_break_item(context: Any) -> None:
+    async def breaking(
+        endpoint: EndpointStandIn, exchange: CallerExchange, arrival: Arrival
+    ) -> None:
+        seen = int(arrival.header("Last-Event-Id") or 0)
+        if seen < 4:
+            await stream_until(seen + 2)(endpoint, exchange, arrival)
+        else:
+            await stream(endpoint, exchange, arrival)
+
+    async def scene(fleet: FrontFleet) -> None:
+        for name in ("e1", "e2"):
+            fleet.register(name).usual = breaking
+        await fleet.start()
+        context.status = (await submit(fleet)).status
+        context.results = await read_all(fleet)
+
+    play(context, scene)
+
+
+@then("its output has every event once")
+def step_every_event(context: Any) -> None:
+    step_listed(context)
+
+
+@when("a job is ended while its items run")
+def step_end(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        endpoint = fleet.register("e1")
+        endpoint.events, endpoint.gap_s = 1000, 0.02
+        await fleet.start(2)
+        await submit(fleet)
+        await fleet.until(lambda: len(runs(fleet)) == ITEMS)
+        caller = fleet.caller(fleet.fronts[1])
+        statuses = [(await caller.ask("DELETE", "/lots/job1")).status for _ in range(2)]
+        ended_s = fleet.loop.now()
+        await fleet.until(lambda: all(one.cut for one in runs(fleet)))
+        context.took_s = fleet.loop.now() - ended_s
+        await fleet.loop.sleep(0.6)
+        context.statuses = statuses
+
+    play(context, scene)
+
+
+@then("its runs are cut within half a second and nothing runs after")
+def step_ended(context: Any) -> None:
+    assert context.statuses == [200, 200]
+    assert context.took_s < 0.5
+    assert len(runs(context.fleet)) == ITEMS
+
+
+@when("the bodies of a job's items are read at another node")
+def step_read_bodies(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("e1")
+        await fleet.start(2)
+        await submit(fleet)
+        caller = fleet.caller(fleet.fronts[1])
+        answers = [
+            await caller.ask("GET", f"/items/job1?id=item{number}") for number in range(ITEMS)
+        ]
+        context.bodies = [one.body for one in answers]
+        context.unknown = [
+            (await caller.ask("GET", path)).status
+            for path in ("/items/job1?id=none", "/items/none?id=item1", "/lots/none?after=0")
+        ]
+
+    play(context, scene)
+
+
+@then("they are what was submitted")
+def step_bodies(context: Any) -> None:
+    assert context.bodies == [b"body %d" % number for number in range(ITEMS)]
+    assert context.unknown == [404] * 3
+
+
+@when("online requests fill the endpoint that runs batch items")
+def step_online_fills(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        endpoint = fleet.register("e1")
+        endpoint.events, endpoint.gap_s = 40, 0.02
+        await fleet.start(2)
+        context.status = (await submit(fleet)).status
+        await fleet.until(lambda: len(runs(fleet)) == ITEMS)
+        callers = [fleet.caller(fleet.fronts[1]) for _ in range(8)]
+        for number, caller in enumerate(callers):
+            await caller.send("POST", "/chat/1", attempt=f"c{number}")
+        await fleet.until(lambda: sum(one.cut for one in runs(fleet)) == ITEMS, 1.0)
+        context.answers = [await caller.wait() for caller in callers]
+        context.results = await read_all(fleet)
+
+    play(context, scene)
+
+
+@then("the items leave, go on later, and lose no event")
+def step_gave_way(context: Any) -> None:
+    assert all(one.status == 200 and one.complete for one in context.answers)
+    assert all(one["output"] == whole_output(40) for one in context.results)
+    resumed = [one for one in runs(context.fleet) if one.header("Last-Event-Id")]
+    assert len(resumed) == ITEMS
+
+
+BROKEN: dict[str, bytes] = {
+    "broken JSON": b'{"items":[',
+    "broken base64": json.dumps({"items": [items()[0] | {"body": "*"}]}).encode(),
+    "items of another type": b'{"items":"all of them"}',
+    "two items of one id": json.dumps({"items": [items()[0]] * 2}).encode(),
+    "no items": b'{"items":[]}',
+}
+
+
+@when("a job is submitted as {what}")
+def step_broken(context: Any, what: str) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("e1")
+        await fleet.start()
+        context.status = (await submit(fleet, body=BROKEN[what])).status
+        await fleet.loop.sleep(0.1)
+
+    play(context, scene)
+
+
+@then("the answer is 400 and nothing is kept")
+def step_refused_broken(context: Any) -> None:
+    assert context.status == 400
+    assert not [key for key in context.fleet.store.rows if key.startswith("parsley/job/")]
+    assert not runs(context.fleet)
--- /dev/null
+++ b/features/steps/front_requests_steps.py
@@ -0,0 +1,480 @@
+"""Steps for requests that a front process passes on."""
+
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from behave import then, when
+from hypothesis import given as any_of
+from hypothesis import strategies as st
+
+from features.support.front_fleet import Caller, CallerAnswer, FrontFleet, routes
+from features.support.loop import run_on_loop
+from features.support.platform_endpoint import (
+    Arrival,
+    Behaviour,
+    EndpointStandIn,
+    RawEndpoint,
+    drop,
+    event,
+    raw,
+    shed,
+    silent,
+    status,
+    stream,
+    stream_until,
+)
+from parsleyrouter.connection.forward_server import CallerExchange
+from parsleyrouter.ids import RouteName, ServiceName
+from parsleyrouter.process.routes_in_force import RoutesInForce
+from parsleyrouter.version.route_table import Route, RouteKind, RouteTable, Target
+
+LONGEST_PAUSE_S = 0.4
+Play = Callable[[FrontFleet], Coroutine[Any, Any, None]]
+
+
+def play(context: Any, scene: Play) -> None:
+    """Run a scene on a fleet of its own."""
+
+    async def main(runtime: Any) -> None:
+        context.fleet = FrontFleet(runtime)
+        await scene(context.fleet)
+
+    run_on_loop(main)
+
+
+def all_events(count: int) -> bytes:
+    return b"".join(event(number) for number in range(1, count + 1))
+
+
+@when("a caller sends a request with headers, a query and a body of its own")
+def step_pass_on(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("c1", "cards")
+        await fleet.start()
+        headers = [("X-Twice", "a"), ("X-Twice", "b"), ("x-Lower", "l"), ("Connection", "x-hop")]
+        headers += [("X-Hop", "no"), ("X-Expect-Instance", "forged")]
+        context.answer = await fleet.caller().ask(
+            "POST", "/card/a%20b/?q=1&r", b"\x00body", headers=headers, deadline_ms=1500
+        )
+
+    play(context, scene)
+
+
+@then("the endpoint sees them unchanged, its own name expected and what is left of the deadline")
+def step_passed_on(context: Any) -> None:
+    arrival: Arrival = context.fleet.endpoints["c1"].arrivals[0]
+    assert context.answer.status == 200
+    assert (arrival.method, arrival.target) == ("POST", "/card/a%20b/?q=1&r")
+    assert arrival.body == b"\x00body"
+    names = [name for name, _ in arrival.headers]
+    assert [value for name, value in arrival.headers if name == "X-Twice"] == ["a", "b"]
+    assert "x-Lower" in names and "X-Hop" not in names
+    assert arrival.header("X-Attempt-Id") == "a1"
+    assert arrival.header("Host") == "callers.example"
+    assert arrival.header("X-Expect-Instance") == "c1"
+    assert 1000 < int(arrival.header("X-Deadline-Ms") or 0) <= 1500
+
+
+@when("a caller asks for a card")
+def step_ask_card(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("c1", "cards")
+        await fleet.start()
+        context.answer = await fleet.caller().ask("POST", "/card/1")
+
+    play(context, scene)
+
+
+@then("status, body and the endpoint's headers come back")
+def step_card_came(context: Any) -> None:
+    answer: CallerAnswer = context.answer
+    assert (answer.status, answer.body, answer.complete) == (200, b"the body", True)
+    assert answer.headers["X-Own"] == "kept"
+    assert answer.headers["X-Response-Signature"] == "sig-c1"
+
+
+@when("a caller asks for a stream")
+def step_ask_stream(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("e1")
+        await fleet.start()
+        context.answer = await fleet.caller().ask("POST", "/chat/1", b"prompt")
+
+    play(context, scene)
+
+
+@then("all events come in order and the answer is complete")
+def step_stream_came(context: Any) -> None:
+    assert context.answer.complete and context.answer.status == 200
+    assert context.answer.body == all_events(5)
+
+
+def _head(endpoint: EndpointStandIn, arrival: Arrival, *lines: bytes) -> bytes:
+    shown = [b"%s: %s" % line for line in endpoint.proof(arrival)]
+    return b"\r\n".join([b"HTTP/1.1 200 OK", *shown, *lines]) + b"\r\n\r\n"
+
+
+async def _reset_unframed(
+    endpoint: EndpointStandIn, exchange: CallerExchange, arrival: Arrival
+) -> None:
+    """Send a part of an answer without a length and reset the connection."""
+    exchange.server.send(exchange.sock, _head(endpoint, arrival) + b"part")
+    await endpoint.runtime.loop.sleep(0.05)
+    exchange.sock.setsockopt(1, 13, b"\x01\x00\x00\x00\x00\x00\x00\x00")
+    exchange.server.server._poller.discard(exchange.sock)
+    exchange.sock.close()
+
+
+FAILURES: dict[str, Behaviour] = {
+    "closing without an answer": drop,
+    "shedding": shed,
+    "a status 500": status(500),
+    "an answer without proof": raw(lambda e, a: b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"),
+    "an answer of another": raw(
+        lambda e, a: b"HTTP/1.1 200 OK\r\nX-Attempt-Id: zz\r\nX-Response-Signature: s\r\n"
+        b"Content-Length: 2\r\n\r\nno"
+    ),
+    "a truncated answer": raw(lambda e, a: _head(e, a, b"Content-Length: 50") + b"part"),
+    "an encoded answer": raw(
+        lambda e, a: _head(e, a, b"Content-Length: 2", b"Content-Encoding: gzip") + b"no"
+    ),
+    "bytes that are no answer": raw(lambda e, a: b"\x00\x01garbage\r\n\r\n"),
+    "a reset answer of no length": _reset_unframed,
+}
+
+
+@when("an endpoint fails a card by {failure}")
+def step_fail_card(context: Any, failure: str) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        for name in ("c1", "c2"):
+            fleet.register(name, "cards").behaviours = [FAILURES[failure]]
+        await fleet.start()
+        fleet.endpoints["c2"].behaviours = []
+        fleet.endpoints["c1"].behaviours = [FAILURES[failure]] * 9
+        caller = fleet.caller()
+        context.answers = [await caller.ask("POST", f"/card/{n}", attempt=f"a{n}") for n in (1, 2)]
+        fleet.endpoints["c1"].behaviours = []
+        context.answers.append(await caller.ask("POST", "/card/3", attempt="a3"))
+
+    play(context, scene)
+
+
+@then("the card comes from another attempt")
+def step_card_from_another(context: Any) -> None:
+    assert [(one.status, one.body) for one in context.answers] == [(200, b"the body")] * 3
+
+
+@when("an endpoint closes without an answer to a chat")
+def step_drop_chat(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        for name in ("e1", "e2"):
+            fleet.register(name).usual = drop
+        await fleet.start()
+        context.answer = await fleet.caller().ask("POST", "/chat/1")
+
+    play(context, scene)
+
+
+@then("the chat was sent once and the caller gets a status that promises nothing")
+def step_chat_once(context: Any) -> None:
+    arrivals = [one for endpoint in context.fleet.endpoints.values() for one in endpoint.arrivals]
+    assert len(arrivals) == 1
+    assert context.answer.status == 502
+
+
+@when("an endpoint sheds a chat")
+def step_shed_chat(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        for name in ("e1", "e2"):
+            fleet.register(name)
+        await fleet.start()
+        fleet.endpoints["e1"].usual = shed
+        caller = fleet.caller()
+        context.answers = [
+            await caller.ask("POST", "/chat/1", attempt=f"a{number}") for number in range(4)
+        ]
+
+    play(context, scene)
+
+
+@then("another endpoint answers it")
+def step_another_answers(context: Any) -> None:
+    assert all(one.status == 200 and one.body == all_events(5) for one in context.answers)
+
+
+@when("all endpoints shed a chat")
+def step_all_shed(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        for name in ("e1", "e2"):
+            fleet.register(name).usual = shed
+        await fleet.start()
+        context.answer = await fleet.caller().ask("POST", "/chat/1")
+
+    play(context, scene)
+
+
+@then("the refusal is 503 and tells when to come back")
+def step_refused(context: Any) -> None:
+    assert context.answer.status == 503
+    assert float(context.answer.headers["Retry-After"]) >= 0
+
+
+@when("an endpoint breaks a tale off within an event")
+def step_break_tale(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        first = [stream_until(2)]
+        for name in ("e1", "e2"):
+            fleet.register(name).behaviours = first
+        await fleet.start()
+        context.answer = await fleet.caller().ask("POST", "/tale/1")
+
+    play(context, scene)
+
+
+@then("the caller sees every event once under the first endpoint's headers")
+def step_tale_resumed(context: Any) -> None:
+    endpoints: dict[str, EndpointStandIn] = context.fleet.endpoints
+    arrivals = sorted(
+        ((one.at_s, name, one) for name, e in endpoints.items() for one in e.arrivals),
+        key=lambda row: row[0],
+    )
+    first, second = arrivals
+    assert first[1] != second[1]
+    assert second[2].header("Last-Event-Id") == "2"
+    assert context.answer.headers["X-Response-Signature"] == f"sig-{first[1]}"
+    assert context.answer.complete
+
+
+async def _fall_silent(
+    endpoint: EndpointStandIn, exchange: CallerExchange, arrival: Arrival
+) -> None:
+    await stream(endpoint, exchange, arrival, 2)
+    await endpoint.runtime.loop.sleep(5.0)
+
+
+@when("an endpoint falls silent within a tale")
+def step_silent_tale(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        for name in ("e1", "e2"):
+            fleet.register(name).behaviours = [_fall_silent]
+        await fleet.start()
+        caller = fleet.caller()
+        began_s = fleet.loop.now()
+        await caller.send("POST", "/tale/1")
+        await fleet.until(lambda: caller.answer.body)
+        for endpoint in fleet.endpoints.values():
+            endpoint.behaviours = []
+        context.answer = await caller.wait()
+        context.took_s = fleet.loop.now() - began_s
+
+    play(context, scene)
+
+
+@then("the tale goes on within the longest pause that is on time")
+def step_tale_in_time(context: Any) -> None:
+    assert context.answer.body == all_events(5) and context.answer.complete
+    assert context.took_s < LONGEST_PAUSE_S + 0.1
+
+
+@when("an endpoint breaks a chat off within an event")
+def step_break_chat(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        for name in ("e1", "e2"):
+            fleet.register(name).usual = stream_until(2)
+        await fleet.start()
+        context.answer = await fleet.caller().ask("POST", "/chat/1")
+
+    play(context, scene)
+
+
+@then("the caller's answer is incomplete")
+def step_incomplete(context: Any) -> None:
+    assert context.answer.status == 200 and not context.answer.complete
+    assert sum(len(one.arrivals) for one in context.fleet.endpoints.values()) == 1
+
+
+@when("an endpoint sends an extra answer before the one that is due")
+def step_extra_answer(context: Any) -> None:
+    def extra(endpoint: EndpointStandIn, arrival: Arrival) -> bytes:
+        other = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: zz\r\nX-Response-Signature: s\r\n"
+        own = _head(endpoint, arrival, b"Content-Length: 3") + b"own"
+        return other + b"Content-Length: 5\r\n\r\nother" + own
+
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("c1", "cards").usual = raw(extra, close=False)
+        await fleet.start()
+        caller = fleet.caller()
+        context.answers = [await caller.ask("POST", "/card/1", b"xy") for _ in range(2)]
+
+    play(context, scene)
+
+
+@then("the caller gets its own answer")
+def step_own_answer(context: Any) -> None:
+    assert [one.body for one in context.answers] == [b"own", b"own"]
+
+
+@when("an endpoint answers before it has read a long body")
+def step_early_answer(context: Any) -> None:
+    context.body = b"x" * 3_000_000
+
+    async def scene(fleet: FrontFleet) -> None:
+        endpoint = RawEndpoint(fleet.runtime)
+        fleet.register("c1", "cards")
+        fleet.announce("c1", "cards", address=endpoint.address)
+        await fleet.start()
+        caller = fleet.caller()
+        context.answers = [
+            await caller.ask("POST", "/card/1", context.body),
+            await caller.ask("POST", "/card/2", b"short", attempt="a2"),
+        ]
+        context.received = endpoint.received
+
+    play(context, scene)
+
+
+@then("the next request goes over another connection")
+def step_other_connection(context: Any) -> None:
+    assert [one.status for one in context.answers] == [200, 200]
+    assert len(context.received) == 2
+    assert all(data.startswith(b"POST /card/") for data in context.received)
+    assert context.received[1].endswith(b"short")
+
+
+@when("a caller leaves a stream")
+def step_leave(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        endpoint = fleet.register("e1")
+        endpoint.events, endpoint.gap_s = 1000, 0.01
+        await fleet.start()
+        caller: Caller = fleet.caller()
+        await caller.send("POST", "/chat/1")
+        await fleet.until(lambda: caller.answer.body)
+        left_s = fleet.loop.now()
+        caller.close()
+        await fleet.until(lambda: endpoint.arrivals[0].cut)
+        context.took_s = endpoint.arrivals[0].ended_s - left_s
+
+    play(context, scene)
+
+
+@then("the endpoint's connection is closed within half a second")
+def step_endpoint_told(context: Any) -> None:
+    assert context.took_s < 0.5
+
+
+@when("an address has been taken over by another endpoint")
+def step_taken_over(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("e1")
+        other = fleet.register("e2")
+        await fleet.start()
+        fleet.endpoints["e1"].server.unregister()
+        fleet.announce("e1", address=other.address)
+        await fleet.until(
+            lambda: fleet.fronts[0].directory.endpoints["e1"].address == other.address
+        )
+        caller = fleet.caller()
+        context.answers = [await caller.ask("POST", "/chat/1", attempt=f"a{n}") for n in range(4)]
+
+    play(context, scene)
+
+
+@then("the request runs at the endpoint that was meant")
+def step_ran_where_meant(context: Any) -> None:
+    assert all(one.status == 200 for one in context.answers)
+    assert all(one.headers["X-Response-Signature"] == "sig-e2" for one in context.answers)
+
+
+@when("a caller asks for an unknown route before and after routes are known")
+def step_unknown(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        await fleet.start(configured=False)
+        caller = fleet.caller()
+        before = await caller.ask("POST", "/none/1")
+        fleet.store.put_json("op/config", routes())
+        await fleet.until(lambda: fleet.fronts[0].routes.version == 1)
+        context.statuses = [before.status, (await caller.ask("POST", "/none/1")).status]
+
+    play(context, scene)
+
+
+@then("the first answer is 503 and the second is 404")
+def step_unknown_answers(context: Any) -> None:
+    assert context.statuses == [503, 404]
+
+
+@when("an endpoint never answers a chat with a short time limit")
+def step_time_limit(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("e1").usual = silent
+        await fleet.start()
+        table = routes(2)
+        for route in table["routes"]:
+            route["timeoutMs"] = 400
+        fleet.store.put_json("op/config", table)
+        await fleet.until(lambda: fleet.fronts[0].routes.version == 2)
+        began_s = fleet.loop.now()
+        context.answer = await fleet.caller().ask("POST", "/chat/1")
+        context.took_s = fleet.loop.now() - began_s
+
+    play(context, scene)
+
+
+@then("the caller is answered soon after the limit")
+def step_limit_held(context: Any) -> None:
+    assert 0.35 < context.took_s < 0.9
+    assert context.answer.status in (502, 504)
+
+
+PARTS = st.lists(st.sampled_from(["a", "b"]), max_size=3)
+
+
+def _path(parts: list[str]) -> str:
+    return "/" + "".join(f"{part}/" for part in parts)
+
+
+def _route(host: str, prefix: str) -> Route:
+    target = Target(ServiceName("s"))
+    return Route(RouteName(host + prefix), host, prefix, RouteKind.SAFE, (target,), 1.0, 1.0)
+
+
+@when("any paths are looked up in any routes")
+def step_look_up(context: Any) -> None:
+    @any_of(
+        st.sets(st.tuples(st.sampled_from("xy"), PARTS.map(_path))), st.sampled_from("xy"), PARTS
+    )
+    def holds(rows: set[tuple[str, str]], host: str, parts: list[str]) -> None:
+        table = RouteTable(1, tuple(_route(*row) for row in sorted(rows)))
+        path = _path(parts) + "rest"
+        fitting = [prefix for name, prefix in rows if name == host and path.startswith(prefix)]
+        found = table.find(host, path)
+        assert (found.prefix if found else None) == max(fitting, key=len, default=None)
+
+    context.check = holds
+
+
+@then("the route is the one with the longest prefix, and never one of another host")
+def step_longest_prefix(context: Any) -> None:
+    context.check()
+
+
+@when("versions arrive in any order")
+def step_versions(context: Any) -> None:
+    @any_of(st.lists(st.integers(1, 30)))
+    def holds(versions: list[int]) -> None:
+        in_force = RoutesInForce()
+        seen = [0]
+        for version in versions:
+            taken = in_force.take(RouteTable(version, ()), "test")
+            assert taken == (version > seen[-1])
+            seen.append(in_force.version)
+        assert seen == sorted(seen)
+        assert in_force.version == max(versions, default=0)
+
+    context.check = holds
+
+
+@then("the version in force only grows")
+def step_only_grows(context: Any) -> None:
+    context.check()
--- /dev/null
+++ b/features/support/platform_store.py
@@ -0,0 +1,189 @@
+"""A stand-in for the platform's store, after its published protocol."""
+
+import itertools
+from base64 import b64decode, b64encode
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qsl
+
+import msgspec
+
+from parsleyrouter.connection.forward_server import CallerExchange, ForwardServer
+from parsleyrouter.ids import Address
+from parsleyrouter.process.loop import Promise
+from parsleyrouter.process.runtime import Runtime
+
+PAGE = 20
+
+
+@dataclass
+class Row:
+    key: str
+    value: bytes
+    revision: int
+    created: int
+    lease: int = 0
+
+    def shown(self) -> dict[str, Any]:
+        return {
+            "key": self.key,
+            "value": b64encode(self.value).decode(),
+            "revision": self.revision,
+            "createRev": self.created,
+            "lease": self.lease,
+        }
+
+
+@dataclass
+class StoreFaults:
+    """What the store does wrong to the calls that come."""
+
+    refuse: int = 0
+    """Status with which every call is refused; 0 for none."""
+    silent: bool = False
+    lose_answers: int = 0
+    """So many of the next writes are done and their connection is closed."""
+    delay_s: float = 0.0
+    calls: list[str] = field(default_factory=list)
+
+
+class PlatformStoreStandIn:
+    def __init__(self, runtime: Runtime) -> None:
+        self.loop = runtime.loop
+        self.rows: dict[str, Row] = {}
+        self.history: list[tuple[str, int, Row | None]] = []
+        self.dropped = 0
+        self.revision = 100
+        self.leases: dict[int, float] = {}
+        self.lease_ids = itertools.count(7000)
+        self.faults = StoreFaults()
+        self.waiting: list[Promise[None]] = []
+        bind = Address("127.0.0.1:0")
+        server = ForwardServer(runtime.loop, bind, self._answer)
+        self.server = server.register(runtime)
+
+    @property
+    def address(self) -> Address:
+        return self.server.bound_address()
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        self.revision += 1
+        former = self.rows.get(key)
+        created = former.created if former else self.revision
+        self.rows[key] = Row(key, value, self.revision, created, lease)
+        self._changed(key)
+        return self.revision
+
+    def put_json(self, key: str, value: Any) -> int:
+        return self.put(key, msgspec.json.encode(value))
+
+    def remove(self, key: str) -> None:
+        if self.rows.pop(key, None) is not None:
+            self.revision += 1
+            self._changed(key)
+
+    def forget_history(self) -> None:
+        self.history.clear()
+        self.dropped = self.revision
+
+    def end_lease(self, lease: int) -> None:
+        self.leases.pop(lease, None)
+        for key in [key for key, row in self.rows.items() if row.lease == lease]:
+            self.remove(key)
+
+    def _changed(self, key: str) -> None:
+        self.history.append((key, self.revision, self.rows.get(key)))
+        waiting, self.waiting = self.waiting, []
+        for promise in waiting:
+            promise.resolve(None)
+
+    async def _answer(self, exchange: CallerExchange) -> None:
+        head = exchange.head
+        self.faults.calls.append(f"{head.method} {head.path}?{head.query}")
+        for lease in [one for one, until in self.leases.items() if until < self.loop.now()]:
+            self.end_lease(lease)
+        if self.faults.delay_s:
+            await self.loop.sleep(self.faults.delay_s)
+        if self.faults.silent:
+            await self.loop.sleep(30.0)
+        if self.faults.refuse:
+            exchange.reply(self.faults.refuse, (), b"")
+            return
+        query = dict(parse_qsl(head.query))
+        body = msgspec.json.decode(exchange.body) if exchange.body else {}
+        status, answer = await self._call(head.method, head.path, query, body)
+        if self.faults.lose_answers and head.path == "/kv-txn":
+            self.faults.lose_answers -= 1
+            exchange.abort()
+            return
+        exchange.reply(
+            status, [(b"Content-Type", b"application/json")], msgspec.json.encode(answer)
+        )
+
+    async def _call(
+        self, method: str, path: str, query: dict[str, str], body: Any
+    ) -> tuple[int, Any]:
+        if path == "/kv-key":
+            row = self.rows.get(query["key"])
+            return (404, {}) if row is None else (200, self._at(row.shown()))
+        if path == "/kv-range":
+            return 200, self._range(query)
+        if path == "/kv-watch":
+            return await self._watch(query)
+        if path == "/kv-txn":
+            return self._transact(body)
+        if path == "/kv-lease":
+            lease = next(self.lease_ids)
+            self.leases[lease] = self.loop.now() + body["ttlMs"] / 1000
+            return 200, {"lease": lease, "ttlMs": body["ttlMs"]}
+        lease = int(path.rpartition("/")[2])
+        if lease not in self.leases:
+            return 404, {}
+        if method == "DELETE":
+            self.end_lease(lease)
+            return 200, {}
+        self.leases[lease] = self.loop.now() + 4.0
+        return 200, {"ttlMs": 4000}
+
+    def _at(self, body: dict[str, Any]) -> dict[str, Any]:
+        return body | {"currentRev": self.revision}
+
+    def _range(self, query: dict[str, str]) -> Any:
+        keys = [key for key in sorted(self.rows) if key.startswith(query["prefix"])]
+        keys = [key for key in keys if key > query.get("after", "")]
+        items = [self.rows[key].shown() for key in keys[:PAGE]]
+        return self._at({"items": items, "morePages": len(keys) > PAGE})
+
+    async def _watch(self, query: dict[str, str]) -> tuple[int, Any]:
+        after = int(query["after"])
+        until_s = self.loop.now() + int(query["waitMs"]) / 1000
+        while True:
+            if after < self.dropped:
+                return 410, {}
+            events = [
+                row.shown() if row else {"key": key, "revision": revision, "tombstone": True}
+                for key, revision, row in self.history
+                if revision > after and key.startswith(query["prefix"])
+            ]
+            left_s = until_s - self.loop.now()
+            if events or left_s <= 0:
+                return 200, self._at({"events": events})
+            promise: Promise[None] = self.loop.promise()
+            self.waiting.append(promise)
+            self.loop.call_later(left_s, lambda promise=promise: promise.resolve(None))
+            await promise
+
+    def _transact(self, body: Any) -> tuple[int, Any]:
+        found = {row["key"]: self.rows.get(row["key"]) for row in body["expect"]}
+        for row in body["expect"]:
+            known = found[row["key"]]
+            if (known.revision if known else 0) != row["revision"]:
+                return 412, {"items": [one.shown() for one in found.values() if one]}
+        for row in body["writes"]:
+            if row.get("lease") and row["lease"] not in self.leases:
+                return 404, {}
+        for row in body["writes"]:
+            self.put(row["key"], b64decode(row["value"]), row.get("lease", 0))
+        for key in body["deletes"]:
+            self.remove(key)
+        return 200, {"revision": self.revision}
--- a/parsleyrouter/connection/forward_server.py
+++ b/parsleyrouter/connection/forward_server.py
@@ -1,5 +1,6 @@
 """An HTTP server whose answers are passed on as they come, byte for byte."""
 
+import itertools
 import logging
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -23,6 +24,8 @@
 
 DRAIN_CHECK_S = 0.01
 
+_NUMBERS = itertools.count(1)
+
 log = logging.getLogger(__name__)
 
 
@@ -114,8 +117,9 @@
     """Hand each whole request to ``answer``, which must end the exchange."""
 
     def __init__(
-        self, loop: Loop, bind: Address, answer: Answer, channel: str, limits: HttpLimits
+        self, loop: Loop, bind: Address, answer: Answer, limits: HttpLimits | None = None
     ) -> None:
+        channel = f"forward-{next(_NUMBERS)}"
         super().__init__(loop, bind, Routes(), None, channel=channel, limits=limits)
         self.answer = answer
         self.exchanges: dict[Any, CallerExchange] = {}
--- a/parsleyrouter/connection/key_value_calls.py
+++ b/parsleyrouter/connection/key_value_calls.py
@@ -22,7 +22,12 @@
 
 
 class KeyValueCalls:
-    """Make calls within this process's budget."""
+    """Make calls within this process's budget.
+
+    ``undone_statuses`` are those by which the service promises that nothing was done.
+    """
+
+    undone_statuses: frozenset[int] = frozenset()
 
     def __init__(
         self,
@@ -80,7 +85,7 @@
             body=body,
             timeout_s=self.timeout_s + wait_s,
         )
-        failure = failure_of_reply(reply, kind)
+        failure = failure_of_reply(reply, kind, self.undone_statuses)
         if failure is not None:
             return self.note_failure(kind, failure)
         assert isinstance(reply, HttpReply)
@@ -113,7 +118,9 @@
 }
 
 
-def failure_of_reply(reply: HttpReply | TransportFailure, kind: str) -> KeyValueFailure | None:
+def failure_of_reply(
+    reply: HttpReply | TransportFailure, kind: str, undone_statuses: frozenset[int] = frozenset()
+) -> KeyValueFailure | None:
     """Return the failure of the service that a reply means."""
     writes = kind in WRITES
     if isinstance(reply, TransportFailure):
@@ -124,7 +131,8 @@
         return KeyValueFailure(KeyValueFailureKind.OVER_BUDGET, "key-value service is overloaded")
     if reply.status >= SERVER_ERROR_STATUS:
         message = f"key-value service failed with status {reply.status}; try again later"
-        return KeyValueFailure(KeyValueFailureKind.UNAVAILABLE, message, maybe_applied=writes)
+        maybe = writes and reply.status not in undone_statuses
+        return KeyValueFailure(KeyValueFailureKind.UNAVAILABLE, message, maybe_applied=maybe)
     return None
 
 
--- a/parsleyrouter/platform/store.py
+++ b/parsleyrouter/platform/store.py
@@ -34,6 +34,8 @@
 class PlatformStore(KeyValueCalls):
     """Call the platform's store."""
 
+    undone_statuses = frozenset({503})
+
     async def get(self, key: str) -> Entry | None | KeyValueFailure:
         """Read one key."""
         reply = await self.exchange("get", "GET", "/kv-key?" + urlencode({"key": key}))
--- a/parsleyrouter/process/forwarder.py
+++ b/parsleyrouter/process/forwarder.py
@@ -2,6 +2,7 @@
 
 import logging
 from dataclasses import dataclass, field, replace
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -138,15 +139,16 @@
             entry = self._place(request, history, story)
             if isinstance(entry, Refusal):
                 return replace(entry, ran=max(entry.ran, history.ran, key=_RAN_ORDER.index))
+            last = history.runs + 1 >= rules.most_runs
             attempt = ForwardAttempt(
                 self.calls,
                 request,
                 entry,
                 exchange,
-                self._patience(request, exchange.begun),
+                self._patience(request, exchange.begun, last),
                 begun=exchange.begun,
                 last_event=last_event,
-                may_retry=history.runs + 1 < rules.most_runs,
+                may_retry=not last,
             )
             attempt.on_first = lambda: self._first(request, story)
             story.endpoints.append(entry.endpoint)
@@ -163,7 +165,7 @@
                 history,
                 failure,
                 remaining_s=request.deadline_s - self.loop.now(),
-                take_retry=lambda failure=failure: self._take_retry(failure),
+                take_retry=partial(self._take_retry, failure),
             )
             if isinstance(step, GiveUp):
                 return step.refusal
@@ -201,9 +203,10 @@
             return Refusal(RefusalKind.OVERLOADED, message, Ran.NOT_RUN, verdict.retry_after_s)
         return entries[best.endpoint]
 
-    def _patience(self, request: ForwardedRequest, begun: bool) -> Patience:
+    def _patience(self, request: ForwardedRequest, begun: bool, last: bool) -> Patience:
+        """Return how long to wait; where no other endpoint may be tried, until the deadline."""
         left_s = max(0.0, request.deadline_s - self.loop.now())
-        if not request.route.repeatable:
+        if last or not request.route.repeatable:
             return Patience(left_s, left_s)
         usual_s = 4 * self.calls.loads.usual_s(request.service)
         if request.route.kind is RouteKind.SAFE:
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -18,7 +18,7 @@
 from parsleyrouter.connection.key_value import Changed, Entry, KeyValueFailure, Transaction
 from parsleyrouter.ids import NodeId
 from parsleyrouter.process.caller_addresses import ANSWER_TTL_S, CallerAddresses
-from parsleyrouter.process.endpoint_directory import EndpointDirectory
+from parsleyrouter.process.endpoint_directory import EndpointDirectory, RegisteredEndpoint
 from parsleyrouter.process.endpoint_loads import EndpointLoads
 from parsleyrouter.process.forward_attempt import EndpointCalls
 from parsleyrouter.process.forward_metrics import ForwardMetrics
@@ -89,11 +89,12 @@
         client = EndpointClient(self.loop, runtime.connector, ENDPOINT_CONNECT_S)
         client.id_header = port.headers.request
         self.calls = EndpointCalls(self.loop, client, self.loads, port.headers)
+        self.worker: JobWorker
 
     def follow(self) -> None:
         """Begin to follow what the store tells."""
         operator = self._follower(self.port.operator_prefix)
-        operator.on_list = lambda entries: [self._take_operator(entry) for entry in entries]
+        operator.on_list = self._list_operator
         operator.on_change = lambda change: self._take_operator(change.entry)
         endpoints = self._follower(self.port.endpoints_prefix, GATHER_ENDPOINTS_S)
         endpoints.on_list, endpoints.on_change = self._list_endpoints, self._take_endpoint
@@ -116,6 +117,10 @@
             pause_s=pause_s,
         )
 
+    def _list_operator(self, entries: Iterable[Entry]) -> None:
+        for entry in entries:
+            self._take_operator(entry)
+
     def _take_operator(self, entry: Entry | None) -> None:
         if entry is None:
             return
@@ -159,7 +164,7 @@
         if before is None or (before.leaving, before.born_ms) != (found.leaving, found.born_ms):
             self._log_endpoint(endpoint, "leaving" if found.leaving else "ready")
 
-    def _gone(self, gone: list) -> None:
+    def _gone(self, gone: Iterable[RegisteredEndpoint]) -> None:
         for entry in gone:
             self.loads.forget(entry.endpoint)
             self._log_endpoint(entry.endpoint, "gone")
@@ -195,6 +200,7 @@
         job_metrics,
         front.random,
     )
+    front.worker = worker
     front.exchange.on_news.append(worker.give_way)
     desk = SharedJobDesk(
         runtime.loop,
@@ -214,13 +220,12 @@
         if not await desk.answer(exchange):
             await forwarder.answer(exchange)
 
-    callers = ForwardServer(runtime.loop, options.callers, answer, "callers", limits)
-    callers.register(runtime)
+    callers = ForwardServer(runtime.loop, options.callers, answer, limits).register(runtime)
     front.routes.on_change.append(partial(_take_limits, callers))
     ready = partial(_answer_ready, front, port)
-    ForwardServer(runtime.loop, options.ready, ready, "ready", HttpLimits()).register(runtime)
+    ForwardServer(runtime.loop, options.ready, ready).register(runtime)
     named = partial(_answer_locate, locate, port)
-    ForwardServer(runtime.loop, options.locate, named, "locate", HttpLimits()).register(runtime)
+    ForwardServer(runtime.loop, options.locate, named).register(runtime)
 
     front.registry.start()
     front.exchange.start()
--- a/parsleyrouter/process/job_worker.py
+++ b/parsleyrouter/process/job_worker.py
@@ -269,7 +269,8 @@
 
     def _log_job(self, message: str, view: JobView) -> None:
         kept = view.kept
-        fields = {"job": view.job, "owner": view.owner, "owner_revision": view.owner_revision}
+        fields: dict[str, object] = {"job": view.job, "owner": view.owner}
+        fields["owner_revision"] = view.owner_revision
         if kept is not None:
             fields |= {"state": kept.record.state.value, "revision": kept.revision}
         log.info(message, extra=fields)
--- a/parsleyrouter/process/runtime.py
+++ b/parsleyrouter/process/runtime.py
@@ -1,6 +1,7 @@
 """What every process has: loop, connections, metrics and an orderly end."""
 
 import logging
+import signal
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -51,6 +52,10 @@
         """Register a report of what a hurried stop cuts."""
         self.hurry_hooks.append(hook)
 
+    def on_reload(self, hook: Callable[[], None]) -> None:
+        """Call back at each SIGHUP, which otherwise ends a process."""
+        signal.signal(signal.SIGHUP, lambda *_: self.loop.call_from_thread(hook))
+
     def begin_stop(self) -> None:
         """Stop as planned, or at once when already stopping."""
         if self.stopping:
--- a/parsleyrouter/process/shared_job_desk.py
+++ b/parsleyrouter/process/shared_job_desk.py
@@ -167,24 +167,26 @@
 
     async def _read_on(self, job: JobId, kept: _Kept, wait_s: float) -> KeyValueFailure | None:
         """Read results behind those known, waiting for the first one."""
+        if kept.revision is not None and wait_s > 0:
+            prefix = JobKeys(job).results
+            changes = await self.key_value.changes(prefix, kept.revision, wait_s)
+            if isinstance(changes, KeyValueFailure):
+                return changes
+            if isinstance(changes, ChangePage):
+                entries = [one.entry for one in changes.changes if one.entry is not None]
+                self._append(kept, by_position(entries))
+                return None
+        return await self._scan_on(job, kept)
+
+    async def _scan_on(self, job: JobId, kept: _Kept) -> KeyValueFailure | None:
+        """Read the results behind those known, as they are now."""
         keys = JobKeys(job)
-        if kept.revision is None:
-            after = keys.result(len(kept.results) - 1) if kept.results else ""
-            page = await self.key_value.scan(keys.results, after=after)
-            if isinstance(page, KeyValueFailure):
-                return page
-            self._append(kept, by_position(page.entries))
-            kept.revision = None if page.more else page.revision
-            return None
-        changes = await self.key_value.changes(keys.results, kept.revision, wait_s)
-        if isinstance(changes, KeyValueFailure):
-            return changes
-        if not isinstance(changes, ChangePage):
-            kept.revision = None
-            return None
-        entries = [change.entry for change in changes.changes if change.entry is not None]
-        self._append(kept, by_position(entries))
-        kept.revision = max(kept.revision or Revision(0), changes.revision)
+        after = keys.result(len(kept.results) - 1) if kept.results else ""
+        page = await self.key_value.scan(keys.results, after=after)
+        if isinstance(page, KeyValueFailure):
+            return page
+        self._append(kept, by_position(page.entries))
+        kept.revision = None if page.more else page.revision
         return None
 
     def _append(self, kept: _Kept, results: dict[int, ItemResult]) -> None:
--- a/parsleyrouter/request/forwarded_request.py
+++ b/parsleyrouter/request/forwarded_request.py
@@ -81,7 +81,7 @@
         last_event: str = "",
     ) -> Headers:
         """Return the headers for one endpoint; ``left_s`` is what is left of the deadline."""
-        added = {names.expected_endpoint: endpoint}
+        added: dict[str, str] = {names.expected_endpoint: endpoint}
         if left_s is not None:
             added[names.deadline_ms] = str(max(1, int(left_s * 1000)))
         if last_event:
