--- a/parsleyrouter/commands/idle_store.py
+++ b/parsleyrouter/commands/idle_store.py
@@ -9,11 +9,15 @@
 
 __all__ = ["main"]
 
+_AWAITED = {signal.SIGHUP, signal.SIGINT, signal.SIGTERM}
+
 
 def main() -> None:
     """Wait until the platform stops the process."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, _AWAITED)
     _log("started")
-    number = signal.sigwait({signal.SIGTERM, signal.SIGINT})
+    while (number := signal.sigwait(_AWAITED)) == signal.SIGHUP:
+        _log("settings reloaded, none is used")
     _log("stopped", signal=signal.Signals(number).name)
 
 
