Count batch items at their endpoint when they are placed

Cause: a turn placed every pending item before the first had been counted, so all went to one endpoint and gave way at once.

--- a/features/front_jobs.feature
+++ b/features/front_jobs.feature
@@ -63,3 +63,7 @@
       | items of another type |
       | two items of one id  |
       | no items             |
+
+  Scenario: items of a large job are spread by what is already placed
+    When a job of more items than slots is submitted
+    Then no item is cancelled and no endpoint holds more than its slots
--- a/features/steps/front_jobs_steps.py
+++ b/features/steps/front_jobs_steps.py
@@ -370,3 +370,26 @@
     assert context.status == 400
     assert not [key for key in context.fleet.store.rows if key.startswith("parsley/job/")]
     assert not runs(context.fleet)
+
+
+@when("a job of more items than slots is submitted")
+def step_large_job(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        for name in ("e1", "e2"):
+            fleet.register(name).gap_s = 0.02
+        await fleet.start()
+        body = json.dumps({"items": items(30)}).encode()
+        context.status = (await submit(fleet, body=body)).status
+        context.results = await read_all(fleet)
+
+    play(context, scene)
+
+
+@then("no item is cancelled and no endpoint holds more than its slots")
+def step_spread(context: Any) -> None:
+    assert len(context.results) == 30
+    for endpoint in context.fleet.endpoints.values():
+        assert not any(one.cut for one in endpoint.arrivals)
+        for one in endpoint.arrivals:
+            held = sum(other.at_s <= one.at_s < other.ended_s for other in endpoint.arrivals)
+            assert held <= 8, held
--- a/parsleyrouter/process/forward_attempt.py
+++ b/parsleyrouter/process/forward_attempt.py
@@ -73,6 +73,7 @@
     status: int = 0
     exchange: EndpointExchange | None = None
     cancelled: bool = False
+    reserved: bool = False
     on_first: Callable[[], None] = field(default=lambda: None)
 
     @property
@@ -86,10 +87,17 @@
         if self.exchange is not None:
             self.exchange.cancel()
 
+    def reserve(self) -> None:
+        """Count the request at its endpoint before it is sent, for the next choice to see."""
+        if not self.reserved:
+            self.reserved = True
+            now = self.calls.loop.now()
+            self.calls.loads.begin(self.endpoint, batch=self.batch, now=now)
+
     async def run(self) -> AttemptFailure | None:
         """Send and read; ``None`` when the answer was whole."""
+        self.reserve()
         now = self.calls.loop.now()
-        self.calls.loads.begin(self.endpoint, batch=self.batch, now=now)
         try:
             failure = await self._run()
         finally:
--- a/parsleyrouter/process/item_attempts.py
+++ b/parsleyrouter/process/item_attempts.py
@@ -98,6 +98,7 @@
             last_event=progress.last_event,
             batch=True,
         )
+        self.attempt.reserve()
 
     async def run(self) -> tuple[ItemEnd, str]:
         """Run to the end; return how it ended and why."""
--- a/parsleyrouter/process/job_worker.py
+++ b/parsleyrouter/process/job_worker.py
@@ -30,7 +30,7 @@
 """Nodes wait up to this long before they claim a job, so that they do not all try at once."""
 
 RERUN_S = 0.25
-"""Pause before an item that failed or was refused is run again."""
+"""Pause before an item that failed, was refused or gave way is run again."""
 
 ITEM_S = 5.0
 """Time that an item is expected to take before any has been seen."""
@@ -264,7 +264,7 @@
             run.finish(index, ItemResult(one.item.item, ItemState.COMPLETED, progress.output))
         elif end is ItemEnd.IMPOSSIBLE or progress.failures >= route.most_runs:
             run.finish(index, ItemResult(one.item.item, ItemState.GIVEN_UP, ""))
-        elif not one.yielding:
+        else:
             run.retry_s[index] = self.loop.now() + RERUN_S
 
     def _log_job(self, message: str, view: JobView) -> None:
