--- a/features/front_jobs.feature
+++ b/features/front_jobs.feature
@@ -67,3 +67,7 @@
   Scenario: items of a large job are spread by what is already placed
     When a job of more items than slots is submitted
     Then no item is cancelled and no endpoint holds more than its slots
+
+  Scenario: a reader who waits costs few calls
+    When a reader waits at the end of a job's results
+    Then the store gets few calls meanwhile
--- a/features/steps/front_jobs_steps.py
+++ b/features/steps/front_jobs_steps.py
@@ -393,3 +393,30 @@
         for one in endpoint.arrivals:
             held = sum(other.at_s <= one.at_s < other.ended_s for other in endpoint.arrivals)
             assert held <= 8, held
+
+
+@when("a reader waits at the end of a job's results")
+def step_wait_at_end(context: Any) -> None:
+    async def last_is_slow(
+        endpoint: EndpointStandIn, exchange: CallerExchange, arrival: Arrival
+    ) -> None:
+        slow = arrival.header("X-Attempt-Id") == "item3"
+        endpoint.gap_s = 0.3 if slow else 0.002
+        await stream(endpoint, exchange, arrival)
+
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("e1").usual = last_is_slow
+        await fleet.start(2)
+        await submit(fleet)
+        await read(fleet, 1, 0)
+        before = len(fleet.store.faults.calls)
+        await read(fleet, 1, 3)
+        calls = fleet.store.faults.calls[before:]
+        context.calls = [call for call in calls if "result" in call]
+
+    play(context, scene)
+
+
+@then("the store gets few calls meanwhile")
+def step_few_calls(context: Any) -> None:
+    assert len(context.calls) <= 6, len(context.calls)
--- a/parsleyrouter/connection/key_value_calls.py
+++ b/parsleyrouter/connection/key_value_calls.py
@@ -1,5 +1,6 @@
 """What the clients of every key-value service share: budget, metrics and failures of calls."""
 
+from collections import Counter
 from typing import Any
 
 import msgspec
@@ -43,6 +44,8 @@
         self.timeout_s = timeout_s
         self.budget = CallBudget(budget)
         self.metrics = KeyValueMetrics.of(runtime.metrics)
+        self.made: Counter[str] = Counter()
+        """Calls by kind since the process started."""
 
     async def admit(self, kind: str) -> KeyValueFailure | None:
         """Wait for a place in the budget and count the call."""
@@ -51,6 +54,7 @@
             return self.count_failure(kind, _REFUSED[place])
         if place > 0:
             await self.loop.sleep(place)
+        self.made[kind] += 1
         self.metrics.calls.labels(kind).inc()
         return None
 
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -50,6 +50,9 @@
 SETTLE_S = 0.25
 """Pause between looks for registrations that did not come back."""
 
+LOG_CALLS_S = 10.0
+"""Pause between log lines with the calls made to the store."""
+
 MOST_BUFFERED_SHARE = 0.2
 """Part of the process's memory that may hold requests that are arriving."""
 
@@ -105,6 +108,7 @@
         for follower in (operator, endpoints, nodes, jobs):
             follower.start()
         self._settle()
+        self.loop.call_later(LOG_CALLS_S, self._log_calls)
 
     def _follower(self, prefix: str, pause_s: float = 0.0) -> PrefixFollower:
         return PrefixFollower(
@@ -172,6 +176,11 @@
     def _log_endpoint(self, endpoint: str, state: str) -> None:
         log.info("endpoint changed", extra={"endpoint": endpoint, "state": state})
 
+    def _log_calls(self) -> None:
+        made = getattr(self.store, "made", {})
+        log.info("store calls", extra={"made": dict(made)})
+        self.loop.call_later(LOG_CALLS_S, self._log_calls)
+
     def _settle(self) -> None:
         self._gone(self.directory.settle(self.loop.now()))
         self.loop.call_later(SETTLE_S, self._settle)
--- a/parsleyrouter/process/item_attempts.py
+++ b/parsleyrouter/process/item_attempts.py
@@ -41,6 +41,8 @@
     last_event: str = ""
     failures: int = 0
     runs: int = 0
+    spent_s: float = 0.0
+    """Time at endpoints so far."""
 
     def begin(self, status: int, reason: bytes, headers: RawHeaders, length: int | None) -> None:
         """Take status and headers."""
@@ -77,6 +79,8 @@
         self.progress = progress
         self.started_s = now
         self.yielding = False
+        self.rank: tuple[bool, float] = (False, 0.0)
+        """The order in which the item was placed; the highest gives way first."""
         request = ForwardedRequest(
             request=RequestId(item.item),
             route=replace(route, resumable=True),
@@ -105,6 +109,7 @@
         self.progress.runs += 1
         failure = await self.attempt.run()
         self.progress.last_event = self.attempt.last_event
+        self.progress.spent_s += self.attempt.calls.loop.now() - self.started_s
         status = self.attempt.status
         if status == IMPOSSIBLE_STATUS:
             return ItemEnd.IMPOSSIBLE, "the endpoint says that it can never be done"
--- a/parsleyrouter/process/job_worker.py
+++ b/parsleyrouter/process/job_worker.py
@@ -16,7 +16,7 @@
 from parsleyrouter.process.node_registry import NodeRegistry
 from parsleyrouter.process.routes_in_force import RoutesInForce
 from parsleyrouter.process.shared_job_store import SharedJobStore
-from parsleyrouter.request.batch_room import place_batch, yields
+from parsleyrouter.request.batch_room import batch_order, place_batch, yields
 from parsleyrouter.request.placement import Candidate
 from parsleyrouter.request.shared_job import ItemResult, ItemState, JobRecord
 from parsleyrouter.version.route_table import Route
@@ -33,7 +33,7 @@
 """Pause before an item that failed, was refused or gave way is run again."""
 
 ITEM_S = 5.0
-"""Time that an item is expected to take before any has been seen."""
+"""Time that an item is expected to take."""
 
 GIVE_UP_MARGIN_S = 2.0
 """Items are given up this long after they may be, since clocks of nodes differ."""
@@ -67,6 +67,8 @@
         self.runs: dict[JobId, JobRun] = {}
         self.taking: set[JobId] = set()
         self.leaving = False
+        self.checking = False
+        calls.loads.on_own_change.append(self._check_soon)
         board.on_change.append(self.look_at)
         registry.on_lease.append(self.look_at_all)
 
@@ -106,11 +108,21 @@
             if candidate.used <= candidate.slots:
                 continue
             count = yields(self.registry.own.node, candidate, self._uses(endpoint, now))
-            runs.sort(key=lambda run: run.started_s, reverse=True)
+            runs.sort(key=lambda run: (run.rank, run.started_s), reverse=True)
             for run in runs[:count]:
                 run.cancel()
                 self.metrics.yielded.inc()
 
+    def _check_soon(self) -> None:
+        """Look for online requests that wait, once what is under way has been counted."""
+        if self.runs and not self.checking:
+            self.checking = True
+            self.loop.call_later(0.0, self._check)
+
+    def _check(self) -> None:
+        self.checking = False
+        self.give_way()
+
     async def leave(self, limit_s: float) -> None:
         """Start nothing more and let items that run end within the limit."""
         self.leaving = True
@@ -198,19 +210,23 @@
             return
         now, wall_ms = self.loop.now(), time.time() * 1000
         waiting = [
-            (self._slack_s(run.kept.record, wall_ms), run, index)
+            (self._rank(run, index, wall_ms), run, index)
             for run in self.runs.values()
             for index in run.pending(now)
         ]
         waiting.sort(key=lambda one: (one[0], one[1].job, one[2]))
-        for slack_s, run, index in waiting:
-            if not self._start(run, index, slack_s, wall_ms):
+        for rank, run, index in waiting:
+            if not self._start(run, index, rank, wall_ms):
                 return
 
-    def _slack_s(self, record: JobRecord, wall_ms: float) -> float:
-        return (record.due_ms - wall_ms) / 1000 - ITEM_S
+    def _rank(self, run: JobRun, index: ItemIndex, wall_ms: float) -> tuple[bool, float]:
+        spent_s = run.progress[index].spent_s if index in run.progress else 0.0
+        left_s = (run.kept.record.due_ms - wall_ms) / 1000
+        return batch_order(left_s=left_s, needed_s=max(0.0, ITEM_S - spent_s))
 
-    def _start(self, run: JobRun, index: ItemIndex, slack_s: float, wall_ms: float) -> bool:
+    def _start(
+        self, run: JobRun, index: ItemIndex, rank: tuple[bool, float], wall_ms: float
+    ) -> bool:
         """Start an item; return whether there may be room for another one."""
         record, item = run.kept.record, run.items[index]
         route = self._route(record, item.path)
@@ -225,12 +241,13 @@
         now = self.loop.now()
         entries = {entry.endpoint: entry for entry in self.directory.of_service(service)}
         candidates: list[Candidate] = self.calls.loads.candidates(entries.values(), now)
-        best = place_batch(candidates, slack_s=slack_s)
+        best = place_batch(candidates)
         if best is None:
             return False
         progress = run.progress_of(index)
         left_s = max(1.0, kept_s)
         one = ItemRun(self.calls, route, service, item, entries[best.endpoint], progress, left_s)
+        one.rank = rank
         run.running[index] = one
         self.loop.spawn(self._run_item(run, index, one, route), f"item {item.item}")
         return True
--- a/parsleyrouter/process/shared_job_desk.py
+++ b/parsleyrouter/process/shared_job_desk.py
@@ -175,6 +175,8 @@
             if isinstance(changes, ChangePage):
                 entries = [one.entry for one in changes.changes if one.entry is not None]
                 self._append(kept, by_position(entries))
+                seen = [one.revision for one in changes.changes]
+                kept.revision = max([kept.revision, *seen])
                 return None
         return await self._scan_on(job, kept)
 
--- a/parsleyrouter/request/batch_room.py
+++ b/parsleyrouter/request/batch_room.py
@@ -11,22 +11,28 @@
 from parsleyrouter.process.endpoint_loads import EndpointUse
 from parsleyrouter.request.placement import Candidate
 
-__all__ = ["URGENT_SLACK_S", "place_batch", "yields"]
+__all__ = ["batch_order", "place_batch", "yields"]
 
-KEPT_FREE = 1
-"""Slots of an endpoint that batch leaves free for the next online request."""
 
-URGENT_SLACK_S = 1.0
-"""Slack below which an item takes any free slot and keeps the one it has."""
+def place_batch(candidates: Iterable[Candidate]) -> Candidate | None:
+    """Return the endpoint with the most room for a batch item, or none.
 
-
-def place_batch(candidates: Iterable[Candidate], *, slack_s: float) -> Candidate | None:
-    """Return the endpoint with the most room for a batch item, or none."""
-    kept = 0 if slack_s < URGENT_SLACK_S else KEPT_FREE
-    roomy = [one for one in candidates if not one.avoided and one.free > kept]
+    Batch takes every free slot: an online request that finds none waits only until an item has
+    given way, which takes a few steps of the engine.
+    """
+    roomy = [one for one in candidates if not one.avoided and one.free > 0]
     return max(roomy, key=lambda one: one.free / one.slowness, default=None)
 
 
+def batch_order(*, left_s: float, needed_s: float) -> tuple[bool, float]:
+    """Return the rank of an item that is due in ``left_s``; the lowest goes first.
+
+    Items that can still be done in time go before those that cannot, or one late job would make
+    all that follow it late.
+    """
+    return (left_s < needed_s, left_s)
+
+
 def yields(node: NodeId, candidate: Candidate, batch: Mapping[NodeId, EndpointUse]) -> int:
     """Return how many of its batch items at an endpoint a node must give up.
 
--- a/parsleyrouter/request/placement.py
+++ b/parsleyrouter/request/placement.py
@@ -18,6 +18,12 @@
 WARM_BONUS = 0.04
 """Slots' share that a prompt prefix in the cache is worth; reading it anew takes milliseconds."""
 
+YIELD_COST = 0.25
+"""Slots' share that waiting for a batch item to give way is worth: a few steps of the engine."""
+
+BATCH_WEIGHT = 0.5
+"""Part of an online request that a batch item counts for, since it gives way."""
+
 JITTER = 0.03
 """Random part of the cost, so that nodes which see the same loads do not all choose alike."""
 
@@ -47,7 +53,7 @@
     @property
     def free(self) -> int:
         """Return the slots without a request."""
-        return self.slots - self.used
+        return max(0, self.slots - self.used)
 
 
 def choose(candidates: Iterable[Candidate], domain: DomainName, random: Random) -> Candidate | None:
@@ -63,7 +69,10 @@
 
 
 def _cost(candidate: Candidate, domain: DomainName) -> float:
-    filled = (candidate.used + 1) / candidate.slots * candidate.slowness
+    work = candidate.online + BATCH_WEIGHT * candidate.batch + 1
+    filled = work / candidate.slots * candidate.slowness
+    if not candidate.free:
+        filled += YIELD_COST
     queued = max(0, candidate.online + 1 - candidate.slots) * candidate.slowness
     far = REMOTE_COST if candidate.domain != domain else 0.0
     return filled + queued + far - WARM_BONUS * candidate.warm
