--- a/features/steps/front_jobs_steps.py
+++ b/features/steps/front_jobs_steps.py
@@ -368,7 +368,7 @@
 @then("the answer is 400 and nothing is kept")
 def step_refused_broken(context: Any) -> None:
     assert context.status == 400
-    assert not [key for key in context.fleet.store.rows if key.startswith("parsley/job/")]
+    assert not [key for key in context.fleet.store.rows if key.startswith("parsley/live/job/")]
     assert not runs(context.fleet)
 
 
--- a/parsleyrouter/connection/stream.py
+++ b/parsleyrouter/connection/stream.py
@@ -16,6 +16,15 @@
 READ_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 1.0
 
+KEEP_ALIVE = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 1),
+)
+"""Probe a connection after a second without traffic and give it up a second later, so that one
+whose other side is gone without a word does not hang."""
+
 
 class ConnectFailed(Exception):
     """Report that no connection could be opened, so nothing was sent; try another address."""
@@ -142,6 +151,8 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for level, option, value in KEEP_ALIVE:
+            sock.setsockopt(level, option, value)
         try:
             await self._connect(sock, address, timeout_s)
         except BaseException:
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -50,6 +50,9 @@
 SETTLE_S = 0.25
 """Pause between looks for registrations that did not come back."""
 
+LIVE_PREFIX = "parsley/live/"
+"""What every node follows: the other nodes, and the records and owners of jobs."""
+
 LOG_CALLS_S = 10.0
 """Pause between log lines with the calls made to the store."""
 
@@ -101,11 +104,9 @@
         operator.on_change = lambda change: self._take_operator(change.entry)
         endpoints = self._follower(self.port.endpoints_prefix, GATHER_ENDPOINTS_S)
         endpoints.on_list, endpoints.on_change = self._list_endpoints, self._take_endpoint
-        nodes = self._follower(NODES_PREFIX)
-        nodes.on_list, nodes.on_change = self.registry.take_list, self.registry.take_change
-        jobs = self._follower(JOBS_PREFIX)
-        jobs.on_list, jobs.on_change = self.board.take_list, self.board.take_change
-        for follower in (operator, endpoints, nodes, jobs):
+        live = self._follower(LIVE_PREFIX)
+        live.on_list, live.on_change = self._list_live, self._take_live
+        for follower in (operator, endpoints, live):
             follower.start()
         self._settle()
         self.loop.call_later(LOG_CALLS_S, self._log_calls)
@@ -121,6 +122,18 @@
             pause_s=pause_s,
         )
 
+    def _list_live(self, entries: Iterable[Entry]) -> None:
+        """Take the nodes and jobs, which are followed together."""
+        known = list(entries)
+        self.registry.take_list(one for one in known if one.key.startswith(NODES_PREFIX))
+        self.board.take_list(one for one in known if one.key.startswith(JOBS_PREFIX))
+
+    def _take_live(self, change: Changed) -> None:
+        if change.key.startswith(NODES_PREFIX):
+            self.registry.take_change(change)
+        elif change.key.startswith(JOBS_PREFIX):
+            self.board.take_change(change)
+
     def _list_operator(self, entries: Iterable[Entry]) -> None:
         for entry in entries:
             self._take_operator(entry)
--- a/parsleyrouter/process/node_registry.py
+++ b/parsleyrouter/process/node_registry.py
@@ -23,7 +23,7 @@
 
 __all__ = ["NODES_PREFIX", "NodeRegistry", "RegisteredNode"]
 
-NODES_PREFIX = "parsley/node/"
+NODES_PREFIX = "parsley/live/node/"
 
 LEASE_S = 4.0
 """Life of the lease without renewal: it outlasts a few lost renewals and sets how soon the work
--- a/parsleyrouter/process/prefix_follower.py
+++ b/parsleyrouter/process/prefix_follower.py
@@ -15,9 +15,9 @@
 
 __all__ = ["PrefixFollower"]
 
-WAIT_S = 1.5
-"""How long the service may hold a read of changes back; with the call's timeout it bounds how long
-a connection that has gone silent goes unnoticed."""
+WAIT_S = 5.0
+"""How long the service may hold a read of changes back; each read is paid for. Keep-alive probes of
+the connection show earlier when it has gone silent."""
 
 RETRY_S = 0.1
 LONGEST_RETRY_S = 0.5
--- a/parsleyrouter/process/shared_job_store.py
+++ b/parsleyrouter/process/shared_job_store.py
@@ -36,7 +36,7 @@
     "split_key",
 ]
 
-JOBS_PREFIX = "parsley/job/"
+JOBS_PREFIX = "parsley/live/job/"
 RECORD = "/record"
 OWNER = "/owner"
 
