Believe endpoints' own counts, serve callers who come back, finish begun items first

After all nodes had lost power, endpoints still ran requests that no node counted, and requests waited behind them up to 0.6 s. A caller refused in a burst came back into the same burst and was refused again.

--- a/features/support/platform_endpoint.py
+++ b/features/support/platform_endpoint.py
@@ -47,6 +47,8 @@
     usual: Behaviour | None = None
     arrivals: list[Arrival] = field(default_factory=list)
     server: Any = None
+    foreign: int = 0
+    """Requests that it reports besides those that it has."""
 
     def start(self) -> "EndpointStandIn":
         bind = Address("127.0.0.1:0")
@@ -60,7 +62,14 @@
 
     def proof(self, arrival: Arrival) -> list[tuple[bytes, bytes]]:
         name = (arrival.header("X-Attempt-Id") or "").encode()
-        return [(b"X-Attempt-Id", name), (b"X-Response-Signature", b"sig-" + self.name.encode())]
+        here = sum(not one.ended_s for one in self.arrivals) + self.foreign
+        load = b"%d,%d,8" % (min(8, here), max(0, here - 8))
+        proof = b"sig-" + self.name.encode()
+        return [
+            (b"X-Attempt-Id", name),
+            (b"X-Response-Signature", proof),
+            (b"X-Server-Load", load),
+        ]
 
     async def _answer(self, exchange: CallerExchange) -> None:
         head = exchange.head
--- a/parsleyrouter/commands/front.py
+++ b/parsleyrouter/commands/front.py
@@ -7,14 +7,13 @@
 from functools import partial
 from pathlib import Path
 
-from parsleyrouter.commands.program import EXIT_BAD_SETTING
 from parsleyrouter.platform.port import PLATFORM
 from parsleyrouter.platform.settings import SETTINGS_VARIABLE, read_settings
 from parsleyrouter.process.front_assembly import assemble_front
 from parsleyrouter.process.front_options import FrontOptions
 from parsleyrouter.process.logs import start_logs
-from parsleyrouter.process.options import BadSetting
 from parsleyrouter.process.runtime import Runtime
+from parsleyrouter.process.setting_checks import EXIT_BAD_SETTING, BadSetting
 
 __all__ = ["main"]
 
--- a/parsleyrouter/commands/program.py
+++ b/parsleyrouter/commands/program.py
@@ -8,13 +8,11 @@
 from cyclopts.config import Env
 
 from parsleyrouter.process.logs import start_logs
-from parsleyrouter.process.options import BadSetting
 from parsleyrouter.process.runtime import Runtime
+from parsleyrouter.process.setting_checks import EXIT_BAD_SETTING, BadSetting
 
 __all__ = ["EXIT_BAD_SETTING", "run_program"]
 
-EXIT_BAD_SETTING = 2
-
 
 class _Options(Protocol):
     @property
--- a/parsleyrouter/platform/endpoints.py
+++ b/parsleyrouter/platform/endpoints.py
@@ -5,7 +5,7 @@
 from parsleyrouter.connection.key_value import Entry
 from parsleyrouter.ids import Address, DomainName, EndpointId, ServiceName
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
-from parsleyrouter.process.options import address_is_valid
+from parsleyrouter.process.setting_checks import address_is_valid
 
 __all__ = ["ENDPOINTS_PREFIX", "decode_endpoint", "endpoint_of_key"]
 
--- a/parsleyrouter/platform/settings.py
+++ b/parsleyrouter/platform/settings.py
@@ -7,7 +7,7 @@
 
 from parsleyrouter.ids import Address, DomainName, NodeId
 from parsleyrouter.process.front_options import FrontOptions
-from parsleyrouter.process.options import BadSetting
+from parsleyrouter.process.setting_checks import BadSetting
 
 __all__ = ["SETTINGS_VARIABLE", "read_settings"]
 
--- a/parsleyrouter/process/endpoint_loads.py
+++ b/parsleyrouter/process/endpoint_loads.py
@@ -30,6 +30,12 @@
 QUICKEST = 0.7
 """Bounds of the slowness that is believed, as multiples of the usual service time."""
 
+REPORT_S = 0.6
+"""How long an endpoint's own count of its requests is believed, about the length of a request."""
+
+REPORT_SLACK = 2
+"""Requests by which a report may differ from what the nodes count: some are on their way."""
+
 EJECTION = EjectionOptions(failures_in_row=2, first_s=0.6, longest_s=4.0, return_s=2.0)
 """Short ejections: registrations tell of lasting losses within a few seconds."""
 
@@ -63,6 +69,9 @@
     waiting_since_s: float = 0.0
     under_way: int = 0
     service_s: float = 0.0
+    foreign: int = 0
+    """Requests that the endpoint reports and no node counts, such as those of a lost node."""
+    reported_s: float = -REPORT_S
 
 
 @dataclass
@@ -102,6 +111,13 @@
         """Take note that an endpoint sent something."""
         self.seen[endpoint].heard_s = now
 
+    def reported(self, endpoint: EndpointId, present: int, now: float) -> None:
+        """Take an endpoint's own count of the requests that run or wait there."""
+        use = self.use(endpoint, now)
+        seen = self.seen[endpoint]
+        seen.foreign = max(0, present - use.online - use.batch - REPORT_SLACK)
+        seen.reported_s = now
+
     def served(self, endpoint: EndpointId, service: ServiceName, took_s: float, now: float) -> None:
         """Learn from a whole answer."""
         self.ejections.succeeded(endpoint, now)
@@ -169,6 +185,9 @@
 
     def _candidate(self, entry: RegisteredEndpoint, ejected: bool, now: float) -> Candidate:
         use = self.use(entry.endpoint, now)
+        seen = self.seen.get(entry.endpoint)
+        if seen is not None and now - seen.reported_s < REPORT_S:
+            use.online += seen.foreign
         return Candidate(
             endpoint=entry.endpoint,
             domain=entry.domain,
--- a/parsleyrouter/process/forward_attempt.py
+++ b/parsleyrouter/process/forward_attempt.py
@@ -123,6 +123,7 @@
             return self._broken(failure)
         self.calls.loads.heard(self.endpoint, self.calls.loop.now())
         self.status = exchange.status
+        self._take_report(exchange)
         refused = await self._check(exchange)
         if refused is not None:
             return refused
@@ -132,6 +133,13 @@
             return await self._pass_events(exchange)
         return await self._pass_bytes(exchange)
 
+    def _take_report(self, exchange: EndpointExchange) -> None:
+        """Learn how many requests the endpoint says that it has."""
+        counts = exchange.headers.get(self.calls.names.load, "").split(",")
+        if len(counts) == 3 and counts[0].isdigit() and counts[1].isdigit():
+            present = int(counts[0]) + int(counts[1])
+            self.calls.loads.reported(self.endpoint, present, self.calls.loop.now())
+
     def _send(self, exchange: EndpointExchange) -> None:
         request = self.request
         left_s = request.deadline_s - self.calls.loop.now()
--- a/parsleyrouter/process/forwarder.py
+++ b/parsleyrouter/process/forwarder.py
@@ -195,8 +195,9 @@
         verdict = admit(
             wait_s=story.wait_s,
             target_s=request.route.latency_target_s,
-            remaining_s=request.deadline_s - now,
-            service_s=service_s if request.route.kind is RouteKind.SAFE else 0.0,
+            left_s=request.deadline_s - now,
+            allowed_s=request.route.timeout_s,
+            spread=self.random.random(),
         )
         if isinstance(verdict, TurnAway) and not history.runs:
             message = f"all endpoints are busy for {story.wait_s:.2f} s: come again"
--- a/parsleyrouter/process/front_options.py
+++ b/parsleyrouter/process/front_options.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from parsleyrouter.ids import Address, DomainName, NodeId
-from parsleyrouter.process.options import check_address, check_range
+from parsleyrouter.process.setting_checks import check_address, check_range
 
 __all__ = ["FrontOptions"]
 
--- a/parsleyrouter/process/item_attempts.py
+++ b/parsleyrouter/process/item_attempts.py
@@ -79,8 +79,8 @@
         self.progress = progress
         self.started_s = now
         self.yielding = False
-        self.rank: tuple[bool, float] = (False, 0.0)
-        """The order in which the item was placed; the highest gives way first."""
+        self.due_s = now + left_s
+        """When the item's job is due; monotonic."""
         request = ForwardedRequest(
             request=RequestId(item.item),
             route=replace(route, resumable=True),
--- a/parsleyrouter/process/job_worker.py
+++ b/parsleyrouter/process/job_worker.py
@@ -108,7 +108,7 @@
             if candidate.used <= candidate.slots:
                 continue
             count = yields(self.registry.own.node, candidate, self._uses(endpoint, now))
-            runs.sort(key=lambda run: (run.rank, run.started_s), reverse=True)
+            runs.sort(key=lambda run: self._rank_of(run, now), reverse=True)
             for run in runs[:count]:
                 run.cancel()
                 self.metrics.yielded.inc()
@@ -215,18 +215,22 @@
             for index in run.pending(now)
         ]
         waiting.sort(key=lambda one: (one[0], one[1].job, one[2]))
-        for rank, run, index in waiting:
-            if not self._start(run, index, rank, wall_ms):
+        for _, run, index in waiting:
+            if not self._start(run, index, wall_ms):
                 return
 
-    def _rank(self, run: JobRun, index: ItemIndex, wall_ms: float) -> tuple[bool, float]:
+    def _rank(self, run: JobRun, index: ItemIndex, wall_ms: float) -> tuple[bool, int, float]:
         spent_s = run.progress[index].spent_s if index in run.progress else 0.0
         left_s = (run.kept.record.due_ms - wall_ms) / 1000
         return batch_order(left_s=left_s, needed_s=max(0.0, ITEM_S - spent_s))
 
-    def _start(
-        self, run: JobRun, index: ItemIndex, rank: tuple[bool, float], wall_ms: float
-    ) -> bool:
+    def _rank_of(self, one: ItemRun, now: float) -> tuple[bool, int, float]:
+        """Return the rank of an item that runs."""
+        spent_s = one.progress.spent_s + now - one.started_s
+        left_s = one.due_s - now
+        return batch_order(left_s=left_s, needed_s=max(0.0, ITEM_S - spent_s))
+
+    def _start(self, run: JobRun, index: ItemIndex, wall_ms: float) -> bool:
         """Start an item; return whether there may be room for another one."""
         record, item = run.kept.record, run.items[index]
         route = self._route(record, item.path)
@@ -247,7 +251,7 @@
         progress = run.progress_of(index)
         left_s = max(1.0, kept_s)
         one = ItemRun(self.calls, route, service, item, entries[best.endpoint], progress, left_s)
-        one.rank = rank
+        one.due_s = now + (record.due_ms - wall_ms) / 1000
         run.running[index] = one
         self.loop.spawn(self._run_item(run, index, one, route), f"item {item.item}")
         return True
--- a/parsleyrouter/request/admission.py
+++ b/parsleyrouter/request/admission.py
@@ -2,19 +2,25 @@
 
 Answers the load of a burst above what the endpoints serve: a request that would be answered late
 delays all behind it, while its caller could be served in time by coming back once the burst is
-over. Callers come back once.
+over. Callers come back once, so one who has come back is served even if that is late.
 """
 
 from dataclasses import dataclass
 
 __all__ = ["Admission", "Admit", "TurnAway", "admit"]
 
-LEAST_RETURN_S = 0.05
-"""Shortest time after which a caller is asked back, one round trip with some slack."""
-
-LATE_SHARE = 0.9
+LATE_SHARE = 0.85
 """Part of the latency target that waiting may take; the rest is the way and the first token."""
 
+RETURN_SHARE = 1 / 3
+"""Part of the time left that callers wait at most before they come back."""
+
+SPREAD_FROM = 0.5
+"""Returns are spread from this part of the longest wait on: a burst lasts longer than one wait."""
+
+CAME_BACK_S = 0.05
+"""A caller with this much less time than its route allows has been refused before."""
+
 
 @dataclass(frozen=True)
 class Admit:
@@ -31,15 +37,20 @@
 Admission = Admit | TurnAway
 
 
-def admit(*, wait_s: float, target_s: float, remaining_s: float, service_s: float) -> Admission:
+def admit(
+    *, wait_s: float, target_s: float, left_s: float, allowed_s: float, spread: float
+) -> Admission:
     """Return whether to send a request that is expected to wait ``wait_s`` for a slot.
 
-    A request that cannot be answered by its deadline is refused at once. One that would be late
-    is refused while coming back is expected to be quicker.
+    ``left_s`` is left of the caller's time and ``allowed_s`` is what its route allows;
+    ``spread``, from 0 to 1, keeps callers from coming back together.
     """
     if wait_s <= target_s * LATE_SHARE:
         return Admit()
-    back_s = max(LEAST_RETURN_S, wait_s - target_s * LATE_SHARE)
-    if wait_s + service_s >= remaining_s or back_s < remaining_s / 3:
+    longest_s = left_s * RETURN_SHARE
+    back_s = longest_s * (SPREAD_FROM + (1 - SPREAD_FROM) * spread)
+    if wait_s >= left_s:
         return TurnAway(back_s)
-    return Admit()
+    if left_s < allowed_s - CAME_BACK_S:
+        return Admit()
+    return TurnAway(max(back_s, min(wait_s, longest_s)))
--- a/parsleyrouter/request/batch_room.py
+++ b/parsleyrouter/request/batch_room.py
@@ -24,13 +24,14 @@
     return max(roomy, key=lambda one: one.free / one.slowness, default=None)
 
 
-def batch_order(*, left_s: float, needed_s: float) -> tuple[bool, float]:
+def batch_order(*, left_s: float, needed_s: float) -> tuple[bool, int, float]:
     """Return the rank of an item that is due in ``left_s``; the lowest goes first.
 
     Items that can still be done in time go before those that cannot, or one late job would make
-    all that follow it late.
+    all that follow it late. Among them those that need least go first, so that what was begun is
+    finished.
     """
-    return (left_s < needed_s, left_s)
+    return (left_s < needed_s, round(needed_s), left_s)
 
 
 def yields(node: NodeId, candidate: Candidate, batch: Mapping[NodeId, EndpointUse]) -> int:
