Bound the logs, share the last free slots by chance, test the decisions

Logs go to standard output through a descriptor that is polled first, within a budget of lines a second for successes and failures apart. Nodes whose batch items wait tell so, and share what is free. A request whose wait is longer than its time was sent when that wait was short; it is refused now.

--- /dev/null
+++ b/features/steps/shared_endpoints_steps.py
@@ -0,0 +1,300 @@
+"""Steps for the decisions of nodes that share endpoints."""
+
+import json
+import re
+from collections import Counter
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from behave import then, when
+from hypothesis import given as any_of
+from hypothesis import strategies as st
+
+from features.support.burst_play import Burst, play_burst
+from parsleyrouter.connection.key_value import Entry
+from parsleyrouter.ids import Address, DomainName, EndpointId, NodeId, Revision, ServiceName
+from parsleyrouter.platform.endpoints import decode_endpoint
+from parsleyrouter.process.endpoint_directory import (
+    RETURN_S,
+    EndpointDirectory,
+    RegisteredEndpoint,
+)
+from parsleyrouter.process.endpoint_loads import (
+    REPORT_S,
+    SILENCE_S,
+    EndpointLoads,
+    EndpointUse,
+    NodeNews,
+)
+from parsleyrouter.request.admission import Admit, TurnAway, admit
+from parsleyrouter.request.batch_room import batch_order, place_batch, yields
+from parsleyrouter.request.placement import Candidate, choose, queue_wait_s
+
+NEAR, FAR = DomainName("near"), DomainName("far")
+SERVICE = ServiceName("engines")
+
+CANDIDATES = st.lists(
+    st.builds(
+        Candidate,
+        endpoint=st.integers(0, 10**9).map(lambda number: EndpointId(f"e{number}")),
+        domain=st.sampled_from([NEAR, FAR]),
+        slots=st.just(8),
+        online=st.integers(0, 14),
+        batch=st.integers(0, 8),
+        avoided=st.booleans(),
+    ),
+    max_size=8,
+)
+
+
+def entry(name: str, **fields: Any) -> RegisteredEndpoint:
+    given = {"service": SERVICE, "address": Address("10.0.0.1:80"), "domain": NEAR, "slots": 8}
+    return RegisteredEndpoint(EndpointId(name), **(given | fields))
+
+
+@when("requests are placed over any loads")
+def step_place(context: Any) -> None:
+    @any_of(CANDIDATES, st.randoms(use_true_random=False))
+    def holds(candidates: list[Candidate], random: Random) -> None:
+        chosen = choose(candidates, NEAR, random)
+        if not candidates:
+            assert chosen is None
+            return
+        assert chosen is not None
+        usable = [one for one in candidates if not one.avoided]
+        assert not (usable and chosen.avoided)
+        pool = usable or candidates
+        least_wait_s = min(queue_wait_s(one, 1.0) for one in pool)
+        assert queue_wait_s(chosen, 1.0) <= least_wait_s + 1 / 8 + 1e-9
+
+    context.check = holds
+
+
+@then("a free slot goes before a queue, and avoided endpoints are used last")
+def step_check(context: Any) -> None:
+    context.check()
+
+
+@when("requests are placed over equal loads")
+def step_place_equal(context: Any) -> None:
+    random = Random(1)
+    candidates = [
+        Candidate(EndpointId(f"e{number}"), NEAR if number < 2 else FAR, 8, online=3)
+        for number in range(6)
+    ]
+    context.chosen = Counter(choose(candidates, NEAR, random).domain for _ in range(200))  # type: ignore[union-attr]
+
+
+@then("they stay in their own failure domain")
+def step_near(context: Any) -> None:
+    assert context.chosen == {NEAR: 200}
+
+
+@when("online requests and batch items of several nodes meet at an endpoint")
+def step_meet(context: Any) -> None:
+    counts = st.dictionaries(st.sampled_from("abcd"), st.integers(0, 6), min_size=1)
+
+    @any_of(counts, st.integers(0, 20))
+    def holds(batch: dict[str, int], online: int) -> None:
+        uses = {NodeId(name): EndpointUse(batch=count) for name, count in batch.items()}
+        total = sum(batch.values())
+        candidate = Candidate(EndpointId("e"), NEAR, 8, online=online, batch=total)
+        given = {name: yields(NodeId(name), candidate, uses) for name in batch}
+        assert sum(given.values()) == max(0, min(total, online + total - 8))
+        assert all(given[name] <= batch[name] for name in batch)
+        free = place_batch([candidate])
+        assert (free is not None) == (online + total < 8)
+
+    context.check = holds
+
+
+@then("the nodes together give up as many items as are too many, and no more")
+def step_yielded(context: Any) -> None:
+    context.check()
+
+
+@when("items of several jobs wait")
+def step_items_wait(context: Any) -> None:
+    rows = {
+        "late": batch_order(left_s=2.0, needed_s=5.0),
+        "fresh, due soon": batch_order(left_s=6.0, needed_s=5.0),
+        "fresh, due later": batch_order(left_s=16.0, needed_s=5.0),
+        "begun, due later": batch_order(left_s=16.0, needed_s=1.0),
+    }
+    context.order = sorted(rows, key=lambda name: rows[name])
+
+
+@then("late ones go last and begun ones first")
+def step_order(context: Any) -> None:
+    assert context.order == ["begun, due later", "fresh, due soon", "fresh, due later", "late"]
+
+
+@when("a burst comes that is half above what the endpoints serve")
+def step_burst(context: Any) -> None:
+    burst = Burst(endpoints=4, slots=8, service_s=0.7, peak_per_s=70.0, trough_per_s=12.0)
+    context.refusing = [play_burst(burst, seed, refuse=True) for seed in range(6)]
+    context.queueing = [play_burst(burst, seed, refuse=False) for seed in range(6)]
+
+
+@then("more callers are answered in time than without refusals, and none is refused twice")
+def step_burst_served(context: Any) -> None:
+    in_time = sum(one.in_time for one in context.refusing)
+    without = sum(one.in_time for one in context.queueing)
+    assert in_time > 1.1 * without, (in_time, without)
+    assert sum(one.refused_for_good for one in context.refusing) == 0
+
+
+@when("the wait is longer than the time left")
+def step_hopeless(context: Any) -> None:
+    @any_of(st.floats(0.1, 30.0), st.floats(0.0, 1.0), st.floats(0.0, 60.0))
+    def holds(left_s: float, spread: float, wait_s: float) -> None:
+        verdict = admit(wait_s=wait_s, target_s=0.3, left_s=left_s, allowed_s=left_s, spread=spread)
+        if isinstance(verdict, TurnAway):
+            assert 0 < verdict.retry_after_s <= left_s / 3 + 1e-9
+        else:
+            assert wait_s < left_s
+        again = admit(wait_s=wait_s, target_s=0.3, left_s=left_s, allowed_s=60.0, spread=spread)
+        assert isinstance(again, Admit) == (wait_s < left_s)
+
+    context.check = holds
+
+
+@then("the request is refused with a time within a third of what is left")
+def step_refused_in_time(context: Any) -> None:
+    context.check()
+
+
+@when("the store goes away, registrations lapse, and some come back")
+def step_lapse(context: Any) -> None:
+    directory = EndpointDirectory()
+    for name in ("lives", "died"):
+        directory.put(entry(name))
+    directory.store_failed(10.0)
+    gone = directory.removed(EndpointId("lives"), 10.5) + directory.removed(
+        EndpointId("died"), 10.5
+    )
+    context.meanwhile = [one.endpoint for one in directory.of_service(SERVICE)]
+    directory.put(entry("lives"))
+    context.gone = gone + directory.settle(10.0 + RETURN_S - 0.1)
+    context.after = directory.settle(10.0 + RETURN_S + 0.1)
+    context.left = [one.endpoint for one in directory.of_service(SERVICE)]
+
+
+@then("living endpoints stay in use and the others are gone afterwards")
+def step_lapsed(context: Any) -> None:
+    assert context.meanwhile == ["lives", "died"] and not context.gone
+    assert [one.endpoint for one in context.after] == ["died"]
+    assert context.left == ["lives"]
+
+
+@when("junk of any kind is written among the registrations")
+def step_junk(context: Any) -> None:
+    good = {"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 8, "state": "ready"}
+    values = st.one_of(
+        st.none(), st.booleans(), st.integers(), st.floats(), st.text(), st.lists(st.integers())
+    )
+    changed = st.dictionaries(st.sampled_from(sorted(good)), values, min_size=1)
+    bodies = st.one_of(
+        st.binary(),
+        changed.map(lambda change: json.dumps(good | change).encode()),
+        st.sampled_from(sorted(good)).map(
+            lambda name: json.dumps({k: v for k, v in good.items() if k != name}).encode()
+        ),
+    )
+
+    @any_of(bodies)
+    def holds(body: bytes) -> None:
+        found = decode_endpoint(Entry("servers/x", body, Revision(1)))
+        if found is not None:
+            assert isinstance(found.slots, int) and found.slots >= 1
+            assert isinstance(found.service, str)
+            assert re.match(r"^[\d.]+:\d+$", found.address)
+
+    good_entry = Entry("servers/x", json.dumps(good).encode(), Revision(1))
+    assert decode_endpoint(good_entry) is not None
+    context.check = holds
+
+
+@then("it is passed over and the others hold")
+def step_passed_over(context: Any) -> None:
+    context.check()
+
+
+@when("an endpoint reports more requests than all nodes count")
+def step_report(context: Any) -> None:
+    loads = EndpointLoads(Random(1))
+    name = EndpointId("e")
+    loads.begin(name, batch=False, now=1.0)
+    loads.reported(name, 11, 1.0)
+    context.seen = [loads.candidates([entry("e")], now)[0].online for now in (1.1, 1.1 + REPORT_S)]
+
+
+@then("it counts as fuller for a while")
+def step_fuller(context: Any) -> None:
+    assert context.seen == [9, 1]
+
+
+@when("an endpoint owes answers and sends nothing")
+def step_silence(context: Any) -> None:
+    loads = EndpointLoads(Random(1))
+    name = EndpointId("e")
+    loads.begin(name, batch=False, now=1.0)
+    times = (1.0 + SILENCE_S / 2, 1.0 + SILENCE_S * 1.1)
+    context.seen = [loads.candidates([entry("e")], now)[0].avoided for now in times]
+    loads.heard(name, 2.0)
+    context.seen.append(loads.candidates([entry("e")], 2.1)[0].avoided)
+
+
+@then("it is avoided until it sends again")
+def step_avoided(context: Any) -> None:
+    assert context.seen == [False, True, False]
+
+
+@when("news are lost, doubled and reordered")
+def step_news(context: Any) -> None:
+    rows = st.lists(st.tuples(st.sampled_from("ab"), st.integers(1, 3), st.integers(1, 9)))
+
+    @any_of(rows)
+    def holds(arrivals: list[tuple[str, int, int]]) -> None:
+        loads = EndpointLoads(Random(1))
+        latest: dict[str, tuple[int, int]] = {}
+        for name, boot, sequence in arrivals:
+            use = EndpointUse(online=boot * 100 + sequence)
+            news = NodeNews(NodeId(name), boot, sequence, {EndpointId("e"): use}, at_s=1.0)
+            assert loads.take(news) == ((boot, sequence) > latest.get(name, (0, 0)))
+            latest[name] = max(latest.get(name, (0, 0)), (boot, sequence))
+        expected = sum(boot * 100 + sequence for boot, sequence in latest.values())
+        assert loads.use(EndpointId("e"), 1.5).online == expected
+        assert loads.use(EndpointId("e"), 9.0).online == 0
+
+    context.check = holds
+
+
+@then("the latest of each node's latest start counts")
+def step_latest(context: Any) -> None:
+    context.check()
+
+
+NAMES = re.compile(
+    r"(?i)x-attempt-id|x-expect-instance|x-not-executed|x-response-signature|x-server-load"
+    r"|x-prompt-prefix|x-token-usage|kv-txn|kv-range|kv-watch|kv-key\b|dead_lettered|trafficSplit"
+    r"|targetLatencyMs|coldRemainingMs|internalPorts|op/config|\"/readiness|\"/resolve|servers/"
+)
+
+
+@when("the sources outside the folder are searched for the platform's names")
+def step_search(context: Any) -> None:
+    root = Path(__file__).resolve().parents[2] / "parsleyrouter"
+    sources = [path for path in root.rglob("*.py") if "platform" not in path.parts[:-1]]
+    sources = [path for path in sources if root / "platform" not in path.parents]
+    context.searched = len(sources)
+    context.found = [
+        f"{path.name}: {found[0]}" for path in sources if (found := NAMES.search(path.read_text()))
+    ]
+
+
+@then("none is found")
+def step_none_found(context: Any) -> None:
+    assert context.searched > 100
+    assert not context.found, context.found
--- a/parsleyrouter/commands/front.py
+++ b/parsleyrouter/commands/front.py
@@ -28,7 +28,7 @@
     except BadSetting as error:
         print(f"parsley-front: {error}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTING)
-    start_logs(program="parsley-front", level=options.log_level)
+    start_logs(program="parsley-front", level=options.log_level, output=sys.stdout.fileno())
     runtime = Runtime()
     runtime.on_reload(partial(_reload, path, options))
     assemble_front(runtime, options, PLATFORM)
--- a/parsleyrouter/process/endpoint_directory.py
+++ b/parsleyrouter/process/endpoint_directory.py
@@ -11,8 +11,9 @@
 
 __all__ = ["EndpointDirectory", "RETURN_S", "RegisteredEndpoint"]
 
-RETURN_S = 2.3
-"""Seconds after the store's return in which living endpoints register again, with some slack."""
+RETURN_S = 2.9
+"""Seconds after the last failed call to the store in which living endpoints register again: two
+after its return, which shows up to a call's timeout later."""
 
 
 @dataclass(frozen=True)
--- a/parsleyrouter/process/endpoint_loads.py
+++ b/parsleyrouter/process/endpoint_loads.py
@@ -59,6 +59,8 @@
     at_s: float = 0.0
     leaving: bool = False
     routes_version: int = 0
+    waiting_items: int = 0
+    """Batch items that wait for a slot."""
 
 
 @dataclass
@@ -80,6 +82,8 @@
 
     random: Random = field(default_factory=Random)
     own: dict[EndpointId, EndpointUse] = field(default_factory=dict)
+    waiting_items: int = 0
+    """Batch items of this node that wait for a slot."""
     nodes: dict[NodeId, NodeNews] = field(default_factory=dict)
     seen: dict[EndpointId, _Seen] = field(default_factory=dict)
     service_s: dict[ServiceName, float] = field(default_factory=dict)
--- a/parsleyrouter/process/job_worker.py
+++ b/parsleyrouter/process/job_worker.py
@@ -198,6 +198,7 @@
         while True:
             await self.loop.sleep(TURN_S)
             if not self.runs:
+                self.calls.loads.waiting_items = 0
                 continue
             try:
                 self.give_way()
@@ -215,9 +216,11 @@
             for index in run.pending(now)
         ]
         waiting.sort(key=lambda one: (one[0], one[1].job, one[2]))
+        self.calls.loads.waiting_items = len(waiting)
         for _, run, index in waiting:
             if not self._start(run, index, wall_ms):
                 return
+            self.calls.loads.waiting_items -= 1
 
     def _rank(self, run: JobRun, index: ItemIndex, wall_ms: float) -> tuple[bool, int, float]:
         spent_s = run.progress[index].spent_s if index in run.progress else 0.0
@@ -245,7 +248,8 @@
         now = self.loop.now()
         entries = {entry.endpoint: entry for entry in self.directory.of_service(service)}
         candidates: list[Candidate] = self.calls.loads.candidates(entries.values(), now)
-        best = place_batch(candidates)
+        others = [news for news in self.calls.loads.live_nodes(now) if news.waiting_items]
+        best = place_batch(candidates, contenders=len(others) + 1, chance=self.random.random())
         if best is None:
             return False
         progress = run.progress_of(index)
--- a/parsleyrouter/process/load_exchange.py
+++ b/parsleyrouter/process/load_exchange.py
@@ -73,6 +73,7 @@
             callers_address=own.callers,
             nodes_address=own.nodes,
             domain=own.domain,
+            waiting_items=self.loads.waiting_items,
         )
         buffer = TMemoryBuffer()
         news.write(TCompactProtocolAccelerated(buffer))
@@ -118,6 +119,7 @@
                 at_s=self.loop.now(),
                 leaving=news.leaving,
                 routes_version=news.routes_version,
+                waiting_items=news.waiting_items or 0,
             )
         )
         if taken:
--- a/parsleyrouter/process/logs.py
+++ b/parsleyrouter/process/logs.py
@@ -1,21 +1,98 @@
-"""JSON-line logs."""
+"""JSON-line logs that neither block the process nor flood their reader."""
 
 import logging
+import os
+import select
 import sys
+import time
+from collections import Counter, deque
 
 from pythonjsonlogger.json import JsonFormatter
 
-__all__ = ["start_logs"]
+__all__ = ["BoundedLines", "LineBudget", "start_logs"]
 
+LONGEST_LINE_BYTES = 4000
+"""A pipe that is ready takes this much without blocking (PIPE_BUF, 4,096 on Linux)."""
 
-def start_logs(*, program: str, level: str = "INFO") -> None:
-    """Write every log record to standard error as one JSON object a line."""
+MOST_WAITING = 2000
+"""Lines kept while the reader stalls."""
+
+LINES_PER_S = {logging.INFO: 150.0, logging.WARNING: 150.0}
+"""Lines a second by level, failures apart, so that successes cannot crowd them out."""
+
+BURST_S = 4.0
+"""Seconds of lines that may come at once."""
+
+
+class LineBudget:
+    """Decide which lines are written; times are monotonic seconds."""
+
+    def __init__(self, lines_per_s: dict[int, float] | None = None) -> None:
+        self.rates = lines_per_s or LINES_PER_S
+        self.full_at_s = dict.fromkeys(self.rates, 0.0)
+        self.dropped: Counter[int] = Counter()
+
+    def take(self, level: int, now: float) -> bool:
+        """Take a place for a line; one without is counted as dropped."""
+        known = max((one for one in self.rates if one <= level), default=min(self.rates))
+        full_at_s = max(self.full_at_s[known], now) + 1 / self.rates[known]
+        if full_at_s - now > BURST_S:
+            self.dropped[known] += 1
+            return False
+        self.full_at_s[known] = full_at_s
+        return True
+
+
+class BoundedLines(logging.Handler):
+    """Write lines to a descriptor while it takes them; what comes too fast is counted."""
+
+    def __init__(self, descriptor: int, budget: LineBudget | None = None) -> None:
+        super().__init__()
+        self.descriptor = descriptor
+        self.budget = budget or LineBudget()
+        self.waiting: deque[bytes] = deque()
+        self.poll = select.poll()
+        self.poll.register(descriptor, select.POLLOUT)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a line, or keep it until the reader goes on."""
+        try:
+            if not self.budget.take(record.levelno, time.monotonic()):
+                return
+            if self.budget.dropped:
+                self._queue(self._dropped_line(record))
+            self._queue(record)
+            self._write()
+        except Exception:
+            self.handleError(record)
+
+    def _queue(self, record: logging.LogRecord) -> None:
+        if len(self.waiting) >= MOST_WAITING:
+            self.budget.dropped[record.levelno] += 1
+            return
+        line = self.format(record).encode()
+        self.waiting.append(line[:LONGEST_LINE_BYTES] + b"\n")
+
+    def _dropped_line(self, record: logging.LogRecord) -> logging.LogRecord:
+        counts = {logging.getLevelName(level): n for level, n in self.budget.dropped.items()}
+        self.budget.dropped.clear()
+        values = {"name": __name__, "levelno": logging.WARNING, "levelname": "WARNING"}
+        values |= {"msg": "log lines dropped", "created": record.created, "dropped": counts}
+        return logging.makeLogRecord(values)
+
+    def _write(self) -> None:
+        while self.waiting and self.poll.poll(0):
+            os.write(self.descriptor, self.waiting.popleft())
+
+
+def start_logs(*, program: str, level: str = "INFO", output: int | None = None) -> None:
+    """Write each record as one JSON object a line, to standard error or another descriptor."""
     formatter = JsonFormatter(
         "{asctime}{levelname}{name}{message}",
         style="{",
         rename_fields={"asctime": "time", "levelname": "level", "name": "logger"},
         static_fields={"program": program},
     )
-    output = logging.StreamHandler(sys.stderr)
-    output.setFormatter(formatter)
-    logging.basicConfig(level=level.upper(), handlers=[output], force=True)
+    handler = BoundedLines(sys.stderr.fileno() if output is None else output)
+    handler.setFormatter(formatter)
+    logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
--- a/parsleyrouter/request/admission.py
+++ b/parsleyrouter/request/admission.py
@@ -45,12 +45,10 @@
     ``left_s`` is left of the caller's time and ``allowed_s`` is what its route allows;
     ``spread``, from 0 to 1, keeps callers from coming back together.
     """
-    if wait_s <= target_s * LATE_SHARE:
-        return Admit()
     longest_s = left_s * RETURN_SHARE
     back_s = longest_s * (SPREAD_FROM + (1 - SPREAD_FROM) * spread)
     if wait_s >= left_s:
         return TurnAway(back_s)
-    if left_s < allowed_s - CAME_BACK_S:
+    if wait_s <= target_s * LATE_SHARE or left_s < allowed_s - CAME_BACK_S:
         return Admit()
     return TurnAway(max(back_s, min(wait_s, longest_s)))
--- a/parsleyrouter/request/batch_room.py
+++ b/parsleyrouter/request/batch_room.py
@@ -14,14 +14,20 @@
 __all__ = ["batch_order", "place_batch", "yields"]
 
 
-def place_batch(candidates: Iterable[Candidate]) -> Candidate | None:
+def place_batch(
+    candidates: Iterable[Candidate], *, contenders: int = 1, chance: float = 0.0
+) -> Candidate | None:
     """Return the endpoint with the most room for a batch item, or none.
 
     Batch takes every free slot: an online request that finds none waits only until an item has
-    given way, which takes a few steps of the engine.
+    given way, which takes a few steps of the engine. ``contenders`` nodes have items that wait;
+    where there are fewer free slots, ``chance``, from 0 to 1, keeps them from all taking the same.
     """
     roomy = [one for one in candidates if not one.avoided and one.free > 0]
-    return max(roomy, key=lambda one: one.free / one.slowness, default=None)
+    best = max(roomy, key=lambda one: one.free / one.slowness, default=None)
+    if best is None or chance * contenders >= sum(one.free for one in roomy):
+        return None
+    return best
 
 
 def batch_order(*, left_s: float, needed_s: float) -> tuple[bool, int, float]:
--- a/parsleyrouter/thrift_gen/load/ttypes.py
+++ b/parsleyrouter/thrift_gen/load/ttypes.py
@@ -107,11 +107,12 @@
      - callers_address
      - nodes_address
      - domain
+     - waiting_items
 
     """
 
 
-    def __init__(self, node=None, boot=None, sequence=None, uses=None, leaving=None, routes_version=None, callers_address=None, nodes_address=None, domain=None,):
+    def __init__(self, node=None, boot=None, sequence=None, uses=None, leaving=None, routes_version=None, callers_address=None, nodes_address=None, domain=None, waiting_items=None,):
         self.node = node
         self.boot = boot
         self.sequence = sequence
@@ -121,6 +122,7 @@
         self.callers_address = callers_address
         self.nodes_address = nodes_address
         self.domain = domain
+        self.waiting_items = waiting_items
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -182,6 +184,11 @@
                     self.domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.waiting_items = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -231,6 +238,10 @@
             oprot.writeFieldBegin('domain', TType.STRING, 9)
             oprot.writeString(self.domain.encode('utf-8') if sys.version_info[0] == 2 else self.domain)
             oprot.writeFieldEnd()
+        if self.waiting_items is not None:
+            oprot.writeFieldBegin('waiting_items', TType.I32, 10)
+            oprot.writeI32(self.waiting_items)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -266,6 +277,7 @@
     (7, TType.STRING, 'callers_address', 'UTF8', None, ),  # 7
     (8, TType.STRING, 'nodes_address', 'UTF8', None, ),  # 8
     (9, TType.STRING, 'domain', 'UTF8', None, ),  # 9
+    (10, TType.I32, 'waiting_items', None, None, ),  # 10
 )
 fix_spec(all_structs)
 del all_structs
--- a/thrift/load.thrift
+++ b/thrift/load.thrift
@@ -18,4 +18,5 @@
   7: string callers_address,
   8: string nodes_address,
   9: string domain,
+  10: i32 waiting_items,
 }
