--- /dev/null
+++ b/features/steps/explain_steps.py
@@ -0,0 +1,110 @@
+"""Steps for explaining requests from logs."""
+
+import contextlib
+import io
+import logging
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from behave import then, when
+from pythonjsonlogger.json import JsonFormatter
+
+from features.steps.front_jobs_steps import read_all, submit
+from features.steps.front_requests_steps import Play, play
+from features.support.front_fleet import FrontFleet
+from features.support.platform_endpoint import shed, status, stream_until
+from parsleyrouter.commands.ctl import main
+
+
+def explain(context: Any, scene: Play, name: str) -> str:
+    """Play a scene, then return what parsleyctl tells of an id from its logs."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "front-0.log"
+        handler = logging.FileHandler(path)
+        handler.setFormatter(
+            JsonFormatter(
+                "{asctime}{levelname}{name}{message}", style="{", rename_fields={"asctime": "time"}
+            )
+        )
+        root = logging.getLogger()
+        level = root.level
+        root.addHandler(handler)
+        root.setLevel(logging.INFO)
+        try:
+            play(context, scene)
+        finally:
+            root.removeHandler(handler)
+            root.setLevel(level)
+            handler.close()
+        printed = io.StringIO()
+        with contextlib.redirect_stdout(printed), contextlib.redirect_stderr(printed):
+            try:
+                main(["explain", name, str(path)])
+            except SystemExit as error:
+                context.code = error.code
+        return printed.getvalue().replace("\n", " ")
+
+
+@when("all endpoints shed a request and its id is explained")
+def step_shed(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        for name in ("e1", "e2"):
+            fleet.register(name).usual = shed
+        await fleet.start()
+        await fleet.caller().ask("POST", "/chat/1", attempt="request-1")
+
+    context.story = explain(context, scene, "request-1")
+
+
+@then("the story names the refusals of the endpoints and the time to come back")
+def step_shed_told(context: Any) -> None:
+    for words in ("request failed", "refused with status 503", '"e1"', '"e2"', "not_run", "again"):
+        assert words in context.story, (words, context.story)
+
+
+@when("an endpoint breaks a stream off and its id is explained")
+def step_broken(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("e1").usual = stream_until(2)
+        await fleet.start()
+        await fleet.caller().ask("POST", "/chat/1", attempt="request-2")
+
+    context.story = explain(context, scene, "request-2")
+
+
+@then("the story names the endpoint and how its connection ended")
+def step_broken_told(context: Any) -> None:
+    for words in ("answer_cut", '"e1"', "connection closed early", "routes_version"):
+        assert words in context.story, (words, context.story)
+
+
+@when("an endpoint says that an item can never be done and its id is explained")
+def step_impossible(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("e1").usual = status(422)
+        await fleet.start()
+        await submit(fleet)
+        await read_all(fleet)
+
+    context.story = explain(context, scene, "item2")
+
+
+@then("the story tells the run, the endpoint and the position where it is listed")
+def step_impossible_told(context: Any) -> None:
+    for words in ("item run ended", '"impossible"', '"e1"', "results listed", "position"):
+        assert words in context.story, (words, context.story)
+
+
+@when("an unknown id is explained")
+def step_unknown(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        await fleet.start()
+
+    context.story = explain(context, scene, "nobody")
+
+
+@then("parsleyctl says that no line is about it")
+def step_unknown_told(context: Any) -> None:
+    assert context.code == 5
+    assert "no line is about 'nobody'" in context.story
--- a/features/support/burst_play.py
+++ b/features/support/burst_play.py
@@ -43,7 +43,7 @@
     events: list[tuple[float, float, int]] = []
     at_s = 0.0
     while at_s < DAY_S:
-        peak = PERIOD_S - BURST_S < at_s % PERIOD_S
+        peak = at_s % PERIOD_S > PERIOD_S - BURST_S
         at_s += random.expovariate(burst.peak_per_s if peak else burst.trough_per_s)
         heapq.heappush(events, (at_s, at_s, 0))
     served.asked = len(events)
--- a/parsleyrouter/commands/ctl.py
+++ b/parsleyrouter/commands/ctl.py
@@ -11,6 +11,7 @@
 from cyclopts import App, CycloptsError
 
 from parsleyrouter.commands.ctl_client import CtlError, ExitCode
+from parsleyrouter.commands.ctl_explain import explain
 from parsleyrouter.commands.ctl_settings import settings_app
 from parsleyrouter.commands.ctl_views import add_views
 from parsleyrouter.process.options import BadSetting
@@ -20,6 +21,7 @@
 
 app = App(name="parsleyctl", help=__doc__)
 app.command(settings_app)
+app.command(explain)
 add_views(app)
 
 
--- a/parsleyrouter/process/job_worker.py
+++ b/parsleyrouter/process/job_worker.py
@@ -190,7 +190,7 @@
             return
         run = JobRun(self.loop, self.store, self.board, view.kept, items, set(listed.indexes))
         self.runs[record.job] = run
-        fields = {"job": record.job, "items": len(items), "listed": len(run.listed)}
+        fields = {"job": record.job, "item_count": len(items), "listed": len(run.listed)}
         log.info("job taken up", extra=fields)
         run.close_if_done()
 
