--- a/features/front_jobs.feature
+++ b/features/front_jobs.feature
@@ -71,3 +71,7 @@
   Scenario: a reader who waits costs few calls
     When a reader waits at the end of a job's results
     Then the store gets few calls meanwhile
+
+  Scenario: many results that have waited for the store are listed after its return
+    When the store is away while all items of a large job end
+    Then every item of the large job is listed once soon after its return
--- a/features/steps/front_jobs_steps.py
+++ b/features/steps/front_jobs_steps.py
@@ -420,3 +420,28 @@
 @then("the store gets few calls meanwhile")
 def step_few_calls(context: Any) -> None:
     assert len(context.calls) <= 6, len(context.calls)
+
+
+@when("the store is away while all items of a large job end")
+def step_away(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        for name in ("e1", "e2", "e3"):
+            fleet.register(name).gap_s = 0.02
+        await fleet.start()
+        body = json.dumps({"items": items(24)}).encode()
+        context.status = (await submit(fleet, body=body)).status
+        await fleet.until(lambda: len(runs(fleet)) == 24)
+        fleet.store.faults.refuse = 503
+        await fleet.until(lambda: all(one.ended_s for one in runs(fleet)))
+        fleet.store.faults.refuse = 0
+        began_s = fleet.loop.now()
+        context.results = await read_all(fleet)
+        context.took_s = fleet.loop.now() - began_s
+
+    play(context, scene)
+
+
+@then("every item of the large job is listed once soon after its return")
+def step_listed_after(context: Any) -> None:
+    assert len({one["id"] for one in context.results}) == 24
+    assert context.took_s < 4.0, context.took_s
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -14,6 +14,8 @@
 from parsleyrouter.process.runtime import Runtime
 
 PAGE = 20
+MOST_ENTRIES = 32
+MOST_VALUE_BYTES = 1_048_576
 
 
 @dataclass
@@ -174,6 +176,10 @@
             await promise
 
     def _transact(self, body: Any) -> tuple[int, Any]:
+        if sum(len(body[part]) for part in ("expect", "writes", "deletes")) > MOST_ENTRIES:
+            return 400, {"error": f"more than {MOST_ENTRIES} entries"}
+        if any(len(b64decode(row["value"])) > MOST_VALUE_BYTES for row in body["writes"]):
+            return 400, {"error": f"a value over {MOST_VALUE_BYTES} bytes"}
         found = {row["key"]: self.rows.get(row["key"]) for row in body["expect"]}
         for row in body["expect"]:
             known = found[row["key"]]
--- a/parsleyrouter/process/job_run.py
+++ b/parsleyrouter/process/job_run.py
@@ -13,8 +13,9 @@
 
 __all__ = ["JobRun"]
 
-MOST_TOGETHER = 12
-"""Results listed by one transaction; the service takes 32 conditions and writes."""
+MOST_TOGETHER = 8
+"""Results listed by one transaction: each takes two conditions and two writes, and the service takes
+32 of them together."""
 
 MOST_TOGETHER_BYTES = 400_000
 RETRY_S = 0.2
