--- a/features/front_jobs.feature
+++ b/features/front_jobs.feature
@@ -75,3 +75,11 @@
   Scenario: many results that have waited for the store are listed after its return
     When the store is away while all items of a large job end
     Then every item of the large job is listed once soon after its return
+
+  Scenario: a node that stops hands its items over where they are
+    When the node that runs a job stops as planned in the middle of long items
+    Then another node goes on behind the events that were saved
+
+  Scenario: a node that is lost costs what its items did since the last save
+    When the node that runs a job is lost after its items' progress was saved
+    Then another node goes on behind the events that were saved
--- a/features/steps/front_jobs_steps.py
+++ b/features/steps/front_jobs_steps.py
@@ -445,3 +445,50 @@
 def step_listed_after(context: Any) -> None:
     assert len({one["id"] for one in context.results}) == 24
     assert context.took_s < 4.0, context.took_s
+
+
+async def _long_items(fleet: FrontFleet) -> None:
+    endpoint = fleet.register("e1")
+    endpoint.events, endpoint.gap_s = 150, 0.02
+    await fleet.start(2)
+    await submit(fleet)
+    await fleet.until(lambda: len(runs(fleet)) == ITEMS)
+
+
+@when("the node that runs a job stops as planned in the middle of long items")
+def step_planned(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        await _long_items(fleet)
+        await fleet.loop.sleep(1.0)
+        gone = fleet.fronts[0]
+        await gone.worker.leave(2.0)
+        await gone.registry.leave()
+        context.least, context.results = 20, await read_all(fleet, 1)
+
+    play(context, scene)
+
+
+@when("the node that runs a job is lost after its items' progress was saved")
+def step_lost(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        await _long_items(fleet)
+        gone = fleet.fronts[0]
+        await fleet.until(
+            lambda: [len(job.saved_events) for job in gone.worker.runs.values()] == [ITEMS]
+        )
+        gone.registry.leaving = gone.worker.leaving = True
+        for job in gone.worker.runs.values():
+            job.stop()
+        fleet.store.end_lease(gone.registry.lease)
+        context.least, context.results = 1, await read_all(fleet, 1)
+
+    play(context, scene)
+
+
+@then("another node goes on behind the events that were saved")
+def step_went_on(context: Any) -> None:
+    assert all(one["output"] == whole_output(150) for one in context.results)
+    for number in range(ITEMS):
+        first, second = runs(context.fleet, f"item{number}")
+        assert first.cut
+        assert int(second.header("Last-Event-Id") or 0) >= context.least
--- a/parsleyrouter/process/item_attempts.py
+++ b/parsleyrouter/process/item_attempts.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from parsleyrouter.connection.endpoint_client import RawHeaders
-from parsleyrouter.connection.sse import event_data
+from parsleyrouter.connection.sse import event_data, last_event_id
 from parsleyrouter.ids import RequestId, ServiceName
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
 from parsleyrouter.process.forward_attempt import EndpointCalls, ForwardAttempt, Patience
@@ -50,6 +50,7 @@
     def send(self, data: bytes) -> None:
         """Take whole events."""
         self.pieces.extend(event_data(data))
+        self.last_event = last_event_id(data) or self.last_event
 
     async def drain(self) -> None:
         """Take more at once."""
@@ -108,7 +109,6 @@
         """Run to the end; return how it ended and why."""
         self.progress.runs += 1
         failure = await self.attempt.run()
-        self.progress.last_event = self.attempt.last_event
         self.progress.spent_s += self.attempt.calls.loop.now() - self.started_s
         status = self.attempt.status
         if status == IMPOSSIBLE_STATUS:
--- a/parsleyrouter/process/job_run.py
+++ b/parsleyrouter/process/job_run.py
@@ -9,17 +9,24 @@
 from parsleyrouter.process.job_board import JobBoard, JobView
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.shared_job_store import KeptJob, SharedJobStore
-from parsleyrouter.request.shared_job import ItemResult, JobItem, JobState
+from parsleyrouter.request.shared_job import ItemResult, JobItem, JobState, SavedItem
 
 __all__ = ["JobRun"]
 
 MOST_TOGETHER = 8
-"""Results listed by one transaction: each takes two conditions and two writes, and the service takes
-32 of them together."""
+"""Results listed by one transaction: each takes two conditions and two writes, and the service
+takes 32 of them together."""
 
 MOST_TOGETHER_BYTES = 400_000
 RETRY_S = 0.2
 
+SAVE_S = 2.0
+"""Pause between saves of the progress of running items: what a lost node costs at most, against a
+call for each job."""
+
+MOST_SAVED_BYTES = 600_000
+"""Output that one save holds; items beyond it start anew at another node."""
+
 log = logging.getLogger(__name__)
 
 
@@ -41,6 +48,10 @@
     """Results that are not listed yet."""
     listing: bool = False
     stopped: bool = False
+    saving: bool = False
+    saved_s: float = 0.0
+    saved_events: dict[ItemIndex, str] = field(default_factory=dict)
+    """The last event of each item as it was saved."""
 
     @property
     def job(self) -> str:
@@ -70,6 +81,49 @@
             self.listing = True
             self.loop.spawn(self._list_all(), "list results")
 
+    def restore(self, saved: list[SavedItem]) -> None:
+        """Go on where another node saved the progress of items."""
+        for one in saved:
+            if one.index < len(self.items) and one.index not in self.listed:
+                progress = self.progress_of(one.index)
+                progress.pieces, progress.last_event = list(one.pieces), one.last_event
+                progress.failures = one.failures
+                self.saved_events[one.index] = one.last_event
+
+    def save_when_due(self) -> None:
+        """Save the progress of items now and then."""
+        due = self.loop.now() - self.saved_s >= SAVE_S
+        if due and not self.saving and self.running and not self.stopped:
+            self.loop.spawn(self.save(), "save progress")
+
+    async def save(self) -> None:
+        """Save the progress of unfinished items if there is more than was saved."""
+        view = self.board.jobs.get(self.kept.record.job)
+        items = self._unfinished()
+        events = {one.index: one.last_event for one in items}
+        if view is None or self.saving or events == self.saved_events:
+            return
+        self.saving, self.saved_s = True, self.loop.now()
+        try:
+            done = await self.store.save(self.kept.record.job, view.owner_revision, items)
+        finally:
+            self.saving = False
+        if isinstance(done, Swapped):
+            self.saved_events = events
+        else:
+            log.info("progress not saved", extra={"job": self.job, "outcome": str(done)[:200]})
+
+    def _unfinished(self) -> list[SavedItem]:
+        items: list[SavedItem] = []
+        size = 0
+        for index, one in self.progress.items():
+            size += sum(map(len, one.pieces))
+            if size > MOST_SAVED_BYTES:
+                break
+            if one.last_event and index not in self.listed and index not in self.waiting:
+                items.append(SavedItem(index, one.last_event, list(one.pieces), one.failures))
+        return items
+
     def close_if_done(self) -> None:
         """Record the end of a job whose last owner listed all items and died before it could."""
         if len(self.listed) == len(self.items) and not self.listing:
--- a/parsleyrouter/process/job_worker.py
+++ b/parsleyrouter/process/job_worker.py
@@ -26,6 +26,9 @@
 TURN_S = 0.05
 """Pause between looks for room; short against an item's seconds."""
 
+CHECK_S = 0.01
+"""Pause between looks for the end of what is under way at a stop."""
+
 CLAIM_SPREAD_S = 0.4
 """Nodes wait up to this long before they claim a job, so that they do not all try at once."""
 
@@ -124,15 +127,18 @@
         self.give_way()
 
     async def leave(self, limit_s: float) -> None:
-        """Start nothing more and let items that run end within the limit."""
+        """Stop all items, save what they have produced and list what is done."""
         self.leaving = True
         until_s = self.loop.now() + limit_s
-        while any(run.running for run in self.runs.values()) and self.loop.now() < until_s:
-            await self.loop.sleep(TURN_S)
-        for run in self.runs.values():
+        runs = list(self.runs.values())
+        for run in runs:
             run.stop()
-        while any(run.listing for run in self.runs.values()) and self.loop.now() < until_s + 0.5:
-            await self.loop.sleep(TURN_S)
+        while any(run.running or run.saving for run in runs) and self.loop.now() < until_s:
+            await self.loop.sleep(CHECK_S)
+        for run in runs:
+            await run.save()
+        while any(run.listing for run in runs) and self.loop.now() < until_s:
+            await self.loop.sleep(CHECK_S)
 
     def _uses(self, endpoint: EndpointId, now: float) -> dict:
         loads = self.calls.loads
@@ -182,15 +188,22 @@
         record = view.kept.record
         items = await self.store.items(record)
         listed = await self.store.listed(record.job)
-        if isinstance(items, KeyValueFailure) or isinstance(listed, KeyValueFailure):
+        saved = await self.store.saved(record.job)
+        if (
+            isinstance(items, KeyValueFailure)
+            or isinstance(listed, KeyValueFailure)
+            or isinstance(saved, KeyValueFailure)
+        ):
             await self.loop.sleep(RERUN_S)
             self.loop.call_soon(lambda: self.look_at(view))
             return
         if not view.open or view.owner != self.registry.own.node:
             return
         run = JobRun(self.loop, self.store, self.board, view.kept, items, set(listed.indexes))
+        run.restore(saved)
         self.runs[record.job] = run
         fields = {"job": record.job, "item_count": len(items), "listed": len(run.listed)}
+        fields["saved"] = len(saved)
         log.info("job taken up", extra=fields)
         run.close_if_done()
 
@@ -203,6 +216,8 @@
             try:
                 self.give_way()
                 self._place_items()
+                for run in self.runs.values():
+                    run.save_when_due()
             except Exception:
                 log.exception("turn of batch work failed")
 
--- a/parsleyrouter/process/shared_job_store.py
+++ b/parsleyrouter/process/shared_job_store.py
@@ -21,7 +21,13 @@
     Write,
 )
 from parsleyrouter.ids import ItemIndex, JobId, NodeId, Revision
-from parsleyrouter.request.shared_job import ItemResult, JobItem, JobRecord, JobState
+from parsleyrouter.request.shared_job import (
+    ItemResult,
+    JobItem,
+    JobRecord,
+    JobState,
+    SavedItem,
+)
 
 __all__ = [
     "JOBS_PREFIX",
@@ -45,6 +51,7 @@
 
 _ITEMS = msgspec.msgpack.Decoder(list[JobItem])
 _RECORD = msgspec.json.Decoder(JobRecord)
+_SAVED = msgspec.msgpack.Decoder(list[SavedItem])
 _RESULT = msgspec.msgpack.Decoder(ItemResult)
 
 
@@ -79,6 +86,11 @@
         """Return the prefix of the marks of listed items by index."""
         return f"parsley/listed/{self.job}/"
 
+    @property
+    def saved(self) -> str:
+        """Return the key of what unfinished items have produced so far."""
+        return f"parsley/saved/{self.job}"
+
     def chunk(self, number: int) -> str:
         """Return the key of a piece."""
         return f"{self.chunks}{number:03}"
@@ -188,6 +200,23 @@
         assert not isinstance(done, LeaseLost)
         return done
 
+    async def save(
+        self, job: JobId, owner_revision: Revision, items: Sequence[SavedItem]
+    ) -> Swapped | TransactionConflict | KeyValueFailure:
+        """Save the progress of unfinished items while the owner's key has a revision."""
+        keys = JobKeys(job)
+        write = Write(keys.saved, msgspec.msgpack.encode(list(items)))
+        done = await self.store.transact(Transaction({keys.owner: owner_revision}, (write,)))
+        assert not isinstance(done, LeaseLost)
+        return done
+
+    async def saved(self, job: JobId) -> list[SavedItem] | KeyValueFailure:
+        """Read the progress that was saved last."""
+        entry = await self.store.get(JobKeys(job).saved)
+        if isinstance(entry, KeyValueFailure):
+            return entry
+        return _SAVED.decode(entry.value) if entry is not None else []
+
     async def close(
         self, kept: KeptJob, state: JobState
     ) -> Swapped | TransactionConflict | KeyValueFailure:
--- a/parsleyrouter/request/shared_job.py
+++ b/parsleyrouter/request/shared_job.py
@@ -4,9 +4,17 @@
 
 import msgspec
 
-from parsleyrouter.ids import ItemId, JobId
+from parsleyrouter.ids import ItemId, ItemIndex, JobId
 
-__all__ = ["ItemResult", "ItemState", "JobItem", "JobRecord", "JobState", "SubmittedJob"]
+__all__ = [
+    "ItemResult",
+    "ItemState",
+    "JobItem",
+    "JobRecord",
+    "JobState",
+    "SavedItem",
+    "SubmittedJob",
+]
 
 
 class JobState(Enum):
@@ -65,3 +73,12 @@
     host: str
     path: str
     items: list[JobItem]
+
+
+class SavedItem(msgspec.Struct, frozen=True):
+    """What an unfinished item has produced up to an event, for the next node to go on."""
+
+    index: ItemIndex
+    last_event: str
+    pieces: list[str]
+    failures: int = 0
