--- a/features/steps/front_jobs_steps.py
+++ b/features/steps/front_jobs_steps.py
@@ -178,8 +178,8 @@
         context.status = (await submit(fleet)).status
         await fleet.until(lambda: len(runs(fleet)) == ITEMS)
         gone = fleet.fronts[0]
-        gone.registry.leaving = gone.worker.leaving = True
-        for job in gone.worker.runs.values():
+        gone.registry.leaving = gone.worker.owner.leaving = True
+        for job in gone.worker.owner.runs.values():
             job.stop()
             job.waiting.clear()
         gone.exchange.datagrams.close()
@@ -461,7 +461,7 @@
         await _long_items(fleet)
         await fleet.loop.sleep(1.0)
         gone = fleet.fronts[0]
-        await gone.worker.leave(2.0)
+        await gone.worker.owner.leave(2.0)
         await gone.registry.leave()
         context.least, context.results = 20, await read_all(fleet, 1)
 
@@ -474,10 +474,10 @@
         await _long_items(fleet)
         gone = fleet.fronts[0]
         await fleet.until(
-            lambda: [len(job.saved_events) for job in gone.worker.runs.values()] == [ITEMS]
+            lambda: [len(job.saved_events) for job in gone.worker.owner.runs.values()] == [ITEMS]
         )
-        gone.registry.leaving = gone.worker.leaving = True
-        for job in gone.worker.runs.values():
+        gone.registry.leaving = gone.worker.owner.leaving = True
+        for job in gone.worker.owner.runs.values():
             job.stop()
         fleet.store.end_lease(gone.registry.lease)
         context.least, context.results = 1, await read_all(fleet, 1)
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -27,6 +27,8 @@
 from parsleyrouter.process.front_stop import FrontStop
 from parsleyrouter.process.job_board import JobBoard
 from parsleyrouter.process.job_metrics import JobMetrics
+from parsleyrouter.process.job_owner import JobOwner
+from parsleyrouter.process.job_reader import JobReader
 from parsleyrouter.process.job_worker import JobWorker
 from parsleyrouter.process.load_exchange import LoadExchange
 from parsleyrouter.process.node_registry import NODES_PREFIX, NodeRegistry, RegisteredNode
@@ -212,22 +214,14 @@
     )
     job_store = SharedJobStore(front.store)
     job_metrics = JobMetrics.of(runtime.metrics)
-    worker = JobWorker(
-        front.calls,
-        job_store,
-        front.board,
-        front.registry,
-        front.routes,
-        front.directory,
-        job_metrics,
-        front.random,
-    )
+    owner = JobOwner(runtime.loop, job_store, front.board, front.registry, front.random)
+    worker = JobWorker(front.calls, owner, front.routes, front.directory, job_metrics, front.random)
     front.worker = worker
     front.exchange.on_news.append(worker.give_way)
     desk = SharedJobDesk(
         runtime.loop,
-        front.store,
         job_store,
+        JobReader(runtime.loop, front.store, job_store),
         front.board,
         front.registry,
         front.routes,
@@ -253,7 +247,7 @@
     front.exchange.start()
     front.follow()
     worker.start()
-    stop = FrontStop(runtime.loop, front.registry, front.exchange, callers, worker, options.grace_s)
+    stop = FrontStop(runtime.loop, front.registry, front.exchange, callers, owner, options.grace_s)
     runtime.on_stop(stop.run)
     log.info("started", extra={"node": options.node, "callers": options.callers})
     return front
--- a/parsleyrouter/process/front_stop.py
+++ b/parsleyrouter/process/front_stop.py
@@ -8,7 +8,7 @@
 
 from parsleyrouter.connection.forward_server import ForwardServer
 from parsleyrouter.process.caller_addresses import ANSWER_TTL_S
-from parsleyrouter.process.job_worker import JobWorker
+from parsleyrouter.process.job_owner import JobOwner
 from parsleyrouter.process.load_exchange import LoadExchange
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.node_registry import NodeRegistry
@@ -38,14 +38,14 @@
         registry: NodeRegistry,
         exchange: LoadExchange,
         server: ForwardServer,
-        worker: JobWorker,
+        owner: JobOwner,
         grace_s: float,
     ) -> None:
         self.loop = loop
         self.registry = registry
         self.exchange = exchange
         self.server = server
-        self.worker = worker
+        self.owner = owner
         self.grace_s = grace_s
 
     async def run(self) -> None:
@@ -68,5 +68,5 @@
         log.info("stop ends", extra={"cut": cut, "took_s": round(self.loop.now() - began_s, 3)})
 
     async def _hand_over(self, limit_s: float) -> None:
-        await self.worker.leave(max(0.0, limit_s))
+        await self.owner.leave(max(0.0, limit_s))
         await self.registry.leave()
--- /dev/null
+++ b/parsleyrouter/process/job_owner.py
@@ -0,0 +1,152 @@
+"""Own batch jobs: claim those that nobody runs, and give up those that others have claimed."""
+
+import logging
+from random import Random
+
+from parsleyrouter.connection.key_value import KeyValueFailure, LeaseLost, Swapped
+from parsleyrouter.ids import JobId
+from parsleyrouter.process.job_board import JobBoard, JobView
+from parsleyrouter.process.job_run import JobRun
+from parsleyrouter.process.loop import Loop
+from parsleyrouter.process.node_registry import NodeRegistry
+from parsleyrouter.process.shared_job_store import SharedJobStore
+
+__all__ = ["JobOwner"]
+
+CLAIM_SPREAD_S = 0.4
+"""Nodes wait up to this long before they claim a job, so that they do not all try at once."""
+
+RETRY_S = 0.25
+"""Pause before a call to the key-value service that failed is made again."""
+
+CHECK_S = 0.01
+"""Pause between looks for the end of what is under way at a stop."""
+
+log = logging.getLogger(__name__)
+
+
+class JobOwner:
+    """Hold a run for each job that this node owns."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        store: SharedJobStore,
+        board: JobBoard,
+        registry: NodeRegistry,
+        random: Random,
+    ) -> None:
+        self.loop = loop
+        self.store = store
+        self.board = board
+        self.registry = registry
+        self.random = random
+        self.runs: dict[JobId, JobRun] = {}
+        self.taking: set[JobId] = set()
+        self.leaving = False
+        board.on_change.append(self.look_at)
+        registry.on_lease.append(self.look_at_all)
+
+    def look_at(self, view: JobView) -> None:
+        """Take up, give up or claim a job after a change."""
+        run = self.runs.get(view.job)
+        if run is not None and not view.open:
+            self._give_up(run, view)
+        if not view.open or self.leaving:
+            return
+        mine = view.owner == self.registry.own.node
+        if run is not None and view.owner is not None and not mine:
+            self._give_up(run, view)
+            return
+        if view.owner is None or (mine and run is None):
+            self._take_soon(view)
+
+    def look_at_all(self) -> None:
+        """Look at every job, after the lease has been taken anew."""
+        for view in list(self.board.jobs.values()):
+            self.look_at(view)
+
+    async def leave(self, limit_s: float) -> None:
+        """Stop all items, save what they have produced and list what is done."""
+        self.leaving = True
+        until_s = self.loop.now() + limit_s
+        runs = list(self.runs.values())
+        for run in runs:
+            run.stop()
+        while any(run.running or run.saving for run in runs) and self.loop.now() < until_s:
+            await self.loop.sleep(CHECK_S)
+        for run in runs:
+            await run.save()
+        while any(run.listing for run in runs) and self.loop.now() < until_s:
+            await self.loop.sleep(CHECK_S)
+
+    def _give_up(self, run: JobRun, view: JobView) -> None:
+        """Run nothing more of a job; what is done is still listed."""
+        del self.runs[view.job]
+        run.stop()
+        self._log_job("job given up", view)
+
+    def _take_soon(self, view: JobView) -> None:
+        if view.job in self.taking or view.job in self.runs and view.owner is not None:
+            return
+        self.taking.add(view.job)
+        mine = view.owner == self.registry.own.node or view.job in self.runs
+        delay_s = 0.0 if mine else self.random.uniform(0.05, CLAIM_SPREAD_S)
+        self.loop.spawn(self._take(view, delay_s), f"take job {view.job}")
+
+    async def _take(self, view: JobView, delay_s: float) -> None:
+        try:
+            await self.loop.sleep(delay_s)
+            if await self._claim(view) and view.job not in self.runs:
+                await self._load(view)
+        finally:
+            self.taking.discard(view.job)
+
+    async def _claim(self, view: JobView) -> bool:
+        """Become the owner if nobody is; return whether this node owns the job."""
+        own = self.registry.own.node
+        if view.owner is not None or not view.open or self.leaving:
+            return view.open and view.owner == own
+        if not self.registry.lease or view.kept is None:
+            return False
+        done = await self.store.claim(view.kept, own, self.registry.lease, view.owner_revision)
+        if isinstance(done, Swapped):
+            view.owner, view.owner_revision = own, done.revision
+            self._log_job("job claimed", view)
+            return True
+        if isinstance(done, KeyValueFailure | LeaseLost):
+            await self.loop.sleep(RETRY_S)
+            self.loop.call_soon(lambda: self.look_at(view))
+        return False
+
+    async def _load(self, view: JobView) -> None:
+        assert view.kept is not None
+        record = view.kept.record
+        items = await self.store.items(record)
+        listed = await self.store.listed(record.job)
+        saved = await self.store.saved(record.job)
+        if (
+            isinstance(items, KeyValueFailure)
+            or isinstance(listed, KeyValueFailure)
+            or isinstance(saved, KeyValueFailure)
+        ):
+            await self.loop.sleep(RETRY_S)
+            self.loop.call_soon(lambda: self.look_at(view))
+            return
+        if not view.open or view.owner != self.registry.own.node:
+            return
+        run = JobRun(self.loop, self.store, self.board, view.kept, items, set(listed.indexes))
+        run.restore(saved)
+        self.runs[record.job] = run
+        fields = {"job": record.job, "item_count": len(items), "listed": len(run.listed)}
+        fields["saved"] = len(saved)
+        log.info("job taken up", extra=fields)
+        run.close_if_done()
+
+    def _log_job(self, message: str, view: JobView) -> None:
+        kept = view.kept
+        fields: dict[str, object] = {"job": view.job, "owner": view.owner}
+        fields["owner_revision"] = view.owner_revision
+        if kept is not None:
+            fields |= {"state": kept.record.state.value, "revision": kept.revision}
+        log.info(message, extra=fields)
--- a/parsleyrouter/process/job_worker.py
+++ b/parsleyrouter/process/job_worker.py
@@ -4,18 +4,15 @@
 import time
 from random import Random
 
-from parsleyrouter.connection.key_value import KeyValueFailure, LeaseLost, Swapped
-from parsleyrouter.ids import EndpointId, ItemIndex, JobId
+from parsleyrouter.ids import EndpointId, ItemIndex, NodeId
 from parsleyrouter.process.endpoint_directory import EndpointDirectory
 from parsleyrouter.process.endpoint_loads import EndpointUse
 from parsleyrouter.process.forward_attempt import EndpointCalls
 from parsleyrouter.process.item_attempts import ItemEnd, ItemRun
-from parsleyrouter.process.job_board import JobBoard, JobView
 from parsleyrouter.process.job_metrics import JobMetrics
+from parsleyrouter.process.job_owner import JobOwner
 from parsleyrouter.process.job_run import JobRun
-from parsleyrouter.process.node_registry import NodeRegistry
 from parsleyrouter.process.routes_in_force import RoutesInForce
-from parsleyrouter.process.shared_job_store import SharedJobStore
 from parsleyrouter.request.batch_room import batch_order, place_batch, yields
 from parsleyrouter.request.placement import Candidate
 from parsleyrouter.request.shared_job import ItemResult, ItemState, JobRecord
@@ -26,33 +23,25 @@
 TURN_S = 0.05
 """Pause between looks for room; short against an item's seconds."""
 
-CHECK_S = 0.01
-"""Pause between looks for the end of what is under way at a stop."""
-
-CLAIM_SPREAD_S = 0.4
-"""Nodes wait up to this long before they claim a job, so that they do not all try at once."""
-
 RERUN_S = 0.25
 """Pause before an item that failed, was refused or gave way is run again."""
 
 ITEM_S = 5.0
 """Time that an item is expected to take."""
 
-GIVE_UP_MARGIN_S = 2.0
+GIVE_UP_MARGIN_S = 3.0
 """Items are given up this long after they may be, since clocks of nodes differ."""
 
 log = logging.getLogger(__name__)
 
 
 class JobWorker:
-    """Own jobs, place their items, give way to online requests and list results."""
+    """Place items of the node's jobs, give way to online requests and list results."""
 
     def __init__(
         self,
         calls: EndpointCalls,
-        store: SharedJobStore,
-        board: JobBoard,
-        registry: NodeRegistry,
+        owner: JobOwner,
         routes: RoutesInForce,
         directory: EndpointDirectory,
         metrics: JobMetrics,
@@ -60,47 +49,22 @@
     ) -> None:
         self.calls = calls
         self.loop = calls.loop
-        self.store = store
-        self.board = board
-        self.registry = registry
+        self.owner = owner
         self.routes = routes
         self.directory = directory
         self.metrics = metrics
         self.random = random
-        self.runs: dict[JobId, JobRun] = {}
-        self.taking: set[JobId] = set()
-        self.leaving = False
         self.checking = False
         calls.loads.on_own_change.append(self._check_soon)
-        board.on_change.append(self.look_at)
-        registry.on_lease.append(self.look_at_all)
 
     def start(self) -> None:
         """Begin to look for work."""
         self.loop.spawn(self._turns(), "run batch items")
 
-    def look_at(self, view: JobView) -> None:
-        """Take up, give up or claim a job after a change."""
-        run = self.runs.get(view.job)
-        if run is not None and not view.open:
-            del self.runs[view.job]
-            run.stop()
-            self._log_job("job given up", view)
-        if not view.open or self.leaving:
-            return
-        mine = view.owner == self.registry.own.node
-        if view.owner is None or (mine and run is None):
-            self._take_soon(view)
-
-    def look_at_all(self) -> None:
-        """Look at every job, after the lease has been taken anew."""
-        for view in list(self.board.jobs.values()):
-            self.look_at(view)
-
     def give_way(self) -> None:
         """Cancel items where online requests wait for their slots."""
         now = self.loop.now()
-        running = [run for job in self.runs.values() for run in job.running.values()]
+        running = [run for job in self.owner.runs.values() for run in job.running.values()]
         by_endpoint: dict[EndpointId, list[ItemRun]] = {}
         for run in running:
             if not run.yielding:
@@ -110,7 +74,7 @@
             candidate = self.calls.loads.candidates([entry], now)[0]
             if candidate.used <= candidate.slots:
                 continue
-            count = yields(self.registry.own.node, candidate, self._uses(endpoint, now))
+            count = yields(self.owner.registry.own.node, candidate, self._uses(endpoint, now))
             runs.sort(key=lambda run: self._rank_of(run, now), reverse=True)
             for run in runs[:count]:
                 run.cancel()
@@ -118,7 +82,7 @@
 
     def _check_soon(self) -> None:
         """Look for online requests that wait, once what is under way has been counted."""
-        if self.runs and not self.checking:
+        if self.owner.runs and not self.checking:
             self.checking = True
             self.loop.call_later(0.0, self._check)
 
@@ -126,108 +90,37 @@
         self.checking = False
         self.give_way()
 
-    async def leave(self, limit_s: float) -> None:
-        """Stop all items, save what they have produced and list what is done."""
-        self.leaving = True
-        until_s = self.loop.now() + limit_s
-        runs = list(self.runs.values())
-        for run in runs:
-            run.stop()
-        while any(run.running or run.saving for run in runs) and self.loop.now() < until_s:
-            await self.loop.sleep(CHECK_S)
-        for run in runs:
-            await run.save()
-        while any(run.listing for run in runs) and self.loop.now() < until_s:
-            await self.loop.sleep(CHECK_S)
-
-    def _uses(self, endpoint: EndpointId, now: float) -> dict:
+    def _uses(self, endpoint: EndpointId, now: float) -> dict[NodeId, EndpointUse]:
         loads = self.calls.loads
         uses = {
             news.node: news.uses[endpoint]
             for news in loads.live_nodes(now)
             if endpoint in news.uses
         }
-        uses[self.registry.own.node] = loads.own.get(endpoint, EndpointUse())
+        uses[self.owner.registry.own.node] = loads.own.get(endpoint, EndpointUse())
         return uses
 
-    def _take_soon(self, view: JobView) -> None:
-        if view.job in self.taking or view.job in self.runs and view.owner is not None:
-            return
-        self.taking.add(view.job)
-        mine = view.owner == self.registry.own.node or view.job in self.runs
-        delay_s = 0.0 if mine else self.random.uniform(0.05, CLAIM_SPREAD_S)
-        self.loop.spawn(self._take(view, delay_s), f"take job {view.job}")
-
-    async def _take(self, view: JobView, delay_s: float) -> None:
-        try:
-            await self.loop.sleep(delay_s)
-            if await self._claim(view) and view.job not in self.runs:
-                await self._load(view)
-        finally:
-            self.taking.discard(view.job)
-
-    async def _claim(self, view: JobView) -> bool:
-        """Become the owner if nobody is; return whether this node owns the job."""
-        own = self.registry.own.node
-        if view.owner is not None or not view.open or self.leaving:
-            return view.open and view.owner == own
-        if not self.registry.lease or view.kept is None:
-            return False
-        done = await self.store.claim(view.kept, own, self.registry.lease, view.owner_revision)
-        if isinstance(done, Swapped):
-            view.owner, view.owner_revision = own, done.revision
-            self._log_job("job claimed", view)
-            return True
-        if isinstance(done, KeyValueFailure | LeaseLost):
-            await self.loop.sleep(RERUN_S)
-            self.loop.call_soon(lambda: self.look_at(view))
-        return False
-
-    async def _load(self, view: JobView) -> None:
-        assert view.kept is not None
-        record = view.kept.record
-        items = await self.store.items(record)
-        listed = await self.store.listed(record.job)
-        saved = await self.store.saved(record.job)
-        if (
-            isinstance(items, KeyValueFailure)
-            or isinstance(listed, KeyValueFailure)
-            or isinstance(saved, KeyValueFailure)
-        ):
-            await self.loop.sleep(RERUN_S)
-            self.loop.call_soon(lambda: self.look_at(view))
-            return
-        if not view.open or view.owner != self.registry.own.node:
-            return
-        run = JobRun(self.loop, self.store, self.board, view.kept, items, set(listed.indexes))
-        run.restore(saved)
-        self.runs[record.job] = run
-        fields = {"job": record.job, "item_count": len(items), "listed": len(run.listed)}
-        fields["saved"] = len(saved)
-        log.info("job taken up", extra=fields)
-        run.close_if_done()
-
     async def _turns(self) -> None:
         while True:
             await self.loop.sleep(TURN_S)
-            if not self.runs:
+            if not self.owner.runs:
                 self.calls.loads.waiting_items = 0
                 continue
             try:
                 self.give_way()
                 self._place_items()
-                for run in self.runs.values():
+                for run in self.owner.runs.values():
                     run.save_when_due()
             except Exception:
                 log.exception("turn of batch work failed")
 
     def _place_items(self) -> None:
-        if self.leaving:
+        if self.owner.leaving:
             return
         now, wall_ms = self.loop.now(), time.time() * 1000
         waiting = [
             (self._rank(run, index, wall_ms), run, index)
-            for run in self.runs.values()
+            for run in self.owner.runs.values()
             for index in run.pending(now)
         ]
         waiting.sort(key=lambda one: (one[0], one[1].job, one[2]))
@@ -306,11 +199,3 @@
             run.finish(index, ItemResult(one.item.item, ItemState.GIVEN_UP, ""))
         else:
             run.retry_s[index] = self.loop.now() + RERUN_S
-
-    def _log_job(self, message: str, view: JobView) -> None:
-        kept = view.kept
-        fields: dict[str, object] = {"job": view.job, "owner": view.owner}
-        fields["owner_revision"] = view.owner_revision
-        if kept is not None:
-            fields |= {"state": kept.record.state.value, "revision": kept.revision}
-        log.info(message, extra=fields)
--- a/parsleyrouter/process/shared_job_desk.py
+++ b/parsleyrouter/process/shared_job_desk.py
@@ -2,7 +2,6 @@
 
 import logging
 import time
-from collections import OrderedDict
 from collections.abc import Callable
 from http import HTTPStatus
 
@@ -10,22 +9,21 @@
 from parsleyrouter.connection.http import JSON_TYPE
 from parsleyrouter.connection.http_limits import RequestHead
 from parsleyrouter.connection.key_value import (
-    ChangePage,
     KeyValueFailure,
     LeaseLost,
     Swapped,
-    TransactionalKeyValue,
     TransactionConflict,
 )
-from parsleyrouter.ids import ItemId, JobId, Revision
+from parsleyrouter.ids import ItemId, JobId
 from parsleyrouter.outcome import Ran, Refusal, RefusalKind
 from parsleyrouter.process.forwarder import refuse
 from parsleyrouter.process.job_board import JobBoard
 from parsleyrouter.process.job_metrics import JobMetrics
+from parsleyrouter.process.job_reader import JobReader
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.node_registry import NodeRegistry
 from parsleyrouter.process.routes_in_force import RoutesInForce
-from parsleyrouter.process.shared_job_store import JobKeys, KeptJob, SharedJobStore, by_position
+from parsleyrouter.process.shared_job_store import KeptJob, SharedJobStore
 from parsleyrouter.request.job_call import (
     EndJob,
     JobCall,
@@ -34,17 +32,11 @@
     ResultPage,
     SubmitJob,
 )
-from parsleyrouter.request.shared_job import ItemResult, JobItem, JobRecord, JobState
+from parsleyrouter.request.shared_job import JobItem, JobRecord, JobState
 from parsleyrouter.version.route_table import Route, RouteTable
 
 __all__ = ["SharedJobDesk"]
 
-CACHE_BYTES = 8 * 1024 * 1024
-"""Results and items of jobs kept in memory for readers."""
-
-PAGE_BYTES = 700_000
-"""Largest output of one page of results; clients take 1 MB."""
-
 LONGEST_WAIT_S = 1.0
 """How long a reader may wait for a result."""
 
@@ -58,24 +50,14 @@
 log = logging.getLogger(__name__)
 
 
-class _Kept:
-    """What readers of one job have been shown so far; results never change."""
-
-    def __init__(self) -> None:
-        self.results: list[ItemResult] = []
-        self.revision: Revision | None = None
-        self.items: list[JobItem] | None = None
-        self.size = 0
-
-
 class SharedJobDesk:
     """Accept, read and end jobs; all state is in the key-value service."""
 
     def __init__(
         self,
         loop: Loop,
-        key_value: TransactionalKeyValue,
         store: SharedJobStore,
+        reader: JobReader,
         board: JobBoard,
         registry: NodeRegistry,
         routes: RoutesInForce,
@@ -84,15 +66,14 @@
         encode_results: EncodeResults,
     ) -> None:
         self.loop = loop
-        self.key_value = key_value
         self.store = store
+        self.reader = reader
         self.board = board
         self.registry = registry
         self.routes = routes
         self.metrics = metrics
         self.decode_call = decode_call
         self.encode_results = encode_results
-        self.kept: OrderedDict[JobId, _Kept] = OrderedDict()
 
     async def answer(self, exchange: CallerExchange) -> bool:
         """Answer a call about a job; return whether the request was one."""
@@ -152,65 +133,16 @@
         record = await self._record(call.job)
         if isinstance(record, Refusal):
             return record
-        until_s = self.loop.now() + min(call.wait_s, LONGEST_WAIT_S)
-        kept = self._keep(call.job)
-        while True:
-            page = self._page(record, kept, call.start)
-            left_s = until_s - self.loop.now()
-            if page.results or len(kept.results) >= record.total:
-                return HTTPStatus.OK, self.encode_results(page)
-            failure = await self._read_on(call.job, kept, max(0.0, left_s))
-            if failure is not None:
-                return _unavailable(failure)
-            if left_s <= 0 or (kept.results and len(kept.results) > call.start):
-                return HTTPStatus.OK, self.encode_results(self._page(record, kept, call.start))
-
-    async def _read_on(self, job: JobId, kept: _Kept, wait_s: float) -> KeyValueFailure | None:
-        """Read results behind those known, waiting for the first one."""
-        if kept.revision is not None and wait_s > 0:
-            prefix = JobKeys(job).results
-            changes = await self.key_value.changes(prefix, kept.revision, wait_s)
-            if isinstance(changes, KeyValueFailure):
-                return changes
-            if isinstance(changes, ChangePage):
-                entries = [one.entry for one in changes.changes if one.entry is not None]
-                self._append(kept, by_position(entries))
-                seen = [one.revision for one in changes.changes]
-                kept.revision = max([kept.revision, *seen])
-                return None
-        return await self._scan_on(job, kept)
-
-    async def _scan_on(self, job: JobId, kept: _Kept) -> KeyValueFailure | None:
-        """Read the results behind those known, as they are now."""
-        keys = JobKeys(job)
-        after = keys.result(len(kept.results) - 1) if kept.results else ""
-        page = await self.key_value.scan(keys.results, after=after)
+        page = await self.reader.read(record, call.start, min(call.wait_s, LONGEST_WAIT_S))
         if isinstance(page, KeyValueFailure):
-            return page
-        self._append(kept, by_position(page.entries))
-        kept.revision = None if page.more else page.revision
-        return None
-
-    def _append(self, kept: _Kept, results: dict[int, ItemResult]) -> None:
-        while (result := results.get(len(kept.results))) is not None:
-            kept.results.append(result)
-            kept.size += len(result.output)
-
-    def _page(self, record: JobRecord, kept: _Kept, start: int) -> ResultPage:
-        results: list[ItemResult] = []
-        size = 0
-        for result in kept.results[start:]:
-            size += len(result.output)
-            if results and size > PAGE_BYTES:
-                break
-            results.append(result)
-        return ResultPage(record.total, start, tuple(results))
+            return _unavailable(page)
+        return HTTPStatus.OK, self.encode_results(page)
 
     async def _read_item(self, call: ReadItem) -> Refusal | tuple[int, bytes]:
         record = await self._record(call.job)
         if isinstance(record, Refusal):
             return record
-        items = await self.items(record)
+        items = await self.reader.items(record)
         if isinstance(items, KeyValueFailure):
             return _unavailable(items)
         body = _body_of(items, call.item)
@@ -218,17 +150,6 @@
             return Refusal(RefusalKind.NOT_FOUND, "the job has no such item", Ran.NOT_RUN)
         return HTTPStatus.OK, body
 
-    async def items(self, record: JobRecord) -> list[JobItem] | KeyValueFailure:
-        """Return the items of a job, from memory when they were read lately."""
-        kept = self._keep(record.job)
-        if kept.items is None:
-            items = await self.store.items(record)
-            if isinstance(items, KeyValueFailure):
-                return items
-            kept.items = items
-            kept.size += sum(len(one.body) for one in items)
-        return kept.items
-
     async def _end(self, call: EndJob) -> Refusal | tuple[int, bytes]:
         for _ in range(TRIES):
             kept = await self.store.read(call.job)
@@ -256,13 +177,6 @@
         self.board.put(kept)
         return kept.record
 
-    def _keep(self, job: JobId) -> _Kept:
-        kept = self.kept.setdefault(job, _Kept())
-        self.kept.move_to_end(job)
-        while len(self.kept) > 1 and sum(one.size for one in self.kept.values()) > CACHE_BYTES:
-            self.kept.popitem(last=False)
-        return kept
-
     def _log(self, exchange: CallerExchange, call: object, status: int, reason: str) -> None:
         job = getattr(call, "job", "") or getattr(getattr(call, "submitted", None), "job", "")
         log.info(
