--- a/parsleyrouter/commands/front.py
+++ b/parsleyrouter/commands/front.py
@@ -17,6 +17,8 @@
 
 __all__ = ["main"]
 
+METRICS_VARIABLE = "PARSLEY_METRICS_PORT"
+
 log = logging.getLogger(__name__)
 
 
@@ -24,7 +26,7 @@
     """Run the program."""
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
-        options = read_settings(path)
+        options = read_settings(path, os.environ.get(METRICS_VARIABLE, ""))
     except BadSetting as error:
         print(f"parsley-front: {error}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTING)
@@ -38,7 +40,7 @@
 def _reload(path: Path, options: FrontOptions) -> None:
     """Log which settings have changed; those of a running process stay until its next start."""
     try:
-        found = read_settings(path)
+        found = read_settings(path, str(options.metrics_port))
     except BadSetting as error:
         log.error("settings not reloaded, the former ones stay", extra={"reason": str(error)})
         return
--- a/parsleyrouter/platform/settings.py
+++ b/parsleyrouter/platform/settings.py
@@ -47,8 +47,10 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
-def read_settings(path: Path) -> FrontOptions:
+def read_settings(path: Path, metrics_port: str = "") -> FrontOptions:
     """Return the settings in a file; raise ``BadSetting`` when they cannot be used."""
+    if metrics_port and not metrics_port.isdigit():
+        raise BadSetting("metrics-port", metrics_port, "a port, or nothing")
     try:
         found = msgspec.convert(tomllib.loads(path.read_text()), _Settings)
     except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
@@ -61,6 +63,7 @@
         locate=Address(found.listen.directory),
         nodes=Address(f"{found.ip}:{found.internal_ports[0]}" if found.internal_ports else ""),
         key_value=Address(found.platform.address),
+        metrics_port=int(metrics_port or 0),
         grace_s=found.bounds.grace_s,
         memory_mb=found.limits.memory_mb,
         descriptors=found.limits.max_fds,
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -16,7 +16,7 @@
 from parsleyrouter.connection.http import JSON_TYPE
 from parsleyrouter.connection.http_limits import HttpLimits
 from parsleyrouter.connection.key_value import Changed, Entry, KeyValueFailure, Transaction
-from parsleyrouter.ids import NodeId
+from parsleyrouter.ids import Address, NodeId
 from parsleyrouter.process.caller_addresses import ANSWER_TTL_S, CallerAddresses
 from parsleyrouter.process.endpoint_directory import EndpointDirectory, RegisteredEndpoint
 from parsleyrouter.process.endpoint_loads import EndpointLoads
@@ -240,6 +240,10 @@
     front.routes.on_change.append(partial(_take_limits, callers))
     ready = partial(_answer_ready, front, port)
     ForwardServer(runtime.loop, options.ready, ready).register(runtime)
+    if options.metrics_port:
+        host = options.nodes.rpartition(":")[0]
+        metrics = Address(f"{host}:{options.metrics_port}")
+        ForwardServer(runtime.loop, metrics, ready).register(runtime)
     named = partial(_answer_locate, locate, port)
     ForwardServer(runtime.loop, options.locate, named).register(runtime)
 
--- a/parsleyrouter/process/front_options.py
+++ b/parsleyrouter/process/front_options.py
@@ -23,6 +23,8 @@
     nodes: Address
     """The other front processes, over UDP."""
     key_value: Address
+    metrics_port: int = 0
+    """Port for metrics on the address of ``nodes``; 0 leaves them on that of ``ready``."""
     grace_s: float = 8.0
     """Time from the signal to stop to the end of the process, at most."""
     memory_mb: int = 256
@@ -35,5 +37,6 @@
         for name in ("callers", "ready", "locate", "nodes", "key_value"):
             check_address(name.replace("_", "-"), getattr(self, name))
         check_range("grace", self.grace_s, 0.5, 3600.0, "s")
+        check_range("metrics-port", self.metrics_port, 0, 65535, "as a port")
         check_range("memory-mb", self.memory_mb, 32, 1_000_000, "MB")
         check_range("descriptors", self.descriptors, 64, 10_000_000, "descriptors")
