--- /dev/null
+++ b/features/steps/front_node_steps.py
@@ -0,0 +1,350 @@
+"""Steps for a front process as a node."""
+
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+from behave import then, when
+
+from features.steps.front_requests_steps import all_events, play
+from features.support.front_fleet import HOST, Caller, FrontFleet, free_address, routes
+from parsleyrouter.process.caller_addresses import ANSWER_TTL_S
+
+ROOT = Path(__file__).resolve().parents[2]
+
+
+async def ask(fleet: FrontFleet, address: Any, path: str) -> Any:
+    return await Caller(fleet.runtime, address).ask("GET", path)
+
+
+@when("callers ask two nodes for addresses, and one of them then leaves")
+def step_locate(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        await fleet.start(2)
+        stays, leaves = fleet.fronts
+
+        async def named() -> list[list[str]]:
+            answers = []
+            for options in fleet.options:
+                path = f"/resolve?name={HOST}&region=r&zone=z1"
+                answers.append(await ask(fleet, options.locate, path))
+            return [json.loads(one.body)["addresses"] for one in answers]
+
+        await fleet.loop.sleep(0.7)
+        context.before = await named()
+        leaves.registry.leaving = True
+        leaves.exchange.tell()
+        await fleet.loop.sleep(0.1)
+        context.after = await named()
+        context.both = {front.registry.own.callers for front in fleet.fronts}
+        context.stays = stays.registry.own.callers
+
+    play(context, scene)
+
+
+@then("both are named at first, and only the one that stays afterwards")
+def step_located(context: Any) -> None:
+    assert [set(one) for one in context.before] == [context.both] * 2
+    assert context.after == [[context.stays]] * 2
+
+
+@when("a node is asked whether it is ready at each stage of its life")
+def step_ready(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        front = await fleet.start(configured=False)
+        ready = fleet.options[0].ready
+        statuses = [(await ask(fleet, ready, "/readiness")).status]
+        fleet.store.put_json("op/config", routes())
+        await fleet.until(lambda: front.routes.version == 1)
+        statuses.append((await ask(fleet, ready, "/readiness")).status)
+        context.metrics = (await ask(fleet, ready, "/metrics")).body
+        front.registry.leaving = True
+        statuses.append((await ask(fleet, ready, "/readiness")).status)
+        context.statuses = statuses
+
+    play(context, scene)
+
+
+@then("it is ready only between the first routes and its stop")
+def step_was_ready(context: Any) -> None:
+    assert context.statuses == [503, 200, 503]
+    assert b"parsley_forwarded_requests" in context.metrics
+
+
+@when("a node is stopped in the middle of a stream")
+def step_stop(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        endpoint = fleet.register("e1")
+        endpoint.events, endpoint.gap_s = 40, 0.02
+        await fleet.start()
+        caller = fleet.caller()
+        await caller.send("POST", "/chat/1")
+        await fleet.until(lambda: caller.answer.body)
+        began_s = fleet.loop.now()
+        stop = fleet.loop.spawn(fleet.runtime.stop_hooks[-1](), "stop")
+        context.answer = await caller.wait()
+        second = await fleet.caller().ask("POST", "/chat/2", attempt="a2")
+        context.second = second
+        await stop
+        context.took_s = fleet.loop.now() - began_s
+
+    play(context, scene)
+
+
+@then("the stream ends whole, its connection closes, and the stop ends soon after")
+def step_stopped(context: Any) -> None:
+    assert context.answer.complete and context.answer.body == all_events(40)
+    assert context.second.complete
+    assert context.second.headers["Connection"] == "close"
+    assert 3 * ANSWER_TTL_S <= context.took_s < 8.0 * 0.9
+
+
+@when("the store takes all leased keys of a node away")
+def step_revoke(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        front = await fleet.start()
+        former = front.registry.lease
+        fleet.store.end_lease(former)
+        began_s = fleet.loop.now()
+        await fleet.until(lambda: front.registry.lease not in (0, former))
+        context.took_s = fleet.loop.now() - began_s
+        context.keys = [key for key in fleet.store.rows if "/node/" in key]
+
+    play(context, scene)
+
+
+@then("the node is registered again within two seconds")
+def step_registered(context: Any) -> None:
+    assert context.took_s < 2.0
+    assert context.keys == ["parsley/live/node/front-0"]
+
+
+@when("an endpoint leaves while the store forgets its history")
+def step_forget(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        for name in ("e1", "e2"):
+            fleet.register(name)
+        front = await fleet.start()
+        fleet.store.remove("servers/e1")
+        fleet.store.forget_history()
+
+        await fleet.until(lambda: "e1" not in front.directory.endpoints)
+        caller = fleet.caller()
+        for number in range(6):
+            await caller.ask("POST", "/chat/1", attempt=f"a{number}")
+
+    play(context, scene)
+
+
+@then("the node sends it nothing after")
+def step_nothing_sent(context: Any) -> None:
+    counts = [len(context.fleet.endpoints[name].arrivals) for name in ("e1", "e2")]
+    assert counts == [0, 6]
+
+
+@when("the store refuses a node for a while and routes change meanwhile")
+def step_cut(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("e1")
+        front = await fleet.start()
+        fleet.store.faults.refuse = 503
+        fleet.store.put_json("op/config", routes(2))
+        await fleet.loop.sleep(1.0)
+        context.meanwhile = await fleet.caller().ask("POST", "/chat/1")
+        context.version = front.routes.version
+        fleet.store.faults.refuse = 0
+        began_s = fleet.loop.now()
+        await fleet.until(lambda: front.routes.version == 2)
+        context.took_s = fleet.loop.now() - began_s
+
+    play(context, scene)
+
+
+@then("callers are served meanwhile, and the new routes are in force soon after")
+def step_served_on(context: Any) -> None:
+    assert context.meanwhile.status == 200 and context.version == 1
+    assert context.took_s < 1.5
+
+
+@when("the operator asks for a store VM to be emptied")
+def step_empty(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        await fleet.start()
+        fleet.store.put_json("op/retire/store-1", {"durationS": 10})
+        await fleet.until(lambda: "status/retire/store-1" in fleet.store.rows)
+        context.report = json.loads(fleet.store.rows["status/retire/store-1"].value)
+
+    play(context, scene)
+
+
+@then("the report says that it is done")
+def step_emptied(context: Any) -> None:
+    assert context.report == {"state": "completed"}
+
+
+def _request(*lines: bytes, body: bytes = b"") -> bytes:
+    first = [b"POST /card/1 HTTP/1.1", b"Host: " + HOST.encode(), b"X-Attempt-Id: a1"]
+    return b"\r\n".join([*first, *lines]) + b"\r\n\r\n" + body
+
+
+FORMS: dict[str, bytes] = {
+    "two different lengths": _request(b"Content-Length: 2", b"Content-Length: 3", body=b"abc"),
+    "a space before the colon": _request(b"Content-Length : 2", body=b"ab"),
+    "a bare carriage return": _request(b"X-A: b\rContent-Length: 9", b"Content-Length: 0"),
+    "a length that is no number": _request(b"Content-Length: +2", body=b"ab"),
+    "headers without end": _request(b"X-A: " + b"y" * 40_000),
+    "a body beyond the limit": _request(b"Content-Length: 99999999", body=b"ab"),
+}
+
+
+async def send_raw(fleet: FrontFleet, data: bytes) -> list[bytes]:
+    """Send bytes and return what came back until the connection closed or a second passed."""
+    stream = await fleet.runtime.connector.open(fleet.fronts[0].registry.own.callers)
+    pieces: list[bytes] = []
+    stream.on_data = pieces.append
+    stream.send(data)
+    await fleet.loop.sleep(1.0)
+    stream.close()
+    return pieces
+
+
+@when("a caller sends {form}")
+def step_send_form(context: Any, form: str) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("c1", "cards")
+        await fleet.start()
+        data = FORMS.get(form, CHUNKED)
+        context.pieces = await send_raw(fleet, data)
+
+    play(context, scene)
+
+
+@then("nothing reaches an endpoint and the caller is refused or cut")
+def step_refused_form(context: Any) -> None:
+    assert not context.fleet.endpoints["c1"].arrivals
+    answer = b"".join(context.pieces)
+    assert not answer or answer.split()[1][:1] == b"4", answer
+
+
+CHUNKED = _request(
+    b"Content-Length: 40", b"Transfer-Encoding: chunked", body=b"3\r\nabc\r\n0\r\n\r\n"
+)
+
+
+@then("the endpoint gets at most the chunks' bytes under their own length")
+def step_chunks(context: Any) -> None:
+    for arrival in context.fleet.endpoints["c1"].arrivals:
+        assert arrival.body == b"abc"
+        assert arrival.header("Content-Length") == "3"
+        assert arrival.header("Transfer-Encoding") is None
+
+
+SETTINGS = """
+node = "front-z1-1"
+ip = "127.0.0.1"
+zone = "z1"
+internalPorts = [{port}, {port}]
+unknown = "fields are ignored"
+[listen]
+front = "{front}"
+ready = "{ready}"
+directory = "{directory}"
+[bounds]
+graceS = 6
+[platform]
+address = "127.0.0.1:9"
+"""
+
+
+@contextlib.contextmanager
+def program(module: str, settings: str) -> Iterator[subprocess.Popen[str]]:
+    """Run a program of ours with a settings file; end it by its own id."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "node.toml"
+        path.write_text(settings)
+        environment = os.environ | {"PARSLEYROUTER_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
+        process = subprocess.Popen(
+            [sys.executable, "-m", module],
+            cwd=ROOT,
+            env=environment,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        try:
+            yield process
+        finally:
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+
+
+def read_until(process: subprocess.Popen[str], message: str) -> list[str]:
+    """Read log lines up to one with a message."""
+    assert process.stdout is not None
+    messages: list[str] = []
+    while message not in messages:
+        line = process.stdout.readline()
+        assert line, messages
+        messages.append(json.loads(line)["message"])
+    return messages
+
+
+@when("a front process is started, sent SIGHUP and then SIGTERM")
+def step_signals(context: Any) -> None:
+    listen = {name: free_address() for name in ("front", "ready", "directory")}
+    settings = SETTINGS.format(port=free_address().rpartition(":")[2], **listen)
+    with program("parsleyrouter.commands.front", settings) as process:
+        read_until(process, "started")
+        process.send_signal(signal.SIGHUP)
+        read_until(process, "settings reloaded")
+        process.send_signal(signal.SIGTERM)
+        began_s = time.monotonic()
+        context.messages = read_until(process, "planned stop done")
+        context.code = process.wait(10)
+        context.took_s = time.monotonic() - began_s
+
+
+@then("it logs start, reload and stop, and ends with code 0 within its grace")
+def step_signals_taken(context: Any) -> None:
+    assert "planned stop begins" in context.messages
+    assert context.code == 0
+    assert context.took_s < 6.0
+
+
+@when("a front process is started with broken settings")
+def step_broken_settings(context: Any) -> None:
+    listen = {name: free_address() for name in ("front", "ready", "directory")}
+    broken = SETTINGS.format(port=7, **listen).replace('address = "127.0.0.1:9"', "")
+    with program("parsleyrouter.commands.front", broken) as process:
+        context.errors = process.communicate(timeout=20)[1]
+        context.code = process.returncode
+
+
+@then("it ends with code 2 and names what is wrong")
+def step_broken_named(context: Any) -> None:
+    assert context.code == 2
+    assert "address" in context.errors and "platform" in context.errors
+
+
+@when("the idle process is sent SIGHUP and then SIGTERM")
+def step_idle(context: Any) -> None:
+    with program("parsleyrouter.commands.idle_store", "") as process:
+        read_until(process, "started")
+        process.send_signal(signal.SIGHUP)
+        read_until(process, "settings reloaded, none is used")
+        process.send_signal(signal.SIGTERM)
+        context.code = process.wait(10)
+
+
+@then("it ends at the second with code 0")
+def step_idle_ended(context: Any) -> None:
+    assert context.code == 0
--- a/features/support/front_fleet.py
+++ b/features/support/front_fleet.py
@@ -63,6 +63,7 @@
         self.store = PlatformStoreStandIn(runtime)
         self.endpoints: dict[str, EndpointStandIn] = {}
         self.fronts: list[Front] = []
+        self.options: list[FrontOptions] = []
 
     def register(self, name: str, service: str = "engines", **fields: Any) -> EndpointStandIn:
         endpoint = EndpointStandIn(self.runtime, name).start()
@@ -90,6 +91,7 @@
                 nodes=free_address(),
                 key_value=self.store.address,
             )
+            self.options.append(options)
             self.fronts.append(assemble_front(self.runtime, options, PLATFORM))
         await self.until(lambda: all(self._knows(front) for front in self.fronts) or not configured)
         return self.fronts[0]
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -114,6 +114,9 @@
         query = dict(parse_qsl(head.query))
         body = msgspec.json.decode(exchange.body) if exchange.body else {}
         status, answer = await self._call(head.method, head.path, query, body)
+        if self.faults.refuse:
+            exchange.reply(self.faults.refuse, (), b"")
+            return
         if self.faults.lose_answers and head.path == "/kv-txn":
             self.faults.lose_answers -= 1
             exchange.abort()
--- a/parsleyrouter/connection/http_limits.py
+++ b/parsleyrouter/connection/http_limits.py
@@ -80,6 +80,8 @@
     """Return why a request is refused before its body is read."""
     if len(head.headers) > limits.header_count:
         return _bad(f"more than {limits.header_count} headers: send fewer")
+    if sum(len(name) + len(value) for name, value in head.raw) > limits.header_bytes:
+        return _bad(f"the headers are over {limits.header_bytes} bytes: send less in them")
     if not head.path.startswith("/"):
         return _bad("the target must be a path that starts with '/'")
     if _DOT_SEGMENTS.intersection(unquote(head.path).replace("\\", "/").split("/")):
--- a/parsleyrouter/connection/key_value.py
+++ b/parsleyrouter/connection/key_value.py
@@ -1,5 +1,6 @@
 """The port to the platform's key-value service."""
 
+from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum
@@ -192,7 +193,12 @@
 
 
 class TransactionalKeyValue(Protocol):
-    """A key-value service with transactions over several keys and held-back reads of changes."""
+    """A key-value service with transactions over several keys and held-back reads of changes.
+
+    ``made`` counts the calls by kind since the process started.
+    """
+
+    made: Counter[str]
 
     async def get(self, key: str) -> Entry | None | KeyValueFailure:
         """Read one key."""
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -192,8 +192,7 @@
         log.info("endpoint changed", extra={"endpoint": endpoint, "state": state})
 
     def _log_calls(self) -> None:
-        made = getattr(self.store, "made", {})
-        log.info("store calls", extra={"made": dict(made)})
+        log.info("store calls", extra={"made": dict(self.store.made)})
         self.loop.call_later(LOG_CALLS_S, self._log_calls)
 
     def _settle(self) -> None:
