--- /dev/null
+++ b/examples/sharing_endpoints.py
@@ -0,0 +1,47 @@
+"""Place requests of a burst on shared endpoints, as one node does with the loads it knows.
+
+Run: python examples/sharing_endpoints.py
+"""
+
+from random import Random
+
+from parsleyrouter.ids import DomainName, EndpointId
+from parsleyrouter.request.admission import Admit, admit
+from parsleyrouter.request.batch_room import place_batch
+from parsleyrouter.request.placement import Candidate, choose, queue_wait_s
+
+SERVICE_S = 0.7
+TARGET_S = 0.3
+ALLOWED_S = 5.0
+
+
+def main() -> None:
+    """Fill two endpoints of four slots with a batch item each and ten requests at once."""
+    random = Random(1)
+    here = DomainName("accra")
+    online = {EndpointId("engine-1"): 0, EndpointId("engine-2"): 0}
+
+    def candidates() -> list[Candidate]:
+        return [Candidate(name, here, 4, online=count, batch=1) for name, count in online.items()]
+
+    for number in range(1, 11):
+        best = choose(candidates(), here, random)
+        assert best is not None
+        wait_s = queue_wait_s(best, SERVICE_S)
+        verdict = admit(
+            wait_s=wait_s,
+            target_s=TARGET_S,
+            left_s=ALLOWED_S,
+            allowed_s=ALLOWED_S,
+            spread=random.random(),
+        )
+        if isinstance(verdict, Admit):
+            online[best.endpoint] += 1
+            print(f"request {number}: to {best.endpoint}, expected wait {wait_s:.2f} s")
+        else:
+            print(f"request {number}: refused, come back in {verdict.retry_after_s:.2f} s")
+    print("room for another batch item:", place_batch(candidates()) is not None)
+
+
+if __name__ == "__main__":
+    main()
