--- a/features/front_requests.feature
+++ b/features/front_requests.feature
@@ -83,3 +83,23 @@
   Scenario: routes never go back to an older version
     When versions arrive in any order
     Then the version in force only grows
+
+  Scenario: a request in chunks is passed on whole
+    When a caller sends its body in chunks
+    Then the endpoint gets the whole body under one length
+
+  Scenario: an answer without a length ends with its connection
+    When an endpoint answers without a length
+    Then the caller gets the whole answer and sees its end
+
+  Scenario: interim answers are passed over
+    When an endpoint sends interim answers before its own
+    Then the caller gets the final answer alone
+
+  Scenario: a kept connection is not used after its idle time
+    When two requests are further apart than an endpoint keeps connections
+    Then the second goes over a new connection and is answered
+
+  Scenario: a caller that stays idle is closed at the configured time
+    When a caller's connection stays idle beyond the configured time
+    Then the connection is closed
--- a/features/steps/front_requests_steps.py
+++ b/features/steps/front_requests_steps.py
@@ -478,3 +478,118 @@
 @then("the version in force only grows")
 def step_only_grows(context: Any) -> None:
     context.check()
+
+
+@when("a caller sends its body in chunks")
+def step_chunks(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("c1", "cards")
+        front = await fleet.start()
+        sock = await fleet.runtime.connector.open(front.registry.own.callers)
+        head = b"POST /card/1 HTTP/1.1\r\nHost: callers.example\r\nX-Attempt-Id: a1\r\n"
+        sock.send(head + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+        await fleet.loop.sleep(0.1)
+        sock.send(b"4\r\ndefg\r\n0\r\n\r\n")
+        await fleet.until(lambda: fleet.endpoints["c1"].arrivals)
+        context.arrival = fleet.endpoints["c1"].arrivals[0]
+
+    play(context, scene)
+
+
+@then("the endpoint gets the whole body under one length")
+def step_chunks_whole(context: Any) -> None:
+    assert context.arrival.body == b"abcdefg"
+    assert context.arrival.header("Content-Length") == "7"
+
+
+@when("an endpoint answers without a length")
+def step_unframed(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("c1", "cards").usual = raw(lambda e, a: _head(e, a) + b"all of it")
+        fleet.register("e1").usual = raw(lambda e, a: _head(e, a) + event(1) + event(2))
+        await fleet.start()
+        context.answers = [
+            await fleet.caller().ask("POST", "/card/1"),
+            await fleet.caller().ask("POST", "/chat/1", attempt="a2"),
+        ]
+
+    play(context, scene)
+
+
+@then("the caller gets the whole answer and sees its end")
+def step_unframed_whole(context: Any) -> None:
+    assert [one.body for one in context.answers] == [b"all of it", all_events(2)]
+    assert all(one.complete for one in context.answers)
+
+
+@when("an endpoint sends interim answers before its own")
+def step_interim(context: Any) -> None:
+    def interim(endpoint: EndpointStandIn, arrival: Arrival) -> bytes:
+        first = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+        return first + _head(endpoint, arrival, b"Content-Length: 3") + b"own"
+
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("c1", "cards").usual = raw(interim, close=False)
+        await fleet.start()
+        context.answer = await fleet.caller().ask("POST", "/card/1")
+
+    play(context, scene)
+
+
+@then("the caller gets the final answer alone")
+def step_final_alone(context: Any) -> None:
+    answer: CallerAnswer = context.answer
+    assert (answer.status, answer.body, answer.complete) == (200, b"own", True)
+    assert "Link" not in answer.headers
+
+
+@when("two requests are further apart than an endpoint keeps connections")
+def step_idle_time(context: Any) -> None:
+    context.sockets = []
+
+    async def short_kept(
+        endpoint: EndpointStandIn, exchange: CallerExchange, arrival: Arrival
+    ) -> None:
+        context.sockets.append(exchange.sock)
+        headers = [*endpoint.proof(arrival), (b"Keep-Alive", b"timeout=1")]
+        exchange.reply(200, headers, b"the body")
+
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("c1", "cards").usual = short_kept
+        await fleet.start()
+        caller = fleet.caller()
+        context.answers = []
+        for number, pause_s in enumerate((0.0, 0.1, 0.8)):
+            await fleet.loop.sleep(pause_s)
+            attempt = f"a{number}"
+            context.answers.append(await caller.ask("POST", "/card/1", attempt=attempt))
+
+    play(context, scene)
+
+
+@then("the second goes over a new connection and is answered")
+def step_new_connection(context: Any) -> None:
+    assert [one.status for one in context.answers] == [200] * 3
+    first, second, third = context.sockets
+    assert first is second and third is not second
+
+
+@when("a caller's connection stays idle beyond the configured time")
+def step_idle_caller(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("c1", "cards")
+        await fleet.start()
+        fleet.store.put_json("op/config", routes(2, limits={"idleTimeoutMs": 400}))
+        await fleet.until(lambda: fleet.fronts[0].routes.version == 2)
+        caller = fleet.caller()
+        await caller.ask("POST", "/card/1")
+        began_s = fleet.loop.now()
+        await fleet.until(lambda: caller.closed, 3.0)
+        context.took_s = fleet.loop.now() - began_s
+
+    play(context, scene)
+
+
+@then("the connection is closed")
+def step_idle_closed(context: Any) -> None:
+    assert 0.4 <= context.took_s < 2.0
