Refuse jobs at once at a node that gets no answers from the store

Nodes now tell each other whether the store answers them, so that only an outage that all see asks clients back later.

A test failed once beside other tests: a port that was free was taken by an outgoing connection before the process had bound it. The front processes of tests now take ports from the blocks of the other test processes.

--- a/features/front_jobs.feature
+++ b/features/front_jobs.feature
@@ -83,3 +83,11 @@
   Scenario: a node that is lost costs what its items did since the last save
     When the node that runs a job is lost after its items' progress was saved
     Then another node goes on behind the events that were saved
+
+  Scenario: a node that is cut from the store refuses jobs at once
+    When a job is submitted to a node whose calls to the store have begun to fail
+    Then it is refused as not run at once, and asked to come again at once
+
+  Scenario: an outage of the store asks clients back later
+    When submissions are weighed at nodes that get answers or not
+    Then only an outage that all nodes see asks clients back later
--- a/features/steps/front_jobs_steps.py
+++ b/features/steps/front_jobs_steps.py
@@ -16,6 +16,7 @@
     stream_until,
 )
 from parsleyrouter.connection.forward_server import CallerExchange
+from parsleyrouter.request.submission import ELSEWHERE_S, OUTAGE_S, submission_retry_s
 
 ITEMS = 4
 
@@ -492,3 +493,40 @@
         first, second = runs(context.fleet, f"item{number}")
         assert first.cut
         assert int(second.header("Last-Event-Id") or 0) >= context.least
+
+
+@when("a job is submitted to a node whose calls to the store have begun to fail")
+def step_cut_node(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("e1")
+        await fleet.start()
+        fleet.store.faults.silent = True
+        await fleet.until(lambda: fleet.fronts[0].store.failing)
+        began_s = fleet.loop.now()
+        context.answer = await submit(fleet)
+        context.took_s = fleet.loop.now() - began_s
+
+    play(context, scene)
+
+
+@then("it is refused as not run at once, and asked to come again at once")
+def step_refused_at_once(context: Any) -> None:
+    assert context.answer.status == 503
+    assert float(context.answer.headers["Retry-After"]) <= 0.05
+    assert context.took_s < 0.2, context.took_s
+
+
+@when("submissions are weighed at nodes that get answers or not")
+def step_weighed(context: Any) -> None:
+    context.weighed = {
+        "answers": submission_retry_s(False, [True, True]),
+        "alone": submission_retry_s(True, []),
+        "cut": submission_retry_s(True, [True, False]),
+        "outage": submission_retry_s(True, [True, True]),
+    }
+
+
+@then("only an outage that all nodes see asks clients back later")
+def step_outage(context: Any) -> None:
+    now, later = ELSEWHERE_S, OUTAGE_S
+    assert context.weighed == {"answers": None, "alone": now, "cut": now, "outage": later}
--- a/features/steps/front_node_steps.py
+++ b/features/steps/front_node_steps.py
@@ -15,7 +15,8 @@
 from behave import then, when
 
 from features.steps.front_requests_steps import all_events, play
-from features.support.front_fleet import HOST, Caller, FrontFleet, free_address, routes
+from features.support.front_fleet import HOST, Caller, FrontFleet, routes
+from features.support.processes import free_address
 from parsleyrouter.process.caller_addresses import ANSWER_TTL_S
 
 ROOT = Path(__file__).resolve().parents[2]
--- a/features/support/front_fleet.py
+++ b/features/support/front_fleet.py
@@ -1,12 +1,12 @@
 """Front processes, the platform's store and endpoints on the loop of one test."""
 
-import socket
 from typing import Any
 
 import h11
 
 from features.support.platform_endpoint import EndpointStandIn, whole
 from features.support.platform_store import PlatformStoreStandIn
+from features.support.processes import free_address
 from parsleyrouter.connection.stream import Stream
 from parsleyrouter.ids import Address, DomainName, NodeId
 from parsleyrouter.platform.port import PLATFORM
@@ -39,13 +39,6 @@
 ]
 
 
-def free_address() -> Address:
-    """Return a TCP and UDP address that nobody uses."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return Address(f"127.0.0.1:{sock.getsockname()[1]}")
-
-
 def routes(version: int = 1, **changes: Any) -> dict[str, Any]:
     """Return the operator's configuration."""
     common = {"host": HOST, "timeoutMs": 5000, "targetLatencyMs": 300, "gapAimMs": 400}
@@ -85,10 +78,10 @@
             options = FrontOptions(
                 node=NodeId(f"front-{len(self.fronts)}"),
                 domain=DomainName("z1"),
-                callers=free_address(),
-                ready=free_address(),
-                locate=free_address(),
-                nodes=free_address(),
+                callers=Address(free_address()),
+                ready=Address(free_address()),
+                locate=Address(free_address()),
+                nodes=Address(free_address()),
                 key_value=self.store.address,
             )
             self.options.append(options)
--- a/parsleyrouter/connection/key_value.py
+++ b/parsleyrouter/connection/key_value.py
@@ -195,10 +195,12 @@
 class TransactionalKeyValue(Protocol):
     """A key-value service with transactions over several keys and held-back reads of changes.
 
-    ``made`` counts the calls by kind since the process started.
+    ``made`` counts the calls by kind since the process started; ``failing`` tells that the latest
+    one got no answer.
     """
 
     made: Counter[str]
+    failing: bool
 
     async def get(self, key: str) -> Entry | None | KeyValueFailure:
         """Read one key."""
--- a/parsleyrouter/connection/key_value_calls.py
+++ b/parsleyrouter/connection/key_value_calls.py
@@ -46,6 +46,8 @@
         self.metrics = KeyValueMetrics.of(runtime.metrics)
         self.made: Counter[str] = Counter()
         """Calls by kind since the process started."""
+        self.failing = False
+        """The latest call got no answer, or none that the service stands by."""
 
     async def admit(self, kind: str) -> KeyValueFailure | None:
         """Wait for a place in the budget and count the call."""
@@ -94,6 +96,7 @@
             return self.note_failure(kind, failure)
         assert isinstance(reply, HttpReply)
         self.budget.succeeded(self.loop.now())
+        self.failing = False
         if not wait_s:
             self.metrics.seconds.observe(self.loop.now() - begun_s)
         return reply
@@ -104,6 +107,7 @@
             self.budget.succeeded(self.loop.now())
         else:
             self.budget.failed(self.loop.now())
+            self.failing = True
         return self.count_failure(kind, failure)
 
     def count_failure(self, kind: str, failure: KeyValueFailure) -> KeyValueFailure:
--- a/parsleyrouter/process/endpoint_loads.py
+++ b/parsleyrouter/process/endpoint_loads.py
@@ -61,6 +61,8 @@
     routes_version: int = 0
     waiting_items: int = 0
     """Batch items that wait for a slot."""
+    store_failing: bool = False
+    """The node gets no answers from the key-value service."""
 
 
 @dataclass
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -38,6 +38,7 @@
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.process.shared_job_desk import SharedJobDesk
 from parsleyrouter.process.shared_job_store import JOBS_PREFIX, SharedJobStore
+from parsleyrouter.request.submission import submission_retry_s
 from parsleyrouter.version.route_table import RouteTable
 
 __all__ = ["Front", "assemble_front"]
@@ -195,6 +196,11 @@
         log.info("store calls", extra={"made": dict(self.store.made)})
         self.loop.call_later(LOG_CALLS_S, self._log_calls)
 
+    def submission_retry_s(self) -> float | None:
+        """Return when a client whose job cannot be taken here should submit it again."""
+        live = self.loads.live_nodes(self.loop.now())
+        return submission_retry_s(self.store.failing, [news.store_failing for news in live])
+
     def _settle(self) -> None:
         self._gone(self.directory.settle(self.loop.now()))
         self.loop.call_later(SETTLE_S, self._settle)
@@ -227,6 +233,7 @@
         job_metrics,
         port.decode_job_call,
         port.encode_results,
+        front.submission_retry_s,
     )
     locate = CallerAddresses(runtime.loop, front.registry, front.exchange, front.loads)
     limits = HttpLimits(buffered_bytes=int(options.memory_mb * 1e6 * MOST_BUFFERED_SHARE))
--- a/parsleyrouter/process/load_exchange.py
+++ b/parsleyrouter/process/load_exchange.py
@@ -74,6 +74,7 @@
             nodes_address=own.nodes,
             domain=own.domain,
             waiting_items=self.loads.waiting_items,
+            store_failing=self.registry.store.failing,
         )
         buffer = TMemoryBuffer()
         news.write(TCompactProtocolAccelerated(buffer))
@@ -120,6 +121,7 @@
                 leaving=news.leaving,
                 routes_version=news.routes_version,
                 waiting_items=news.waiting_items or 0,
+                store_failing=bool(news.store_failing),
             )
         )
         if taken:
--- a/parsleyrouter/process/shared_job_desk.py
+++ b/parsleyrouter/process/shared_job_desk.py
@@ -33,6 +33,7 @@
     SubmitJob,
 )
 from parsleyrouter.request.shared_job import JobItem, JobRecord, JobState
+from parsleyrouter.request.submission import ELSEWHERE_S
 from parsleyrouter.version.route_table import Route, RouteTable
 
 __all__ = ["SharedJobDesk"]
@@ -64,6 +65,7 @@
         metrics: JobMetrics,
         decode_call: DecodeCall,
         encode_results: EncodeResults,
+        retry_s: Callable[[], float | None],
     ) -> None:
         self.loop = loop
         self.store = store
@@ -74,6 +76,7 @@
         self.metrics = metrics
         self.decode_call = decode_call
         self.encode_results = encode_results
+        self.retry_s = retry_s
 
     async def answer(self, exchange: CallerExchange) -> bool:
         """Answer a call about a job; return whether the request was one."""
@@ -110,6 +113,10 @@
         route = table.find(job.host, job.path) if table is not None else None
         if route is None:
             return Refusal(RefusalKind.NOT_FOUND, "no route takes the job", Ran.NOT_RUN)
+        retry_s = self.retry_s()
+        if retry_s is not None:
+            message = "this node gets no answers from the key-value service: submit elsewhere"
+            return Refusal(RefusalKind.PLATFORM_UNAVAILABLE, message, Ran.NOT_RUN, retry_s)
         record = _new_record(call, route)
         lease = 0 if self.registry.leaving else self.registry.lease
         own = self.registry.own.node
@@ -120,7 +127,8 @@
             return HTTPStatus.ACCEPTED, b"{}"
         if isinstance(done, KeyValueFailure) and not done.maybe_applied:
             message = f"the job cannot be kept now: {done.message}"
-            return Refusal(RefusalKind.PLATFORM_UNAVAILABLE, message, Ran.NOT_RUN, COME_BACK_S)
+            retry_s = self.retry_s() or ELSEWHERE_S
+            return Refusal(RefusalKind.PLATFORM_UNAVAILABLE, message, Ran.NOT_RUN, retry_s)
         for _ in range(TRIES):
             await self.loop.sleep(RETRY_S)
             kept = await self.store.read(job.job)
--- a/parsleyrouter/thrift_gen/load/ttypes.py
+++ b/parsleyrouter/thrift_gen/load/ttypes.py
@@ -108,11 +108,12 @@
      - nodes_address
      - domain
      - waiting_items
+     - store_failing
 
     """
 
 
-    def __init__(self, node=None, boot=None, sequence=None, uses=None, leaving=None, routes_version=None, callers_address=None, nodes_address=None, domain=None, waiting_items=None,):
+    def __init__(self, node=None, boot=None, sequence=None, uses=None, leaving=None, routes_version=None, callers_address=None, nodes_address=None, domain=None, waiting_items=None, store_failing=None,):
         self.node = node
         self.boot = boot
         self.sequence = sequence
@@ -123,6 +124,7 @@
         self.nodes_address = nodes_address
         self.domain = domain
         self.waiting_items = waiting_items
+        self.store_failing = store_failing
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -189,6 +191,11 @@
                     self.waiting_items = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.store_failing = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -242,6 +249,10 @@
             oprot.writeFieldBegin('waiting_items', TType.I32, 10)
             oprot.writeI32(self.waiting_items)
             oprot.writeFieldEnd()
+        if self.store_failing is not None:
+            oprot.writeFieldBegin('store_failing', TType.BOOL, 11)
+            oprot.writeBool(self.store_failing)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -278,6 +289,7 @@
     (8, TType.STRING, 'nodes_address', 'UTF8', None, ),  # 8
     (9, TType.STRING, 'domain', 'UTF8', None, ),  # 9
     (10, TType.I32, 'waiting_items', None, None, ),  # 10
+    (11, TType.BOOL, 'store_failing', None, None, ),  # 11
 )
 fix_spec(all_structs)
 del all_structs
--- a/thrift/load.thrift
+++ b/thrift/load.thrift
@@ -19,4 +19,5 @@
   8: string nodes_address,
   9: string domain,
   10: i32 waiting_items,
+  11: bool store_failing,
 }
