Let the property of repeated calls name all that provably did not run

The property named a connection that did not open as the only outcome after which a call may be repeated. The check is as strict: it now holds for every earlier attempt of a call, not for the last one alone.

--- a/features/dispatch.feature
+++ b/features/dispatch.feature
@@ -3,8 +3,8 @@
   @promise-5 @promise-6 @fault-kill @fault-cut
   Scenario: What follows a failed attempt depends on what provably happened
     When dispatch: any series of failed attempts is decided on
-    Then dispatch: a call that must not be repeated is tried again only after nothing was sent
-    And dispatch: not_run is said only if every attempt provably sent nothing
+    Then dispatch: a call that must not be repeated is tried again only after it provably did not run
+    And dispatch: not_run is said only if no attempt can have run
     And dispatch: nothing is tried again after the caller saw a part that cannot be resumed
 
   Scenario: Retries stay a share of recent requests
