--- a/parsleyrouter/connection/endpoint_client.py
+++ b/parsleyrouter/connection/endpoint_client.py
@@ -50,11 +50,6 @@
         """Tell whether the answer names the request that it answers."""
         return self.headers.get(self.id_header) == self.request
 
-    @property
-    def framed(self) -> bool:
-        """Tell whether the answer's length can be told without the end of the connection."""
-        return "content-length" in self.headers or "transfer-encoding" in self.headers
-
     def _take_events(self) -> None:
         while True:
             event: Any = self.parser.next_event()
--- a/parsleyrouter/process/forwarder.py
+++ b/parsleyrouter/process/forwarder.py
@@ -24,7 +24,7 @@
     GiveUp,
     decide,
 )
-from parsleyrouter.request.forwarded_request import ForwardedRequest, end_to_end, prompt_parts
+from parsleyrouter.request.forwarded_request import ForwardedRequest, end_to_end
 from parsleyrouter.request.placement import choose, queue_wait_s
 from parsleyrouter.request.retry_budget import RetryBudget
 from parsleyrouter.version.route_table import Route, RouteKind
@@ -123,7 +123,6 @@
             body=exchange.body,
             received_s=exchange.received_s,
             deadline_s=exchange.received_s + allowed_s,
-            prompt_parts=prompt_parts(head.headers.get(names.prefix, "")),
         )
 
     async def _forward(
--- a/parsleyrouter/process/node_registry.py
+++ b/parsleyrouter/process/node_registry.py
@@ -54,7 +54,6 @@
         self.store = store
         self.own = own
         self.lease = 0
-        self.renewed_s = 0.0
         self.leaving = False
         self.nodes: dict[NodeId, RegisteredNode] = {}
         self.on_lease: list[Callable[[], object]] = []
@@ -107,7 +106,6 @@
             log.warning("lease lost", extra={"lease": self.lease})
             self.lease = 0
             return False
-        self.renewed_s = self.loop.now()
         return True
 
     async def _register(self) -> bool:
@@ -120,7 +118,6 @@
         if isinstance(done, KeyValueFailure | LeaseLost):
             return False
         self.lease = lease.id
-        self.renewed_s = self.loop.now()
         log.info("node registered", extra={"node": self.own.node, "lease": lease.id})
         for callback in self.on_lease:
             callback()
--- a/parsleyrouter/request/forwarded_request.py
+++ b/parsleyrouter/request/forwarded_request.py
@@ -1,6 +1,6 @@
 """A caller's request as it is passed on to an endpoint."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from parsleyrouter.ids import EndpointId, RequestId, ServiceName
@@ -11,8 +11,6 @@
     "HeaderNames",
     "Headers",
     "end_to_end",
-    "header_map",
-    "prompt_parts",
 ]
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -71,7 +69,6 @@
     body: bytes
     received_s: float
     deadline_s: float
-    prompt_parts: tuple[str, ...] = ()
 
     def sent_headers(
         self,
@@ -99,13 +96,3 @@
     named = {token.strip().lower().encode() for token in connection.split(",")}
     dropped = _ONE_HOP | (named - kept)
     return [line for line in headers if line[0].lower() not in dropped]
-
-
-def prompt_parts(prefix: str) -> tuple[str, ...]:
-    """Return the ids of a prompt's parts in order."""
-    return tuple(part.partition(":")[0].strip() for part in prefix.split(",") if part)
-
-
-def header_map(headers: Headers) -> Mapping[str, str]:
-    """Return headers by lower-case name; of repeated ones the last."""
-    return {name.decode("latin-1").lower(): value.decode("latin-1") for name, value in headers}
--- a/parsleyrouter/version/route_table.py
+++ b/parsleyrouter/version/route_table.py
@@ -68,10 +68,6 @@
         weights = [target.weight for target in self.targets]
         return random.choices(self.targets, weights)[0].service
 
-    def may_use(self, service: ServiceName) -> bool:
-        """Tell whether a service may run requests of the route."""
-        return any(target.service == service and target.weight > 0 for target in self.targets)
-
 
 @dataclass(frozen=True)
 class EngineTraits:
