Divide large fleets into cells: changes within a cell, sums between cells

Ruled out: telling less often (a count that is 0.2 s old is half a request old, and nodes crowd onto one endpoint).

Nodes tell their own cell each change as before; the first live node of a cell tells two nodes of each other cell its sum ten times a second and hands their sums on. Sums over nodes are kept, not added up for each choice. Batch gives way by cells, then by nodes within a cell. batch_room moves to process/, where what it reads is kept.

--- a/features/steps/shared_endpoints_steps.py
+++ b/features/steps/shared_endpoints_steps.py
@@ -15,20 +15,15 @@
 from parsleyrouter.connection.key_value import Entry
 from parsleyrouter.ids import Address, DomainName, EndpointId, NodeId, Revision, ServiceName
 from parsleyrouter.platform.endpoints import decode_endpoint
+from parsleyrouter.process.batch_room import batch_order, place_batch, yields
 from parsleyrouter.process.endpoint_directory import (
     RETURN_S,
     EndpointDirectory,
     RegisteredEndpoint,
 )
-from parsleyrouter.process.endpoint_loads import (
-    REPORT_S,
-    SILENCE_S,
-    EndpointLoads,
-    EndpointUse,
-    NodeNews,
-)
+from parsleyrouter.process.endpoint_loads import REPORT_S, SILENCE_S, EndpointLoads
+from parsleyrouter.process.fleet_loads import EndpointUse, NodeNews
 from parsleyrouter.request.admission import Admit, TurnAway, admit
-from parsleyrouter.request.batch_room import batch_order, place_batch, yields
 from parsleyrouter.request.placement import Candidate, choose, queue_wait_s
 
 NEAR, FAR = DomainName("near"), DomainName("far")
@@ -262,7 +257,7 @@
         for name, boot, sequence in arrivals:
             use = EndpointUse(online=boot * 100 + sequence)
             news = NodeNews(NodeId(name), boot, sequence, {EndpointId("e"): use}, at_s=1.0)
-            assert loads.take(news) == ((boot, sequence) > latest.get(name, (0, 0)))
+            assert loads.fleet.take(news) == ((boot, sequence) > latest.get(name, (0, 0)))
             latest[name] = max(latest.get(name, (0, 0)), (boot, sequence))
         expected = sum(boot * 100 + sequence for boot, sequence in latest.values())
         assert loads.use(EndpointId("e"), 1.5).online == expected
--- a/parsleyrouter/ids.py
+++ b/parsleyrouter/ids.py
@@ -5,6 +5,7 @@
 __all__ = [
     "Address",
     "AttemptId",
+    "CellId",
     "ChunkName",
     "DomainName",
     "EndpointId",
@@ -29,6 +30,9 @@
 
 NodeId = NewType("NodeId", str)
 DomainName = NewType("DomainName", str)
+CellId = NewType("CellId", str)
+"""A group of nodes of one failure domain that tell each other every change."""
+
 EndpointId = NewType("EndpointId", str)
 TeamName = NewType("TeamName", str)
 ModelName = NewType("ModelName", str)
--- a/parsleyrouter/request/batch_room.py
+++ b/parsleyrouter/process/batch_room.py
@@ -5,14 +5,19 @@
 leave a slot as soon as an online request waits for one.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
+from typing import TypeVar
 
-from parsleyrouter.ids import NodeId
-from parsleyrouter.process.endpoint_loads import EndpointUse
+from parsleyrouter.ids import CellId, NodeId
+from parsleyrouter.process.cells import ONE_CELL
+from parsleyrouter.process.fleet_loads import EndpointUse
 from parsleyrouter.request.placement import Candidate
 
 __all__ = ["batch_order", "place_batch", "yields"]
 
+Name = TypeVar("Name", bound=str)
+
 
 def place_batch(
     candidates: Iterable[Candidate], *, contenders: int = 1, chance: float = 0.0
@@ -40,18 +45,34 @@
     return (left_s < needed_s, round(needed_s), left_s)
 
 
-def yields(node: NodeId, candidate: Candidate, batch: Mapping[NodeId, EndpointUse]) -> int:
+def yields(
+    node: NodeId,
+    candidate: Candidate,
+    batch: Mapping[NodeId, EndpointUse],
+    *,
+    cell: CellId = ONE_CELL,
+    cells: Mapping[CellId, int] | None = None,
+) -> int:
     """Return how many of its batch items at an endpoint a node must give up.
 
-    Nodes with the most batch work there give way first; ``batch`` holds the word of all nodes.
+    Those with the most batch work there give way first: cells, then nodes within a cell. ``batch``
+    holds the word of all nodes of the node's own ``cell``, ``cells`` the items of the others.
     """
     over = candidate.used - candidate.slots
     if over <= 0:
         return 0
     counts = {name: use.batch for name, use in batch.items() if use.batch}
-    given = 0
-    for _ in range(min(over, sum(counts.values()))):
-        name = max(counts, key=lambda one: (counts[one], one))
-        counts[name] -= 1
-        given += name == node
+    if cells:
+        over = _shares({**cells, cell: sum(counts.values())}, over)[cell]
+    return _shares(counts, over)[node]
+
+
+def _shares(counts: Mapping[Name, int], over: int) -> Counter[Name]:
+    """Return what each gives up, taken from whoever has most left."""
+    left = dict(counts)
+    given: Counter[Name] = Counter()
+    for _ in range(min(over, sum(left.values()))):
+        name = max(left, key=lambda one: (left[one], one))
+        left[name] -= 1
+        given[name] += 1
     return given
--- a/parsleyrouter/process/caller_addresses.py
+++ b/parsleyrouter/process/caller_addresses.py
@@ -29,7 +29,7 @@
 
     def for_domain(self, domain: DomainName) -> list[Address]:
         """Return the addresses for callers in a failure domain, the near ones first."""
-        live = {news.node: news for news in self.loads.live_nodes(self.loop.now())}
+        live = {news.node: news for news in self.loads.fleet.live_nodes(self.loop.now())}
         others = self.exchange.others()
         chosen = [info for node, info in others.items() if node in live and not live[node].leaving]
         if not chosen and not live:
--- a/parsleyrouter/process/endpoint_loads.py
+++ b/parsleyrouter/process/endpoint_loads.py
@@ -3,19 +3,17 @@
 Pure: every method takes the time as monotonic seconds.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
 
-from parsleyrouter.ids import EndpointId, NodeId, ServiceName
+from parsleyrouter.ids import EndpointId, ServiceName
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
+from parsleyrouter.process.fleet_loads import EndpointUse, FleetLoads
 from parsleyrouter.request.ejection import EjectionOptions, Ejections
 from parsleyrouter.request.placement import Candidate
 
-__all__ = ["EndpointLoads", "EndpointUse", "NodeNews"]
-
-NEWS_S = 1.6
-"""How long another node's word counts: three of its heartbeats with some slack."""
+__all__ = ["EndpointLoads"]
 
 SILENCE_S = 0.4
 """How long an engine with requests under way may send nothing; a step takes milliseconds."""
@@ -40,31 +38,6 @@
 """Short ejections: registrations tell of lasting losses within a few seconds."""
 
 
-@dataclass
-class EndpointUse:
-    """Requests of one node at one endpoint."""
-
-    online: int = 0
-    batch: int = 0
-
-
-@dataclass(frozen=True)
-class NodeNews:
-    """What a node told of its work, and when it arrived here."""
-
-    node: NodeId
-    boot: int
-    sequence: int
-    uses: Mapping[EndpointId, EndpointUse]
-    at_s: float = 0.0
-    leaving: bool = False
-    routes_version: int = 0
-    waiting_items: int = 0
-    """Batch items that wait for a slot."""
-    store_failing: bool = False
-    """The node gets no answers from the key-value service."""
-
-
 @dataclass
 class _Seen:
     """What answers showed of one endpoint."""
@@ -86,7 +59,7 @@
     own: dict[EndpointId, EndpointUse] = field(default_factory=dict)
     waiting_items: int = 0
     """Batch items of this node that wait for a slot."""
-    nodes: dict[NodeId, NodeNews] = field(default_factory=dict)
+    fleet: FleetLoads = field(default_factory=FleetLoads)
     seen: dict[EndpointId, _Seen] = field(default_factory=dict)
     service_s: dict[ServiceName, float] = field(default_factory=dict)
     ejections: Ejections = field(default_factory=lambda: Ejections(EJECTION))
@@ -143,33 +116,16 @@
         if seen is not None and not seen.under_way:
             del self.seen[endpoint]
 
-    def take(self, news: NodeNews) -> bool:
-        """Take another node's word; return whether it is newer than what was known."""
-        known = self.nodes.get(news.node)
-        if known is not None and (known.boot, known.sequence) >= (news.boot, news.sequence):
-            return False
-        self.nodes[news.node] = news
-        return True
-
-    def live_nodes(self, now: float) -> list[NodeNews]:
-        """Return the latest word of every node heard of lately."""
-        for node in [node for node, news in self.nodes.items() if news.at_s < now - NEWS_S]:
-            del self.nodes[node]
-        return list(self.nodes.values())
-
     def usual_s(self, service: ServiceName) -> float:
         """Return the usual service time in seconds."""
         return self.service_s.get(service, USUAL_SERVICE_S)
 
     def use(self, endpoint: EndpointId, now: float) -> EndpointUse:
         """Return the requests of all nodes at an endpoint."""
-        total = EndpointUse()
+        total = self.fleet.use(endpoint, now)
         own = self.own.get(endpoint)
-        uses = [] if own is None else [own]
-        uses += [news.uses[endpoint] for news in self.live_nodes(now) if endpoint in news.uses]
-        for use in uses:
-            total.online += use.online
-            total.batch += use.batch
+        if own is not None:
+            total.add(own)
         return total
 
     def candidates(self, entries: Iterable[RegisteredEndpoint], now: float) -> list[Candidate]:
--- /dev/null
+++ b/parsleyrouter/process/fleet_loads.py
@@ -0,0 +1,143 @@
+"""Hold what other nodes tell of their work at endpoints: each node of the own cell, sums of others.
+
+Pure: every method takes the time as monotonic seconds.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from parsleyrouter.ids import CellId, EndpointId, NodeId
+
+__all__ = ["CellSum", "EndpointUse", "FleetLoads", "NodeNews", "sum_uses"]
+
+NEWS_S = 1.6
+"""How long another node's word counts: three of its heartbeats with some slack."""
+
+
+@dataclass
+class EndpointUse:
+    """Requests of one node, or of several, at one endpoint."""
+
+    online: int = 0
+    batch: int = 0
+
+    def add(self, other: "EndpointUse") -> None:
+        """Count the requests of another one too."""
+        self.online += other.online
+        self.batch += other.batch
+
+
+def sum_uses(
+    every: Iterable[Mapping[EndpointId, EndpointUse]],
+) -> dict[EndpointId, EndpointUse]:
+    """Return the requests of all together."""
+    total: dict[EndpointId, EndpointUse] = {}
+    for uses in every:
+        for endpoint, use in uses.items():
+            total.setdefault(endpoint, EndpointUse()).add(use)
+    return total
+
+
+@dataclass(frozen=True)
+class NodeNews:
+    """What a node told of its work, and when it arrived here."""
+
+    node: NodeId
+    boot: int
+    sequence: int
+    uses: Mapping[EndpointId, EndpointUse]
+    at_s: float = 0.0
+    leaving: bool = False
+    routes_version: int = 0
+    waiting_items: int = 0
+    """Batch items that wait for a slot."""
+    store_failing: bool = False
+    """The node gets no answers from the key-value service."""
+
+
+@dataclass(frozen=True)
+class CellSum:
+    """What the speaker of another cell told of all its nodes, and when it arrived here."""
+
+    cell: CellId
+    speaker: NodeId
+    boot: int
+    sequence: int
+    uses: Mapping[EndpointId, EndpointUse]
+    contenders: int = 0
+    """Nodes with batch items that wait for a slot."""
+    at_s: float = 0.0
+
+
+@dataclass
+class FleetLoads:
+    """The latest word of every node and cell heard of lately."""
+
+    nodes: dict[NodeId, NodeNews] = field(default_factory=dict)
+    cells: dict[CellId, CellSum] = field(default_factory=dict)
+    totals: dict[EndpointId, EndpointUse] = field(default_factory=dict)
+    """Sums over nodes and cells; they hold until ``fresh_until_s``."""
+    fresh_until_s: float = 0.0
+
+    def take(self, news: NodeNews) -> bool:
+        """Take another node's word; return whether it is newer than what was known."""
+        known = self.nodes.get(news.node)
+        if known is not None and (known.boot, known.sequence) >= (news.boot, news.sequence):
+            return False
+        self.nodes[news.node] = news
+        self.fresh_until_s = 0.0
+        return True
+
+    def take_cell(self, told: CellSum) -> bool:
+        """Take the sum of another cell; a new speaker's word replaces that of the former one."""
+        known = self.cells.get(told.cell)
+        if known is not None and known.speaker == told.speaker:
+            older = (known.boot, known.sequence) >= (told.boot, told.sequence)
+            if older:
+                return False
+        self.cells[told.cell] = told
+        self.fresh_until_s = 0.0
+        return True
+
+    def forget_cell(self, cell: CellId) -> None:
+        """Drop the sum of a cell whose nodes are heard one by one."""
+        if self.cells.pop(cell, None) is not None:
+            self.fresh_until_s = 0.0
+
+    def live_nodes(self, now: float) -> list[NodeNews]:
+        """Return the latest word of every node heard of lately."""
+        self._refresh(now)
+        return list(self.nodes.values())
+
+    def live_cells(self, now: float) -> list[CellSum]:
+        """Return the latest sum of every cell heard of lately."""
+        self._refresh(now)
+        return list(self.cells.values())
+
+    def use(self, endpoint: EndpointId, now: float) -> EndpointUse:
+        """Return the requests of all other nodes at an endpoint, to be changed by the caller."""
+        self._refresh(now)
+        known = self.totals.get(endpoint)
+        return EndpointUse() if known is None else EndpointUse(known.online, known.batch)
+
+    def batch_by_cell(self, endpoint: EndpointId, now: float) -> dict[CellId, int]:
+        """Return the batch items of each other cell at an endpoint."""
+        return {
+            told.cell: told.uses[endpoint].batch
+            for told in self.live_cells(now)
+            if endpoint in told.uses
+        }
+
+    def contenders(self, now: float) -> int:
+        """Return how many other nodes have batch items that wait for a slot."""
+        near = sum(1 for news in self.live_nodes(now) if news.waiting_items)
+        return near + sum(told.contenders for told in self.cells.values())
+
+    def _refresh(self, now: float) -> None:
+        if now < self.fresh_until_s:
+            return
+        self.nodes = {name: news for name, news in self.nodes.items() if news.at_s + NEWS_S > now}
+        self.cells = {name: told for name, told in self.cells.items() if told.at_s + NEWS_S > now}
+        words: list[NodeNews | CellSum] = [*self.nodes.values(), *self.cells.values()]
+        self.totals = sum_uses(word.uses for word in words)
+        self.fresh_until_s = min((word.at_s for word in words), default=now) + NEWS_S
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -198,7 +198,7 @@
 
     def submission_retry_s(self) -> float | None:
         """Return when a client whose job cannot be taken here should submit it again."""
-        live = self.loads.live_nodes(self.loop.now())
+        live = self.loads.fleet.live_nodes(self.loop.now())
         return submission_retry_s(self.store.failing, [news.store_failing for news in live])
 
     def _settle(self) -> None:
@@ -220,7 +220,15 @@
     job_store = SharedJobStore(front.store)
     job_metrics = JobMetrics.of(runtime.metrics)
     owner = JobOwner(runtime.loop, job_store, front.board, front.registry, front.random)
-    worker = JobWorker(front.calls, owner, front.routes, front.directory, job_metrics, front.random)
+    worker = JobWorker(
+        front.calls,
+        owner,
+        front.exchange,
+        front.routes,
+        front.directory,
+        job_metrics,
+        front.random,
+    )
     front.worker = worker
     front.exchange.on_news.append(worker.give_way)
     desk = SharedJobDesk(
--- a/parsleyrouter/process/job_worker.py
+++ b/parsleyrouter/process/job_worker.py
@@ -5,15 +5,16 @@
 from random import Random
 
 from parsleyrouter.ids import EndpointId, ItemIndex, NodeId
+from parsleyrouter.process.batch_room import batch_order, place_batch, yields
 from parsleyrouter.process.endpoint_directory import EndpointDirectory
-from parsleyrouter.process.endpoint_loads import EndpointUse
+from parsleyrouter.process.fleet_loads import EndpointUse
 from parsleyrouter.process.forward_attempt import EndpointCalls
 from parsleyrouter.process.item_attempts import ItemEnd, ItemRun
 from parsleyrouter.process.job_metrics import JobMetrics
 from parsleyrouter.process.job_owner import JobOwner
 from parsleyrouter.process.job_run import JobRun
+from parsleyrouter.process.load_exchange import LoadExchange
 from parsleyrouter.process.routes_in_force import RoutesInForce
-from parsleyrouter.request.batch_room import batch_order, place_batch, yields
 from parsleyrouter.request.placement import Candidate
 from parsleyrouter.request.shared_job import ItemResult, ItemState, JobRecord
 from parsleyrouter.version.route_table import Route
@@ -42,6 +43,7 @@
         self,
         calls: EndpointCalls,
         owner: JobOwner,
+        exchange: LoadExchange,
         routes: RoutesInForce,
         directory: EndpointDirectory,
         metrics: JobMetrics,
@@ -50,6 +52,7 @@
         self.calls = calls
         self.loop = calls.loop
         self.owner = owner
+        self.exchange = exchange
         self.routes = routes
         self.directory = directory
         self.metrics = metrics
@@ -74,7 +77,13 @@
             candidate = self.calls.loads.candidates([entry], now)[0]
             if candidate.used <= candidate.slots:
                 continue
-            count = yields(self.owner.registry.own.node, candidate, self._uses(endpoint, now))
+            count = yields(
+                self.owner.registry.own.node,
+                candidate,
+                self._uses(endpoint, now),
+                cell=self.exchange.cell,
+                cells=self.calls.loads.fleet.batch_by_cell(endpoint, now),
+            )
             runs.sort(key=lambda run: self._rank_of(run, now), reverse=True)
             for run in runs[:count]:
                 run.cancel()
@@ -94,7 +103,7 @@
         loads = self.calls.loads
         uses = {
             news.node: news.uses[endpoint]
-            for news in loads.live_nodes(now)
+            for news in loads.fleet.live_nodes(now)
             if endpoint in news.uses
         }
         uses[self.owner.registry.own.node] = loads.own.get(endpoint, EndpointUse())
@@ -156,8 +165,8 @@
         now = self.loop.now()
         entries = {entry.endpoint: entry for entry in self.directory.of_service(service)}
         candidates: list[Candidate] = self.calls.loads.candidates(entries.values(), now)
-        others = [news for news in self.calls.loads.live_nodes(now) if news.waiting_items]
-        best = place_batch(candidates, contenders=len(others) + 1, chance=self.random.random())
+        contenders = self.calls.loads.fleet.contenders(now) + 1
+        best = place_batch(candidates, contenders=contenders, chance=self.random.random())
         if best is None:
             return False
         progress = run.progress_of(index)
--- a/parsleyrouter/process/load_exchange.py
+++ b/parsleyrouter/process/load_exchange.py
@@ -1,24 +1,23 @@
 """Tell the other nodes what work this one has at the endpoints, and hear theirs.
 
-One datagram to each node when something has changed, and a heartbeat without changes. Losing one
-costs accuracy until the next, never a promise.
+Within a cell: one datagram to each node when something has changed, and a heartbeat without
+changes. Between cells: one node speaks for its cell and hands on what the others tell. Losing a
+datagram costs accuracy until the next, never a promise.
 """
 
 import itertools
 import logging
 from collections.abc import Callable
 
-from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
-from thrift.transport.TTransport import TMemoryBuffer
-
 from parsleyrouter.connection.datagram import Datagrams
-from parsleyrouter.ids import Address, DomainName, EndpointId, NodeId
-from parsleyrouter.process.endpoint_loads import EndpointLoads, EndpointUse, NodeNews
+from parsleyrouter.ids import Address, CellId, EndpointId, NodeId
+from parsleyrouter.process.cells import ONE_CELL, divide, speaker
+from parsleyrouter.process.endpoint_loads import EndpointLoads
+from parsleyrouter.process.fleet_loads import CellSum, EndpointUse, NodeNews, sum_uses
+from parsleyrouter.process.load_messages import BadNews, decode, encode_cells, encode_node
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.node_registry import NodeRegistry, RegisteredNode
 from parsleyrouter.process.routes_in_force import RoutesInForce
-from parsleyrouter.thrift_gen.load.ttypes import EndpointUse as WireUse
-from parsleyrouter.thrift_gen.load.ttypes import LoadNews
 
 __all__ = ["LoadExchange"]
 
@@ -26,6 +25,12 @@
 GATHER_S = 0.015
 """How long changes are gathered before they are told; well below an engine's first token."""
 
+CELLS_S = 0.1
+"""Pause between two sums of a cell: a fifth of the time that a request takes."""
+
+SPEAKERS_TOLD = 2
+"""Nodes of another cell that get the sum: the second speaks when the first is lost."""
+
 log = logging.getLogger(__name__)
 
 
@@ -42,8 +47,14 @@
         self.datagrams = Datagrams(loop, registry.own.nodes, self._take)
         self.sequence = itertools.count(1)
         self.heard: dict[NodeId, RegisteredNode] = {}
+        self.known: dict[NodeId, RegisteredNode] = {}
+        self.cell: CellId = ONE_CELL
+        self.near: dict[NodeId, Address] = {}
+        """The other nodes of the own cell."""
+        self.far: list[Address] = []
+        """Those nodes of other cells that are told the sum of this one."""
         self.sent_s = 0.0
-        self.told: list[tuple[EndpointId, int, int]] = []
+        self.told: dict[EndpointId, EndpointUse] = {}
         self.gathering = False
         self.on_news: list[Callable[[], object]] = []
         loads.on_own_change.append(self._gather)
@@ -51,43 +62,88 @@
     def start(self) -> None:
         """Begin to tell."""
         self._beat()
+        self._speak()
 
     def others(self) -> dict[NodeId, RegisteredNode]:
         """Return the other nodes, as registered or as heard of lately."""
-        live = {news.node for news in self.loads.live_nodes(self.loop.now())}
+        live = {news.node for news in self.loads.fleet.live_nodes(self.loop.now())}
         known = {node: self.heard[node] for node in live if node in self.heard}
         known = self.registry.nodes | known
         return {node: info for node, info in known.items() if node != self.registry.own.node}
 
     def tell(self) -> None:
-        """Send the current loads to all other nodes."""
+        """Send the current loads to the nodes of the own cell."""
+        self.find_cells()
         own = self.registry.own
         uses = self._uses()
-        news = LoadNews(
+        news = NodeNews(
             node=own.node,
             boot=own.boot,
             sequence=next(self.sequence),
-            uses=[WireUse(endpoint, online, batch) for endpoint, online, batch in uses],
+            uses=uses,
             leaving=self.registry.leaving,
             routes_version=self.routes.version,
-            callers_address=own.callers,
-            nodes_address=own.nodes,
-            domain=own.domain,
             waiting_items=self.loads.waiting_items,
             store_failing=self.registry.store.failing,
         )
-        buffer = TMemoryBuffer()
-        news.write(TCompactProtocolAccelerated(buffer))
-        data = buffer.getvalue()
-        for node in self.others().values():
-            self.datagrams.send(node.nodes, data)
+        data = encode_node(news, own)
+        for address in self.near.values():
+            self.datagrams.send(address, data)
         self.told, self.sent_s = uses, self.loop.now()
 
+    def find_cells(self) -> None:
+        """Divide the nodes known now into cells."""
+        own, others = self.registry.own, self.others()
+        if others == self.known:
+            return
+        self.known = others
+        cells = divide({own.node: own.domain} | {node: one.domain for node, one in others.items()})
+        cell = cells.pop(own.node)
+        if cell != self.cell:
+            log.info("cell changed", extra={"cell": cell, "node_count": len(cells) + 1})
+            self.loads.fleet.forget_cell(cell)
+        self.cell = cell
+        self.near = {node: others[node].nodes for node, its in cells.items() if its == cell}
+        members: dict[CellId, list[NodeId]] = {}
+        for node in sorted(cells):
+            members.setdefault(cells[node], []).append(node)
+        members.pop(cell, None)
+        self.far = [
+            others[node].nodes for nodes in members.values() for node in nodes[:SPEAKERS_TOLD]
+        ]
+
     def _beat(self) -> None:
         if self.loop.now() - self.sent_s >= HEARTBEAT_S:
             self.tell()
         self.loop.call_later(HEARTBEAT_S, self._beat)
 
+    def _speak(self) -> None:
+        """Tell the sum of this cell to others and theirs to this one, if this node speaks."""
+        self.loop.call_later(CELLS_S, self._speak)
+        if not self.far:
+            return
+        now, own, fleet = self.loop.now(), self.registry.own, self.loads.fleet
+        live = fleet.live_nodes(now)
+        if speaker([own.node, *(news.node for news in live if news.node in self.near)]) != own.node:
+            return
+        told = CellSum(
+            cell=self.cell,
+            speaker=own.node,
+            boot=own.boot,
+            sequence=next(self.sequence),
+            uses=sum_uses([self._uses(), *(news.uses for news in live if news.node in self.near)]),
+            contenders=sum(1 for news in live if news.waiting_items and news.node in self.near)
+            + bool(self.loads.waiting_items),
+        )
+        data = encode_cells([told])
+        for address in self.far:
+            self.datagrams.send(address, data)
+        cells = fleet.live_cells(now)
+        if cells:
+            data = encode_cells(cells)
+            for address in self.near.values():
+                self.datagrams.send(address, data)
+
     def _gather(self) -> None:
         if not self.gathering:
             self.gathering = True
@@ -95,42 +151,24 @@
 
     def _tell_changes(self) -> None:
         self.gathering = False
-        if self.told != self._uses():
+        if self.told != self.loads.own:
             self.tell()
 
-    def _uses(self) -> list[tuple[EndpointId, int, int]]:
-        return [(name, use.online, use.batch) for name, use in sorted(self.loads.own.items())]
+    def _uses(self) -> dict[EndpointId, EndpointUse]:
+        return {name: EndpointUse(use.online, use.batch) for name, use in self.loads.own.items()}
 
     def _take(self, data: bytes) -> None:
-        news = LoadNews()
         try:
-            news.read(TCompactProtocolAccelerated(TMemoryBuffer(data)))
-            uses = {
-                EndpointId(use.endpoint): EndpointUse(use.online, use.batch) for use in news.uses
-            }
-        except Exception as error:
+            node, cells = decode(data, self.loop.now())
+        except BadNews as error:
             log.debug("news not read", extra={"reason": str(error)})
             return
-        taken = self.loads.take(
-            NodeNews(
-                node=NodeId(news.node),
-                boot=news.boot,
-                sequence=news.sequence,
-                uses=uses,
-                at_s=self.loop.now(),
-                leaving=news.leaving,
-                routes_version=news.routes_version,
-                waiting_items=news.waiting_items or 0,
-                store_failing=bool(news.store_failing),
-            )
-        )
-        if taken:
-            self.heard[NodeId(news.node)] = RegisteredNode(
-                node=NodeId(news.node),
-                domain=DomainName(news.domain),
-                callers=Address(news.callers_address),
-                nodes=Address(news.nodes_address),
-                boot=news.boot,
-            )
+        taken = [self.loads.fleet.take_cell(told) for told in cells if told.cell != self.cell]
+        if node is not None:
+            news, info = node
+            taken.append(self.loads.fleet.take(news))
+            if taken[-1]:
+                self.heard[info.node] = info
+        if any(taken):
             for callback in self.on_news:
                 callback()
--- a/parsleyrouter/thrift_gen/load/ttypes.py
+++ b/parsleyrouter/thrift_gen/load/ttypes.py
@@ -269,6 +269,205 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class CellNews(object):
+    """
+    Attributes:
+     - cell
+     - speaker
+     - boot
+     - sequence
+     - uses
+     - contenders
+
+    """
+
+
+    def __init__(self, cell=None, speaker=None, boot=None, sequence=None, uses=None, contenders=None,):
+        self.cell = cell
+        self.speaker = speaker
+        self.boot = boot
+        self.sequence = sequence
+        self.uses = uses
+        self.contenders = contenders
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.cell = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.speaker = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.boot = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.uses = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = EndpointUse()
+                        _elem12.read(iprot)
+                        self.uses.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.contenders = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CellNews')
+        if self.cell is not None:
+            oprot.writeFieldBegin('cell', TType.STRING, 1)
+            oprot.writeString(self.cell.encode('utf-8') if sys.version_info[0] == 2 else self.cell)
+            oprot.writeFieldEnd()
+        if self.speaker is not None:
+            oprot.writeFieldBegin('speaker', TType.STRING, 2)
+            oprot.writeString(self.speaker.encode('utf-8') if sys.version_info[0] == 2 else self.speaker)
+            oprot.writeFieldEnd()
+        if self.boot is not None:
+            oprot.writeFieldBegin('boot', TType.I64, 3)
+            oprot.writeI64(self.boot)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 4)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.uses is not None:
+            oprot.writeFieldBegin('uses', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.uses))
+            for iter13 in self.uses:
+                iter13.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.contenders is not None:
+            oprot.writeFieldBegin('contenders', TType.I32, 6)
+            oprot.writeI32(self.contenders)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class FleetNews(object):
+    """
+    Attributes:
+     - node
+     - cells
+
+    """
+
+
+    def __init__(self, node=None, cells=None,):
+        self.node = node
+        self.cells = cells
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.node = LoadNews()
+                    self.node.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.cells = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = CellNews()
+                        _elem19.read(iprot)
+                        self.cells.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FleetNews')
+        if self.node is not None:
+            oprot.writeFieldBegin('node', TType.STRUCT, 1)
+            self.node.write(oprot)
+            oprot.writeFieldEnd()
+        if self.cells is not None:
+            oprot.writeFieldBegin('cells', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.cells))
+            for iter20 in self.cells:
+                iter20.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(EndpointUse)
 EndpointUse.thrift_spec = (
     None,  # 0
@@ -291,5 +490,21 @@
     (10, TType.I32, 'waiting_items', None, None, ),  # 10
     (11, TType.BOOL, 'store_failing', None, None, ),  # 11
 )
+all_structs.append(CellNews)
+CellNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'cell', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'speaker', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'boot', None, None, ),  # 3
+    (4, TType.I64, 'sequence', None, None, ),  # 4
+    (5, TType.LIST, 'uses', (TType.STRUCT, [EndpointUse, None], False), None, ),  # 5
+    (6, TType.I32, 'contenders', None, None, ),  # 6
+)
+all_structs.append(FleetNews)
+FleetNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'node', [LoadNews, None], None, ),  # 1
+    (2, TType.LIST, 'cells', (TType.STRUCT, [CellNews, None], False), None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/thrift/load.thrift
+++ b/thrift/load.thrift
@@ -1,13 +1,13 @@
 // What the nodes tell each other of the work that they have at the endpoints.
 
-// Requests of one node at one endpoint.
+// Requests of one node, or of all nodes of one cell, at one endpoint.
 struct EndpointUse {
   1: string endpoint,
   2: i32 online,
   3: i32 batch,
 }
 
-// One datagram; boot tells the starts of a node apart, and a higher sequence replaces a lower one.
+// One node; boot tells the starts of a node apart, and a higher sequence replaces a lower one.
 struct LoadNews {
   1: string node,
   2: i64 boot,
@@ -21,3 +21,19 @@
   10: i32 waiting_items,
   11: bool store_failing,
 }
+
+// The sum over one cell of a large fleet, as the node says that speaks for it.
+struct CellNews {
+  1: string cell,
+  2: string speaker,
+  3: i64 boot,
+  4: i64 sequence,
+  5: list<EndpointUse> uses,
+  6: i32 contenders,
+}
+
+// One datagram.
+struct FleetNews {
+  1: optional LoadNews node,
+  2: optional list<CellNews> cells,
+}
