Read changes through one node of a cell, and results from the node that runs the job

Ruled out: longer pauses between reads (leaving endpoints must be known within two seconds), stale reads (may be seconds old).

In a fleet of several cells the speaker of a cell follows the store with short waits; the others ask it, and read for themselves when it is lost, refuses, or has no fresh answer itself. Readers of a job are answered by the node that runs it, or ran it, from memory; the store is the fallback. Front is split from its assembly.

--- a/parsleyrouter/process/cells.py
+++ b/parsleyrouter/process/cells.py
@@ -4,12 +4,12 @@
 number, and most of them cross failure domains.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from zlib import crc32
 
 from parsleyrouter.ids import CellId, DomainName, NodeId
 
-__all__ = ["ONE_CELL", "divide", "speaker"]
+__all__ = ["ONE_CELL", "divide"]
 
 MOST_IN_CELL = 20
 """Nodes of a cell on average at most. Each tells the others some ten changes a second, which takes
@@ -30,8 +30,3 @@
         node: CellId(f"{domain}/{crc32(node.encode()) % -(-sizes[domain] // MOST_IN_CELL)}")
         for node, domain in domains.items()
     }
-
-
-def speaker(nodes: Iterable[NodeId]) -> NodeId | None:
-    """Return the node that speaks for a cell."""
-    return min(nodes, default=None)
--- /dev/null
+++ b/parsleyrouter/process/followed_prefix.py
@@ -0,0 +1,65 @@
+"""Keep the keys under a followed prefix and their latest changes, for other nodes to read."""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from parsleyrouter.connection.key_value import Changed, Entry
+from parsleyrouter.ids import Revision
+from parsleyrouter.process.loop import Loop, Promise
+
+__all__ = ["FollowedPrefix"]
+
+MOST_CHANGES = 2000
+"""Changes kept for readers that are behind: those of some twenty seconds on a large fleet."""
+
+
+@dataclass
+class FollowedPrefix:
+    """What one follower knows; ``base`` is the revision behind which all changes are kept."""
+
+    loop: Loop
+    entries: dict[str, Entry] = field(default_factory=dict)
+    changes: deque[Changed] = field(default_factory=deque)
+    base: Revision = Revision(0)
+    revision: Revision | None = None
+    waiting: list[Promise[None]] = field(default_factory=list)
+
+    def replace(self, entries: Iterable[Entry], revision: Revision | None) -> None:
+        """Take a whole listing."""
+        self.entries = {entry.key: entry for entry in entries}
+        self.changes.clear()
+        self.base = revision or Revision(0)
+        self.revision = revision
+        self._wake()
+
+    def apply(self, changes: Iterable[Changed], revision: Revision) -> None:
+        """Take changes in order and the revision that they lead to."""
+        for change in changes:
+            if change.entry is None:
+                self.entries.pop(change.key, None)
+            else:
+                self.entries[change.key] = change.entry
+            self.changes.append(change)
+        while len(self.changes) > MOST_CHANGES:
+            self.base = self.changes.popleft().revision
+        self.revision = revision
+        if self.changes:
+            self._wake()
+
+    def behind(self, revision: Revision) -> list[Changed]:
+        """Return the changes kept behind a revision, in order."""
+        return [change for change in self.changes if change.revision > revision]
+
+    async def wait(self, limit_s: float) -> None:
+        """Wait for a change."""
+        promise: Promise[None] = self.loop.promise()
+        self.waiting.append(promise)
+        timer = self.loop.call_later(limit_s, lambda: promise.resolve(None))
+        await promise
+        timer.cancel()
+
+    def _wake(self) -> None:
+        waiting, self.waiting = self.waiting, []
+        for promise in waiting:
+            promise.resolve(None)
--- /dev/null
+++ b/parsleyrouter/process/front.py
@@ -0,0 +1,190 @@
+"""What a front process follows of the platform's store."""
+
+import logging
+import time
+from collections.abc import Iterable
+from random import Random
+
+import msgspec
+
+from parsleyrouter.connection.call_budget import BudgetSettings
+from parsleyrouter.connection.endpoint_client import EndpointClient
+from parsleyrouter.connection.key_value import Changed, Entry, KeyValueFailure, Transaction
+from parsleyrouter.ids import NodeId
+from parsleyrouter.process.cell_reads import CellReads
+from parsleyrouter.process.endpoint_directory import EndpointDirectory, RegisteredEndpoint
+from parsleyrouter.process.endpoint_loads import EndpointLoads
+from parsleyrouter.process.forward_attempt import EndpointCalls
+from parsleyrouter.process.front_options import FrontOptions
+from parsleyrouter.process.job_board import JobBoard
+from parsleyrouter.process.job_worker import JobWorker
+from parsleyrouter.process.load_exchange import LoadExchange
+from parsleyrouter.process.node_registry import NODES_PREFIX, NodeRegistry, RegisteredNode
+from parsleyrouter.process.platform_port import PlatformPort
+from parsleyrouter.process.prefix_follower import PrefixFollower
+from parsleyrouter.process.routes_in_force import RoutesInForce
+from parsleyrouter.process.runtime import Runtime
+from parsleyrouter.process.shared_job_store import JOBS_PREFIX
+from parsleyrouter.request.submission import submission_retry_s
+
+__all__ = ["Front"]
+
+ENDPOINT_CONNECT_S = 0.35
+"""Longest wait for a connection to an endpoint, many times the way within a region."""
+
+GATHER_ENDPOINTS_S = 0.3
+"""Pause between reads of registrations, which change several times a second; a leaving endpoint
+must get nothing new within two seconds."""
+
+SETTLE_S = 0.25
+"""Pause between looks for registrations that did not come back."""
+
+LIVE_PREFIX = "parsley/live/"
+"""What every node follows: the other nodes, and the records and owners of jobs."""
+
+LOG_CALLS_S = 10.0
+"""Pause between log lines with the calls made to the store."""
+
+log = logging.getLogger(__name__)
+
+
+class Front:
+    """The parts of a front process that meet the platform's store."""
+
+    def __init__(self, runtime: Runtime, options: FrontOptions, port: PlatformPort) -> None:
+        self.runtime = runtime
+        self.loop = runtime.loop
+        self.port = port
+        self.random = Random(f"{options.node}{time.time_ns()}")
+        budget = BudgetSettings(
+            calls_per_s=options.key_value_calls_per_s,
+            burst_calls=2 * options.key_value_calls_per_s,
+            backoff_base_s=0.05,
+            backoff_limit_s=0.5,
+            ramp_s=2.0,
+        )
+        self.store = port.open_store(runtime, options.key_value, budget)
+        self.routes = RoutesInForce()
+        self.directory = EndpointDirectory()
+        self.loads = EndpointLoads(self.random)
+        self.board = JobBoard()
+        own = RegisteredNode(
+            node=options.node,
+            domain=options.domain,
+            callers=options.callers,
+            nodes=options.nodes,
+            boot=time.time_ns() // 1_000_000,
+        )
+        self.registry = NodeRegistry(self.loop, self.store, own)
+        self.exchange = LoadExchange(self.loop, self.loads, self.registry, self.routes)
+        self.exchange.datagrams.register(runtime)
+        client = EndpointClient(self.loop, runtime.connector, ENDPOINT_CONNECT_S)
+        client.id_header = port.headers.request
+        self.calls = EndpointCalls(self.loop, client, self.loads, port.headers)
+        self.reads = CellReads(self.loop, self.store, self.exchange, runtime.peers, self.random)
+        self.reads.on_failure.append(self.directory.store_failed)
+        self.worker: JobWorker
+
+    def follow(self) -> None:
+        """Begin to follow what the store tells."""
+        operator = self._follower(self.port.operator_prefix)
+        operator.on_list = self._list_operator
+        operator.on_change = lambda change: self._take_operator(change.entry)
+        endpoints = self._follower(self.port.endpoints_prefix, GATHER_ENDPOINTS_S)
+        endpoints.on_list, endpoints.on_change = self._list_endpoints, self._take_endpoint
+        live = self._follower(LIVE_PREFIX)
+        live.on_list, live.on_change = self._list_live, self._take_live
+        for follower in (operator, endpoints, live):
+            follower.start()
+        self._settle()
+        self.loop.call_later(LOG_CALLS_S, self._log_calls)
+
+    def _follower(self, prefix: str, pause_s: float = 0.0) -> PrefixFollower:
+        return PrefixFollower(
+            self.loop,
+            self.reads,
+            prefix,
+            on_list=lambda entries: None,
+            on_change=lambda change: None,
+            pause_s=pause_s,
+        )
+
+    def _list_live(self, entries: Iterable[Entry]) -> None:
+        """Take the nodes and jobs, which are followed together."""
+        known = list(entries)
+        self.registry.take_list(one for one in known if one.key.startswith(NODES_PREFIX))
+        self.board.take_list(one for one in known if one.key.startswith(JOBS_PREFIX))
+
+    def _take_live(self, change: Changed) -> None:
+        if change.key.startswith(NODES_PREFIX):
+            self.registry.take_change(change)
+        elif change.key.startswith(JOBS_PREFIX):
+            self.board.take_change(change)
+
+    def _list_operator(self, entries: Iterable[Entry]) -> None:
+        for entry in entries:
+            self._take_operator(entry)
+
+    def _take_operator(self, entry: Entry | None) -> None:
+        if entry is None:
+            return
+        if entry.key == self.port.routes_key:
+            try:
+                table = self.port.decode_routes(entry.value)
+            except msgspec.DecodeError as error:
+                reason = {"revision": entry.revision, "reason": str(error)}
+                log.error("routes not read, the former ones stay in force", extra=reason)
+                return
+            self.routes.take(table, f"revision {entry.revision}")
+            return
+        node = self.port.node_to_empty(entry.key)
+        if node is not None:
+            self.loop.spawn(self._report_empty(node), f"report {node} empty")
+
+    async def _report_empty(self, node: NodeId) -> None:
+        """Report a store VM as empty: jobs are kept whole in the platform's store."""
+        done = await self.store.transact(Transaction({}, (self.port.emptied(node),)))
+        word = done.message if isinstance(done, KeyValueFailure) else "reported"
+        log.info("store VM is empty", extra={"node": node, "outcome": word})
+
+    def _list_endpoints(self, entries: Iterable[Entry]) -> None:
+        found = [self.port.decode_endpoint(entry) for entry in entries]
+        known = {one.endpoint: one for one in found if one is not None}
+        for one in known.values():
+            self._log_endpoint(one.endpoint, "listed")
+        self._gone(self.directory.replace(known, self.loop.now()))
+
+    def _take_endpoint(self, change: Changed) -> None:
+        endpoint = self.port.endpoint_of_key(change.key)
+        if change.entry is None:
+            self._gone(self.directory.removed(endpoint, self.loop.now()))
+            return
+        found = self.port.decode_endpoint(change.entry)
+        if found is None:
+            return
+        before = self.directory.endpoints.get(endpoint)
+        if self.directory.put(found) is not None:
+            self.loads.forget(endpoint)
+        if before is None or (before.leaving, before.born_ms) != (found.leaving, found.born_ms):
+            self._log_endpoint(endpoint, "leaving" if found.leaving else "ready")
+
+    def _gone(self, gone: Iterable[RegisteredEndpoint]) -> None:
+        for entry in gone:
+            self.loads.forget(entry.endpoint)
+            self._log_endpoint(entry.endpoint, "gone")
+
+    def _log_endpoint(self, endpoint: str, state: str) -> None:
+        log.info("endpoint changed", extra={"endpoint": endpoint, "state": state})
+
+    def _log_calls(self) -> None:
+        log.info("store calls", extra={"made": dict(self.store.made)})
+        self.loop.call_later(LOG_CALLS_S, self._log_calls)
+
+    def submission_retry_s(self) -> float | None:
+        """Return when a client whose job cannot be taken here should submit it again."""
+        live = self.loads.fleet.live_nodes(self.loop.now())
+        return submission_retry_s(self.store.failing, [news.store_failing for news in live])
+
+    def _settle(self) -> None:
+        self._gone(self.directory.settle(self.loop.now()))
+        self.loop.call_later(SETTLE_S, self._settle)
--- a/parsleyrouter/process/job_board.py
+++ b/parsleyrouter/process/job_board.py
@@ -31,6 +31,8 @@
     kept: KeptJob | None = None
     owner: NodeId | None = None
     owner_revision: Revision = ABSENT
+    last_owner: NodeId | None = None
+    """The node that ran the job before it was done or lost it."""
 
     @property
     def open(self) -> bool:
@@ -51,6 +53,7 @@
         listed = {change.key for change in changes}
         for view in self.jobs.values():
             if view.owner is not None and JobKeys(view.job).owner not in listed:
+                view.last_owner = view.owner
                 view.owner, view.owner_revision = None, ABSENT
         touched = {split_key(change.key)[0] for change in changes if self._apply(change)}
         for job in touched | self.jobs.keys():
@@ -75,6 +78,7 @@
         if part == OWNER:
             if change.revision < view.owner_revision:
                 return False
+            view.last_owner = view.owner or view.last_owner
             view.owner = NodeId(change.entry.value.decode()) if change.entry else None
             view.owner_revision = change.revision if change.entry else ABSENT
             return True
--- a/parsleyrouter/process/job_owner.py
+++ b/parsleyrouter/process/job_owner.py
@@ -1,6 +1,8 @@
 """Own batch jobs: claim those that nobody runs, and give up those that others have claimed."""
 
 import logging
+from collections.abc import Callable
+from functools import partial
 from random import Random
 
 from parsleyrouter.connection.key_value import KeyValueFailure, LeaseLost, Swapped
@@ -10,6 +12,7 @@
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.node_registry import NodeRegistry
 from parsleyrouter.process.shared_job_store import SharedJobStore
+from parsleyrouter.request.shared_job import ItemResult
 
 __all__ = ["JobOwner"]
 
@@ -44,6 +47,8 @@
         self.runs: dict[JobId, JobRun] = {}
         self.taking: set[JobId] = set()
         self.leaving = False
+        self.on_listed: Callable[[JobId, int, list[ItemResult]], object] = lambda *_: None
+        """Hear of results that this node has listed from a position on."""
         board.on_change.append(self.look_at)
         registry.on_lease.append(self.look_at_all)
 
@@ -66,6 +71,13 @@
         for view in list(self.board.jobs.values()):
             self.look_at(view)
 
+    def listed(self, job: JobId) -> int | None:
+        """Return how many results of a job are listed if this node surely owns it still."""
+        run = self.runs.get(job)
+        if run is None or not self.registry.sure():
+            return None
+        return len(run.listed)
+
     async def leave(self, limit_s: float) -> None:
         """Stop all items, save what they have produced and list what is done."""
         self.leaving = True
@@ -137,6 +149,7 @@
             return
         run = JobRun(self.loop, self.store, self.board, view.kept, items, set(listed.indexes))
         run.restore(saved)
+        run.on_listed = partial(self.on_listed, record.job)
         self.runs[record.job] = run
         fields = {"job": record.job, "item_count": len(items), "listed": len(run.listed)}
         fields["saved"] = len(saved)
--- a/parsleyrouter/process/job_reader.py
+++ b/parsleyrouter/process/job_reader.py
@@ -1,6 +1,7 @@
 """Read results and items of batch jobs for clients, and keep what was read lately."""
 
 from collections import OrderedDict
+from collections.abc import Callable, Sequence
 
 from parsleyrouter.connection.key_value import (
     ChangePage,
@@ -8,7 +9,7 @@
     TransactionalKeyValue,
 )
 from parsleyrouter.ids import JobId, Revision
-from parsleyrouter.process.loop import Loop
+from parsleyrouter.process.loop import Loop, Promise
 from parsleyrouter.process.shared_job_store import JobKeys, SharedJobStore, by_position
 from parsleyrouter.request.job_call import ResultPage
 from parsleyrouter.request.shared_job import ItemResult, JobItem, JobRecord
@@ -18,6 +19,9 @@
 CACHE_BYTES = 8 * 1024 * 1024
 """Results and items of jobs kept in memory for readers."""
 
+RECHECK_S = 0.25
+"""Pause between looks whether this node still runs the job that a reader waits for."""
+
 PAGE_BYTES = 700_000
 """Largest output of one page of results; clients take 1 MB."""
 
@@ -27,6 +31,7 @@
 
     def __init__(self) -> None:
         self.results: list[ItemResult] = []
+        self.waiting: list[Promise[None]] = []
         self.revision: Revision | None = None
         self.items: list[JobItem] | None = None
         self.size = 0
@@ -40,6 +45,8 @@
         self.key_value = key_value
         self.store = store
         self.kept: OrderedDict[JobId, _Kept] = OrderedDict()
+        self.listed_here: Callable[[JobId], int | None] = lambda job: None
+        """Return how many results this node has listed of a job that it surely runs itself."""
 
     async def read(
         self, record: JobRecord, start: int, wait_s: float
@@ -52,12 +59,41 @@
             left_s = until_s - self.loop.now()
             if page.results or len(kept.results) >= record.total:
                 return page
+            listed = self.listed_here(record.job)
+            if listed is not None and listed <= len(kept.results):
+                if left_s <= 0:
+                    return page
+                await self._wait(kept, min(left_s, RECHECK_S))
+                continue
             failure = await self._read_on(record.job, kept, max(0.0, left_s))
             if failure is not None:
                 return failure
             if left_s <= 0 or len(kept.results) > start:
                 return self._page(record, kept, start)
 
+    def known(self, record: JobRecord, start: int) -> ResultPage | None:
+        """Return results from a position on if any are known here."""
+        kept = self.kept.get(record.job)
+        if kept is None or len(kept.results) <= start:
+            return None
+        return self._page(record, kept, start)
+
+    def feed(self, job: JobId, start: int, results: Sequence[ItemResult]) -> None:
+        """Take results that are listed from a position on, unless some before them are missing."""
+        kept = self._keep(job)
+        self._append(kept, dict(enumerate(results, start)))
+        waiting, kept.waiting = kept.waiting, []
+        for promise in waiting:
+            promise.resolve(None)
+
+    async def _wait(self, kept: _Kept, limit_s: float) -> None:
+        """Wait for results that this node lists."""
+        promise: Promise[None] = self.loop.promise()
+        kept.waiting.append(promise)
+        timer = self.loop.call_later(limit_s, lambda: promise.resolve(None))
+        await promise
+        timer.cancel()
+
     async def items(self, record: JobRecord) -> list[JobItem] | KeyValueFailure:
         """Return the items of a job, from memory when they were read lately."""
         kept = self._keep(record.job)
--- a/parsleyrouter/process/job_run.py
+++ b/parsleyrouter/process/job_run.py
@@ -1,6 +1,7 @@
 """One batch job that this node runs: what is left to do and what waits to be listed."""
 
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from parsleyrouter.connection.key_value import KeyValueFailure, Swapped
@@ -50,6 +51,10 @@
     stopped: bool = False
     saving: bool = False
     saved_s: float = 0.0
+    on_listed: Callable[[int, list[ItemResult]], object] = field(
+        default=lambda start, results: None
+    )
+    """Hear of results that are listed from a position on."""
     saved_events: dict[ItemIndex, str] = field(default_factory=dict)
     """The last event of each item as it was saved."""
 
@@ -158,6 +163,7 @@
         done = await self.store.list_results(record.job, position, batch)
         if isinstance(done, Swapped):
             self._mark(batch)
+            self.on_listed(position, list(batch.values()))
             self._log("results listed", position, batch, revision=done.revision)
             return
         if isinstance(done, KeyValueFailure):
--- a/parsleyrouter/process/load_exchange.py
+++ b/parsleyrouter/process/load_exchange.py
@@ -11,7 +11,7 @@
 
 from parsleyrouter.connection.datagram import Datagrams
 from parsleyrouter.ids import Address, CellId, EndpointId, NodeId
-from parsleyrouter.process.cells import ONE_CELL, divide, speaker
+from parsleyrouter.process.cells import ONE_CELL, divide
 from parsleyrouter.process.endpoint_loads import EndpointLoads
 from parsleyrouter.process.fleet_loads import CellSum, EndpointUse, NodeNews, sum_uses
 from parsleyrouter.process.load_messages import BadNews, decode, encode_cells, encode_node
@@ -112,6 +112,15 @@
             others[node].nodes for nodes in members.values() for node in nodes[:SPEAKERS_TOLD]
         ]
 
+    def speaker(self) -> NodeId:
+        """Return the node that speaks for this cell: the first of those heard of lately."""
+        live = self.loads.fleet.live_nodes(self.loop.now())
+        near = [news.node for news in live if news.node in self.near and not news.leaving]
+        return min(
+            near + [self.registry.own.node] * (not self.registry.leaving),
+            default=self.registry.own.node,
+        )
+
     def _beat(self) -> None:
         if self.loop.now() - self.sent_s >= HEARTBEAT_S:
             self.tell()
@@ -124,7 +133,7 @@
             return
         now, own, fleet = self.loop.now(), self.registry.own, self.loads.fleet
         live = fleet.live_nodes(now)
-        if speaker([own.node, *(news.node for news in live if news.node in self.near)]) != own.node:
+        if self.speaker() != own.node:
             return
         told = CellSum(
             cell=self.cell,
--- a/parsleyrouter/process/node_registry.py
+++ b/parsleyrouter/process/node_registry.py
@@ -32,6 +32,10 @@
 RENEW_S = 1.0
 RETRY_S = 0.25
 
+SURE_S = 1.5
+"""Age of the latest renewal up to which nobody else can have taken this node's work over: below
+half of the lease, with a renewal in between."""
+
 log = logging.getLogger(__name__)
 
 
@@ -54,6 +58,7 @@
         self.store = store
         self.own = own
         self.lease = 0
+        self.renewed_s = 0.0
         self.leaving = False
         self.nodes: dict[NodeId, RegisteredNode] = {}
         self.on_lease: list[Callable[[], object]] = []
@@ -83,6 +88,10 @@
         if self.lease:
             await self.store.revoke(self.lease)
 
+    def sure(self) -> bool:
+        """Tell whether the lease has been renewed lately."""
+        return bool(self.lease) and self.loop.now() - self.renewed_s < SURE_S
+
     def _put(self, entry: Entry) -> None:
         try:
             known = msgspec.json.decode(entry.value, type=RegisteredNode)
@@ -99,6 +108,7 @@
             await self.loop.sleep(RENEW_S if done else RETRY_S)
 
     async def _renew(self) -> bool:
+        asked_s = self.loop.now()
         lease = await self.store.renew(self.lease)
         if isinstance(lease, KeyValueFailure):
             return False
@@ -106,6 +116,7 @@
             log.warning("lease lost", extra={"lease": self.lease})
             self.lease = 0
             return False
+        self.renewed_s = asked_s
         return True
 
     async def _register(self) -> bool:
@@ -117,7 +128,7 @@
         done = await self.store.transact(Transaction({}, (write,)))
         if isinstance(done, KeyValueFailure | LeaseLost):
             return False
-        self.lease = lease.id
+        self.lease, self.renewed_s = lease.id, self.loop.now()
         log.info("node registered", extra={"node": self.own.node, "lease": lease.id})
         for callback in self.on_lease:
             callback()
--- a/parsleyrouter/process/prefix_follower.py
+++ b/parsleyrouter/process/prefix_follower.py
@@ -8,9 +8,9 @@
     Entry,
     HistoryLost,
     KeyValueFailure,
-    TransactionalKeyValue,
 )
 from parsleyrouter.ids import Revision
+from parsleyrouter.process.cell_reads import CellReads
 from parsleyrouter.process.loop import Loop
 
 __all__ = ["PrefixFollower"]
@@ -35,20 +35,19 @@
     def __init__(
         self,
         loop: Loop,
-        store: TransactionalKeyValue,
+        reads: CellReads,
         prefix: str,
         *,
         on_list: Callable[[Iterable[Entry]], object],
         on_change: Callable[[Changed], object],
-        on_failure: Callable[[], object] = lambda: None,
         pause_s: float = 0.0,
     ) -> None:
         self.loop = loop
-        self.store = store
+        self.reads = reads
         self.prefix = prefix
+        self.kept = reads.keep(prefix)
         self.on_list = on_list
         self.on_change = on_change
-        self.on_failure = on_failure
         self.pause_s = pause_s
         self.revision: Revision | None = None
         self.fresh_s = 0.0
@@ -81,7 +80,7 @@
         revision: Revision | None = None
         after = ""
         while True:
-            page = await self.store.scan(self.prefix, after=after)
+            page = await self.reads.scan(self.prefix, after=after)
             if isinstance(page, KeyValueFailure):
                 return page
             revision = page.revision if revision is None else revision
@@ -90,11 +89,12 @@
                 break
             after = page.entries[-1].key
         self.revision = revision
+        self.kept.replace(entries, revision)
         self._hand_on(lambda: self.on_list(entries))
         return None
 
     async def _read_changes(self, revision: Revision) -> KeyValueFailure | None:
-        page = await self.store.changes(self.prefix, revision, WAIT_S)
+        page = await self.reads.changes(self.prefix, revision, WAIT_S)
         if isinstance(page, KeyValueFailure):
             return page
         if isinstance(page, HistoryLost):
@@ -104,6 +104,7 @@
         for change in page.changes:
             self._hand_on(lambda change=change: self.on_change(change))  # type: ignore[misc]
         self.revision = max(page.revision, revision)
+        self.kept.apply(page.changes, self.revision)
         return None
 
     def _hand_on(self, call: Callable[[], object]) -> None:
@@ -117,7 +118,6 @@
             fields = self._fields() | {"failure": failure.kind.value, "reason": failure.message}
             log.warning("dependency lost", extra=fields)
         self.failures += 1
-        self.on_failure()
         await self.loop.sleep(min(LONGEST_RETRY_S, RETRY_S * self.failures))
 
     def _fields(self) -> dict[str, object]:
--- a/parsleyrouter/process/shared_job_desk.py
+++ b/parsleyrouter/process/shared_job_desk.py
@@ -19,6 +19,7 @@
 from parsleyrouter.process.forwarder import refuse
 from parsleyrouter.process.job_board import JobBoard
 from parsleyrouter.process.job_metrics import JobMetrics
+from parsleyrouter.process.job_peers import JobPeers
 from parsleyrouter.process.job_reader import JobReader
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.node_registry import NodeRegistry
@@ -59,6 +60,7 @@
         loop: Loop,
         store: SharedJobStore,
         reader: JobReader,
+        peers: JobPeers,
         board: JobBoard,
         registry: NodeRegistry,
         routes: RoutesInForce,
@@ -70,6 +72,7 @@
         self.loop = loop
         self.store = store
         self.reader = reader
+        self.peers = peers
         self.board = board
         self.registry = registry
         self.routes = routes
@@ -141,7 +144,7 @@
         record = await self._record(call.job)
         if isinstance(record, Refusal):
             return record
-        page = await self.reader.read(record, call.start, min(call.wait_s, LONGEST_WAIT_S))
+        page = await self.peers.read(record, call.start, min(call.wait_s, LONGEST_WAIT_S))
         if isinstance(page, KeyValueFailure):
             return _unavailable(page)
         return HTTPStatus.OK, self.encode_results(page)
--- /dev/null
+++ b/parsleyrouter/thrift_gen/nodes/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
