Run a new job where it was accepted without reading it back; test reads within a cell

Cause: the node that accepts a job read its items, marks and progress from the store before it ran them, three calls for what it had in hand; its first readers went to the store meanwhile. Any failed call to the store now puts lapsed registrations in doubt, not only a failed read of changes: a held-back read can outlast a short outage unharmed.

Tests: six nodes in two cells: only speakers read; speakers cut or frozen are passed over within two seconds; a lapse hides no endpoint; results come from the node that runs the job, or from the store when it cannot be asked or may have lost the job.

--- a/features/large_fleet.feature
+++ b/features/large_fleet.feature
@@ -22,3 +22,35 @@
     Given nodes of two failure domains that make a large fleet
     When the speaker of a domain is lost and another node there begins requests
     Then nodes of both domains know it within three seconds
+
+  Scenario: one node of a cell reads changes for the others
+    Given a large fleet of a few nodes that are divided into two cells
+    When the fleet is at rest and the routes change
+    Then only the speakers read from the store, and all nodes have the new routes at once
+
+  Scenario: a speaker that the store does not answer is passed over
+    Given a large fleet of a few nodes that are divided into two cells
+    When the store stops answering a speaker and the routes change
+    Then the other nodes have the new routes within two seconds
+
+  Scenario: a speaker that is frozen is passed over
+    Given a large fleet of a few nodes that are divided into two cells
+    When a speaker answers no calls and the routes change
+    Then the other nodes have the new routes within two seconds
+
+  Scenario: registrations that lapse with the store hide no endpoint from any node of a cell
+    Given a large fleet of a few nodes that are divided into two cells
+    When the store refuses all calls for a moment and a registration lapses meanwhile
+    Then every node keeps the endpoint until it is back
+
+  Scenario: results are read from the node that runs the job
+    When a job is submitted at one node and read at another that knows its owner
+    Then the other reads all results without a call to the store for them
+
+  Scenario: results are read from the store when the node that runs the job cannot be asked
+    When the node that runs a job cannot be reached by another that is asked for results
+    Then the other reads all results from the store
+
+  Scenario: a node that may have lost a job asks the store before it says that nothing is new
+    When a node's lease has not been renewed and another node lists results of its job
+    Then readers at the first node see them
--- /dev/null
+++ b/features/steps/cell_reads_steps.py
@@ -0,0 +1,194 @@
+"""Steps for reads that nodes make for each other."""
+
+from typing import Any
+
+from behave import given, then, when
+
+import parsleyrouter.process.cells as cells
+from features.steps.front_jobs_steps import ITEMS, read, read_all, submit
+from features.steps.front_requests_steps import play
+from features.support.front_fleet import FrontFleet, routes
+from parsleyrouter.connection.peer import PeerFailure, PeerFailureKind
+from parsleyrouter.ids import Address, ItemId, ItemIndex, JobId
+from parsleyrouter.process.front import Front
+from parsleyrouter.request.shared_job import ItemResult, ItemState
+
+QUIET_S = 2.0
+
+
+@given("a large fleet of a few nodes that are divided into two cells")
+def step_few(context: Any) -> None:
+    former = cells.MOST_IN_CELL
+    cells.MOST_IN_CELL = 3
+    context.add_cleanup(lambda: setattr(cells, "MOST_IN_CELL", former))
+
+
+async def start_cells(fleet: FrontFleet) -> tuple[list[Front], list[Front]]:
+    """Start six nodes in two domains; return the speakers and the others."""
+    fleet.register("e1")
+    await fleet.start(3, domain="north")
+    await fleet.start(3, domain="south")
+    await fleet.until(lambda: all(len(one.exchange.near) == 2 for one in fleet.fronts))
+    await fleet.loop.sleep(1.5)
+    speakers = [one for one in fleet.fronts if one.exchange.speaker() == one.registry.own.node]
+    return speakers, [one for one in fleet.fronts if one not in speakers]
+
+
+async def change_routes(fleet: FrontFleet, nodes: list[Front], limit_s: float = 4.0) -> float:
+    """Change the routes; return how long all nodes took to have them."""
+    fleet.store.put_json("op/config", routes(2))
+    began_s = fleet.loop.now()
+    await fleet.until(lambda: all(one.routes.version == 2 for one in nodes), limit_s)
+    return fleet.loop.now() - began_s
+
+
+@when("the fleet is at rest and the routes change")
+def step_rest(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        speakers, others = await start_cells(fleet)
+        context.speakers = len(speakers)
+        before = [one.store.made["changes"] for one in others]
+        await fleet.loop.sleep(QUIET_S)
+        context.calls = [
+            one.store.made["changes"] - made for one, made in zip(others, before, strict=True)
+        ]
+        context.sources = {one.reads.source for one in others}
+        context.took_s = await change_routes(fleet, fleet.fronts)
+
+    play(context, scene)
+
+
+@then("only the speakers read from the store, and all nodes have the new routes at once")
+def step_rested(context: Any) -> None:
+    assert context.speakers == 2
+    assert context.calls == [0] * 4, context.calls
+    assert "service" not in context.sources
+    assert context.took_s < 0.5, context.took_s
+
+
+@when("the store stops answering a speaker and the routes change")
+def step_cut_speaker(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        speakers, others = await start_cells(fleet)
+        speakers[0].store.address = Address("127.0.0.1:9")
+        await fleet.loop.sleep(0.7)
+        context.took_s = await change_routes(fleet, others)
+
+    play(context, scene)
+
+
+@when("a speaker answers no calls and the routes change")
+def step_frozen_speaker(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        speakers, others = await start_cells(fleet)
+        for speaker in speakers:
+            speaker.peers.methods.methods["cell.followed"] = (
+                speaker.peers.methods.methods["cell.followed"][0],
+                lambda *_: fleet.loop.sleep(30.0),
+            )
+        await fleet.loop.sleep(0.7)
+        context.took_s = await change_routes(fleet, others)
+
+    play(context, scene)
+
+
+@then("the other nodes have the new routes within two seconds")
+def step_passed_over(context: Any) -> None:
+    assert context.took_s < 2.0, context.took_s
+
+
+@when("the store refuses all calls for a moment and a registration lapses meanwhile")
+def step_lapse(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        await start_cells(fleet)
+        fleet.store.faults.refuse = 503
+        await fleet.loop.sleep(0.25)
+        fleet.store.remove("servers/e1")
+        await fleet.loop.sleep(0.25)
+        fleet.store.faults.refuse = 0
+        context.missed = 0
+        for _ in range(100):
+            await fleet.loop.sleep(0.015)
+            context.missed += sum(not one.directory.endpoints for one in fleet.fronts)
+        fleet.announce("e1")
+        await fleet.loop.sleep(2.5)
+        context.known = [len(one.directory.endpoints) for one in fleet.fronts]
+
+    play(context, scene)
+
+
+@then("every node keeps the endpoint until it is back")
+def step_kept(context: Any) -> None:
+    assert context.missed == 0
+    assert context.known == [1] * 6
+
+
+@when("a job is submitted at one node and read at another that knows its owner")
+def step_read_at_owner(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("e1")
+        await fleet.start(2)
+        assert (await submit(fleet)).status == 202
+        other = fleet.fronts[1]
+        await fleet.until(lambda: JobId("job1") in other.board.jobs)
+        before = len(fleet.store.faults.calls)
+        context.results = await read_all(fleet, node=1)
+        context.again = await read(fleet, node=1)
+        calls = fleet.store.faults.calls[before:]
+        context.calls = [call for call in calls if "parsley%2Fresult" in call]
+
+    play(context, scene)
+
+
+@then("the other reads all results without a call to the store for them")
+def step_no_calls(context: Any) -> None:
+    assert len(context.results) == ITEMS
+    assert context.again["results"] == context.results
+    assert not context.calls, context.calls
+
+
+@when("the node that runs a job cannot be reached by another that is asked for results")
+def step_cut_owner(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        fleet.register("e1")
+        await fleet.start(2)
+        fleet.fronts[1].runtime.peers.call = unreachable(fleet)  # type: ignore[method-assign]
+        assert (await submit(fleet)).status == 202
+        await fleet.until(lambda: JobId("job1") in fleet.fronts[1].board.jobs)
+        context.results = await read_all(fleet, node=1)
+
+    play(context, scene)
+
+
+def unreachable(fleet: FrontFleet) -> Any:
+    async def call(address: Any, *_: Any) -> Any:
+        await fleet.loop.sleep(0.05)
+        return PeerFailure(PeerFailureKind.TIMEOUT, f"{address}: no answer")
+
+    return call
+
+
+@then("the other reads all results from the store")
+def step_from_store(context: Any) -> None:
+    assert len(context.results) == ITEMS
+
+
+@when("a node's lease has not been renewed and another node lists results of its job")
+def step_unsure(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        await fleet.start(1)
+        front = fleet.fronts[0]
+        assert (await submit(fleet)).status == 202
+        await fleet.until(lambda: bool(front.worker.owner.runs))
+        front.registry.sure = lambda: False  # type: ignore[method-assign]
+        result = ItemResult(ItemId("item0"), ItemState.COMPLETED, "text")
+        store = front.worker.owner.store
+        await store.list_results(JobId("job1"), 0, {ItemIndex(0): result})
+        context.page = await read(fleet)
+
+    play(context, scene)
+
+
+@then("readers at the first node see them")
+def step_seen(context: Any) -> None:
+    assert [one["id"] for one in context.page["results"]] == ["item0"]
--- a/features/support/front_fleet.py
+++ b/features/support/front_fleet.py
@@ -71,13 +71,13 @@
         entry |= {"slots": 8, "state": "ready", "version": "v1", "sequence": 1, "born": 1}
         self.store.put_json(f"servers/{name}", entry | fields)
 
-    async def start(self, count: int = 1, *, configured: bool = True) -> Front:
+    async def start(self, count: int = 1, *, configured: bool = True, domain: str = "z1") -> Front:
         if configured:
             self.store.put_json("op/config", routes())
         for _ in range(count):
             options = FrontOptions(
                 node=NodeId(f"front-{len(self.fronts)}"),
-                domain=DomainName("z1"),
+                domain=DomainName(domain),
                 callers=Address(free_address()),
                 ready=Address(free_address()),
                 locate=Address(free_address()),
--- a/parsleyrouter/connection/key_value.py
+++ b/parsleyrouter/connection/key_value.py
@@ -196,11 +196,12 @@
     """A key-value service with transactions over several keys and held-back reads of changes.
 
     ``made`` counts the calls by kind since the process started; ``failing`` tells that the latest
-    one got no answer.
+    one got no answer; ``on_failure`` hears of each such call.
     """
 
     made: Counter[str]
     failing: bool
+    on_failure: list[Callable[[], object]]
 
     async def get(self, key: str) -> Entry | None | KeyValueFailure:
         """Read one key."""
--- a/parsleyrouter/connection/key_value_calls.py
+++ b/parsleyrouter/connection/key_value_calls.py
@@ -1,6 +1,7 @@
 """What the clients of every key-value service share: budget, metrics and failures of calls."""
 
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -48,6 +49,8 @@
         """Calls by kind since the process started."""
         self.failing = False
         """The latest call got no answer, or none that the service stands by."""
+        self.on_failure: list[Callable[[], object]] = []
+        """Hear of each such call."""
 
     async def admit(self, kind: str) -> KeyValueFailure | None:
         """Wait for a place in the budget and count the call."""
@@ -108,6 +111,8 @@
         else:
             self.budget.failed(self.loop.now())
             self.failing = True
+            for callback in self.on_failure:
+                callback()
         return self.count_failure(kind, failure)
 
     def count_failure(self, kind: str, failure: KeyValueFailure) -> KeyValueFailure:
--- a/parsleyrouter/process/cell_reads.py
+++ b/parsleyrouter/process/cell_reads.py
@@ -76,6 +76,7 @@
         self.speaker_again_s = 0.0
         self.own_again_s: dict[str, float] = {}
         self.source = ""
+        store.on_failure.append(lambda: self._failed(loop.now()))
         self.on_failure: list[Callable[[float], object]] = []
         """Hear when the service failed, here or at the speaker."""
 
@@ -161,7 +162,6 @@
         if not isinstance(page, KeyValueFailure):
             self.answered_s[prefix] = now
             return
-        self._failed(now)
         if self.exchange.speaker() != self.exchange.registry.own.node:
             self.own_again_s[prefix] = now + OWN_TRY_S * self.random.uniform(0.7, 1.3)
             self.speaker_again_s = 0.0
--- a/parsleyrouter/process/front.py
+++ b/parsleyrouter/process/front.py
@@ -10,6 +10,7 @@
 from parsleyrouter.connection.call_budget import BudgetSettings
 from parsleyrouter.connection.endpoint_client import EndpointClient
 from parsleyrouter.connection.key_value import Changed, Entry, KeyValueFailure, Transaction
+from parsleyrouter.connection.peer import PeerServer
 from parsleyrouter.ids import NodeId
 from parsleyrouter.process.cell_reads import CellReads
 from parsleyrouter.process.endpoint_directory import EndpointDirectory, RegisteredEndpoint
@@ -84,6 +85,7 @@
         self.reads = CellReads(self.loop, self.store, self.exchange, runtime.peers, self.random)
         self.reads.on_failure.append(self.directory.store_failed)
         self.worker: JobWorker
+        self.peers: PeerServer
 
     def follow(self) -> None:
         """Begin to follow what the store tells."""
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -67,13 +67,16 @@
     methods = PeerMethods()
     add_cell_methods(methods, front.reads)
     add_job_methods(methods, front.board, reader)
-    PeerServer(runtime.loop, options.nodes, methods, None, channel="nodes").register(runtime)
+    channel = f"nodes-{options.nodes}"
+    front.peers = PeerServer(runtime.loop, options.nodes, methods, None, channel=channel)
+    front.peers.register(runtime)
     desk = SharedJobDesk(
         runtime.loop,
         job_store,
         reader,
         JobPeers(runtime.loop, runtime.peers, front.registry, front.board, reader),
         front.board,
+        owner,
         front.registry,
         front.routes,
         job_metrics,
--- a/parsleyrouter/process/job_board.py
+++ b/parsleyrouter/process/job_board.py
@@ -72,6 +72,13 @@
             self._tell(view)
         return view
 
+    def put_owned(self, kept: KeptJob, node: NodeId) -> None:
+        """Take a job that was created together with its owner."""
+        view = self.jobs.setdefault(kept.record.job, JobView(kept.record.job))
+        if kept.revision > view.owner_revision:
+            view.owner, view.owner_revision = node, kept.revision
+        self.put(kept)
+
     def _apply(self, change: Changed) -> bool:
         job, part = split_key(change.key)
         view = self.jobs.setdefault(job, JobView(job))
--- a/parsleyrouter/process/job_owner.py
+++ b/parsleyrouter/process/job_owner.py
@@ -6,13 +6,13 @@
 from random import Random
 
 from parsleyrouter.connection.key_value import KeyValueFailure, LeaseLost, Swapped
-from parsleyrouter.ids import JobId
+from parsleyrouter.ids import ItemIndex, JobId
 from parsleyrouter.process.job_board import JobBoard, JobView
 from parsleyrouter.process.job_run import JobRun
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.node_registry import NodeRegistry
-from parsleyrouter.process.shared_job_store import SharedJobStore
-from parsleyrouter.request.shared_job import ItemResult
+from parsleyrouter.process.shared_job_store import KeptJob, SharedJobStore
+from parsleyrouter.request.shared_job import ItemResult, JobItem
 
 __all__ = ["JobOwner"]
 
@@ -66,6 +66,12 @@
         if view.owner is None or (mine and run is None):
             self._take_soon(view)
 
+    def begin(self, kept: KeptJob, items: list[JobItem]) -> None:
+        """Run a job that this node has just created as its owner."""
+        if not self.leaving and kept.record.job not in self.runs:
+            self._run(kept, items, frozenset())
+        self.board.put_owned(kept, self.registry.own.node)
+
     def look_at_all(self) -> None:
         """Look at every job, after the lease has been taken anew."""
         for view in list(self.board.jobs.values()):
@@ -147,15 +153,20 @@
             return
         if not view.open or view.owner != self.registry.own.node:
             return
-        run = JobRun(self.loop, self.store, self.board, view.kept, items, set(listed.indexes))
+        run = self._run(view.kept, items, listed.indexes)
         run.restore(saved)
-        run.on_listed = partial(self.on_listed, record.job)
-        self.runs[record.job] = run
-        fields = {"job": record.job, "item_count": len(items), "listed": len(run.listed)}
-        fields["saved"] = len(saved)
-        log.info("job taken up", extra=fields)
+        log.info("job taken up", extra={"job": record.job, "saved": len(saved)})
         run.close_if_done()
 
+    def _run(self, kept: KeptJob, items: list[JobItem], listed: frozenset[ItemIndex]) -> JobRun:
+        job = kept.record.job
+        run = JobRun(self.loop, self.store, self.board, kept, items, set(listed))
+        run.on_listed = partial(self.on_listed, job)
+        self.runs[job] = run
+        fields = {"job": job, "item_count": len(items), "listed": len(listed)}
+        log.info("job runs here", extra=fields | {"revision": kept.revision})
+        return run
+
     def _log_job(self, message: str, view: JobView) -> None:
         kept = view.kept
         fields: dict[str, object] = {"job": view.job, "owner": view.owner}
--- a/parsleyrouter/process/shared_job_desk.py
+++ b/parsleyrouter/process/shared_job_desk.py
@@ -19,6 +19,7 @@
 from parsleyrouter.process.forwarder import refuse
 from parsleyrouter.process.job_board import JobBoard
 from parsleyrouter.process.job_metrics import JobMetrics
+from parsleyrouter.process.job_owner import JobOwner
 from parsleyrouter.process.job_peers import JobPeers
 from parsleyrouter.process.job_reader import JobReader
 from parsleyrouter.process.loop import Loop
@@ -62,6 +63,7 @@
         reader: JobReader,
         peers: JobPeers,
         board: JobBoard,
+        owner: JobOwner,
         registry: NodeRegistry,
         routes: RoutesInForce,
         metrics: JobMetrics,
@@ -74,6 +76,7 @@
         self.reader = reader
         self.peers = peers
         self.board = board
+        self.owner = owner
         self.registry = registry
         self.routes = routes
         self.metrics = metrics
@@ -125,8 +128,13 @@
         own = self.registry.own.node
         done = await self.store.create(record, job.items, own, lease)
         if isinstance(done, LeaseLost):
-            done = await self.store.create(record, job.items, own, 0)
-        if isinstance(done, Swapped | TransactionConflict):
+            lease = 0
+            done = await self.store.create(record, job.items, own, lease)
+        if isinstance(done, KeptJob):
+            if lease:
+                self.owner.begin(done, job.items)
+            return HTTPStatus.ACCEPTED, b"{}"
+        if isinstance(done, TransactionConflict):
             return HTTPStatus.ACCEPTED, b"{}"
         if isinstance(done, KeyValueFailure) and not done.maybe_applied:
             message = f"the job cannot be kept now: {done.message}"
--- a/parsleyrouter/process/shared_job_store.py
+++ b/parsleyrouter/process/shared_job_store.py
@@ -132,8 +132,8 @@
 
     async def create(
         self, record: JobRecord, items: Sequence[JobItem], node: NodeId, lease: int
-    ) -> Swapped | TransactionConflict | LeaseLost | KeyValueFailure:
-        """Create a job that is owned by a node; a conflict means that it exists."""
+    ) -> KeptJob | TransactionConflict | LeaseLost | KeyValueFailure:
+        """Create a job owned by a node, if there is a lease; a conflict means that it exists."""
         keys = JobKeys(record.job)
         data = msgspec.msgpack.encode(list(items))
         pieces = [data[at : at + CHUNK_BYTES] for at in range(0, len(data), CHUNK_BYTES)]
@@ -142,7 +142,8 @@
         writes += [Write(keys.chunk(number), piece) for number, piece in enumerate(pieces)]
         if lease:
             writes.append(Write(keys.owner, node.encode(), lease))
-        return await self.store.transact(Transaction({keys.record: ABSENT}, tuple(writes)))
+        done = await self.store.transact(Transaction({keys.record: ABSENT}, tuple(writes)))
+        return KeptJob(record, done.revision) if isinstance(done, Swapped) else done
 
     async def read(self, job: JobId) -> KeptJob | None | KeyValueFailure:
         """Read the record of a job."""
