Take hang-ups from the first moment on; check settings; take silent changes of the settings file

Ruled out: the handler itself, which stays in force once set. The program ignores hang-ups before it imports anything else; the settings are read later anyway.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 .DEFAULT_GOAL := help
-.PHONY: help setup format lint test demo ci thrift bench-online bench-online-whole bench-path prove prove-mutants bench-control bench-batch
+.PHONY: soak help setup format lint test demo ci thrift bench-online bench-online-whole bench-path prove prove-mutants bench-control bench-batch
 
 help: ## list the targets
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -27,6 +27,9 @@
 test: $(STAMP) ## set up and run every test
 	$(PYTHON) tools/run_tests.py
 
+soak: $(STAMP) ## play a few seeded faults against real processes
+	$(PYTHON) -m soak many 3 --first 1 --jobs 3
+
 demo: $(STAMP) ## set up and run the whole system on embedded stand-ins
 	$(VENV)/bin/parsley-dev demo
 
--- a/features/front_node.feature
+++ b/features/front_node.feature
@@ -49,6 +49,18 @@
     When a front process is started, sent SIGHUP and then SIGTERM
     Then it logs start, reload and stop, and ends with code 0 within its grace
 
+  Scenario: a hang-up during the start does not end a process
+    When a front process and an idle one get hang-ups from the first imports on
+    Then both start and serve
+
+  Scenario: a settings file that changes without a signal is taken
+    When the settings file of a front process is changed and then broken
+    Then it logs which settings have changed, and that the broken file is not taken
+
+  Scenario: settings are checked without serving
+    When the settings of a front process are checked
+    Then the settings in force and their sources are printed, and those that are not used
+
   Scenario: a process names what is wrong with its settings file
     When a front process is started with broken settings
     Then it ends with code 2 and names what is wrong
--- a/features/steps/front_node_steps.py
+++ b/features/steps/front_node_steps.py
@@ -349,3 +349,84 @@
 @then("it ends at the second with code 0")
 def step_idle_ended(context: Any) -> None:
     assert context.code == 0
+
+
+def hang_up_from_the_start(process: Any) -> None:
+    """Send hang-ups from the moment on at which the program has taken control."""
+    status = Path(f"/proc/{process.pid}/status")
+    until_s = time.monotonic() + 20
+    while time.monotonic() < until_s:
+        rows = dict(row.split(":\t") for row in status.read_text().splitlines() if ":\t" in row)
+        masks = (rows["SigIgn"], rows["SigCgt"], rows["SigBlk"])
+        if any(int(mask, 16) & 1 << (signal.SIGHUP - 1) for mask in masks):
+            break
+    imported = "thrift" in Path(f"/proc/{process.pid}/maps").read_text()
+    assert not imported, "the program takes control only after its imports"
+    for _ in range(20):
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.01)
+
+
+@when("a front process and an idle one get hang-ups from the first imports on")
+def step_early_hang_up(context: Any) -> None:
+    listen = {name: free_address() for name in ("front", "ready", "directory")}
+    settings = SETTINGS.format(port=free_address().rpartition(":")[2], **listen)
+    context.started = []
+    for module, text in (("front", settings), ("idle_store", "")):
+        with program(f"parsleyrouter.commands.{module}", text) as process:
+            hang_up_from_the_start(process)
+            read_until(process, "started")
+            process.send_signal(signal.SIGHUP)
+            read_until(process, "settings reloaded" + ", none is used" * (module != "front"))
+            context.started.append(process.poll())
+
+
+@then("both start and serve")
+def step_both_serve(context: Any) -> None:
+    assert context.started == [None, None]
+
+
+@when("the settings file of a front process is changed and then broken")
+def step_silent_change(context: Any) -> None:
+    listen = {name: free_address() for name in ("front", "ready", "directory")}
+    settings = SETTINGS.format(port=free_address().rpartition(":")[2], **listen)
+    with program("parsleyrouter.commands.front", settings) as process:
+        read_until(process, "started")
+        path = Path(f"/proc/{process.pid}/environ").read_bytes().split(b"\0")
+        file = Path(
+            dict(row.split(b"=", 1) for row in path if row)[b"PARSLEYROUTER_CONFIG"].decode()
+        )
+        file.write_text(settings + "\n[limits]\nmemoryMb = 300\n")
+        context.changed = read_until(process, "settings reloaded")[-1]
+        file.write_text("broken =")
+        context.refused = read_until(process, "settings not reloaded, the former ones stay")[-1]
+
+
+@then("it logs which settings have changed, and that the broken file is not taken")
+def step_silent_change_taken(context: Any) -> None:
+    assert context.changed == "settings reloaded"
+    assert context.refused.startswith("settings not reloaded")
+
+
+@when("the settings of a front process are checked")
+def step_check(context: Any) -> None:
+    listen = {name: free_address() for name in ("front", "ready", "directory")}
+    settings = "new = 1\n" + SETTINGS.format(port=7, **listen)
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "node.toml"
+        path.write_text(settings)
+        command = [sys.executable, "-m", "parsleyrouter.commands.front", "--check"]
+        environment = os.environ | {"PARSLEYROUTER_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
+        done = subprocess.run(
+            command, env=environment, capture_output=True, text=True, check=False, timeout=30
+        )
+    context.code, context.lines, context.path = done.returncode, done.stdout.splitlines(), path
+
+
+@then("the settings in force and their sources are printed, and those that are not used")
+def step_checked(context: Any) -> None:
+    assert context.code == 0
+    assert any(
+        line.startswith("grace_s = ") and line.endswith(str(context.path)) for line in context.lines
+    )
+    assert "# new: not used" in context.lines
--- /dev/null
+++ b/features/steps/soak_checks_steps.py
@@ -0,0 +1,88 @@
+"""Steps for the checks of the soak, on stories that break one promise each."""
+
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any
+
+from behave import then, when
+
+from soak.checks import problems
+from soak.endpoints import expected_body, item_output
+from soak.journal import Attempt, JobStory, Journal, Kind, Run
+
+Break = Callable[[Journal], object]
+
+
+def good_journal() -> Journal:
+    """Return a story in which all promises are kept."""
+    journal = Journal()
+    for name, kind in (("a1", Kind.STREAM), ("a2", Kind.SAFE), ("a3", Kind.MOVED)):
+        body = expected_body(name, kind is Kind.STREAM)
+        journal.attempts[name] = Attempt(
+            name, kind, "n", 50.0, 200, "sig-e", body, True, 51.0, version=2, version_s=10.0
+        )
+        service = "engines" if kind is Kind.STREAM else "cards"
+        journal.runs.append(Run(name, "e", service, "/", f"body {name}".encode(), 50.0))
+    journal.attempts["a4"] = Attempt("a4", Kind.STREAM, "n", 50.0, 503, "", b"", True)
+    story = JobStory("j", ["i1", "i2"], [202], 40.0)
+    story.results = {at: (f"i{at + 1}", "completed", item_output(f"i{at + 1}")) for at in (0, 1)}
+    journal.jobs["j"] = story
+    journal.jobs["k"] = JobStory("k", ["i3"], [503, 503], refused_for_good=True)
+    journal.runs += [
+        Run(one, "e", "engines", "/", f"body {one}".encode(), 41.0) for one in story.items
+    ]
+    return journal
+
+
+def run(attempt: str, service: str = "engines", body: bytes | None = None) -> Run:
+    return Run(attempt, "e", service, "/", body or f"body {attempt}".encode(), 50.0)
+
+
+def result(position: int, item: str, output: str) -> Break:
+    return lambda story: story.jobs["j"].results.update({position: (item, "completed", output)})
+
+
+BREAKS: dict[str, Break] = {
+    "an answer that belongs to another": lambda story: setattr(
+        story.attempts["a2"], "body", expected_body("a9", stream=False)
+    ),
+    "an answer without a signature": lambda story: setattr(story.attempts["a2"], "proof", ""),
+    "a stream that ran twice": lambda story: story.runs.append(run("a1")),
+    "a refusal of a request that ran": lambda story: story.runs.append(run("a4")),
+    "a run that nobody asked for": lambda story: story.runs.append(run("a8")),
+    "a run with another body": lambda story: story.runs.append(run("a2", "cards", b"other")),
+    "a route that is handled as before": lambda story: setattr(story.runs[2], "service", "engines"),
+    "a job with an item missing": lambda story: story.jobs["j"].results.pop(1),
+    "an item at two positions": result(1, "i1", item_output("i1")),
+    "an item with an event missing": result(1, "i2", item_output("i2").replace("i2 7\n", "")),
+    "a refused job that ran": lambda story: story.runs.append(run("i3")),
+    "a process that ended by itself": lambda story: story.ends.append("n ended by itself"),
+}
+
+
+def found(journal: Journal) -> list[str]:
+    node = SimpleNamespace(name="n", calm_since=lambda at_s: True, versions=lambda: [0, 1, 2])
+    world: Any = SimpleNamespace(journal=journal, nodes=[node], version=2, version_s=10.0)
+    return problems(world)
+
+
+@when("nothing goes wrong for callers and endpoints")
+def step_good(context: Any) -> None:
+    context.found = found(good_journal())
+
+
+@then("the soak reports nothing")
+def step_nothing(context: Any) -> None:
+    assert not context.found, context.found
+
+
+@when("callers and endpoints see {broken}")
+def step_broken(context: Any, broken: str) -> None:
+    journal = good_journal()
+    BREAKS[broken](journal)
+    context.found = found(journal)
+
+
+@then('the soak reports it under "{promise}"')
+def step_reported(context: Any, promise: str) -> None:
+    assert any(one.startswith(promise) for one in context.found), context.found
--- a/parsleyrouter/platform/settings.py
+++ b/parsleyrouter/platform/settings.py
@@ -9,7 +9,7 @@
 from parsleyrouter.process.front_options import FrontOptions
 from parsleyrouter.process.setting_checks import BadSetting
 
-__all__ = ["SETTINGS_VARIABLE", "read_settings"]
+__all__ = ["SETTINGS_VARIABLE", "read_settings", "unknown_fields"]
 
 SETTINGS_VARIABLE = "PARSLEYROUTER_CONFIG"
 
@@ -70,3 +70,9 @@
     )
     options.check()
     return options
+
+
+def unknown_fields(path: Path) -> list[str]:
+    """Return the settings in a file that a front process does not use; they do no harm."""
+    known = {field.encode_name for field in msgspec.structs.fields(_Settings)}
+    return sorted(tomllib.loads(path.read_text()).keys() - known)
