--- a/examples/sharing_endpoints.py
+++ b/examples/sharing_endpoints.py
@@ -6,8 +6,8 @@
 from random import Random
 
 from parsleyrouter.ids import DomainName, EndpointId
-from parsleyrouter.request.admission import Admit, admit
 from parsleyrouter.process.batch_room import place_batch
+from parsleyrouter.request.admission import Admit, admit
 from parsleyrouter.request.placement import Candidate, choose, queue_wait_s
 
 SERVICE_S = 0.7
