Forget readers whose wait has run out

Cause, found in reading: at a speaker, each wait for changes that ran out left its promise behind until the next change; under a prefix where nothing changes, such as the routes, some twenty a second pile up. The same with readers of a job that makes no progress. Ruled out: the timers, which are cancelled.

A test counts what waits at speakers of a fleet at rest: 4 before, at most 2 after.

--- a/features/large_fleet.feature
+++ b/features/large_fleet.feature
@@ -28,6 +28,11 @@
     When the fleet is at rest and the routes change
     Then only the speakers read from the store, and all nodes have the new routes at once
 
+  Scenario: nothing piles up at a speaker while nothing changes
+    Given a large fleet of a few nodes that are divided into two cells
+    When the fleet is at rest for a while
+    Then no more readers wait at a speaker than its cell has nodes that ask
+
   Scenario: a speaker that the store does not answer is passed over
     Given a large fleet of a few nodes that are divided into two cells
     When the store stops answering a speaker and the routes change
--- a/features/steps/cell_reads_steps.py
+++ b/features/steps/cell_reads_steps.py
@@ -66,6 +66,23 @@
     assert context.took_s < 0.5, context.took_s
 
 
+@when("the fleet is at rest for a while")
+def step_rest_long(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        speakers, _ = await start_cells(fleet)
+        await fleet.loop.sleep(2 * QUIET_S)
+        context.waiting = [
+            len(kept.waiting) for one in speakers for kept in one.reads.kept.values()
+        ]
+
+    play(context, scene)
+
+
+@then("no more readers wait at a speaker than its cell has nodes that ask")
+def step_no_pile(context: Any) -> None:
+    assert max(context.waiting) <= 2, context.waiting
+
+
 @when("the store stops answering a speaker and the routes change")
 def step_cut_speaker(context: Any) -> None:
     async def scene(fleet: FrontFleet) -> None:
--- a/parsleyrouter/process/followed_prefix.py
+++ b/parsleyrouter/process/followed_prefix.py
@@ -23,7 +23,7 @@
     changes: deque[Changed] = field(default_factory=deque)
     base: Revision = Revision(0)
     revision: Revision | None = None
-    waiting: list[Promise[None]] = field(default_factory=list)
+    waiting: set[Promise[None]] = field(default_factory=set)
 
     def replace(self, entries: Iterable[Entry], revision: Revision | None) -> None:
         """Take a whole listing."""
@@ -54,12 +54,13 @@
     async def wait(self, limit_s: float) -> None:
         """Wait for a change."""
         promise: Promise[None] = self.loop.promise()
-        self.waiting.append(promise)
+        self.waiting.add(promise)
         timer = self.loop.call_later(limit_s, lambda: promise.resolve(None))
         await promise
         timer.cancel()
+        self.waiting.discard(promise)
 
     def _wake(self) -> None:
-        waiting, self.waiting = self.waiting, []
+        waiting, self.waiting = self.waiting, set()
         for promise in waiting:
             promise.resolve(None)
--- a/parsleyrouter/process/job_reader.py
+++ b/parsleyrouter/process/job_reader.py
@@ -31,7 +31,7 @@
 
     def __init__(self) -> None:
         self.results: list[ItemResult] = []
-        self.waiting: list[Promise[None]] = []
+        self.waiting: set[Promise[None]] = set()
         self.revision: Revision | None = None
         self.items: list[JobItem] | None = None
         self.size = 0
@@ -82,17 +82,18 @@
         """Take results that are listed from a position on, unless some before them are missing."""
         kept = self._keep(job)
         self._append(kept, dict(enumerate(results, start)))
-        waiting, kept.waiting = kept.waiting, []
+        waiting, kept.waiting = kept.waiting, set()
         for promise in waiting:
             promise.resolve(None)
 
     async def _wait(self, kept: _Kept, limit_s: float) -> None:
         """Wait for results that this node lists."""
         promise: Promise[None] = self.loop.promise()
-        kept.waiting.append(promise)
+        kept.waiting.add(promise)
         timer = self.loop.call_later(limit_s, lambda: promise.resolve(None))
         await promise
         timer.cancel()
+        kept.waiting.discard(promise)
 
     async def items(self, record: JobRecord) -> list[JobItem] | KeyValueFailure:
         """Return the items of a job, from memory when they were read lately."""
