--- a/features/large_fleet.feature
+++ b/features/large_fleet.feature
@@ -56,6 +56,10 @@
     When the node that runs a job cannot be reached by another that is asked for results
     Then the other reads all results from the store
 
+  Scenario: a node that took a job over asks the store before it says that nothing is new
+    When a node has taken a job over and its former owner lists results that it had
+    Then readers at the first node see them
+
   Scenario: a node that may have lost a job asks the store before it says that nothing is new
     When a node's lease has not been renewed and another node lists results of its job
     Then readers at the first node see them
--- a/features/steps/cell_reads_steps.py
+++ b/features/steps/cell_reads_steps.py
@@ -9,7 +9,7 @@
 from features.steps.front_requests_steps import play
 from features.support.front_fleet import FrontFleet, routes
 from parsleyrouter.connection.peer import PeerFailure, PeerFailureKind
-from parsleyrouter.ids import Address, ItemId, ItemIndex, JobId
+from parsleyrouter.ids import Address, ItemId, ItemIndex, JobId, Revision
 from parsleyrouter.process.front import Front
 from parsleyrouter.request.shared_job import ItemResult, ItemState
 
@@ -206,6 +206,23 @@
     play(context, scene)
 
 
+@when("a node has taken a job over and its former owner lists results that it had")
+def step_taken_over(context: Any) -> None:
+    async def scene(fleet: FrontFleet) -> None:
+        await fleet.start(1)
+        front = fleet.fronts[0]
+        owner = front.worker.owner
+        assert (await submit(fleet)).status == 202
+        await fleet.until(lambda: bool(owner.runs))
+        view = front.board.jobs[JobId("job1")]
+        view.owner_revision = Revision(view.owner_revision + 1)
+        result = ItemResult(ItemId("item0"), ItemState.COMPLETED, "text")
+        await owner.store.list_results(JobId("job1"), 0, {ItemIndex(0): result})
+        context.page = await read(fleet)
+
+    play(context, scene)
+
+
 @then("readers at the first node see them")
 def step_seen(context: Any) -> None:
     assert [one["id"] for one in context.page["results"]] == ["item0"]
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -37,7 +37,8 @@
     """Run a coroutine on a new fleet of the scenario's size."""
 
     async def start(runtime: Runtime) -> Any:
-        with tempfile.TemporaryDirectory() as folder:
+        # Threads of the fleet may still write while the folder is removed.
+        with tempfile.TemporaryDirectory(ignore_cleanup_errors=True) as folder:
             return await main(BatchFleet(runtime, Path(folder), **context.fleet))
 
     return run_on_loop(start)
--- a/parsleyrouter/process/job_owner.py
+++ b/parsleyrouter/process/job_owner.py
@@ -78,9 +78,14 @@
             self.look_at(view)
 
     def listed(self, job: JobId) -> int | None:
-        """Return how many results of a job are listed if this node surely owns it still."""
-        run = self.runs.get(job)
-        if run is None or not self.registry.sure():
+        """Return how many results of a job are listed if no other node can have listed any.
+
+        A former owner still lists what it had done, so this holds only where there was none.
+        """
+        run, view = self.runs.get(job), self.board.jobs.get(job)
+        if run is None or view is None or not self.registry.sure():
+            return None
+        if view.owner_revision != run.kept.revision:
             return None
         return len(run.listed)
 
