Give a transaction one revision in the store's stand-in; test a real takeover

Cause: the stand-in gave each key of a transaction a revision of its own and answered with the last, so the node that had created a job expected a revision that its record did not have, and could neither close it nor claim it again. A test of a takeover was therefore replaced by one that only changed a revision.

The test plays the takeover; it fails without the change that it is for (the code before it, 1 failed) and passes with it.

--- a/features/steps/cell_reads_steps.py
+++ b/features/steps/cell_reads_steps.py
@@ -9,7 +9,7 @@
 from features.steps.front_requests_steps import play
 from features.support.front_fleet import FrontFleet, routes
 from parsleyrouter.connection.peer import PeerFailure, PeerFailureKind
-from parsleyrouter.ids import Address, ItemId, ItemIndex, JobId, Revision
+from parsleyrouter.ids import Address, ItemId, ItemIndex, JobId
 from parsleyrouter.process.front import Front
 from parsleyrouter.request.shared_job import ItemResult, ItemState
 
@@ -214,8 +214,10 @@
         owner = front.worker.owner
         assert (await submit(fleet)).status == 202
         await fleet.until(lambda: bool(owner.runs))
-        view = front.board.jobs[JobId("job1")]
-        view.owner_revision = Revision(view.owner_revision + 1)
+        fleet.store.put("parsley/live/job/job1/owner", b"front-9")
+        await fleet.until(lambda: not owner.runs)
+        fleet.store.remove("parsley/live/job/job1/owner")
+        await fleet.until(lambda: JobId("job1") in owner.runs)
         result = ItemResult(ItemId("item0"), ItemState.COMPLETED, "text")
         await owner.store.list_results(JobId("job1"), 0, {ItemIndex(0): result})
         context.page = await read(fleet)
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -70,6 +70,9 @@
 
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
         self.revision += 1
+        return self._put(key, value, lease)
+
+    def _put(self, key: str, value: bytes, lease: int) -> int:
         former = self.rows.get(key)
         created = former.created if former else self.revision
         self.rows[key] = Row(key, value, self.revision, created, lease)
@@ -80,8 +83,12 @@
         return self.put(key, msgspec.json.encode(value))
 
     def remove(self, key: str) -> None:
-        if self.rows.pop(key, None) is not None:
+        if key in self.rows:
             self.revision += 1
+            self._remove(key)
+
+    def _remove(self, key: str) -> None:
+        if self.rows.pop(key, None) is not None:
             self._changed(key)
 
     def forget_history(self) -> None:
@@ -191,8 +198,9 @@
         for row in body["writes"]:
             if row.get("lease") and row["lease"] not in self.leases:
                 return 404, {}
+        self.revision += 1
         for row in body["writes"]:
-            self.put(row["key"], b64decode(row["value"]), row.get("lease", 0))
+            self._put(row["key"], b64decode(row["value"]), row.get("lease", 0))
         for key in body["deletes"]:
-            self.remove(key)
+            self._remove(key)
         return 200, {"revision": self.revision}
