Wait for changes through one signal; load a front's settings in one place; remove unused reads

Found in reading the change: the signal of a part's runner did what two new waits did again, and it left a callback behind at each wait that ran out, as they had. One signal now serves all three and leaves nothing. Changes behind a revision are read from the newest back, not through all 2,000 kept, at each question to a speaker. The speaker's sum looks at its cell once. SharedJobStore.results and Listed.next_position had no callers.

--- a/parsleyrouter/commands/front_program.py
+++ b/parsleyrouter/commands/front_program.py
@@ -16,7 +16,7 @@
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.process.setting_checks import EXIT_BAD_SETTING, BadSetting
 
-__all__ = ["METRICS_VARIABLE", "run"]
+__all__ = ["METRICS_VARIABLE", "load_options", "run"]
 
 METRICS_VARIABLE = "PARSLEY_METRICS_PORT"
 
@@ -26,14 +26,19 @@
 log = logging.getLogger(__name__)
 
 
-def run() -> None:
-    """Run until a planned stop."""
+def load_options() -> tuple[Path, FrontOptions]:
+    """Return the settings file and what it holds; end the program if it cannot be used."""
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
-        options = read_settings(path, os.environ.get(METRICS_VARIABLE, ""))
+        return path, read_settings(path, os.environ.get(METRICS_VARIABLE, ""))
     except BadSetting as error:
         print(f"parsley-front: {error}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTING)
+
+
+def run() -> None:
+    """Run until a planned stop."""
+    path, options = load_options()
     start_logs(program="parsley-front", level=options.log_level, output=sys.stdout.fileno())
     runtime = Runtime()
     watch = SettingsWatch(path, options)
--- a/parsleyrouter/process/cell_reads.py
+++ b/parsleyrouter/process/cell_reads.py
@@ -25,6 +25,7 @@
 from parsleyrouter.process.followed_prefix import FollowedPrefix
 from parsleyrouter.process.load_exchange import LoadExchange
 from parsleyrouter.process.loop import Loop
+from parsleyrouter.process.wake_signal import Signal
 from parsleyrouter.thrift_gen.nodes.ttypes import AskFollowed, Followed, FollowedKey
 
 __all__ = ["CellReads", "add_cell_methods"]
@@ -82,7 +83,7 @@
 
     def keep(self, prefix: str) -> FollowedPrefix:
         """Return where the follower of a prefix keeps what it knows."""
-        return self.kept.setdefault(prefix, FollowedPrefix(self.loop))
+        return self.kept.setdefault(prefix, FollowedPrefix(Signal(self.loop)))
 
     def fresh(self, prefix: str) -> bool:
         """Tell whether the service has answered this process itself lately."""
@@ -196,7 +197,7 @@
             left_s = until_s - reads.loop.now()
             if left_s <= 0 or kept.base > ask.after:
                 break
-            await kept.wait(left_s)
+            await kept.changed.wait(left_s)
         if not reads.fresh(ask.prefix) or kept.base > ask.after:
             return _refused(reads, ask.prefix)
         keys = [_wire(change.key, change.revision, change.entry) for change in changes]
--- a/parsleyrouter/process/fleet_loads.py
+++ b/parsleyrouter/process/fleet_loads.py
@@ -91,10 +91,12 @@
     def take_cell(self, told: CellSum) -> bool:
         """Take the sum of another cell; a new speaker's word replaces that of the former one."""
         known = self.cells.get(told.cell)
-        if known is not None and known.speaker == told.speaker:
-            older = (known.boot, known.sequence) >= (told.boot, told.sequence)
-            if older:
-                return False
+        if (
+            known is not None
+            and known.speaker == told.speaker
+            and (known.boot, known.sequence) >= (told.boot, told.sequence)
+        ):
+            return False
         self.cells[told.cell] = told
         self._replace(known, told)
         return True
--- a/parsleyrouter/process/followed_prefix.py
+++ b/parsleyrouter/process/followed_prefix.py
@@ -3,10 +3,11 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from itertools import takewhile
 
 from parsleyrouter.connection.key_value import Changed, Entry
 from parsleyrouter.ids import Revision
-from parsleyrouter.process.loop import Loop, Promise
+from parsleyrouter.process.wake_signal import Signal
 
 __all__ = ["FollowedPrefix"]
 
@@ -18,12 +19,11 @@
 class FollowedPrefix:
     """What one follower knows; ``base`` is the revision behind which all changes are kept."""
 
-    loop: Loop
+    changed: Signal
     entries: dict[str, Entry] = field(default_factory=dict)
     changes: deque[Changed] = field(default_factory=deque)
     base: Revision = Revision(0)
     revision: Revision | None = None
-    waiting: set[Promise[None]] = field(default_factory=set)
 
     def replace(self, entries: Iterable[Entry], revision: Revision | None) -> None:
         """Take a whole listing."""
@@ -31,7 +31,7 @@
         self.changes.clear()
         self.base = revision or Revision(0)
         self.revision = revision
-        self._wake()
+        self.changed.fire()
 
     def apply(self, changes: Iterable[Changed], revision: Revision) -> None:
         """Take changes in order and the revision that they lead to."""
@@ -45,22 +45,9 @@
             self.base = self.changes.popleft().revision
         self.revision = revision
         if self.changes:
-            self._wake()
+            self.changed.fire()
 
     def behind(self, revision: Revision) -> list[Changed]:
         """Return the changes kept behind a revision, in order."""
-        return [change for change in self.changes if change.revision > revision]
-
-    async def wait(self, limit_s: float) -> None:
-        """Wait for a change."""
-        promise: Promise[None] = self.loop.promise()
-        self.waiting.add(promise)
-        timer = self.loop.call_later(limit_s, lambda: promise.resolve(None))
-        await promise
-        timer.cancel()
-        self.waiting.discard(promise)
-
-    def _wake(self) -> None:
-        waiting, self.waiting = self.waiting, set()
-        for promise in waiting:
-            promise.resolve(None)
+        newest_first = takewhile(lambda one: one.revision > revision, reversed(self.changes))
+        return list(newest_first)[::-1]
--- a/parsleyrouter/process/item_runs.py
+++ b/parsleyrouter/process/item_runs.py
@@ -9,7 +9,8 @@
 from parsleyrouter.process.job_records import PartRecord
 from parsleyrouter.process.loop import Cancelled, Task
 from parsleyrouter.process.part_load import LoadedPart
-from parsleyrouter.process.runner_tools import RunnerTools, Signal
+from parsleyrouter.process.runner_tools import RunnerTools
+from parsleyrouter.process.wake_signal import Signal
 from parsleyrouter.request.batch_item import ItemOutcome, ItemResult, result_line
 
 __all__ = ["ItemRuns"]
--- a/parsleyrouter/process/job_reader.py
+++ b/parsleyrouter/process/job_reader.py
@@ -9,8 +9,9 @@
     TransactionalKeyValue,
 )
 from parsleyrouter.ids import JobId, Revision
-from parsleyrouter.process.loop import Loop, Promise
+from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.shared_job_store import JobKeys, SharedJobStore, by_position
+from parsleyrouter.process.wake_signal import Signal
 from parsleyrouter.request.job_call import ResultPage
 from parsleyrouter.request.shared_job import ItemResult, JobItem, JobRecord
 
@@ -29,9 +30,9 @@
 class _Kept:
     """What readers of one job have been shown so far; results never change."""
 
-    def __init__(self) -> None:
+    def __init__(self, loop: Loop) -> None:
         self.results: list[ItemResult] = []
-        self.waiting: set[Promise[None]] = set()
+        self.fed = Signal(loop)
         self.revision: Revision | None = None
         self.items: list[JobItem] | None = None
         self.size = 0
@@ -63,7 +64,7 @@
             if listed is not None and listed <= len(kept.results):
                 if left_s <= 0:
                     return page
-                await self._wait(kept, min(left_s, RECHECK_S))
+                await kept.fed.wait(min(left_s, RECHECK_S))
                 continue
             failure = await self._read_on(record.job, kept, max(0.0, left_s))
             if failure is not None:
@@ -82,18 +83,7 @@
         """Take results that are listed from a position on, unless some before them are missing."""
         kept = self._keep(job)
         self._append(kept, dict(enumerate(results, start)))
-        waiting, kept.waiting = kept.waiting, set()
-        for promise in waiting:
-            promise.resolve(None)
-
-    async def _wait(self, kept: _Kept, limit_s: float) -> None:
-        """Wait for results that this node lists."""
-        promise: Promise[None] = self.loop.promise()
-        kept.waiting.add(promise)
-        timer = self.loop.call_later(limit_s, lambda: promise.resolve(None))
-        await promise
-        timer.cancel()
-        kept.waiting.discard(promise)
+        kept.fed.fire()
 
     async def items(self, record: JobRecord) -> list[JobItem] | KeyValueFailure:
         """Return the items of a job, from memory when they were read lately."""
@@ -148,7 +138,7 @@
         return ResultPage(record.total, start, tuple(results))
 
     def _keep(self, job: JobId) -> _Kept:
-        kept = self.kept.setdefault(job, _Kept())
+        kept = self.kept.setdefault(job, _Kept(self.loop))
         self.kept.move_to_end(job)
         while len(self.kept) > 1 and sum(one.size for one in self.kept.values()) > CACHE_BYTES:
             self.kept.popitem(last=False)
--- a/parsleyrouter/process/load_exchange.py
+++ b/parsleyrouter/process/load_exchange.py
@@ -116,13 +116,17 @@
         ]
 
     def speaker(self) -> NodeId:
-        """Return the node that speaks for this cell: the first of those heard of lately."""
+        """Return the node that speaks for this cell: the first that stays of those heard lately."""
+        own = self.registry.own.node
+        staying = [news.node for news in self._live_near() if not news.leaving]
+        if not self.registry.leaving:
+            staying.append(own)
+        return min(staying, default=own)
+
+    def _live_near(self) -> list[NodeNews]:
+        """Return the latest word of the other nodes of this cell."""
         live = self.loads.fleet.live_nodes(self.loop.now())
-        near = [news.node for news in live if news.node in self.near and not news.leaving]
-        return min(
-            near + [self.registry.own.node] * (not self.registry.leaving),
-            default=self.registry.own.node,
-        )
+        return [news for news in live if news.node in self.near]
 
     def _beat(self) -> None:
         if self.loop.now() - self.sent_s >= HEARTBEAT_S:
@@ -132,25 +136,23 @@
     def _speak(self) -> None:
         """Tell the sum of this cell to others and theirs to this one, if this node speaks."""
         self.loop.call_later(CELLS_S, self._speak)
-        if not self.far:
-            return
-        now, own, fleet = self.loop.now(), self.registry.own, self.loads.fleet
-        live = fleet.live_nodes(now)
-        if self.speaker() != own.node:
+        own = self.registry.own
+        if not self.far or self.speaker() != own.node:
             return
+        near = self._live_near()
         told = CellSum(
             cell=self.cell,
             speaker=own.node,
             boot=own.boot,
             sequence=next(self.sequence),
-            uses=sum_uses([self._uses(), *(news.uses for news in live if news.node in self.near)]),
-            contenders=sum(1 for news in live if news.waiting_items and news.node in self.near)
+            uses=sum_uses([self._uses(), *(news.uses for news in near)]),
+            contenders=sum(1 for news in near if news.waiting_items)
             + bool(self.loads.waiting_items),
         )
         data = encode_cells([told])
         for address in self.far:
             self.datagrams.send(address, data)
-        cells = fleet.live_cells(now)
+        cells = self.loads.fleet.live_cells(self.loop.now())
         if cells:
             data = encode_cells(cells)
             for address in self.near.values():
--- a/parsleyrouter/process/part_commits.py
+++ b/parsleyrouter/process/part_commits.py
@@ -14,7 +14,8 @@
 from parsleyrouter.process.part_results import chunk_expiry, lines_by_index, pack_lines
 from parsleyrouter.process.part_settle import PartSettle
 from parsleyrouter.process.record_writes import Beaten, Held
-from parsleyrouter.process.runner_tools import RunnerTools, Signal
+from parsleyrouter.process.runner_tools import RunnerTools
+from parsleyrouter.process.wake_signal import Signal
 
 __all__ = ["PartCommits", "PartEnd"]
 
--- a/parsleyrouter/process/part_load.py
+++ b/parsleyrouter/process/part_load.py
@@ -9,7 +9,8 @@
 from parsleyrouter.process.job_records import PartRecord
 from parsleyrouter.process.part_progress import PartProgress, WaveLimits, judge_started
 from parsleyrouter.process.part_results import chunk_expiry, lines_by_index
-from parsleyrouter.process.runner_tools import RunnerTools, Signal
+from parsleyrouter.process.runner_tools import RunnerTools
+from parsleyrouter.process.wake_signal import Signal
 from parsleyrouter.request.batch_item import (
     BatchItem,
     ItemOutcome,
--- a/parsleyrouter/process/part_runner.py
+++ b/parsleyrouter/process/part_runner.py
@@ -10,7 +10,8 @@
 from parsleyrouter.process.part_commits import PartCommits, PartEnd
 from parsleyrouter.process.part_load import PartLoad
 from parsleyrouter.process.record_writes import Held
-from parsleyrouter.process.runner_tools import RunnerTools, Signal
+from parsleyrouter.process.runner_tools import RunnerTools
+from parsleyrouter.process.wake_signal import Signal
 
 __all__ = ["PartRunner"]
 
--- a/parsleyrouter/process/runner_tools.py
+++ b/parsleyrouter/process/runner_tools.py
@@ -10,31 +10,11 @@
 from parsleyrouter.process.chunk_client import ChunkClient
 from parsleyrouter.process.item_times import ItemTimes
 from parsleyrouter.process.job_records import PartRecord
-from parsleyrouter.process.loop import Loop, Promise, TimedOut
+from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.record_writes import RecordWrites
 from parsleyrouter.version.schema import KindClass, KindSettings, TeamSettings
 
-__all__ = ["CommitPace", "RunnerTools", "Signal"]
-
-
-class Signal:
-    """Wake the tasks that wait for a change."""
-
-    def __init__(self, loop: Loop) -> None:
-        self.loop = loop
-        self.promise: Promise[None] = loop.promise()
-
-    def fire(self) -> None:
-        """Wake all waiting tasks."""
-        waiting, self.promise = self.promise, self.loop.promise()
-        waiting.resolve(None)
-
-    async def wait(self, limit_s: float) -> None:
-        """Wait for the next change, at most ``limit_s`` seconds."""
-        try:
-            await self.loop.within(limit_s, self.promise)
-        except TimedOut:
-            return
+__all__ = ["CommitPace", "RunnerTools"]
 
 
 @dataclass
--- a/parsleyrouter/process/shared_job_store.py
+++ b/parsleyrouter/process/shared_job_store.py
@@ -118,11 +118,6 @@
 
     indexes: frozenset[ItemIndex] = field(default_factory=frozenset)
 
-    @property
-    def next_position(self) -> int:
-        """Return the first free position."""
-        return len(self.indexes)
-
 
 class SharedJobStore:
     """Read and change jobs; a failure says whether a write may still take effect."""
@@ -167,15 +162,6 @@
             return marks
         return Listed(frozenset(ItemIndex(int(mark.key.removeprefix(prefix))) for mark in marks))
 
-    async def results(self, job: JobId, start: int) -> list[ItemResult] | KeyValueFailure:
-        """Read a page of results from a position on."""
-        keys = JobKeys(job)
-        after = keys.result(start - 1) if start else ""
-        page = await self.store.scan(keys.results, after=after)
-        if isinstance(page, KeyValueFailure):
-            return page
-        return [_RESULT.decode(entry.value) for entry in page.entries]
-
     async def claim(
         self, kept: KeptJob, node: NodeId, lease: int, expected: Revision
     ) -> Swapped | TransactionConflict | LeaseLost | KeyValueFailure:
--- a/soak/play.py
+++ b/soak/play.py
@@ -103,10 +103,7 @@
     for supervisor in supervisors:
         supervisor.cancel()
     played.problems += problems(world)
-    played.requests = len(world.journal.attempts)
-    played.answered = sum(one.complete and one.status == 200 for one in _attempts(world))
+    attempts = world.journal.attempts.values()
+    played.requests = len(attempts)
+    played.answered = sum(one.complete and one.status == 200 for one in attempts)
     played.jobs = len(world.journal.jobs)
-
-
-def _attempts(world: World) -> list[Any]:
-    return list(world.journal.attempts.values())
