Limit the tokens that wait on a batch route

The operator's limit was not read. Weighed: a count in the store that each submission changes (every submission conflicts with every other), shares held by nodes under their lease (lost with the node, must be returned), and the choice here: shares kept in the store, one of which a submission changes in the transaction that creates the job; when none has room, one transaction divides the room anew. Exact whatever is killed, lost or late, since a count only uses finished tokens that a node has seen. Far from the limit a submission still takes one call. Owners write what is left of a job with each listing.

--- a/parsleyrouter/platform/jobs.py
+++ b/parsleyrouter/platform/jobs.py
@@ -97,7 +97,13 @@
     try:
         found = msgspec.json.decode(body, type=_Submission)
         items = [
-            JobItem(ItemId(one.id), one.path, one.headers, b64decode(one.body, validate=True))
+            JobItem(
+                ItemId(one.id),
+                one.path,
+                one.headers,
+                b64decode(one.body, validate=True),
+                max(0, one.tokens),
+            )
             for one in found.items
         ]
     except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
--- a/parsleyrouter/platform/routes.py
+++ b/parsleyrouter/platform/routes.py
@@ -44,6 +44,8 @@
     run_target_ms: float = 0
     # Time after which an item may be given up, not how long results are kept.
     retention_s: float = 0
+    # Tokens of all clients' batch items that may wait on the route; 0 means no limit.
+    max_count: int = 0
 
 
 class _Engine(msgspec.Struct, rename="camel"):
@@ -108,6 +110,7 @@
         max_pause_s=route.gap_aim_ms / 1000,
         job_target_s=route.run_target_ms / 1000,
         job_retention_s=route.retention_s,
+        max_waiting_tokens=max(0, route.max_count),
     )
 
 
--- a/parsleyrouter/process/front.py
+++ b/parsleyrouter/process/front.py
@@ -26,6 +26,7 @@
 from parsleyrouter.process.prefix_watcher import PrefixWatcher
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.process.shared_job_store import JOBS_PREFIX
+from parsleyrouter.process.token_ledger import SHARES_PREFIX, TokenLedger
 from parsleyrouter.request.submission import submission_retry_s
 
 __all__ = ["Front"]
@@ -41,7 +42,7 @@
 """Pause between checks for registrations that did not reappear."""
 
 LIVE_PREFIX = "parsley/live/"
-"""The prefix that every node watches: the nodes, and the records and owners of jobs."""
+"""The prefix that every node watches: nodes, records and owners of jobs, and token shares."""
 
 CALL_LOG_INTERVAL_S = 10.0
 """Pause between log lines with the number of calls made to the store."""
@@ -69,6 +70,10 @@
         self.directory = EndpointDirectory()
         self.loads = EndpointLoads(self.rng)
         self.job_directory = JobDirectory()
+        self.token_ledger = TokenLedger()
+        self.job_directory.on_tokens.append(
+            lambda view: self.token_ledger.update_job(view, self.loop.now())
+        )
         own = RegisteredNode(
             node=options.node,
             domain=options.domain,
@@ -116,12 +121,17 @@
         known = list(entries)
         self.registry.apply_list(one for one in known if one.key.startswith(NODES_PREFIX))
         self.job_directory.apply_list(one for one in known if one.key.startswith(JOBS_PREFIX))
+        for one in known:
+            if one.key.startswith(SHARES_PREFIX):
+                self.token_ledger.apply_entry(one)
 
     def _on_live_change(self, change: KeyChange) -> None:
         if change.key.startswith(NODES_PREFIX):
             self.registry.apply_change(change)
         elif change.key.startswith(JOBS_PREFIX):
             self.job_directory.apply_change(change)
+        elif change.key.startswith(SHARES_PREFIX):
+            self.token_ledger.apply_change(change)
 
     def _on_operator_list(self, entries: Iterable[Entry]) -> None:
         for entry in entries:
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -21,6 +21,7 @@
 from parsleyrouter.process.job_metrics import JobMetrics
 from parsleyrouter.process.job_owner import JobOwner
 from parsleyrouter.process.job_reader import JobReader
+from parsleyrouter.process.job_submission import JobSubmission
 from parsleyrouter.process.job_worker import JobWorker
 from parsleyrouter.process.peer_results import PeerResultReader, add_result_methods
 from parsleyrouter.process.platform_port import PlatformPort
@@ -70,19 +71,26 @@
     channel = f"nodes-{options.nodes}"
     front.peers = PeerServer(runtime.loop, options.nodes, methods, None, channel=channel)
     front.peers.register(runtime)
+    submission = JobSubmission(
+        runtime.loop,
+        job_store,
+        owner,
+        front.registry,
+        front.routes,
+        front.token_ledger,
+        front.submission_retry_s,
+    )
     job_handler = SharedJobHandler(
         runtime.loop,
         job_store,
         reader,
         PeerResultReader(runtime.loop, runtime.peers, front.registry, front.job_directory, reader),
         front.job_directory,
-        owner,
-        front.registry,
+        submission,
         front.routes,
         job_metrics,
         port.decode_job_call,
         port.encode_results,
-        front.submission_retry_s,
     )
     address_directory = AddressDirectory(runtime.loop, front.registry, front.exchange, front.loads)
     limits = HttpLimits(buffered_bytes=int(options.memory_mb * 1e6 * MAX_BUFFERED_SHARE))
--- a/parsleyrouter/process/job_directory.py
+++ b/parsleyrouter/process/job_directory.py
@@ -9,6 +9,7 @@
 from parsleyrouter.connection.key_value import ABSENT, Entry, KeyChange
 from parsleyrouter.ids import JobId, NodeId, Revision
 from parsleyrouter.process.shared_job_store import (
+    LEFT,
     OWNER,
     RECORD,
     JobKeys,
@@ -33,6 +34,9 @@
     owner_revision: Revision = ABSENT
     last_owner: NodeId | None = None
     """The node that ran the job before it ended or lost its owner."""
+    left_tokens: int | None = None
+    """Tokens of the items that are not listed, ``None`` until some are."""
+    left_revision: Revision = ABSENT
 
     @property
     def open(self) -> bool:
@@ -41,11 +45,15 @@
 
 
 class JobDirectory:
-    """Hold a view of every job and call ``on_change`` with each view that has changed."""
+    """Hold a view of every job and call back with each view that has changed.
+
+    ``on_change`` is called for records and owners, ``on_tokens`` for records and waiting tokens.
+    """
 
     def __init__(self) -> None:
         self.jobs: dict[JobId, JobView] = {}
         self.on_change: list[Callable[[JobView], object]] = []
+        self.on_tokens: list[Callable[[JobView], object]] = []
 
     def apply_list(self, entries: Iterable[Entry]) -> None:
         """Apply a complete listing of records and owners."""
@@ -89,6 +97,9 @@
             view.owner = NodeId(change.entry.value.decode()) if change.entry else None
             view.owner_revision = change.revision if change.entry else ABSENT
             return True
+        if part == LEFT:
+            self._apply_left(view, change)
+            return False
         if part != RECORD:
             return False
         if change.entry is None:
@@ -104,6 +115,18 @@
         view.versioned = versioned
         return True
 
+    def _apply_left(self, view: JobView, change: KeyChange) -> None:
+        if change.entry is None or change.revision <= view.left_revision:
+            return
+        view.left_revision = change.revision
+        try:
+            view.left_tokens = int(change.entry.value)
+        except ValueError as error:
+            extra = {"job": view.job, "reason": str(error)}
+            log.warning("waiting tokens of a job not read", extra=extra)
+        for callback in self.on_tokens:
+            callback(view)
+
     def _notify(self, view: JobView) -> None:
-        for callback in self.on_change:
+        for callback in (*self.on_change, *self.on_tokens):
             callback(view)
--- a/parsleyrouter/process/job_run.py
+++ b/parsleyrouter/process/job_run.py
@@ -10,13 +10,19 @@
 from parsleyrouter.process.job_directory import JobDirectory, JobView
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.shared_job_store import SharedJobStore, VersionedJob
-from parsleyrouter.request.shared_job import ItemResult, JobItem, JobState, SavedItem
+from parsleyrouter.request.shared_job import (
+    UNSHARED,
+    ItemResult,
+    JobItem,
+    JobState,
+    SavedItem,
+)
 
 __all__ = ["JobRun"]
 
-MAX_RESULTS_PER_LISTING = 8
-"""Each result takes two conditions and two writes of one transaction, and the service accepts 32 of
-them together."""
+MAX_RESULTS_PER_LISTING = 7
+"""Each result takes two conditions and two writes of one transaction, the count of waiting tokens
+one more write, and the service accepts 32 of them together."""
 
 MAX_LISTING_BYTES = 400_000
 RETRY_PAUSE_S = 0.2
@@ -160,7 +166,8 @@
             batch[index] = result
         record = self.versioned.record
         position = len(self.listed)
-        done = await self.store.list_results(record.job, position, batch)
+        left_tokens = None if record.share == UNSHARED else self._left_tokens(batch)
+        done = await self.store.list_results(record.job, position, batch, left_tokens)
         if isinstance(done, WriteApplied):
             self._mark_listed(batch)
             self.on_listed(position, list(batch.values()))
@@ -170,6 +177,14 @@
             self._log_listing("results not listed yet", position, batch, reason=done.message)
         await self._read_listed()
 
+    def _left_tokens(self, batch: dict[ItemIndex, ItemResult]) -> int:
+        """Return the tokens of the items that are not listed once ``batch`` is."""
+        return sum(
+            item.tokens
+            for index, item in enumerate(self.items)
+            if ItemIndex(index) not in self.listed and ItemIndex(index) not in batch
+        )
+
     async def _read_listed(self) -> None:
         """Read which items are listed after a conflict or a lost reply."""
         found = await self.store.listed(self.versioned.record.job)
--- a/parsleyrouter/process/shared_job_handler.py
+++ b/parsleyrouter/process/shared_job_handler.py
@@ -1,29 +1,22 @@
 """Handle calls of clients about batch jobs; every front process can handle all of them."""
 
 import logging
-import time
 from collections.abc import Callable
 from http import HTTPStatus
 
 from parsleyrouter.connection.forward_server import CallerExchange
 from parsleyrouter.connection.http import JSON_TYPE
 from parsleyrouter.connection.http_limits import RequestHead
-from parsleyrouter.connection.key_value import (
-    KeyValueFailure,
-    LeaseLost,
-    TransactionConflict,
-    WriteApplied,
-)
+from parsleyrouter.connection.key_value import KeyValueFailure, WriteApplied
 from parsleyrouter.ids import ItemId, JobId
 from parsleyrouter.outcome import ExecutionStatus, Refusal, RefusalKind
 from parsleyrouter.process.active_routes import ActiveRoutes
 from parsleyrouter.process.forwarder import send_refusal
 from parsleyrouter.process.job_directory import JobDirectory
 from parsleyrouter.process.job_metrics import JobMetrics
-from parsleyrouter.process.job_owner import JobOwner
 from parsleyrouter.process.job_reader import JobReader
+from parsleyrouter.process.job_submission import JobSubmission
 from parsleyrouter.process.loop import Loop
-from parsleyrouter.process.node_registry import NodeRegistry
 from parsleyrouter.process.peer_results import PeerResultReader
 from parsleyrouter.process.shared_job_store import SharedJobStore, VersionedJob
 from parsleyrouter.request.job_call import (
@@ -35,8 +28,7 @@
     SubmitJob,
 )
 from parsleyrouter.request.shared_job import JobItem, JobRecord, JobState
-from parsleyrouter.request.submission import RETRY_ELSEWHERE_S
-from parsleyrouter.version.route_table import Route, RouteTable
+from parsleyrouter.version.route_table import RouteTable
 
 __all__ = ["SharedJobHandler"]
 
@@ -63,26 +55,22 @@
         reader: JobReader,
         peers: PeerResultReader,
         job_directory: JobDirectory,
-        owner: JobOwner,
-        registry: NodeRegistry,
+        submission: JobSubmission,
         routes: ActiveRoutes,
         metrics: JobMetrics,
         decode_call: DecodeCall,
         encode_results: EncodeResults,
-        submission_retry_s: Callable[[], float | None],
     ) -> None:
         self.loop = loop
         self.store = store
         self.reader = reader
         self.peers = peers
         self.job_directory = job_directory
-        self.owner = owner
-        self.registry = registry
+        self.submission = submission
         self.routes = routes
         self.metrics = metrics
         self.decode_call = decode_call
         self.encode_results = encode_results
-        self.submission_retry_s = submission_retry_s
 
     async def handle(self, exchange: CallerExchange) -> bool:
         """Handle a call about a job; return whether the request was one."""
@@ -94,7 +82,7 @@
         if isinstance(call, Refusal):
             outcome: Refusal | tuple[int, bytes] = call
         elif isinstance(call, SubmitJob):
-            outcome = await self._submit(call)
+            outcome = await self.submission.submit(call)
         elif isinstance(call, ReadResults):
             outcome = await self._read(call)
         elif isinstance(call, ReadItem):
@@ -113,45 +101,6 @@
             self._log(exchange, call, status, reason)
         return True
 
-    async def _submit(self, call: SubmitJob) -> Refusal | tuple[int, bytes]:
-        job = call.submitted
-        table = self.routes.table
-        route = table.find(job.host, job.path) if table is not None else None
-        if route is None:
-            return Refusal(RefusalKind.NOT_FOUND, "no route takes the job", ExecutionStatus.NOT_RUN)
-        retry_s = self.submission_retry_s()
-        if retry_s is not None:
-            message = "this node gets no answers from the key-value service: submit elsewhere"
-            return Refusal(
-                RefusalKind.PLATFORM_UNAVAILABLE, message, ExecutionStatus.NOT_RUN, retry_s
-            )
-        record = _new_record(call, route)
-        lease = 0 if self.registry.leaving else self.registry.lease
-        own = self.registry.own.node
-        done = await self.store.create(record, job.items, own, lease)
-        if isinstance(done, LeaseLost):
-            lease = 0
-            done = await self.store.create(record, job.items, own, lease)
-        if isinstance(done, VersionedJob):
-            if lease:
-                self.owner.start_created(done, job.items)
-            return HTTPStatus.ACCEPTED, b"{}"
-        if isinstance(done, TransactionConflict):
-            return HTTPStatus.ACCEPTED, b"{}"
-        if isinstance(done, KeyValueFailure) and not done.maybe_applied:
-            message = f"the job cannot be kept now: {done.message}"
-            retry_s = self.submission_retry_s() or RETRY_ELSEWHERE_S
-            return Refusal(
-                RefusalKind.PLATFORM_UNAVAILABLE, message, ExecutionStatus.NOT_RUN, retry_s
-            )
-        for _ in range(MAX_TRIES):
-            await self.loop.sleep(RETRY_PAUSE_S)
-            versioned = await self.store.read(job.job)
-            if isinstance(versioned, VersionedJob):
-                return HTTPStatus.ACCEPTED, b"{}"
-        message = "whether the job is kept is not known: submit it again"
-        return Refusal(RefusalKind.STORAGE_UNAVAILABLE, message, ExecutionStatus.UNKNOWN)
-
     async def _read(self, call: ReadResults) -> Refusal | tuple[int, bytes]:
         record = await self._record(call.job)
         if isinstance(record, Refusal):
@@ -216,19 +165,6 @@
         )
 
 
-def _new_record(call: SubmitJob, route: Route) -> JobRecord:
-    now_ms = int(time.time() * 1000)
-    return JobRecord(
-        job=call.submitted.job,
-        host=call.submitted.host,
-        total=len(call.submitted.items),
-        chunks=0,
-        submitted_ms=now_ms,
-        due_ms=now_ms + int(route.job_target_s * 1000),
-        kept_until_ms=now_ms + int(route.job_retention_s * 1000),
-    )
-
-
 def _body_of(items: list[JobItem], item: ItemId) -> bytes | None:
     return next((one.body for one in items if one.item == item), None)
 
--- a/parsleyrouter/process/shared_job_store.py
+++ b/parsleyrouter/process/shared_job_store.py
@@ -35,7 +35,9 @@
     "OWNER",
     "RECORD",
     "JobKeys",
+    "LEFT",
     "Listed",
+    "ShareWrite",
     "SharedJobStore",
     "VersionedJob",
     "by_position",
@@ -46,6 +48,7 @@
 JOBS_PREFIX = "parsley/live/job/"
 RECORD = "/record"
 OWNER = "/owner"
+LEFT = "/left"
 
 MAX_CHUNK_BYTES = 512 * 1024
 """Maximum size of a piece of a job's items in one value; the service accepts 1 MB."""
@@ -72,6 +75,11 @@
         """Return the key that names the node which runs the job, under that node's lease."""
         return f"{JOBS_PREFIX}{self.job}{OWNER}"
 
+    @property
+    def left(self) -> str:
+        """Return the key of the number of tokens in items that are not listed yet."""
+        return f"{JOBS_PREFIX}{self.job}{LEFT}"
+
     @property
     def chunks(self) -> str:
         """Return the prefix of the pieces of the items."""
@@ -120,6 +128,15 @@
     indexes: frozenset[ItemIndex] = field(default_factory=frozenset)
 
 
+@dataclass(frozen=True)
+class ShareWrite:
+    """Conditional write of one share of a route's limit on waiting tokens."""
+
+    key: str
+    expected: Revision
+    value: bytes
+
+
 class SharedJobStore:
     """Read and write jobs; a failure tells whether a write may still take effect."""
 
@@ -127,9 +144,17 @@
         self.store = store
 
     async def create(
-        self, record: JobRecord, items: Sequence[JobItem], node: NodeId, lease: int
+        self,
+        record: JobRecord,
+        items: Sequence[JobItem],
+        node: NodeId,
+        lease: int,
+        share: ShareWrite | None = None,
     ) -> VersionedJob | TransactionConflict | LeaseLost | KeyValueFailure:
-        """Create a job, owned by a node if it has a lease; a conflict means that the job exists."""
+        """Create a job, owned by a node if it has a lease, and write the share that counts it.
+
+        A conflict means that the job exists or, with a share, that the share has changed.
+        """
         keys = JobKeys(record.job)
         data = msgspec.msgpack.encode(list(items))
         pieces = [data[at : at + MAX_CHUNK_BYTES] for at in range(0, len(data), MAX_CHUNK_BYTES)]
@@ -138,9 +163,23 @@
         writes += [Write(keys.chunk(number), piece) for number, piece in enumerate(pieces)]
         if lease:
             writes.append(Write(keys.owner, node.encode(), lease))
-        done = await self.store.transact(Transaction({keys.record: ABSENT}, tuple(writes)))
+        expected = {keys.record: ABSENT}
+        if share is not None:
+            expected[share.key] = share.expected
+            writes.append(Write(share.key, share.value))
+        done = await self.store.transact(Transaction(expected, tuple(writes)))
         return VersionedJob(record, done.revision) if isinstance(done, WriteApplied) else done
 
+    async def write_shares(
+        self, shares: Sequence[ShareWrite]
+    ) -> WriteApplied | TransactionConflict | KeyValueFailure:
+        """Write shares, all or none."""
+        expected = {share.key: share.expected for share in shares}
+        writes = tuple(Write(share.key, share.value) for share in shares)
+        done = await self.store.transact(Transaction(expected, writes))
+        assert not isinstance(done, LeaseLost)
+        return done
+
     async def read(self, job: JobId) -> VersionedJob | None | KeyValueFailure:
         """Read the record of a job."""
         entry = await self.store.get(JobKeys(job).record)
@@ -173,9 +212,17 @@
         return await self.store.transact(Transaction(conditions, (write,)))
 
     async def list_results(
-        self, job: JobId, start: int, results: Mapping[ItemIndex, ItemResult]
+        self,
+        job: JobId,
+        start: int,
+        results: Mapping[ItemIndex, ItemResult],
+        left_tokens: int | None = None,
     ) -> WriteApplied | TransactionConflict | KeyValueFailure:
-        """List results starting at a free position, all or none."""
+        """List results starting at a free position, all or none.
+
+        ``left_tokens`` is written as the tokens of the items that are not listed after that. It is
+        exact, since the position is free only if nothing else was listed meanwhile.
+        """
         keys = JobKeys(job)
         conditions: dict[str, Revision] = {}
         writes: list[Write] = []
@@ -184,6 +231,8 @@
             conditions[keys.mark(index)] = ABSENT
             writes.append(Write(keys.result(position), msgspec.msgpack.encode(result)))
             writes.append(Write(keys.mark(index), str(position).encode()))
+        if left_tokens is not None:
+            writes.append(Write(keys.left, str(left_tokens).encode()))
         done = await self.store.transact(Transaction(conditions, tuple(writes)))
         assert not isinstance(done, LeaseLost)
         return done
@@ -234,7 +283,7 @@
 
 
 def split_key(key: str) -> tuple[JobId, str]:
-    """Return the job and the suffix of a watched key; the suffix is ``RECORD`` or ``OWNER``."""
+    """Return the job and the suffix of a watched key: ``RECORD``, ``OWNER`` or ``LEFT``."""
     job, _, part = key.removeprefix(JOBS_PREFIX).partition("/")
     return JobId(job), f"/{part}"
 
--- a/parsleyrouter/request/shared_job.py
+++ b/parsleyrouter/request/shared_job.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from parsleyrouter.ids import ItemId, ItemIndex, JobId
+from parsleyrouter.ids import ItemId, ItemIndex, JobId, RouteName
 
 __all__ = [
     "ItemResult",
@@ -12,11 +12,16 @@
     "JobItem",
     "JobRecord",
     "JobState",
+    "UNSHARED",
     "SavedItem",
     "SubmittedJob",
 ]
 
 
+UNSHARED = -1
+"""Marks jobs that were accepted while their route had no limit on waiting tokens."""
+
+
 class JobState(Enum):
     """State of a job; its items are run only while it is open."""
 
@@ -56,6 +61,12 @@
     kept_until_ms: int
     """Time from which unfinished items are given up."""
     state: JobState = JobState.OPEN
+    route: RouteName = RouteName("")
+    """The route that took the job."""
+    tokens: int = 0
+    """Tokens of all items."""
+    share: int = UNSHARED
+    """Share of the route's limit on waiting tokens in which they count."""
 
 
 class ItemResult(msgspec.Struct, frozen=True):
--- a/parsleyrouter/version/route_table.py
+++ b/parsleyrouter/version/route_table.py
@@ -55,6 +55,8 @@
     job_target_s: float = 0.0
     job_retention_s: float = 0.0
     """Time after the submission of a job at which its items may be abandoned."""
+    max_waiting_tokens: int = 0
+    """Tokens of unfinished batch items that the route accepts in all; 0 means no limit."""
 
     @property
     def repeatable(self) -> bool:
