--- a/features/steps/token_limit_steps.py
+++ b/features/steps/token_limit_steps.py
@@ -57,13 +57,13 @@
 def step_model(context: Any) -> None:
     context.examples = 0
     step = st.tuples(
-        st.sampled_from(["submit", "deliver", "end", "look", "look at shares", "lower"]),
+        st.sampled_from(["submit", "submit", "deliver", "deliver", "end", "look", "lower"]),
         st.integers(0, 3),
         st.integers(1, 60),
     )
 
     @settings(max_examples=400)
-    @given(st.integers(20, 200), st.lists(step, max_size=60))
+    @given(st.integers(20, 100), st.lists(step, min_size=10, max_size=60))
     def check(limit: int, steps: list[tuple[str, int, int]]) -> None:
         _play(limit, steps)
         context.examples += 1
@@ -74,7 +74,10 @@
 def _play(limit: int, steps: list[tuple[str, int, int]]) -> None:
     stored, nodes = StoredRoute(), [ModelNode(number) for number in range(4)]
     under_way: list[LateWrite] = []
-    version, jobs = 1, 0
+    version, jobs = 1, 1
+    assert submit_in_model(nodes[0], stored, limit, version, 0, 1)[0]
+    for node in nodes:
+        node.look(stored)
     for action, number, amount in steps:
         node = nodes[number]
         if action == "submit":
@@ -94,8 +97,8 @@
             stored.finished[index] += tokens
         elif action == "look":
             node.look(stored)
-        elif action == "look at shares":
-            node.look_at_shares(stored)
+            for other in nodes[: number + 1]:
+                other.look_at_shares(stored)
         elif action == "lower" and not under_way:
             limit, version = max(10, limit - amount), version + 1
     node = nodes[0]
