Let the strongest nodes of a large fleet take the callers, the others stand by

Cause: 165 nodes that all place requests know each other's counts late (a cell's aggregate is 0.1 s old), so three in ten sends met an engine without a free slot; each watched, claimed and reported.

Change: about twenty nodes, the strongest of each failure domain, form one cell and are listed for callers. The others report to the first nodes of their cell, get loads twice a second and claim jobs last. Leaders on standby read changes from the active leader; answers carry their age, so that two nodes which take each other for the leader do not refresh each other. Jobs are claimed in order of rank.

--- a/features/large_fleet.feature
+++ b/features/large_fleet.feature
@@ -1,8 +1,10 @@
 Feature: load reports and reads stay small in a large fleet
 
-  Scenario: fleets are divided into cells within failure domains
+  Scenario: fleets are divided into an active cell and standby cells within failure domains
     When fleets of any size and distribution are divided
-    Then small ones are not divided, and large ones have small cells within one domain
+    Then small ones are not divided
+    And large ones have the strongest nodes of each domain in the active cell
+    And their other cells are small and within one domain
 
   Scenario: cells together preempt exactly the excess batch items
     When online requests and batch items of several cells compete for an endpoint
@@ -16,35 +18,45 @@
     Given nodes of two failure domains that make a large fleet
     When a node of one domain starts requests
     Then nodes of both domains know the load within half a second
-    And each change is sent to the nodes of one cell only
+    And each change of an active node is sent to the other active nodes only
 
-  Scenario: the next node becomes leader when the leader of a cell is lost
+  Scenario Outline: the next node becomes leader when the leader of <cell> is lost
     Given nodes of two failure domains that make a large fleet
-    When the leader of a domain is lost and another node there starts requests
+    When the leader of <cell> is lost and another node there starts requests
     Then nodes of both domains know the load within three seconds
 
-  Scenario: one node of a cell reads changes for the others
-    Given a large fleet of a few nodes that are divided into two cells
+    Examples:
+      | cell             |
+      | the active cell  |
+      | a standby cell   |
+
+  Scenario: one node of the fleet reads changes for the others
+    Given a large fleet of a few nodes that are divided into cells
     When the fleet is idle and the routes change
-    Then only the leaders read from the store, and all nodes get the new routes at once
+    Then only the active leader reads from the store, and all nodes get the new routes at once
+
+  Scenario: nodes that take each other for the leader do not believe each other's old answers
+    Given a large fleet of a few nodes that are divided into cells
+    When two nodes ask each other while neither reads from the store
+    Then both read from the store within three seconds
 
   Scenario: reads do not accumulate at a leader while nothing changes
-    Given a large fleet of a few nodes that are divided into two cells
+    Given a large fleet of a few nodes that are divided into cells
     When the fleet is idle for a while
     Then no more readers wait at a leader than its cell has other nodes
 
   Scenario: a leader that gets no response from the store is bypassed
-    Given a large fleet of a few nodes that are divided into two cells
+    Given a large fleet of a few nodes that are divided into cells
     When the store stops responding to a leader and the routes change
     Then the other nodes have the new routes within two seconds
 
   Scenario: a leader that does not respond is bypassed
-    Given a large fleet of a few nodes that are divided into two cells
+    Given a large fleet of a few nodes that are divided into cells
     When the leaders answer no calls and the routes change
     Then the other nodes have the new routes within two seconds
 
   Scenario: registrations that expire in a store outage hide no endpoint from any node of a cell
-    Given a large fleet of a few nodes that are divided into two cells
+    Given a large fleet of a few nodes that are divided into cells
     When the store refuses all calls for a moment and a registration expires meanwhile
     Then every node keeps the endpoint until it is back
 
--- a/features/support/load_exchange_fleet.py
+++ b/features/support/load_exchange_fleet.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from features.support.processes import free_address
-from parsleyrouter.ids import Address, DomainName, EndpointId, NodeId
+from parsleyrouter.ids import Address, CellId, DomainName, EndpointId, NodeId
 from parsleyrouter.process.endpoint_loads import EndpointLoads
 from parsleyrouter.process.load_exchange import LoadExchange
 from parsleyrouter.process.node_registry import RegisteredNode
@@ -21,17 +21,22 @@
             NodeId(f"{domain}-{number:02d}"): RegisteredNode(
                 node=NodeId(f"{domain}-{number:02d}"),
                 domain=DomainName(domain),
-                callers=Address("127.0.0.1:1"),
+                callers=Address(f"{domain}-{number:02d}:1"),
                 nodes=Address(free_address()),
                 boot=1,
             )
             for domain, size in sizes.items()
             for number in range(size)
         }
+        self.registered = nodes
         self.exchanges: dict[NodeId, LoadExchange] = {}
-        for node, own in nodes.items():
+        for node, own in list(nodes.items()):
             registry: Any = SimpleNamespace(
-                own=own, nodes=nodes, leaving=False, store=SimpleNamespace(failing=False)
+                own=own,
+                nodes=nodes,
+                recent_nodes=lambda: dict(nodes),
+                leaving=False,
+                store=SimpleNamespace(failing=False),
             )
             routes: Any = SimpleNamespace(version=1)
             exchange = LoadExchange(self.loop, EndpointLoads(Random(node)), registry, routes)
@@ -42,8 +47,16 @@
     def silence(self, node: NodeId) -> None:
         """Stop a node from sending load reports."""
         exchange = self.exchanges.pop(node)
-        exchange.cell_peers, exchange.remote_peers = {}, []
-        exchange.update_cells = lambda: None  # type: ignore[method-assign]
+        members = exchange.members
+        members.report_targets = list  # type: ignore[method-assign]
+        members.peers, members.remote_peers = {}, []
+        members.update = lambda: None  # type: ignore[method-assign]
+
+    def in_cell(self, cell: CellId) -> list[NodeId]:
+        """Return the nodes of a cell, in order."""
+        return sorted(
+            node for node, exchange in self.exchanges.items() if exchange.members.cell == cell
+        )
 
     def online_at(self, endpoint: EndpointId) -> dict[NodeId, int]:
         """Return each node's view of the number of online requests at an endpoint."""
--- a/parsleyrouter/platform/settings.py
+++ b/parsleyrouter/platform/settings.py
@@ -22,6 +22,9 @@
 
 
 class _Limits(msgspec.Struct, rename="camel"):
+    # Share of one core of the VM that the process gets; a core is this many times a usual one.
+    cpu_share: float = 1.0
+    cores: float = 1.0
     memory_mb: int = 256
     max_fds: int = 1024
 
@@ -67,6 +70,7 @@
         grace_s=found.bounds.grace_s,
         memory_mb=found.limits.memory_mb,
         descriptors=found.limits.max_fds,
+        cores=found.limits.cpu_share * found.limits.cores,
     )
     options.check()
     return options
--- a/parsleyrouter/process/cell_reader.py
+++ b/parsleyrouter/process/cell_reader.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -22,8 +23,8 @@
 )
 from parsleyrouter.connection.peer import PeerClient, PeerFailure, PeerMethods
 from parsleyrouter.ids import Address, NodeId, Revision
+from parsleyrouter.process.cell_members import CellMembers
 from parsleyrouter.process.condition import Condition
-from parsleyrouter.process.load_exchange import LoadExchange
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.watched_prefix import WatchedPrefix
 from parsleyrouter.thrift_gen.nodes.ttypes import AskFollowed, Followed, FollowedKey
@@ -38,6 +39,9 @@
 """Age of the service's last answer up to which a leader may answer others: one long poll, one
 answer of a slow service and some slack."""
 
+STANDBY_ANSWER_MAX_AGE_S = ANSWER_MAX_AGE_S + CHANGES_WAIT_S
+"""The same for the leader of a cell on standby, which waits for the leader of the active cell."""
+
 CALL_MARGIN_S = 0.3
 """Time in addition to the long poll in which a leader must answer; a call takes a millisecond."""
 
@@ -60,19 +64,19 @@
         self,
         loop: Loop,
         store: TransactionalKeyValue,
-        exchange: LoadExchange,
+        members: CellMembers,
         peers: PeerClient,
         random: Random,
     ) -> None:
         self.loop = loop
         self.store = store
-        self.exchange = exchange
+        self.members = members
         self.peers = peers
         self.random = random
         self.prefixes: dict[str, WatchedPrefix] = {}
         """State of the watched prefixes of this process."""
         self.answered_s: dict[str, float] = {}
-        """When the service last answered this process directly, by prefix; monotonic."""
+        """When the service last answered this process or the one that it asks; monotonic."""
         self.last_failure_s = -FAILURE_RETENTION_S
         self.leader_retry_at_s = 0.0
         self.direct_retry_at_s: dict[str, float] = {}
@@ -86,8 +90,13 @@
         return self.prefixes.setdefault(prefix, WatchedPrefix(Condition(self.loop)))
 
     def answered_recently(self, prefix: str) -> bool:
-        """Return whether the service has answered this process directly within the maximum age."""
-        return self.loop.now() - self.answered_s.get(prefix, -ANSWER_MAX_AGE_S) < ANSWER_MAX_AGE_S
+        """Return whether the service answered about a prefix within the maximum age."""
+        max_age_s = STANDBY_ANSWER_MAX_AGE_S if self.members.on_standby else ANSWER_MAX_AGE_S
+        return self.answer_age_s(prefix) < max_age_s
+
+    def answer_age_s(self, prefix: str) -> float:
+        """Return the time since the service answered about a prefix, infinite if it never did."""
+        return self.loop.now() - self.answered_s.get(prefix, -math.inf)
 
     async def scan(self, prefix: str, *, after: str = "") -> EntryPage | KeyValueFailure:
         """Read the keys under a prefix: all from the leader, or one page from the service."""
@@ -120,19 +129,25 @@
         refused = self._refuse_direct_read(prefix)
         if refused is not None:
             return refused
-        if self.exchange.remote_peers:
+        if self.members.divided:
             wait_s = min(wait_s, CHANGES_WAIT_S)
         page = await self.store.changes(prefix, after, wait_s)
         self._record_answer(prefix, page)
         return page
 
     def _leader_address(self) -> tuple[NodeId, Address] | None:
-        """Return the leader if it is another node and has not failed recently."""
-        node = self.exchange.leader() if self.exchange.remote_peers else None
-        address = self.exchange.cell_peers.get(node) if node is not None else None
-        if node is None or address is None or self.loop.now() < self.leader_retry_at_s:
+        """Return the node to ask unless it has failed recently: the leader of this cell.
+
+        The leader of a cell on standby asks the leader of the active one, which asks the service.
+        """
+        members = self.members
+        if not members.divided or self.loop.now() < self.leader_retry_at_s:
             return None
-        return node, address
+        node: NodeId | None = members.leader()
+        if node == members.registry.own.node:
+            node = members.active_leader() if members.on_standby else None
+        info = members.known_nodes.get(node) if node is not None else None
+        return None if info is None else (info.node, info.nodes)
 
     async def _ask_leader(
         self, leader: tuple[NodeId, Address], query: AskFollowed
@@ -151,15 +166,15 @@
             return None
         assert isinstance(answer, Followed)
         self._set_source(node, "")
+        if answer.age_ms is not None:
+            self.answered_s[query.prefix] = self.loop.now() - answer.age_ms / 1000
         if answer.failed_ms is not None:
             self._record_failure(self.loop.now() - answer.failed_ms / 1000)
         return answer
 
     def _refuse_direct_read(self, prefix: str) -> KeyValueFailure | None:
         """Keep the many nodes of a large fleet from calling a service that does not answer."""
-        if not self.exchange.remote_peers or self.loop.now() >= self.direct_retry_at_s.get(
-            prefix, 0.0
-        ):
+        if not self.members.divided or self.loop.now() >= self.direct_retry_at_s.get(prefix, 0.0):
             return None
         message = "neither the leader of the cell nor the service has answered; retrying"
         return KeyValueFailure(KeyValueFailureKind.UNAVAILABLE, message)
@@ -169,7 +184,7 @@
         if not isinstance(page, KeyValueFailure):
             self.answered_s[prefix] = now
             return
-        if self.exchange.leader() != self.exchange.registry.own.node:
+        if self.members.leader() != self.members.registry.own.node:
             self.direct_retry_at_s[prefix] = now + DIRECT_RETRY_S * self.random.uniform(0.7, 1.3)
             self.leader_retry_at_s = 0.0
 
@@ -201,7 +216,7 @@
             keys = [
                 _to_wire(entry.key, entry.revision, entry) for entry in watched.entries.values()
             ]
-            return _answer(reader, watched.revision, keys)
+            return _answer(reader, query.prefix, watched.revision, keys)
         if query.after < watched.base_revision:
             return Followed(refusal="", lost=True, revision=watched.revision, keys=[])
         until_s = reader.loop.now() + query.wait_ms / 1000
@@ -213,18 +228,23 @@
         if not reader.answered_recently(query.prefix) or watched.base_revision > query.after:
             return _refused(reader, query.prefix)
         keys = [_to_wire(change.key, change.revision, change.entry) for change in changes]
-        return _answer(reader, watched.revision, keys)
+        return _answer(reader, query.prefix, watched.revision, keys)
 
 
-def _answer(reader: CellReader, revision: Revision, keys: list[FollowedKey]) -> Followed:
+def _answer(
+    reader: CellReader, prefix: str, revision: Revision, keys: list[FollowedKey]
+) -> Followed:
     failed_s = reader.loop.now() - reader.last_failure_s
     failed_ms = int(failed_s * 1000) if failed_s < FAILURE_RETENTION_S else None
-    return Followed(refusal="", lost=False, revision=revision, keys=keys, failed_ms=failed_ms)
+    age_ms = int(reader.answer_age_s(prefix) * 1000)
+    return Followed(
+        refusal="", lost=False, revision=revision, keys=keys, failed_ms=failed_ms, age_ms=age_ms
+    )
 
 
 def _refused(reader: CellReader, prefix: str) -> Followed:
-    age_s = reader.loop.now() - reader.answered_s.get(prefix, 0.0)
-    message = f"the service last answered this node {age_s:.1f} s ago: read from it directly"
+    age_s = reader.answer_age_s(prefix)
+    message = f"the service last answered {age_s:.1f} s ago: read from it directly"
     return Followed(refusal=message, lost=False, revision=0, keys=[])
 
 
--- a/parsleyrouter/process/fleet_loads.py
+++ b/parsleyrouter/process/fleet_loads.py
@@ -67,6 +67,8 @@
     waiting_nodes: int = 0
     """Nodes with batch items that wait for a slot."""
     received_s: float = 0.0
+    members: tuple[NodeId, ...] = ()
+    """The nodes of the cell that callers should use."""
 
 
 @dataclass
--- a/parsleyrouter/process/front.py
+++ b/parsleyrouter/process/front.py
@@ -80,6 +80,7 @@
             callers=options.callers,
             nodes=options.nodes,
             boot=time.time_ns() // 1_000_000,
+            capacity=options.cores,
         )
         self.registry = NodeRegistry(self.loop, self.store, own)
         self.exchange = LoadExchange(self.loop, self.loads, self.registry, self.routes)
@@ -87,7 +88,9 @@
         client = EndpointClient(self.loop, runtime.connector, ENDPOINT_CONNECT_TIMEOUT_S)
         client.id_header = port.headers.request
         self.forward_context = ForwardContext(self.loop, client, self.loads, port.headers)
-        self.reader = CellReader(self.loop, self.store, self.exchange, runtime.peers, self.rng)
+        self.reader = CellReader(
+            self.loop, self.store, self.exchange.members, runtime.peers, self.rng
+        )
         self.reader.on_failure.append(self.directory.record_store_failure)
         self.worker: JobWorker
         self.peers: PeerServer
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -51,7 +51,14 @@
     )
     job_store = SharedJobStore(front.store)
     job_metrics = JobMetrics.of(runtime.metrics)
-    owner = JobOwner(runtime.loop, job_store, front.job_directory, front.registry, front.rng)
+    owner = JobOwner(
+        runtime.loop,
+        job_store,
+        front.job_directory,
+        front.registry,
+        front.exchange.members,
+        front.rng,
+    )
     worker = JobWorker(
         front.forward_context,
         owner,
@@ -92,7 +99,7 @@
         port.decode_job_call,
         port.encode_results,
     )
-    address_directory = AddressDirectory(runtime.loop, front.registry, front.exchange, front.loads)
+    address_directory = AddressDirectory(front.exchange.members)
     limits = HttpLimits(buffered_bytes=int(options.memory_mb * 1e6 * MAX_BUFFERED_SHARE))
 
     async def handle(exchange: CallerExchange) -> None:
--- a/parsleyrouter/process/front_options.py
+++ b/parsleyrouter/process/front_options.py
@@ -29,6 +29,8 @@
     """Maximum time from the stop signal to the end of the process."""
     memory_mb: int = 256
     descriptors: int = 1024
+    cores: float = 1.0
+    """Processors that the process may use; the strongest nodes of a large fleet take callers."""
     key_value_calls_per_s: float = 60.0
     log_level: str = "info"
 
@@ -39,4 +41,5 @@
         check_range("grace", self.grace_s, 0.5, 3600.0, "s")
         check_range("metrics-port", self.metrics_port, 0, 65535, "as a port")
         check_range("memory-mb", self.memory_mb, 32, 1_000_000, "MB")
+        check_range("cores", self.cores, 0.01, 4096.0, "cores")
         check_range("descriptors", self.descriptors, 64, 10_000_000, "descriptors")
--- a/parsleyrouter/process/front_shutdown.py
+++ b/parsleyrouter/process/front_shutdown.py
@@ -21,6 +21,9 @@
 REQUEST_ARRIVAL_S = 0.3
 """Time that a request to an address from an expiring list may take to arrive."""
 
+STANDBY_NEWS_S = 0.8
+"""Time until nodes on standby no longer list a node that stops: an aggregate and its relay."""
+
 GRACE_SHARE = 0.85
 """Share of the grace time after which the process exits even if that interrupts requests."""
 
@@ -57,6 +60,8 @@
         self.exchange.broadcast()
         handover = self.loop.spawn(self._hand_over(deadline_s - started_s - 1.0), "hand over")
         callers_gone_s = started_s + MAX_KEPT_TTLS * ADDRESSES_TTL_S + REQUEST_ARRIVAL_S
+        if self.exchange.members.divided:
+            callers_gone_s += STANDBY_NEWS_S
         while self.loop.now() < deadline_s:
             callers_gone = self.loop.now() >= callers_gone_s
             if callers_gone:
--- a/parsleyrouter/process/job_owner.py
+++ b/parsleyrouter/process/job_owner.py
@@ -7,6 +7,7 @@
 
 from parsleyrouter.connection.key_value import KeyValueFailure, LeaseLost, WriteApplied
 from parsleyrouter.ids import ItemIndex, JobId
+from parsleyrouter.process.cell_members import CellMembers
 from parsleyrouter.process.job_directory import JobDirectory, JobView
 from parsleyrouter.process.job_run import JobRun
 from parsleyrouter.process.loop import Loop
@@ -16,8 +17,11 @@
 
 __all__ = ["JobOwner"]
 
-MAX_CLAIM_DELAY_S = 0.4
-"""Maximum random delay before a claim, so that nodes do not all try at once."""
+CLAIM_INTERVAL_S = 0.1
+"""Time that a claim and the news of it take; each node waits for those that rank before it."""
+
+STANDBY_CLAIM_S = 2.0
+"""Delay after which nodes on standby claim a job that no active node has claimed."""
 
 RETRY_PAUSE_S = 0.25
 """Pause before a failed call to the key-value service is retried."""
@@ -37,12 +41,14 @@
         store: SharedJobStore,
         job_directory: JobDirectory,
         registry: NodeRegistry,
+        members: CellMembers,
         rng: Random,
     ) -> None:
         self.loop = loop
         self.store = store
         self.job_directory = job_directory
         self.registry = registry
+        self.members = members
         self.rng = rng
         self.runs: dict[JobId, JobRun] = {}
         self.claiming: set[JobId] = set()
@@ -115,9 +121,15 @@
             return
         self.claiming.add(view.job)
         mine = view.owner == self.registry.own.node or view.job in self.runs
-        delay_s = 0.0 if mine else self.rng.uniform(0.05, MAX_CLAIM_DELAY_S)
+        delay_s = 0.0 if mine else self._claim_delay_s(view.job)
         self.loop.spawn(self._claim_and_load(view, delay_s), f"claim job {view.job}")
 
+    def _claim_delay_s(self, job: JobId) -> float:
+        rank = self.members.claim_rank(job)
+        if rank is None:
+            return STANDBY_CLAIM_S + self.rng.uniform(0.0, STANDBY_CLAIM_S)
+        return (rank + self.rng.uniform(0.5, 1.0)) * CLAIM_INTERVAL_S
+
     async def _claim_and_load(self, view: JobView, delay_s: float) -> None:
         try:
             await self.loop.sleep(delay_s)
--- a/parsleyrouter/process/job_worker.py
+++ b/parsleyrouter/process/job_worker.py
@@ -95,7 +95,7 @@
                 self.owner.registry.own.node,
                 excess,
                 self._counts_at(endpoint, now),
-                cell=self.exchange.cell,
+                cell=self.exchange.members.cell,
                 cells=self.context.loads.fleet.batch_by_cell(endpoint, now),
             )
             runs.sort(key=lambda item_run: self._running_rank(item_run, now), reverse=True)
--- a/parsleyrouter/process/load_codec.py
+++ b/parsleyrouter/process/load_codec.py
@@ -48,6 +48,7 @@
             sequence=report.sequence,
             uses=_to_wire(report.uses),
             contenders=report.waiting_nodes,
+            members=list(report.members),
         )
         for report in cells
     ]
@@ -97,6 +98,7 @@
         sequence=message.sequence,
         uses=_from_wire(message.uses),
         waiting_nodes=message.contenders or 0,
+        members=tuple(NodeId(node) for node in message.members or ()),
         received_s=received_s,
     )
 
--- a/parsleyrouter/process/node_registry.py
+++ b/parsleyrouter/process/node_registry.py
@@ -36,6 +36,9 @@
 """Age of the latest renewal up to which no other node can have taken over this node's work: less
 than half of the lease, with one renewal in between."""
 
+REGISTER_AGAIN_S = 1.5
+"""Time within which a live node registers again after its lease has lapsed in an outage."""
+
 log = logging.getLogger(__name__)
 
 
@@ -48,6 +51,8 @@
     callers: Address
     nodes: Address
     boot: int
+    capacity: float = 1.0
+    """Share of the VM's processors that the process may use, in cores."""
 
 
 class NodeRegistry:
@@ -61,6 +66,8 @@
         self.renewed_s = 0.0
         self.leaving = False
         self.nodes: dict[NodeId, RegisteredNode] = {}
+        self.removed: dict[NodeId, tuple[RegisteredNode, float]] = {}
+        """Nodes whose registration was removed, and when; monotonic."""
         self.on_lease: list[Callable[[], object]] = []
 
     def start(self) -> None:
@@ -69,6 +76,8 @@
 
     def apply_list(self, entries: Iterable[Entry]) -> None:
         """Replace all registrations by a full listing."""
+        now = self.loop.now()
+        self.removed |= {node: (info, now) for node, info in self.nodes.items()}
         self.nodes.clear()
         for entry in entries:
             self._put(entry)
@@ -79,9 +88,17 @@
             self._put(change.entry)
             return
         node = NodeId(change.key.removeprefix(NODES_PREFIX))
-        if self.nodes.pop(node, None) is not None:
+        info = self.nodes.pop(node, None)
+        if info is not None:
+            self.removed[node] = (info, self.loop.now())
             log.info("node left", extra={"node": node, "revision": change.revision})
 
+    def recent_nodes(self) -> dict[NodeId, RegisteredNode]:
+        """Return the registered nodes and those that may be about to register again."""
+        since_s = self.loop.now() - REGISTER_AGAIN_S
+        self.removed = {node: one for node, one in self.removed.items() if one[1] > since_s}
+        return {node: info for node, (info, _) in self.removed.items()} | self.nodes
+
     async def leave(self) -> None:
         """Revoke the lease, so that others take over at once."""
         self.leaving = True
@@ -103,6 +120,7 @@
         if self.nodes.get(decoded.node) != decoded:
             log.info("node joined", extra={"node": decoded.node, "revision": entry.revision})
         self.nodes[decoded.node] = decoded
+        self.removed.pop(decoded.node, None)
 
     async def _maintain_lease(self) -> None:
         while not self.leaving:
--- a/parsleyrouter/thrift_gen/load/ttypes.py
+++ b/parsleyrouter/thrift_gen/load/ttypes.py
@@ -280,17 +280,19 @@
      - sequence
      - uses
      - contenders
+     - members
 
     """
 
 
-    def __init__(self, cell=None, speaker=None, boot=None, sequence=None, uses=None, contenders=None,):
+    def __init__(self, cell=None, speaker=None, boot=None, sequence=None, uses=None, contenders=None, members=None,):
         self.cell = cell
         self.speaker = speaker
         self.boot = boot
         self.sequence = sequence
         self.uses = uses
         self.contenders = contenders
+        self.members = members
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -337,6 +339,16 @@
                     self.contenders = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.members.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -374,6 +386,13 @@
             oprot.writeFieldBegin('contenders', TType.I32, 6)
             oprot.writeI32(self.contenders)
             oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRING, len(self.members))
+            for iter20 in self.members:
+                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -499,6 +518,7 @@
     (4, TType.I64, 'sequence', None, None, ),  # 4
     (5, TType.LIST, 'uses', (TType.STRUCT, [EndpointUse, None], False), None, ),  # 5
     (6, TType.I32, 'contenders', None, None, ),  # 6
+    (7, TType.LIST, 'members', (TType.STRING, 'UTF8', False), None, ),  # 7
 )
 all_structs.append(FleetNews)
 FleetNews.thrift_spec = (
--- a/parsleyrouter/thrift_gen/nodes/ttypes.py
+++ b/parsleyrouter/thrift_gen/nodes/ttypes.py
@@ -182,16 +182,18 @@
      - revision
      - keys
      - failed_ms
+     - age_ms
 
     """
 
 
-    def __init__(self, refusal=None, lost=None, revision=None, keys=None, failed_ms=None,):
+    def __init__(self, refusal=None, lost=None, revision=None, keys=None, failed_ms=None, age_ms=None,):
         self.refusal = refusal
         self.lost = lost
         self.revision = revision
         self.keys = keys
         self.failed_ms = failed_ms
+        self.age_ms = age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -233,6 +235,11 @@
                     self.failed_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -266,6 +273,10 @@
             oprot.writeFieldBegin('failed_ms', TType.I32, 5)
             oprot.writeI32(self.failed_ms)
             oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 6)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -539,6 +550,7 @@
     (3, TType.I64, 'revision', None, None, ),  # 3
     (4, TType.LIST, 'keys', (TType.STRUCT, [FollowedKey, None], False), None, ),  # 4
     (5, TType.I32, 'failed_ms', None, None, ),  # 5
+    (6, TType.I32, 'age_ms', None, None, ),  # 6
 )
 all_structs.append(AskResults)
 AskResults.thrift_spec = (
--- a/thrift/load.thrift
+++ b/thrift/load.thrift
@@ -30,6 +30,7 @@
   4: i64 sequence,
   5: list<EndpointUse> uses,
   6: i32 contenders,
+  7: optional list<string> members,
 }
 
 // One datagram.
--- a/thrift/nodes.thrift
+++ b/thrift/nodes.thrift
@@ -15,13 +15,15 @@
 }
 
 // lost: the changes after that revision have been compacted. failed_ms: time since the key-value
-// service last failed to respond, set only if that was recently.
+// service last failed to respond, set only if that was recently. age_ms: time since the service last
+// answered about the prefix.
 struct Followed {
   1: string refusal,
   2: bool lost,
   3: i64 revision,
   4: list<FollowedKey> keys,
   5: optional i32 failed_ms,
+  6: optional i32 age_ms,
 }
 
 // Request results from a position on from the node that runs a job.
