--- a/parsleyrouter/process/address_directory.py
+++ b/parsleyrouter/process/address_directory.py
@@ -9,9 +9,12 @@
 """How long callers cache a list. A node must keep serving for three times this when it stops."""
 
 MAX_ADDRESSES = 64
-MIN_NEAR_ADDRESSES = 2
+MIN_NEAR_ADDRESSES = 3
 """With fewer than this in the caller's failure domain, other domains are listed too."""
 
+MIN_NEAR_ACTIVE_ADDRESSES = 2
+"""The same for the active nodes of a large fleet, of which a domain may have three."""
+
 
 class AddressDirectory:
     """List the nodes that accept callers."""
@@ -24,6 +27,7 @@
         chosen = self.members.serving_nodes()
         chosen.sort(key=lambda info: (info.domain != domain, info.node))
         same_domain = [info for info in chosen if info.domain == domain]
-        if len(same_domain) >= MIN_NEAR_ADDRESSES:
+        divided = self.members.divided
+        if len(same_domain) >= (MIN_NEAR_ACTIVE_ADDRESSES if divided else MIN_NEAR_ADDRESSES):
             chosen = same_domain
         return [info.callers for info in chosen[:MAX_ADDRESSES]]
