Bound replies that never end or stall without falling silent

Cause: each received byte restarted the wait for headers, body or the next event, so an endpoint that sent a byte now and then held a request beyond its deadline; a refusal's body was read without limit; a failure without the request's id was forwarded as the endpoint's own.

Change: headers and whole replies have one deadline and a size limit, a response ends at its request's deadline, events count as progress rather than bytes, and a response without the request's id is not forwarded.

--- /dev/null
+++ b/features/endless_replies.feature
@@ -0,0 +1,45 @@
+Feature: replies that never end, or stall without falling silent, cost bounded time and memory
+
+  Scenario Outline: an endpoint that sends <what> is given up in time
+    When an endpoint replies to a card by <what>
+    Then the card comes from another endpoint in time, and the connection is closed
+
+    Examples:
+      | what                                 |
+      | a head without end                   |
+      | a head one byte at a time            |
+      | interim responses without end        |
+      | a refusal whose body has no end      |
+      | an error whose body has no end       |
+      | a body one byte at a time            |
+      | a response to another without end    |
+      | a refusal that is not its own        |
+
+  Scenario: a body without end is forwarded no longer than the request may take
+    When an endpoint never ends the large body of a card
+    Then the caller's response ends as incomplete at its deadline, with bounded memory
+
+  Scenario Outline: a stream that stalls while it sends <what> resumes at another endpoint
+    When an endpoint sends only <what> within a tale
+    Then the tale resumes within the maximum pause that counts as on time
+
+    Examples:
+      | what                        |
+      | a byte of an event          |
+      | parts of one endless event  |
+
+  Scenario: a stalled batch item resumes at another endpoint
+    When an endpoint stalls within an item and sends a byte now and then
+    Then the item is listed with its whole output
+
+  Scenario: a slow but sound stream is not cut
+    When an endpoint sends a chat and a tale slowly but within their pauses
+    Then both arrive complete from their first endpoint
+
+  Scenario: a stream that is not resumable and never ends is cut at its deadline
+    When an endpoint sends events of a chat without end
+    Then the caller's response ends as incomplete at its deadline, with bounded memory
+
+  Scenario: a reply of the key-value service without end does not hold a node up
+    When the key-value service sends a body without end to one call
+    Then the call fails in time, and the node serves on
--- a/parsleyrouter/connection/http_exchange.py
+++ b/parsleyrouter/connection/http_exchange.py
@@ -18,6 +18,8 @@
 
 BODY_GAP_TIMEOUT_S = 30.0
 PAUSE_ABOVE_BYTES = 256 * 1024
+MAX_REPLY_BYTES = 64 * 1024 * 1024
+"""Maximum size of a reply that is read as a whole; those of the services used are far smaller."""
 
 
 class HttpExchange:
@@ -59,15 +61,20 @@
         self.stream.send(data)
 
     async def wait_headers(self, timeout_s: float) -> TransportFailure | None:
-        """Wait for status and headers; return the failure if there is one."""
+        """Wait for status and headers; return the failure if there is one.
+
+        Bytes that do not complete the headers do not extend the time.
+        """
+        deadline_s = self.client.loop.now() + timeout_s
         while not self.status and self.failure is None:
-            await self._wait(timeout_s, "no reply headers")
+            await self._wait_until(deadline_s, f"no reply headers within {timeout_s:g} s")
         return self.failure
 
     async def read(self, timeout_s: float = BODY_GAP_TIMEOUT_S) -> bytes | None | TransportFailure:
         """Return the body bytes received so far, ``None`` at the end of the body."""
+        deadline_s = self.client.loop.now() + timeout_s
         while not self.pieces and not self.ended and self.failure is None:
-            await self._wait(timeout_s, "no more body data")
+            await self._wait_until(deadline_s, f"no more body data within {timeout_s:g} s")
         if self.pieces:
             data = b"".join(self.pieces)
             self.pieces.clear()
@@ -78,19 +85,28 @@
             return None
         return self.failure
 
-    async def read_all(self, timeout_s: float) -> HttpReply | TransportFailure:
-        """Return the complete reply."""
+    async def read_all(
+        self, timeout_s: float, max_bytes: int = MAX_REPLY_BYTES
+    ) -> HttpReply | TransportFailure:
+        """Return the complete reply; headers and body may take ``timeout_s`` each."""
         failure = await self.wait_headers(timeout_s)
         if failure is not None:
             return failure
         parts: list[bytes] = []
+        size = 0
+        deadline_s = self.client.loop.now() + timeout_s
         while True:
-            piece = await self.read(timeout_s)
+            piece = await self.read(max(0.0, deadline_s - self.client.loop.now()))
             if isinstance(piece, TransportFailure):
                 return piece
             if piece is None:
                 return HttpReply(self.status, self.headers, b"".join(parts))
             parts.append(piece)
+            size += len(piece)
+            if size > max_bytes or self.client.loop.now() >= deadline_s:
+                self.fail(f"no end of the body within {timeout_s:g} s and {max_bytes} bytes")
+                if self.failure is not None:
+                    return self.failure
 
     def cancel(self) -> None:
         """Close the connection; the server sees a disconnect."""
@@ -106,13 +122,12 @@
         self.stream.close()
         self._notify()
 
-    async def _wait(self, timeout_s: float, missing: str) -> None:
+    async def _wait_until(self, deadline_s: float, reason: str) -> None:
         """Wait for the next event; one timer serves all waits of the exchange."""
         loop = self.client.loop
-        self.wait_deadline_s = loop.now() + timeout_s
-        self.wait_reason = f"{missing} within {timeout_s:g} s"
-        if self.wait_timer is None or self.wait_timer.due_s > self.wait_deadline_s:
-            self._start_wait_timer(timeout_s)
+        self.wait_deadline_s, self.wait_reason = deadline_s, reason
+        if self.wait_timer is None or self.wait_timer.due_s > deadline_s:
+            self._start_wait_timer(deadline_s - loop.now())
         self.waiter = loop.promise()
         await self.waiter
         self.waiter = None
--- a/parsleyrouter/process/forward_attempt.py
+++ b/parsleyrouter/process/forward_attempt.py
@@ -1,5 +1,6 @@
 """Run one attempt of a forwarded request at one endpoint."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -169,7 +170,8 @@
             await exchange.read_all(REFUSAL_READ_TIMEOUT_S)
             return self._failure(FailurePoint.REFUSED, f"refused with status {status}")
         verified = exchange.has_request_id and names.signature in headers
-        if status < 300 and (not verified or "content-encoding" in headers):
+        unverified_success = status < 300 and (not verified or "content-encoding" in headers)
+        if unverified_success or not exchange.has_request_id:
             exchange.cancel()
             return self._failure(
                 FailurePoint.MAYBE_SENT, "response is not verifiably the endpoint's own"
@@ -183,11 +185,16 @@
         return None
 
     async def _read_buffered(self, exchange: EndpointExchange) -> AttemptFailure | None:
-        """Buffer a small response until it is complete; stream a large one."""
+        """Buffer a small response until it is complete; stream a large one.
+
+        A response that may be retried takes at most half of the remaining time.
+        """
         chunks: list[bytes] = []
         size = 0
+        now = self.context.loop.now()
+        until_s = now + (self.request.deadline_s - now) / (2 if self.may_retry else 1)
         while size <= MAX_BUFFERED_RESPONSE_BYTES:
-            chunk = await exchange.read(self.timeouts.gap_s)
+            chunk = await self._read(exchange, until_s=until_s)
             if isinstance(chunk, TransportFailure):
                 return self._failure(FailurePoint.MAYBE_SENT, chunk.message)
             if chunk is None:
@@ -207,7 +214,7 @@
 
     async def _forward_rest(self, exchange: EndpointExchange) -> AttemptFailure | None:
         while True:
-            chunk = await exchange.read(self.timeouts.gap_s)
+            chunk = await self._read(exchange)
             if chunk is None:
                 return None
             if isinstance(chunk, TransportFailure):
@@ -220,8 +227,10 @@
         """Forward complete events only, so that another endpoint can resume after the last one."""
         splitter = EventSplitter()
         self._begin(exchange, None)
+        event_s = self.context.loop.now()
         while True:
-            chunk = await exchange.read(self.timeouts.gap_s)
+            waited_s = self.context.loop.now() - event_s
+            chunk = await self._read(exchange, waited_s)
             if chunk is None:
                 self.sink.send(splitter.rest)
                 return None
@@ -235,6 +244,7 @@
                     FailurePoint.RESPONSE_TRUNCATED, "event exceeds the maximum size"
                 )
             if events:
+                event_s = self.context.loop.now()
                 self.last_event = last_event_id(events) or self.last_event
                 self.sink.send(events)
                 await self.sink.drain()
@@ -243,6 +253,18 @@
                 await self.context.loop.sleep(BATCH_READ_INTERVAL_S)
                 exchange.stream.resume()
 
+    async def _read(
+        self, exchange: EndpointExchange, waited_s: float = 0.0, until_s: float = math.inf
+    ) -> bytes | None | TransportFailure:
+        """Read more of the body until the gap timeout, ``until_s`` or the request's deadline.
+
+        ``waited_s`` is the time since the last event: bytes that complete none do not extend it.
+        """
+        left_s = min(self.request.deadline_s, until_s) - self.context.loop.now()
+        if left_s <= 0:
+            exchange.fail("the response did not end in time")
+        return await exchange.read(max(0.0, min(self.timeouts.gap_s - waited_s, left_s)))
+
     def _begin(self, exchange: EndpointExchange, length: int | None) -> None:
         if self.headers_sent:
             return
