--- a/features/steps/endless_replies_steps.py
+++ b/features/steps/endless_replies_steps.py
@@ -16,6 +16,7 @@
     EndpointStandIn,
     event,
     stream,
+    whole,
 )
 from parsleyrouter.connection.forward_server import CallerExchange
 
@@ -70,6 +71,18 @@
 }
 
 
+def first_only(behaviour: Behaviour) -> Behaviour:
+    """Apply a behaviour to the first request of all endpoints together, and answer the others."""
+    done: list[bool] = []
+
+    async def behave(endpoint: EndpointStandIn, exchange: CallerExchange, arrival: Arrival) -> None:
+        chosen = whole if done else behaviour
+        done.append(True)
+        await chosen(endpoint, exchange, arrival)
+
+    return behave
+
+
 def memory_kb() -> int:
     return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
 
@@ -80,20 +93,18 @@
         fleet.register("c1", "cards")
         fleet.register("c2", "cards")
         await fleet.start()
+        first = first_only(CARD_REPLIES[what])
         for endpoint in fleet.endpoints.values():
-            endpoint.behaviours = [CARD_REPLIES[what]]
+            endpoint.default_behaviour = first
         caller = fleet.caller()
         started_s = fleet.loop.now()
         await caller.send("GET", "/card/1", deadline_ms=4000)
-        await fleet.until(lambda: any(one.arrivals for one in fleet.endpoints.values()))
-        for endpoint in fleet.endpoints.values():
-            endpoint.behaviours = []
         context.answer = await caller.wait()
         context.took_s = fleet.loop.now() - started_s
         arrivals = [one.arrivals[0] for one in fleet.endpoints.values() if one.arrivals]
-        first = min(arrivals, key=lambda arrival: arrival.at_s)
-        await fleet.until(lambda: first.cut or first.ended_s, 1.0)
-        context.closed = first.cut
+        earliest = min(arrivals, key=lambda arrival: arrival.at_s)
+        await fleet.until(lambda: earliest.cut or earliest.ended_s, 1.0)
+        context.closed = earliest.cut
 
     run_with_fleet(context, scenario)
 
--- a/parsleyrouter/connection/http_client.py
+++ b/parsleyrouter/connection/http_client.py
@@ -120,8 +120,8 @@
         exchange.idle_until_s = self.loop.now() + _max_idle_s(exchange.headers)
         parser.start_next_cycle()
         stream.resume()
-        stream.on_data = lambda data: self._discard_idle(exchange)
-        stream.on_close = lambda: self._discard_idle(exchange)
+        stream.on_data = lambda data: self._drop_idle(exchange)
+        stream.on_close = lambda: self._drop_idle(exchange)
         idle.append(exchange)
 
     def _reuse(self, address: Address) -> HttpExchange | None:
@@ -138,7 +138,12 @@
                 return exchange
         return None
 
-    def _discard_idle(self, exchange: HttpExchange) -> None:
+    def discard(self, exchange: HttpExchange) -> None:
+        """Close the connection of an exchange, also if it has ended and its connection is idle."""
+        exchange.cancel()
+        self._drop_idle(exchange)
+
+    def _drop_idle(self, exchange: HttpExchange) -> None:
         idle = self.idle.get(exchange.stream.address, [])
         if exchange in idle:
             idle.remove(exchange)
--- a/parsleyrouter/process/forward_attempt.py
+++ b/parsleyrouter/process/forward_attempt.py
@@ -172,7 +172,7 @@
         verified = exchange.has_request_id and names.signature in headers
         unverified_success = status < 300 and (not verified or "content-encoding" in headers)
         if unverified_success or not exchange.has_request_id:
-            exchange.cancel()
+            self.context.client.discard(exchange)
             return self._failure(
                 FailurePoint.MAYBE_SENT, "response is not verifiably the endpoint's own"
             )
@@ -261,9 +261,12 @@
         ``waited_s`` is the time since the last event: bytes that complete none do not extend it.
         """
         left_s = min(self.request.deadline_s, until_s) - self.context.loop.now()
+        gap_s = self.timeouts.gap_s - waited_s
         if left_s <= 0:
             exchange.fail("the response did not end in time")
-        return await exchange.read(max(0.0, min(self.timeouts.gap_s - waited_s, left_s)))
+        elif gap_s <= 0:
+            exchange.fail(f"no event within {self.timeouts.gap_s:g} s")
+        return await exchange.read(max(0.0, min(gap_s, left_s)))
 
     def _begin(self, exchange: EndpointExchange, length: int | None) -> None:
         if self.headers_sent:
