Save the progress of a node's jobs together, and gather results for a moment

Cause: each open job cost a call every two seconds for its progress, and each result that ended alone a call for its listing; with a few nodes that own all jobs these are most of the calls to the store.

Change: one transaction saves the jobs of a node, falling back to one each when another node has taken one; results are gathered for a quarter of a second unless the job is due.

--- a/features/front_jobs.feature
+++ b/features/front_jobs.feature
@@ -88,6 +88,14 @@
     When the node that runs a job is lost after its items' progress was saved
     Then another node resumes after the saved events
 
+  Scenario: the progress of several jobs is saved in one call
+    When a node runs several jobs, one of which another node has taken
+    Then their progress takes one call, or one each if another node has taken one
+
+  Scenario: results that end together are listed together
+    When the items of a job end one after the other within a moment
+    Then they take fewer calls than there are items, and the last is listed at once
+
   Scenario: a node that is disconnected from the store refuses jobs at once
     When a job is submitted to a node whose calls to the store have begun to fail
     Then it is refused as not run at once, with an immediate retry
--- a/features/steps/front_jobs_steps.py
+++ b/features/steps/front_jobs_steps.py
@@ -17,6 +17,7 @@
     stream_until,
 )
 from parsleyrouter.connection.forward_server import CallerExchange
+from parsleyrouter.ids import Revision
 from parsleyrouter.request.submission import RETRY_ELSEWHERE_S, RETRY_OUTAGE_S, submission_retry_s
 
 ITEMS = 4
@@ -525,6 +526,73 @@
         assert int(second.header("Last-Event-Id") or 0) >= context.min_event
 
 
+def _saves(fleet: FrontFleet) -> int:
+    return sum("parsley/saved/" in call for call in fleet.store.transactions)
+
+
+@when("a node runs several jobs, one of which another node has taken")
+def step_several_jobs(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        endpoint = fleet.register("e1", slots=12)
+        endpoint.events, endpoint.gap_s = 400, 0.02
+        front = await fleet.start()
+        for number in range(3):
+            await submit(fleet, 0, f"job{number}")
+        await fleet.until(lambda: len(item_runs(fleet)) == 3 * ITEMS)
+        owner = front.worker.owner
+        await fleet.until(lambda: all(run.saved_events for run in owner.runs.values()))
+        before = _saves(fleet)
+        await fleet.loop.sleep(0.3)
+        runs = list(owner.runs.values())
+        await owner.saver.save(runs)
+        context.together = _saves(fleet) - before
+        view = front.job_directory.jobs[runs[0].versioned.record.job]
+        view.owner_revision = Revision(view.owner_revision - 1)
+        before = _saves(fleet)
+        saved = [dict(run.saved_events) for run in runs]
+        await fleet.loop.sleep(0.3)
+        await owner.saver.save(runs)
+        context.apart = _saves(fleet) - before
+        context.changed = [run.saved_events != old for run, old in zip(runs, saved, strict=True)]
+
+    run_with_fleet(context, scenario)
+
+
+@then("their progress takes one call, or one each if another node has taken one")
+def step_saved_together(context: Any) -> None:
+    assert context.together == 1, context.together
+    assert context.apart == 1 + 3, context.apart
+    assert context.changed == [False, True, True]
+
+
+@when("the items of a job end one after the other within a moment")
+def step_end_together(context: Any) -> None:
+    async def staggered(
+        endpoint: EndpointStandIn, exchange: CallerExchange, arrival: Arrival
+    ) -> None:
+        number = int((arrival.header("X-Attempt-Id") or "item0")[4:])
+        await endpoint.runtime.loop.sleep(0.1 + 0.03 * number)
+        await stream(endpoint, exchange, arrival)
+
+    async def scenario(fleet: FrontFleet) -> None:
+        fleet.register("e1").default_behaviour = staggered
+        await fleet.start()
+        await submit(fleet, body=json.dumps({"items": items(8)}).encode())
+        context.results = await read_all(fleet)
+        ended_s = max(one.ended_s for one in item_runs(fleet))
+        context.delay_s = fleet.loop.now() - ended_s
+        context.listings = sum("parsley/listed/" in call for call in fleet.store.transactions)
+
+    run_with_fleet(context, scenario)
+
+
+@then("they take fewer calls than there are items, and the last is listed at once")
+def step_listed_together(context: Any) -> None:
+    assert len(context.results) == 8
+    assert context.listings <= 4, context.listings
+    assert context.delay_s < 0.35, context.delay_s
+
+
 @when("a job is submitted to a node whose calls to the store have begun to fail")
 def step_disconnected_node(context: Any) -> None:
     async def scenario(fleet: FrontFleet) -> None:
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -59,6 +59,8 @@
         self.leases: dict[int, float] = {}
         self.lease_ids = itertools.count(7000)
         self.faults = StoreFaults()
+        self.transactions: list[str] = []
+        """The keys that each transaction names, as one text."""
         self.waiting: list[Promise[None]] = []
         bind = Address("127.0.0.1:0")
         server = ForwardServer(runtime.loop, bind, self._answer)
@@ -186,6 +188,8 @@
             await promise
 
     def _transact(self, body: Any) -> tuple[int, Any]:
+        rows = body["expect"] + body["writes"]
+        self.transactions.append(" ".join([*(row["key"] for row in rows), *body["deletes"]]))
         if sum(len(body[part]) for part in ("expect", "writes", "deletes")) > MAX_ENTRIES:
             return 400, {"error": f"more than {MAX_ENTRIES} entries"}
         if any(len(b64decode(row["value"])) > MAX_VALUE_BYTES for row in body["writes"]):
--- a/parsleyrouter/process/job_owner.py
+++ b/parsleyrouter/process/job_owner.py
@@ -12,6 +12,7 @@
 from parsleyrouter.process.job_run import JobRun
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.node_registry import NodeRegistry
+from parsleyrouter.process.progress_saver import ProgressSaver
 from parsleyrouter.process.shared_job_store import SharedJobStore, VersionedJob
 from parsleyrouter.request.shared_job import ItemResult, JobItem
 
@@ -52,6 +53,7 @@
         self.rng = rng
         self.runs: dict[JobId, JobRun] = {}
         self.claiming: set[JobId] = set()
+        self.saver = ProgressSaver(loop, store, job_directory)
         self.leaving = False
         self.on_listed: Callable[[JobId, int, list[ItemResult]], object] = lambda *_: None
         """Called with the results that this node has listed, starting at a position."""
@@ -103,10 +105,11 @@
         runs = list(self.runs.values())
         for run in runs:
             run.stop()
-        while any(run.running or run.saving for run in runs) and self.loop.now() < until_s:
+        while any(run.running for run in runs) or self.saver.saving:
+            if self.loop.now() >= until_s:
+                break
             await self.loop.sleep(STOP_POLL_INTERVAL_S)
-        for run in runs:
-            await run.save()
+        await self.saver.save(runs)
         while any(run.listing for run in runs) and self.loop.now() < until_s:
             await self.loop.sleep(STOP_POLL_INTERVAL_S)
 
--- a/parsleyrouter/process/job_run.py
+++ b/parsleyrouter/process/job_run.py
@@ -1,6 +1,7 @@
 """One batch job that this node runs: its pending items and its unlisted results."""
 
 import logging
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -9,7 +10,7 @@
 from parsleyrouter.process.item_run import ItemEnd, ItemProgress, ItemRun
 from parsleyrouter.process.job_directory import JobDirectory, JobView
 from parsleyrouter.process.loop import Loop
-from parsleyrouter.process.shared_job_store import SharedJobStore, VersionedJob
+from parsleyrouter.process.shared_job_store import JobSave, SharedJobStore, VersionedJob
 from parsleyrouter.request.shared_job import (
     UNSHARED,
     ItemResult,
@@ -27,9 +28,12 @@
 MAX_LISTING_BYTES = 400_000
 RETRY_PAUSE_S = 0.2
 
-SAVE_INTERVAL_S = 2.0
-"""Pause between saves of the progress of running items. It bounds the work that is lost with a node
-and costs a call for each job."""
+LISTING_DELAY_S = 0.25
+"""Time over which results are gathered, since each listing costs a call; readers of a job with time
+left notice no more of it than of the interval of their reads."""
+
+LISTING_MARGIN_S = 2.0
+"""Results of a job that is due within this time are listed at once."""
 
 MAX_SAVED_BYTES = 600_000
 """Output in one save; items beyond it start from the beginning on another node."""
@@ -55,8 +59,6 @@
     """Results that are not listed yet."""
     listing: bool = False
     stopped: bool = False
-    saving: bool = False
-    last_save_s: float = 0.0
     on_listed: Callable[[int, list[ItemResult]], object] = field(
         default=lambda start, results: None
     )
@@ -101,28 +103,14 @@
                 progress.failures = one.failures
                 self.saved_events[one.index] = one.last_event
 
-    def save_when_due(self) -> None:
-        """Save the progress of items if the last save is old enough."""
-        due = self.loop.now() - self.last_save_s >= SAVE_INTERVAL_S
-        if due and not self.saving and self.running and not self.stopped:
-            self.loop.spawn(self.save(), "save progress")
-
-    async def save(self) -> None:
-        """Save the progress of unfinished items if it has changed since the last save."""
+    def progress_to_save(self) -> JobSave | None:
+        """Return the progress of unfinished items, ``None`` if the last save has it."""
         view = self.job_directory.jobs.get(self.versioned.record.job)
         items = self._unfinished()
         events = {one.index: one.last_event for one in items}
-        if view is None or self.saving or events == self.saved_events:
-            return
-        self.saving, self.last_save_s = True, self.loop.now()
-        try:
-            done = await self.store.save(self.versioned.record.job, view.owner_revision, items)
-        finally:
-            self.saving = False
-        if isinstance(done, WriteApplied):
-            self.saved_events = events
-        else:
-            log.info("progress not saved", extra={"job": self.job, "outcome": str(done)[:200]})
+        if view is None or events == self.saved_events:
+            return None
+        return JobSave(self.versioned.record.job, view.owner_revision, items)
 
     def _unfinished(self) -> list[SavedItem]:
         items: list[SavedItem] = []
@@ -150,12 +138,20 @@
     async def _list_all(self) -> None:
         try:
             while self.unlisted:
+                await self._gather_results()
                 await self._list_some()
             if len(self.listed) == len(self.items):
                 await self._close()
         finally:
             self.listing = False
 
+    async def _gather_results(self) -> None:
+        """Wait for further results unless the job is due, stopped or has no running items."""
+        left_s = self.versioned.record.due_ms / 1000 - time.time()
+        few = len(self.unlisted) < MAX_RESULTS_PER_LISTING
+        if few and self.running and not self.stopped and left_s > LISTING_MARGIN_S:
+            await self.loop.sleep(LISTING_DELAY_S)
+
     async def _list_some(self) -> None:
         batch: dict[ItemIndex, ItemResult] = {}
         size = 0
--- a/parsleyrouter/process/job_worker.py
+++ b/parsleyrouter/process/job_worker.py
@@ -138,8 +138,7 @@
             try:
                 self.preempt_items()
                 self._place_items()
-                for job_run in self.owner.runs.values():
-                    job_run.save_when_due()
+                self.owner.saver.save_when_due(self.owner.runs.values())
             except Exception:
                 log.exception("turn of batch work failed")
 
--- a/parsleyrouter/process/shared_job_store.py
+++ b/parsleyrouter/process/shared_job_store.py
@@ -35,6 +35,7 @@
     "OWNER",
     "RECORD",
     "JobKeys",
+    "JobSave",
     "LEFT",
     "Listed",
     "ShareWrite",
@@ -137,6 +138,25 @@
     value: bytes
 
 
+@dataclass(frozen=True)
+class JobSave:
+    """Progress of a job's unfinished items, saved while its owner key has a revision."""
+
+    job: JobId
+    owner_revision: Revision
+    items: list[SavedItem]
+
+    @property
+    def events(self) -> dict[ItemIndex, str]:
+        """Return the last event of each item."""
+        return {item.index: item.last_event for item in self.items}
+
+    @property
+    def size(self) -> int:
+        """Return the size of the output, in characters."""
+        return sum(len(piece) for item in self.items for piece in item.pieces)
+
+
 class SharedJobStore:
     """Read and write jobs; a failure tells whether a write may still take effect."""
 
@@ -238,12 +258,14 @@
         return done
 
     async def save(
-        self, job: JobId, owner_revision: Revision, items: Sequence[SavedItem]
+        self, saves: Sequence[JobSave]
     ) -> WriteApplied | TransactionConflict | KeyValueFailure:
-        """Save the progress of unfinished items if the owner key still has a revision."""
-        keys = JobKeys(job)
-        write = Write(keys.saved, msgspec.msgpack.encode(list(items)))
-        done = await self.store.transact(Transaction({keys.owner: owner_revision}, (write,)))
+        """Save the progress of jobs, all or none, if their owner keys have their revisions."""
+        expected = {JobKeys(save.job).owner: save.owner_revision for save in saves}
+        writes = [
+            Write(JobKeys(save.job).saved, msgspec.msgpack.encode(save.items)) for save in saves
+        ]
+        done = await self.store.transact(Transaction(expected, tuple(writes)))
         assert not isinstance(done, LeaseLost)
         return done
 
