Learn how long the items of a route take

EXPECTED_ITEM_S fitted sites whose items take about five seconds: shorter items were never due in time by it, longer ones all looked equal. The time is now a moving average by route, and ranks compare the share of work that is left.

--- a/features/shared_endpoints.feature
+++ b/features/shared_endpoints.feature
@@ -16,6 +16,10 @@
     When items of several jobs wait
     Then late items are last and partly processed items first
 
+  Scenario: the time that items need is learnt for each route
+    When items of one route take a tenth of a second and those of another a minute
+    Then both are ranked by the share of work that is left
+
   Scenario: a burst above what the endpoints serve
     When a burst exceeds the endpoints' capacity by half
     Then more callers are answered in time than without refusals, and none is refused twice
--- a/features/steps/shared_endpoints_steps.py
+++ b/features/steps/shared_endpoints_steps.py
@@ -13,7 +13,15 @@
 
 from features.support.burst_play import Burst, simulate_burst
 from parsleyrouter.connection.key_value import Entry
-from parsleyrouter.ids import Address, DomainName, EndpointId, NodeId, Revision, ServiceName
+from parsleyrouter.ids import (
+    Address,
+    DomainName,
+    EndpointId,
+    NodeId,
+    Revision,
+    RouteName,
+    ServiceName,
+)
 from parsleyrouter.platform.endpoints import decode_endpoint
 from parsleyrouter.process.batch_placement import (
     batch_item_rank,
@@ -28,6 +36,7 @@
 from parsleyrouter.process.endpoint_loads import INACTIVITY_TIMEOUT_S, REPORT_TTL_S, EndpointLoads
 from parsleyrouter.process.fleet_loads import NodeLoadReport, RequestCounts
 from parsleyrouter.request.admission import Admit, Refuse, admit
+from parsleyrouter.request.item_time import ItemTimes
 from parsleyrouter.request.placement import PlacementCandidate, choose_endpoint, queue_wait_s
 
 NEAR, FAR = DomainName("near"), DomainName("far")
@@ -118,10 +127,10 @@
 @when("items of several jobs wait")
 def step_queue_items(context: Any) -> None:
     rows = {
-        "late": batch_item_rank(left_s=2.0, needed_s=5.0),
-        "fresh, due soon": batch_item_rank(left_s=6.0, needed_s=5.0),
-        "fresh, due later": batch_item_rank(left_s=16.0, needed_s=5.0),
-        "begun, due later": batch_item_rank(left_s=16.0, needed_s=1.0),
+        "late": batch_item_rank(left_s=2.0, needed_s=5.0, expected_s=5.0),
+        "fresh, due soon": batch_item_rank(left_s=6.0, needed_s=5.0, expected_s=5.0),
+        "fresh, due later": batch_item_rank(left_s=16.0, needed_s=5.0, expected_s=5.0),
+        "begun, due later": batch_item_rank(left_s=16.0, needed_s=1.0, expected_s=5.0),
     }
     context.order = sorted(rows, key=lambda name: rows[name])
 
@@ -131,6 +140,41 @@
     assert context.order == ["begun, due later", "fresh, due soon", "fresh, due later", "late"]
 
 
+@when("items of one route take a tenth of a second and those of another a minute")
+def step_learn_times(context: Any) -> None:
+    times = ItemTimes()
+    short, long = RouteName("short"), RouteName("long")
+    context.before_s = times.expected_s(short)
+    for _ in range(50):
+        times.record(short, 0.1)
+        times.record(long, 60.0)
+    context.expected_s = [times.expected_s(short), times.expected_s(long)]
+    context.orders = []
+    for route, total_s in ((short, 0.1), (long, 60.0)):
+        rows = {
+            name: batch_item_rank(
+                left_s=due * total_s,
+                needed_s=times.left_s(route, done * total_s),
+                expected_s=times.expected_s(route),
+            )
+            for name, due, done in (
+                ("late", 0.5, 0.0),
+                ("fresh, due soon", 2.0, 0.0),
+                ("fresh, due later", 9.0, 0.0),
+                ("begun, due later", 9.0, 0.6),
+            )
+        }
+        context.orders.append(sorted(rows, key=lambda name: rows[name]))
+
+
+@then("both are ranked by the share of work that is left")
+def step_learnt_order(context: Any) -> None:
+    assert context.before_s > 0
+    assert abs(context.expected_s[0] - 0.1) < 1e-6 and abs(context.expected_s[1] - 60.0) < 1e-6
+    expected = ["begun, due later", "fresh, due soon", "fresh, due later", "late"]
+    assert context.orders == [expected, expected], context.orders
+
+
 @when("a burst exceeds the endpoints' capacity by half")
 def step_burst(context: Any) -> None:
     burst = Burst(endpoints=4, slots=8, service_s=0.7, peak_per_s=70.0, trough_per_s=12.0)
--- a/parsleyrouter/process/batch_placement.py
+++ b/parsleyrouter/process/batch_placement.py
@@ -16,6 +16,9 @@
 
 __all__ = ["batch_item_rank", "count_preemptions", "pick_batch_endpoint"]
 
+WORK_STEPS = 5
+"""Items whose work left differs by less than one of this many steps are ranked by due time."""
+
 Name = TypeVar("Name", bound=str)
 
 
@@ -35,14 +38,18 @@
     return best
 
 
-def batch_item_rank(*, left_s: float, needed_s: float) -> tuple[bool, int, float]:
+def batch_item_rank(
+    *, left_s: float, needed_s: float, expected_s: float
+) -> tuple[bool, int, float]:
     """Return the rank of an item that is due in ``left_s``; the lowest rank runs first.
 
+    It still needs ``needed_s`` of the ``expected_s`` that a whole item takes.
+
     Items that can still be done in time go before those that cannot, or one late job would make
     all later ones late. Among them, those with the least work left run first, so that started
     items are finished.
     """
-    return (left_s < needed_s, round(needed_s), left_s)
+    return (left_s < needed_s, round(WORK_STEPS * needed_s / expected_s), left_s)
 
 
 def count_preemptions(
--- a/parsleyrouter/process/item_run.py
+++ b/parsleyrouter/process/item_run.py
@@ -85,6 +85,8 @@
         """How a cancelled run ends unless it completes first."""
         self.due_s = now + left_s
         """Deadline of the item's job; monotonic."""
+        self.job_route = route.name
+        """The route that took the job."""
         request = ForwardedRequest(
             request=RequestId(item.item),
             route=replace(route, resumable=True),
--- a/parsleyrouter/process/job_worker.py
+++ b/parsleyrouter/process/job_worker.py
@@ -4,7 +4,7 @@
 import time
 from random import Random
 
-from parsleyrouter.ids import EndpointId, ItemIndex, NodeId
+from parsleyrouter.ids import EndpointId, ItemIndex, NodeId, RouteName
 from parsleyrouter.process.active_routes import ActiveRoutes
 from parsleyrouter.process.batch_placement import (
     batch_item_rank,
@@ -19,6 +19,7 @@
 from parsleyrouter.process.job_owner import JobOwner
 from parsleyrouter.process.job_run import JobRun
 from parsleyrouter.process.load_exchange import LoadExchange
+from parsleyrouter.request.item_time import ItemTimes
 from parsleyrouter.request.placement import PlacementCandidate
 from parsleyrouter.request.shared_job import ItemResult, ItemState, JobRecord
 from parsleyrouter.version.route_table import Route
@@ -37,9 +38,6 @@
 ITEM_RETRY_PAUSE_S = 0.25
 """Pause before an item that failed, was refused or was preempted is run again."""
 
-EXPECTED_ITEM_S = 5.0
-"""Time that an item is expected to take."""
-
 CLOCK_SKEW_MARGIN_S = 3.0
 """Items are given up this long after their retention ends, since clocks of nodes differ."""
 
@@ -67,6 +65,7 @@
         self.directory = directory
         self.metrics = metrics
         self.rng = rng
+        self.item_times = ItemTimes()
         self.check_scheduled = self.report_check_scheduled = False
         context.loads.on_own_change.append(self._schedule_check)
 
@@ -162,14 +161,19 @@
         self, job_run: JobRun, index: ItemIndex, wall_ms: float
     ) -> tuple[bool, int, float]:
         spent_s = job_run.progress[index].spent_s if index in job_run.progress else 0.0
-        left_s = (job_run.versioned.record.due_ms - wall_ms) / 1000
-        return batch_item_rank(left_s=left_s, needed_s=max(0.0, EXPECTED_ITEM_S - spent_s))
+        record = job_run.versioned.record
+        return self._rank(record.route, spent_s, (record.due_ms - wall_ms) / 1000)
 
     def _running_rank(self, item_run: ItemRun, now: float) -> tuple[bool, int, float]:
-        """Return the rank of a running item."""
         spent_s = item_run.progress.spent_s + now - item_run.started_s
-        left_s = item_run.due_s - now
-        return batch_item_rank(left_s=left_s, needed_s=max(0.0, EXPECTED_ITEM_S - spent_s))
+        return self._rank(item_run.job_route, spent_s, item_run.due_s - now)
+
+    def _rank(self, route: RouteName, spent_s: float, left_s: float) -> tuple[bool, int, float]:
+        return batch_item_rank(
+            left_s=left_s,
+            needed_s=self.item_times.left_s(route, spent_s),
+            expected_s=self.item_times.expected_s(route),
+        )
 
     def _start_item(self, job_run: JobRun, index: ItemIndex, wall_ms: float) -> bool:
         """Start an item; return whether there may be room for another one."""
@@ -196,6 +200,7 @@
             self.context, route, service, item, entries[best.endpoint], progress, left_s
         )
         item_run.due_s = now + (record.due_ms - wall_ms) / 1000
+        item_run.job_route = record.route
         job_run.running[index] = item_run
         self.loop.spawn(self._run_item(job_run, index, item_run, route), f"item {item.item}")
         return True
@@ -228,6 +233,7 @@
             },
         )
         if end is ItemEnd.COMPLETED:
+            self.item_times.record(item_run.job_route, progress.spent_s)
             job_run.finish(
                 index, ItemResult(item_run.item.item, ItemState.COMPLETED, progress.output)
             )
