Read changes from the store less often while no other node depends on them

Reports among active nodes cross failure domains and repeated their addresses thirty times a second.

Change: short long polls until a node can know its cell, long ones for direct reads that no other node waits for, a second's pause on standby; addresses are sent twice a second only, and active nodes gather changes for 20 ms.

--- a/parsleyrouter/process/cell_reader.py
+++ b/parsleyrouter/process/cell_reader.py
@@ -42,6 +42,16 @@
 STANDBY_ANSWER_MAX_AGE_S = ANSWER_MAX_AGE_S + CHANGES_WAIT_S
 """The same for the leader of a cell on standby, which waits for the leader of the active cell."""
 
+DISCOVERY_S = 2.0
+"""Time after the start in which a node may learn that it leads a cell of a large fleet."""
+
+DIRECT_WAIT_S = 2.5
+"""Long-poll time of direct reads on which no other node depends: they are billed, and a node makes
+them until it asks its leader again."""
+
+STANDBY_PAUSE_S = 1.0
+"""Minimum pause on standby between reads of changes that are gathered for a moment anyway."""
+
 CALL_MARGIN_S = 0.3
 """Time in addition to the long poll in which a leader must answer; a call takes a millisecond."""
 
@@ -81,6 +91,7 @@
         self.leader_retry_at_s = 0.0
         self.direct_retry_at_s: dict[str, float] = {}
         self.source = ""
+        self.started_s = loop.now()
         store.on_failure.append(lambda: self._record_failure(loop.now()))
         self.on_failure: list[Callable[[float], object]] = []
         """Called with the time of each failed call to the service, made here or by the leader."""
@@ -129,8 +140,7 @@
         refused = self._refuse_direct_read(prefix)
         if refused is not None:
             return refused
-        if self.members.divided:
-            wait_s = min(wait_s, CHANGES_WAIT_S)
+        wait_s = min(wait_s, self._max_wait_s())
         page = await self.store.changes(prefix, after, wait_s)
         self._record_answer(prefix, page)
         return page
@@ -172,6 +182,20 @@
             self._record_failure(self.loop.now() - answer.failed_ms / 1000)
         return answer
 
+    def pause_s(self, usual_s: float) -> float:
+        """Return the pause between reads of a prefix: longer on standby, where few callers come."""
+        return max(usual_s, STANDBY_PAUSE_S) if usual_s and self.members.on_standby else usual_s
+
+    def _max_wait_s(self) -> float:
+        """Return the long-poll time of a direct read: short if other nodes depend on it."""
+        members = self.members
+        if self.loop.now() - self.started_s < DISCOVERY_S:
+            return CHANGES_WAIT_S
+        if not members.divided:
+            return math.inf
+        leads = members.leader() == members.registry.own.node
+        return CHANGES_WAIT_S if leads else DIRECT_WAIT_S
+
     def _refuse_direct_read(self, prefix: str) -> KeyValueFailure | None:
         """Keep the many nodes of a large fleet from calling a service that does not answer."""
         if not self.members.divided or self.loop.now() >= self.direct_retry_at_s.get(prefix, 0.0):
--- a/parsleyrouter/process/load_codec.py
+++ b/parsleyrouter/process/load_codec.py
@@ -20,8 +20,10 @@
     """Raised for a datagram that cannot be decoded."""
 
 
-def encode_node_report(report: NodeLoadReport, own: RegisteredNode) -> bytes:
-    """Encode the load report of one node."""
+def encode_node_report(
+    report: NodeLoadReport, own: RegisteredNode, *, addressed: bool = True
+) -> bytes:
+    """Encode the load report of one node, with its addresses if ``addressed``."""
     message = LoadNews(
         node=own.node,
         boot=own.boot,
@@ -29,9 +31,9 @@
         uses=_to_wire(report.uses),
         leaving=report.leaving,
         routes_version=report.routes_version,
-        callers_address=own.callers,
-        nodes_address=own.nodes,
-        domain=own.domain,
+        callers_address=own.callers if addressed else None,
+        nodes_address=own.nodes if addressed else None,
+        domain=own.domain if addressed else None,
         waiting_items=report.waiting_items,
         store_failing=report.store_failing,
     )
@@ -57,8 +59,11 @@
 
 def decode(
     data: bytes, received_s: float
-) -> tuple[tuple[NodeLoadReport, RegisteredNode] | None, list[CellLoadReport]]:
-    """Decode a datagram received at ``received_s``; raise ``InvalidLoadReport`` if that fails."""
+) -> tuple[tuple[NodeLoadReport, RegisteredNode | None] | None, list[CellLoadReport]]:
+    """Decode a datagram received at ``received_s``; raise ``InvalidLoadReport`` if that fails.
+
+    The addresses of the node are ``None`` if the report leaves them out.
+    """
     message = FleetNews()
     try:
         message.read(TCompactProtocolAccelerated(TMemoryBuffer(data)))
@@ -68,7 +73,9 @@
         raise InvalidLoadReport(str(error)) from error
 
 
-def _node_report(message: LoadNews, received_s: float) -> tuple[NodeLoadReport, RegisteredNode]:
+def _node_report(
+    message: LoadNews, received_s: float
+) -> tuple[NodeLoadReport, RegisteredNode | None]:
     report = NodeLoadReport(
         node=NodeId(message.node),
         boot=message.boot,
@@ -80,6 +87,8 @@
         waiting_items=message.waiting_items or 0,
         store_failing=bool(message.store_failing),
     )
+    if message.nodes_address is None:
+        return report, None
     info = RegisteredNode(
         node=NodeId(message.node),
         domain=DomainName(message.domain),
--- a/parsleyrouter/process/load_exchange.py
+++ b/parsleyrouter/process/load_exchange.py
@@ -36,6 +36,9 @@
 DEBOUNCE_S = 0.015
 """Debounce time for load changes; well below the time to an engine's first token."""
 
+ACTIVE_DEBOUNCE_S = 0.02
+"""The same among the active nodes of a large fleet, which are in several failure domains."""
+
 STANDBY_DEBOUNCE_S = 0.1
 """Debounce time on standby, where a report only reaches the others with the next aggregate."""
 
@@ -64,7 +67,7 @@
         self.datagrams = DatagramSocket(loop, registry.own.nodes, self._receive)
         self.sequence = itertools.count(1)
         self.members = CellMembers(loop, registry, loads.fleet)
-        self.sent_s = self.relayed_s = 0.0
+        self.sent_s = self.addressed_s = self.relayed_s = 0.0
         self.relayed_load = False
         """Whether the aggregates relayed last held any request."""
         self.sent_counts: dict[EndpointId, RequestCounts] = {}
@@ -92,10 +95,14 @@
             waiting_items=self.loads.waiting_items,
             store_failing=self.registry.store.failing,
         )
-        data = encode_node_report(report, own)
+        now = self.loop.now()
+        addressed = now - self.addressed_s >= HEARTBEAT_INTERVAL_S / 2
+        if addressed:
+            self.addressed_s = now
+        data = encode_node_report(report, own, addressed=addressed)
         for address in self.members.report_targets():
             self.datagrams.send(address, data)
-        self.sent_counts, self.sent_s = uses, self.loop.now()
+        self.sent_counts, self.sent_s = uses, now
 
     def _heartbeat(self) -> None:
         if self.loop.now() - self.sent_s >= HEARTBEAT_INTERVAL_S:
@@ -143,8 +150,12 @@
     def _schedule_broadcast(self) -> None:
         if not self.broadcast_pending:
             self.broadcast_pending = True
-            debounce_s = STANDBY_DEBOUNCE_S if self.members.on_standby else DEBOUNCE_S
-            self.loop.call_later(debounce_s, self._broadcast_changes)
+            self.loop.call_later(self._debounce_s(), self._broadcast_changes)
+
+    def _debounce_s(self) -> float:
+        if self.members.on_standby:
+            return STANDBY_DEBOUNCE_S
+        return ACTIVE_DEBOUNCE_S if self.members.divided else DEBOUNCE_S
 
     def _broadcast_changes(self) -> None:
         self.broadcast_pending = False
@@ -168,7 +179,7 @@
         if node is not None:
             report, info = node
             applied.append(self.loads.fleet.apply_node(report))
-            if applied[-1]:
+            if applied[-1] and info is not None:
                 self.members.reported_nodes[info.node] = info
         if any(applied):
             for callback in self.on_load_report:
--- a/parsleyrouter/process/prefix_watcher.py
+++ b/parsleyrouter/process/prefix_watcher.py
@@ -72,7 +72,7 @@
             self.failures = 0
             self.last_success_s = self.loop.now()
             if self.pause_s:
-                await self.loop.sleep(self.pause_s)
+                await self.loop.sleep(self.reader.pause_s(self.pause_s))
 
     async def _list(self) -> KeyValueFailure | None:
         """Read all pages; later changes are read from the revision of the first page on."""
