Begin no request on a connection that is about to be closed; ignore unreadable owners

An owner entry that is not text ended the reading of all later ones in a listing.

Change: the connection ignores what arrives once its close is decided; such an entry is logged and skipped.

--- a/parsleyrouter/connection/forward_server.py
+++ b/parsleyrouter/connection/forward_server.py
@@ -144,6 +144,7 @@
         if connection is None:
             return
         if close_now:
+            connection.discard()
             self.fire(close(sock))
         else:
             connection.start_next_request()
@@ -152,6 +153,8 @@
         """Close the connections without a request in progress."""
         for sock, connection in list(self.connections.items()):
             if connection.idle and sock not in self.exchanges:
+                # The close takes effect later; a request that arrives until then must not begin.
+                connection.discard()
                 self.fire(close(sock))
 
     async def _answer_one(self, exchange: CallerExchange) -> None:
--- a/parsleyrouter/process/job_directory.py
+++ b/parsleyrouter/process/job_directory.py
@@ -93,8 +93,13 @@
         if part == OWNER:
             if change.revision < view.owner_revision:
                 return False
+            try:
+                owner = NodeId(change.entry.value.decode()) if change.entry else None
+            except UnicodeDecodeError as error:
+                log.warning("job owner not read", extra={"job": job, "reason": str(error)})
+                return False
             view.last_owner = view.owner or view.last_owner
-            view.owner = NodeId(change.entry.value.decode()) if change.entry else None
+            view.owner = owner
             view.owner_revision = change.revision if change.entry else ABSENT
             return True
         if part == LEFT:
