--- a/features/steps/endless_replies_steps.py
+++ b/features/steps/endless_replies_steps.py
@@ -7,7 +7,7 @@
 from behave import then, when
 
 from features.steps.front_jobs_steps import full_output, items, read_all, submit
-from features.steps.front_requests_steps import all_events, run_with_fleet
+from features.steps.front_requests_steps import all_events, run_with_fleet, stall_tale
 from features.support.front_fleet import FrontFleet, routes
 from features.support.platform_endpoint import (
     STREAM,
@@ -177,20 +177,7 @@
 
 @when("an endpoint sends only {what} within a tale")
 def step_stall_with_bytes(context: Any, what: str) -> None:
-    async def scenario(fleet: FrontFleet) -> None:
-        for name in ("e1", "e2"):
-            fleet.register(name).behaviours = [stalled(STALLS[what])]
-        await fleet.start()
-        caller = fleet.caller()
-        started_s = fleet.loop.now()
-        await caller.send("POST", "/tale/1")
-        await fleet.until(lambda: caller.answer.body)
-        for endpoint in fleet.endpoints.values():
-            endpoint.behaviours = []
-        context.response = await caller.wait()
-        context.took_s = fleet.loop.now() - started_s
-
-    run_with_fleet(context, scenario)
+    stall_tale(context, stalled(STALLS[what]))
 
 
 @when("an endpoint stalls within an item and sends a byte now and then")
--- a/features/steps/front_requests_steps.py
+++ b/features/steps/front_requests_steps.py
@@ -254,11 +254,12 @@
     await endpoint.runtime.loop.sleep(5.0)
 
 
-@when("an endpoint stalls within a tale")
-def step_stall_tale(context: Any) -> None:
+def stall_tale(context: Any, behaviour: Behaviour) -> None:
+    """Request a tale whose first endpoint stalls by a behaviour once it has sent something."""
+
     async def scenario(fleet: FrontFleet) -> None:
         for name in ("e1", "e2"):
-            fleet.register(name).behaviours = [_stall]
+            fleet.register(name).behaviours = [behaviour]
         await fleet.start()
         caller = fleet.caller()
         started_s = fleet.loop.now()
@@ -272,6 +273,11 @@
     run_with_fleet(context, scenario)
 
 
+@when("an endpoint stalls within a tale")
+def step_stall_tale(context: Any) -> None:
+    stall_tale(context, _stall)
+
+
 @then("the tale resumes within the maximum pause that counts as on time")
 def step_tale_resumed_in_time(context: Any) -> None:
     assert context.response.body == all_events(5) and context.response.complete
--- a/parsleyrouter/process/shared_job_store.py
+++ b/parsleyrouter/process/shared_job_store.py
@@ -22,6 +22,14 @@
     WriteApplied,
 )
 from parsleyrouter.ids import ItemIndex, JobId, NodeId, Revision
+from parsleyrouter.process.shared_job_keys import (
+    JOBS_PREFIX,
+    LEFT,
+    OWNER,
+    RECORD,
+    JobKeys,
+    split_key,
+)
 from parsleyrouter.request.shared_job import (
     ItemResult,
     JobItem,
@@ -46,11 +54,6 @@
     "split_key",
 ]
 
-JOBS_PREFIX = "parsley/live/job/"
-RECORD = "/record"
-OWNER = "/owner"
-LEFT = "/left"
-
 MAX_CHUNK_BYTES = 512 * 1024
 """Maximum size of a piece of a job's items in one value; the service accepts 1 MB."""
 
@@ -60,60 +63,6 @@
 _RESULT = msgspec.msgpack.Decoder(ItemResult)
 
 
-@dataclass(frozen=True)
-class JobKeys:
-    """The keys of one job; only record and owner are under the prefix that all nodes watch."""
-
-    job: JobId
-
-    @property
-    def record(self) -> str:
-        """Return the key of the record."""
-        return f"{JOBS_PREFIX}{self.job}{RECORD}"
-
-    @property
-    def owner(self) -> str:
-        """Return the key that names the node which runs the job, under that node's lease."""
-        return f"{JOBS_PREFIX}{self.job}{OWNER}"
-
-    @property
-    def left(self) -> str:
-        """Return the key of the number of tokens in items that are not listed yet."""
-        return f"{JOBS_PREFIX}{self.job}{LEFT}"
-
-    @property
-    def chunks(self) -> str:
-        """Return the prefix of the pieces of the items."""
-        return f"parsley/items/{self.job}/"
-
-    @property
-    def results(self) -> str:
-        """Return the prefix of the results, by position."""
-        return f"parsley/result/{self.job}/"
-
-    @property
-    def listed(self) -> str:
-        """Return the prefix of the marks of listed items, by index."""
-        return f"parsley/listed/{self.job}/"
-
-    @property
-    def saved(self) -> str:
-        """Return the key of the saved progress of unfinished items."""
-        return f"parsley/saved/{self.job}"
-
-    def chunk(self, number: int) -> str:
-        """Return the key of a piece."""
-        return f"{self.chunks}{number:03}"
-
-    def result(self, position: int) -> str:
-        """Return the key of a result."""
-        return f"{self.results}{position:06}"
-
-    def mark(self, index: ItemIndex) -> str:
-        """Return the key that marks an item as listed."""
-        return f"{self.listed}{index:06}"
-
-
 @dataclass(frozen=True)
 class VersionedJob:
     """A record and its revision, which a change expects."""
@@ -304,12 +253,6 @@
     return VersionedJob(_RECORD.decode(entry.value), entry.revision)
 
 
-def split_key(key: str) -> tuple[JobId, str]:
-    """Return the job and the suffix of a watched key: ``RECORD``, ``OWNER`` or ``LEFT``."""
-    job, _, part = key.removeprefix(JOBS_PREFIX).partition("/")
-    return JobId(job), f"/{part}"
-
-
 def position_of(key: str) -> int:
     """Return the position in the key of a result."""
     return int(key.rpartition("/")[2])
