Log look-ups, late requests and what a stop cuts; timeline of lost requests at stops

Callers saw accepted requests cut at nodes that had been stopping for more than 5 s. The logs could not tell which look-up had given a caller the address, whether failed look-ups kept lists alive, or which requests a stop cut. Adds a line for each look-up, the time since the signal and the age of the connection to requests of a stopping process, and requests, hand-over and last arrival to 'stop ends'. The logic is unchanged.

--- a/features/steps/active_nodes_steps.py
+++ b/features/steps/active_nodes_steps.py
@@ -23,14 +23,14 @@
         active = [node for node in fleet.in_cell(ACTIVE_CELL) if node.startswith("north")]
         standby = fleet.in_cell(CellId("north/0"))[-1]
         directory = AddressDirectory(fleet.exchanges[standby].members)
-        context.all = (active, directory.for_domain(DomainName("north")))
+        context.all = (active, directory.for_domain(DomainName("north")).addresses)
         fleet.silence(active[0])
         fleet.exchanges[active[1]].registry.leaving = True
         fleet.exchanges[active[2]].registry.store.failing = True
         for exchange in fleet.exchanges.values():
             exchange.broadcast()
         await fleet.loop.sleep(3.0)
-        context.remaining = (active[3:], directory.for_domain(DomainName("north")))
+        context.remaining = (active[3:], directory.for_domain(DomainName("north")).addresses)
 
     run_on_loop(scenario)
 
--- a/parsleyrouter/connection/caller_connection.py
+++ b/parsleyrouter/connection/caller_connection.py
@@ -50,7 +50,7 @@
         self.limits = server.limits
         self.parser = self._new_parser()
         self.stage = ConnectionStage.IDLE
-        self.progress_s = server.loop.now()
+        self.opened_s = self.progress_s = server.loop.now()
         self.request_started_s = self.progress_s
         """When the first byte of the current request was read."""
         self.head: RequestHead | None = None
--- a/parsleyrouter/connection/forward_server.py
+++ b/parsleyrouter/connection/forward_server.py
@@ -37,9 +37,11 @@
     ) -> None:
         self.server = server
         self.sock = connection.sock
+        self.remote = connection.remote
         self.head = head
         self.body = body
         self.received_s = connection.request_started_s
+        self.connection_age_s = self.received_s - connection.opened_s
         self.chunked = False
         self.headers_sent = False
         self.finished = False
@@ -55,6 +57,16 @@
         """Whether the connection closes after this response."""
         return self.server.closing or not self.head.keep_alive
 
+    def stop_fields(self) -> dict[str, object]:
+        """Return the log fields of a request that arrived during a graceful shutdown."""
+        if not self.server.closing:
+            return {}
+        return {
+            "stopping_s": round(self.received_s - self.server.closing_since_s, 3),
+            "remote": self.remote,
+            "connection_age_s": round(self.connection_age_s, 3),
+        }
+
     def begin(self, status: int, reason: bytes, headers: RawHeaders, length: int | None) -> None:
         """Send status and headers; a body without a known length is sent in chunks."""
         self.headers_sent = True
@@ -123,10 +135,15 @@
         super().__init__(loop, bind, Routes(), None, channel=channel, limits=limits)
         self.answer = answer
         self.exchanges: dict[Any, CallerExchange] = {}
+        self.closing_since_s = 0.0
+        """When the graceful shutdown of the process began; monotonic."""
+        self.last_request_s = 0.0
+        """When the latest request had arrived in full; monotonic."""
 
     def begin(self, connection: CallerConnection, body: bytes, upload: Upload | None) -> None:
         """Start answering a request whose body is complete."""
         assert connection.head is not None
+        self.last_request_s = self.loop.now()
         exchange = CallerExchange(self, connection, connection.head, body)
         self.exchanges[exchange.sock] = exchange
         self.disconnect_callbacks[exchange.sock] = lambda: self._on_disconnected(exchange)
@@ -149,6 +166,10 @@
         else:
             connection.start_next_request()
 
+    def start_closing(self) -> None:
+        """Close each connection after its current response from now on."""
+        self.closing, self.closing_since_s = True, self.loop.now()
+
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
         for sock, connection in list(self.connections.items()):
--- a/parsleyrouter/process/cell_members.py
+++ b/parsleyrouter/process/cell_members.py
@@ -130,6 +130,12 @@
                 targets[report.node] = self.known_nodes[report.node].nodes
         return targets.values()
 
+    def leaving_nodes(self) -> set[NodeId]:
+        """Return the nodes that are known to be stopping."""
+        reports = self.fleet.live_nodes(self.loop.now())
+        own = {self.registry.own.node} if self.registry.leaving else set()
+        return own | {report.node for report in reports if report.leaving}
+
     def serving_nodes(self) -> list[RegisteredNode]:
         """Return the nodes that callers should use.
 
--- a/parsleyrouter/process/forwarder.py
+++ b/parsleyrouter/process/forwarder.py
@@ -261,6 +261,7 @@
             "first_s": round(trace.first_byte_s, 3),
             "took_s": round(now - exchange.received_s, 3),
             "routes_version": self.routes.version,
+            **exchange.stop_fields(),
         }
         if outcome is None:
             log.info("request answered", extra=fields)
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -11,7 +11,7 @@
 from parsleyrouter.connection.http_limits import HttpLimits
 from parsleyrouter.connection.peer import PeerMethods, PeerServer
 from parsleyrouter.ids import Address
-from parsleyrouter.process.address_directory import ADDRESSES_TTL_S, AddressDirectory
+from parsleyrouter.process.address_directory import AddressDirectory
 from parsleyrouter.process.cell_reader import add_cell_methods
 from parsleyrouter.process.forward_metrics import ForwardMetrics
 from parsleyrouter.process.forwarder import Forwarder
@@ -122,7 +122,13 @@
     front.start_watching()
     worker.start()
     shutdown = FrontShutdown(
-        runtime.loop, front.registry, front.exchange, callers, owner, options.grace_s
+        runtime.loop,
+        front.registry,
+        front.exchange,
+        callers,
+        owner,
+        options.grace_s,
+        port.headers.request,
     )
     runtime.on_stop(shutdown.run)
     log.info("started", extra={"node": options.node, "callers": options.callers})
@@ -158,9 +164,17 @@
         exchange.reply(404, _TEXT, b"")
         return
     domain = port.caller_domain(dict(parse_qsl(exchange.head.query)))
-    addresses = address_directory.for_domain(domain)
-    body = port.encode_addresses(addresses, ADDRESSES_TTL_S)
-    exchange.reply(200 if addresses else 503, [(b"Content-Type", JSON_TYPE.encode())], body)
+    found = address_directory.for_domain(domain)
+    body = port.encode_addresses(found.addresses, found.ttl_s)
+    exchange.reply(200 if found.nodes else 503, [(b"Content-Type", JSON_TYPE.encode())], body)
+    fields = {
+        "remote": exchange.remote,
+        "domain": domain,
+        "nodes": [info.node for info in found.nodes],
+        "leaving": found.leaving,
+        "ttl_s": found.ttl_s,
+    }
+    log.log(logging.INFO if found.nodes else logging.WARNING, "addresses listed", extra=fields)
 
 
 _TEXT = [(b"Content-Type", b"text/plain; charset=utf-8")]
--- a/parsleyrouter/process/front_shutdown.py
+++ b/parsleyrouter/process/front_shutdown.py
@@ -6,7 +6,7 @@
 
 import logging
 
-from parsleyrouter.connection.forward_server import ForwardServer
+from parsleyrouter.connection.forward_server import CallerExchange, ForwardServer
 from parsleyrouter.process.address_directory import ADDRESSES_TTL_S
 from parsleyrouter.process.job_owner import JobOwner
 from parsleyrouter.process.load_exchange import LoadExchange
@@ -43,6 +43,7 @@
         server: ForwardServer,
         owner: JobOwner,
         grace_s: float,
+        request_header: str,
     ) -> None:
         self.loop = loop
         self.registry = registry
@@ -50,13 +51,14 @@
         self.server = server
         self.owner = owner
         self.grace_s = grace_s
+        self.request_header = request_header
 
     async def run(self) -> None:
         """Run the shutdown to its end."""
         started_s = self.loop.now()
         deadline_s = started_s + self.grace_s * GRACE_SHARE
         self.registry.leaving = True
-        self.server.closing = True
+        self.server.start_closing()
         self.exchange.broadcast()
         handover = self.loop.spawn(self._hand_over(deadline_s - started_s - 1.0), "hand over")
         callers_gone_s = started_s + MAX_KEPT_TTLS * ADDRESSES_TTL_S + REQUEST_ARRIVAL_S
@@ -69,8 +71,22 @@
             if callers_gone and handover.done and not self.server.open_requests():
                 break
             await self.loop.sleep(POLL_INTERVAL_S)
-        cut = self.server.open_requests()
-        log.info("stop ends", extra={"cut": cut, "took_s": round(self.loop.now() - started_s, 3)})
+        self._log_end(started_s, handed_over=handover.done)
+
+    def _log_end(self, started_s: float, *, handed_over: bool) -> None:
+        now = self.loop.now()
+        last_request_s = self.server.last_request_s
+        fields = {
+            "cut": self.server.open_requests(),
+            "requests": [one.head.headers.get(self.request_header, "") for one in self._open()],
+            "handed_over": handed_over,
+            "last_request_s": round(last_request_s - started_s, 3) if last_request_s else None,
+            "took_s": round(now - started_s, 3),
+        }
+        log.info("stop ends", extra=fields)
+
+    def _open(self) -> list[CallerExchange]:
+        return list(self.server.exchanges.values())
 
     async def _hand_over(self, timeout_s: float) -> None:
         await self.owner.leave(max(0.0, timeout_s))
--- a/parsleyrouter/process/shared_job_handler.py
+++ b/parsleyrouter/process/shared_job_handler.py
@@ -161,6 +161,7 @@
                 "status": int(status),
                 "reason": reason,
                 "took_s": round(self.loop.now() - exchange.received_s, 3),
+                **exchange.stop_fields(),
             },
         )
 
