Name stopping nodes only in lists that expire in time; begin only what can end before the exit

Callers saw accepted requests cut at nodes that had been stopping for more than 5 s (LOST).

Cause: while no node stayed, the directory fell back to all known nodes, the stopping ones among them, with the usual lifetime. The shutdown counts three lifetimes from the SIGTERM on the assumption that no list names the node any more, so with stops in series callers kept coming until the exit, and the process began their requests up to its last moment and cut them.

Change: a stopping node reports for how long it may be named; lists leave it out, and while all nodes stop they name those with the most time and expire before it ends. A stopping process begins a request only if its deadline, or 1.5 times the slowest recent one of its kind, lies before 85 % of the grace time, else it answers 503 as not run. Times follow from the grace time. A request without an answer at the exit gets 502; a connection that was just opened is not closed before its request can arrive.

--- a/features/steps/front_node_steps.py
+++ b/features/steps/front_node_steps.py
@@ -17,7 +17,7 @@
 from features.steps.front_requests_steps import all_events, run_with_fleet
 from features.support.front_fleet import HOST, Caller, FrontFleet, routes
 from features.support.processes import free_address
-from parsleyrouter.process.address_directory import ADDRESSES_TTL_S
+from parsleyrouter.process.stop_window import MAX_ADDRESSES_TTL_S
 
 ROOT = Path(__file__).resolve().parents[2]
 
@@ -105,7 +105,7 @@
     assert context.answer.complete and context.answer.body == all_events(40)
     assert context.second.complete
     assert context.second.headers["Connection"] == "close"
-    assert 3 * ADDRESSES_TTL_S <= context.took_s < 8.0 * 0.9
+    assert 3 * MAX_ADDRESSES_TTL_S <= context.took_s < 8.0 * 0.9
 
 
 @when("the store expires the lease of a node and deletes its keys")
--- /dev/null
+++ b/features/steps/stops_in_series_steps.py
@@ -0,0 +1,237 @@
+"""Steps for the graceful shutdown of all nodes within the life of one list of addresses."""
+
+import json
+from random import Random
+from typing import Any
+
+from behave import then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from features.steps.front_requests_steps import run_with_fleet
+from features.support.front_fleet import Caller, FrontFleet
+from features.support.platform_endpoint import silent
+from features.support.stop_play import StopPlay
+from parsleyrouter.connection.stream import ConnectFailed
+from parsleyrouter.ids import Address
+from parsleyrouter.process.front import Front
+from parsleyrouter.process.front_shutdown import FrontShutdown
+from parsleyrouter.process.stop_window import (
+    DURATION_MARGIN,
+    FINISH_SHARE,
+    StopWindow,
+    addresses_ttl_s,
+)
+
+KEPT_LIFETIMES = 3
+STOP_INTERVAL_S = 0.5
+JOB = b'{"items":[{"id":"i1","path":"/bulk/i1","headers":{},"body":"","tokens":1}]}'
+
+
+class StoppingFleet:
+    """Stops all nodes of a fleet in series; callers come as long as a list allows."""
+
+    def __init__(self, fleet: FrontFleet) -> None:
+        self.fleet = fleet
+        self.loop = fleet.loop
+        self.random = Random(7)
+        self.exited_s: dict[Address, float] = {}
+        self.open_at_exit: list[str] = []
+        self.listed_until_s: dict[Address, float] = {}
+        self.cut: list[tuple[str, int]] = []
+        self.answered = 0
+        self.refused = 0
+
+    async def stop(self, number: int) -> None:
+        await self.loop.sleep(STOP_INTERVAL_S * number)
+        hook: Any = self.fleet.runtime.stop_hooks[number]
+        await hook()
+        self.open_at_exit += hook.__self__.server.open_requests()
+        self.exited_s[self.fleet.options[number].callers] = self.loop.now()
+
+    async def look_up(self, front: Front) -> tuple[list[Address], float]:
+        """Return the listed addresses and the time up to which a caller may keep them."""
+        number = self.fleet.fronts.index(front)
+        asked = Caller(self.fleet.runtime, self.fleet.options[number].locate)
+        answer = await asked.ask("GET", "/resolve?zone=z1")
+        asked.close()
+        if answer.status != 200:
+            return [], 0.0
+        found = json.loads(answer.body)
+        until_s = self.loop.now() + KEPT_LIFETIMES * found["ttlS"]
+        for address in found["addresses"]:
+            self.listed_until_s[address] = max(self.listed_until_s.get(address, 0.0), until_s)
+        return found["addresses"], until_s
+
+    async def call(self, number: int) -> None:
+        """Keep looking up addresses and sending requests on new connections."""
+        count = 0
+        addresses: list[Address] = []
+        kept_until_s = 0.0
+        while len(self.exited_s) < len(self.fleet.fronts):
+            running = [
+                front
+                for front, options in zip(self.fleet.fronts, self.fleet.options, strict=True)
+                if options.callers not in self.exited_s
+            ]
+            if self.loop.now() >= kept_until_s:
+                addresses, kept_until_s = await self.look_up(self.random.choice(running))
+            usable = [one for one in addresses if one not in self.exited_s]
+            if not usable:
+                await self.loop.sleep(0.05)
+                continue
+            count += 1
+            await self._send(self.random.choice(usable), f"a{number}-{count}")
+
+    async def _send(self, address: Address, attempt: str) -> None:
+        caller = Caller(self.fleet.runtime, address)
+        try:
+            answer = await caller.ask("POST", "/chat/1", attempt=attempt)
+        except ConnectFailed:
+            return
+        finally:
+            caller.close()
+        if answer.status == 503:
+            self.refused += 1
+            await self.loop.sleep(float(answer.headers["Retry-After"]) + 0.02)
+        elif answer.complete:
+            self.answered += 1
+        elif self._ran(attempt):
+            self.cut.append((attempt, answer.status))
+
+    def _ran(self, attempt: str) -> bool:
+        arrivals = [one for endpoint in self.fleet.endpoints.values() for one in endpoint.arrivals]
+        return any(one.header("X-Attempt-Id") == attempt for one in arrivals)
+
+
+@when("all nodes stop one after another while callers look up addresses and open connections")
+def step_stop_all(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        for name in ("e1", "e2", "e3", "e4"):
+            fleet.register(name).gap_s = 0.15
+        await fleet.start(3)
+        await fleet.until(lambda: all(len(one.registry.nodes) == 3 for one in fleet.fronts))
+        context.play = play = StoppingFleet(fleet)
+        callers = [fleet.loop.spawn(play.call(number)) for number in range(8)]
+        await fleet.loop.sleep(0.8)
+        await fleet.loop.gather([fleet.loop.spawn(play.stop(number)) for number in range(3)])
+        await fleet.loop.gather(callers)
+
+    run_with_fleet(context, scenario)
+
+
+@then("no node exits with an open request")
+def step_none_open(context: Any) -> None:
+    assert context.play.open_at_exit == [], context.play.open_at_exit
+
+
+@then("every request that reached an endpoint got its complete response")
+def step_complete(context: Any) -> None:
+    assert context.play.cut == [], context.play.cut
+    assert context.play.answered > 20, context.play.answered
+
+
+@then("no list was given out that outlasts a node that it names")
+def step_lists(context: Any) -> None:
+    play = context.play
+    late = {
+        address: until_s - play.exited_s[address]
+        for address, until_s in play.listed_until_s.items()
+        if until_s > play.exited_s[address]
+    }
+    assert not late, late
+
+
+@when("any number of nodes stop in any series while callers look up addresses and send requests")
+def step_play(context: Any) -> None:
+    context.plays = []
+
+    @settings(max_examples=80, derandomize=True, deadline=None)
+    @for_all(
+        st.integers(1, 12),
+        st.floats(0.0, 3.0),
+        st.floats(1.0, 30.0),
+        st.floats(0.2, 3.0),
+        st.floats(0.01, 3.0),
+        st.integers(0, 2**20),
+    )
+    def play(
+        nodes: int, gap_s: float, grace_s: float, back_s: float, longest_s: float, seed: int
+    ) -> None:
+        context.plays.append(StopPlay(nodes, gap_s, grace_s, back_s, longest_s, seed).run())
+
+    play()
+
+
+@then("every caller with an unexpired list met a running process")
+def step_running(context: Any) -> None:
+    assert not [one.lost_callers for one in context.plays if one.lost_callers]
+    assert sum(one.served for one in context.plays) > 1000
+
+
+@then("every request that began ended before its process exited")
+def step_ended(context: Any) -> None:
+    assert not [one.cut for one in context.plays if one.cut]
+
+
+@then("no request was refused that was as short as the grace time allows")
+def step_short(context: Any) -> None:
+    for play in context.plays:
+        left_s = play.grace_s * FINISH_SHARE - 3 * addresses_ttl_s(play.grace_s)
+        if DURATION_MARGIN * play.longest_s < left_s:
+            assert not play.refused, play
+
+
+@when("requests of every kind arrive late at a stopping node")
+def step_late_kinds(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        fleet.register("e1")
+        fleet.register("c1", "cards")
+        await fleet.start()
+        shutdown: FrontShutdown = fleet.runtime.stop_hooks[0].__self__  # type: ignore[attr-defined]
+        fleet.loop.spawn(shutdown.run(), "stop")
+        await fleet.until(lambda: shutdown.gate.window is not None)
+        window = shutdown.gate.window
+        assert window is not None
+        shutdown.gate.window = StopWindow(window.started_s - 0.8 * window.grace_s, window.grace_s)
+        shutdown.gate.durations.clear()
+        context.arrivals = arrivals = sum(len(one.arrivals) for one in fleet.endpoints.values())
+        context.late = [
+            await fleet.caller().ask("GET", "/lots/abc?after=0", headers=[("X-Wait-Ms", "1000")]),
+            await fleet.caller().ask("POST", "/card/2", b"x" * 60_000, attempt="late-upload"),
+            await fleet.caller().ask("POST", "/chat/2", attempt="late-stream"),
+            await fleet.caller().ask("POST", "/bulk/ab", JOB, attempt="ab"),
+        ]
+        context.ran = sum(len(one.arrivals) for one in fleet.endpoints.values()) - arrivals
+
+    run_with_fleet(context, scenario)
+
+
+@then("each of them is refused at once as not run, with a time to come again")
+def step_refused(context: Any) -> None:
+    assert [one.status for one in context.late] == [503] * 4, [one.body for one in context.late]
+    assert all("Retry-After" in one.headers for one in context.late)
+    assert all(one.headers["Connection"] == "close" for one in context.late)
+    assert context.ran == 0
+
+
+@when("a node exits while an endpoint has not answered a request")
+def step_silent(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        fleet.register("e1").default_behaviour = silent
+        await fleet.start()
+        shutdown: FrontShutdown = fleet.runtime.stop_hooks[0].__self__  # type: ignore[attr-defined]
+        shutdown.grace_s = 1.0
+        caller = fleet.caller()
+        await caller.send("POST", "/chat/1", deadline_ms=60_000)
+        await fleet.until(lambda: fleet.endpoints["e1"].arrivals)
+        await shutdown.run()
+        context.answer = await caller.wait(1.0)
+
+    run_with_fleet(context, scenario)
+
+
+@then("the caller gets a failure that promises nothing, not a closed connection")
+def step_told(context: Any) -> None:
+    assert context.answer.complete and context.answer.status == 502, context.answer.status
--- /dev/null
+++ b/features/stops_in_series.feature
@@ -0,0 +1,21 @@
+Feature: all nodes stop within the life of one list of addresses
+
+  Scenario: requests of callers that were sent to stopping nodes are not cut at their exit
+    When all nodes stop one after another while callers look up addresses and open connections
+    Then no node exits with an open request
+    And every request that reached an endpoint got its complete response
+    And no list was given out that outlasts a node that it names
+
+  Scenario: a list of addresses never outlasts a node that it names, and begun requests end in time
+    When any number of nodes stop in any series while callers look up addresses and send requests
+    Then every caller with an unexpired list met a running process
+    And every request that began ended before its process exited
+    And no request was refused that was as short as the grace time allows
+
+  Scenario: a request that waits, uploads or streams begins only if it ends before the exit
+    When requests of every kind arrive late at a stopping node
+    Then each of them is refused at once as not run, with a time to come again
+
+  Scenario: a request that has got no answer when its process exits is told so
+    When a node exits while an endpoint has not answered a request
+    Then the caller gets a failure that promises nothing, not a closed connection
--- a/parsleyrouter/connection/forward_server.py
+++ b/parsleyrouter/connection/forward_server.py
@@ -170,14 +170,21 @@
         """Close each connection after its current response from now on."""
         self.closing, self.closing_since_s = True, self.loop.now()
 
-    def close_idle(self) -> None:
-        """Close the connections without a request in progress."""
+    def close_idle(self, idle_s: float) -> None:
+        """Close the connections that have had no request in progress for a time."""
+        since_s = self.loop.now() - idle_s
         for sock, connection in list(self.connections.items()):
-            if connection.idle and sock not in self.exchanges:
+            if connection.idle and sock not in self.exchanges and connection.progress_s <= since_s:
                 # The close takes effect later; a request that arrives until then must not begin.
                 connection.discard()
                 self.fire(close(sock))
 
+    def reply_to_unanswered(self, status: int) -> None:
+        """Answer the requests of which the caller has received nothing yet."""
+        for exchange in list(self.exchanges.values()):
+            if not exchange.headers_sent:
+                exchange.reply(status, (), b"")
+
     async def _answer_one(self, exchange: CallerExchange) -> None:
         try:
             await self.answer(exchange)
--- a/parsleyrouter/process/cell_members.py
+++ b/parsleyrouter/process/cell_members.py
@@ -130,14 +130,8 @@
                 targets[report.node] = self.known_nodes[report.node].nodes
         return targets.values()
 
-    def leaving_nodes(self) -> set[NodeId]:
-        """Return the nodes that are known to be stopping."""
-        reports = self.fleet.live_nodes(self.loop.now())
-        own = {self.registry.own.node} if self.registry.leaving else set()
-        return own | {report.node for report in reports if report.leaving}
-
     def serving_nodes(self) -> list[RegisteredNode]:
-        """Return the nodes that callers should use.
+        """Return the nodes that callers should use, without those that are stopping.
 
         Nodes that get no answers from the key-value service are left out if others do, since they
         cannot accept jobs.
@@ -145,11 +139,30 @@
         if self.on_standby:
             cells = self.fleet.live_cells(self.loop.now())
             active = next((one for one in cells if one.cell == ACTIVE_CELL), None)
-            if active is not None:
+            if active is not None and active.members:
                 names = active.members
                 return [self.known_nodes[node] for node in names if node in self.known_nodes]
-            return [*self.active.values(), *self._live_members()]
-        return self._live_members() or list(self.known_nodes.values())
+            leaving = self.stopping_nodes()
+            staying = [info for node, info in self.active.items() if node not in leaving]
+            return [*staying, *self._live_members()]
+        return self._live_members() or self._unreported()
+
+    def stopping_nodes(self) -> dict[NodeId, tuple[RegisteredNode, float]]:
+        """Return the nodes that stop, and until when they accept callers; monotonic seconds."""
+        registry = self.registry
+        found = {
+            one.node: (self.known_nodes[one.node], one.accepts_until_s)
+            for one in self.fleet.live_nodes(self.loop.now())
+            if one.leaving and one.node in self.known_nodes
+        }
+        if registry.leaving:
+            found[registry.own.node] = (registry.own, registry.accepts_until_s)
+        return found
+
+    def _unreported(self) -> list[RegisteredNode]:
+        """Return the known nodes that have not reported that they stop."""
+        stopping = self.stopping_nodes()
+        return [info for node, info in self.known_nodes.items() if node not in stopping]
 
     def _live_members(self) -> list[RegisteredNode]:
         """Return the nodes of this cell that callers can use."""
--- a/parsleyrouter/process/forwarder.py
+++ b/parsleyrouter/process/forwarder.py
@@ -1,21 +1,21 @@
 """Forward callers' requests: find the route, choose an endpoint, send, retry where that is safe."""
 
-import logging
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from functools import partial
 from random import Random
-from typing import Any
 
 import msgspec
 
 from parsleyrouter.connection.forward_server import CallerExchange
 from parsleyrouter.connection.http import JSON_TYPE
-from parsleyrouter.ids import DomainName, EndpointId, RequestId
+from parsleyrouter.ids import DomainName, RequestId
 from parsleyrouter.outcome import ExecutionStatus, Refusal, RefusalKind
 from parsleyrouter.process.active_routes import ActiveRoutes
 from parsleyrouter.process.endpoint_directory import EndpointDirectory, RegisteredEndpoint
 from parsleyrouter.process.forward_attempt import ForwardAttempt, ForwardContext, ResponseTimeouts
 from parsleyrouter.process.forward_metrics import ForwardMetrics
+from parsleyrouter.process.request_log import RequestTrace, log_request
+from parsleyrouter.process.stop_gate import StopGate
 from parsleyrouter.request.admission import Refuse, admit
 from parsleyrouter.request.attempts import (
     AttemptFailure,
@@ -27,7 +27,7 @@
 from parsleyrouter.request.forwarded_request import ForwardedRequest, end_to_end_headers
 from parsleyrouter.request.placement import choose_endpoint, queue_wait_s
 from parsleyrouter.request.retry_budget import RetryBudget
-from parsleyrouter.version.route_table import Route, RouteKind
+from parsleyrouter.version.route_table import RouteKind
 
 __all__ = ["Forwarder", "send_refusal"]
 
@@ -48,19 +48,6 @@
 RETRY_AFTER_S = 0.5
 """Retry-After of a refusal that is not caused by load."""
 
-log = logging.getLogger(__name__)
-
-
-@dataclass
-class _RequestTrace:
-    """Data about one request for its log line."""
-
-    endpoints: list[EndpointId] = field(default_factory=list)
-    failures: list[str] = field(default_factory=list)
-    used: int = 0
-    wait_s: float = 0.0
-    first_byte_s: float = 0.0
-
 
 class Forwarder:
     """Forward requests on online routes."""
@@ -73,6 +60,7 @@
         domain: DomainName,
         metrics: ForwardMetrics,
         random: Random,
+        gate: StopGate,
     ) -> None:
         self.context = context
         self.loop = context.loop
@@ -81,6 +69,7 @@
         self.domain = domain
         self.metrics = metrics
         self.random = random
+        self.gate = gate
         self.budget = RetryBudget(share=RETRY_SHARE)
 
     async def handle(self, exchange: CallerExchange) -> None:
@@ -88,10 +77,14 @@
         request = self._parse_request(exchange)
         if isinstance(request, Refusal):
             send_refusal(exchange, request)
-            self._log(exchange, None, request, _RequestTrace())
+            self._log(exchange, None, request, RequestTrace())
             return
-        trace = _RequestTrace()
-        outcome = await self._forward(exchange, request, trace)
+        trace = RequestTrace()
+        outcome = self.gate.refusal(request.service, request.deadline_s)
+        if outcome is None:
+            began_s = self.loop.now()
+            outcome = await self._forward(exchange, request, trace)
+            self.gate.record(request.service, self.loop.now() - began_s)
         if outcome is None:
             exchange.finish()
         elif exchange.headers_sent or exchange.disconnected:
@@ -124,11 +117,11 @@
             headers=end_to_end_headers(head.raw, connection, names.protected()),
             body=exchange.body,
             received_s=exchange.received_s,
-            deadline_s=exchange.received_s + allowed_s,
+            deadline_s=self.gate.limit(exchange.received_s + allowed_s),
         )
 
     async def _forward(
-        self, exchange: CallerExchange, request: ForwardedRequest, trace: _RequestTrace
+        self, exchange: CallerExchange, request: ForwardedRequest, trace: RequestTrace
     ) -> Refusal | None:
         """Try endpoints until a response is complete; return a refusal if none is."""
         route = request.route
@@ -183,7 +176,7 @@
         return failure.response_started or self.budget.try_withdraw(self.loop.now())
 
     def _choose_endpoint(
-        self, request: ForwardedRequest, history: AttemptHistory, trace: _RequestTrace
+        self, request: ForwardedRequest, history: AttemptHistory, trace: RequestTrace
     ) -> RegisteredEndpoint | Refusal:
         """Choose an endpoint, or return why the request is refused."""
         now = self.loop.now()
@@ -235,7 +228,7 @@
             min(remaining_s, first_byte_s), min(remaining_s, RESUMABLE_READ_TIMEOUT_S)
         )
 
-    def _record_first_byte(self, request: ForwardedRequest, trace: _RequestTrace) -> None:
+    def _record_first_byte(self, request: ForwardedRequest, trace: RequestTrace) -> None:
         trace.first_byte_s = self.loop.now() - request.received_s
         self.metrics.first_byte.labels(request.route.kind.value).observe(trace.first_byte_s)
 
@@ -244,31 +237,18 @@
         exchange: CallerExchange,
         request: ForwardedRequest | None,
         outcome: Refusal | None,
-        trace: _RequestTrace,
+        trace: RequestTrace,
     ) -> None:
-        now = self.loop.now()
-        route: Route | None = request.route if request else None
-        kind = route.kind.value if route else "none"
-        outcome_label = "answered" if outcome is None else outcome.kind.value
-        self.metrics.requests.labels(kind, outcome_label).inc()
-        fields: dict[str, Any] = {
-            "request": exchange.head.headers.get(self.context.names.request, ""),
-            "route": route.name if route else "",
-            "outcome": outcome_label,
-            "endpoints": trace.endpoints,
-            "used": trace.used,
-            "wait_s": round(trace.wait_s, 3),
-            "first_s": round(trace.first_byte_s, 3),
-            "took_s": round(now - exchange.received_s, 3),
-            "routes_version": self.routes.version,
-            **exchange.stop_fields(),
-        }
-        if outcome is None:
-            log.info("request answered", extra=fields)
-            return
-        fields |= {"reason": outcome.message, "ran": outcome.ran.value}
-        fields["failures"] = trace.failures
-        log.warning("request failed", extra=fields)
+        log_request(
+            self.context.names.request,
+            self.metrics,
+            exchange,
+            request.route if request else None,
+            outcome,
+            trace,
+            took_s=self.loop.now() - exchange.received_s,
+            routes_version=self.routes.version,
+        )
 
 
 _EXECUTION_ORDER = (ExecutionStatus.NOT_RUN, ExecutionStatus.UNKNOWN, ExecutionStatus.RAN)
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -28,6 +28,8 @@
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.process.shared_job_handler import SharedJobHandler
 from parsleyrouter.process.shared_job_store import SharedJobStore
+from parsleyrouter.process.stop_gate import StopGate
+from parsleyrouter.process.stop_window import addresses_ttl_s
 from parsleyrouter.version.route_table import RouteTable
 
 __all__ = ["Front", "assemble_front"]
@@ -41,6 +43,7 @@
 def assemble_front(runtime: Runtime, options: FrontOptions, port: PlatformPort) -> Front:
     """Connect the components of a front process: callers, locate, readiness, batch jobs, loads."""
     front = Front(runtime, options, port)
+    gate = StopGate(runtime.loop, front.exchange.members)
     forwarder = Forwarder(
         front.forward_context,
         front.routes,
@@ -48,6 +51,7 @@
         options.domain,
         ForwardMetrics.of(runtime.metrics),
         front.rng,
+        gate,
     )
     job_store = SharedJobStore(front.store)
     job_metrics = JobMetrics.of(runtime.metrics)
@@ -96,10 +100,11 @@
         submission,
         front.routes,
         job_metrics,
+        gate,
         port.decode_job_call,
         port.encode_results,
     )
-    address_directory = AddressDirectory(front.exchange.members)
+    address_directory = AddressDirectory(front.exchange.members, addresses_ttl_s(options.grace_s))
     limits = HttpLimits(buffered_bytes=int(options.memory_mb * 1e6 * MAX_BUFFERED_SHARE))
 
     async def handle(exchange: CallerExchange) -> None:
@@ -127,6 +132,7 @@
         front.exchange,
         callers,
         owner,
+        gate,
         options.grace_s,
         port.headers.request,
     )
--- a/parsleyrouter/process/load_exchange.py
+++ b/parsleyrouter/process/load_exchange.py
@@ -91,6 +91,7 @@
             sequence=next(self.sequence),
             uses=uses,
             leaving=self.registry.leaving,
+            accepts_until_s=self.registry.accepts_until_s,
             routes_version=self.routes.version,
             waiting_items=self.loads.waiting_items,
             store_failing=self.registry.store.failing,
@@ -99,7 +100,7 @@
         addressed = now - self.addressed_s >= HEARTBEAT_INTERVAL_S / 2
         if addressed:
             self.addressed_s = now
-        data = encode_node_report(report, own, addressed=addressed)
+        data = encode_node_report(report, own, now, addressed=addressed)
         for address in self.members.report_targets():
             self.datagrams.send(address, data)
         self.sent_counts, self.sent_s = uses, now
--- a/parsleyrouter/process/node_registry.py
+++ b/parsleyrouter/process/node_registry.py
@@ -65,6 +65,8 @@
         self.lease = 0
         self.renewed_s = 0.0
         self.leaving = False
+        self.accepts_until_s = 0.0
+        """While leaving, until when this node may be named to callers; monotonic."""
         self.nodes: dict[NodeId, RegisteredNode] = {}
         self.removed: dict[NodeId, tuple[RegisteredNode, float]] = {}
         """Nodes whose registration was removed, and when; monotonic."""
--- a/parsleyrouter/process/shared_job_handler.py
+++ b/parsleyrouter/process/shared_job_handler.py
@@ -1,6 +1,7 @@
 """Handle calls of clients about batch jobs; every front process can handle all of them."""
 
 import logging
+import math
 from collections.abc import Callable
 from http import HTTPStatus
 
@@ -19,6 +20,7 @@
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.peer_results import PeerResultReader
 from parsleyrouter.process.shared_job_store import SharedJobStore, VersionedJob
+from parsleyrouter.process.stop_gate import StopGate
 from parsleyrouter.request.job_call import (
     EndJob,
     JobCall,
@@ -35,6 +37,9 @@
 MAX_WAIT_S = 1.0
 """Maximum wait of one read for a result."""
 
+ASSUMED_CALL_S = 1.2
+"""Duration of a call before any of its kind was observed: a full wait and a read."""
+
 MAX_TRIES = 3
 RETRY_PAUSE_S = 0.15
 READ_RETRY_AFTER_S = 0.5
@@ -58,6 +63,7 @@
         submission: JobSubmission,
         routes: ActiveRoutes,
         metrics: JobMetrics,
+        gate: StopGate,
         decode_call: DecodeCall,
         encode_results: EncodeResults,
     ) -> None:
@@ -69,6 +75,7 @@
         self.submission = submission
         self.routes = routes
         self.metrics = metrics
+        self.gate = gate
         self.decode_call = decode_call
         self.encode_results = encode_results
 
@@ -79,17 +86,16 @@
         call = self.decode_call(exchange.head, exchange.body, self.routes.table)
         if call is None:
             return False
+        asked = type(call).__name__ if not isinstance(call, Refusal) else "unreadable"
+        stopping = self.gate.refusal(asked, math.inf, ASSUMED_CALL_S)
+        began_s = self.loop.now()
         if isinstance(call, Refusal):
             outcome: Refusal | tuple[int, bytes] = call
-        elif isinstance(call, SubmitJob):
-            outcome = await self.submission.submit(call)
-        elif isinstance(call, ReadResults):
-            outcome = await self._read(call)
-        elif isinstance(call, ReadItem):
-            outcome = await self._read_item(call)
+        elif stopping is not None:
+            outcome = stopping
         else:
-            outcome = await self._end(call)
-        asked = type(call).__name__ if not isinstance(call, Refusal) else "unreadable"
+            outcome = await self._answer(call)
+            self.gate.record(asked, self.loop.now() - began_s)
         if isinstance(outcome, Refusal):
             send_refusal(exchange, outcome)
             status, reason = outcome.status, outcome.message
@@ -101,6 +107,15 @@
             self._log(exchange, call, status, reason)
         return True
 
+    async def _answer(self, call: JobCall) -> Refusal | tuple[int, bytes]:
+        if isinstance(call, SubmitJob):
+            return await self.submission.submit(call)
+        if isinstance(call, ReadResults):
+            return await self._read(call)
+        if isinstance(call, ReadItem):
+            return await self._read_item(call)
+        return await self._end(call)
+
     async def _read(self, call: ReadResults) -> Refusal | tuple[int, bytes]:
         record = await self._record(call.job)
         if isinstance(record, Refusal):
--- a/parsleyrouter/thrift_gen/load/ttypes.py
+++ b/parsleyrouter/thrift_gen/load/ttypes.py
@@ -109,11 +109,12 @@
      - domain
      - waiting_items
      - store_failing
+     - accepts_ms
 
     """
 
 
-    def __init__(self, node=None, boot=None, sequence=None, uses=None, leaving=None, routes_version=None, callers_address=None, nodes_address=None, domain=None, waiting_items=None, store_failing=None,):
+    def __init__(self, node=None, boot=None, sequence=None, uses=None, leaving=None, routes_version=None, callers_address=None, nodes_address=None, domain=None, waiting_items=None, store_failing=None, accepts_ms=None,):
         self.node = node
         self.boot = boot
         self.sequence = sequence
@@ -125,6 +126,7 @@
         self.domain = domain
         self.waiting_items = waiting_items
         self.store_failing = store_failing
+        self.accepts_ms = accepts_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -196,6 +198,11 @@
                     self.store_failing = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.accepts_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -253,6 +260,10 @@
             oprot.writeFieldBegin('store_failing', TType.BOOL, 11)
             oprot.writeBool(self.store_failing)
             oprot.writeFieldEnd()
+        if self.accepts_ms is not None:
+            oprot.writeFieldBegin('accepts_ms', TType.I32, 12)
+            oprot.writeI32(self.accepts_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -342,10 +353,10 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.members.append(_elem19)
+                    (_etype16, _size13) = iprot.readListBegin()
+                    for _i17 in range(_size13):
+                        _elem18 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.members.append(_elem18)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -378,8 +389,8 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter13 in self.uses:
-                iter13.write(oprot)
+            for iter19 in self.uses:
+                iter19.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.contenders is not None:
@@ -442,11 +453,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.cells = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = CellNews()
-                        _elem19.read(iprot)
-                        self.cells.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = CellNews()
+                        _elem26.read(iprot)
+                        self.cells.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -467,8 +478,8 @@
         if self.cells is not None:
             oprot.writeFieldBegin('cells', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.cells))
-            for iter20 in self.cells:
-                iter20.write(oprot)
+            for iter27 in self.cells:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -508,6 +519,7 @@
     (9, TType.STRING, 'domain', 'UTF8', None, ),  # 9
     (10, TType.I32, 'waiting_items', None, None, ),  # 10
     (11, TType.BOOL, 'store_failing', None, None, ),  # 11
+    (12, TType.I32, 'accepts_ms', None, None, ),  # 12
 )
 all_structs.append(CellNews)
 CellNews.thrift_spec = (
