Judge late requests at a stop by answered and running ones; name nodes that returned

The gate counts only answered requests and the age of running ones. Lists take unreported nodes beside stopping ones, compare the starts of nodes, and follow an empty list of active nodes.

--- a/features/steps/stops_in_series_steps.py
+++ b/features/steps/stops_in_series_steps.py
@@ -11,24 +11,36 @@
 
 from features.steps.front_requests_steps import run_with_fleet
 from features.support.front_fleet import Caller, FrontFleet
+from features.support.load_exchange_fleet import LoadExchangeFleet
+from features.support.loop import run_on_loop
+from features.support.members import registered_members
 from features.support.platform_endpoint import silent
 from features.support.stop_play import StopPlay
 from parsleyrouter.connection.stream import ConnectFailed
-from parsleyrouter.ids import Address
+from parsleyrouter.ids import Address, DomainName
+from parsleyrouter.process.address_directory import AddressDirectory
+from parsleyrouter.process.cells import ACTIVE_CELL
 from parsleyrouter.process.front import Front
 from parsleyrouter.process.front_shutdown import FrontShutdown
+from parsleyrouter.process.stop_gate import StopGate
 from parsleyrouter.process.stop_window import (
     DURATION_MARGIN,
     FINISH_SHARE,
+    KEPT_LIFETIMES,
     StopWindow,
     addresses_ttl_s,
 )
 
-KEPT_LIFETIMES = 3
 STOP_INTERVAL_S = 0.5
 JOB = b'{"items":[{"id":"i1","path":"/bulk/i1","headers":{},"body":"","tokens":1}]}'
 
 
+def shutdown_of(fleet: FrontFleet, number: int = 0) -> FrontShutdown:
+    hook: Any = fleet.runtime.stop_hooks[number]
+    shutdown: FrontShutdown = hook.__self__
+    return shutdown
+
+
 class StoppingFleet:
     """Stops all nodes of a fleet in series; callers come as long as a list allows."""
 
@@ -45,9 +57,16 @@
 
     async def stop(self, number: int) -> None:
         await self.loop.sleep(STOP_INTERVAL_S * number)
-        hook: Any = self.fleet.runtime.stop_hooks[number]
-        await hook()
-        self.open_at_exit += hook.__self__.server.open_requests()
+        shutdown = shutdown_of(self.fleet, number)
+        server = shutdown.server
+        reply = server.reply_to_unanswered
+
+        def at_exit(status: int) -> None:
+            self.open_at_exit += server.open_requests()
+            reply(status)
+
+        server.reply_to_unanswered = at_exit  # type: ignore[method-assign]
+        await shutdown.run()
         self.exited_s[self.fleet.options[number].callers] = self.loop.now()
 
     async def look_up(self, front: Front) -> tuple[list[Address], float]:
@@ -82,9 +101,9 @@
                 await self.loop.sleep(0.05)
                 continue
             count += 1
-            await self._send(self.random.choice(usable), f"a{number}-{count}")
+            await self.send(self.random.choice(usable), f"a{number}-{count}")
 
-    async def _send(self, address: Address, attempt: str) -> None:
+    async def send(self, address: Address, attempt: str) -> None:
         caller = Caller(self.fleet.runtime, address)
         try:
             answer = await caller.ask("POST", "/chat/1", attempt=attempt)
@@ -95,7 +114,7 @@
         if answer.status == 503:
             self.refused += 1
             await self.loop.sleep(float(answer.headers["Retry-After"]) + 0.02)
-        elif answer.complete:
+        elif answer.complete and answer.status == 200:
             self.answered += 1
         elif self._ran(attempt):
             self.cut.append((attempt, answer.status))
@@ -189,12 +208,14 @@
         fleet.register("e1")
         fleet.register("c1", "cards")
         await fleet.start()
-        shutdown: FrontShutdown = fleet.runtime.stop_hooks[0].__self__  # type: ignore[attr-defined]
+        shutdown = shutdown_of(fleet)
         fleet.loop.spawn(shutdown.run(), "stop")
         await fleet.until(lambda: shutdown.gate.window is not None)
         window = shutdown.gate.window
         assert window is not None
-        shutdown.gate.window = StopWindow(window.started_s - 0.8 * window.grace_s, window.grace_s)
+        shutdown.gate.begin_stop(
+            StopWindow(window.started_s - 0.8 * window.grace_s, window.grace_s)
+        )
         shutdown.gate.durations.clear()
         context.arrivals = arrivals = sum(len(one.arrivals) for one in fleet.endpoints.values())
         context.late = [
@@ -221,7 +242,7 @@
     async def scenario(fleet: FrontFleet) -> None:
         fleet.register("e1").default_behaviour = silent
         await fleet.start()
-        shutdown: FrontShutdown = fleet.runtime.stop_hooks[0].__self__  # type: ignore[attr-defined]
+        shutdown = shutdown_of(fleet)
         shutdown.grace_s = 1.0
         caller = fleet.caller()
         await caller.send("POST", "/chat/1", deadline_ms=60_000)
@@ -235,3 +256,137 @@
 @then("the caller gets a failure that promises nothing, not a closed connection")
 def step_told(context: Any) -> None:
     assert context.answer.complete and context.answer.status == 502, context.answer.status
+
+
+@when("callers that look up no addresses send long requests to a node until it exits")
+def step_direct(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        for name in ("e1", "e2", "e3", "e4"):
+            fleet.register(name).gap_s = 0.4
+        await fleet.start()
+        context.play = play = StoppingFleet(fleet)
+        address = fleet.options[0].callers
+        quitter = Caller(fleet.runtime, address)
+        await quitter.send("POST", "/chat/1", attempt="quitter")
+        await fleet.loop.sleep(0.3)
+        quitter.close()
+
+        async def keep_sending(number: int) -> None:
+            count = 0
+            while not play.exited_s:
+                count += 1
+                await play.send(address, f"d{number}-{count}")
+
+        callers = [fleet.loop.spawn(keep_sending(number)) for number in range(12)]
+        await fleet.loop.sleep(2.5)
+        await play.stop(0)
+        await fleet.loop.gather(callers)
+
+    run_with_fleet(context, scenario)
+
+
+@then("the late ones are refused")
+def step_late_refused(context: Any) -> None:
+    assert context.play.refused > 0
+
+
+@when("a node fails, the others stop and one of these returns")
+def step_return(context: Any) -> None:
+    fleet = registered_members(["a", "own", "killed", "back"])
+    now = fleet.loop.now()
+    for node in ("a", "back"):
+        fleet.report(node, boot=1, leaving=True, named_until_s=now + 3.0)
+    fleet.stop_own(named_until_s=now + 2.0)
+    directory = AddressDirectory(fleet.members)
+    context.stopping = directory.for_domain(DomainName("d"))
+    fleet.register("back", boot=2)
+    context.returned = directory.for_domain(DomainName("d"))
+
+
+@then("lists name stopping nodes for the time that they have left, beside one without a report")
+def step_beside(context: Any) -> None:
+    found = context.stopping
+    assert {info.node for info in found.nodes} == {"a", "back", "own", "killed"}, found
+    assert set(found.leaving) == {"a", "back", "own"}, found
+    assert found.ttl_s <= 2.0 / KEPT_LIFETIMES
+
+
+@then("then only the one that has returned")
+def step_returned(context: Any) -> None:
+    assert [info.node for info in context.returned.nodes] == ["back"], context.returned
+    assert context.returned.leaving == ()
+
+
+@when("all active nodes of a large fleet stop while standby nodes serve")
+def step_standby(context: Any) -> None:
+    async def scenario(runtime: Any) -> None:
+        fleet = LoadExchangeFleet(runtime, {"north": 14, "south": 14})
+        await fleet.loop.sleep(1.2)
+        stopped_s = fleet.loop.now()
+        for node in fleet.in_cell(ACTIVE_CELL):
+            registry = fleet.exchanges[node].registry
+            registry.leaving, registry.named_until_s = True, stopped_s + 4.5
+            fleet.exchanges[node].broadcast()
+        await fleet.loop.sleep(0.9)
+        context.active = set(fleet.in_cell(ACTIVE_CELL))
+        standby = [node for node in fleet.exchanges if node not in context.active]
+        context.lists = [
+            AddressDirectory(fleet.exchanges[node].members).for_domain(DomainName("north"))
+            for node in standby
+        ]
+
+    run_on_loop(scenario)
+
+
+@then("standby nodes name no stopping node")
+def step_standby_lists(context: Any) -> None:
+    for found in context.lists:
+        named = {info.node for info in found.nodes}
+        assert named and not named & context.active, named
+
+
+@when("a node is stopped while the store refuses calls and while it registers")
+def step_revocation(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        front = await fleet.start()
+        fleet.store.faults.refuse = 503
+        leaving = fleet.loop.spawn(front.registry.leave(fleet.loop.now() + 5.0), "leave")
+        await fleet.loop.sleep(0.4)
+        fleet.store.faults.refuse = 0
+        await leaving
+        context.keys = [key for key in fleet.store.rows if "/node/" in key]
+        fleet.store.faults.delay_s = 0.2
+        await fleet.start(configured=False)
+        await fleet.loop.sleep(0.1)
+        await fleet.fronts[1].registry.leave(fleet.loop.now() + 1.0)
+        fleet.store.faults.delay_s = 0.0
+        await fleet.loop.sleep(0.8)
+        context.keys += [key for key in fleet.store.rows if "/node/" in key]
+
+    run_with_fleet(context, scenario)
+
+
+@then("its registration is gone soon after")
+def step_unregistered(context: Any) -> None:
+    assert context.keys == [], context.keys
+
+
+@when("the only earlier request was given up by its caller, and another one is still running")
+def step_given_up(context: Any) -> None:
+    known = registered_members(["own"])
+    gate = StopGate(known.loop, known.members)
+    gate.end("s", gate.start("s"), answered=False)
+    gate.begin_stop(StopWindow(known.loop.now() - 4.0, 8.0))
+    context.by_deadline = gate.refuse("s", known.loop.now() + 5.0)
+    gate.end("s", gate.start("s"), answered=True)
+    context.after_short = gate.refuse("s", known.loop.now() + 5.0)
+    gate.start("s")
+    known.loop.now = lambda: 102.0
+    context.by_running = gate.refuse("s", known.loop.now() + 5.0)
+
+
+@then("a stopping node judges a late request by its deadline, and by the running one")
+def step_judged(context: Any) -> None:
+    assert context.by_deadline is not None
+    assert context.after_short is None
+    assert context.by_running is not None
--- a/features/stops_in_series.feature
+++ b/features/stops_in_series.feature
@@ -19,3 +19,26 @@
   Scenario: a request that has got no answer when its process exits is told so
     When a node exits while an endpoint has not answered a request
     Then the caller gets a failure that promises nothing, not a closed connection
+
+  Scenario: long requests that come until the exit are answered or refused, never cut
+    When callers that look up no addresses send long requests to a node until it exits
+    Then no node exits with an open request
+    And every request that reached an endpoint got its complete response
+    And the late ones are refused
+
+  Scenario: a node without a report does not displace stopping nodes that still serve
+    When a node fails, the others stop and one of these returns
+    Then lists name stopping nodes for the time that they have left, beside one without a report
+    And then only the one that has returned
+
+  Scenario: standby nodes do not send callers to active nodes that all stop
+    When all active nodes of a large fleet stop while standby nodes serve
+    Then standby nodes name no stopping node
+
+  Scenario: a stopped node does not stay registered because the store fails or it was registering
+    When a node is stopped while the store refuses calls and while it registers
+    Then its registration is gone soon after
+
+  Scenario: a caller that left does not make a stopping node begin what it cannot finish
+    When the only earlier request was given up by its caller, and another one is still running
+    Then a stopping node judges a late request by its deadline, and by the running one
--- a/features/support/load_exchange_fleet.py
+++ b/features/support/load_exchange_fleet.py
@@ -36,7 +36,7 @@
                 nodes=nodes,
                 recent_nodes=lambda: dict(nodes),
                 leaving=False,
-                accepts_until_s=0.0,
+                named_until_s=0.0,
                 store=SimpleNamespace(failing=False),
             )
             routes: Any = SimpleNamespace(version=1)
--- a/features/support/stop_play.py
+++ b/features/support/stop_play.py
@@ -92,6 +92,7 @@
             loop=SimpleNamespace(now=lambda: now),
             divided=False,
             serving_nodes=lambda: [one.info for one in staying],
+            unreported_nodes=list,
             stopping_nodes=lambda: {
                 one.info.node: (one.info, one.window.lists_expire_s) for one in stopping
             },
--- a/parsleyrouter/connection/forward_server.py
+++ b/parsleyrouter/connection/forward_server.py
@@ -69,6 +69,8 @@
 
     def begin(self, status: int, reason: bytes, headers: RawHeaders, length: int | None) -> None:
         """Send status and headers; a body without a known length is sent in chunks."""
+        if self.finished:
+            return
         self.headers_sent = True
         if not reason:
             reason = HTTPStatus(status).phrase.encode() if status in _KNOWN_STATUSES else b"Unknown"
@@ -170,14 +172,20 @@
         """Close each connection after its current response from now on."""
         self.closing, self.closing_since_s = True, self.loop.now()
 
-    def close_idle(self, idle_s: float) -> None:
-        """Close the connections that have had no request in progress for a time."""
+    def close_idle(self, idle_s: float) -> int:
+        """Close the connections without a request for a time; return how many are idle for less."""
         since_s = self.loop.now() - idle_s
+        recent = 0
         for sock, connection in list(self.connections.items()):
-            if connection.idle and sock not in self.exchanges and connection.progress_s <= since_s:
-                # The close takes effect later; a request that arrives until then must not begin.
-                connection.discard()
-                self.fire(close(sock))
+            if not connection.idle or sock in self.exchanges:
+                continue
+            if connection.progress_s > since_s:
+                recent += 1
+                continue
+            # The close takes effect later; a request that arrives until then must not begin.
+            connection.discard()
+            self.fire(close(sock))
+        return recent
 
     def reply_to_unanswered(self, status: int) -> None:
         """Answer the requests of which the caller has received nothing yet."""
--- a/parsleyrouter/process/address_directory.py
+++ b/parsleyrouter/process/address_directory.py
@@ -6,6 +6,7 @@
 from parsleyrouter.process.cell_members import CellMembers
 from parsleyrouter.process.node_registry import RegisteredNode
 from parsleyrouter.process.stop_window import (
+    KEPT_LIFETIMES,
     MAX_ADDRESSES_TTL_S,
     MIN_ADDRESSES_TTL_S,
     expiring_ttl_s,
@@ -25,6 +26,13 @@
 time: a shorter one would shorten the lifetime of the list."""
 
 
+MAX_LOGGED_DOMAINS = 64
+
+UNREPORTED_TTL_S = 0.5
+"""Lifetime of a list of nodes that are registered but have not reported yet; a report follows
+within this time."""
+
+
 @dataclass(frozen=True)
 class AddressList:
     """The nodes for callers, which may cache the list for ``ttl_s`` seconds."""
@@ -46,16 +54,24 @@
     def __init__(self, members: CellMembers, ttl_s: float = MAX_ADDRESSES_TTL_S) -> None:
         self.members = members
         self.ttl_s = ttl_s
+        self.logged: dict[DomainName, AddressList] = {}
+
+    def worth_logging(self, domain: DomainName, found: AddressList) -> bool:
+        """Return whether a list differs from the last one, or names stopping nodes or none."""
+        changed = self.logged.get(domain) != found
+        if len(self.logged) < MAX_LOGGED_DOMAINS:
+            self.logged[domain] = found
+        return changed or bool(found.leaving) or not found.nodes
 
     def for_domain(self, domain: DomainName) -> AddressList:
         """Return the nodes for callers in a failure domain, that domain's first.
 
-        While all nodes stop, the list names those that accept callers for longest and expires
-        before they cease to.
+        While all nodes stop, the list names those that have the most time left and expires before
+        it ends.
         """
         chosen = self.members.serving_nodes()
         if not chosen:
-            return self._stopping()
+            return self._stopping(domain)
         chosen.sort(key=lambda info: (info.domain != domain, info.node))
         same_domain = [info for info in chosen if info.domain == domain]
         divided = self.members.divided
@@ -63,13 +79,18 @@
             chosen = same_domain
         return AddressList(tuple(chosen[:MAX_ADDRESSES]), (), self.ttl_s)
 
-    def _stopping(self) -> AddressList:
+    def _stopping(self, domain: DomainName) -> AddressList:
+        """Return a list for while no node is known to serve on."""
         now = self.members.loop.now()
         stopping = list(self.members.stopping_nodes().values())
         latest_s = max((until_s for _, until_s in stopping), default=now)
-        named = [one for one in stopping if one[1] - now >= (latest_s - now) * MIN_LEFT_SHARE]
+        least_s = max((latest_s - now) * MIN_LEFT_SHARE, KEPT_LIFETIMES * MIN_ADDRESSES_TTL_S)
+        named = [(info, until_s) for info, until_s in stopping if until_s - now >= least_s]
+        unreported = self.members.unreported_nodes()
         ttl_s = expiring_ttl_s((until_s for _, until_s in named), now, self.ttl_s)
-        if not named or ttl_s < MIN_ADDRESSES_TTL_S:
-            return AddressList((), (), self.ttl_s)
-        nodes = tuple(info for info, _ in named[:MAX_ADDRESSES])
-        return AddressList(nodes, tuple(info.node for info in nodes), round(ttl_s, 3))
+        if not named:
+            ttl_s = min(ttl_s, UNREPORTED_TTL_S)
+        nodes = [*(info for info, _ in named), *unreported]
+        nodes.sort(key=lambda info: (info.domain != domain, info.node))
+        leaving = tuple(info.node for info, _ in named)
+        return AddressList(tuple(nodes[:MAX_ADDRESSES]), leaving, int(ttl_s * 1000) / 1000)
--- a/parsleyrouter/process/cell_members.py
+++ b/parsleyrouter/process/cell_members.py
@@ -139,34 +139,45 @@
         if self.on_standby:
             cells = self.fleet.live_cells(self.loop.now())
             active = next((one for one in cells if one.cell == ACTIVE_CELL), None)
-            if active is not None and active.members:
+            if active is None:
+                return [*self.active.values(), *self._live_members()]
+            if active.members:
                 names = active.members
                 return [self.known_nodes[node] for node in names if node in self.known_nodes]
-            leaving = self.stopping_nodes()
-            staying = [info for node, info in self.active.items() if node not in leaving]
-            return [*staying, *self._live_members()]
-        return self._live_members() or self._unreported()
+        return self._live_members()
 
     def stopping_nodes(self) -> dict[NodeId, tuple[RegisteredNode, float]]:
-        """Return the nodes that stop, and until when they accept callers; monotonic seconds."""
+        """Return the nodes that stop, and until when lists may name them; monotonic seconds."""
         registry = self.registry
         found = {
-            one.node: (self.known_nodes[one.node], one.accepts_until_s)
+            one.node: (self.known_nodes[one.node], one.named_until_s)
             for one in self.fleet.live_nodes(self.loop.now())
-            if one.leaving and one.node in self.known_nodes
+            if one.leaving and one.node in self.known_nodes and not self._has_restarted(one)
         }
         if registry.leaving:
-            found[registry.own.node] = (registry.own, registry.accepts_until_s)
+            found[registry.own.node] = (registry.own, registry.named_until_s)
         return found
 
-    def _unreported(self) -> list[RegisteredNode]:
-        """Return the known nodes that have not reported that they stop."""
-        stopping = self.stopping_nodes()
-        return [info for node, info in self.known_nodes.items() if node not in stopping]
+    def unreported_nodes(self) -> list[RegisteredNode]:
+        """Return the registered nodes without a report; some may have failed."""
+        reported = {one.node for one in self.fleet.live_nodes(self.loop.now())}
+        own = self.registry.own.node
+        return [
+            info
+            for node, info in self.registry.nodes.items()
+            if node not in reported and node != own
+        ]
+
+    def _has_restarted(self, report: NodeLoadReport) -> bool:
+        """Return whether a node has registered again since a report."""
+        registered = self.registry.nodes.get(report.node)
+        return registered is not None and registered.boot > report.boot
 
     def _live_members(self) -> list[RegisteredNode]:
         """Return the nodes of this cell that callers can use."""
-        reports = [one for one in self.live_peer_reports() if not one.leaving]
+        reports = [
+            one for one in self.live_peer_reports() if not one.leaving or self._has_restarted(one)
+        ]
         failing = {one.node: one.store_failing for one in reports}
         if not self.registry.leaving:
             failing[self.registry.own.node] = self.registry.store.failing
--- a/parsleyrouter/process/fleet_loads.py
+++ b/parsleyrouter/process/fleet_loads.py
@@ -48,7 +48,7 @@
     uses: Mapping[EndpointId, RequestCounts]
     received_s: float = 0.0
     leaving: bool = False
-    accepts_until_s: float = 0.0
+    named_until_s: float = 0.0
     """While leaving, until when the node may be named to callers; monotonic, here."""
     routes_version: int = 0
     waiting_items: int = 0
--- a/parsleyrouter/process/forwarder.py
+++ b/parsleyrouter/process/forwarder.py
@@ -80,11 +80,9 @@
             self._log(exchange, None, request, RequestTrace())
             return
         trace = RequestTrace()
-        outcome = self.gate.refusal(request.service, request.deadline_s)
+        outcome = self.gate.refuse(request.service, request.deadline_s)
         if outcome is None:
-            began_s = self.loop.now()
-            outcome = await self._forward(exchange, request, trace)
-            self.gate.record(request.service, self.loop.now() - began_s)
+            outcome = await self._forward_within_stop(exchange, request, trace)
         if outcome is None:
             exchange.finish()
         elif exchange.headers_sent or exchange.disconnected:
@@ -120,6 +118,18 @@
             deadline_s=self.gate.limit(exchange.received_s + allowed_s),
         )
 
+    async def _forward_within_stop(
+        self, exchange: CallerExchange, request: ForwardedRequest, trace: RequestTrace
+    ) -> Refusal | None:
+        began_s = self.gate.start(request.service)
+        answered = False
+        try:
+            outcome = await self._forward(exchange, request, trace)
+            answered = outcome is None
+        finally:
+            self.gate.end(request.service, began_s, answered=answered)
+        return outcome
+
     async def _forward(
         self, exchange: CallerExchange, request: ForwardedRequest, trace: RequestTrace
     ) -> Refusal | None:
--- a/parsleyrouter/process/front_shutdown.py
+++ b/parsleyrouter/process/front_shutdown.py
@@ -20,9 +20,6 @@
 STANDBY_NEWS_S = 0.8
 """Time until nodes on standby no longer list a node that stops: an aggregate and its relay."""
 
-HANDOVER_MARGIN_S = 1.0
-"""Time between the end of the hand-over and that of the requests in progress."""
-
 POLL_INTERVAL_S = 0.02
 
 log = logging.getLogger(__name__)
@@ -55,23 +52,27 @@
         """Run the shutdown to its end."""
         notice_s = STANDBY_NEWS_S if self.exchange.members.divided else 0.0
         window = StopWindow(self.loop.now(), self.grace_s, notice_s)
-        self.gate.window = window
-        self.registry.leaving, self.registry.accepts_until_s = True, window.lists_expire_s
+        self.gate.begin_stop(window)
+        self.registry.leaving, self.registry.named_until_s = True, window.lists_expire_s
         self.server.start_closing()
         self.exchange.broadcast()
-        handover_s = window.finish_s - window.started_s - HANDOVER_MARGIN_S
-        handover = self.loop.spawn(self._hand_over(handover_s), "hand over")
+        handover = self.loop.spawn(self._hand_over(window.handover_s), "hand over")
         while self.loop.now() < window.exit_s:
-            callers_gone = self.loop.now() >= window.callers_gone_s
-            if callers_gone:
-                self.server.close_idle(REQUEST_ARRIVAL_S)
-            if callers_gone and handover.done and not self.server.open_requests():
+            if self._is_done(window) and handover.done:
                 break
             await self.loop.sleep(POLL_INTERVAL_S)
         self.gate.close()
         self._log_end(window.started_s, handed_over=handover.done)
         self.server.reply_to_unanswered(HTTPStatus.BAD_GATEWAY)
 
+    def _is_done(self, window: StopWindow) -> bool:
+        """Close idle connections; return whether no caller is expected or served any more."""
+        now = self.loop.now()
+        if now < window.callers_gone_s:
+            return False
+        recent = self.server.close_idle(REQUEST_ARRIVAL_S)
+        return not self.server.open_requests() and (not recent or now >= window.finish_s)
+
     def _log_end(self, started_s: float, *, handed_over: bool) -> None:
         now = self.loop.now()
         last_request_s = self.server.last_request_s
@@ -86,6 +87,6 @@
         }
         log.info("stop ends", extra=fields)
 
-    async def _hand_over(self, timeout_s: float) -> None:
-        await self.owner.leave(max(0.0, timeout_s))
-        await self.registry.leave()
+    async def _hand_over(self, until_s: float) -> None:
+        await self.owner.leave(max(0.0, until_s - self.loop.now()))
+        await self.registry.leave(until_s)
--- a/parsleyrouter/process/load_codec.py
+++ b/parsleyrouter/process/load_codec.py
@@ -24,14 +24,14 @@
     report: NodeLoadReport, own: RegisteredNode, now: float, *, addressed: bool = True
 ) -> bytes:
     """Encode the load report of one node, with its addresses if ``addressed``."""
-    accepts_s = max(0.0, report.accepts_until_s - now) if report.leaving else 0.0
+    named_s = max(0.0, report.named_until_s - now) if report.leaving else 0.0
     message = LoadNews(
         node=own.node,
         boot=own.boot,
         sequence=report.sequence,
         uses=_to_wire(report.uses),
         leaving=report.leaving,
-        accepts_ms=int(accepts_s * 1000),
+        named_ms=int(named_s * 1000),
         routes_version=report.routes_version,
         callers_address=own.callers if addressed else None,
         nodes_address=own.nodes if addressed else None,
@@ -85,7 +85,7 @@
         uses=_from_wire(message.uses),
         received_s=received_s,
         leaving=message.leaving,
-        accepts_until_s=received_s + (message.accepts_ms or 0) / 1000,
+        named_until_s=received_s + (message.named_ms or 0) / 1000,
         routes_version=message.routes_version,
         waiting_items=message.waiting_items or 0,
         store_failing=bool(message.store_failing),
--- a/parsleyrouter/process/load_exchange.py
+++ b/parsleyrouter/process/load_exchange.py
@@ -91,7 +91,7 @@
             sequence=next(self.sequence),
             uses=uses,
             leaving=self.registry.leaving,
-            accepts_until_s=self.registry.accepts_until_s,
+            named_until_s=self.registry.named_until_s,
             routes_version=self.routes.version,
             waiting_items=self.loads.waiting_items,
             store_failing=self.registry.store.failing,
--- a/parsleyrouter/process/node_registry.py
+++ b/parsleyrouter/process/node_registry.py
@@ -4,6 +4,7 @@
 """
 
 import logging
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -65,7 +66,7 @@
         self.lease = 0
         self.renewed_s = 0.0
         self.leaving = False
-        self.accepts_until_s = 0.0
+        self.named_until_s = 0.0
         """While leaving, until when this node may be named to callers; monotonic."""
         self.nodes: dict[NodeId, RegisteredNode] = {}
         self.removed: dict[NodeId, tuple[RegisteredNode, float]] = {}
@@ -101,11 +102,15 @@
         self.removed = {node: one for node, one in self.removed.items() if one[1] > since_s}
         return {node: info for node, (info, _) in self.removed.items()} | self.nodes
 
-    async def leave(self) -> None:
-        """Revoke the lease, so that others take over at once."""
+    async def leave(self, until_s: float = math.inf) -> None:
+        """Revoke the lease, so that others take over at once; try until a monotonic time."""
         self.leaving = True
-        if self.lease:
-            await self.store.revoke(self.lease)
+        while self.lease and self.loop.now() < until_s:
+            failure = await self.store.revoke(self.lease)
+            if failure is None:
+                return
+            log.warning("lease not revoked", extra={"reason": failure.message})
+            await self.loop.sleep(RETRY_INTERVAL_S)
 
     def lease_is_fresh(self) -> bool:
         """Return whether the latest renewal is recent enough to rule out a takeover."""
@@ -151,6 +156,9 @@
         if isinstance(done, KeyValueFailure | LeaseLost):
             return False
         self.lease, self.renewed_s = lease.id, self.loop.now()
+        if self.leaving:
+            await self.store.revoke(self.lease)
+            return True
         log.info("node registered", extra={"node": self.own.node, "lease": lease.id})
         for callback in self.on_lease:
             callback()
--- a/parsleyrouter/process/request_log.py
+++ b/parsleyrouter/process/request_log.py
@@ -12,7 +12,7 @@
 
 __all__ = ["RequestTrace", "log_request"]
 
-log = logging.getLogger("parsleyrouter.process.forwarder")
+log = logging.getLogger(__name__)
 
 
 @dataclass
--- a/parsleyrouter/process/shared_job_handler.py
+++ b/parsleyrouter/process/shared_job_handler.py
@@ -87,15 +87,11 @@
         if call is None:
             return False
         asked = type(call).__name__ if not isinstance(call, Refusal) else "unreadable"
-        stopping = self.gate.refusal(asked, math.inf, ASSUMED_CALL_S)
-        began_s = self.loop.now()
         if isinstance(call, Refusal):
             outcome: Refusal | tuple[int, bytes] = call
-        elif stopping is not None:
-            outcome = stopping
         else:
-            outcome = await self._answer(call)
-            self.gate.record(asked, self.loop.now() - began_s)
+            stopping = self.gate.refuse(asked, math.inf, ASSUMED_CALL_S)
+            outcome = stopping or await self._answer_within_stop(asked, call)
         if isinstance(outcome, Refusal):
             send_refusal(exchange, outcome)
             status, reason = outcome.status, outcome.message
@@ -107,6 +103,16 @@
             self._log(exchange, call, status, reason)
         return True
 
+    async def _answer_within_stop(self, asked: str, call: JobCall) -> Refusal | tuple[int, bytes]:
+        began_s = self.gate.start(asked)
+        answered = False
+        try:
+            outcome = await self._answer(call)
+            answered = not isinstance(outcome, Refusal)
+        finally:
+            self.gate.end(asked, began_s, answered=answered)
+        return outcome
+
     async def _answer(self, call: JobCall) -> Refusal | tuple[int, bytes]:
         if isinstance(call, SubmitJob):
             return await self.submission.submit(call)
--- a/parsleyrouter/process/stop_gate.py
+++ b/parsleyrouter/process/stop_gate.py
@@ -21,40 +21,61 @@
         self.members = members
         self.window: StopWindow | None = None
         self.durations: dict[str, RecentMaximum] = {}
-        """Durations of recent requests by what determines them, such as their service."""
+        """Durations of the requests that were recently answered, by what determines them, such as
+        their service."""
+        self.running: dict[str, list[float]] = {}
+        """When the requests in progress began."""
         self.closed = False
-        """No request may begin any more: the process is about to exit."""
         self.refused = 0
 
-    def record(self, kind: str, duration_s: float) -> None:
-        """Record how long a request took."""
-        recent = self.durations.setdefault(kind, RecentMaximum(DURATIONS_WINDOW_S))
-        recent.record(duration_s, self.loop.now())
+    def begin_stop(self, window: StopWindow) -> None:
+        """Begin only requests that end within a window from now on."""
+        self.window = window
 
-    def refusal(
+    def close(self) -> None:
+        """Let no request begin from now on: the process is about to exit."""
+        self.closed = True
+
+    def refuse(
         self, kind: str, deadline_s: float, assumed_s: float | None = None
     ) -> Refusal | None:
-        """Return the refusal of a request that may not begin; ``deadline_s`` is monotonic.
+        """Refuse and count a request that may not begin; ``deadline_s`` is monotonic.
 
         ``assumed_s`` is its duration if there was no request of its kind recently.
         """
         if self.window is None:
             return None
-        now = self.loop.now()
-        recent = self.durations.get(kind)
-        slowest_s = recent.value(now) if recent is not None else None
+        slowest_s = self._slowest_s(kind)
         slowest_s = assumed_s if slowest_s is None else slowest_s
-        if not self.closed and self.window.may_begin(now, deadline_s, slowest_s):
+        if not self.closed and self.window.may_begin(self.loop.now(), deadline_s, slowest_s):
             return None
         self.refused += 1
         message = "this node stops before the request can end: try another node"
         retry_s = 0.0 if self.members.serving_nodes() else ALL_STOPPING_RETRY_S
         return Refusal(RefusalKind.STOPPING, message, ExecutionStatus.NOT_RUN, retry_s)
 
-    def close(self) -> None:
-        """Let no request begin from now on."""
-        self.closed = True
-
     def limit(self, deadline_s: float) -> float:
         """Return the deadline of a request that begins now, which the exit limits."""
         return deadline_s if self.window is None else min(deadline_s, self.window.exit_s)
+
+    def start(self, kind: str) -> float:
+        """Note that a request begins, and return when."""
+        now = self.loop.now()
+        self.running.setdefault(kind, []).append(now)
+        return now
+
+    def end(self, kind: str, began_s: float, *, answered: bool) -> None:
+        """Note the end of a request; only answered ones tell how long requests take."""
+        self.running[kind].remove(began_s)
+        if answered:
+            now = self.loop.now()
+            recent = self.durations.setdefault(kind, RecentMaximum(DURATIONS_WINDOW_S))
+            recent.record(now - began_s, now)
+
+    def _slowest_s(self, kind: str) -> float | None:
+        """Return the longest recent duration, of requests in progress too."""
+        now = self.loop.now()
+        recent = self.durations.get(kind)
+        answered_s = recent.value(now) if recent is not None else None
+        running_s = max((now - began_s for began_s in self.running.get(kind, ())), default=0.0)
+        return None if answered_s is None else max(answered_s, running_s)
--- a/parsleyrouter/process/stop_window.py
+++ b/parsleyrouter/process/stop_window.py
@@ -10,6 +10,7 @@
 __all__ = [
     "DURATION_MARGIN",
     "FINISH_SHARE",
+    "KEPT_LIFETIMES",
     "MAX_ADDRESSES_TTL_S",
     "MIN_ADDRESSES_TTL_S",
     "REQUEST_ARRIVAL_S",
@@ -31,6 +32,9 @@
 CALLERS_SHARE = 0.6
 """Share of the grace time in which callers with unexpired lists may come."""
 
+HANDOVER_SHARE = 0.7
+"""Share of the grace time in which batch work is handed over."""
+
 FINISH_SHARE = 0.85
 """Share of the grace time in which the requests that a stopping process begins are to end."""
 
@@ -47,9 +51,9 @@
     return max(MIN_ADDRESSES_TTL_S, min(MAX_ADDRESSES_TTL_S, ttl_s))
 
 
-def expiring_ttl_s(accepts_until_s: Iterable[float], now: float, ttl_s: float) -> float:
+def expiring_ttl_s(named_until_s: Iterable[float], now: float, ttl_s: float) -> float:
     """Return the lifetime of a list of nodes that accept callers until the given times."""
-    left_s = min((until_s - now for until_s in accepts_until_s), default=KEPT_LIFETIMES * ttl_s)
+    left_s = min((until_s - now for until_s in named_until_s), default=KEPT_LIFETIMES * ttl_s)
     return min(ttl_s, left_s / KEPT_LIFETIMES)
 
 
@@ -106,6 +110,11 @@
         """Return when the requests that the process has begun are expected to have ended."""
         return self.started_s + FINISH_SHARE * self.grace_s
 
+    @property
+    def handover_s(self) -> float:
+        """Return when the hand-over of batch work ends, done or not."""
+        return self.started_s + HANDOVER_SHARE * self.grace_s
+
     @property
     def exit_s(self) -> float:
         """Return when the process exits even if that interrupts requests."""
--- a/parsleyrouter/thrift_gen/load/ttypes.py
+++ b/parsleyrouter/thrift_gen/load/ttypes.py
@@ -109,12 +109,12 @@
      - domain
      - waiting_items
      - store_failing
-     - accepts_ms
+     - named_ms
 
     """
 
 
-    def __init__(self, node=None, boot=None, sequence=None, uses=None, leaving=None, routes_version=None, callers_address=None, nodes_address=None, domain=None, waiting_items=None, store_failing=None, accepts_ms=None,):
+    def __init__(self, node=None, boot=None, sequence=None, uses=None, leaving=None, routes_version=None, callers_address=None, nodes_address=None, domain=None, waiting_items=None, store_failing=None, named_ms=None,):
         self.node = node
         self.boot = boot
         self.sequence = sequence
@@ -126,7 +126,7 @@
         self.domain = domain
         self.waiting_items = waiting_items
         self.store_failing = store_failing
-        self.accepts_ms = accepts_ms
+        self.named_ms = named_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -200,7 +200,7 @@
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.I32:
-                    self.accepts_ms = iprot.readI32()
+                    self.named_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -260,9 +260,9 @@
             oprot.writeFieldBegin('store_failing', TType.BOOL, 11)
             oprot.writeBool(self.store_failing)
             oprot.writeFieldEnd()
-        if self.accepts_ms is not None:
-            oprot.writeFieldBegin('accepts_ms', TType.I32, 12)
-            oprot.writeI32(self.accepts_ms)
+        if self.named_ms is not None:
+            oprot.writeFieldBegin('named_ms', TType.I32, 12)
+            oprot.writeI32(self.named_ms)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -519,7 +519,7 @@
     (9, TType.STRING, 'domain', 'UTF8', None, ),  # 9
     (10, TType.I32, 'waiting_items', None, None, ),  # 10
     (11, TType.BOOL, 'store_failing', None, None, ),  # 11
-    (12, TType.I32, 'accepts_ms', None, None, ),  # 12
+    (12, TType.I32, 'named_ms', None, None, ),  # 12
 )
 all_structs.append(CellNews)
 CellNews.thrift_spec = (
--- a/thrift/load.thrift
+++ b/thrift/load.thrift
@@ -20,7 +20,7 @@
   9: string domain,
   10: i32 waiting_items,
   11: bool store_failing,
-  12: i32 accepts_ms,  // while leaving: how much longer the node may be named to callers
+  12: i32 named_ms,  // while leaving: how much longer the node may be named to callers
 }
 
 // The aggregate of one cell of a large fleet, reported by the cell's leader (speaker).
