Stand-in for endpoints that crash on a prompt part, and tests that the part is sent no more

No stand-in could crash as the platform's endpoints do on one part of a prompt: all connections reset, no connection accepted for a while, then back under the same name with a new start or under a new name. Adds it, and scenarios with three nodes and six endpoints.

--- /dev/null
+++ b/features/deadly_parts.feature
@@ -0,0 +1,26 @@
+Feature: a prompt part that crashes endpoints is recognized and sent no more
+
+  Scenario: requests with a deadly part stop reaching endpoints
+    When requests with a deadly part come at all nodes among sound ones
+    Then at most three of them reach endpoints later than 3 s after the fifth crash
+
+  Scenario: sound requests with the same first part are still served
+    When requests with a deadly part come at all nodes among sound ones
+    Then sound requests with the same first part begin as often as others
+
+  Scenario: several parts are deadly at the same time
+    When requests with two deadly parts come on two routes
+    Then at most three of each reach endpoints later than 3 s after its fifth crash
+
+  Scenario: a part that is in use at ordinary crashes is not refused
+    When endpoints crash for another reason while they run requests with a popular part
+    Then every request with that part is answered afterwards
+
+  Scenario: a node that starts after the crashes does not send deadly requests
+    When a node starts after the crashes and gets requests with the deadly part
+    Then at most three of them reach endpoints later than 3 s after the fifth crash
+
+  Scenario: batch items with a deadly part end and the others complete
+    When a job has items with a deadly part
+    Then these items are given up and the other items complete
+    And at most three of them reach endpoints later than 3 s after the fifth crash
--- /dev/null
+++ b/features/steps/deadly_parts_steps.py
@@ -0,0 +1,199 @@
+"""Steps for prompt parts that crash endpoints."""
+
+import functools
+import json
+from base64 import b64encode
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from behave import then, when
+
+from features.support.crashing_endpoint import CrashPlan
+from features.support.deadly_play import CONTACT_S, CRASHES, MAX_LATER, DeadlyPlay
+from features.support.front_fleet import FrontFleet
+from features.support.loop import run_on_loop
+
+DEADLY, SECOND_DEADLY = "dead1", "dead2"
+TEAM, OTHER_TEAM = "ace", "bee"
+WINDOW_S = 2.5
+"""How long requests still come from when a check applies."""
+
+JOB_LIMIT_S = 15.0
+MIN_SHARE = 0.5
+"""Of the share of sound requests that begin with another first part."""
+
+
+def play(scenario: Callable[[DeadlyPlay], Coroutine[Any, Any, None]], **plan: Any) -> DeadlyPlay:
+    """Run a scenario on a new fleet; return what was seen."""
+    found: list[DeadlyPlay] = []
+
+    async def main(runtime: Any) -> None:
+        fleet = FrontFleet(runtime)
+        one = DeadlyPlay(fleet, CrashPlan(fleet, **plan))
+        found.append(one)
+        await one.start()
+        await scenario(one)
+        one.running = False
+        await fleet.loop.sleep(0.3)
+
+    run_on_loop(main)
+    return found[0]
+
+
+@functools.cache
+def mixed_play() -> DeadlyPlay:
+    """Play deadly and sound requests once for all checks."""
+
+    async def scenario(one: DeadlyPlay) -> None:
+        for front in one.fleet.fronts:
+            one.fleet.loop.spawn(one.sound_client(front, "/chat/x", OTHER_TEAM), "sound")
+        one.spawn_clients("/chat/x", TEAM, DEADLY)
+        await one.until_crashes(DEADLY)
+        await one.fleet.loop.sleep(2 * CONTACT_S + WINDOW_S)
+
+    return play(scenario, deadly={DEADLY})
+
+
+@when("requests with a deadly part come at all nodes among sound ones")
+def step_mixed(context: Any) -> None:
+    context.play = mixed_play()
+
+
+@then("at most three of them reach endpoints later than 3 s after the fifth crash")
+def step_few_later(context: Any) -> None:
+    later = context.play.later_arrivals(DEADLY)
+    assert later <= MAX_LATER, f"{later} reached endpoints: {_crash_times(context.play)}"
+
+
+def _crash_times(one: DeadlyPlay) -> str:
+    return f"{len(one.plan.crashes)} crashes at {[round(c.at_s, 2) for c in one.plan.crashes]}"
+
+
+@then("sound requests with the same first part begin as often as others")
+def step_sound_served(context: Any) -> None:
+    since_s = context.play.fifth_crash_s(DEADLY) + 2 * CONTACT_S
+    own = context.play.begun_share(TEAM, since_s)
+    others = context.play.begun_share(OTHER_TEAM, since_s)
+    assert others > MIN_SHARE, f"only {others:.2f} of all other requests begin"
+    assert own >= MIN_SHARE * others, (own, others)
+
+
+@when("requests with two deadly parts come on two routes")
+def step_two_parts(context: Any) -> None:
+    async def scenario(one: DeadlyPlay) -> None:
+        one.spawn_clients("/chat/x", TEAM, DEADLY)
+        one.spawn_clients("/tale/x", OTHER_TEAM, SECOND_DEADLY)
+        await one.until_crashes(DEADLY)
+        await one.until_crashes(SECOND_DEADLY)
+        await one.fleet.loop.sleep(CONTACT_S + WINDOW_S)
+
+    context.play = play(scenario, deadly={DEADLY, SECOND_DEADLY})
+
+
+@then("at most three of each reach endpoints later than 3 s after its fifth crash")
+def step_few_of_each_later(context: Any) -> None:
+    later = [context.play.later_arrivals(part) for part in (DEADLY, SECOND_DEADLY)]
+    assert max(later) <= MAX_LATER, f"{later} reached endpoints: {_crash_times(context.play)}"
+
+
+@when("endpoints crash for another reason while they run requests with a popular part")
+def step_ordinary_crashes(context: Any) -> None:
+    context.afterwards = []
+
+    async def scenario(one: DeadlyPlay) -> None:
+        for front in one.fleet.fronts:
+            for team in (TEAM, TEAM, OTHER_TEAM):
+                one.fleet.loop.spawn(one.sound_client(front, "/chat/x", team, shared=2), "sound")
+        for number in range(CRASHES + 1):
+            await one.fleet.loop.sleep(0.4)
+            busiest = max(
+                one.plan.running(),
+                key=lambda endpoint: sum(not each.ended_s for each in endpoint.arrivals),
+            )
+            task = one.plan.crash(busiest, renamed=number % 2 == 0)
+            one.fleet.loop.spawn(task, "crash")
+        await one.fleet.loop.sleep(CONTACT_S)
+        for number, front in enumerate(one.fleet.fronts * 4):
+            parts = [TEAM, f"{TEAM}b0", f"e{number:x}"]
+            context.afterwards.append(await one.ask(front, "/chat/x", parts))
+
+    context.play = play(scenario)
+
+
+@then("every request with that part is answered afterwards")
+def step_answered_afterwards(context: Any) -> None:
+    assert len(context.play.plan.crashes) > CRASHES, _crash_times(context.play)
+    found = [(one.status, one.complete) for one in context.afterwards]
+    assert found == [(200, True)] * len(found), found
+
+
+@when("a node starts after the crashes and gets requests with the deadly part")
+def step_late_node(context: Any) -> None:
+    async def scenario(one: DeadlyPlay) -> None:
+        one.spawn_clients("/chat/x", TEAM, DEADLY)
+        await one.until_crashes(DEADLY)
+        await one.fleet.loop.sleep(CONTACT_S)
+        one.running = False
+        await one.fleet.start(1, configured=False)
+        late = one.fleet.fronts[-1]
+        await one.fleet.until(lambda: one.fleet._knows(late))
+        await one.fleet.loop.sleep(CONTACT_S)
+        for number in range(2 * MAX_LATER + 2):
+            parts = [TEAM, f"{TEAM}b0", DEADLY, f"c{number:x}"]
+            await one.ask(late, "/chat/x", parts, DEADLY)
+
+    context.play = play(scenario, deadly={DEADLY})
+
+
+@when("a job has items with a deadly part")
+def step_job(context: Any) -> None:
+    context.results = {}
+
+    async def scenario(one: DeadlyPlay) -> None:
+        for front in one.fleet.fronts:
+            one.fleet.loop.spawn(one.sound_client(front, "/chat/x", TEAM), "sound")
+        body = json.dumps({"items": [_item(number) for number in range(8)]}).encode()
+        answer = await one.fleet.caller().ask(
+            "POST", "/bulk/x", body, attempt="job1", deadline_ms=None
+        )
+        assert answer.status == 202, answer.status
+        until_s = one.fleet.loop.now() + JOB_LIMIT_S
+        while len(context.results) < 8 and one.fleet.loop.now() < until_s:
+            page = await one.fleet.caller().ask(
+                "GET", "/lots/job1?after=0", headers=[("X-Wait-Ms", "500")], deadline_ms=None
+            )
+            rows = json.loads(page.body)["results"] if page.status == 200 else []
+            context.results = {row["id"]: row["state"] for row in rows}
+            await one.fleet.loop.sleep(0.2)
+        if len(one.plan.crashes_by(DEADLY)) >= CRASHES:
+            await one.fleet.loop.sleep(WINDOW_S)
+
+    context.play = play(scenario, deadly={DEADLY})
+
+
+def _is_deadly(number: int) -> bool:
+    return number % 4 == 1
+
+
+def _item(number: int) -> dict[str, Any]:
+    deadly = f"{DEADLY}:95," if _is_deadly(number) else ""
+    return {
+        "id": f"item{number}",
+        "path": f"/bulk/{number}",
+        "headers": {
+            "X-Model": "m",
+            "X-Token-Usage": "300,50",
+            "X-Prompt-Prefix": f"{TEAM}:100,{deadly}b{number:x}:50",
+        },
+        "body": b64encode(b"body %d" % number).decode(),
+        "tokens": 350,
+    }
+
+
+@then("these items are given up and the other items complete")
+def step_items_end(context: Any) -> None:
+    expected = {
+        f"item{number}": "dead_lettered" if _is_deadly(number) else "completed"
+        for number in range(8)
+    }
+    assert context.results == expected, f"{context.results}, {_crash_times(context.play)}"
--- /dev/null
+++ b/features/support/crashing_endpoint.py
@@ -0,0 +1,124 @@
+"""Stand-in for an endpoint that crashes when it begins to answer certain prompts."""
+
+import os
+import socket
+import struct
+from dataclasses import dataclass, field
+from typing import Any
+
+from features.support.front_fleet import FrontFleet
+from features.support.platform_endpoint import Arrival, Behaviour, EndpointStandIn, stream
+from parsleyrouter.connection.forward_server import CallerExchange, ForwardServer
+from parsleyrouter.ids import Address
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+@dataclass(frozen=True)
+class Crash:
+    """One crash and the part that caused it; empty for another reason."""
+
+    at_s: float
+    endpoint: str
+    part: str
+
+
+@dataclass
+class CrashPlan:
+    """Parts that crash any endpoint of a fleet, and how endpoints return."""
+
+    fleet: FrontFleet
+    deadly: set[str] = field(default_factory=set)
+    down_s: float = 0.5
+    crashes: list[Crash] = field(default_factory=list)
+    starts: int = 1
+    down: set[int] = field(default_factory=set)
+
+    def crashes_by(self, part: str) -> list[Crash]:
+        return [one for one in self.crashes if one.part == part]
+
+    def arrivals_with(self, part: str) -> list[Arrival]:
+        """Return the requests with a part that reached endpoints."""
+        endpoints = {id(one): one for one in self.fleet.endpoints.values()}.values()
+        found = [one for endpoint in endpoints for one in endpoint.arrivals]
+        return sorted((one for one in found if part in prompt_parts(one)), key=lambda one: one.at_s)
+
+    def add_endpoint(self, name: str, *, renamed: bool) -> EndpointStandIn:
+        """Register an endpoint; ``renamed`` ones return from a crash under a new name."""
+        endpoint = self.fleet.register(name)
+        endpoint.gap_s = 0.02
+        endpoint.default_behaviour = crash_on_deadly_parts(self, renamed=renamed)
+        return endpoint
+
+    def running(self) -> list[EndpointStandIn]:
+        """Return the endpoints that are not down."""
+        return [one for one in self.fleet.endpoints.values() if id(one) not in self.down]
+
+    async def crash(self, endpoint: EndpointStandIn, part: str = "", *, renamed: bool) -> None:
+        """Reset all connections, accept none for a while, then return and register again."""
+        if id(endpoint) in self.down:
+            return
+        self.down.add(id(endpoint))
+        self.crashes.append(Crash(self.fleet.loop.now(), endpoint.name, part))
+        address = crash_server(endpoint.server)
+        await self.fleet.loop.sleep(self.down_s)
+        restart_server(endpoint.server, address)
+        self.down.discard(id(endpoint))
+        self.starts += 1
+        if renamed:
+            self.fleet.store.remove(f"servers/{endpoint.name}")
+            del self.fleet.endpoints[endpoint.name]
+            endpoint.name = f"{endpoint.name.partition('-')[0]}-{self.starts}"
+            self.fleet.endpoints[endpoint.name] = endpoint
+        self.fleet.announce(endpoint.name, born=self.starts)
+
+
+def prompt_parts(arrival: Arrival) -> list[str]:
+    """Return the ids of a request's prompt parts in order."""
+    header = arrival.header("X-Prompt-Prefix") or ""
+    return [entry.partition(":")[0] for entry in header.split(",") if entry]
+
+
+def crash_on_deadly_parts(plan: CrashPlan, *, renamed: bool) -> Behaviour:
+    """Stream; crash after the first event of a request that holds a deadly part."""
+
+    async def behave(endpoint: EndpointStandIn, exchange: CallerExchange, arrival: Arrival) -> None:
+        found = plan.deadly.intersection(prompt_parts(arrival)[:-1])
+        if not found:
+            await stream(endpoint, exchange, arrival)
+            return
+        after = int(arrival.header("Last-Event-Id") or 0)
+        await stream(endpoint, exchange, arrival, after + 1)
+        if not exchange.disconnected:
+            task = plan.crash(endpoint, found.pop(), renamed=renamed)
+            plan.fleet.loop.spawn(task, "crash")
+
+    return behave
+
+
+def crash_server(server: ForwardServer) -> Address:
+    """Stop listening and reset all connections; return the address that was served."""
+    address = server.bound_address()
+    sockets: Any = server.server
+    sockets._poller.discard(sockets._sock)
+    sockets._sock.close()
+    # An accept that is already queued finds no connection here.
+    sockets._sock = socket.create_server(("127.0.0.1", 0))
+    sockets._sock.setblocking(False)
+    for sock in list(sockets._clients):
+        sockets._poller.discard(sock)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        # A shutdown, as the library does on close, would end the connection in an orderly way.
+        os.close(sock.detach())
+        sockets._close(sock)
+    return address
+
+
+def restart_server(server: ForwardServer, address: Address) -> None:
+    """Listen again at the same address."""
+    sockets: Any = server.server
+    sockets._sock.close()
+    host, _, port = address.partition(":")
+    sockets._bind = (host, int(port))
+    sockets._sock = sockets._create_socket()
+    sockets._poller.addReader(sockets, sockets._sock)
