Soak: a fault that makes a prompt part crash endpoints, prompts of streams, and checks for both rules

The soak sent no prompts and no endpoint crashed on one. Adds the fault 'deadly part', clients that send prompts with streams, a quarter of them with the part while it is deadly, and two checks: at most three runs with it at nodes in touch later than 3 s after its fifth crash, and sound requests with the same first part begin at least half as often as others, reported if chance explains fewer in less than one of a hundred cases. Nodes now keep when they were cut off from others.

--- a/features/soak_checks.feature
+++ b/features/soak_checks.feature
@@ -18,6 +18,8 @@
       | an item with an event missing            | batch jobs                  |
       | a refused job that ran                   | batch jobs                  |
       | a process that ended by itself           | processes end               |
+      | four runs with a part after five crashes | a part that crashes         |
+      | sound requests refused for a first part  | requests that share         |
 
   Scenario: no violation is reported when all guarantees hold
     When nothing goes wrong for callers and endpoints
--- a/features/steps/soak_checks_steps.py
+++ b/features/steps/soak_checks_steps.py
@@ -8,7 +8,7 @@
 
 from soak.checks import problems
 from soak.endpoints import expected_body, item_output
-from soak.journal import Attempt, JobTrace, Journal, Kind, Run
+from soak.journal import Attempt, EndpointCrash, JobTrace, Journal, Kind, Run
 
 Violation = Callable[[Journal], object]
 
@@ -31,9 +31,42 @@
     journal.runs += [
         Run(one, "e", "engines", "/", f"body {one}".encode(), 41.0) for one in record.items
     ]
+    add_deadly_part(journal)
     return journal
 
 
+def add_deadly_part(journal: Journal) -> None:
+    """Add five crashes by a part, three runs with it that are allowed, and sound requests."""
+    journal.crashes += [EndpointCrash(20.0 + number, "e", "dead") for number in range(5)]
+    for number in range(3):
+        add_deadly_run(journal, f"d{number}")
+    journal.attempts["d9"] = Attempt(
+        "d9", Kind.STREAM, "n", 60.0, 503, complete=True, parts=("a1", "dead", "d9")
+    )
+    for number in range(20):
+        name, first = f"s{number}", f"a{number % 2 + 1}"
+        body = expected_body(name, stream=True)
+        journal.attempts[name] = Attempt(
+            name, Kind.STREAM, "n", 40.0, 200, "sig-e", body, True, 41.0, parts=(first, name)
+        )
+        journal.runs.append(run(name))
+
+
+def add_deadly_run(journal: Journal, name: str) -> None:
+    parts = ("a1", "dead", name)
+    journal.attempts[name] = Attempt(name, Kind.STREAM, "n", 30.0, 200, "sig-e", parts=parts)
+    one = run(name)
+    one.began_s, one.parts = 30.0, parts
+    journal.runs.append(one)
+
+
+def refuse_first_part(journal: Journal) -> None:
+    for one in journal.attempts.values():
+        if one.parts[:1] == ("a1",) and one.attempt.startswith("s"):
+            one.status, one.body = 503, b""
+    journal.runs = [one for one in journal.runs if not one.attempt.startswith("s")]
+
+
 def run(attempt: str, service: str = "engines", body: bytes | None = None) -> Run:
     return Run(attempt, "e", service, "/", body or f"body {attempt}".encode(), 50.0)
 
@@ -58,13 +91,18 @@
     "an item at two positions": result(1, "i1", item_output("i1")),
     "an item with an event missing": result(1, "i2", item_output("i2").replace("i2 7\n", "")),
     "a refused job that ran": lambda journal: journal.runs.append(run("i3")),
+    "four runs with a part after five crashes": lambda journal: add_deadly_run(journal, "d3"),
+    "sound requests refused for a first part": refuse_first_part,
     "a process that ended by itself": lambda journal: journal.ends.append("n ended by itself"),
 }
 
 
 def found(journal: Journal) -> list[str]:
     node = SimpleNamespace(
-        name="n", undisturbed_since=lambda at_s: True, versions=lambda: [0, 1, 2]
+        name="n",
+        undisturbed_since=lambda at_s: True,
+        in_touch_between=lambda from_s, until_s: True,
+        versions=lambda: [0, 1, 2],
     )
     world: Any = SimpleNamespace(journal=journal, nodes=[node], version=2, version_s=10.0)
     return problems(world)
--- a/features/support/crashing_endpoint.py
+++ b/features/support/crashing_endpoint.py
@@ -8,7 +8,7 @@
 
 from features.support.front_fleet import FrontFleet
 from features.support.platform_endpoint import Arrival, Behaviour, EndpointStandIn, stream
-from parsleyrouter.connection.forward_server import CallerExchange, ForwardServer
+from parsleyrouter.connection.forward_server import CallerExchange
 from parsleyrouter.ids import Address
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -60,9 +60,9 @@
             return
         self.down.add(id(endpoint))
         self.crashes.append(Crash(self.fleet.loop.now(), endpoint.name, part))
-        address = crash_server(endpoint.server)
+        address = crash_server(endpoint.server.server)
         await self.fleet.loop.sleep(self.down_s)
-        restart_server(endpoint.server, address)
+        restart_server(endpoint.server.server, address)
         self.down.discard(id(endpoint))
         self.starts += 1
         if renamed:
@@ -96,10 +96,9 @@
     return behave
 
 
-def crash_server(server: ForwardServer) -> Address:
-    """Stop listening and reset all connections; return the address that was served."""
-    address = server.bound_address()
-    sockets: Any = server.server
+def crash_server(sockets: Any) -> Address:
+    """Stop listening and reset all connections of a TCP server; return its address."""
+    address = Address(f"{sockets.host}:{sockets.port}")
     sockets._poller.discard(sockets._sock)
     sockets._sock.close()
     # An accept that is already queued finds no connection here.
@@ -114,9 +113,8 @@
     return address
 
 
-def restart_server(server: ForwardServer, address: Address) -> None:
+def restart_server(sockets: Any, address: Address) -> None:
     """Listen again at the same address."""
-    sockets: Any = server.server
     sockets._sock.close()
     host, _, port = address.partition(":")
     sockets._bind = (host, int(port))
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,7 +10,7 @@
 from parsleyrouter.connection.stream import ConnectFailed
 from soak.journal import Attempt, JobTrace, Kind
 from soak.nodes import Node
-from soak.world import World
+from soak.world import FIRST_PARTS, World
 
 __all__ = ["batch_client", "online_client", "probe_nodes"]
 
@@ -23,6 +23,11 @@
 ITEMS_PER_JOB = 5
 MAX_SUBMITS = 6
 
+DEADLY_SHARE = 0.25
+"""Share of streams that hold a deadly part while there is one."""
+
+SECOND_PARTS = 3
+
 
 async def send_request(
     world: World, node: Node, caller: Caller | None, kind: Kind, attempt: str
@@ -30,12 +35,21 @@
     """Send one request; return its record and the connection if it can be reused."""
     seen = Attempt(attempt, kind, node.name, world.loop.now())
     seen.version, seen.version_s = world.version, world.version_s
+    seen.parts = _choose_parts(world, kind, attempt)
     world.journal.attempts[attempt] = seen
     if caller is None or not _reusable(caller):
         caller = Caller(world.runtime, world.address_of(node))
     try:
         target, body = f"/{kind.value}/{attempt}", f"body {attempt}".encode()
-        await caller.send("POST", target, body, attempt=attempt, deadline_ms=DEADLINE_MS)
+        headers = [("X-Model", "m"), ("X-Prompt-Prefix", ",".join(f"{p}:50" for p in seen.parts))]
+        await caller.send(
+            "POST",
+            target,
+            body,
+            attempt=attempt,
+            deadline_ms=DEADLINE_MS,
+            headers=headers if seen.parts else None,
+        )
         response = await caller.wait(RESPONSE_TIMEOUT_S)
     except (ConnectFailed, AssertionError):
         caller.close()
@@ -50,6 +64,18 @@
     return seen, caller if reusable else None
 
 
+def _choose_parts(world: World, kind: Kind, attempt: str) -> tuple[str, ...]:
+    """Return the prompt parts of a stream; some hold a part that is deadly at present."""
+    if kind not in (Kind.STREAM, Kind.RESUMABLE):
+        return ()
+    if world.deadly_parts and world.client_random.random() < DEADLY_SHARE:
+        deadly = world.client_random.choice(list(world.deadly_parts))
+        first = world.deadly_parts[deadly]
+        return (first, f"{first}b0", deadly, attempt)
+    first = world.client_random.choice(FIRST_PARTS)
+    return (first, f"{first}b{world.client_random.randrange(SECOND_PARTS)}", attempt)
+
+
 def _reusable(caller: Caller) -> bool:
     return not caller.closed and caller.parser.states[h11.CLIENT] is h11.IDLE
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from math import comb
 
 from soak.endpoints import expected_body, item_output
 from soak.journal import Attempt, Journal, Kind, Run
@@ -13,6 +14,20 @@
 ROUTE_APPLY_S = 2.0
 """Time in which new routes must be applied."""
 
+CONTACT_S = 3.0
+"""Time after a crash from which nodes in touch must know of it."""
+
+CRASHES_KNOWN = 5
+"""Crashes by one part after which it must be known."""
+
+MAX_LATER_RUNS = 3
+MIN_SOUND_REQUESTS = 8
+MIN_SOUND_SHARE = 0.5
+"""Of the share of requests with other first parts that begin."""
+
+MAX_CHANCE = 0.01
+"""Chance below which a lower share in so few requests is reported."""
+
 REFUSALS = (408, 421, 429, 503)
 Check = Callable[[World], list[str]]
 CHECKS: dict[str, Check] = {}
@@ -156,6 +171,78 @@
     return sum(run.attempt == item for run in world.journal.runs) >= 3
 
 
+def _crash_times(world: World) -> dict[str, list[float]]:
+    """Return the times of the crashes by each part, in order."""
+    times: dict[str, list[float]] = {}
+    for crash in sorted(world.journal.crashes, key=lambda one: one.at_s):
+        times.setdefault(crash.part, []).append(crash.at_s)
+    return times
+
+
+def _tail_chance(count: int, total: int, share: float) -> float:
+    """Return the chance of at most ``count`` of ``total`` if each has a chance of ``share``."""
+    return sum(
+        comb(total, one) * share**one * (1 - share) ** (total - one) for one in range(count + 1)
+    )
+
+
+def _is_in_touch(world: World, attempt: Attempt, at_s: float) -> bool:
+    node = next(node for node in world.nodes if node.name == attempt.node)
+    return node.in_touch_between(at_s - CONTACT_S, at_s)
+
+
+@check("a part that crashes endpoints is sent no more")
+def check_deadly_parts(world: World) -> list[str]:
+    """Check how many requests with the part ran after nodes in touch knew of five crashes."""
+    found = []
+    for part, times in _crash_times(world).items():
+        if len(times) < CRASHES_KNOWN:
+            continue
+        known_s = times[CRASHES_KNOWN - 1] + CONTACT_S
+        later = [
+            run
+            for run in world.journal.runs
+            if part in run.parts
+            and run.began_s > known_s
+            and _is_in_touch(world, world.journal.attempts[run.attempt], run.began_s)
+        ]
+        if len(later) > MAX_LATER_RUNS:
+            found.append(f"{part} ran {len(later)} times later; {len(times)} crashes")
+    return found
+
+
+@check("requests that share the first part of one that crashes endpoints are served")
+def check_sound_requests(world: World) -> list[str]:
+    """Check that they begin at least half as often as requests with other first parts."""
+    found = []
+    crashes = _crash_times(world)
+    attempts = list(world.journal.attempts.values())
+    deadly = [one for one in attempts if crashes.keys() & set(one.parts)]
+    sound = [one for one in attempts if one.parts and not crashes.keys() & set(one.parts)]
+    affected = {one.parts[0] for one in deadly}
+    for part, times in crashes.items():
+        held = [one for one in deadly if part in one.parts]
+        from_s = times[:CRASHES_KNOWN][-1] + 2 * CONTACT_S
+        until_s = max((one.sent_s for one in held), default=0.0)
+        window = [
+            one
+            for one in sound
+            if from_s <= one.sent_s <= until_s and _is_in_touch(world, one, one.sent_s)
+        ]
+        firsts = {one.parts[0] for one in held}
+        own = [one.status == 200 for one in window if one.parts[0] in firsts]
+        others = [one.status == 200 for one in window if one.parts[0] not in affected]
+        if min(len(own), len(others)) < MIN_SOUND_REQUESTS:
+            continue
+        min_share = MIN_SOUND_SHARE * sum(others) / len(others)
+        if _tail_chance(sum(own), len(own), min_share) < MAX_CHANCE:
+            found.append(
+                f"with {part}: {sum(own)} of {len(own)} begin, "
+                f"of the others {sum(others)} of {len(others)}"
+            )
+    return found
+
+
 @check("processes end only when told to")
 def check_process_ends(world: World) -> list[str]:
     """Return process ends that no signal explains."""
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -1,8 +1,10 @@
 """Endpoints of a soak; responses contain the request id, which reveals mixed-up responses."""
 
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
+from features.support.crashing_endpoint import prompt_parts
 from features.support.platform_endpoint import (
     STREAM,
     Arrival,
@@ -49,6 +51,8 @@
         self.random = random
         self.failure_mode = ""
         self.failure_rate = 0.0
+        self.crash_on: Callable[[str], bool] = lambda part: False
+        """Crashes the endpoint if a part is deadly and returns whether it is."""
         self.default_behaviour = _behave
 
     def run(self, arrival: Arrival) -> str:
@@ -57,7 +61,16 @@
         after = int(arrival.header("Last-Event-Id") or 0)
         now = self.runtime.loop.now()
         self.journal.runs.append(
-            Run(attempt, self.name, self.service, arrival.target, arrival.body, now, after)
+            Run(
+                attempt,
+                self.name,
+                self.service,
+                arrival.target,
+                arrival.body,
+                now,
+                after,
+                tuple(prompt_parts(arrival)),
+            )
         )
         return attempt
 
@@ -86,6 +99,8 @@
     last = ITEM_EVENTS if arrival.target.startswith("/bulk/") else EVENTS
     start = int(arrival.header("Last-Event-Id") or 0)
     exchange.begin(200, b"", [*endpoint.proof(arrival), STREAM], None)
+    if any(endpoint.crash_on(part) for part in prompt_parts(arrival)[:-1]):
+        return
     for number in range(start + 1, last + 1):
         event = _event(attempt, number)
         if cut and number == (start + last) // 2:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,7 +6,7 @@
 
 from parsleyrouter.standins.fault_proxy import FaultProxy, ProxyFaults
 from soak.nodes import GRACE_S, Node
-from soak.world import World
+from soak.world import FIRST_PARTS, World
 
 __all__ = ["FAULTS", "Fault"]
 
@@ -137,7 +137,7 @@
 async def caller_link(world: World) -> None:
     """Disturb the link from callers to a node."""
     node, lasts_s = _random_node(world), world.random.uniform(0.2, 2.0)
-    with world.disturbed(node, lasts_s=lasts_s):
+    with world.disturbed(node, lasts_s=lasts_s, in_touch=True):
         chosen = world.random.choice(_LINK_FAULTS)
         await _apply_faults(world, world.caller_links[node.name], lasts_s, **chosen)
 
@@ -147,14 +147,14 @@
     """Disturb the link to an endpoint."""
     link = world.random.choice(list(world.endpoint_links.values()))
     lasts_s = world.random.uniform(0.2, 2.5)
-    with world.disturbed(*world.nodes, lasts_s=lasts_s):
+    with world.disturbed(*world.nodes, lasts_s=lasts_s, in_touch=True):
         await _apply_faults(world, link, lasts_s, **world.random.choice(_LINK_FAULTS))
 
 
 @fault("resets")
 async def resets(world: World) -> None:
     """Reset the open connections of an endpoint, a node and its store link."""
-    with world.disturbed(*world.nodes, lasts_s=0.1):
+    with world.disturbed(*world.nodes, lasts_s=0.1, in_touch=True):
         _reset(world.random.choice(list(world.endpoint_links.values())))
         _reset(world.random.choice(list(world.caller_links.values())))
         _reset(world.random.choice(list(world.store_links.values())))
@@ -165,13 +165,22 @@
     """Let a registered endpoint fail a share of its requests."""
     endpoint = world.endpoints[world.random.choice(world.registered("engines"))]
     lasts_s = world.random.uniform(1.0, 5.0)
-    with world.disturbed(*world.nodes, lasts_s=lasts_s):
+    with world.disturbed(*world.nodes, lasts_s=lasts_s, in_touch=True):
         endpoint.failure_mode = world.random.choice(["shed", "drop", "mute", "error", "cut"])
         endpoint.failure_rate = world.random.uniform(0.2, 0.8)
         await world.loop.sleep(lasts_s)
         endpoint.failure_rate = 0.0
 
 
+@fault("deadly part")
+async def deadly_part(world: World) -> None:
+    """Let one part of the clients' prompts crash every endpoint that begins to answer it."""
+    part = f"dead{next(world.numbers):x}"
+    world.deadly_parts[part] = world.random.choice(FIRST_PARTS)
+    await world.loop.sleep(world.random.uniform(9.0, 13.0))
+    del world.deadly_parts[part]
+
+
 @fault("replace endpoint")
 async def replace_endpoint(world: World) -> None:
     """Add an endpoint, then drain and remove an old one."""
@@ -192,7 +201,7 @@
         return
     name = world.random.choice(names)
     link = world.endpoint_links[name]
-    with world.disturbed(*world.nodes, lasts_s=4.0):
+    with world.disturbed(*world.nodes, lasts_s=4.0, in_touch=True):
         link.faults.cut = True
         link.apply()
         await world.loop.sleep(2.0)
--- a/soak/journal.py
+++ b/soak/journal.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-__all__ = ["Attempt", "JobTrace", "Journal", "Kind", "Run"]
+__all__ = ["Attempt", "EndpointCrash", "JobTrace", "Journal", "Kind", "Run"]
 
 
 class Kind(Enum):
@@ -38,6 +38,8 @@
     """Latest version of the routes when it was sent."""
     version_s: float = 0.0
     """When that version was published."""
+    parts: tuple[str, ...] = ()
+    """Parts of its prompt, in order."""
 
 
 @dataclass
@@ -51,6 +53,16 @@
     body: bytes
     began_s: float
     resumed_after: int = 0
+    parts: tuple[str, ...] = ()
+
+
+@dataclass
+class EndpointCrash:
+    """One crash of an endpoint and the prompt part that caused it."""
+
+    at_s: float
+    endpoint: str
+    part: str
 
 
 @dataclass
@@ -74,5 +86,6 @@
     attempts: dict[str, Attempt] = field(default_factory=dict)
     runs: list[Run] = field(default_factory=list)
     jobs: dict[str, JobTrace] = field(default_factory=dict)
+    crashes: list[EndpointCrash] = field(default_factory=list)
     ends: list[str] = field(default_factory=list)
     """Unexplained ends of processes."""
--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -43,6 +43,8 @@
         self.auto_restart = True
         self.disturbed_until_s = 0.0
         """End of the latest disturbance of the node or its links; in the future during one."""
+        self.cut_off: list[tuple[float, float]] = []
+        """When the node was cut off from other nodes or the store, or did not run."""
         self.stopping = False
         self.expected_end = False
         self.started_s = 0.0
@@ -119,9 +121,15 @@
         if self.process is not None:
             self.process.wait()
 
-    def mark_disturbed(self, until_s: float) -> None:
-        """Note that the node is disturbed until a time."""
+    def mark_disturbed(self, until_s: float, *, in_touch: bool = False) -> None:
+        """Note that the node is disturbed until a time, and whether other nodes reach it."""
         self.disturbed_until_s = max(self.disturbed_until_s, until_s)
+        if not in_touch:
+            self.cut_off.append((self.loop.now(), until_s))
+
+    def in_touch_between(self, from_s: float, until_s: float) -> bool:
+        """Tell whether other nodes and the store could reach the node all this time."""
+        return all(end_s < from_s or begin_s > until_s for begin_s, end_s in self.cut_off)
 
     def undisturbed_since(self, at_s: float) -> bool:
         """Tell whether the node was undisturbed for ``UNDISTURBED_S`` before a time."""
--- a/soak/world.py
+++ b/soak/world.py
@@ -6,13 +6,14 @@
 from random import Random
 from typing import Any
 
+from features.support.crashing_endpoint import crash_server, restart_server
 from features.support.front_fleet import routes
 from features.support.platform_store import PlatformStoreStandIn
 from parsleyrouter.ids import Address
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.standins.fault_proxy import FaultProxy
 from soak.endpoints import SoakEndpoint
-from soak.journal import Journal
+from soak.journal import EndpointCrash, Journal
 from soak.nodes import Node
 
 __all__ = ["World"]
@@ -22,6 +23,12 @@
 
 DOMAINS = ("north", "south")
 
+FIRST_PARTS = ("a1", "a2", "a3")
+"""First parts of the prompts of streams."""
+
+CRASH_DOWN_S = 1.0
+"""Time that a crashed endpoint is away."""
+
 
 class World:
     """All components of one soak, on which faults act."""
@@ -40,6 +47,10 @@
         self.store_links: dict[str, FaultProxy] = {}
         self.endpoints: dict[str, SoakEndpoint] = {}
         self.endpoint_links: dict[str, FaultProxy] = {}
+        self.endpoint_addresses: dict[str, Address] = {}
+        self.deadly_parts: dict[str, str] = {}
+        """First part of the prompts by the part that crashes endpoints at present."""
+        self.down: set[str] = set()
         self.version = 0
         self.version_s = 0.0
         self.numbers = iter(range(1, 1_000_000))
@@ -78,17 +89,38 @@
         name = f"{service}-{next(self.numbers)}"
         endpoint = SoakEndpoint(self.runtime, name, service, self.journal, self.client_random)
         endpoint.start()
+        endpoint.crash_on = lambda part: self._crash_on(name, part)
         self.endpoints[name] = endpoint
         await self.loop.sleep(0)
         self.endpoint_links[name] = await self._link(endpoint.address)
+        self.endpoint_addresses[name] = self.endpoint_links[name].bound_address()
         self.announce(name)
         return endpoint
 
+    def _crash_on(self, name: str, part: str) -> bool:
+        """Crash an endpoint if a part is deadly; return whether it is."""
+        if part not in self.deadly_parts:
+            return False
+        if name not in self.down:
+            self.journal.crashes.append(EndpointCrash(self.loop.now(), name, part))
+            self.loop.spawn(self._crash(name), "endpoint crash")
+        return True
+
+    async def _crash(self, name: str) -> None:
+        self.down.add(name)
+        listener = self.endpoint_links[name].listener
+        crash_server(listener)
+        await self.loop.sleep(CRASH_DOWN_S)
+        restart_server(listener, self.endpoint_addresses[name])
+        self.down.discard(name)
+        if f"servers/{name}" in self.store.rows:
+            self.announce(name, born=next(self.numbers))
+
     def announce(self, name: str, **changes: Any) -> None:
         """Write the registration of an endpoint to the store."""
         entry = {
             "service": self.endpoints[name].service,
-            "address": self.endpoint_links[name].bound_address(),
+            "address": self.endpoint_addresses[name],
             "zone": DOMAINS[0],
             "slots": 4,
             "state": "ready",
@@ -121,13 +153,13 @@
         return self.caller_links[node.name].bound_address()
 
     @contextmanager
-    def disturbed(self, *nodes: Node, lasts_s: float) -> Iterator[None]:
-        """Mark nodes as disturbed while a fault lasts."""
+    def disturbed(self, *nodes: Node, lasts_s: float, in_touch: bool = False) -> Iterator[None]:
+        """Mark nodes as disturbed, and unless ``in_touch`` as cut off, while a fault lasts."""
         for node in nodes:
-            node.mark_disturbed(self.loop.now() + lasts_s + 0.2)
+            node.mark_disturbed(self.loop.now() + lasts_s + 0.2, in_touch=in_touch)
         yield
         for node in nodes:
-            node.mark_disturbed(self.loop.now() + 0.2)
+            node.mark_disturbed(self.loop.now() + 0.2, in_touch=in_touch)
 
     def end(self) -> None:
         """Kill all processes of this soak."""
