Let the popular part be in flight at each ordinary crash, among other requests

Requests and clients drew from the same counter, so no client ever sent the part that the scenario asks for afterwards, and the scenario could not fail.

--- a/features/steps/deadly_parts_steps.py
+++ b/features/steps/deadly_parts_steps.py
@@ -15,6 +15,7 @@
 
 DEADLY, SECOND_DEADLY = "dead1", "dead2"
 TEAM, OTHER_TEAM = "ace", "bee"
+POPULAR = f"{TEAM}b0"
 WINDOW_S = 2.5
 """How long requests still come from when a check applies."""
 
@@ -101,20 +102,20 @@
     context.afterwards = []
 
     async def scenario(one: DeadlyPlay) -> None:
+        for endpoint in one.fleet.endpoints.values():
+            endpoint.events = 15
         for front in one.fleet.fronts:
-            for team in (TEAM, TEAM, OTHER_TEAM):
+            for team in (TEAM, OTHER_TEAM) * 4:
                 one.fleet.loop.spawn(one.sound_client(front, "/chat/x", team, shared=2), "sound")
         for number in range(CRASHES + 1):
             await one.fleet.loop.sleep(0.4)
-            busiest = max(
-                one.plan.running(),
-                key=lambda endpoint: sum(not each.ended_s for each in endpoint.arrivals),
-            )
+            await one.fleet.until(lambda: one.plan.busy_with(POPULAR))
+            busiest = one.plan.busy_with(POPULAR)[-1]
             task = one.plan.crash(busiest, renamed=number % 2 == 0)
             one.fleet.loop.spawn(task, "crash")
         await one.fleet.loop.sleep(CONTACT_S)
-        for number, front in enumerate(one.fleet.fronts * 4):
-            parts = [TEAM, f"{TEAM}b0", f"e{number:x}"]
+        for number, front in enumerate(one.fleet.fronts * 2):
+            parts = [TEAM, POPULAR, f"e{number:x}"]
             context.afterwards.append(await one.ask(front, "/chat/x", parts))
 
     context.play = play(scenario)
--- a/features/support/crashing_endpoint.py
+++ b/features/support/crashing_endpoint.py
@@ -50,9 +50,15 @@
         endpoint.default_behaviour = crash_on_deadly_parts(self, renamed=renamed)
         return endpoint
 
-    def running(self) -> list[EndpointStandIn]:
-        """Return the endpoints that are not down."""
-        return [one for one in self.fleet.endpoints.values() if id(one) not in self.down]
+    def busy_with(self, part: str) -> list[EndpointStandIn]:
+        """Return the endpoints that run a request with a part among others, busiest last."""
+        busy = []
+        for endpoint in self.fleet.endpoints.values():
+            running = [one for one in endpoint.arrivals if not one.ended_s]
+            held = [part in prompt_parts(one) for one in running]
+            if id(endpoint) not in self.down and any(held) and not all(held):
+                busy.append((len(held), endpoint.name, endpoint))
+        return [endpoint for _, _, endpoint in sorted(busy, key=lambda row: row[:2])]
 
     async def crash(self, endpoint: EndpointStandIn, part: str = "", *, renamed: bool) -> None:
         """Reset all connections, accept none for a while, then return and register again."""
--- a/features/support/deadly_play.py
+++ b/features/support/deadly_play.py
@@ -77,9 +77,11 @@
 
     async def sound_client(self, front: Front, path: str, first_part: str, shared: int = 3) -> None:
         """Send sound requests one after another until the play ends."""
-        while self.running:
-            number = next(self.numbers)
-            parts = [first_part, f"{first_part}b{number % shared}", f"f{number:x}"]
+        for number in itertools.count():
+            if not self.running:
+                return
+            second = f"{first_part}b{number % shared}"
+            parts = [first_part, second, f"f{next(self.numbers):x}"]
             await self.ask(front, path, parts)
             await self.fleet.loop.sleep(SOUND_PAUSE_S)
 
