--- a/features/standins.feature
+++ b/features/standins.feature
@@ -39,3 +39,7 @@
   Scenario: The fault proxy delays, freezes, drops and cuts
     When stand-ins: calls cross a fault proxy under each fault
     Then stand-ins: the caller and the service see the effect of each fault
+
+  Scenario: A crash on a prompt part resets connections, and the endpoint returns
+    When stand-ins: endpoints crash on a part of a request and return, some under a new name
+    Then stand-ins: all connections were reset, new ones refused until the return, and it was registered
