Keep requests away whose prompt holds parts that crash endpoints

Cause: nothing remembered what an endpoint was running when it crashed, so the next request with the same part was placed like any other, at every node. Ruled out: retries within a request, which never ran on a second endpoint.

Change: an endpoint that cuts a request and then refuses a connection has crashed. Nodes tell each other the shared prompt parts that were in flight, and which parts are answered whole. Parts that explain three crashes without an answer in between are put in quarantine at all nodes, five for parts answered before; requests with all of them are refused as not run, items held, waiting ones cancelled. The decision is also a key in the store, for nodes that join, restart or are cut off. A quarantine ends with an answer, which two trials of the whole fleet allow, or ten minutes after the last request.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -20,7 +20,11 @@
     When a node starts after the crashes and gets requests with the deadly part
     Then at most three of them reach endpoints later than 3 s after the fifth crash
 
-  Scenario: batch items with a deadly part end and the others complete
+  Scenario: batch items with a deadly part are held back and the others complete
     When a job has items with a deadly part
-    Then these items are given up and the other items complete
+    Then these items are not given up before their time and the other items complete
     And at most three of them reach endpoints later than 3 s after the fifth crash
+
+  Scenario: a node that is cut off from the others learns of deadly parts from the store
+    When a node gets no datagrams of the others while deadly requests come
+    Then it refuses requests with the part soon after the others do
--- a/features/steps/deadly_parts_steps.py
+++ b/features/steps/deadly_parts_steps.py
@@ -191,10 +191,28 @@
     }
 
 
-@then("these items are given up and the other items complete")
+@then("these items are not given up before their time and the other items complete")
 def step_items_end(context: Any) -> None:
-    expected = {
-        f"item{number}": "dead_lettered" if _is_deadly(number) else "completed"
-        for number in range(8)
-    }
+    expected = {f"item{number}": "completed" for number in range(8) if not _is_deadly(number)}
     assert context.results == expected, f"{context.results}, {_crash_times(context.play)}"
+
+
+@when("a node gets no datagrams of the others while deadly requests come")
+def step_cut_off(context: Any) -> None:
+    async def scenario(one: DeadlyPlay) -> None:
+        alone, *others = one.fleet.fronts
+        alone.exchange.datagrams.close()
+        for front in others:
+            one.fleet.loop.spawn(one.deadly_client(front, "/chat/x", TEAM, DEADLY), "deadly")
+            one.fleet.loop.spawn(one.sound_client(front, "/chat/x", TEAM), "sound")
+        await one.until_crashes(DEADLY)
+        await one.fleet.loop.sleep(CONTACT_S)
+        parts = [TEAM, f"{TEAM}b0", DEADLY, "own"]
+        context.alone = await one.ask(alone, "/chat/x", parts, DEADLY)
+
+    context.play = play(scenario, deadly={DEADLY})
+
+
+@then("it refuses requests with the part soon after the others do")
+def step_alone(context: Any) -> None:
+    assert context.alone.status == 503, context.alone
--- /dev/null
+++ b/features/support/crash_play.py
@@ -0,0 +1,137 @@
+"""Plays the load of a fleet in which some prompt parts crash endpoints, and others crash anyway."""
+
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from parsleyrouter.ids import EndpointId, PromptPart
+from parsleyrouter.request.crash_evidence import Crash, CrashEvidence, Prompt
+from parsleyrouter.request.quarantine import Quarantine
+
+AWAY_S = 3.0
+CONTACT_S = 3.0
+KNOWN_CRASHES = 5
+"""Crashes by a part after which it must be known within ``CONTACT_S``."""
+
+CRASH_AFTER_S = (0.03, 0.11)
+LENGTHS_S = (0.2, 1.0)
+
+
+@dataclass(eq=False)
+class PlayedRequest:
+    prompt: Prompt
+    deadly: Prompt
+    endpoint: int
+    lost: bool = False
+
+
+@dataclass
+class CrashPlay:
+    """Requests at endpoints; ``deadly`` parts crash, beside ``ordinary_per_s`` other crashes."""
+
+    seed: int
+    endpoints: int = 6
+    rate_per_s: float = 20.0
+    first_parts: int = 10
+    deadly_parts: int = 1
+    deadly_share: float = 0.05
+    deadly_first: bool = False
+    ordinary_per_s: float = 0.0
+    rack: int = 1
+    length_s: float = 40.0
+    evidence: CrashEvidence = field(default_factory=CrashEvidence)
+    quarantine: Quarantine = field(default_factory=Quarantine)
+    crashes_s: dict[PromptPart, list[float]] = field(default_factory=dict)
+    sent_s: dict[PromptPart, list[float]] = field(default_factory=dict)
+    sound: int = 0
+    refused_sound: int = 0
+    sound_at_end: int = 0
+    refused_at_end: int = 0
+
+    def run(self) -> "CrashPlay":
+        self.random = Random(self.seed)
+        self.names = count(1)
+        self.up_s = [0.0] * self.endpoints
+        self.running: list[set[PlayedRequest]] = [set() for _ in range(self.endpoints)]
+        self.events: list[tuple[float, int, str, PlayedRequest | None]] = []
+        self._schedule(0.0, "arrival")
+        if self.ordinary_per_s:
+            self._schedule(self.random.expovariate(self.ordinary_per_s), "ordinary")
+        now = 0.0
+        while self.events and now < self.length_s:
+            now, _, kind, request = heappop(self.events)
+            if kind == "arrival":
+                self._arrive(now)
+                self._schedule(now + self.random.expovariate(self.rate_per_s), "arrival")
+            elif kind == "ordinary":
+                for endpoint in self.random.sample(range(self.endpoints), self.rack):
+                    self._crash(endpoint, now)
+                self._schedule(now + self.random.expovariate(self.ordinary_per_s), "ordinary")
+            elif request is not None and not request.lost:
+                self._end(request, now)
+        return self
+
+    def sent_late(self) -> dict[PromptPart, int]:
+        """Count the requests with each deadly part that were sent long after its fifth crash."""
+        known_s = {
+            part: times[KNOWN_CRASHES - 1] + CONTACT_S
+            for part, times in self.crashes_s.items()
+            if len(times) >= KNOWN_CRASHES
+        }
+        return {part: sum(at_s > known_s[part] for at_s in self.sent_s[part]) for part in known_s}
+
+    def _schedule(self, at_s: float, kind: str, request: PlayedRequest | None = None) -> None:
+        heappush(self.events, (at_s, next(self.names), kind, request))
+
+    def _prompt(self) -> tuple[Prompt, Prompt]:
+        first = PromptPart(f"f{int(self.first_parts * self.random.random() ** 2)}")
+        second = PromptPart(f"{first}s{self.random.randrange(20)}")
+        if self.random.random() >= self.deadly_share * self.deadly_parts:
+            return (first, second), ()
+        deadly = PromptPart(f"d{self.random.randrange(self.deadly_parts)}")
+        return ((deadly, first) if self.deadly_first else (first, second, deadly)), (deadly,)
+
+    def _arrive(self, now: float) -> None:
+        prompt, deadly = self._prompt()
+        group = self.quarantine.find(prompt)
+        if group is not None and group.trial_due(now):
+            group.trials, group.may_try = group.trials + 1, True
+        refused = group is not None and not group.take_trial()
+        if not deadly:
+            self.sound += 1
+            self.refused_sound += refused
+            self.sound_at_end += now > self.length_s / 2
+            self.refused_at_end += refused and now > self.length_s / 2
+        up = [one for one in range(self.endpoints) if self.up_s[one] <= now]
+        if refused or not up:
+            return
+        endpoint = min(up, key=lambda one: (len(self.running[one]), self.random.random()))
+        request = PlayedRequest(prompt, deadly, endpoint)
+        self.running[endpoint].add(request)
+        for part in deadly:
+            self.sent_s.setdefault(part, []).append(now)
+        length_s = self.random.uniform(*(CRASH_AFTER_S if deadly else LENGTHS_S))
+        self._schedule(now + length_s, "end", request)
+
+    def _end(self, request: PlayedRequest, now: float) -> None:
+        if request.deadly:
+            for part in request.deadly:
+                self.crashes_s.setdefault(part, []).append(now)
+            self._crash(request.endpoint, now)
+            return
+        self.running[request.endpoint].discard(request)
+        self.evidence.record_served(request.prompt, now)
+        self.quarantine.release_served(request.prompt, now)
+
+    def _crash(self, endpoint: int, now: float) -> None:
+        if self.up_s[endpoint] > now:
+            return
+        self.up_s[endpoint] = now + AWAY_S
+        cut, self.running[endpoint] = self.running[endpoint], set()
+        for request in cut:
+            request.lost = True
+        name = EndpointId(f"e{endpoint}-{next(self.names)}")
+        self.evidence.record_crash(Crash(name, now, {one.prompt for one in cut}))
+        for group in self.evidence.find_groups(now, self.quarantine.groups):
+            self.quarantine.add(group, now)
--- a/parsleyrouter/connection/stream.py
+++ b/parsleyrouter/connection/stream.py
@@ -11,7 +11,14 @@
 from parsleyrouter.ids import Address
 from parsleyrouter.process.loop import Loop, Promise, TimedOut
 
-__all__ = ["ConnectFailed", "Connector", "Stream", "send_some", "split_address"]
+__all__ = [
+    "ConnectFailed",
+    "ConnectionRefused",
+    "Connector",
+    "Stream",
+    "send_some",
+    "split_address",
+]
 
 READ_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 1.0
@@ -30,6 +37,10 @@
     """No connection could be opened, so nothing was sent; try another address."""
 
 
+class ConnectionRefused(ConnectFailed):
+    """The host runs but nothing listens at the address; try another one."""
+
+
 def split_address(address: Address) -> tuple[str, int]:
     """Return the host and port of ``ip:port``."""
     host, _, port = address.rpartition(":")
@@ -44,6 +55,11 @@
         return data
 
 
+def _connect_error(address: Address, code: int) -> ConnectFailed:
+    message = f"cannot connect to {address}: {errno.errorcode.get(code, code)}"
+    return (ConnectionRefused if code == errno.ECONNREFUSED else ConnectFailed)(message)
+
+
 class Stream:
     """One open connection; callbacks receive the data and the end of the stream."""
 
@@ -176,7 +192,7 @@
         except (OSError, ValueError) as error:
             raise ConnectFailed(f"cannot connect to {address}: {error}") from error
         if code not in (0, errno.EINPROGRESS):
-            raise ConnectFailed(f"cannot connect to {address}: {errno.errorcode.get(code, code)}")
+            raise _connect_error(address, code)
         if code == errno.EINPROGRESS:
             await self._wait_connected(sock, address, timeout_s)
 
@@ -193,7 +209,7 @@
         self.poller.removeWriter(sock)
         code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
-            raise ConnectFailed(f"cannot connect to {address}: {errno.errorcode.get(code, code)}")
+            raise _connect_error(address, code)
 
     @handler("_read")
     def _on_readable(self, sock: socket.socket) -> None:
--- a/parsleyrouter/ids.py
+++ b/parsleyrouter/ids.py
@@ -18,6 +18,7 @@
     "ModelName",
     "NodeId",
     "PartIndex",
+    "PromptPart",
     "RequestId",
     "Revision",
     "RouteName",
@@ -49,5 +50,8 @@
 ChunkName = NewType("ChunkName", str)
 Epoch = NewType("Epoch", int)
 
+PromptPart = NewType("PromptPart", str)
+"""The id of a part of a prompt that several requests may share."""
+
 Revision = NewType("Revision", int)
 """A modification revision of the key-value service; increases monotonically."""
--- a/parsleyrouter/outcome.py
+++ b/parsleyrouter/outcome.py
@@ -32,6 +32,8 @@
     STORAGE_UNAVAILABLE = "storage_unavailable"
     ENDPOINT_FAILED = "endpoint_failed"
     CANCELLED = "cancelled"
+    QUARANTINED = "quarantined"
+    """A part of the request has crashed endpoints."""
     INTERNAL = "internal"
 
 
@@ -50,6 +52,7 @@
     RefusalKind.STORAGE_UNAVAILABLE: 503,
     RefusalKind.ENDPOINT_FAILED: 502,
     RefusalKind.CANCELLED: 409,
+    RefusalKind.QUARANTINED: 503,
     RefusalKind.INTERNAL: 500,
 }
 
--- a/parsleyrouter/platform/adapter.py
+++ b/parsleyrouter/platform/adapter.py
@@ -3,7 +3,7 @@
 from parsleyrouter.connection.call_budget import BudgetSettings
 from parsleyrouter.ids import Address
 from parsleyrouter.platform.endpoints import ENDPOINTS_PREFIX, decode_endpoint, endpoint_of_key
-from parsleyrouter.platform.headers import HEADERS
+from parsleyrouter.platform.headers import HEADERS, shared_parts
 from parsleyrouter.platform.jobs import decode_job_call, encode_results
 from parsleyrouter.platform.locate import (
     LOCATE_PATH,
@@ -29,6 +29,7 @@
 
 PLATFORM = PlatformPort(
     headers=HEADERS,
+    shared_parts=shared_parts,
     operator_prefix=OPERATOR_PREFIX,
     routes_key=ROUTES_KEY,
     endpoints_prefix=ENDPOINTS_PREFIX,
--- a/parsleyrouter/platform/headers.py
+++ b/parsleyrouter/platform/headers.py
@@ -1,8 +1,10 @@
 """The platform's names for the headers that this project reads or sets."""
 
+from parsleyrouter.ids import PromptPart
+from parsleyrouter.request.crash_evidence import Prompt
 from parsleyrouter.request.forwarded_request import HeaderNames
 
-__all__ = ["HEADERS"]
+__all__ = ["HEADERS", "shared_parts"]
 
 HEADERS = HeaderNames(
     request="x-attempt-id",
@@ -19,3 +21,9 @@
     last_event="last-event-id",
     wait_ms="x-wait-ms",
 )
+
+
+def shared_parts(prefix: str) -> Prompt:
+    """Return the ids of all parts but the last, which belongs to the request or its session."""
+    parts = [entry.partition(":")[0].strip().lower() for entry in prefix.split(",")]
+    return tuple(PromptPart(part) for part in parts[:-1] if part)
--- a/parsleyrouter/process/forward_attempt.py
+++ b/parsleyrouter/process/forward_attempt.py
@@ -3,24 +3,22 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Protocol
 
-from parsleyrouter.connection.endpoint_client import EndpointClient, EndpointExchange, RawHeaders
+from parsleyrouter.connection.endpoint_client import EndpointExchange
 from parsleyrouter.connection.http import Sent, TransportFailure
 from parsleyrouter.connection.sse import EventSplitter, is_event_stream, last_event_id
 from parsleyrouter.ids import EndpointId
+from parsleyrouter.process.crash_monitor import RunningRequest
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
-from parsleyrouter.process.endpoint_loads import EndpointLoads
-from parsleyrouter.process.loop import Loop
+from parsleyrouter.process.forward_context import ForwardContext, ForwardSink, ResponseTimeouts
 from parsleyrouter.request.attempts import AttemptFailure, FailurePoint
 from parsleyrouter.request.forwarded_request import (
     ForwardedRequest,
-    HeaderNames,
     end_to_end_headers,
 )
 from parsleyrouter.version.route_table import RouteKind
 
-__all__ = ["ForwardSink", "ForwardContext", "ForwardAttempt", "ResponseTimeouts"]
+__all__ = ["ForwardAttempt"]
 
 MISDIRECTED_STATUS = 421
 MAX_BUFFERED_RESPONSE_BYTES = 256 * 1024
@@ -34,37 +32,6 @@
 """Timeout for reading the body of a refusal; the connection is closed after it."""
 
 
-class ForwardSink(Protocol):
-    """Receives a response as it arrives."""
-
-    def begin(self, status: int, reason: bytes, headers: RawHeaders, length: int | None) -> None:
-        """Receive status and headers."""
-
-    def send(self, data: bytes) -> None:
-        """Receive a chunk of the body."""
-
-    async def drain(self) -> None:
-        """Wait until the sink accepts more."""
-
-
-@dataclass(frozen=True)
-class ResponseTimeouts:
-    """Read timeouts for the first byte of a response and between later reads, in seconds."""
-
-    first_byte_s: float
-    gap_s: float
-
-
-@dataclass(frozen=True)
-class ForwardContext:
-    """Dependencies that attempts share: connections, loads and header names."""
-
-    loop: Loop
-    client: EndpointClient
-    loads: EndpointLoads
-    names: HeaderNames
-
-
 @dataclass
 class ForwardAttempt:
     """Send a request once and forward the response; report how far a failed one provably got."""
@@ -84,6 +51,10 @@
     cancelled: bool = False
     reserved: bool = False
     on_first_byte: Callable[[], None] = field(default=lambda: None)
+    running: RunningRequest = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.running = RunningRequest(self.registration, self.request.prompt, self.cancel)
 
     @property
     def endpoint(self) -> EndpointId:
@@ -107,10 +78,17 @@
         """Send the request and read its response; return ``None`` if the response was complete."""
         self.reserve()
         started_s = self.context.loop.now()
+        crashes = self.context.crashes
+        crashes.start(self.running)
+        cut = served = False
         try:
             failure = await self._run()
+            closed_early = self.exchange is not None and self.exchange.closed_early
+            cut = failure is not None and closed_early and not self.cancelled
+            served = failure is None and self.status < 300 and not closed_early
         finally:
             self.context.loads.request_ended(self.endpoint, batch=self.batch)
+            crashes.end(self.running, cut=cut, served=served)
         ended_s = self.context.loop.now()
         if failure is None and self.status < 500:
             self.context.loads.record_success(
@@ -136,6 +114,7 @@
             return self._transport_failure(failure)
         self.context.loads.record_activity(self.endpoint, self.context.loop.now())
         self.status = exchange.status
+        self.running.began_s = self.context.loop.now()
         self._record_reported_load(exchange)
         rejection = await self._check_response(exchange)
         if rejection is not None:
--- a/parsleyrouter/process/forwarder.py
+++ b/parsleyrouter/process/forwarder.py
@@ -12,7 +12,8 @@
 from parsleyrouter.outcome import ExecutionStatus, Refusal, RefusalKind
 from parsleyrouter.process.active_routes import ActiveRoutes
 from parsleyrouter.process.endpoint_directory import EndpointDirectory, RegisteredEndpoint
-from parsleyrouter.process.forward_attempt import ForwardAttempt, ForwardContext, ResponseTimeouts
+from parsleyrouter.process.forward_attempt import ForwardAttempt
+from parsleyrouter.process.forward_context import ForwardContext, ResponseTimeouts
 from parsleyrouter.process.forward_metrics import ForwardMetrics
 from parsleyrouter.process.request_log import RequestTrace, log_request
 from parsleyrouter.process.stop_gate import StopGate
@@ -116,6 +117,7 @@
             body=exchange.body,
             received_s=exchange.received_s,
             deadline_s=self.gate.limit(exchange.received_s + allowed_s),
+            prompt=self.context.shared_parts(head.headers.get(names.prefix, "")),
         )
 
     async def _forward_within_stop(
@@ -144,7 +146,8 @@
         last_event = ""
         self.budget.count_request(self.loop.now())
         while True:
-            chosen = self._choose_endpoint(request, history, trace)
+            quarantined = self.context.crashes.keeper.refusal(request.prompt)
+            chosen = quarantined or self._choose_endpoint(request, history, trace)
             if isinstance(chosen, Refusal):
                 return replace(chosen, ran=max(chosen.ran, history.ran, key=_EXECUTION_ORDER.index))
             is_last = history.runs + 1 >= rules.max_executions
--- a/parsleyrouter/process/front.py
+++ b/parsleyrouter/process/front.py
@@ -14,9 +14,10 @@
 from parsleyrouter.ids import NodeId
 from parsleyrouter.process.active_routes import ActiveRoutes
 from parsleyrouter.process.cell_reader import CellReader
+from parsleyrouter.process.crash_monitor import CrashMonitor
 from parsleyrouter.process.endpoint_directory import EndpointDirectory, RegisteredEndpoint
 from parsleyrouter.process.endpoint_loads import EndpointLoads
-from parsleyrouter.process.forward_attempt import ForwardContext
+from parsleyrouter.process.forward_context import ForwardContext
 from parsleyrouter.process.front_options import FrontOptions
 from parsleyrouter.process.job_directory import JobDirectory
 from parsleyrouter.process.job_worker import JobWorker
@@ -24,6 +25,7 @@
 from parsleyrouter.process.node_registry import NODES_PREFIX, NodeRegistry, RegisteredNode
 from parsleyrouter.process.platform_port import PlatformPort
 from parsleyrouter.process.prefix_watcher import PrefixWatcher
+from parsleyrouter.process.quarantine_keeper import QUARANTINE_PREFIX, QuarantineKeeper
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.process.shared_job_store import JOBS_PREFIX
 from parsleyrouter.process.token_ledger import SHARES_PREFIX, TokenLedger
@@ -87,7 +89,11 @@
         self.exchange.datagrams.register(runtime)
         client = EndpointClient(self.loop, runtime.connector, ENDPOINT_CONNECT_TIMEOUT_S)
         client.id_header = port.headers.request
-        self.forward_context = ForwardContext(self.loop, client, self.loads, port.headers)
+        self.quarantine = QuarantineKeeper(self.loop, self.store, self.exchange, self.rng)
+        crashes = CrashMonitor(self.loop, runtime.connector, self.directory, self.quarantine)
+        self.forward_context = ForwardContext(
+            self.loop, client, self.loads, port.headers, crashes, port.shared_parts
+        )
         self.reader = CellReader(
             self.loop, self.store, self.exchange.members, runtime.peers, self.rng
         )
@@ -106,6 +112,7 @@
         live.on_list, live.on_change = self._on_live_list, self._on_live_change
         for watcher in (operator, endpoints, live):
             watcher.start()
+        self.quarantine.start()
         self._check_missing()
         self.loop.call_later(CALL_LOG_INTERVAL_S, self._log_calls)
 
@@ -124,6 +131,7 @@
         known = list(entries)
         self.registry.apply_list(one for one in known if one.key.startswith(NODES_PREFIX))
         self.job_directory.apply_list(one for one in known if one.key.startswith(JOBS_PREFIX))
+        self.quarantine.apply_list(one for one in known if one.key.startswith(QUARANTINE_PREFIX))
         for one in known:
             if one.key.startswith(SHARES_PREFIX):
                 self.token_ledger.apply_entry(one)
@@ -135,6 +143,8 @@
             self.job_directory.apply_change(change)
         elif change.key.startswith(SHARES_PREFIX):
             self.token_ledger.apply_change(change)
+        elif change.key.startswith(QUARANTINE_PREFIX):
+            self.quarantine.apply_change(change)
 
     def _on_operator_list(self, entries: Iterable[Entry]) -> None:
         for entry in entries:
--- a/parsleyrouter/process/item_run.py
+++ b/parsleyrouter/process/item_run.py
@@ -7,12 +7,14 @@
 from parsleyrouter.connection.sse import event_data, last_event_id
 from parsleyrouter.ids import RequestId, ServiceName
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
-from parsleyrouter.process.forward_attempt import ForwardAttempt, ForwardContext, ResponseTimeouts
+from parsleyrouter.process.forward_attempt import ForwardAttempt
+from parsleyrouter.process.forward_context import ForwardContext, ResponseTimeouts
+from parsleyrouter.request.crash_evidence import Prompt
 from parsleyrouter.request.forwarded_request import ForwardedRequest, Headers
 from parsleyrouter.request.shared_job import JobItem
 from parsleyrouter.version.route_table import Route
 
-__all__ = ["ItemEnd", "ItemProgress", "ItemRun"]
+__all__ = ["ItemEnd", "ItemProgress", "ItemRun", "item_prompt"]
 
 IMPOSSIBLE_STATUS = 422
 FAILED_STATUS = 500
@@ -97,6 +99,7 @@
             body=item.body,
             received_s=now,
             deadline_s=now + left_s,
+            prompt=item_prompt(context, item),
         )
         self.attempt = ForwardAttempt(
             context,
@@ -142,3 +145,9 @@
         if name.lower() not in own
     ]
     return lines
+
+
+def item_prompt(context: ForwardContext, item: JobItem) -> Prompt:
+    """Return the parts of an item's prompt that other requests may share."""
+    named = {name.lower(): value for name, value in item.headers.items()}
+    return context.shared_parts(named.get(context.names.prefix, ""))
--- a/parsleyrouter/process/job_worker.py
+++ b/parsleyrouter/process/job_worker.py
@@ -13,8 +13,8 @@
 )
 from parsleyrouter.process.endpoint_directory import EndpointDirectory
 from parsleyrouter.process.fleet_loads import RequestCounts
-from parsleyrouter.process.forward_attempt import ForwardContext
-from parsleyrouter.process.item_run import ItemEnd, ItemRun
+from parsleyrouter.process.forward_context import ForwardContext
+from parsleyrouter.process.item_run import ItemEnd, ItemRun, item_prompt
 from parsleyrouter.process.job_metrics import JobMetrics
 from parsleyrouter.process.job_owner import JobOwner
 from parsleyrouter.process.job_run import JobRun
@@ -38,6 +38,9 @@
 ITEM_RETRY_PAUSE_S = 0.25
 """Pause before an item that failed, was refused or was preempted is run again."""
 
+QUARANTINED_PAUSE_S = 5.0
+"""Pause between checks whether an item's prompt may be run again."""
+
 CLOCK_SKEW_MARGIN_S = 3.0
 """Items are given up this long after their retention ends, since clocks of nodes differ."""
 
@@ -186,8 +189,14 @@
         if route is None:
             job_run.not_before_s[index] = self.loop.now() + ITEM_RETRY_PAUSE_S
             return True
-        service = route.pick_service(self.rng)
         now = self.loop.now()
+        quarantined = self.context.crashes.keeper.refusal(item_prompt(self.context, item))
+        if quarantined is not None:
+            job_run.not_before_s[index] = now + QUARANTINED_PAUSE_S
+            fields = {"job": job_run.job, "request": item.item, "reason": quarantined.message}
+            log.warning("item held back", extra=fields)
+            return True
+        service = route.pick_service(self.rng)
         entries = {entry.endpoint: entry for entry in self.directory.available_for(service)}
         candidates: list[PlacementCandidate] = self.context.loads.candidates(entries.values(), now)
         waiting_nodes = self.context.loads.fleet.count_waiting_nodes(now) + 1
--- a/parsleyrouter/process/load_codec.py
+++ b/parsleyrouter/process/load_codec.py
@@ -1,21 +1,51 @@
 """Encode and decode load report datagrams."""
 
 from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
-from parsleyrouter.ids import Address, CellId, DomainName, EndpointId, NodeId
+from parsleyrouter.ids import Address, CellId, DomainName, EndpointId, NodeId, PromptPart
 from parsleyrouter.process.fleet_loads import CellLoadReport, NodeLoadReport, RequestCounts
 from parsleyrouter.process.node_registry import RegisteredNode
-from parsleyrouter.thrift_gen.load.ttypes import CellNews, FleetNews, LoadNews
+from parsleyrouter.request.crash_evidence import MAX_PARTS, MAX_PROMPTS, Crash, Prompt
+from parsleyrouter.thrift_gen.load.ttypes import (
+    CellNews,
+    CrashNews,
+    FleetNews,
+    LoadNews,
+    ServedNews,
+)
 from parsleyrouter.thrift_gen.load.ttypes import EndpointUse as WireUse
 
-__all__ = ["InvalidLoadReport", "decode", "encode_cell_reports", "encode_node_report"]
+__all__ = [
+    "Datagram",
+    "InvalidLoadReport",
+    "decode",
+    "encode_cell_reports",
+    "encode_crashes",
+    "encode_node_report",
+    "encode_served",
+]
 
 CountsByEndpoint = Mapping[EndpointId, RequestCounts]
 
 
+@dataclass(frozen=True)
+class Datagram:
+    """One decoded datagram; the addresses of the node are ``None`` if its report leaves them out.
+
+    ``served_s`` is when the ``served`` prompts were answered whole; monotonic, here.
+    """
+
+    node: tuple[NodeLoadReport, RegisteredNode | None] | None
+    cells: list[CellLoadReport]
+    crashes: list[Crash]
+    served: list[Prompt]
+    served_s: float
+
+
 class InvalidLoadReport(ValueError):
     """Raised for a datagram that cannot be decoded."""
 
@@ -59,18 +89,41 @@
     return _write(FleetNews(cells=rows))
 
 
-def decode(
-    data: bytes, received_s: float
-) -> tuple[tuple[NodeLoadReport, RegisteredNode | None] | None, list[CellLoadReport]]:
-    """Decode a datagram received at ``received_s``; raise ``InvalidLoadReport`` if that fails.
+def encode_crashes(crashes: Iterable[Crash], age_s: float) -> bytes:
+    """Encode crashes that this node saw ``age_s`` ago."""
+    rows = [
+        CrashNews(one.endpoint, int(age_s * 1000), _prompts_to_wire(one.prompts)) for one in crashes
+    ]
+    return _write(FleetNews(crashes=rows))
 
-    The addresses of the node are ``None`` if the report leaves them out.
-    """
+
+def encode_served(prompts: Iterable[Prompt], age_s: float) -> bytes:
+    """Encode prompts that were answered whole up to ``age_s`` ago."""
+    return _write(FleetNews(served=ServedNews(int(age_s * 1000), _prompts_to_wire(prompts))))
+
+
+def decode(data: bytes, received_s: float) -> Datagram:
+    """Decode a datagram received at ``received_s``; raise ``InvalidLoadReport`` if that fails."""
     message = FleetNews()
     try:
         message.read(TCompactProtocolAccelerated(TMemoryBuffer(data)))
         node = None if message.node is None else _node_report(message.node, received_s)
-        return node, [_cell_report(row, received_s) for row in message.cells or ()]
+        crashes = [
+            Crash(
+                EndpointId(row.endpoint),
+                received_s - row.age_ms / 1000,
+                set(_prompts_from_wire(row.prompts)),
+            )
+            for row in message.crashes or ()
+        ]
+        served = message.served or ServedNews(0, [])
+        return Datagram(
+            node,
+            [_cell_report(row, received_s) for row in message.cells or ()],
+            crashes,
+            _prompts_from_wire(served.prompts),
+            received_s - served.age_ms / 1000,
+        )
     except Exception as error:
         raise InvalidLoadReport(str(error)) from error
 
@@ -115,6 +168,14 @@
     )
 
 
+def _prompts_to_wire(prompts: Iterable[Prompt]) -> list[list[str]]:
+    return [list(prompt[:MAX_PARTS]) for prompt in sorted(prompts)[:MAX_PROMPTS]]
+
+
+def _prompts_from_wire(rows: Iterable[Iterable[str]]) -> list[Prompt]:
+    return [tuple(PromptPart(part) for part in row) for row in rows]
+
+
 def _to_wire(uses: CountsByEndpoint) -> list[WireUse]:
     return [WireUse(name, use.online, use.batch) for name, use in sorted(uses.items())]
 
--- a/parsleyrouter/process/load_exchange.py
+++ b/parsleyrouter/process/load_exchange.py
@@ -29,6 +29,7 @@
 )
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.node_registry import NodeRegistry
+from parsleyrouter.request.crash_evidence import Crash, Prompt
 
 __all__ = ["LoadExchange"]
 
@@ -73,6 +74,8 @@
         self.sent_counts: dict[EndpointId, RequestCounts] = {}
         self.broadcast_pending = False
         self.on_load_report: list[Callable[[], object]] = []
+        self.on_crashes: list[Callable[[list[Crash]], object]] = []
+        self.on_served: list[Callable[[list[Prompt], float], object]] = []
         loads.on_own_change.append(self._schedule_broadcast)
 
     def start(self) -> None:
@@ -105,6 +108,13 @@
             self.datagrams.send(address, data)
         self.sent_counts, self.sent_s = uses, now
 
+    def send_to_serving(self, data: bytes) -> None:
+        """Send a datagram to the nodes of this cell and to the active nodes."""
+        self.members.update()
+        active = (info.nodes for info in self.members.active.values())
+        for address in {*self.members.peers.values(), *active}:
+            self.datagrams.send(address, data)
+
     def _heartbeat(self) -> None:
         if self.loop.now() - self.sent_s >= HEARTBEAT_INTERVAL_S:
             self.broadcast()
@@ -168,20 +178,26 @@
 
     def _receive(self, data: bytes) -> None:
         try:
-            node, cells = decode(data, self.loop.now())
+            received = decode(data, self.loop.now())
         except InvalidLoadReport as error:
             log.debug("load report not decoded", extra={"reason": str(error)})
             return
         applied = [
             self.loads.fleet.apply_cell(aggregate)
-            for aggregate in cells
+            for aggregate in received.cells
             if aggregate.cell != self.members.cell
         ]
-        if node is not None:
-            report, info = node
+        if received.node is not None:
+            report, info = received.node
             applied.append(self.loads.fleet.apply_node(report))
             if applied[-1] and info is not None:
                 self.members.reported_nodes[info.node] = info
         if any(applied):
             for callback in self.on_load_report:
                 callback()
+        if received.crashes:
+            for on_crashes in self.on_crashes:
+                on_crashes(received.crashes)
+        if received.served:
+            for on_served in self.on_served:
+                on_served(received.served, received.served_s)
--- a/parsleyrouter/process/platform_port.py
+++ b/parsleyrouter/process/platform_port.py
@@ -9,6 +9,7 @@
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.process.shared_job_handler import DecodeCall, EncodeResults
+from parsleyrouter.request.crash_evidence import Prompt
 from parsleyrouter.request.forwarded_request import HeaderNames
 from parsleyrouter.version.route_table import RouteTable
 
@@ -20,6 +21,8 @@
     """Names and conversions of the platform; the functions are stateless."""
 
     headers: HeaderNames
+    shared_parts: Callable[[str], Prompt]
+    """The parts of a prompt, as a header names them, that other requests may share."""
     operator_prefix: str
     """Prefix of the keys that the operator writes."""
     routes_key: str
--- a/parsleyrouter/request/forwarded_request.py
+++ b/parsleyrouter/request/forwarded_request.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from parsleyrouter.ids import EndpointId, RequestId, ServiceName
+from parsleyrouter.request.crash_evidence import Prompt
 from parsleyrouter.version.route_table import Route
 
 __all__ = [
@@ -69,6 +70,7 @@
     body: bytes
     received_s: float
     deadline_s: float
+    prompt: Prompt = ()
 
     def headers_for_endpoint(
         self,
--- a/parsleyrouter/thrift_gen/load/ttypes.py
+++ b/parsleyrouter/thrift_gen/load/ttypes.py
@@ -422,18 +422,201 @@
         return not (self == other)
 
 
+class CrashNews(object):
+    """
+    Attributes:
+     - endpoint
+     - age_ms
+     - prompts
+
+    """
+
+
+    def __init__(self, endpoint=None, age_ms=None, prompts=None,):
+        self.endpoint = endpoint
+        self.age_ms = age_ms
+        self.prompts = prompts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.prompts = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = []
+                        (_etype30, _size27) = iprot.readListBegin()
+                        for _i31 in range(_size27):
+                            _elem32 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _elem26.append(_elem32)
+                        iprot.readListEnd()
+                        self.prompts.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashNews')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.prompts is not None:
+            oprot.writeFieldBegin('prompts', TType.LIST, 3)
+            oprot.writeListBegin(TType.LIST, len(self.prompts))
+            for iter33 in self.prompts:
+                oprot.writeListBegin(TType.STRING, len(iter33))
+                for iter34 in iter33:
+                    oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+                oprot.writeListEnd()
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServedNews(object):
+    """
+    Attributes:
+     - age_ms
+     - prompts
+
+    """
+
+
+    def __init__(self, age_ms=None, prompts=None,):
+        self.age_ms = age_ms
+        self.prompts = prompts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.prompts = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = []
+                        (_etype44, _size41) = iprot.readListBegin()
+                        for _i45 in range(_size41):
+                            _elem46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _elem40.append(_elem46)
+                        iprot.readListEnd()
+                        self.prompts.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServedNews')
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 1)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.prompts is not None:
+            oprot.writeFieldBegin('prompts', TType.LIST, 2)
+            oprot.writeListBegin(TType.LIST, len(self.prompts))
+            for iter47 in self.prompts:
+                oprot.writeListBegin(TType.STRING, len(iter47))
+                for iter48 in iter47:
+                    oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+                oprot.writeListEnd()
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class FleetNews(object):
     """
     Attributes:
      - node
      - cells
+     - crashes
+     - served
 
     """
 
 
-    def __init__(self, node=None, cells=None,):
+    def __init__(self, node=None, cells=None, crashes=None, served=None,):
         self.node = node
         self.cells = cells
+        self.crashes = crashes
+        self.served = served
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -453,14 +636,31 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.cells = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = CellNews()
-                        _elem26.read(iprot)
-                        self.cells.append(_elem26)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = CellNews()
+                        _elem54.read(iprot)
+                        self.cells.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = CrashNews()
+                        _elem60.read(iprot)
+                        self.crashes.append(_elem60)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.served = ServedNews()
+                    self.served.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -478,10 +678,21 @@
         if self.cells is not None:
             oprot.writeFieldBegin('cells', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.cells))
-            for iter27 in self.cells:
-                iter27.write(oprot)
+            for iter61 in self.cells:
+                iter61.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter62 in self.crashes:
+                iter62.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.served is not None:
+            oprot.writeFieldBegin('served', TType.STRUCT, 4)
+            self.served.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -532,11 +743,26 @@
     (6, TType.I32, 'contenders', None, None, ),  # 6
     (7, TType.LIST, 'members', (TType.STRING, 'UTF8', False), None, ),  # 7
 )
+all_structs.append(CrashNews)
+CrashNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+    (3, TType.LIST, 'prompts', (TType.LIST, (TType.STRING, 'UTF8', False), False), None, ),  # 3
+)
+all_structs.append(ServedNews)
+ServedNews.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'age_ms', None, None, ),  # 1
+    (2, TType.LIST, 'prompts', (TType.LIST, (TType.STRING, 'UTF8', False), False), None, ),  # 2
+)
 all_structs.append(FleetNews)
 FleetNews.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'node', [LoadNews, None], None, ),  # 1
     (2, TType.LIST, 'cells', (TType.STRUCT, [CellNews, None], False), None, ),  # 2
+    (3, TType.LIST, 'crashes', (TType.STRUCT, [CrashNews, None], False), None, ),  # 3
+    (4, TType.STRUCT, 'served', [ServedNews, None], None, ),  # 4
 )
 fix_spec(all_structs)
 del all_structs
--- a/thrift/load.thrift
+++ b/thrift/load.thrift
@@ -34,8 +34,23 @@
   7: optional list<string> members,
 }
 
+// A crash of an endpoint as one node saw it: the shared prompt parts of what it ran there.
+struct CrashNews {
+  1: string endpoint,
+  2: i32 age_ms,
+  3: list<list<string>> prompts,
+}
+
+// Prompts that were answered whole although parts of them are suspected of crashing endpoints.
+struct ServedNews {
+  1: i32 age_ms,
+  2: list<list<string>> prompts,
+}
+
 // One datagram.
 struct FleetNews {
   1: optional LoadNews node,
   2: optional list<CellNews> cells,
+  3: optional list<CrashNews> crashes,
+  4: optional ServedNews served,
 }
