Treat a stream that ends with its connection within an event as broken off

Callers would see a stream cut by its endpoint as complete: without a length or chunks the end of the connection ends the response, and the incomplete last event was passed on before the regular end.

Now it is a truncated response: resumed where the route allows it, otherwise the caller's response is broken off too. Whole streams without a length are unchanged.

The scenario fails on the code before (the caller got the incomplete event as a complete response).

--- a/features/endless_replies.feature
+++ b/features/endless_replies.feature
@@ -43,3 +43,8 @@
   Scenario: a reply of the key-value service without end does not hold a node up
     When the key-value service sends a body without end to one call
     Then the call fails in time, and the node serves on
+
+  Scenario: a stream that ends with its connection within an event is not passed on as complete
+    When endpoints end streams without a length within an event, and between two events
+    Then the one that was broken off is incomplete, or resumed where the route allows it
+    And the other one is complete
--- a/features/steps/endless_replies_steps.py
+++ b/features/steps/endless_replies_steps.py
@@ -15,6 +15,7 @@
     Behaviour,
     EndpointStandIn,
     event,
+    raw,
     stream,
     whole,
 )
@@ -248,3 +249,41 @@
 @then("the call fails in time, and the node serves on")
 def step_serves_on(context: Any) -> None:
     assert context.answer.status == 200 and context.answer.complete
+
+
+@when("endpoints end streams without a length within an event, and between two events")
+def step_unframed(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        endpoint = fleet.register("e1")
+        await fleet.start()
+        endpoint.behaviours = [unframed(event(1) + event(2)[:-5])]
+        context.broken = await fleet.caller().ask("POST", "/chat/1", attempt="a1")
+        other = fleet.register("e2")
+        await fleet.until(lambda: len(fleet.fronts[0].directory.endpoints) == 2)
+        for one in (endpoint, other):
+            one.events = 3
+        endpoint.behaviours = [unframed(event(1) + event(2)[:-5])]
+        other.behaviours = [unframed(event(1) + event(2)[:-5])]
+        context.resumed = await fleet.caller().ask("POST", "/tale/1", attempt="a2")
+        endpoint.behaviours = [unframed(event(1) + event(2))]
+        other.behaviours = [unframed(event(1) + event(2))]
+        context.whole = await fleet.caller().ask("POST", "/chat/2", attempt="a3")
+
+    run_with_fleet(context, scenario)
+
+
+def unframed(body: bytes) -> Behaviour:
+    """Answer with a stream that ends with its connection."""
+    stream_type = b": ".join(STREAM)
+    return raw(lambda endpoint, arrival: raw_head(endpoint, arrival, "200 OK", stream_type) + body)
+
+
+@then("the one that was broken off is incomplete, or resumed where the route allows it")
+def step_unframed_broken(context: Any) -> None:
+    assert not context.broken.complete, context.broken.body
+    assert not context.resumed.complete or context.resumed.body == all_events(3)
+
+
+@then("the other one is complete")
+def step_unframed_whole(context: Any) -> None:
+    assert context.whole.complete and context.whole.body == all_events(2), context.whole.body
--- a/parsleyrouter/process/forward_attempt.py
+++ b/parsleyrouter/process/forward_attempt.py
@@ -192,16 +192,27 @@
         return await self._forward_rest(exchange)
 
     async def _forward_rest(self, exchange: EndpointExchange) -> AttemptFailure | None:
+        splitter = EventSplitter() if is_event_stream(_content_type(exchange)) else None
         while True:
             chunk = await self._read(exchange)
             if chunk is None:
-                return None
+                return self._broken_event(exchange, splitter)
             if isinstance(chunk, TransportFailure):
                 return self._failure(FailurePoint.RESPONSE_TRUNCATED, chunk.message)
             self.context.loads.record_activity(self.endpoint, self.context.loop.now())
+            if splitter is not None:
+                splitter.feed(chunk)
             self.sink.send(chunk)
             await self.sink.drain()
 
+    def _broken_event(
+        self, exchange: EndpointExchange, splitter: EventSplitter | None
+    ) -> AttemptFailure | None:
+        """Return the failure of a stream that ended with its connection, within an event."""
+        if splitter is None or not splitter.rest or not exchange.closed_early:
+            return None
+        return self._failure(FailurePoint.RESPONSE_TRUNCATED, "connection closed within an event")
+
     async def _forward_events(self, exchange: EndpointExchange) -> AttemptFailure | None:
         """Forward complete events only, so that another endpoint can resume after the last one."""
         splitter = EventSplitter()
@@ -211,8 +222,10 @@
             waited_s = self.context.loop.now() - event_s
             chunk = await self._read(exchange, waited_s)
             if chunk is None:
-                self.sink.send(splitter.rest)
-                return None
+                broken = self._broken_event(exchange, splitter)
+                if broken is None:
+                    self.sink.send(splitter.rest)
+                return broken
             if isinstance(chunk, TransportFailure):
                 return self._failure(FailurePoint.RESPONSE_TRUNCATED, chunk.message)
             self.context.loads.record_activity(self.endpoint, self.context.loop.now())
