--- a/benches/control_light.py
+++ b/benches/control_light.py
@@ -14,6 +14,7 @@
 from parsleyrouter.process.agent_options import AgentOptions
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.process.settings_editor import Accepted, Author, SettingsEditor
+from parsleyrouter.standins.ports import free_address
 from parsleyrouter.version.paths import parse_path
 
 CONVERGENCE_TIMEOUT_S = 90.0
@@ -77,7 +78,7 @@
         seeds = ",".join(agent.address for agent in self.agents[:SEEDS])
         agent = Agent(
             self.runtime,
-            AgentOptions(seeds=seeds),
+            AgentOptions(agent=free_address(), seeds=seeds),
             EtcdKeyValue(self.runtime, self.key_value),
             node=NodeId(f"node-{number:04d}"),
             domain=DomainName(f"domain-{number % DOMAINS}"),
--- a/benches/control_processes.py
+++ b/benches/control_processes.py
@@ -19,6 +19,7 @@
 from control import ServiceThread, percentile  # noqa: E402
 
 from features.support.process_cost import memory_mb, processor_s  # noqa: E402
+from parsleyrouter.standins.ports import free_address  # noqa: E402
 
 KEY = "bench-operator"
 PROCESSES = 8
@@ -38,6 +39,7 @@
         command = [str(Path(sys.executable).parent / "parsley-entry")]
         command += ["--node", name, "--domain", domain, "--key-value", key_value]
         command += ["--operator-key-sha256", hashlib.sha256(KEY.encode()).hexdigest()]
+        command += ["--agent", free_address()]
         command += ["--seeds", seeds] if seeds else []
         with self.log.open("w") as output:
             self.process = subprocess.Popen(command, stderr=output, stdout=output)
--- a/features/support/agents.py
+++ b/features/support/agents.py
@@ -2,7 +2,6 @@
 
 from typing import Any
 
-from features.support.processes import free_address
 from parsleyrouter.connection.api_settings import SettingsApi, add_settings_routes
 from parsleyrouter.connection.authentication import hash_key
 from parsleyrouter.connection.http_server import HttpServer, Routes
@@ -13,6 +12,7 @@
 from parsleyrouter.process.operators import Operators
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.process.settings_editor import SettingsEditor
+from parsleyrouter.standins.ports import free_address
 
 OPERATOR_KEY = "operator-key"
 WAIT_STEP_S = 0.02
--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -12,7 +12,8 @@
 from typing import Any
 
 from features.support.callers import Caller, RecordedCall
-from features.support.processes import Process, binary, free_address, wait_until
+from features.support.processes import Process, binary, wait_until
+from parsleyrouter.standins.ports import free_address
 
 OPERATOR_KEY = "operator-test-key"
 TEAM_KEY = "team-test-key"
--- a/features/support/front_fleet.py
+++ b/features/support/front_fleet.py
@@ -6,13 +6,13 @@
 
 from features.support.platform_endpoint import EndpointStandIn, whole
 from features.support.platform_store import PlatformStoreStandIn
-from features.support.processes import free_address
 from parsleyrouter.connection.stream import Stream
 from parsleyrouter.ids import Address, DomainName, NodeId
 from parsleyrouter.platform.adapter import PLATFORM
 from parsleyrouter.process.front_assembly import Front, assemble_front
 from parsleyrouter.process.front_options import FrontOptions
 from parsleyrouter.process.runtime import Runtime
+from parsleyrouter.standins.ports import free_address
 
 HOST = "callers.example"
 
@@ -78,10 +78,10 @@
             options = FrontOptions(
                 node=NodeId(f"front-{len(self.fronts)}"),
                 domain=DomainName(domain),
-                callers=Address(free_address()),
-                ready=Address(free_address()),
-                locate=Address(free_address()),
-                nodes=Address(free_address()),
+                callers=free_address(),
+                ready=free_address(),
+                locate=free_address(),
+                nodes=free_address(),
                 key_value=self.store.address,
             )
             self.options.append(options)
--- a/features/support/load_exchange_fleet.py
+++ b/features/support/load_exchange_fleet.py
@@ -4,12 +4,12 @@
 from types import SimpleNamespace
 from typing import Any
 
-from features.support.processes import free_address
 from parsleyrouter.ids import Address, CellId, DomainName, EndpointId, NodeId
 from parsleyrouter.process.endpoint_loads import EndpointLoads
 from parsleyrouter.process.load_exchange import LoadExchange
 from parsleyrouter.process.node_registry import RegisteredNode
 from parsleyrouter.process.runtime import Runtime
+from parsleyrouter.standins.ports import free_address
 
 
 class LoadExchangeFleet:
@@ -22,7 +22,7 @@
                 node=NodeId(f"{domain}-{number:02d}"),
                 domain=DomainName(domain),
                 callers=Address(f"{domain}-{number:02d}:1"),
-                nodes=Address(free_address()),
+                nodes=free_address(),
                 boot=1,
             )
             for domain, size in sizes.items()
--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -1,10 +1,8 @@
 """Processes of the tests: start, stop, pause, kill, and read their logs."""
 
-import itertools
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -16,11 +14,6 @@
 STOP_LIMIT_S = 60.0
 POLL_S = 0.02
 LOG_TAIL_LINES = 30
-FIRST_PORT = 10_240
-BLOCK_PORTS = 200
-PORT_BLOCKS = 112
-
-_ports = itertools.count()
 
 
 def binary(name: str) -> str:
@@ -28,30 +21,6 @@
     return str(Path(sys.executable).parent / name)
 
 
-def free_address() -> str:
-    """Return a loopback address that is currently free for TCP and UDP.
-
-    The port is below the ephemeral range, so no outgoing connection can take it before its process
-    has started; each test process uses a separate block of ports.
-    """
-    block = FIRST_PORT + os.getpid() % PORT_BLOCKS * BLOCK_PORTS
-    for _ in range(BLOCK_PORTS):
-        port = block + next(_ports) % BLOCK_PORTS
-        if _is_free(port):
-            return f"127.0.0.1:{port}"
-    raise AssertionError(f"no free port from {block} on")
-
-
-def _is_free(port: int) -> bool:
-    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-        with socket.socket(socket.AF_INET, kind) as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                return False
-    return True
-
-
 def wait_until(condition: Callable[[], Any], what: str, limit_s: float = START_LIMIT_S) -> Any:
     """Wait for a true result of the condition and return it."""
     deadline = time.monotonic() + limit_s
--- a/parsleyrouter/standins/embedded.py
+++ b/parsleyrouter/standins/embedded.py
@@ -23,6 +23,7 @@
 from parsleyrouter.standins.engine import Engine
 from parsleyrouter.standins.engine_batch import EngineSpec
 from parsleyrouter.standins.key_value_server import KeyValueServer
+from parsleyrouter.standins.ports import free_address
 from parsleyrouter.standins.service import PlainService
 
 __all__ = ["EmbeddedFleet", "EmbeddedOptions"]
@@ -142,6 +143,7 @@
                 runtime,
                 EntryOptions(
                     **common,
+                    agent=free_address(),
                     seeds=",".join(seeds),
                     operator_key_sha256=digest,
                     locate_ttl_s=self.options.locate_ttl_s,
--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -7,8 +7,8 @@
 import sys
 from pathlib import Path
 
-from features.support.processes import free_address
 from parsleyrouter.process.loop import Loop
+from parsleyrouter.standins.ports import free_address
 from soak.journal import Journal
 
 __all__ = ["GRACE_S", "Node"]
