Clear suspected parts by answers begun later; end wrong quarantines; decide on settled crashes

Answers count from when they began, also those that go on for a second. Parts answered before are blamed after five crashes only, and not beside one that never was. Crashes count 0.15 s after they happened, by endpoint and start. Decisions are told at once. Trials are claimed by a conditional write, repeated if they never began, ever rarer, and all groups of a request must allow one. A smaller group replaces larger ones.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -28,3 +28,11 @@
   Scenario: a node that is cut off from the others learns of deadly parts from the store
     When a node gets no datagrams of the others while deadly requests come
     Then it refuses requests with the part soon after the others do
+
+  Scenario: one request of the whole fleet is let through as a trial
+    When a trial is due and requests with the part come at all nodes
+    Then one node lets one request through, and all nodes know of the trial
+
+  Scenario: a quarantine that ends while it is stored does not come back
+    When a request with the part is answered before the store has confirmed the quarantine
+    Then no node keeps the part away afterwards
--- a/features/steps/front_node_steps.py
+++ b/features/steps/front_node_steps.py
@@ -16,8 +16,8 @@
 
 from features.steps.front_requests_steps import all_events, run_with_fleet
 from features.support.front_fleet import HOST, Caller, FrontFleet, routes
-from features.support.processes import free_address
 from parsleyrouter.process.stop_window import MAX_ADDRESSES_TTL_S
+from parsleyrouter.standins.ports import free_address
 
 ROOT = Path(__file__).resolve().parents[2]
 
--- a/features/support/crash_play.py
+++ b/features/support/crash_play.py
@@ -6,7 +6,14 @@
 from random import Random
 
 from parsleyrouter.ids import EndpointId, PromptPart
-from parsleyrouter.request.crash_evidence import Crash, CrashEvidence, Prompt
+from parsleyrouter.process.crash_monitor import RECENT_S
+from parsleyrouter.request.crash_evidence import (
+    ANSWER_S,
+    SETTLE_S,
+    Crash,
+    CrashEvidence,
+    Prompt,
+)
 from parsleyrouter.request.quarantine import Quarantine
 
 AWAY_S = 3.0
@@ -23,6 +30,7 @@
     prompt: Prompt
     deadly: Prompt
     endpoint: int
+    began_s: float
     lost: bool = False
 
 
@@ -40,6 +48,9 @@
     ordinary_per_s: float = 0.0
     rack: int = 1
     length_s: float = 40.0
+    deadly_from_s: float = 0.0
+    """Until then the parts are sound."""
+    lengths_s: tuple[float, float] = LENGTHS_S
     evidence: CrashEvidence = field(default_factory=CrashEvidence)
     quarantine: Quarantine = field(default_factory=Quarantine)
     crashes_s: dict[PromptPart, list[float]] = field(default_factory=dict)
@@ -68,8 +79,10 @@
                 for endpoint in self.random.sample(range(self.endpoints), self.rack):
                     self._crash(endpoint, now)
                 self._schedule(now + self.random.expovariate(self.ordinary_per_s), "ordinary")
+            elif kind == "decide":
+                self._decide(now)
             elif request is not None and not request.lost:
-                self._end(request, now)
+                self._end(request, now, whole=kind == "end")
         return self
 
     def sent_late(self) -> dict[PromptPart, int]:
@@ -90,14 +103,17 @@
         if self.random.random() >= self.deadly_share * self.deadly_parts:
             return (first, second), ()
         deadly = PromptPart(f"d{self.random.randrange(self.deadly_parts)}")
-        return ((deadly, first) if self.deadly_first else (first, second, deadly)), (deadly,)
+        prompt = (deadly, first) if self.deadly_first else (first, second, deadly)
+        return prompt, ((deadly,) if self.now >= self.deadly_from_s else ())
 
     def _arrive(self, now: float) -> None:
+        self.now = now
         prompt, deadly = self._prompt()
-        group = self.quarantine.find(prompt)
-        if group is not None and group.trial_due(now):
-            group.trials, group.may_try = group.trials + 1, True
-        refused = group is not None and not group.take_trial()
+        groups = self.quarantine.find(prompt)
+        for group in groups:
+            if group.trial_due(now):
+                group.trials, group.may_try = group.trials + 1, True
+        refused = bool(groups) and not self.quarantine.take_trial(groups, now)
         if not deadly:
             self.sound += 1
             self.refused_sound += refused
@@ -107,22 +123,27 @@
         if refused or not up:
             return
         endpoint = min(up, key=lambda one: (len(self.running[one]), self.random.random()))
-        request = PlayedRequest(prompt, deadly, endpoint)
+        request = PlayedRequest(prompt, deadly, endpoint, now)
         self.running[endpoint].add(request)
         for part in deadly:
             self.sent_s.setdefault(part, []).append(now)
-        length_s = self.random.uniform(*(CRASH_AFTER_S if deadly else LENGTHS_S))
+        length_s = self.random.uniform(*(CRASH_AFTER_S if deadly else self.lengths_s))
         self._schedule(now + length_s, "end", request)
+        if not deadly and length_s > RECENT_S:
+            self._schedule(now + RECENT_S, "survived", request)
 
-    def _end(self, request: PlayedRequest, now: float) -> None:
+    def _end(self, request: PlayedRequest, now: float, *, whole: bool) -> None:
+        for group in self.quarantine.find(request.prompt):
+            group.end_trial(began=True)
         if request.deadly:
             for part in request.deadly:
                 self.crashes_s.setdefault(part, []).append(now)
             self._crash(request.endpoint, now)
             return
-        self.running[request.endpoint].discard(request)
-        self.evidence.record_served(request.prompt, now)
-        self.quarantine.release_served(request.prompt, now)
+        if whole:
+            self.running[request.endpoint].discard(request)
+        self.evidence.record_served(request.prompt, request.began_s)
+        self.quarantine.release_served(request.prompt, request.began_s)
 
     def _crash(self, endpoint: int, now: float) -> None:
         if self.up_s[endpoint] > now:
@@ -132,6 +153,13 @@
         for request in cut:
             request.lost = True
         name = EndpointId(f"e{endpoint}-{next(self.names)}")
-        self.evidence.record_crash(Crash(name, now, {one.prompt for one in cut}))
+        self.evidence.record_crash(
+            Crash(name, now, {one.prompt for one in cut if now - one.began_s <= RECENT_S})
+        )
+        for delay_s in (SETTLE_S, SETTLE_S + ANSWER_S):
+            self._schedule(now + delay_s + 0.01, "decide")
+
+    def _decide(self, now: float) -> None:
         for group in self.evidence.find_groups(now, self.quarantine.groups):
-            self.quarantine.add(group, now)
+            doubtful = all(part in self.evidence.history for part in group)
+            self.quarantine.add(group, now, doubtful=doubtful)
--- a/parsleyrouter/platform/headers.py
+++ b/parsleyrouter/platform/headers.py
@@ -1,11 +1,15 @@
 """The platform's names for the headers that this project reads or sets."""
 
+from xxhash import xxh3_64_hexdigest
+
 from parsleyrouter.ids import PromptPart
 from parsleyrouter.request.crash_evidence import Prompt
 from parsleyrouter.request.forwarded_request import HeaderNames
 
 __all__ = ["HEADERS", "shared_parts"]
 
+MAX_ID_LENGTH = 40
+
 HEADERS = HeaderNames(
     request="x-attempt-id",
     deadline_ms="x-deadline-ms",
@@ -24,6 +28,13 @@
 
 
 def shared_parts(prefix: str) -> Prompt:
-    """Return the ids of all parts but the last, which belongs to the request or its session."""
-    parts = [entry.partition(":")[0].strip().lower() for entry in prefix.split(",")]
-    return tuple(PromptPart(part) for part in parts[:-1] if part)
+    """Return the ids of all parts but the last, which belongs to the request or its session.
+
+    Long ids are replaced by a hash.
+    """
+    parts = [entry.partition(":")[0].strip() for entry in prefix.split(",")]
+    return tuple(
+        PromptPart(part if len(part) <= MAX_ID_LENGTH else xxh3_64_hexdigest(part.encode()))
+        for part in parts[:-1]
+        if part
+    )
--- a/parsleyrouter/process/crash_monitor.py
+++ b/parsleyrouter/process/crash_monitor.py
@@ -23,6 +23,8 @@
 """A request whose answer began longer before the crash has not caused it: an endpoint crashes when
 it begins to write one."""
 
+SURVIVORS_INTERVAL_S = 0.25
+
 log = logging.getLogger(__name__)
 
 
@@ -34,6 +36,8 @@
     prompt: Prompt
     cancel: Callable[[], None]
     began_s: float | None = None
+    survived: bool = False
+    """Whether the answer is known not to have crashed the endpoint."""
 
 
 @dataclass
@@ -42,7 +46,11 @@
 
     at_s: float
     confirmed: bool = False
+    """Whether the endpoint has crashed, once that is ``checked``."""
+    checked: bool = False
     prompts: set[Prompt] = field(default_factory=set)
+    answered: dict[Prompt, float] = field(default_factory=dict)
+    """When the answers began that ended with their connection."""
 
 
 class CrashMonitor:
@@ -62,6 +70,7 @@
         self.running: set[RunningRequest] = set()
         self.cuts: dict[EndpointId, _Cuts] = {}
         keeper.on_quarantined.append(self._cancel_waiting)
+        loop.call_later(SURVIVORS_INTERVAL_S, self._report_survivors)
 
     def start(self, request: RunningRequest) -> None:
         """Watch a request that is about to be sent."""
@@ -69,16 +78,20 @@
             self.running.add(request)
 
     def end(self, request: RunningRequest, *, cut: bool, served: bool) -> None:
-        """Note how a request ended: cut by the endpoint, answered whole, or neither."""
+        """Note how a request ended: its connection closed by the endpoint, answered whole, or both.
+
+        An answer may end with its connection; it is whole only if the endpoint still runs.
+        """
         self.running.discard(request)
         if not request.prompt:
             return
-        if served:
-            self.keeper.report_served(request.prompt)
-        elif cut:
-            self._record_cut(request)
+        self.keeper.end_trial(request.prompt, began=request.began_s is not None or cut)
+        if cut:
+            self._record_cut(request, served=served)
+        elif served and request.began_s is not None:
+            self.keeper.report_served(request.prompt, request.began_s)
 
-    def _record_cut(self, request: RunningRequest) -> None:
+    def _record_cut(self, request: RunningRequest, *, served: bool) -> None:
         now, endpoint = self.loop.now(), request.registration.endpoint
         if not self._is_expected_to_run(request.registration):
             return
@@ -89,28 +102,63 @@
             cuts = self.cuts[endpoint] = _Cuts(now)
             self.loop.spawn(self._confirm(request.registration, cuts), f"check {endpoint}")
         cuts.prompts.add(request.prompt)
+        if served and request.began_s is not None:
+            cuts.answered[request.prompt] = request.began_s
         if cuts.confirmed:
-            self.keeper.report_crash(Crash(endpoint, cuts.at_s, {request.prompt}))
+            self._report(request.registration, cuts, {request.prompt})
+        elif cuts.checked:
+            self._report_answered(cuts)
 
     async def _confirm(self, registration: RegisteredEndpoint, cuts: _Cuts) -> None:
         """Report a crash if the endpoint refuses connections; one request may be cut alone."""
-        endpoint = registration.endpoint
-        try:
-            stream = await self.connector.open(registration.address, CONFIRM_TIMEOUT_S)
-        except ConnectionRefused as error:
+        cuts.confirmed = await self._refuses(registration)
+        if not cuts.confirmed:
+            # A dying process may accept a connection after it has closed others.
+            await self.loop.sleep(GATHER_S)
+            cuts.confirmed = await self._refuses(registration)
+        cuts.checked = True
+        if cuts.confirmed:
             await self.loop.sleep(GATHER_S)
-            cuts.confirmed = True
-            fields = {"endpoint": endpoint, "reason": str(error), "prompts": sorted(cuts.prompts)}
+            fields = {"endpoint": registration.endpoint, "prompts": sorted(cuts.prompts)}
             log.warning("endpoint crashed", extra=fields)
-            self.keeper.report_crash(Crash(endpoint, cuts.at_s, set(cuts.prompts)))
-        except ConnectFailed as error:
-            log.info("cut not explained", extra={"endpoint": endpoint, "reason": str(error)})
+            self._report(registration, cuts, set(cuts.prompts))
         else:
-            stream.close()
+            self._report_answered(cuts)
         if len(self.cuts) > len(self.directory.endpoints):
             kept = self.loop.now() - SAME_CRASH_S
             self.cuts = {name: one for name, one in self.cuts.items() if one.at_s > kept}
 
+    async def _refuses(self, registration: RegisteredEndpoint) -> bool:
+        try:
+            stream = await self.connector.open(registration.address, CONFIRM_TIMEOUT_S)
+        except ConnectionRefused:
+            return True
+        except ConnectFailed as error:
+            fields = {"endpoint": registration.endpoint, "reason": str(error)}
+            log.info("cut not explained", extra=fields)
+            return False
+        stream.close()
+        return False
+
+    def _report(self, registration: RegisteredEndpoint, cuts: _Cuts, prompts: set[Prompt]) -> None:
+        crash = Crash(registration.endpoint, cuts.at_s, prompts, registration.started_ms)
+        self.keeper.report_crash(crash)
+
+    def _report_answered(self, cuts: _Cuts) -> None:
+        for prompt, began_s in cuts.answered.items():
+            self.keeper.report_served(prompt, began_s)
+        cuts.answered.clear()
+
+    def _report_survivors(self) -> None:
+        """Report answers that go on for so long that they cannot crash their endpoint any more."""
+        now = self.loop.now()
+        for request in self.running if self.keeper.suspicious else ():
+            began_s = request.began_s
+            if began_s is not None and not request.survived and now - began_s > RECENT_S:
+                request.survived = True
+                self.keeper.report_served(request.prompt, began_s)
+        self.loop.call_later(SURVIVORS_INTERVAL_S, self._report_survivors)
+
     def _is_expected_to_run(self, registration: RegisteredEndpoint) -> bool:
         known = self.directory.endpoints.get(registration.endpoint)
         return known is not None and not known.leaving
--- a/parsleyrouter/process/forward_attempt.py
+++ b/parsleyrouter/process/forward_attempt.py
@@ -84,8 +84,8 @@
         try:
             failure = await self._run()
             closed_early = self.exchange is not None and self.exchange.closed_early
-            cut = failure is not None and closed_early and not self.cancelled
-            served = failure is None and self.status < 300 and not closed_early
+            cut = closed_early and not self.cancelled
+            served = failure is None and self.status < 300
         finally:
             self.context.loads.request_ended(self.endpoint, batch=self.batch)
             crashes.end(self.running, cut=cut, served=served)
--- a/parsleyrouter/process/front.py
+++ b/parsleyrouter/process/front.py
@@ -25,7 +25,8 @@
 from parsleyrouter.process.node_registry import NODES_PREFIX, NodeRegistry, RegisteredNode
 from parsleyrouter.process.platform_port import PlatformPort
 from parsleyrouter.process.prefix_watcher import PrefixWatcher
-from parsleyrouter.process.quarantine_keeper import QUARANTINE_PREFIX, QuarantineKeeper
+from parsleyrouter.process.quarantine_keeper import QuarantineKeeper
+from parsleyrouter.process.quarantine_records import QUARANTINE_PREFIX
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.process.shared_job_store import JOBS_PREFIX
 from parsleyrouter.process.token_ledger import SHARES_PREFIX, TokenLedger
@@ -131,7 +132,9 @@
         known = list(entries)
         self.registry.apply_list(one for one in known if one.key.startswith(NODES_PREFIX))
         self.job_directory.apply_list(one for one in known if one.key.startswith(JOBS_PREFIX))
-        self.quarantine.apply_list(one for one in known if one.key.startswith(QUARANTINE_PREFIX))
+        self.quarantine.records.apply_list(
+            one for one in known if one.key.startswith(QUARANTINE_PREFIX)
+        )
         for one in known:
             if one.key.startswith(SHARES_PREFIX):
                 self.token_ledger.apply_entry(one)
@@ -144,7 +147,7 @@
         elif change.key.startswith(SHARES_PREFIX):
             self.token_ledger.apply_change(change)
         elif change.key.startswith(QUARANTINE_PREFIX):
-            self.quarantine.apply_change(change)
+            self.quarantine.records.apply_change(change)
 
     def _on_operator_list(self, entries: Iterable[Entry]) -> None:
         for entry in entries:
--- a/parsleyrouter/process/job_worker.py
+++ b/parsleyrouter/process/job_worker.py
@@ -194,7 +194,7 @@
         if quarantined is not None:
             job_run.not_before_s[index] = now + QUARANTINED_PAUSE_S
             fields = {"job": job_run.job, "request": item.item, "reason": quarantined.message}
-            log.warning("item held back", extra=fields)
+            log.info("item held back", extra=fields)
             return True
         service = route.pick_service(self.rng)
         entries = {entry.endpoint: entry for entry in self.directory.available_for(service)}
--- a/parsleyrouter/process/load_codec.py
+++ b/parsleyrouter/process/load_codec.py
@@ -9,13 +9,20 @@
 from parsleyrouter.ids import Address, CellId, DomainName, EndpointId, NodeId, PromptPart
 from parsleyrouter.process.fleet_loads import CellLoadReport, NodeLoadReport, RequestCounts
 from parsleyrouter.process.node_registry import RegisteredNode
-from parsleyrouter.request.crash_evidence import MAX_PARTS, MAX_PROMPTS, Crash, Prompt
+from parsleyrouter.request.crash_evidence import (
+    MAX_PARTS,
+    MAX_PROMPTS,
+    Crash,
+    PartGroup,
+    Prompt,
+)
 from parsleyrouter.thrift_gen.load.ttypes import (
     CellNews,
     CrashNews,
     FleetNews,
     LoadNews,
     ServedNews,
+    ServedPrompt,
 )
 from parsleyrouter.thrift_gen.load.ttypes import EndpointUse as WireUse
 
@@ -26,6 +33,7 @@
     "encode_cell_reports",
     "encode_crashes",
     "encode_node_report",
+    "encode_quarantined",
     "encode_served",
 ]
 
@@ -36,14 +44,15 @@
 class Datagram:
     """One decoded datagram; the addresses of the node are ``None`` if its report leaves them out.
 
-    ``served_s`` is when the ``served`` prompts were answered whole; monotonic, here.
+    ``served`` holds when the answer of each prompt began; monotonic, here.
     """
 
     node: tuple[NodeLoadReport, RegisteredNode | None] | None
     cells: list[CellLoadReport]
     crashes: list[Crash]
-    served: list[Prompt]
-    served_s: float
+    served: dict[Prompt, float]
+    served_before: list[PromptPart]
+    quarantined: list[PartGroup]
 
 
 class InvalidLoadReport(ValueError):
@@ -92,14 +101,26 @@
 def encode_crashes(crashes: Iterable[Crash], age_s: float) -> bytes:
     """Encode crashes that this node saw ``age_s`` ago."""
     rows = [
-        CrashNews(one.endpoint, int(age_s * 1000), _prompts_to_wire(one.prompts)) for one in crashes
+        CrashNews(one.endpoint, int(age_s * 1000), _prompts_to_wire(one.prompts), one.started_ms)
+        for one in crashes
     ]
     return _write(FleetNews(crashes=rows))
 
 
-def encode_served(prompts: Iterable[Prompt], age_s: float) -> bytes:
-    """Encode prompts that were answered whole up to ``age_s`` ago."""
-    return _write(FleetNews(served=ServedNews(int(age_s * 1000), _prompts_to_wire(prompts))))
+def encode_served(
+    prompts: Mapping[Prompt, float], parts_before: Iterable[PromptPart] = ()
+) -> bytes:
+    """Encode prompts with the age of their answers, and parts that were answered earlier."""
+    rows = [
+        ServedPrompt(list(prompt[-MAX_PARTS:]), int(age_s * 1000))
+        for prompt, age_s in list(prompts.items())[:MAX_PROMPTS]
+    ]
+    return _write(FleetNews(served=ServedNews(rows, sorted(parts_before)[:MAX_PROMPTS])))
+
+
+def encode_quarantined(group: PartGroup) -> bytes:
+    """Encode a group of prompt parts that this node has put into quarantine."""
+    return _write(FleetNews(quarantined=[sorted(group)]))
 
 
 def decode(data: bytes, received_s: float) -> Datagram:
@@ -113,16 +134,25 @@
                 EndpointId(row.endpoint),
                 received_s - row.age_ms / 1000,
                 set(_prompts_from_wire(row.prompts)),
+                row.started_ms or 0,
             )
             for row in message.crashes or ()
         ]
-        served = message.served or ServedNews(0, [])
+        served = message.served or ServedNews([], [])
         return Datagram(
             node,
             [_cell_report(row, received_s) for row in message.cells or ()],
             crashes,
-            _prompts_from_wire(served.prompts),
-            received_s - served.age_ms / 1000,
+            {
+                tuple(PromptPart(part) for part in row.parts): received_s - row.age_ms / 1000
+                for row in served.prompts
+            },
+            [PromptPart(part) for part in served.parts_before],
+            [
+                frozenset(prompt)
+                for prompt in _prompts_from_wire(message.quarantined or ())
+                if prompt
+            ],
         )
     except Exception as error:
         raise InvalidLoadReport(str(error)) from error
@@ -169,7 +199,7 @@
 
 
 def _prompts_to_wire(prompts: Iterable[Prompt]) -> list[list[str]]:
-    return [list(prompt[:MAX_PARTS]) for prompt in sorted(prompts)[:MAX_PROMPTS]]
+    return [list(prompt[-MAX_PARTS:]) for prompt in sorted(prompts)[:MAX_PROMPTS]]
 
 
 def _prompts_from_wire(rows: Iterable[Iterable[str]]) -> list[Prompt]:
--- a/parsleyrouter/process/load_exchange.py
+++ b/parsleyrouter/process/load_exchange.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 
 from parsleyrouter.connection.datagram import DatagramSocket
-from parsleyrouter.ids import EndpointId
+from parsleyrouter.ids import EndpointId, PromptPart
 from parsleyrouter.process.active_routes import ActiveRoutes
 from parsleyrouter.process.cell_members import CellMembers
 from parsleyrouter.process.endpoint_loads import EndpointLoads
@@ -29,7 +29,7 @@
 )
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.node_registry import NodeRegistry
-from parsleyrouter.request.crash_evidence import Crash, Prompt
+from parsleyrouter.request.crash_evidence import Crash, PartGroup, Prompt
 
 __all__ = ["LoadExchange"]
 
@@ -75,7 +75,8 @@
         self.broadcast_pending = False
         self.on_load_report: list[Callable[[], object]] = []
         self.on_crashes: list[Callable[[list[Crash]], object]] = []
-        self.on_served: list[Callable[[list[Prompt], float], object]] = []
+        self.on_quarantined: list[Callable[[PartGroup], object]] = []
+        self.on_served: list[Callable[[dict[Prompt, float], list[PromptPart]], object]] = []
         loads.on_own_change.append(self._schedule_broadcast)
 
     def start(self) -> None:
@@ -198,6 +199,9 @@
         if received.crashes:
             for on_crashes in self.on_crashes:
                 on_crashes(received.crashes)
-        if received.served:
+        for group in received.quarantined:
+            for on_quarantined in self.on_quarantined:
+                on_quarantined(group)
+        if received.served or received.served_before:
             for on_served in self.on_served:
-                on_served(received.served, received.served_s)
+                on_served(received.served, received.served_before)
--- a/parsleyrouter/thrift_gen/load/ttypes.py
+++ b/parsleyrouter/thrift_gen/load/ttypes.py
@@ -428,14 +428,16 @@
      - endpoint
      - age_ms
      - prompts
+     - started_ms
 
     """
 
 
-    def __init__(self, endpoint=None, age_ms=None, prompts=None,):
+    def __init__(self, endpoint=None, age_ms=None, prompts=None, started_ms=None,):
         self.endpoint = endpoint
         self.age_ms = age_ms
         self.prompts = prompts
+        self.started_ms = started_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -471,6 +473,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -499,6 +506,10 @@
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 4)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -517,18 +528,18 @@
         return not (self == other)
 
 
-class ServedNews(object):
+class ServedPrompt(object):
     """
     Attributes:
+     - parts
      - age_ms
-     - prompts
 
     """
 
 
-    def __init__(self, age_ms=None, prompts=None,):
+    def __init__(self, parts=None, age_ms=None,):
+        self.parts = parts
         self.age_ms = age_ms
-        self.prompts = prompts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -540,22 +551,99 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.parts.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
                 if ftype == TType.I32:
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 2:
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServedPrompt')
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.parts))
+            for iter41 in self.parts:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServedNews(object):
+    """
+    Attributes:
+     - prompts
+     - parts_before
+
+    """
+
+
+    def __init__(self, prompts=None, parts_before=None,):
+        self.prompts = prompts
+        self.parts_before = parts_before
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
                 if ftype == TType.LIST:
                     self.prompts = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = []
-                        (_etype44, _size41) = iprot.readListBegin()
-                        for _i45 in range(_size41):
-                            _elem46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                            _elem40.append(_elem46)
-                        iprot.readListEnd()
-                        self.prompts.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = ServedPrompt()
+                        _elem47.read(iprot)
+                        self.prompts.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.parts_before = []
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.parts_before.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -569,18 +657,18 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('ServedNews')
-        if self.age_ms is not None:
-            oprot.writeFieldBegin('age_ms', TType.I32, 1)
-            oprot.writeI32(self.age_ms)
-            oprot.writeFieldEnd()
         if self.prompts is not None:
-            oprot.writeFieldBegin('prompts', TType.LIST, 2)
-            oprot.writeListBegin(TType.LIST, len(self.prompts))
-            for iter47 in self.prompts:
-                oprot.writeListBegin(TType.STRING, len(iter47))
-                for iter48 in iter47:
-                    oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
-                oprot.writeListEnd()
+            oprot.writeFieldBegin('prompts', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.prompts))
+            for iter54 in self.prompts:
+                iter54.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.parts_before is not None:
+            oprot.writeFieldBegin('parts_before', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.parts_before))
+            for iter55 in self.parts_before:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -608,15 +696,17 @@
      - cells
      - crashes
      - served
+     - quarantined
 
     """
 
 
-    def __init__(self, node=None, cells=None, crashes=None, served=None,):
+    def __init__(self, node=None, cells=None, crashes=None, served=None, quarantined=None,):
         self.node = node
         self.cells = cells
         self.crashes = crashes
         self.served = served
+        self.quarantined = quarantined
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -636,22 +726,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.cells = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = CellNews()
-                        _elem54.read(iprot)
-                        self.cells.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = CellNews()
+                        _elem61.read(iprot)
+                        self.cells.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = CrashNews()
-                        _elem60.read(iprot)
-                        self.crashes.append(_elem60)
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = CrashNews()
+                        _elem67.read(iprot)
+                        self.crashes.append(_elem67)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -661,6 +751,21 @@
                     self.served.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.quarantined = []
+                    (_etype71, _size68) = iprot.readListBegin()
+                    for _i72 in range(_size68):
+                        _elem73 = []
+                        (_etype77, _size74) = iprot.readListBegin()
+                        for _i78 in range(_size74):
+                            _elem79 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _elem73.append(_elem79)
+                        iprot.readListEnd()
+                        self.quarantined.append(_elem73)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -678,21 +783,31 @@
         if self.cells is not None:
             oprot.writeFieldBegin('cells', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.cells))
-            for iter61 in self.cells:
-                iter61.write(oprot)
+            for iter80 in self.cells:
+                iter80.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter62 in self.crashes:
-                iter62.write(oprot)
+            for iter81 in self.crashes:
+                iter81.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.served is not None:
             oprot.writeFieldBegin('served', TType.STRUCT, 4)
             self.served.write(oprot)
             oprot.writeFieldEnd()
+        if self.quarantined is not None:
+            oprot.writeFieldBegin('quarantined', TType.LIST, 5)
+            oprot.writeListBegin(TType.LIST, len(self.quarantined))
+            for iter82 in self.quarantined:
+                oprot.writeListBegin(TType.STRING, len(iter82))
+                for iter83 in iter82:
+                    oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
+                oprot.writeListEnd()
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -749,12 +864,19 @@
     (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
     (2, TType.I32, 'age_ms', None, None, ),  # 2
     (3, TType.LIST, 'prompts', (TType.LIST, (TType.STRING, 'UTF8', False), False), None, ),  # 3
+    (4, TType.I64, 'started_ms', None, None, ),  # 4
+)
+all_structs.append(ServedPrompt)
+ServedPrompt.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'parts', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
 )
 all_structs.append(ServedNews)
 ServedNews.thrift_spec = (
     None,  # 0
-    (1, TType.I32, 'age_ms', None, None, ),  # 1
-    (2, TType.LIST, 'prompts', (TType.LIST, (TType.STRING, 'UTF8', False), False), None, ),  # 2
+    (1, TType.LIST, 'prompts', (TType.STRUCT, [ServedPrompt, None], False), None, ),  # 1
+    (2, TType.LIST, 'parts_before', (TType.STRING, 'UTF8', False), None, ),  # 2
 )
 all_structs.append(FleetNews)
 FleetNews.thrift_spec = (
@@ -763,6 +885,7 @@
     (2, TType.LIST, 'cells', (TType.STRUCT, [CellNews, None], False), None, ),  # 2
     (3, TType.LIST, 'crashes', (TType.STRUCT, [CrashNews, None], False), None, ),  # 3
     (4, TType.STRUCT, 'served', [ServedNews, None], None, ),  # 4
+    (5, TType.LIST, 'quarantined', (TType.LIST, (TType.STRING, 'UTF8', False), False), None, ),  # 5
 )
 fix_spec(all_structs)
 del all_structs
--- a/thrift/load.thrift
+++ b/thrift/load.thrift
@@ -39,12 +39,19 @@
   1: string endpoint,
   2: i32 age_ms,
   3: list<list<string>> prompts,
+  4: i64 started_ms,  // tells the starts of an endpoint apart
 }
 
-// Prompts that were answered whole although parts of them are suspected of crashing endpoints.
+// A prompt of which an answer began so long ago and did not crash its endpoint.
+struct ServedPrompt {
+  1: list<string> parts,
+  2: i32 age_ms,
+}
+
+// What speaks against suspected parts: answers since the crash, and parts that were answered before.
 struct ServedNews {
-  1: i32 age_ms,
-  2: list<list<string>> prompts,
+  1: list<ServedPrompt> prompts,
+  2: list<string> parts_before,
 }
 
 // One datagram.
@@ -53,4 +60,5 @@
   2: optional list<CellNews> cells,
   3: optional list<CrashNews> crashes,
   4: optional ServedNews served,
+  5: optional list<list<string>> quarantined,
 }
