Soak: shut all nodes down, each while others still stop, and check that no request is cut

The soak stopped single nodes and had no check of requests that a planned stop cuts, so it could not see lists of stopping nodes kept alive. Adds the fault 'stop all' and the check 'a graceful shutdown interrupts no request', with an example that breaks it.

--- a/features/soak_checks.feature
+++ b/features/soak_checks.feature
@@ -17,6 +17,7 @@
       | an item at two positions                 | batch jobs                  |
       | an item with an event missing            | batch jobs                  |
       | a refused job that ran                   | batch jobs                  |
+      | a request cut at a planned stop          | a graceful shutdown         |
       | a process that ended by itself           | processes end               |
       | four runs with a part after five crashes | a part that crashes         |
       | sound requests refused for a first part  | requests that share         |
--- a/features/steps/soak_checks_steps.py
+++ b/features/steps/soak_checks_steps.py
@@ -93,6 +93,9 @@
     "a refused job that ran": lambda journal: journal.runs.append(run("i3")),
     "four runs with a part after five crashes": lambda journal: add_deadly_run(journal, "d3"),
     "sound requests refused for a first part": refuse_first_part,
+    "a request cut at a planned stop": lambda journal: setattr(
+        journal.attempts["a1"], "complete", False
+    ),
     "a process that ended by itself": lambda journal: journal.ends.append("n ended by itself"),
 }
 
@@ -101,6 +104,8 @@
     node = SimpleNamespace(
         name="n",
         undisturbed_since=lambda at_s: True,
+        undisturbed_between=lambda from_s, until_s: True,
+        stops_s=[45.0],
         in_touch_between=lambda from_s, until_s: True,
         versions=lambda: [0, 1, 2],
     )
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,6 +6,7 @@
 
 from soak.endpoints import expected_body, item_output
 from soak.journal import Attempt, Journal, Kind, Run
+from soak.nodes import GRACE_S
 from soak.world import World
 
 __all__ = ["CHECKS", "problems"]
@@ -243,6 +244,23 @@
     return found
 
 
+@check("a graceful shutdown interrupts no request")
+def check_stops(world: World) -> list[str]:
+    """Check that requests which ran around a stop of their undisturbed node were answered."""
+    found = []
+    nodes = {node.name: node for node in world.nodes}
+    ran = {run.attempt for run in world.journal.runs}
+    for name, one in world.journal.attempts.items():
+        node = nodes[one.node]
+        stopping = any(
+            one.ended_s >= at_s and one.sent_s <= at_s + GRACE_S for at_s in node.stops_s
+        )
+        cut = name in ran and not one.complete and one.status in (0, 200)
+        if stopping and cut and node.undisturbed_between(one.sent_s, one.ended_s):
+            found.append(f"{name} at {one.node} was sent at {one.sent_s:.2f} and cut")
+    return found
+
+
 @check("processes end only when told to")
 def check_process_ends(world: World) -> list[str]:
     """Return process ends that no signal explains."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -91,6 +91,16 @@
             node.kill()
 
 
+@fault("stop all")
+async def stop_all(world: World) -> None:
+    """Shut all processes down, each while others are still stopping."""
+    for node in world.random.sample(world.nodes, len(world.nodes)):
+        if not node.stopping and node.alive:
+            node.stop()
+        await world.loop.sleep(world.random.uniform(0.0, 1.0))
+    await world.loop.sleep(GRACE_S)
+
+
 @fault("stop and kill")
 async def stop_and_kill(world: World) -> None:
     """Kill a process during its graceful shutdown."""
--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -45,6 +45,10 @@
         """End of the latest disturbance of the node or its links; in the future during one."""
         self.cut_off: list[tuple[float, float]] = []
         """When the node was cut off from other nodes or the store, or did not run."""
+        self.disturbances: list[tuple[float, float]] = []
+        """Begin and end of each disturbance of the node, its links or what it depends on."""
+        self.stops_s: list[float] = []
+        """When graceful shutdowns began that the program handled."""
         self.stopping = False
         self.expected_end = False
         self.started_s = 0.0
@@ -112,6 +116,8 @@
         """Request a graceful shutdown."""
         self.expected_end = self.stopping = True
         self.served_s = self.loop.now() - self.started_s
+        if self.served_s > SIGNAL_SETUP_S:
+            self.stops_s.append(self.loop.now())
         self.signal(signal.SIGTERM)
 
     def kill(self) -> None:
@@ -124,6 +130,7 @@
     def mark_disturbed(self, until_s: float, *, in_touch: bool = False) -> None:
         """Note that the node is disturbed until a time, and whether other nodes reach it."""
         self.disturbed_until_s = max(self.disturbed_until_s, until_s)
+        self.disturbances.append((self.loop.now(), until_s))
         if not in_touch:
             self.cut_off.append((self.loop.now(), until_s))
 
@@ -131,6 +138,11 @@
         """Tell whether other nodes and the store could reach the node all this time."""
         return all(end_s < from_s or begin_s > until_s for begin_s, end_s in self.cut_off)
 
+    def undisturbed_between(self, from_s: float, until_s: float) -> bool:
+        """Tell whether the node was undisturbed all this time and ``UNDISTURBED_S`` before."""
+        from_s -= UNDISTURBED_S
+        return all(end_s < from_s or begin_s > until_s for begin_s, end_s in self.disturbances)
+
     def undisturbed_since(self, at_s: float) -> bool:
         """Tell whether the node was undisturbed for ``UNDISTURBED_S`` before a time."""
         return self.disturbed_until_s < at_s - UNDISTURBED_S
