--- a/parsleyrouter/process/address_directory.py
+++ b/parsleyrouter/process/address_directory.py
@@ -25,7 +25,6 @@
 """While all nodes stop, those are named that accept callers for at least this share of the longest
 time: a shorter one would shorten the lifetime of the list."""
 
-
 MAX_LOGGED_DOMAINS = 64
 
 UNREPORTED_TTL_S = 0.5
@@ -56,10 +55,10 @@
         self.ttl_s = ttl_s
         self.logged: dict[DomainName, AddressList] = {}
 
-    def worth_logging(self, domain: DomainName, found: AddressList) -> bool:
-        """Return whether a list differs from the last one, or names stopping nodes or none."""
+    def note_for_log(self, domain: DomainName, found: AddressList) -> bool:
+        """Return whether a list differs from the last noted, or names stopping nodes or none."""
         changed = self.logged.get(domain) != found
-        if len(self.logged) < MAX_LOGGED_DOMAINS:
+        if domain in self.logged or len(self.logged) < MAX_LOGGED_DOMAINS:
             self.logged[domain] = found
         return changed or bool(found.leaving) or not found.nodes
 
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -173,7 +173,7 @@
     found = address_directory.for_domain(domain)
     body = port.encode_addresses(found.addresses, found.ttl_s)
     exchange.reply(200 if found.nodes else 503, [(b"Content-Type", JSON_TYPE.encode())], body)
-    if not address_directory.worth_logging(domain, found):
+    if not address_directory.note_for_log(domain, found):
         return
     fields = {
         "remote": exchange.remote,
--- a/parsleyrouter/process/quarantine_keeper.py
+++ b/parsleyrouter/process/quarantine_keeper.py
@@ -44,7 +44,7 @@
 
 
 class QuarantineKeeper:
-    """Decide which requests are kept away from endpoints; the same at all nodes."""
+    """Decide which requests are kept away from endpoints, and tell the other nodes."""
 
     def __init__(
         self, loop: Loop, store: TransactionalKeyValue, exchange: LoadExchange, rng: Random
