Store a quarantine by any node that hears of it

Cause: only the node that decided stored the quarantine, half a second later if it did not lead; it was killed before, and the restarted process found no key. Evidence: its log has the decision at 53.101 and its start at 53.752, no node logs the key.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -36,3 +36,7 @@
   Scenario: a quarantine that ends while it is stored does not come back
     When a request with the part is answered before the store has confirmed the quarantine
     Then no node keeps the part away afterwards
+
+  Scenario: a quarantine is stored although the node that decided on it ends at once
+    When only another node has heard of a quarantine from the node that decided
+    Then the quarantine is stored, and a node that starts afterwards keeps it
--- a/features/steps/deadly_parts_steps.py
+++ b/features/steps/deadly_parts_steps.py
@@ -275,3 +275,22 @@
 @then("no node keeps the part away afterwards")
 def step_released(context: Any) -> None:
     assert context.left == [False, False] and not context.keys, (context.left, context.keys)
+
+
+@when("only another node has heard of a quarantine from the node that decided")
+def step_decider_ends(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        await fleet.start(2)
+        for on_quarantined in fleet.fronts[1].exchange.on_quarantined:
+            on_quarantined(GROUP)
+        await fleet.loop.sleep(2.0)
+        context.stored = [key for key in fleet.store.rows if key.startswith(QUARANTINE_PREFIX)]
+        await fleet.start(1, configured=False)
+        await fleet.until(lambda: GROUP in fleet.fronts[2].quarantine.quarantine.groups)
+
+    run_with_fleet(context, scenario)
+
+
+@then("the quarantine is stored, and a node that starts afterwards keeps it")
+def step_stored(context: Any) -> None:
+    assert len(context.stored) == 1, context.stored
--- a/parsleyrouter/process/forwarder.py
+++ b/parsleyrouter/process/forwarder.py
@@ -83,7 +83,7 @@
         trace = RequestTrace()
         outcome = self.gate.refuse(request.service, request.deadline_s)
         if outcome is None:
-            outcome = await self._forward_within_stop(exchange, request, trace)
+            outcome = await self._forward_timed(exchange, request, trace)
         if outcome is None:
             exchange.finish()
         elif exchange.headers_sent or exchange.disconnected:
@@ -120,7 +120,7 @@
             prompt=self.context.shared_parts(head.headers.get(names.prefix, "")),
         )
 
-    async def _forward_within_stop(
+    async def _forward_timed(
         self, exchange: CallerExchange, request: ForwardedRequest, trace: RequestTrace
     ) -> Refusal | None:
         began_s = self.gate.start(request.service)
--- a/parsleyrouter/process/quarantine_keeper.py
+++ b/parsleyrouter/process/quarantine_keeper.py
@@ -61,7 +61,7 @@
         self.on_quarantined: list[Callable[[PartGroup], object]] = []
         exchange.on_crashes.append(self._apply_crashes)
         exchange.on_served.append(self._apply_served)
-        exchange.on_quarantined.append(lambda group: self.add(group, {"source": "another node"}))
+        exchange.on_quarantined.append(self._apply_quarantined)
 
     def start(self) -> None:
         """Start removing expired groups."""
@@ -170,6 +170,11 @@
         for callback in self.on_quarantined:
             callback(group)
 
+    def _apply_quarantined(self, group: PartGroup) -> None:
+        """Apply a decision of another node, and store it in case that node cannot."""
+        self.add(group, {"source": "another node"})
+        self.loop.spawn(self.records.store_group(group), "store a quarantine")
+
     def _apply_stored(self, group: PartGroup, trials: int) -> None:
         """Apply a group that some node has stored."""
         self.add(group, {"source": "key-value service"})
--- a/parsleyrouter/process/shared_job_handler.py
+++ b/parsleyrouter/process/shared_job_handler.py
@@ -91,7 +91,7 @@
             outcome: Refusal | tuple[int, bytes] = call
         else:
             stopping = self.gate.refuse(asked, math.inf, ASSUMED_CALL_S)
-            outcome = stopping or await self._answer_within_stop(asked, call)
+            outcome = stopping or await self._answer_timed(asked, call)
         if isinstance(outcome, Refusal):
             send_refusal(exchange, outcome)
             status, reason = outcome.status, outcome.message
@@ -103,7 +103,7 @@
             self._log(exchange, call, status, reason)
         return True
 
-    async def _answer_within_stop(self, asked: str, call: JobCall) -> Refusal | tuple[int, bytes]:
+    async def _answer_timed(self, asked: str, call: JobCall) -> Refusal | tuple[int, bytes]:
         began_s = self.gate.start(asked)
         answered = False
         try:
