Log how long reads of the store wait and for what; show the age of state

Nodes kept replaced routes and leaving endpoints after an outage of the store. The logs could not tell a lost read from a back-off or a deferred effect: one line gave one age. Lines of a prefix now tell how long the read took, its wait for the call budget and the last answer to any call; a line tells when the service answers again, one each deferred removal; gauges show the age of each prefix.

--- a/parsleyrouter/connection/key_value.py
+++ b/parsleyrouter/connection/key_value.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from typing import Protocol
 
+from parsleyrouter.connection.service_contact import ServiceContact
 from parsleyrouter.ids import Revision
 
 __all__ = [
@@ -198,11 +199,14 @@
     """A key-value service with transactions over several keys and long-polled changes.
 
     ``call_counts`` counts the calls by kind since the process started; ``failing`` is set while
-    the latest call failed; the callbacks in ``on_failure`` run after each such call.
+    the latest call failed; the callbacks in ``on_failure`` run after each such call;
+    ``budget_waits_s`` holds how long the latest call of each kind waited for the call budget.
     """
 
     call_counts: Counter[str]
     failing: bool
+    contact: ServiceContact
+    budget_waits_s: dict[str, float]
     on_failure: list[Callable[[], object]]
 
     async def get(self, key: str) -> Entry | None | KeyValueFailure:
--- a/parsleyrouter/connection/key_value_client.py
+++ b/parsleyrouter/connection/key_value_client.py
@@ -1,5 +1,6 @@
 """Base of the key-value clients: call budget, metrics and failure handling."""
 
+import logging
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
@@ -10,6 +11,7 @@
 from parsleyrouter.connection.http import HttpReply, Sent, TransportFailure
 from parsleyrouter.connection.key_value import KeyValueFailure, KeyValueFailureKind
 from parsleyrouter.connection.key_value_metrics import KeyValueMetrics
+from parsleyrouter.connection.service_contact import ServiceContact
 from parsleyrouter.ids import Address
 from parsleyrouter.process.runtime import Runtime
 
@@ -22,6 +24,8 @@
 SERVER_ERROR_STATUS = 500
 WRITE_KINDS = frozenset({"swap", "delete", "grant", "revoke", "transact"})
 
+log = logging.getLogger(__name__)
+
 
 class KeyValueClient:
     """Make calls within the call budget of this process.
@@ -49,6 +53,9 @@
         """Calls by kind since the process started."""
         self.failing = False
         """Whether the latest call got no reply, or one that reports a failed service."""
+        self.contact = ServiceContact()
+        self.budget_waits_s: dict[str, float] = {}
+        """How long the latest call of each kind waited for the call budget."""
         self.on_failure: list[Callable[[], object]] = []
         """Callbacks that run after each such call."""
 
@@ -57,6 +64,7 @@
         reservation = self.budget.reserve(self.loop.now())
         if isinstance(reservation, BudgetRefusal):
             return self.count_failure(kind, _BUDGET_FAILURES[reservation])
+        self.budget_waits_s[kind] = reservation
         if reservation > 0:
             await self.loop.sleep(reservation)
         self.call_counts[kind] += 1
@@ -98,8 +106,7 @@
         if failure is not None:
             return self.handle_failure(kind, failure)
         assert isinstance(reply, HttpReply)
-        self.budget.record_success(self.loop.now())
-        self.failing = False
+        self._record_answer(kind, started_s)
         if not wait_s:
             self.metrics.seconds.observe(self.loop.now() - started_s)
         return reply
@@ -110,11 +117,23 @@
             self.budget.record_success(self.loop.now())
         else:
             self.budget.record_failure(self.loop.now())
+            self.contact.record_failure(self.loop.now())
             self.failing = True
             for callback in self.on_failure:
                 callback()
         return self.count_failure(kind, failure)
 
+    def _record_answer(self, kind: str, sent_s: float) -> None:
+        now = self.loop.now()
+        silent_s = now - self.contact.answered_s
+        self.budget.record_success(now)
+        self.failing = False
+        if self.contact.record_answer(sent_s, now):
+            log.warning(
+                "key-value service answers again",
+                extra={"kind": kind, "silent_s": round(silent_s, 3)},
+            )
+
     def count_failure(self, kind: str, failure: KeyValueFailure) -> KeyValueFailure:
         """Count a failure and return it."""
         self.metrics.failures.labels(kind, failure.kind.value).inc()
--- a/parsleyrouter/process/front.py
+++ b/parsleyrouter/process/front.py
@@ -3,6 +3,7 @@
 import logging
 import time
 from collections.abc import Iterable
+from functools import partial
 from random import Random
 
 import msgspec
@@ -29,6 +30,7 @@
 from parsleyrouter.process.quarantine_records import QUARANTINE_PREFIX
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.process.shared_job_store import JOBS_PREFIX
+from parsleyrouter.process.state_metrics import StateMetrics
 from parsleyrouter.process.token_ledger import SHARES_PREFIX, TokenLedger
 from parsleyrouter.request.submission import submission_retry_s
 
@@ -111,8 +113,12 @@
         endpoints.on_list, endpoints.on_change = self._on_endpoint_list, self._on_endpoint_change
         live = self._watcher(LIVE_PREFIX)
         live.on_list, live.on_change = self._on_live_list, self._on_live_change
+        metrics = StateMetrics.of(self.runtime.metrics)
         for watcher in (operator, endpoints, live):
             watcher.start()
+            age_s = partial(self.reader.answer_age_s, watcher.prefix)
+            metrics.age.labels(watcher.prefix).set_function(age_s)
+        metrics.deferred_removals.set_function(lambda: len(self.directory.missing))
         self.quarantine.start()
         self._check_missing()
         self.loop.call_later(CALL_LOG_INTERVAL_S, self._log_calls)
@@ -186,6 +192,8 @@
         endpoint = self.port.endpoint_of_key(change.key)
         if change.entry is None:
             self._forget_endpoints(self.directory.mark_removed(endpoint, self.loop.now()))
+            if endpoint in self.directory.missing:
+                self._log_endpoint(endpoint, "removal deferred")
             return
         found = self.port.decode_endpoint(change.entry)
         if found is None:
--- a/parsleyrouter/process/prefix_watcher.py
+++ b/parsleyrouter/process/prefix_watcher.py
@@ -52,6 +52,8 @@
         self.revision: Revision | None = None
         self.last_success_s = 0.0
         """When a read last succeeded; monotonic."""
+        self.sent_s = 0.0
+        """When the latest read began; monotonic."""
         self.failures = 0
 
     def start(self) -> None:
@@ -60,6 +62,7 @@
 
     async def _watch(self) -> None:
         while True:
+            self.sent_s = self.loop.now()
             if self.revision is None:
                 failure = await self._list()
             else:
@@ -121,10 +124,14 @@
         await self.loop.sleep(min(MAX_RETRY_S, RETRY_S * self.failures))
 
     def _fields(self) -> dict[str, object]:
-        age_s = round(self.loop.now() - self.last_success_s, 3)
+        now, store = self.loop.now(), self.reader.store
         return {
             "dependency": "key-value service",
             "prefix": self.prefix,
             "revision": self.revision,
-            "age_s": age_s,
+            "age_s": round(now - self.last_success_s, 3),
+            "read_s": round(now - self.sent_s, 3),
+            "budget_wait_s": round(store.budget_waits_s.get("changes", 0.0), 3),
+            # A long read beside a recent answer to another call: the read itself was lost.
+            "any_answer_s": round(now - store.contact.answered_s, 3),
         }
