Scenarios of state that stays old after trouble of the store, known to fail

After the store was silent, nodes act on changes up to 6.0 s later (bound 3 s): the read sent into the outage is lost and times out after 6 s. The stand-in learns resets; a store that never responds stands beside it.

--- a/features/support/front_fleet.py
+++ b/features/support/front_fleet.py
@@ -54,6 +54,9 @@
         self.runtime = runtime
         self.loop = runtime.loop
         self.store = PlatformStoreStandIn(runtime)
+        self.silent = PlatformStoreStandIn(runtime)
+        """A store that never responds."""
+        self.silent.faults.silent = True
         self.endpoints: dict[str, EndpointStandIn] = {}
         self.fronts: list[Front] = []
         self.options: list[FrontOptions] = []
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -43,6 +43,9 @@
     refuse: int = 0
     """Status with which every call is refused; 0 for none."""
     silent: bool = False
+    """Calls that arrive get no response, also after it is cleared."""
+    reset: bool = False
+    """Connections are closed when a call arrives."""
     lose_answers: int = 0
     """Number of next writes that are applied and whose connection is closed without a response."""
     delay_s: float = 0.0
@@ -117,6 +120,9 @@
             await self.loop.sleep(self.faults.delay_s)
         if self.faults.silent:
             await self.loop.sleep(30.0)
+        if self.faults.reset:
+            exchange.abort()
+            return
         if self.faults.refuse:
             exchange.reply(self.faults.refuse, (), b"")
             return
