Repeat reads of the store that were lost in an outage as soon as it answers again

A long poll that reaches the store while it is silent gets no reply; it timed out 6 s later, while renewals succeeded 0.1 s after the return. Ruled out by the lines added before: waits for the call budget (0.35 s at most).

Any answered call after a failed one, here or at another node, now abandons reads sent before the failure and repeats them at once; a read after a failed one returns at once; the read after a change waits for 1 s only, so that an outage too short for other calls to fail is bounded too. In exchange, the usual long poll takes 8 s instead of 5, with jitter.

--- a/parsleyrouter/connection/http_client.py
+++ b/parsleyrouter/connection/http_client.py
@@ -14,7 +14,7 @@
     Connector,
 )
 from parsleyrouter.ids import Address
-from parsleyrouter.process.loop import Loop
+from parsleyrouter.process.loop import Cancelled, Loop
 
 __all__ = ["HttpClient", "HttpExchange"]
 
@@ -78,7 +78,11 @@
         exchange = await self.begin(address, method, target, headers, body, new_connection)
         if isinstance(exchange, TransportFailure):
             return exchange
-        return await exchange.read_all(timeout_s)
+        try:
+            return await exchange.read_all(timeout_s)
+        except Cancelled:
+            exchange.cancel()
+            raise
 
     async def begin(
         self,
--- a/parsleyrouter/connection/key_value.py
+++ b/parsleyrouter/connection/key_value.py
@@ -199,7 +199,8 @@
     """A key-value service with transactions over several keys and long-polled changes.
 
     ``call_counts`` counts the calls by kind since the process started; ``failing`` is set while
-    the latest call failed; the callbacks in ``on_failure`` run after each such call;
+    the latest call failed; the callbacks in ``on_failure`` run after each such call, those in
+    ``on_recovery`` after the first answered call after a failed one, here or at another node;
     ``budget_waits_s`` holds how long the latest call of each kind waited for the call budget.
     """
 
@@ -208,6 +209,7 @@
     contact: ServiceContact
     budget_waits_s: dict[str, float]
     on_failure: list[Callable[[], object]]
+    on_recovery: list[Callable[[], object]]
 
     async def get(self, key: str) -> Entry | None | KeyValueFailure:
         """Read one key."""
--- a/parsleyrouter/connection/key_value_client.py
+++ b/parsleyrouter/connection/key_value_client.py
@@ -58,6 +58,8 @@
         """How long the latest call of each kind waited for the call budget."""
         self.on_failure: list[Callable[[], object]] = []
         """Callbacks that run after each such call."""
+        self.on_recovery: list[Callable[[], object]] = []
+        """Callbacks that run after the first answered call after a failed one."""
 
     async def wait_for_budget(self, kind: str) -> KeyValueFailure | None:
         """Wait until the budget allows the call, then count it."""
@@ -133,6 +135,8 @@
                 "key-value service answers again",
                 extra={"kind": kind, "silent_s": round(silent_s, 3)},
             )
+            for callback in self.on_recovery:
+                callback()
 
     def count_failure(self, kind: str, failure: KeyValueFailure) -> KeyValueFailure:
         """Count a failure and return it."""
--- a/parsleyrouter/process/cell_reader.py
+++ b/parsleyrouter/process/cell_reader.py
@@ -25,6 +25,7 @@
 from parsleyrouter.ids import Address, NodeId, Revision
 from parsleyrouter.process.cell_members import CellMembers
 from parsleyrouter.process.condition import Condition
+from parsleyrouter.process.direct_reads import DirectReads
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.watched_prefix import WatchedPrefix
 from parsleyrouter.thrift_gen.nodes.ttypes import AskFollowed, Followed, FollowedKey
@@ -92,6 +93,8 @@
         self.direct_retry_at_s: dict[str, float] = {}
         self.source = ""
         self.started_s = loop.now()
+        self.direct = DirectReads(loop, store)
+        store.on_recovery.append(self.direct_retry_at_s.clear)
         store.on_failure.append(lambda: self._record_failure(loop.now()))
         self.on_failure: list[Callable[[float], object]] = []
         """Called with the time of each failed call to the service, made here or by the leader."""
@@ -141,7 +144,7 @@
         if refused is not None:
             return refused
         wait_s = min(wait_s, self._max_wait_s())
-        page = await self.store.changes(prefix, after, wait_s)
+        page = await self.direct.changes(prefix, after, wait_s)
         self._record_answer(prefix, page)
         return page
 
--- a/parsleyrouter/process/load_exchange.py
+++ b/parsleyrouter/process/load_exchange.py
@@ -190,6 +190,9 @@
         ]
         if received.node is not None:
             report, info = received.node
+            former = self.loads.fleet.nodes.get(report.node)
+            if report.store_failing and not (former and former.store_failing):
+                self.registry.store.contact.record_failure(self.loop.now())
             applied.append(self.loads.fleet.apply_node(report))
             if applied[-1] and info is not None:
                 self.members.reported_nodes[info.node] = info
--- a/parsleyrouter/process/prefix_watcher.py
+++ b/parsleyrouter/process/prefix_watcher.py
@@ -15,10 +15,18 @@
 
 __all__ = ["PrefixWatcher"]
 
-CHANGES_WAIT_S = 5.0
+CHANGES_WAIT_S = 8.0
 """Long-poll time of a read of changes; long, since each read is billed. Keep-alive probes of the
 connection detect earlier that it is dead."""
 
+CHANGES_WAIT_JITTER = 0.2
+"""Largest deviation from the long-poll time as a fraction of it, so that the reads of nodes which
+saw the same change do not all end in the same short outage."""
+
+CONFIRM_WAIT_S = 1.0
+"""Long-poll time of the read after a change: changes come in series, and a read that is lost in an
+outage too short for other calls to fail is noticed by its time-out only."""
+
 RETRY_S = 0.1
 MAX_RETRY_S = 0.5
 """First and longest pause between failing calls, below the time in which changes must apply."""
@@ -55,6 +63,8 @@
         self.sent_s = 0.0
         """When the latest read began; monotonic."""
         self.failures = 0
+        self.changed = True
+        """Whether the latest read returned changes."""
 
     def start(self) -> None:
         """Start watching."""
@@ -97,19 +107,29 @@
         return None
 
     async def _read_changes(self, revision: Revision) -> KeyValueFailure | None:
-        page = await self.reader.changes(self.prefix, revision, CHANGES_WAIT_S)
+        page = await self.reader.changes(self.prefix, revision, self._wait_s())
         if isinstance(page, KeyValueFailure):
             return page
         if isinstance(page, HistoryCompacted):
             log.warning("history lost, listing anew", extra=self._fields())
             self.revision = None
             return None
+        self.changed = bool(page.changes)
         for change in page.changes:
             self._deliver(lambda change=change: self.on_change(change))  # type: ignore[misc]
         self.revision = max(page.revision, revision)
         self.watched.apply(page.changes, self.revision)
         return None
 
+    def _wait_s(self) -> float:
+        """Return the long-poll time of the next read; a read after a failed one returns at once."""
+        if self.failures:
+            return 0.0
+        if self.changed:
+            return CONFIRM_WAIT_S
+        jitter = self.reader.random.uniform(-CHANGES_WAIT_JITTER, CHANGES_WAIT_JITTER)
+        return CHANGES_WAIT_S * (1 + jitter)
+
     def _deliver(self, call: Callable[[], object]) -> None:
         try:
             call()
