Do not take time-outs of calls lost in an outage for a new outage

After an outage, calls that were sent into it time out one after the other.

The check that nodes which ask each other do not believe old answers asserted that both read from the store.

--- a/features/large_fleet.feature
+++ b/features/large_fleet.feature
@@ -38,7 +38,7 @@
   Scenario: nodes that take each other for the leader do not believe each other's old answers
     Given a large fleet of a few nodes that are divided into cells
     When two nodes ask each other while neither reads from the store
-    Then both read from the store within three seconds
+    Then both have routes that change meanwhile within three seconds
 
   Scenario: reads do not accumulate at a leader while nothing changes
     Given a large fleet of a few nodes that are divided into cells
--- a/features/state_age.feature
+++ b/features/state_age.feature
@@ -20,3 +20,18 @@
       | divided | is silent                         | 4.0     |
       | divided | refuses all calls                 | 2.6     |
       | divided | is silent to one node             | 2.6     |
+
+  Scenario: a call that was lost in an outage defers no removal once the store has answered again
+    Given a fleet of few nodes
+    When the store is silent for a moment and an endpoint is removed when nodes count as in touch again
+    Then no node uses the endpoint for longer than it may be used after it left
+
+  Scenario: the time-out of a call that was lost in an outage is not taken for another outage
+    Given a fleet of few nodes
+    When a call is lost in an outage and times out after others have been answered
+    Then the store does not count as failing, and the next call waits for no back-off
+
+  Scenario: calls tell which other calls are lost
+    When calls are answered, time out and fail in any order around outages
+    Then each call sent in an outage is reported by the first answer after it or by a time-out
+    And no call sent after the outage is reported by a call that was sent after it too
--- a/features/steps/state_age_steps.py
+++ b/features/steps/state_age_steps.py
@@ -1,15 +1,20 @@
 """Steps for the age of the state that nodes read from the store."""
 
 from collections.abc import Callable
+from itertools import accumulate
 from typing import Any
 
 import msgspec
 from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import strategies as st
 
 import parsleyrouter.process.cells as cells
 from features.steps.cell_reader_steps import start_cells
 from features.steps.front_requests_steps import run_with_fleet
 from features.support.front_fleet import FrontFleet, routes
+from parsleyrouter.connection.key_value import KeyValueFailure
+from parsleyrouter.connection.service_contact import SendWindow, ServiceContact
 from parsleyrouter.ids import Address, DomainName, EndpointId, NodeId
 from parsleyrouter.process.cell_reader import CHANGES_WAIT_S, DISCOVERY_S
 from parsleyrouter.process.front import Front
@@ -18,6 +23,9 @@
 CONTACT_S = 3.0
 """Time after trouble of the store from which a node counts as in touch again."""
 
+DRAIN_S = 2.0
+"""Time after an acknowledged removal from which an endpoint may get no request."""
+
 Trouble = Callable[[FrontFleet, bool], None]
 TROUBLES: dict[str, Trouble] = {}
 
@@ -123,3 +131,98 @@
 @then("every node acts on all of them before it counts as in touch again")
 def step_in_touch(context: Any) -> None:
     assert context.took_s < CONTACT_S, context.took_s
+
+
+@when(
+    "the store is silent for a moment and an endpoint is removed when nodes count as in touch again"
+)
+def step_remove_after(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        fleet.register("e1")
+        await fleet.start(2)
+        await fleet.loop.sleep(DISCOVERY_S + CHANGES_WAIT_S)
+        fleet.store.faults.silent = True
+        change_all(fleet, 2)
+        await fleet.loop.sleep(1.3)
+        fleet.store.faults.silent = False
+        await fleet.loop.sleep(CONTACT_S)
+        fleet.store.remove("servers/e1")
+        removed_s = fleet.loop.now()
+        await fleet.until(lambda: not any(one.directory.endpoints for one in fleet.fronts))
+        context.took_s = fleet.loop.now() - removed_s
+
+    run_with_fleet(context, scenario)
+
+
+@then("no node uses the endpoint for longer than it may be used after it left")
+def step_not_used(context: Any) -> None:
+    assert context.took_s < DRAIN_S, context.took_s
+
+
+@when("a call is lost in an outage and times out after others have been answered")
+def step_late_timeout(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        front = await fleet.start(1)
+        await fleet.loop.sleep(0.5)
+        fleet.store.faults.silent = True
+        lost = fleet.loop.spawn(front.store.get("key"))
+        await fleet.loop.sleep(0.05)
+        fleet.store.faults.silent = False
+        assert await front.store.get("key") is None
+        assert isinstance(await lost, KeyValueFailure)
+        context.failing = front.store.failing
+        context.blocked_until_s = front.store.budget.blocked_until_s  # type: ignore[attr-defined]
+
+    run_with_fleet(context, scenario)
+
+
+@then("the store does not count as failing, and the next call waits for no back-off")
+def step_not_failing(context: Any) -> None:
+    assert not context.failing
+    assert context.blocked_until_s == 0.0
+
+
+@when("calls are answered, time out and fail in any order around outages")
+def step_contact(context: Any) -> None:
+    context.cases = []
+    gaps = st.lists(st.floats(0.05, 2.0), min_size=2, max_size=12)
+
+    @for_all(gaps, st.floats(0.2, 6.0), st.floats(0.05, 1.0))
+    def check(pauses: list[float], outage_s: float, timeout_s: float) -> None:
+        contact = ServiceContact()
+        sent = list(accumulate(pauses))
+        begins_s = sent[0] + 0.01
+        ends_s = begins_s + outage_s
+        sent.append(max(sent[-1], ends_s) + 0.5)
+        events = []
+        for at_s in sent:
+            lost = begins_s <= at_s < ends_s
+            events.append((at_s + (timeout_s if lost else 0.001), at_s, lost))
+        windows = []
+        for now, at_s, lost in sorted(events):
+            if not lost:
+                window = contact.record_answer(at_s, now)
+            elif contact.is_outdated(at_s):
+                window = SendWindow(at_s - timeout_s, at_s + timeout_s)
+            else:
+                window = None
+                contact.record_failure(now)
+            if window is not None:
+                windows.append((at_s, window))
+        context.cases.append(([one for _, one, lost in events if lost], ends_s, windows))
+
+    check()
+
+
+@then("each call sent in an outage is reported by the first answer after it or by a time-out")
+def step_all_lost(context: Any) -> None:
+    for lost, _, windows in context.cases:
+        for sent_s in lost:
+            assert any(sent_s in window for _, window in windows), (lost, windows)
+
+
+@then("no call sent after the outage is reported by a call that was sent after it too")
+def step_none_later(context: Any) -> None:
+    for _, ends_s, windows in context.cases:
+        for sent_s, window in windows:
+            assert sent_s < ends_s or window.before_s <= sent_s, windows
--- a/features/support/load_exchange_fleet.py
+++ b/features/support/load_exchange_fleet.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+from parsleyrouter.connection.service_contact import ServiceContact
 from parsleyrouter.ids import Address, CellId, DomainName, EndpointId, NodeId
 from parsleyrouter.process.endpoint_loads import EndpointLoads
 from parsleyrouter.process.load_exchange import LoadExchange
@@ -37,7 +38,7 @@
                 recent_nodes=lambda: dict(nodes),
                 leaving=False,
                 named_until_s=0.0,
-                store=SimpleNamespace(failing=False),
+                store=SimpleNamespace(failing=False, contact=ServiceContact()),
             )
             routes: Any = SimpleNamespace(version=1)
             exchange = LoadExchange(self.loop, EndpointLoads(Random(node)), registry, routes)
--- a/parsleyrouter/connection/key_value.py
+++ b/parsleyrouter/connection/key_value.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from typing import Protocol
 
-from parsleyrouter.connection.service_contact import ServiceContact
+from parsleyrouter.connection.service_contact import SendWindow, ServiceContact
 from parsleyrouter.ids import Revision
 
 __all__ = [
@@ -199,8 +199,9 @@
     """A key-value service with transactions over several keys and long-polled changes.
 
     ``call_counts`` counts the calls by kind since the process started; ``failing`` is set while
-    the latest call failed; the callbacks in ``on_failure`` run after each such call, those in
-    ``on_recovery`` after the first answered call after a failed one, here or at another node;
+    the latest call failed; the callbacks in ``on_failure`` run after each such call; those in
+    ``on_lost`` get the times at which calls were sent that will probably never be answered, once
+    the service answers again;
     ``budget_waits_s`` holds how long the latest call of each kind waited for the call budget.
     """
 
@@ -209,7 +210,7 @@
     contact: ServiceContact
     budget_waits_s: dict[str, float]
     on_failure: list[Callable[[], object]]
-    on_recovery: list[Callable[[], object]]
+    on_lost: list[Callable[[SendWindow], object]]
 
     async def get(self, key: str) -> Entry | None | KeyValueFailure:
         """Read one key."""
--- a/parsleyrouter/connection/key_value_client.py
+++ b/parsleyrouter/connection/key_value_client.py
@@ -11,7 +11,7 @@
 from parsleyrouter.connection.http import HttpReply, Sent, TransportFailure
 from parsleyrouter.connection.key_value import KeyValueFailure, KeyValueFailureKind
 from parsleyrouter.connection.key_value_metrics import KeyValueMetrics
-from parsleyrouter.connection.service_contact import ServiceContact
+from parsleyrouter.connection.service_contact import SendWindow, ServiceContact
 from parsleyrouter.ids import Address
 from parsleyrouter.process.runtime import Runtime
 
@@ -58,8 +58,8 @@
         """How long the latest call of each kind waited for the call budget."""
         self.on_failure: list[Callable[[], object]] = []
         """Callbacks that run after each such call."""
-        self.on_recovery: list[Callable[[], object]] = []
-        """Callbacks that run after the first answered call after a failed one."""
+        self.on_lost: list[Callable[[SendWindow], object]] = []
+        """Callbacks that get when calls were sent that will probably never be answered."""
 
     async def wait_for_budget(self, kind: str) -> KeyValueFailure | None:
         """Wait until the budget allows the call, then count it."""
@@ -105,6 +105,11 @@
             timeout_s=self.timeout_s + wait_s,
         )
         failure = failure_of_reply(reply, kind, self.not_applied_statuses)
+        timed_out = failure is not None and failure.kind is KeyValueFailureKind.TIMEOUT
+        if failure is not None and timed_out and self.contact.is_outdated(started_s):
+            # Neither starts a back-off nor defers anything: the service has answered since.
+            self._report_lost(SendWindow(started_s - self.timeout_s, started_s + self.timeout_s))
+            return self.count_failure(kind, failure)
         if failure is not None:
             return self.handle_failure(kind, failure)
         assert isinstance(reply, HttpReply)
@@ -130,13 +135,15 @@
         silent_s = now - self.contact.answered_s
         self.budget.record_success(now)
         self.failing = False
-        if self.contact.record_answer(sent_s, now):
-            log.warning(
-                "key-value service answers again",
-                extra={"kind": kind, "silent_s": round(silent_s, 3)},
-            )
-            for callback in self.on_recovery:
-                callback()
+        lost = self.contact.record_answer(sent_s, now)
+        if lost is not None:
+            fields = {"kind": kind, "silent_s": round(silent_s, 3)}
+            log.warning("key-value service answers again", extra=fields)
+            self._report_lost(lost)
+
+    def _report_lost(self, window: SendWindow) -> None:
+        for callback in self.on_lost:
+            callback(window)
 
     def count_failure(self, kind: str, failure: KeyValueFailure) -> KeyValueFailure:
         """Count a failure and return it."""
--- a/parsleyrouter/connection/service_contact.py
+++ b/parsleyrouter/connection/service_contact.py
@@ -8,7 +8,18 @@
 import math
 from dataclasses import dataclass
 
-__all__ = ["ServiceContact"]
+__all__ = ["SendWindow", "ServiceContact"]
+
+
+@dataclass(frozen=True)
+class SendWindow:
+    """Calls that were sent after ``after_s`` and before ``before_s``."""
+
+    after_s: float
+    before_s: float
+
+    def __contains__(self, sent_s: float) -> bool:
+        return self.after_s < sent_s < self.before_s
 
 
 @dataclass
@@ -21,20 +32,17 @@
     doubted_s: float = -math.inf
     """When a call last failed, here or at another node."""
 
-    def record_answer(self, sent_s: float, now: float) -> bool:
-        """Record an answered call; return whether it is the first one after a failure."""
+    def record_answer(self, sent_s: float, now: float) -> SendWindow | None:
+        """Record an answered call; return which pending ones are lost if it is the first again."""
         recovered = self.doubted_s > self.answered_s
         self.answered_s = now
         self.answered_sent_s = max(self.answered_sent_s, sent_s)
-        return recovered
+        return SendWindow(-math.inf, sent_s) if recovered else None
 
     def record_failure(self, now: float) -> None:
         """Record a call that failed, here or at another node."""
         self.doubted_s = now
 
-    def is_lost(self, sent_s: float) -> bool:
-        """Return whether a call that is still unanswered was probably lost in an outage.
-
-        That is so if another call failed after it was sent, and one was answered since.
-        """
-        return sent_s < self.doubted_s <= self.answered_s
+    def is_outdated(self, sent_s: float) -> bool:
+        """Return whether a time-out tells of the past: a call that was sent later was answered."""
+        return sent_s < self.answered_sent_s
--- a/parsleyrouter/process/cell_reader.py
+++ b/parsleyrouter/process/cell_reader.py
@@ -94,7 +94,7 @@
         self.source = ""
         self.started_s = loop.now()
         self.direct = DirectReads(loop, store)
-        store.on_recovery.append(self.direct_retry_at_s.clear)
+        store.on_lost.append(lambda _: self.direct_retry_at_s.clear())
         store.on_failure.append(lambda: self._record_failure(loop.now()))
         self.on_failure: list[Callable[[float], object]] = []
         """Called with the time of each failed call to the service, made here or by the leader."""
--- a/parsleyrouter/process/direct_reads.py
+++ b/parsleyrouter/process/direct_reads.py
@@ -2,6 +2,7 @@
 
 import logging
 from dataclasses import dataclass
+from functools import partial
 
 from parsleyrouter.connection.key_value import (
     ChangePage,
@@ -9,6 +10,7 @@
     KeyValueFailure,
     TransactionalKeyValue,
 )
+from parsleyrouter.connection.service_contact import SendWindow
 from parsleyrouter.ids import Revision
 from parsleyrouter.process.loop import Cancelled, Loop, Task
 
@@ -34,7 +36,7 @@
         self.store = store
         self.pending: dict[str, _PendingRead] = {}
         # The answered call may itself be a read, which must end before lost ones are sought.
-        store.on_recovery.append(lambda: loop.call_soon(self._abandon_lost))
+        store.on_lost.append(lambda window: loop.call_soon(partial(self._abandon_lost, window)))
 
     async def changes(self, prefix: str, after: Revision, wait_s: float) -> ReadResult:
         """Read the changes after a revision, again without waiting if the read is abandoned."""
@@ -60,7 +62,7 @@
             log.warning("read of changes abandoned", extra=fields | {"reason": reason})
             read.task.cancel()
 
-    def _abandon_lost(self) -> None:
+    def _abandon_lost(self, window: SendWindow) -> None:
         for prefix, read in list(self.pending.items()):
-            if self.store.contact.is_lost(read.sent_s):
-                self.abandon(prefix, "the service did not answer after it was sent")
+            if read.sent_s in window:
+                self.abandon(prefix, "the service did not answer calls sent at that time")
