Send nothing new to an endpoint that says in an answer that it leaves

An endpoint that leaves says so in all its answers (Server-Leaving). Nothing read it: callers' requests went on to reach it for as long as the registration was read as ready, in an outage for its whole length. The mark is kept by id and start in the directory, beside the registrations, so that a listing that says ready, an expired registration or an outage does not end it; a later start does. It holds for retries, resumed streams and batch items, since all choose from the directory. Answers of another endpoint at the address (421) do not count.

--- a/features/support/platform_endpoint.py
+++ b/features/support/platform_endpoint.py
@@ -47,6 +47,8 @@
     default_behaviour: Behaviour | None = None
     arrivals: list[Arrival] = field(default_factory=list)
     server: Any = None
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    """Further headers of all answers."""
 
     def start(self) -> "EndpointStandIn":
         bind = Address("127.0.0.1:0")
@@ -67,6 +69,7 @@
             (b"X-Attempt-Id", name),
             (b"X-Response-Signature", proof),
             (b"X-Server-Load", load),
+            *self.headers,
         ]
 
     async def _answer(self, exchange: CallerExchange) -> None:
@@ -87,7 +90,7 @@
         exchange.on_disconnect = gone
         expected = arrival.header("X-Expect-Instance")
         if expected is not None and expected != self.name:
-            exchange.reply(421, [(b"X-Instance-Id", self.name.encode())], b"")
+            exchange.reply(421, [(b"X-Instance-Id", self.name.encode()), *self.headers], b"")
             return
         behaviour = self.behaviours.pop(0) if self.behaviours else self.default_behaviour or stream
         await behaviour(self, exchange, arrival)
@@ -132,7 +135,7 @@
 
 async def shed(endpoint: EndpointStandIn, exchange: CallerExchange, arrival: Arrival) -> None:
     """Refuse without executing the request."""
-    exchange.reply(503, [(b"X-Not-Executed", b"1")], b"")
+    exchange.reply(503, [(b"X-Not-Executed", b"1"), *endpoint.headers], b"")
 
 
 async def silent(endpoint: EndpointStandIn, exchange: CallerExchange, arrival: Arrival) -> None:
--- a/parsleyrouter/platform/headers.py
+++ b/parsleyrouter/platform/headers.py
@@ -18,6 +18,7 @@
     signature="x-response-signature",
     # Running, waiting and slots of an endpoint, separated by commas.
     load="x-server-load",
+    leaving="server-leaving",
     model="x-model",
     # Prompt tokens and maximum output tokens, separated by a comma.
     tokens="x-token-usage",
--- /dev/null
+++ b/parsleyrouter/process/answer_heads.py
@@ -0,0 +1,31 @@
+"""Record what endpoints say about themselves in the heads of their answers."""
+
+import logging
+
+from parsleyrouter.connection.endpoint_client import EndpointExchange
+from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
+from parsleyrouter.process.forward_context import ForwardContext
+
+__all__ = ["MISDIRECTED_STATUS", "record_head"]
+
+MISDIRECTED_STATUS = 421
+
+log = logging.getLogger(__name__)
+
+
+def record_head(
+    context: ForwardContext, registration: RegisteredEndpoint, exchange: EndpointExchange
+) -> None:
+    """Record activity, load and leaving of the endpoint that sent an answer's head."""
+    now, endpoint = context.loop.now(), registration.endpoint
+    context.loads.record_activity(endpoint, now)
+    if exchange.status == MISDIRECTED_STATUS:
+        # Another endpoint has taken over the address.
+        return
+    headers, names = exchange.headers, context.names
+    counts = headers.get(names.load, "").split(",")
+    if len(counts) == 3 and counts[0].isdigit() and counts[1].isdigit():
+        context.loads.record_report(endpoint, int(counts[0]) + int(counts[1]), now)
+    if headers.get(names.leaving) == "1" and context.directory.mark_leaving(registration, now):
+        fields = {"endpoint": endpoint, "state": "leaving", "request": exchange.request}
+        log.info("endpoint changed", extra=fields)
--- a/parsleyrouter/process/endpoint_directory.py
+++ b/parsleyrouter/process/endpoint_directory.py
@@ -30,6 +30,10 @@
     cold_remaining_s: float = 0.0
 
 
+LEAVING_RETENTION_S = 3600.0
+"""How long an endpoint's own word that it leaves is kept; registrations lag by seconds."""
+
+
 @dataclass
 class EndpointDirectory:
     """Hold the registrations in force; times are monotonic seconds."""
@@ -37,6 +41,11 @@
     endpoints: dict[EndpointId, RegisteredEndpoint] = field(default_factory=dict)
     missing: set[EndpointId] = field(default_factory=set)
     removals_deferred_until_s: float = 0.0
+    said_leaving: dict[EndpointId, tuple[int, float]] = field(default_factory=dict)
+    """The start of each endpoint that said in an answer that it leaves, and when it said so.
+
+    Kept beyond the registration, which may still, or again, be read as that of a ready endpoint.
+    """
 
     def record_store_failure(self, now: float) -> None:
         """Defer removals, since registrations may expire while the store does not answer."""
@@ -82,5 +91,20 @@
         return [
             entry
             for entry in self.endpoints.values()
-            if entry.service == service and not entry.leaving
+            if entry.service == service and not self.is_leaving(entry)
         ]
+
+    def mark_leaving(self, entry: RegisteredEndpoint, now: float) -> bool:
+        """Keep that an endpoint said that it leaves; return whether this is new."""
+        said = self.said_leaving.get(entry.endpoint)
+        if said is not None and entry.started_ms <= said[0]:
+            return False
+        since_s = now - LEAVING_RETENTION_S
+        kept = {name: one for name, one in self.said_leaving.items() if one[1] > since_s}
+        self.said_leaving = kept | {entry.endpoint: (entry.started_ms, now)}
+        return not entry.leaving
+
+    def is_leaving(self, entry: RegisteredEndpoint) -> bool:
+        """Return whether an endpoint leaves, by its registration or an answer since its start."""
+        said = self.said_leaving.get(entry.endpoint)
+        return entry.leaving or (said is not None and entry.started_ms <= said[0])
--- a/parsleyrouter/process/forward_attempt.py
+++ b/parsleyrouter/process/forward_attempt.py
@@ -8,6 +8,7 @@
 from parsleyrouter.connection.http import Sent, TransportFailure
 from parsleyrouter.connection.sse import EventSplitter, is_event_stream, last_event_id
 from parsleyrouter.ids import EndpointId
+from parsleyrouter.process.answer_heads import MISDIRECTED_STATUS, record_head
 from parsleyrouter.process.crash_monitor import RunningRequest
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
 from parsleyrouter.process.forward_context import ForwardContext, ForwardSink, ResponseTimeouts
@@ -20,7 +21,6 @@
 
 __all__ = ["ForwardAttempt"]
 
-MISDIRECTED_STATUS = 421
 MAX_BUFFERED_RESPONSE_BYTES = 256 * 1024
 """Responses of safe requests up to this size are buffered, so that a failed one can be retried."""
 
@@ -112,10 +112,9 @@
         failure = await exchange.wait_headers(self.timeouts.first_byte_s)
         if failure is not None:
             return self._transport_failure(failure)
-        self.context.loads.record_activity(self.endpoint, self.context.loop.now())
         self.status = exchange.status
         self.running.began_s = self.context.loop.now()
-        self._record_reported_load(exchange)
+        record_head(self.context, self.registration, exchange)
         rejection = await self._check_response(exchange)
         if rejection is not None:
             return rejection
@@ -125,13 +124,6 @@
             return await self._forward_events(exchange)
         return await self._forward_body(exchange)
 
-    def _record_reported_load(self, exchange: EndpointExchange) -> None:
-        """Record the number of requests that the endpoint reports in its load header."""
-        counts = exchange.headers.get(self.context.names.load, "").split(",")
-        if len(counts) == 3 and counts[0].isdigit() and counts[1].isdigit():
-            present = int(counts[0]) + int(counts[1])
-            self.context.loads.record_report(self.endpoint, present, self.context.loop.now())
-
     def _send(self, exchange: EndpointExchange) -> None:
         request = self.request
         remaining_s = request.deadline_s - self.context.loop.now()
--- a/parsleyrouter/process/forward_context.py
+++ b/parsleyrouter/process/forward_context.py
@@ -6,6 +6,7 @@
 
 from parsleyrouter.connection.endpoint_client import EndpointClient, RawHeaders
 from parsleyrouter.process.crash_monitor import CrashMonitor
+from parsleyrouter.process.endpoint_directory import EndpointDirectory
 from parsleyrouter.process.endpoint_loads import EndpointLoads
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.request.crash_evidence import Prompt
@@ -44,5 +45,6 @@
     loads: EndpointLoads
     names: HeaderNames
     crashes: CrashMonitor
+    directory: EndpointDirectory
     shared_parts: Callable[[str], Prompt]
     """Return the parts of a prompt, as a header names them, that other requests may share."""
--- a/parsleyrouter/process/front.py
+++ b/parsleyrouter/process/front.py
@@ -95,7 +95,13 @@
         self.quarantine = QuarantineKeeper(self.loop, self.store, self.exchange, self.rng)
         crashes = CrashMonitor(self.loop, runtime.connector, self.directory, self.quarantine)
         self.forward_context = ForwardContext(
-            self.loop, client, self.loads, port.headers, crashes, port.shared_parts
+            self.loop,
+            client,
+            self.loads,
+            port.headers,
+            crashes,
+            self.directory,
+            port.shared_parts,
         )
         self.reader = CellReader(
             self.loop, self.store, self.exchange.members, runtime.peers, self.rng
--- a/parsleyrouter/request/forwarded_request.py
+++ b/parsleyrouter/request/forwarded_request.py
@@ -45,6 +45,8 @@
     signature: str
     """Proves that a response was sent by the endpoint itself."""
     load: str
+    leaving: str
+    """Set to 1 by an endpoint that leaves."""
     model: str
     tokens: str
     prefix: str
