Refuse a listing of a leader that is older than what the node knows

After its history is lost a node of a divided fleet lists anew at its leader. A leader that lags gave an older listing, which replaced newer registrations: an endpoint known as leaving got requests again. Such a listing is refused now and read from the service.

--- a/features/state_age.feature
+++ b/features/state_age.feature
@@ -35,3 +35,8 @@
     When calls are answered, time out and fail in any order around outages
     Then each call sent in an outage is reported by the first answer after it or by a time-out
     And no call sent after the outage is reported by a call that was sent after it too
+
+  Scenario: a listing of a leader that lags replaces no newer state
+    Given a fleet of divided nodes
+    When a node that knows of a leaving endpoint lists anew and its leader lags behind
+    Then the endpoint counts as leaving there all the time
--- a/features/steps/state_age_steps.py
+++ b/features/steps/state_age_steps.py
@@ -159,6 +159,33 @@
     assert context.took_s < DRAIN_S, context.took_s
 
 
+@when("a node that knows of a leaving endpoint lists anew and its leader lags behind")
+def step_lagging_leader(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        leaders, others = await start_cells(fleet)
+        lagging = leaders[0].reader.watched_prefix("servers/")
+        former, revision = dict(lagging.entries), lagging.revision
+        node = next(one for one in others if one.reader.source == leaders[0].registry.own.node)
+        fleet.announce("e1", state="draining")
+        endpoint = EndpointId("e1")
+        await fleet.until(lambda: node.directory.endpoints[endpoint].leaving)
+        lagging.replace(former.values(), revision)
+        lagging.apply = lambda *_: None  # type: ignore[method-assign]
+        watcher = next(one for one in node.watchers if one.prefix == "servers/")
+        watcher.revision = None
+        context.seen = []
+        for _ in range(100):
+            await fleet.loop.sleep(0.02)
+            context.seen.append(node.directory.endpoints[endpoint].leaving)
+
+    run_with_fleet(context, scenario)
+
+
+@then("the endpoint counts as leaving there all the time")
+def step_still_leaving(context: Any) -> None:
+    assert all(context.seen)
+
+
 @when("a call is lost in an outage and times out after others have been answered")
 def step_late_timeout(context: Any) -> None:
     async def scenario(fleet: FrontFleet) -> None:
--- a/parsleyrouter/process/cell_reader.py
+++ b/parsleyrouter/process/cell_reader.py
@@ -172,9 +172,7 @@
         if reason:
             if isinstance(answer, PeerFailure):
                 self.peers.close(address)
-            self.leader_retry_at_s = self.loop.now() + LEADER_RETRY_S * self.random.uniform(
-                0.7, 1.3
-            )
+            self.distrust_leader()
             self._set_source("service", reason)
             return None
         assert isinstance(answer, Followed)
@@ -185,6 +183,11 @@
             self._record_failure(self.loop.now() - answer.failed_ms / 1000)
         return answer
 
+    def distrust_leader(self) -> None:
+        """Read directly for a while."""
+        pause_s = LEADER_RETRY_S * self.random.uniform(0.7, 1.3)
+        self.leader_retry_at_s = self.loop.now() + pause_s
+
     def pause_s(self, usual_s: float) -> float:
         """Return the pause between reads of a prefix: longer on standby, where few callers come."""
         return max(usual_s, STANDBY_PAUSE_S) if usual_s and self.members.on_standby else usual_s
--- a/parsleyrouter/process/front.py
+++ b/parsleyrouter/process/front.py
@@ -107,6 +107,7 @@
             self.loop, self.store, self.exchange.members, runtime.peers, self.rng
         )
         self.reader.on_failure.append(self.directory.record_store_failure)
+        self.watchers: tuple[PrefixWatcher, ...] = ()
         self.worker: JobWorker
         self.peers: PeerServer
 
@@ -120,7 +121,8 @@
         live = self._watcher(LIVE_PREFIX)
         live.on_list, live.on_change = self._on_live_list, self._on_live_change
         metrics = StateMetrics.of(self.runtime.metrics)
-        for watcher in (operator, endpoints, live):
+        self.watchers = (operator, endpoints, live)
+        for watcher in self.watchers:
             watcher.start()
             age_s = partial(self.reader.answer_age_s, watcher.prefix)
             metrics.age.labels(watcher.prefix).set_function(age_s)
--- a/parsleyrouter/process/prefix_watcher.py
+++ b/parsleyrouter/process/prefix_watcher.py
@@ -8,6 +8,7 @@
     HistoryCompacted,
     KeyChange,
     KeyValueFailure,
+    KeyValueFailureKind,
 )
 from parsleyrouter.ids import Revision
 from parsleyrouter.process.cell_reader import CellReader
@@ -101,6 +102,10 @@
             if not page.more or not page.entries:
                 break
             after = page.entries[-1].key
+        if revision is not None and revision < (self.watched.revision or 0):
+            self.reader.distrust_leader()
+            message = f"the listing is of revision {revision}, before what is known here"
+            return KeyValueFailure(KeyValueFailureKind.UNAVAILABLE, message)
         self.revision = revision
         self.watched.replace(entries, revision)
         self._deliver(lambda: self.on_list(entries))
