Read again what another node has known for a while and this one has not

A read whose answer is lost while no other call of the node fails was noticed by its time-out only, after up to 10 s. Nodes now report the revision of the latest change that they know, by prefix, in the reports that hold their addresses; a node that has lacked one for 0.3 s beside the pause of its reads gives up its read and reads directly. The methods for other nodes of a cell move to a file of their own.

--- a/features/state_age.feature
+++ b/features/state_age.feature
@@ -21,6 +21,20 @@
       | divided | refuses all calls                 | 2.6     |
       | divided | is silent to one node             | 2.6     |
 
+  Scenario: a node that lost the answer to a read learns of the change from other nodes
+    Given a fleet of few nodes
+    When the answers of one node's reads are lost while no call fails, and all state changes
+    Then every node acts on all of them before the bound of changes of the configuration
+
+  Scenario: reads of changes do not wait behind other calls
+    Given a fleet of few nodes
+    When a node makes more calls than its budget allows and all state changes
+    Then every node acts on all of them before the bound of changes of the configuration
+
+  Scenario: the longest time until state is current is below the bounds of the platform
+    When the waits from the end of an outage until a node has read all changes are added up
+    Then their sum is below the time after which it counts as in touch
+
   Scenario: a call that was lost in an outage defers no removal once the store has answered again
     Given a fleet of few nodes
     When the store is silent for a moment and an endpoint is removed when nodes count as in touch again
--- a/features/steps/state_age_steps.py
+++ b/features/steps/state_age_steps.py
@@ -16,13 +16,24 @@
 from parsleyrouter.connection.key_value import KeyValueFailure
 from parsleyrouter.connection.service_contact import SendWindow, ServiceContact
 from parsleyrouter.ids import Address, DomainName, EndpointId, NodeId
-from parsleyrouter.process.cell_reader import CHANGES_WAIT_S, DISCOVERY_S
+from parsleyrouter.process.cell_reader import CHANGES_WAIT_S, DISCOVERY_S, READ_PAUSE_S
 from parsleyrouter.process.front import Front
-from parsleyrouter.process.node_registry import NODES_PREFIX, RegisteredNode
+from parsleyrouter.process.node_registry import (
+    NODES_PREFIX,
+    RETRY_INTERVAL_S,
+    RegisteredNode,
+)
+from parsleyrouter.process.prefix_watcher import MAX_RETRY_S
 
 CONTACT_S = 3.0
 """Time after trouble of the store from which a node counts as in touch again."""
 
+SLOW_ANSWER_S = 0.25
+"""Time of an answer of a slow store."""
+
+CONFIG_APPLY_S = 2.0
+"""Time after an acknowledged change of the configuration in which it takes effect."""
+
 DRAIN_S = 2.0
 """Time after an acknowledged removal from which an endpoint may get no request."""
 
@@ -186,6 +197,66 @@
     assert all(context.seen)
 
 
+@when("the answers of one node's reads are lost while no call fails, and all state changes")
+def step_lost_answers(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        fleet.register("e1")
+        await fleet.start(2)
+        await fleet.loop.sleep(DISCOVERY_S + 2 * CHANGES_WAIT_S)
+        fleet.store.faults.lose_watches = {"op/", "servers/", "parsley/live/"}
+        change_all(fleet, 2)
+        changed_s = fleet.loop.now()
+        await fleet.until(lambda: all(has_all(one, 2) for one in fleet.fronts), 12.0)
+        context.took_s = fleet.loop.now() - changed_s
+        assert not fleet.store.faults.lose_watches
+
+    run_with_fleet(context, scenario)
+
+
+@then("every node acts on all of them before the bound of changes of the configuration")
+def step_applied(context: Any) -> None:
+    assert context.took_s < CONFIG_APPLY_S, context.took_s
+
+
+@when("a node makes more calls than its budget allows and all state changes")
+def step_many_calls(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        fleet.register("e1")
+        front = await fleet.start(1)
+        await fleet.loop.sleep(DISCOVERY_S + CHANGES_WAIT_S)
+        for _ in range(400):
+            fleet.loop.spawn(front.store.get("key"))
+        change_all(fleet, 2)
+        changed_s = fleet.loop.now()
+        # Ends the reads that wait, so that the next ones queue with the other calls.
+        await fleet.until(lambda: has_all(front, 2))
+        change_all(fleet, 3)
+        await fleet.until(lambda: has_all(front, 3))
+        context.took_s = fleet.loop.now() - changed_s
+
+    run_with_fleet(context, scenario)
+
+
+@when("the waits from the end of an outage until a node has read all changes are added up")
+def step_sum(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        front = await fleet.start(1)
+        store: Any = front.store
+        in_flight_s = store.timeout_s
+        backoff_s = store.budget.settings.backoff_limit_s
+        # A renewal or a read finds the service back; reads of changes are repeated by it at once.
+        noticed_s = in_flight_s + max(backoff_s + RETRY_INTERVAL_S, backoff_s + MAX_RETRY_S)
+        # With its history lost, a read of changes, a listing and the next pause follow.
+        context.sum_s = noticed_s + 2 * SLOW_ANSWER_S + READ_PAUSE_S
+
+    run_with_fleet(context, scenario)
+
+
+@then("their sum is below the time after which it counts as in touch")
+def step_sum_bounded(context: Any) -> None:
+    assert context.sum_s < CONTACT_S, context.sum_s
+
+
 @when("a call is lost in an outage and times out after others have been answered")
 def step_late_timeout(context: Any) -> None:
     async def scenario(fleet: FrontFleet) -> None:
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -48,6 +48,8 @@
     """Connections are closed when a call arrives."""
     lose_answers: int = 0
     """Number of next writes that are applied and whose connection is closed without a response."""
+    lose_watches: set[str] = field(default_factory=set)
+    """Prefixes for which the next answered watch gets no response."""
     delay_s: float = 0.0
     calls: list[str] = field(default_factory=list)
 
@@ -132,6 +134,9 @@
         if self.faults.refuse:
             exchange.reply(self.faults.refuse, (), b"")
             return
+        if head.path == "/kv-watch" and query["prefix"] in self.faults.lose_watches:
+            self.faults.lose_watches.remove(query["prefix"])
+            await self.loop.sleep(30.0)
         if self.faults.lose_answers and head.path == "/kv-txn":
             self.faults.lose_answers -= 1
             exchange.abort()
--- a/parsleyrouter/process/cell_reader.py
+++ b/parsleyrouter/process/cell_reader.py
@@ -7,9 +7,8 @@
 
 import logging
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
-from typing import Any
 
 from parsleyrouter.connection.key_value import (
     ChangePage,
@@ -21,16 +20,17 @@
     KeyValueFailureKind,
     TransactionalKeyValue,
 )
-from parsleyrouter.connection.peer import PeerClient, PeerFailure, PeerMethods
+from parsleyrouter.connection.peer import PeerClient, PeerFailure
 from parsleyrouter.ids import Address, NodeId, Revision
 from parsleyrouter.process.cell_members import CellMembers
+from parsleyrouter.process.changes_elsewhere import BEHIND_GRACE_S, ChangesElsewhere
 from parsleyrouter.process.condition import Condition
 from parsleyrouter.process.direct_reads import DirectReads
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.watched_prefix import WatchedPrefix
 from parsleyrouter.thrift_gen.nodes.ttypes import AskFollowed, Followed, FollowedKey
 
-__all__ = ["CellReader", "add_cell_methods"]
+__all__ = ["FAILURE_RETENTION_S", "READ_PAUSE_S", "CellReader"]
 
 CHANGES_WAIT_S = 0.6
 """Long-poll time of reads of changes, within a cell and from a leader to the service. It bounds how
@@ -50,6 +50,10 @@
 """Long-poll time of direct reads on which no other node depends: they are billed, and a node makes
 them until it asks its leader again."""
 
+READ_PAUSE_S = 0.3
+"""Pause between reads of registrations of endpoints, which may change several times a second; a
+leaving endpoint must stop getting requests within two seconds."""
+
 STANDBY_PAUSE_S = 1.0
 """Minimum pause on standby between reads of changes that are gathered for a moment anyway."""
 
@@ -94,6 +98,7 @@
         self.source = ""
         self.started_s = loop.now()
         self.direct = DirectReads(loop, store)
+        self.elsewhere = ChangesElsewhere()
         store.on_lost.append(lambda _: self.direct_retry_at_s.clear())
         store.on_failure.append(lambda: self._record_failure(loop.now()))
         self.on_failure: list[Callable[[float], object]] = []
@@ -148,6 +153,21 @@
         self._record_answer(prefix, page)
         return page
 
+    def known_changes(self) -> dict[str, Revision]:
+        """Return the revision of the latest change known here, by watched prefix."""
+        return {prefix: watched.changed_revision for prefix, watched in self.prefixes.items()}
+
+    def record_changes_elsewhere(self, changed: Mapping[str, Revision]) -> None:
+        """Read again what another node has known for a while and this one has not."""
+        for prefix, revision in changed.items():
+            watched = self.prefixes.get(prefix)
+            if watched is None or watched.revision is None:
+                continue
+            now, grace_s = self.loop.now(), BEHIND_GRACE_S + self.pause_s(READ_PAUSE_S)
+            if self.elsewhere.is_behind(prefix, watched.revision, revision, now, grace_s):
+                self.distrust_leader()
+                self.direct.abandon(prefix, f"another node knows revision {revision}")
+
     def _leader_address(self) -> tuple[NodeId, Address] | None:
         """Return the node to ask unless it has failed recently: the leader of this cell.
 
@@ -230,58 +250,6 @@
             log.info("changes read from", extra={"source": source, "reason": reason})
 
 
-def add_cell_methods(methods: PeerMethods, reader: CellReader) -> None:
-    """Add the method that answers the other nodes of the cell while this node is their leader."""
-
-    @methods.add("cell.followed", AskFollowed)
-    async def followed(_: Any, query: AskFollowed) -> Followed:
-        watched = reader.prefixes.get(query.prefix)
-        if (
-            watched is None
-            or watched.revision is None
-            or not reader.answered_recently(query.prefix)
-        ):
-            return _refused(reader, query.prefix)
-        if query.after is None:
-            keys = [
-                _to_wire(entry.key, entry.revision, entry) for entry in watched.entries.values()
-            ]
-            return _answer(reader, query.prefix, watched.revision, keys)
-        if query.after < watched.base_revision:
-            return Followed(refusal="", lost=True, revision=watched.revision, keys=[])
-        until_s = reader.loop.now() + query.wait_ms / 1000
-        while not (changes := watched.changes_after(Revision(query.after))):
-            remaining_s = until_s - reader.loop.now()
-            if remaining_s <= 0 or watched.base_revision > query.after:
-                break
-            await watched.changed.wait(remaining_s)
-        if not reader.answered_recently(query.prefix) or watched.base_revision > query.after:
-            return _refused(reader, query.prefix)
-        keys = [_to_wire(change.key, change.revision, change.entry) for change in changes]
-        return _answer(reader, query.prefix, watched.revision, keys)
-
-
-def _answer(
-    reader: CellReader, prefix: str, revision: Revision, keys: list[FollowedKey]
-) -> Followed:
-    failed_s = reader.loop.now() - reader.last_failure_s
-    failed_ms = int(failed_s * 1000) if failed_s < FAILURE_RETENTION_S else None
-    age_ms = int(reader.answer_age_s(prefix) * 1000)
-    return Followed(
-        refusal="", lost=False, revision=revision, keys=keys, failed_ms=failed_ms, age_ms=age_ms
-    )
-
-
-def _refused(reader: CellReader, prefix: str) -> Followed:
-    age_s = reader.answer_age_s(prefix)
-    message = f"the service last answered {age_s:.1f} s ago: read from it directly"
-    return Followed(refusal=message, lost=False, revision=0, keys=[])
-
-
-def _to_wire(key: str, revision: Revision, entry: Entry | None) -> FollowedKey:
-    return FollowedKey(key=key, revision=revision, value=None if entry is None else entry.value)
-
-
 def _to_entry(key: FollowedKey) -> Entry:
     return Entry(key.key, key.value, Revision(key.revision))
 
--- a/parsleyrouter/process/fleet_loads.py
+++ b/parsleyrouter/process/fleet_loads.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from parsleyrouter.ids import CellId, EndpointId, NodeId
+from parsleyrouter.ids import CellId, EndpointId, NodeId, Revision
 
 __all__ = ["CellLoadReport", "RequestCounts", "FleetLoads", "NodeLoadReport", "sum_counts"]
 
@@ -55,6 +55,8 @@
     """Batch items that wait for a slot."""
     store_failing: bool = False
     """The node gets no responses from the key-value service."""
+    changed: Mapping[str, Revision] = field(default_factory=dict)
+    """Revision of the latest change that the node knows, by watched prefix."""
 
 
 @dataclass(frozen=True)
--- a/parsleyrouter/process/front.py
+++ b/parsleyrouter/process/front.py
@@ -14,7 +14,7 @@
 from parsleyrouter.connection.peer import PeerServer
 from parsleyrouter.ids import NodeId
 from parsleyrouter.process.active_routes import ActiveRoutes
-from parsleyrouter.process.cell_reader import CellReader
+from parsleyrouter.process.cell_reader import READ_PAUSE_S, CellReader
 from parsleyrouter.process.crash_monitor import CrashMonitor
 from parsleyrouter.process.endpoint_directory import EndpointDirectory, RegisteredEndpoint
 from parsleyrouter.process.endpoint_loads import EndpointLoads
@@ -39,10 +39,6 @@
 ENDPOINT_CONNECT_TIMEOUT_S = 0.35
 """Many times the network latency within a region."""
 
-ENDPOINTS_READ_INTERVAL_S = 0.3
-"""Pause between reads of registrations, which change several times a second; a leaving endpoint
-must stop getting requests within two seconds."""
-
 MISSING_CHECK_INTERVAL_S = 0.25
 """Pause between checks for registrations that did not reappear."""
 
@@ -107,6 +103,8 @@
             self.loop, self.store, self.exchange.members, runtime.peers, self.rng
         )
         self.reader.on_failure.append(self.directory.record_store_failure)
+        self.exchange.known_changes = self.reader.known_changes
+        self.exchange.on_changes_elsewhere.append(self.reader.record_changes_elsewhere)
         self.watchers: tuple[PrefixWatcher, ...] = ()
         self.worker: JobWorker
         self.peers: PeerServer
@@ -116,7 +114,7 @@
         operator = self._watcher(self.port.operator_prefix)
         operator.on_list = self._on_operator_list
         operator.on_change = lambda change: self._on_operator_entry(change.entry)
-        endpoints = self._watcher(self.port.endpoints_prefix, ENDPOINTS_READ_INTERVAL_S)
+        endpoints = self._watcher(self.port.endpoints_prefix, READ_PAUSE_S)
         endpoints.on_list, endpoints.on_change = self._on_endpoint_list, self._on_endpoint_change
         live = self._watcher(LIVE_PREFIX)
         live.on_list, live.on_change = self._on_live_list, self._on_live_change
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -12,7 +12,7 @@
 from parsleyrouter.connection.peer import PeerMethods, PeerServer
 from parsleyrouter.ids import Address
 from parsleyrouter.process.address_directory import AddressDirectory
-from parsleyrouter.process.cell_reader import add_cell_methods
+from parsleyrouter.process.cell_methods import add_cell_methods
 from parsleyrouter.process.forward_metrics import ForwardMetrics
 from parsleyrouter.process.forwarder import Forwarder
 from parsleyrouter.process.front import Front
--- a/parsleyrouter/process/load_codec.py
+++ b/parsleyrouter/process/load_codec.py
@@ -6,7 +6,7 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
-from parsleyrouter.ids import Address, CellId, DomainName, EndpointId, NodeId, PromptPart
+from parsleyrouter.ids import Address, CellId, DomainName, EndpointId, NodeId, PromptPart, Revision
 from parsleyrouter.process.fleet_loads import CellLoadReport, NodeLoadReport, RequestCounts
 from parsleyrouter.process.node_registry import RegisteredNode
 from parsleyrouter.request.crash_evidence import (
@@ -77,6 +77,7 @@
         domain=own.domain if addressed else None,
         waiting_items=report.waiting_items,
         store_failing=report.store_failing,
+        changed=dict(report.changed) if addressed else None,
     )
     return _write(FleetNews(node=message))
 
@@ -172,6 +173,7 @@
         routes_version=message.routes_version,
         waiting_items=message.waiting_items or 0,
         store_failing=bool(message.store_failing),
+        changed={prefix: Revision(at) for prefix, at in (message.changed or {}).items()},
     )
     if message.nodes_address is None:
         return report, None
--- a/parsleyrouter/process/load_exchange.py
+++ b/parsleyrouter/process/load_exchange.py
@@ -8,10 +8,10 @@
 
 import itertools
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from parsleyrouter.connection.datagram import DatagramSocket
-from parsleyrouter.ids import EndpointId, PromptPart
+from parsleyrouter.ids import EndpointId, PromptPart, Revision
 from parsleyrouter.process.active_routes import ActiveRoutes
 from parsleyrouter.process.cell_members import CellMembers
 from parsleyrouter.process.endpoint_loads import EndpointLoads
@@ -74,6 +74,10 @@
         self.sent_counts: dict[EndpointId, RequestCounts] = {}
         self.broadcast_pending = False
         self.on_load_report: list[Callable[[], object]] = []
+        self.known_changes: Callable[[], Mapping[str, Revision]] = dict
+        """Returns the revision of the latest change known here, by watched prefix."""
+        self.on_changes_elsewhere: list[Callable[[Mapping[str, Revision]], object]] = []
+        """Called with the revisions that another node reports."""
         self.on_crashes: list[Callable[[list[Crash]], object]] = []
         self.on_quarantined: list[Callable[[PartGroup], object]] = []
         self.on_served: list[Callable[[dict[Prompt, float], list[PromptPart]], object]] = []
@@ -99,6 +103,7 @@
             routes_version=self.routes.version,
             waiting_items=self.loads.waiting_items,
             store_failing=self.registry.store.failing,
+            changed=self.known_changes(),
         )
         now = self.loop.now()
         addressed = now - self.addressed_s >= HEARTBEAT_INTERVAL_S / 2
@@ -196,6 +201,8 @@
             applied.append(self.loads.fleet.apply_node(report))
             if applied[-1] and info is not None:
                 self.members.reported_nodes[info.node] = info
+                for on_changes in self.on_changes_elsewhere:
+                    on_changes(report.changed)
         if any(applied):
             for callback in self.on_load_report:
                 callback()
--- a/parsleyrouter/process/watched_prefix.py
+++ b/parsleyrouter/process/watched_prefix.py
@@ -24,6 +24,8 @@
     changes: deque[KeyChange] = field(default_factory=deque)
     base_revision: Revision = Revision(0)
     revision: Revision | None = None
+    changed_revision: Revision = Revision(0)
+    """Revision of the latest change that is known."""
 
     def replace(self, entries: Iterable[Entry], revision: Revision | None) -> None:
         """Replace all keys by a full listing."""
@@ -31,6 +33,8 @@
         self.changes.clear()
         self.base_revision = revision or Revision(0)
         self.revision = revision
+        newest = max((entry.revision for entry in self.entries.values()), default=Revision(0))
+        self.changed_revision = max(self.changed_revision, newest)
         self.changed.notify_all()
 
     def apply(self, changes: Iterable[KeyChange], revision: Revision) -> None:
@@ -41,6 +45,7 @@
             else:
                 self.entries[change.key] = change.entry
             self.changes.append(change)
+            self.changed_revision = max(self.changed_revision, change.revision)
         while len(self.changes) > MAX_CHANGES:
             self.base_revision = self.changes.popleft().revision
         self.revision = revision
--- a/parsleyrouter/thrift_gen/load/ttypes.py
+++ b/parsleyrouter/thrift_gen/load/ttypes.py
@@ -110,11 +110,12 @@
      - waiting_items
      - store_failing
      - named_ms
+     - changed
 
     """
 
 
-    def __init__(self, node=None, boot=None, sequence=None, uses=None, leaving=None, routes_version=None, callers_address=None, nodes_address=None, domain=None, waiting_items=None, store_failing=None, named_ms=None,):
+    def __init__(self, node=None, boot=None, sequence=None, uses=None, leaving=None, routes_version=None, callers_address=None, nodes_address=None, domain=None, waiting_items=None, store_failing=None, named_ms=None, changed=None,):
         self.node = node
         self.boot = boot
         self.sequence = sequence
@@ -127,6 +128,7 @@
         self.waiting_items = waiting_items
         self.store_failing = store_failing
         self.named_ms = named_ms
+        self.changed = changed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -203,6 +205,17 @@
                     self.named_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.MAP:
+                    self.changed = {}
+                    (_ktype7, _vtype8, _size6) = iprot.readMapBegin()
+                    for _i10 in range(_size6):
+                        _key11 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val12 = iprot.readI64()
+                        self.changed[_key11] = _val12
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -228,8 +241,8 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter6 in self.uses:
-                iter6.write(oprot)
+            for iter13 in self.uses:
+                iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
@@ -264,6 +277,14 @@
             oprot.writeFieldBegin('named_ms', TType.I32, 12)
             oprot.writeI32(self.named_ms)
             oprot.writeFieldEnd()
+        if self.changed is not None:
+            oprot.writeFieldBegin('changed', TType.MAP, 13)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.changed))
+            for kiter14, viter15 in self.changed.items():
+                oprot.writeString(kiter14.encode('utf-8') if sys.version_info[0] == 2 else kiter14)
+                oprot.writeI64(viter15)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -337,11 +358,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.uses = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = EndpointUse()
-                        _elem12.read(iprot)
-                        self.uses.append(_elem12)
+                    (_etype19, _size16) = iprot.readListBegin()
+                    for _i20 in range(_size16):
+                        _elem21 = EndpointUse()
+                        _elem21.read(iprot)
+                        self.uses.append(_elem21)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -353,10 +374,10 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype16, _size13) = iprot.readListBegin()
-                    for _i17 in range(_size13):
-                        _elem18 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.members.append(_elem18)
+                    (_etype25, _size22) = iprot.readListBegin()
+                    for _i26 in range(_size22):
+                        _elem27 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.members.append(_elem27)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -389,8 +410,8 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter19 in self.uses:
-                iter19.write(oprot)
+            for iter28 in self.uses:
+                iter28.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.contenders is not None:
@@ -400,8 +421,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.members))
-            for iter20 in self.members:
-                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            for iter29 in self.members:
+                oprot.writeString(iter29.encode('utf-8') if sys.version_info[0] == 2 else iter29)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -461,15 +482,15 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.prompts = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = []
-                        (_etype30, _size27) = iprot.readListBegin()
-                        for _i31 in range(_size27):
-                            _elem32 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                            _elem26.append(_elem32)
+                    (_etype33, _size30) = iprot.readListBegin()
+                    for _i34 in range(_size30):
+                        _elem35 = []
+                        (_etype39, _size36) = iprot.readListBegin()
+                        for _i40 in range(_size36):
+                            _elem41 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _elem35.append(_elem41)
                         iprot.readListEnd()
-                        self.prompts.append(_elem26)
+                        self.prompts.append(_elem35)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -499,10 +520,10 @@
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 3)
             oprot.writeListBegin(TType.LIST, len(self.prompts))
-            for iter33 in self.prompts:
-                oprot.writeListBegin(TType.STRING, len(iter33))
-                for iter34 in iter33:
-                    oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            for iter42 in self.prompts:
+                oprot.writeListBegin(TType.STRING, len(iter42))
+                for iter43 in iter42:
+                    oprot.writeString(iter43.encode('utf-8') if sys.version_info[0] == 2 else iter43)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -553,10 +574,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.parts.append(_elem40)
+                    (_etype47, _size44) = iprot.readListBegin()
+                    for _i48 in range(_size44):
+                        _elem49 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.parts.append(_elem49)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -578,8 +599,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.parts))
-            for iter41 in self.parts:
-                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            for iter50 in self.parts:
+                oprot.writeString(iter50.encode('utf-8') if sys.version_info[0] == 2 else iter50)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -629,21 +650,21 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.prompts = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = ServedPrompt()
-                        _elem47.read(iprot)
-                        self.prompts.append(_elem47)
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = ServedPrompt()
+                        _elem56.read(iprot)
+                        self.prompts.append(_elem56)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts_before = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.parts_before.append(_elem53)
+                    (_etype60, _size57) = iprot.readListBegin()
+                    for _i61 in range(_size57):
+                        _elem62 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.parts_before.append(_elem62)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -660,15 +681,15 @@
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter54 in self.prompts:
-                iter54.write(oprot)
+            for iter63 in self.prompts:
+                iter63.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.parts_before is not None:
             oprot.writeFieldBegin('parts_before', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.parts_before))
-            for iter55 in self.parts_before:
-                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
+            for iter64 in self.parts_before:
+                oprot.writeString(iter64.encode('utf-8') if sys.version_info[0] == 2 else iter64)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -726,22 +747,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.cells = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = CellNews()
-                        _elem61.read(iprot)
-                        self.cells.append(_elem61)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = CellNews()
+                        _elem70.read(iprot)
+                        self.cells.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype65, _size62) = iprot.readListBegin()
-                    for _i66 in range(_size62):
-                        _elem67 = CrashNews()
-                        _elem67.read(iprot)
-                        self.crashes.append(_elem67)
+                    (_etype74, _size71) = iprot.readListBegin()
+                    for _i75 in range(_size71):
+                        _elem76 = CrashNews()
+                        _elem76.read(iprot)
+                        self.crashes.append(_elem76)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -754,15 +775,15 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.quarantined = []
-                    (_etype71, _size68) = iprot.readListBegin()
-                    for _i72 in range(_size68):
-                        _elem73 = []
-                        (_etype77, _size74) = iprot.readListBegin()
-                        for _i78 in range(_size74):
-                            _elem79 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                            _elem73.append(_elem79)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = []
+                        (_etype86, _size83) = iprot.readListBegin()
+                        for _i87 in range(_size83):
+                            _elem88 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _elem82.append(_elem88)
                         iprot.readListEnd()
-                        self.quarantined.append(_elem73)
+                        self.quarantined.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -783,15 +804,15 @@
         if self.cells is not None:
             oprot.writeFieldBegin('cells', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.cells))
-            for iter80 in self.cells:
-                iter80.write(oprot)
+            for iter89 in self.cells:
+                iter89.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter81 in self.crashes:
-                iter81.write(oprot)
+            for iter90 in self.crashes:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.served is not None:
@@ -801,10 +822,10 @@
         if self.quarantined is not None:
             oprot.writeFieldBegin('quarantined', TType.LIST, 5)
             oprot.writeListBegin(TType.LIST, len(self.quarantined))
-            for iter82 in self.quarantined:
-                oprot.writeListBegin(TType.STRING, len(iter82))
-                for iter83 in iter82:
-                    oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
+            for iter91 in self.quarantined:
+                oprot.writeListBegin(TType.STRING, len(iter91))
+                for iter92 in iter91:
+                    oprot.writeString(iter92.encode('utf-8') if sys.version_info[0] == 2 else iter92)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -846,6 +867,7 @@
     (10, TType.I32, 'waiting_items', None, None, ),  # 10
     (11, TType.BOOL, 'store_failing', None, None, ),  # 11
     (12, TType.I32, 'named_ms', None, None, ),  # 12
+    (13, TType.MAP, 'changed', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 13
 )
 all_structs.append(CellNews)
 CellNews.thrift_spec = (
--- a/thrift/load.thrift
+++ b/thrift/load.thrift
@@ -21,6 +21,7 @@
   10: i32 waiting_items,
   11: bool store_failing,
   12: i32 named_ms,  // while leaving: how much longer the node may be named to callers
+  13: optional map<string, i64> changed,  // revision of the latest change known, by prefix
 }
 
 // The aggregate of one cell of a large fleet, reported by the cell's leader (speaker).
