Let reads of changes and renewals wait behind no other calls

After an outage the call budget recovers slowly; a read of changes could wait for up to 2 s behind writes and reads of jobs. Both kinds count towards the budget as before and go out at once.

--- a/parsleyrouter/connection/call_budget.py
+++ b/parsleyrouter/connection/call_budget.py
@@ -47,12 +47,15 @@
         self.blocked_until_s = 0.0
         self.recovered_at_s: float | None = None
 
-    def reserve(self, now: float) -> float | BudgetRefusal:
-        """Return how long to wait before the call, in seconds, or why it may not be made."""
+    def reserve(self, now: float, *, urgent: bool = False) -> float | BudgetRefusal:
+        """Return how long to wait before the call, in seconds, or why it may not be made.
+
+        An ``urgent`` call counts towards the rate, but does not wait behind the calls before it.
+        """
         interval_s = 1 / self.rate(now)
         burst_allowance_s = interval_s * self._burst(now)
         theoretical_arrival_s = max(self.theoretical_arrival_s, now) + interval_s
-        wait_s = max(0.0, theoretical_arrival_s - burst_allowance_s - now)
+        wait_s = 0.0 if urgent else max(0.0, theoretical_arrival_s - burst_allowance_s - now)
         if self.blocked_until_s - now > self.settings.wait_limit_s:
             return BudgetRefusal.BACKING_OFF
         wait_s = max(wait_s, self.blocked_until_s - now)
--- a/parsleyrouter/connection/key_value_client.py
+++ b/parsleyrouter/connection/key_value_client.py
@@ -23,6 +23,8 @@
 TOO_MANY_REQUESTS_STATUS = 429
 SERVER_ERROR_STATUS = 500
 WRITE_KINDS = frozenset({"swap", "delete", "grant", "revoke", "transact"})
+URGENT_KINDS = frozenset({"changes", "renew"})
+"""Few calls, on which the age of state depends: a process has one of each in flight per prefix."""
 
 log = logging.getLogger(__name__)
 
@@ -63,7 +65,7 @@
 
     async def wait_for_budget(self, kind: str) -> KeyValueFailure | None:
         """Wait until the budget allows the call, then count it."""
-        reservation = self.budget.reserve(self.loop.now())
+        reservation = self.budget.reserve(self.loop.now(), urgent=kind in URGENT_KINDS)
         if isinstance(reservation, BudgetRefusal):
             return self.count_failure(kind, _BUDGET_FAILURES[reservation])
         self.budget_waits_s[kind] = reservation
