Keep the limits that endpoints name, over the sum of all nodes

An endpoint in need names the requests per second that it takes from all nodes (Server-Limit).

All nodes count the requests of all to limited endpoints, from cumulative counts in the load reports, and share the permits that accrue at the limit. What several nodes send at once leaves a debt. Parts of a fleet that do not hear each other accrue their share only. Online requests go before batch items, those that come back or go on before new ones; the rest is refused at once and told when a permit is expected.

--- a/parsleyrouter/platform/headers.py
+++ b/parsleyrouter/platform/headers.py
@@ -19,6 +19,7 @@
     # Running, waiting and slots of an endpoint, separated by commas.
     load="x-server-load",
     leaving="server-leaving",
+    limit="server-limit",
     model="x-model",
     # Prompt tokens and maximum output tokens, separated by a comma.
     tokens="x-token-usage",
--- a/parsleyrouter/process/answer_heads.py
+++ b/parsleyrouter/process/answer_heads.py
@@ -4,6 +4,7 @@
 
 from parsleyrouter.connection.endpoint_client import EndpointExchange
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
+from parsleyrouter.process.fleet_limits import parse_limit
 from parsleyrouter.process.forward_context import ForwardContext
 
 __all__ = ["MISDIRECTED_STATUS", "record_head"]
@@ -16,7 +17,7 @@
 def record_head(
     context: ForwardContext, registration: RegisteredEndpoint, exchange: EndpointExchange
 ) -> None:
-    """Record activity, load and leaving of the endpoint that sent an answer's head."""
+    """Record activity, load, limit and leaving of the endpoint that sent an answer's head."""
     now, endpoint = context.loop.now(), registration.endpoint
     context.loads.record_activity(endpoint, now)
     if exchange.status == MISDIRECTED_STATUS:
@@ -29,3 +30,6 @@
     if headers.get(names.leaving) == "1" and context.directory.mark_leaving(registration, now):
         fields = {"endpoint": endpoint, "state": "leaving", "request": exchange.request}
         log.info("endpoint changed", extra=fields)
+    per_s = parse_limit(headers.get(names.limit))
+    if per_s is not None or exchange.has_request_id:
+        context.loads.limits.record_answer(registration, per_s, now)
--- a/parsleyrouter/process/batch_placement.py
+++ b/parsleyrouter/process/batch_placement.py
@@ -27,13 +27,15 @@
 ) -> PlacementCandidate | None:
     """Return the endpoint with the most room for a batch item, or ``None``.
 
+    Endpoints that limit the number of requests come first: an item does the most work for one.
+
     Batch items use every free slot: an online request that finds none waits only for a preemption,
     which takes a few steps of the engine. ``waiting_nodes`` nodes have waiting items; if there are
     fewer free slots, ``draw``, a random number from 0 to 1, keeps them from all picking the same.
     """
-    roomy = [one for one in candidates if not one.avoided and one.free > 0]
-    best = max(roomy, key=lambda one: one.free / one.slowness, default=None)
-    if best is None or draw * waiting_nodes >= sum(one.free for one in roomy):
+    roomy = [one for one in candidates if not one.avoided and one.free_for_batch > 0]
+    best = max(roomy, key=lambda one: (one.limited, one.free / one.slowness), default=None)
+    if best is None or draw * waiting_nodes >= sum(one.free_for_batch for one in roomy):
         return None
     return best
 
--- a/parsleyrouter/process/cell_members.py
+++ b/parsleyrouter/process/cell_members.py
@@ -107,6 +107,15 @@
         live = self.fleet.live_nodes(self.loop.now())
         return [report for report in live if report.node in self.peers]
 
+    def heard_share(self) -> float:
+        """Return the share of the nodes that send to endpoints of which this node hears.
+
+        Nodes on standby hear the counts of the others too late to send to limited endpoints.
+        """
+        if self.on_standby:
+            return 0.0
+        return (1 + len(self.live_peer_reports())) / (1 + len(self.peers))
+
     def claim_rank(self, job: JobId) -> int | None:
         """Return the place of this node among those that claim a job, ``None`` on standby."""
         own = self.registry.own
--- a/parsleyrouter/process/endpoint_loads.py
+++ b/parsleyrouter/process/endpoint_loads.py
@@ -9,6 +9,7 @@
 
 from parsleyrouter.ids import EndpointId, ServiceName
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
+from parsleyrouter.process.fleet_limits import FleetLimits
 from parsleyrouter.process.fleet_loads import FleetLoads, RequestCounts
 from parsleyrouter.request.outlier_ejection import EjectionOptions, EndpointEjector
 from parsleyrouter.request.placement import PlacementCandidate
@@ -60,6 +61,7 @@
     waiting_items: int = 0
     """Number of this node's batch items that wait for a slot."""
     fleet: FleetLoads = field(default_factory=FleetLoads)
+    limits: FleetLimits = field(default_factory=FleetLimits)
     observed: dict[EndpointId, _Observed] = field(default_factory=dict)
     service_s: dict[ServiceName, float] = field(default_factory=dict)
     ejector: EndpointEjector = field(default_factory=lambda: EndpointEjector(EJECTION_OPTIONS))
@@ -74,6 +76,7 @@
         if not observed.in_flight:
             observed.waiting_since_s = now
         observed.in_flight += 1
+        self.limits.record_sent(endpoint, now)
         self._changed()
 
     def request_ended(self, endpoint: EndpointId, *, batch: bool) -> None:
@@ -116,6 +119,7 @@
     def forget(self, endpoint: EndpointId) -> None:
         """Drop the state of an endpoint that is gone or has restarted."""
         self.ejector.health.pop(endpoint, None)
+        self.limits.limits.pop(endpoint, None)
         observed = self.observed.get(endpoint)
         if observed is not None and not observed.in_flight:
             del self.observed[endpoint]
@@ -171,6 +175,8 @@
             batch=use.batch,
             slowness=self._slowness(entry),
             avoided=ejected or self.is_inactive(entry.endpoint, now),
+            permits=self.limits.permits(entry, now),
+            batch_permits=self.limits.batch_permits(entry, now),
         )
 
     def _slowness(self, entry: RegisteredEndpoint) -> float:
--- a/parsleyrouter/process/fleet_loads.py
+++ b/parsleyrouter/process/fleet_loads.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from parsleyrouter.ids import CellId, EndpointId, NodeId, Revision
+from parsleyrouter.process.fleet_limits import LimitReport
 
 __all__ = ["CellLoadReport", "RequestCounts", "FleetLoads", "NodeLoadReport", "sum_counts"]
 
@@ -57,6 +58,7 @@
     """The node gets no responses from the key-value service."""
     changed: Mapping[str, Revision] = field(default_factory=dict)
     """Revision of the latest change that the node knows, by watched prefix."""
+    limits: tuple[LimitReport, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/parsleyrouter/process/forwarder.py
+++ b/parsleyrouter/process/forwarder.py
@@ -11,13 +11,13 @@
 from parsleyrouter.ids import DomainName, RequestId
 from parsleyrouter.outcome import ExecutionStatus, Refusal, RefusalKind
 from parsleyrouter.process.active_routes import ActiveRoutes
-from parsleyrouter.process.endpoint_directory import EndpointDirectory, RegisteredEndpoint
+from parsleyrouter.process.endpoint_chooser import RETRY_AFTER_S, EndpointChooser
+from parsleyrouter.process.endpoint_directory import EndpointDirectory
 from parsleyrouter.process.forward_attempt import ForwardAttempt
 from parsleyrouter.process.forward_context import ForwardContext, ResponseTimeouts
 from parsleyrouter.process.forward_metrics import ForwardMetrics
 from parsleyrouter.process.request_log import RequestTrace, log_request
 from parsleyrouter.process.stop_gate import StopGate
-from parsleyrouter.request.admission import Refuse, admit
 from parsleyrouter.request.attempts import (
     AttemptFailure,
     AttemptHistory,
@@ -26,7 +26,6 @@
     decide_retry,
 )
 from parsleyrouter.request.forwarded_request import ForwardedRequest, end_to_end_headers
-from parsleyrouter.request.placement import choose_endpoint, queue_wait_s
 from parsleyrouter.request.retry_budget import RetryBudget
 from parsleyrouter.version.route_table import RouteKind
 
@@ -46,9 +45,6 @@
 """Read timeout within a resumable response; an engine's step takes milliseconds, and the resumed
 stream must reach the caller before the pause counts as late."""
 
-RETRY_AFTER_S = 0.5
-"""Retry-After of a refusal that is not caused by load."""
-
 
 class Forwarder:
     """Forward requests on online routes."""
@@ -66,8 +62,7 @@
         self.context = context
         self.loop = context.loop
         self.routes = routes
-        self.directory = directory
-        self.domain = domain
+        self.chooser = EndpointChooser(directory, context.loads, domain, random)
         self.metrics = metrics
         self.random = random
         self.gate = gate
@@ -147,7 +142,7 @@
         self.budget.count_request(self.loop.now())
         while True:
             quarantined = self.context.crashes.keeper.refusal(request.prompt)
-            chosen = quarantined or self._choose_endpoint(request, history, trace)
+            chosen = quarantined or self.chooser.choose(request, history, trace, self.loop.now())
             if isinstance(chosen, Refusal):
                 return replace(chosen, ran=max(chosen.ran, history.ran, key=_EXECUTION_ORDER.index))
             is_last = history.runs + 1 >= rules.max_executions
@@ -188,39 +183,6 @@
     def _acquire_retry(self, failure: AttemptFailure) -> bool:
         return failure.response_started or self.budget.try_withdraw(self.loop.now())
 
-    def _choose_endpoint(
-        self, request: ForwardedRequest, history: AttemptHistory, trace: RequestTrace
-    ) -> RegisteredEndpoint | Refusal:
-        """Choose an endpoint, or return why the request is refused."""
-        now = self.loop.now()
-        loads = self.context.loads
-        registrations = {
-            registration.endpoint: registration
-            for registration in self.directory.available_for(request.service)
-            if registration.endpoint not in history.endpoints
-        }
-        best = choose_endpoint(
-            loads.candidates(registrations.values(), now), self.domain, self.random
-        )
-        if best is None:
-            message = "no endpoint of the service is known: try again later"
-            return Refusal(RefusalKind.OVERLOADED, message, ExecutionStatus.NOT_RUN, RETRY_AFTER_S)
-        service_s = loads.typical_service_s(request.service)
-        trace.used, trace.wait_s = best.used, queue_wait_s(best, service_s)
-        verdict = admit(
-            wait_s=trace.wait_s,
-            target_s=request.route.latency_target_s,
-            left_s=request.deadline_s - now,
-            allowed_s=request.route.timeout_s,
-            spread=self.random.random(),
-        )
-        if isinstance(verdict, Refuse) and not history.runs:
-            message = f"all endpoints are busy for {trace.wait_s:.2f} s: try again later"
-            return Refusal(
-                RefusalKind.OVERLOADED, message, ExecutionStatus.NOT_RUN, verdict.retry_after_s
-            )
-        return registrations[best.endpoint]
-
     def _timeouts(
         self, request: ForwardedRequest, headers_sent: bool, is_last: bool
     ) -> ResponseTimeouts:
--- a/parsleyrouter/process/front.py
+++ b/parsleyrouter/process/front.py
@@ -12,7 +12,7 @@
 from parsleyrouter.connection.endpoint_client import EndpointClient
 from parsleyrouter.connection.key_value import Entry, KeyChange, KeyValueFailure, Transaction
 from parsleyrouter.connection.peer import PeerServer
-from parsleyrouter.ids import NodeId
+from parsleyrouter.ids import EndpointId, NodeId
 from parsleyrouter.process.active_routes import ActiveRoutes
 from parsleyrouter.process.cell_reader import READ_PAUSE_S, CellReader
 from parsleyrouter.process.crash_monitor import CrashMonitor
@@ -70,6 +70,7 @@
         self.routes = ActiveRoutes()
         self.directory = EndpointDirectory()
         self.loads = EndpointLoads(self.rng)
+        self.loads.limits.on_change = self._log_limit
         self.job_directory = JobDirectory()
         self.token_ledger = TokenLedger()
         self.job_directory.on_tokens.append(
@@ -124,6 +125,10 @@
             watcher.start()
             age_s = partial(self.reader.answer_age_s, watcher.prefix)
             metrics.age.labels(watcher.prefix).set_function(age_s)
+        limits = self.loads.limits
+        metrics.limited.set_function(
+            lambda: sum(one.per_s is not None for one in limits.limits.values())
+        )
         metrics.deferred_removals.set_function(lambda: len(self.directory.missing))
         self.quarantine.start()
         self._check_missing()
@@ -221,6 +226,9 @@
     def _log_endpoint(self, endpoint: str, state: str) -> None:
         log.info("endpoint changed", extra={"endpoint": endpoint, "state": state})
 
+    def _log_limit(self, endpoint: EndpointId, per_s: float | None) -> None:
+        log.info("endpoint limit changed", extra={"endpoint": endpoint, "per_s": per_s})
+
     def _log_calls(self) -> None:
         log.info("store calls", extra={"made": dict(self.store.call_counts)})
         self.loop.call_later(CALL_LOG_INTERVAL_S, self._log_calls)
--- a/parsleyrouter/process/load_codec.py
+++ b/parsleyrouter/process/load_codec.py
@@ -7,6 +7,7 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from parsleyrouter.ids import Address, CellId, DomainName, EndpointId, NodeId, PromptPart, Revision
+from parsleyrouter.process.fleet_limits import LimitReport
 from parsleyrouter.process.fleet_loads import CellLoadReport, NodeLoadReport, RequestCounts
 from parsleyrouter.process.node_registry import RegisteredNode
 from parsleyrouter.request.crash_evidence import (
@@ -19,6 +20,7 @@
 from parsleyrouter.thrift_gen.load.ttypes import (
     CellNews,
     CrashNews,
+    EndpointLimit,
     FleetNews,
     LoadNews,
     ServedNews,
@@ -78,6 +80,7 @@
         waiting_items=report.waiting_items,
         store_failing=report.store_failing,
         changed=dict(report.changed) if addressed else None,
+        limits=[_limit_to_wire(one, now) for one in report.limits] or None,
     )
     return _write(FleetNews(node=message))
 
@@ -174,6 +177,7 @@
         waiting_items=message.waiting_items or 0,
         store_failing=bool(message.store_failing),
         changed={prefix: Revision(at) for prefix, at in (message.changed or {}).items()},
+        limits=tuple(_limit_from_wire(row, received_s) for row in message.limits or ()),
     )
     if message.nodes_address is None:
         return report, None
@@ -208,6 +212,16 @@
     return [tuple(PromptPart(part) for part in row) for row in rows]
 
 
+def _limit_to_wire(report: LimitReport, now: float) -> EndpointLimit:
+    said_ms = int((now - report.said_s) * 1000)
+    return EndpointLimit(report.endpoint, report.started_ms, report.per_s, said_ms, report.sent)
+
+
+def _limit_from_wire(row: EndpointLimit, received_s: float) -> LimitReport:
+    said_s = received_s - row.said_ms / 1000
+    return LimitReport(EndpointId(row.endpoint), row.started_ms, row.per_s, said_s, row.sent)
+
+
 def _to_wire(uses: CountsByEndpoint) -> list[WireUse]:
     return [WireUse(name, use.online, use.batch) for name, use in sorted(uses.items())]
 
--- a/parsleyrouter/process/load_exchange.py
+++ b/parsleyrouter/process/load_exchange.py
@@ -72,6 +72,8 @@
         self.relayed_load = False
         """Whether the aggregates relayed last held any request."""
         self.sent_counts: dict[EndpointId, RequestCounts] = {}
+        self.sent_limited: dict[EndpointId, int] = {}
+        loads.limits.share = self.members.heard_share
         self.broadcast_pending = False
         self.on_load_report: list[Callable[[], object]] = []
         self.known_changes: Callable[[], Mapping[str, Revision]] = dict
@@ -104,6 +106,7 @@
             waiting_items=self.loads.waiting_items,
             store_failing=self.registry.store.failing,
             changed=self.known_changes(),
+            limits=tuple(self.loads.limits.reports(self.loop.now())),
         )
         now = self.loop.now()
         addressed = now - self.addressed_s >= HEARTBEAT_INTERVAL_S / 2
@@ -113,6 +116,7 @@
         for address in self.members.report_targets():
             self.datagrams.send(address, data)
         self.sent_counts, self.sent_s = uses, now
+        self.sent_limited = dict(self.loads.limits.sent())
 
     def send_to_serving(self, data: bytes) -> None:
         """Send a datagram to the nodes of this cell and to the active nodes."""
@@ -176,7 +180,7 @@
 
     def _broadcast_changes(self) -> None:
         self.broadcast_pending = False
-        if self.sent_counts != self.loads.own:
+        if self.sent_counts != self.loads.own or self.sent_limited != self.loads.limits.sent():
             self.broadcast()
 
     def _own_counts(self) -> dict[EndpointId, RequestCounts]:
@@ -199,6 +203,9 @@
             if report.store_failing and not (former and former.store_failing):
                 self.registry.store.contact.record_failure(self.loop.now())
             applied.append(self.loads.fleet.apply_node(report))
+            if applied[-1]:
+                now, limits = self.loop.now(), self.loads.limits
+                limits.apply_reports(report.node, report.boot, report.limits, now)
             if applied[-1] and info is not None:
                 self.members.reported_nodes[info.node] = info
                 for on_changes in self.on_changes_elsewhere:
--- a/parsleyrouter/process/state_metrics.py
+++ b/parsleyrouter/process/state_metrics.py
@@ -17,6 +17,11 @@
             ["prefix"],
             registry=registry,
         )
+        self.limited = Gauge(
+            "parsley_limited_endpoints",
+            "Endpoints that have named a limit of requests per second.",
+            registry=registry,
+        )
         self.deferred_removals = Gauge(
             "parsley_deferred_removals",
             "Endpoints without a registration that still count, since registrations may reappear.",
--- a/parsleyrouter/request/admission.py
+++ b/parsleyrouter/request/admission.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["Admission", "Admit", "Refuse", "admit"]
+__all__ = ["Admission", "Admit", "Refuse", "admit", "is_retry"]
 
 MAX_WAIT_SHARE = 0.85
 """Share of the latency target for waiting; the rest is for the network and the first token."""
@@ -37,6 +37,11 @@
 Admission = Admit | Refuse
 
 
+def is_retry(left_s: float, allowed_s: float) -> bool:
+    """Return whether a caller has been refused before, by the time that it has used."""
+    return left_s < allowed_s - RETRY_DETECTION_MARGIN_S
+
+
 def admit(
     *, wait_s: float, target_s: float, left_s: float, allowed_s: float, spread: float
 ) -> Admission:
@@ -49,6 +54,6 @@
     spread_retry_after_s = max_retry_after_s * (MIN_SPREAD_SHARE + (1 - MIN_SPREAD_SHARE) * spread)
     if wait_s >= left_s:
         return Refuse(spread_retry_after_s)
-    if wait_s <= target_s * MAX_WAIT_SHARE or left_s < allowed_s - RETRY_DETECTION_MARGIN_S:
+    if wait_s <= target_s * MAX_WAIT_SHARE or is_retry(left_s, allowed_s):
         return Admit()
     return Refuse(max(spread_retry_after_s, min(wait_s, max_retry_after_s)))
--- a/parsleyrouter/request/forwarded_request.py
+++ b/parsleyrouter/request/forwarded_request.py
@@ -47,6 +47,8 @@
     load: str
     leaving: str
     """Set to 1 by an endpoint that leaves."""
+    limit: str
+    """Requests per second that an endpoint in need takes from all nodes together."""
     model: str
     tokens: str
     prefix: str
--- a/parsleyrouter/request/placement.py
+++ b/parsleyrouter/request/placement.py
@@ -4,6 +4,7 @@
 wait although another endpoint has a free slot.
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 from random import Random
@@ -24,6 +25,10 @@
 BATCH_WEIGHT = 0.5
 """Weight of a batch item relative to an online request; less than 1 as it is preempted."""
 
+LIMIT_COST = 0.75
+"""Cost of an endpoint that has named a limit as a fraction of the slots: its permits are kept for
+requests that find no free slot elsewhere."""
+
 MAX_JITTER = 0.03
 """Largest random cost, so that nodes which see the same loads choose different endpoints."""
 
@@ -45,6 +50,15 @@
     slowness: float = 1.0
     cached: float = 0.0
     avoided: bool = False
+    permits: float = math.inf
+    """Requests that the endpoint's own limit leaves for now."""
+    batch_permits: float = math.inf
+    """Batch items among them."""
+
+    @property
+    def limited(self) -> bool:
+        """Return whether the endpoint has named a limit."""
+        return math.isfinite(self.permits)
 
     @property
     def used(self) -> int:
@@ -56,6 +70,11 @@
         """Return the number of slots without a request."""
         return max(0, self.slots - self.used)
 
+    @property
+    def free_for_batch(self) -> int:
+        """Return the number of slots that batch items may use."""
+        return self.free if not self.limited else max(0, min(self.free, int(self.batch_permits)))
+
 
 def choose_endpoint(
     candidates: Iterable[PlacementCandidate], domain: DomainName, random: Random
@@ -78,7 +97,8 @@
         utilization += PREEMPTION_COST
     queued = max(0, candidate.online + 1 - candidate.slots) * candidate.slowness
     remote = REMOTE_COST if candidate.domain != domain else 0.0
-    return utilization + queued + remote - CACHED_PREFIX_BONUS * candidate.cached
+    limited = LIMIT_COST if candidate.limited else 0.0
+    return utilization + queued + remote + limited - CACHED_PREFIX_BONUS * candidate.cached
 
 
 def queue_wait_s(candidate: PlacementCandidate, service_s: float) -> float:
--- a/parsleyrouter/thrift_gen/load/ttypes.py
+++ b/parsleyrouter/thrift_gen/load/ttypes.py
@@ -95,6 +95,107 @@
         return not (self == other)
 
 
+class EndpointLimit(object):
+    """
+    Attributes:
+     - endpoint
+     - started_ms
+     - per_s
+     - said_ms
+     - sent
+
+    """
+
+
+    def __init__(self, endpoint=None, started_ms=None, per_s=None, said_ms=None, sent=None,):
+        self.endpoint = endpoint
+        self.started_ms = started_ms
+        self.per_s = per_s
+        self.said_ms = said_ms
+        self.sent = sent
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.said_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.sent = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointLimit')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 2)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
+        if self.per_s is not None:
+            oprot.writeFieldBegin('per_s', TType.DOUBLE, 3)
+            oprot.writeDouble(self.per_s)
+            oprot.writeFieldEnd()
+        if self.said_ms is not None:
+            oprot.writeFieldBegin('said_ms', TType.I32, 4)
+            oprot.writeI32(self.said_ms)
+            oprot.writeFieldEnd()
+        if self.sent is not None:
+            oprot.writeFieldBegin('sent', TType.I64, 5)
+            oprot.writeI64(self.sent)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadNews(object):
     """
     Attributes:
@@ -111,11 +212,12 @@
      - store_failing
      - named_ms
      - changed
+     - limits
 
     """
 
 
-    def __init__(self, node=None, boot=None, sequence=None, uses=None, leaving=None, routes_version=None, callers_address=None, nodes_address=None, domain=None, waiting_items=None, store_failing=None, named_ms=None, changed=None,):
+    def __init__(self, node=None, boot=None, sequence=None, uses=None, leaving=None, routes_version=None, callers_address=None, nodes_address=None, domain=None, waiting_items=None, store_failing=None, named_ms=None, changed=None, limits=None,):
         self.node = node
         self.boot = boot
         self.sequence = sequence
@@ -129,6 +231,7 @@
         self.store_failing = store_failing
         self.named_ms = named_ms
         self.changed = changed
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -216,6 +319,17 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype16, _size13) = iprot.readListBegin()
+                    for _i17 in range(_size13):
+                        _elem18 = EndpointLimit()
+                        _elem18.read(iprot)
+                        self.limits.append(_elem18)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -241,8 +355,8 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter13 in self.uses:
-                iter13.write(oprot)
+            for iter19 in self.uses:
+                iter19.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
@@ -280,11 +394,18 @@
         if self.changed is not None:
             oprot.writeFieldBegin('changed', TType.MAP, 13)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.changed))
-            for kiter14, viter15 in self.changed.items():
-                oprot.writeString(kiter14.encode('utf-8') if sys.version_info[0] == 2 else kiter14)
-                oprot.writeI64(viter15)
+            for kiter20, viter21 in self.changed.items():
+                oprot.writeString(kiter20.encode('utf-8') if sys.version_info[0] == 2 else kiter20)
+                oprot.writeI64(viter21)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter22 in self.limits:
+                iter22.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -358,11 +479,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.uses = []
-                    (_etype19, _size16) = iprot.readListBegin()
-                    for _i20 in range(_size16):
-                        _elem21 = EndpointUse()
-                        _elem21.read(iprot)
-                        self.uses.append(_elem21)
+                    (_etype26, _size23) = iprot.readListBegin()
+                    for _i27 in range(_size23):
+                        _elem28 = EndpointUse()
+                        _elem28.read(iprot)
+                        self.uses.append(_elem28)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -374,10 +495,10 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype25, _size22) = iprot.readListBegin()
-                    for _i26 in range(_size22):
-                        _elem27 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.members.append(_elem27)
+                    (_etype32, _size29) = iprot.readListBegin()
+                    for _i33 in range(_size29):
+                        _elem34 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.members.append(_elem34)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -410,8 +531,8 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter28 in self.uses:
-                iter28.write(oprot)
+            for iter35 in self.uses:
+                iter35.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.contenders is not None:
@@ -421,8 +542,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.members))
-            for iter29 in self.members:
-                oprot.writeString(iter29.encode('utf-8') if sys.version_info[0] == 2 else iter29)
+            for iter36 in self.members:
+                oprot.writeString(iter36.encode('utf-8') if sys.version_info[0] == 2 else iter36)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -482,15 +603,15 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.prompts = []
-                    (_etype33, _size30) = iprot.readListBegin()
-                    for _i34 in range(_size30):
-                        _elem35 = []
-                        (_etype39, _size36) = iprot.readListBegin()
-                        for _i40 in range(_size36):
-                            _elem41 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                            _elem35.append(_elem41)
+                    (_etype40, _size37) = iprot.readListBegin()
+                    for _i41 in range(_size37):
+                        _elem42 = []
+                        (_etype46, _size43) = iprot.readListBegin()
+                        for _i47 in range(_size43):
+                            _elem48 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _elem42.append(_elem48)
                         iprot.readListEnd()
-                        self.prompts.append(_elem35)
+                        self.prompts.append(_elem42)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -520,10 +641,10 @@
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 3)
             oprot.writeListBegin(TType.LIST, len(self.prompts))
-            for iter42 in self.prompts:
-                oprot.writeListBegin(TType.STRING, len(iter42))
-                for iter43 in iter42:
-                    oprot.writeString(iter43.encode('utf-8') if sys.version_info[0] == 2 else iter43)
+            for iter49 in self.prompts:
+                oprot.writeListBegin(TType.STRING, len(iter49))
+                for iter50 in iter49:
+                    oprot.writeString(iter50.encode('utf-8') if sys.version_info[0] == 2 else iter50)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -574,10 +695,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype47, _size44) = iprot.readListBegin()
-                    for _i48 in range(_size44):
-                        _elem49 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.parts.append(_elem49)
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.parts.append(_elem56)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -599,8 +720,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.parts))
-            for iter50 in self.parts:
-                oprot.writeString(iter50.encode('utf-8') if sys.version_info[0] == 2 else iter50)
+            for iter57 in self.parts:
+                oprot.writeString(iter57.encode('utf-8') if sys.version_info[0] == 2 else iter57)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -650,21 +771,21 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.prompts = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = ServedPrompt()
-                        _elem56.read(iprot)
-                        self.prompts.append(_elem56)
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = ServedPrompt()
+                        _elem63.read(iprot)
+                        self.prompts.append(_elem63)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts_before = []
-                    (_etype60, _size57) = iprot.readListBegin()
-                    for _i61 in range(_size57):
-                        _elem62 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.parts_before.append(_elem62)
+                    (_etype67, _size64) = iprot.readListBegin()
+                    for _i68 in range(_size64):
+                        _elem69 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.parts_before.append(_elem69)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -681,15 +802,15 @@
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter63 in self.prompts:
-                iter63.write(oprot)
+            for iter70 in self.prompts:
+                iter70.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.parts_before is not None:
             oprot.writeFieldBegin('parts_before', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.parts_before))
-            for iter64 in self.parts_before:
-                oprot.writeString(iter64.encode('utf-8') if sys.version_info[0] == 2 else iter64)
+            for iter71 in self.parts_before:
+                oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -747,22 +868,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.cells = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = CellNews()
-                        _elem70.read(iprot)
-                        self.cells.append(_elem70)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = CellNews()
+                        _elem77.read(iprot)
+                        self.cells.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype74, _size71) = iprot.readListBegin()
-                    for _i75 in range(_size71):
-                        _elem76 = CrashNews()
-                        _elem76.read(iprot)
-                        self.crashes.append(_elem76)
+                    (_etype81, _size78) = iprot.readListBegin()
+                    for _i82 in range(_size78):
+                        _elem83 = CrashNews()
+                        _elem83.read(iprot)
+                        self.crashes.append(_elem83)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -775,15 +896,15 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.quarantined = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = []
-                        (_etype86, _size83) = iprot.readListBegin()
-                        for _i87 in range(_size83):
-                            _elem88 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                            _elem82.append(_elem88)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = []
+                        (_etype93, _size90) = iprot.readListBegin()
+                        for _i94 in range(_size90):
+                            _elem95 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _elem89.append(_elem95)
                         iprot.readListEnd()
-                        self.quarantined.append(_elem82)
+                        self.quarantined.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -804,15 +925,15 @@
         if self.cells is not None:
             oprot.writeFieldBegin('cells', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.cells))
-            for iter89 in self.cells:
-                iter89.write(oprot)
+            for iter96 in self.cells:
+                iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter90 in self.crashes:
-                iter90.write(oprot)
+            for iter97 in self.crashes:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.served is not None:
@@ -822,10 +943,10 @@
         if self.quarantined is not None:
             oprot.writeFieldBegin('quarantined', TType.LIST, 5)
             oprot.writeListBegin(TType.LIST, len(self.quarantined))
-            for iter91 in self.quarantined:
-                oprot.writeListBegin(TType.STRING, len(iter91))
-                for iter92 in iter91:
-                    oprot.writeString(iter92.encode('utf-8') if sys.version_info[0] == 2 else iter92)
+            for iter98 in self.quarantined:
+                oprot.writeListBegin(TType.STRING, len(iter98))
+                for iter99 in iter98:
+                    oprot.writeString(iter99.encode('utf-8') if sys.version_info[0] == 2 else iter99)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -852,6 +973,15 @@
     (2, TType.I32, 'online', None, None, ),  # 2
     (3, TType.I32, 'batch', None, None, ),  # 3
 )
+all_structs.append(EndpointLimit)
+EndpointLimit.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_ms', None, None, ),  # 2
+    (3, TType.DOUBLE, 'per_s', None, None, ),  # 3
+    (4, TType.I32, 'said_ms', None, None, ),  # 4
+    (5, TType.I64, 'sent', None, None, ),  # 5
+)
 all_structs.append(LoadNews)
 LoadNews.thrift_spec = (
     None,  # 0
@@ -868,6 +998,7 @@
     (11, TType.BOOL, 'store_failing', None, None, ),  # 11
     (12, TType.I32, 'named_ms', None, None, ),  # 12
     (13, TType.MAP, 'changed', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 13
+    (14, TType.LIST, 'limits', (TType.STRUCT, [EndpointLimit, None], False), None, ),  # 14
 )
 all_structs.append(CellNews)
 CellNews.thrift_spec = (
--- a/thrift/load.thrift
+++ b/thrift/load.thrift
@@ -7,6 +7,16 @@
   3: i32 batch,
 }
 
+// A limited endpoint as one node knows it: the limit that it named, how long ago, and the requests
+// that the node has sent since it knows of the limit.
+struct EndpointLimit {
+  1: string endpoint,
+  2: i64 started_ms,
+  3: optional double per_s,  // absent if the limit has ended
+  4: i32 said_ms,
+  5: i64 sent,
+}
+
 // One node; boot differs between starts of a node, and a higher sequence replaces a lower one.
 struct LoadNews {
   1: string node,
@@ -22,6 +32,7 @@
   11: bool store_failing,
   12: i32 named_ms,  // while leaving: how much longer the node may be named to callers
   13: optional map<string, i64> changed,  // revision of the latest change known, by prefix
+  14: optional list<EndpointLimit> limits,
 }
 
 // The aggregate of one cell of a large fleet, reported by the cell's leader (speaker).
