Do not believe a refusal that may belong to an earlier request

An endpoint that writes an earlier refusal once more on a kept connection: without an id it was taken for the refusal of the next request, whose caller was told that it had not run while it ran (503), or which ran at a second endpoint. With its id it was skipped already, except for a batch item that came back to the endpoint under the same id. A refusal on a connection that was in use must now carry the id of its request, otherwise it is unknown whether that ran; an item that comes back to an endpoint uses a new connection.

--- /dev/null
+++ b/features/repeated_refusals.feature
@@ -0,0 +1,17 @@
+Feature: a refusal that an endpoint writes once more on a kept connection is not believed
+
+  Scenario Outline: an earlier refusal that is written again on a kept connection is not believed: <kind>, <copy>
+    Given an engine that has refused a request on a connection that is kept
+    When a <kind> request comes on that connection and the engine writes the refusal <copy> first
+    Then the caller is not told that the request has not run, and no other engine runs it too
+
+    Examples:
+      | kind   | copy                |
+      | chat   | with its id         |
+      | chat   | without an id       |
+      | tale   | with its id         |
+
+  Scenario: an item that comes back to an engine meets no earlier refusal of itself
+    Given an engine that has refused a request on a connection that is kept
+    When a refused item is sent to the engine again, which would write the refusal again
+    Then the item runs once more and completes
--- a/parsleyrouter/process/forward_attempt.py
+++ b/parsleyrouter/process/forward_attempt.py
@@ -46,6 +46,8 @@
     last_event: str = ""
     may_retry: bool = True
     batch: bool = False
+    new_connection: bool = False
+    """An earlier answer to this request may still come on a connection that was in use."""
     status: int = 0
     exchange: EndpointExchange | None = None
     cancelled: bool = False
@@ -101,7 +103,8 @@
         return failure
 
     async def _run(self) -> AttemptFailure | None:
-        exchange = await self.context.client.start(self.registration.address)
+        address = self.registration.address
+        exchange = await self.context.client.start(address, self.new_connection)
         if isinstance(exchange, TransportFailure):
             return self._failure(FailurePoint.NOT_SENT, exchange.message)
         self.exchange = exchange
@@ -138,6 +141,10 @@
         """Return why a response is not forwarded, ``None`` if it is."""
         names, headers, status = self.context.names, exchange.headers, exchange.status
         if names.not_executed in headers or status == MISDIRECTED_STATUS:
+            if exchange.reused and not exchange.has_request_id:
+                self.context.client.discard(exchange)
+                message = "the refusal may be that of an earlier request on the connection"
+                return self._failure(FailurePoint.MAYBE_SENT, message)
             await exchange.read_all(REFUSAL_READ_TIMEOUT_S)
             return self._failure(FailurePoint.REFUSED, f"refused with status {status}")
         verified = exchange.has_request_id and names.signature in headers
--- a/parsleyrouter/process/item_run.py
+++ b/parsleyrouter/process/item_run.py
@@ -5,7 +5,7 @@
 
 from parsleyrouter.connection.endpoint_client import RawHeaders
 from parsleyrouter.connection.sse import event_data, last_event_id
-from parsleyrouter.ids import RequestId, ServiceName
+from parsleyrouter.ids import EndpointId, RequestId, ServiceName
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
 from parsleyrouter.process.forward_attempt import ForwardAttempt
 from parsleyrouter.process.forward_context import ForwardContext, ResponseTimeouts
@@ -47,6 +47,8 @@
     runs: int = 0
     spent_s: float = 0.0
     """Total time of all runs at endpoints."""
+    endpoints: set[EndpointId] = field(default_factory=set)
+    """The endpoints that this node has sent the item to."""
 
     def begin(self, status: int, reason: bytes, headers: RawHeaders, length: int | None) -> None:
         """Ignore status and headers."""
@@ -110,7 +112,9 @@
             headers_sent=bool(progress.last_event),
             last_event=progress.last_event,
             batch=True,
+            new_connection=entry.endpoint in progress.endpoints,
         )
+        progress.endpoints.add(entry.endpoint)
         self.attempt.reserve()
 
     async def run(self) -> tuple[ItemEnd, str]:
