--- a/features/support/platform_endpoint.py
+++ b/features/support/platform_endpoint.py
@@ -135,7 +135,9 @@
 
 async def shed(endpoint: EndpointStandIn, exchange: CallerExchange, arrival: Arrival) -> None:
     """Refuse without executing the request."""
-    exchange.reply(503, [(b"X-Not-Executed", b"1"), *endpoint.headers], b"")
+    name = (arrival.header("X-Attempt-Id") or "").encode()
+    identified = [(b"X-Attempt-Id", name), (b"X-Not-Executed", b"1")]
+    exchange.reply(503, [*identified, *endpoint.headers], b"")
 
 
 async def silent(endpoint: EndpointStandIn, exchange: CallerExchange, arrival: Arrival) -> None:
--- a/parsleyrouter/platform/headers.py
+++ b/parsleyrouter/platform/headers.py
@@ -14,6 +14,7 @@
     request="x-attempt-id",
     deadline_ms="x-deadline-ms",
     expected_endpoint="x-expect-instance",
+    instance="x-instance-id",
     not_executed="x-not-executed",
     signature="x-response-signature",
     # Running, waiting and slots of an endpoint, separated by commas.
--- a/parsleyrouter/process/answer_heads.py
+++ b/parsleyrouter/process/answer_heads.py
@@ -3,11 +3,12 @@
 import logging
 
 from parsleyrouter.connection.endpoint_client import EndpointExchange
+from parsleyrouter.ids import EndpointId
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
 from parsleyrouter.process.fleet_limits import parse_limit
 from parsleyrouter.process.forward_context import ForwardContext
 
-__all__ = ["MISDIRECTED_STATUS", "record_head"]
+__all__ = ["MISDIRECTED_STATUS", "record_head", "refuses_request"]
 
 MISDIRECTED_STATUS = 421
 
@@ -33,3 +34,18 @@
     per_s = parse_limit(headers.get(names.limit))
     if per_s is not None or exchange.has_request_id:
         context.loads.limits.record_answer(registration, per_s, now)
+
+
+def refuses_request(
+    context: ForwardContext, endpoint: EndpointId, exchange: EndpointExchange
+) -> bool:
+    """Return whether a refusal belongs to the request and not to an earlier one.
+
+    An endpoint may write a refusal twice. The first answer on a connection can only be that to its
+    first request; any other must carry the id of the request, or come from another endpoint than
+    the expected one, which refuses all requests of the connection.
+    """
+    if exchange.has_request_id or not exchange.reused:
+        return True
+    instance = exchange.headers.get(context.names.instance)
+    return exchange.status == MISDIRECTED_STATUS and instance not in (None, endpoint)
--- a/parsleyrouter/process/forward_attempt.py
+++ b/parsleyrouter/process/forward_attempt.py
@@ -8,7 +8,7 @@
 from parsleyrouter.connection.http import Sent, TransportFailure
 from parsleyrouter.connection.sse import EventSplitter, is_event_stream, last_event_id
 from parsleyrouter.ids import EndpointId
-from parsleyrouter.process.answer_heads import MISDIRECTED_STATUS, record_head
+from parsleyrouter.process.answer_heads import MISDIRECTED_STATUS, record_head, refuses_request
 from parsleyrouter.process.crash_monitor import RunningRequest
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
 from parsleyrouter.process.forward_context import ForwardContext, ForwardSink, ResponseTimeouts
@@ -141,7 +141,7 @@
         """Return why a response is not forwarded, ``None`` if it is."""
         names, headers, status = self.context.names, exchange.headers, exchange.status
         if names.not_executed in headers or status == MISDIRECTED_STATUS:
-            if exchange.reused and not exchange.has_request_id:
+            if not refuses_request(self.context, self.endpoint, exchange):
                 self.context.client.discard(exchange)
                 message = "the refusal may be that of an earlier request on the connection"
                 return self._failure(FailurePoint.MAYBE_SENT, message)
--- a/parsleyrouter/request/forwarded_request.py
+++ b/parsleyrouter/request/forwarded_request.py
@@ -41,6 +41,8 @@
     request: str
     deadline_ms: str
     expected_endpoint: str
+    instance: str
+    """The id of the endpoint that answers."""
     not_executed: str
     signature: str
     """Proves that a response was sent by the endpoint itself."""
