Forward only what continues a stream; take no error for the output of an item

A stream broke off and the engine that resumed it answered with a status 200 and a text, an event without a number, a whole head in its body, or events that skip one: callers found it in the middle of their stream, at times with an end that looked complete. A batch item took the events of a 404 and a text with status 200 for its output, and was listed as completed. A resumed run must now answer with a stream of events whose numbers follow the last one; events that were sent already are left out. Items accept the body of a successful stream of events only.

--- a/parsleyrouter/connection/sse.py
+++ b/parsleyrouter/connection/sse.py
@@ -12,6 +12,7 @@
     "EventSplitter",
     "error_event",
     "event_data",
+    "events_after",
     "is_event_stream",
     "last_event_id",
 ]
@@ -21,6 +22,7 @@
 MAX_EVENT_BYTES = 4 * 1024 * 1024
 
 _EVENT_ID = re.compile(rb"^id:(.*)$", re.MULTILINE)
+_EVENT = re.compile(rb".*?\r?\n\r?\n", re.DOTALL)
 _BLANK_LINE = re.compile(rb"\r?\n\r?\n")
 _DONE_FORMS = (b"data: [DONE]", b"data:[DONE]")
 
@@ -71,6 +73,28 @@
     return found[-1].decode("latin-1").strip() if found else ""
 
 
+def events_after(events: bytes, last: str) -> bytes | None:
+    """Return the complete events that follow the one with the id ``last``.
+
+    Earlier ones are left out. ``None`` if the events do not go on after it: one is missing, or one
+    has no number. Without a numeric ``last`` all events are returned.
+    """
+    if not last.isdigit():
+        return events
+    number, following = int(last), []
+    for event in _EVENT.findall(events):
+        if all(line.startswith(b":") for line in event.split(b"\n") if line.strip()):
+            following.append(event)
+            continue
+        found = last_event_id(event)
+        if not found.isdigit() or int(found) > number + 1:
+            return None
+        if int(found) == number + 1:
+            number += 1
+            following.append(event)
+    return b"".join(following)
+
+
 def event_data(events: bytes) -> list[str]:
     """Return the data of each complete event; several data lines are joined by newlines."""
     data = []
--- a/parsleyrouter/process/forward_attempt.py
+++ b/parsleyrouter/process/forward_attempt.py
@@ -6,7 +6,12 @@
 
 from parsleyrouter.connection.endpoint_client import EndpointExchange
 from parsleyrouter.connection.http import Sent, TransportFailure
-from parsleyrouter.connection.sse import EventSplitter, is_event_stream, last_event_id
+from parsleyrouter.connection.sse import (
+    EventSplitter,
+    events_after,
+    is_event_stream,
+    last_event_id,
+)
 from parsleyrouter.ids import EndpointId
 from parsleyrouter.process.answer_heads import MISDIRECTED_STATUS, record_head, refuses_request
 from parsleyrouter.process.crash_monitor import RunningRequest
@@ -157,9 +162,10 @@
         if status >= 500 and self.may_retry and self.request.route.repeatable:
             await exchange.read_all(REFUSAL_READ_TIMEOUT_S)
             return self._failure(FailurePoint.ERROR_STATUS, f"failed with status {status}")
-        if self.headers_sent and status != 200:
-            exchange.cancel()
-            return self._failure(FailurePoint.RESPONSE_TRUNCATED, f"resumed with status {status}")
+        if self.headers_sent and (status != 200 or not is_event_stream(_content_type(exchange))):
+            self.context.client.discard(exchange)
+            message = f"not resumed, answered with status {status} and {_content_type(exchange)!r}"
+            return self._failure(FailurePoint.RESPONSE_TRUNCATED, message)
         return None
 
     async def _read_buffered(self, exchange: EndpointExchange) -> AttemptFailure | None:
@@ -215,6 +221,7 @@
     async def _forward_events(self, exchange: EndpointExchange) -> AttemptFailure | None:
         """Forward complete events only, so that another endpoint can resume after the last one."""
         splitter = EventSplitter()
+        resumed = self.headers_sent
         self._begin(exchange, None)
         event_s = self.context.loop.now()
         while True:
@@ -222,18 +229,21 @@
             chunk = await self._read(exchange, waited_s)
             if chunk is None:
                 broken = self._broken_event(exchange, splitter)
+                if broken is None and resumed and splitter.rest:
+                    broken = self._failure(FailurePoint.RESPONSE_TRUNCATED, "ended in an event")
                 if broken is None:
                     self.sink.send(splitter.rest)
                 return broken
             if isinstance(chunk, TransportFailure):
                 return self._failure(FailurePoint.RESPONSE_TRUNCATED, chunk.message)
             self.context.loads.record_activity(self.endpoint, self.context.loop.now())
-            events = splitter.feed(chunk)
-            if splitter.too_long:
-                exchange.cancel()
-                return self._failure(
-                    FailurePoint.RESPONSE_TRUNCATED, "event exceeds the maximum size"
-                )
+            events: bytes | None = splitter.feed(chunk)
+            if resumed and events:
+                events = events_after(events, self.last_event)
+            if splitter.too_long or events is None:
+                self.context.client.discard(exchange)
+                wrong = "exceeds the maximum size" if splitter.too_long else "does not come next"
+                return self._failure(FailurePoint.RESPONSE_TRUNCATED, f"an event {wrong}")
             if events:
                 event_s = self.context.loop.now()
                 self.last_event = last_event_id(events) or self.last_event
--- a/parsleyrouter/process/item_run.py
+++ b/parsleyrouter/process/item_run.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from parsleyrouter.connection.endpoint_client import RawHeaders
-from parsleyrouter.connection.sse import event_data, last_event_id
+from parsleyrouter.connection.sse import event_data, is_event_stream, last_event_id
 from parsleyrouter.ids import EndpointId, RequestId, ServiceName
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
 from parsleyrouter.process.forward_attempt import ForwardAttempt
@@ -47,14 +47,20 @@
     runs: int = 0
     spent_s: float = 0.0
     """Total time of all runs at endpoints."""
+    accepts: bool = True
+    """Whether the answer in progress is a successful stream of events."""
     endpoints: set[EndpointId] = field(default_factory=set)
     """The endpoints that this node has sent the item to."""
 
     def begin(self, status: int, reason: bytes, headers: RawHeaders, length: int | None) -> None:
-        """Ignore status and headers."""
+        """Accept the body of a successful stream of events only."""
+        types = [value for name, value in headers if name.lower() == b"content-type"]
+        self.accepts = status == 200 and is_event_stream(b"".join(types).decode("latin-1"))
 
     def send(self, data: bytes) -> None:
         """Append the data of complete events."""
+        if not self.accepts:
+            return
         self.pieces.extend(event_data(data))
         self.last_event = last_event_id(data) or self.last_event
 
@@ -132,6 +138,8 @@
             return self.cancelled_as or ItemEnd.STOPPED, failure.message
         if status != 200:
             return ItemEnd.STOPPED, f"answered with status {status}"
+        if not self.progress.accepts:
+            return ItemEnd.STOPPED, "answered with something else than events"
         return ItemEnd.COMPLETED, ""
 
     def cancel(self, end: ItemEnd) -> None:
