End the news of a limit that has ended; compute the share of a limit rarely

Answers without a limit renewed the news that it had ended, so that nodes went on telling each other of it for as long as requests came. The scenario fails before. The share that a node accrues was computed four times for each limited endpoint and request; it is kept for a tenth of a second.

--- a/features/endpoint_limits.feature
+++ b/features/endpoint_limits.feature
@@ -34,6 +34,7 @@
   Scenario: a limit that ends is forgotten by all nodes
     When a limit ends while requests arrive
     Then all nodes send without a limit within two seconds
+    And they stop telling each other of it
 
   Scenario Outline: the requests of all kinds stay within the limits of <count> engines of two
     Given nodes that serve two engines, of which <count> name a limit
--- a/features/steps/endpoint_limits_steps.py
+++ b/features/steps/endpoint_limits_steps.py
@@ -11,6 +11,7 @@
 from features.support.limit_play import ENDPOINT, WINDOW_S, LimitPlay
 from features.support.platform_endpoint import stream, stream_until
 from parsleyrouter.ids import NodeId, ServiceName
+from parsleyrouter.process.fleet_limits import ENDED_RETENTION_S
 from parsleyrouter.request.permit_queue import PermitQueue
 
 CONTACT_S = 3.0
@@ -131,7 +132,7 @@
 
 @when("a limit ends while requests arrive")
 def step_ends(context: Any) -> None:
-    context.left = []
+    context.left, context.told = [], []
     for seed in SEEDS:
         play = LimitPlay(NODES, PER_S, DEMAND * PER_S, seed)
         play.run(10.0)
@@ -139,6 +140,8 @@
         play.run(12.0)
         permits = [one.limits.permits(ENDPOINT, play.now) for one in play.nodes.values()]
         context.left += permits
+        play.run(12.0 + 2 * ENDED_RETENTION_S)
+        context.told = [one.limits.reports(play.now) for one in play.nodes.values()]
 
 
 @then("all nodes send without a limit within two seconds")
@@ -146,6 +149,11 @@
     assert all(left == float("inf") for left in context.left), context.left
 
 
+@then("they stop telling each other of it")
+def step_not_told(context: Any) -> None:
+    assert not any(context.told), context.told
+
+
 CALLS_PER_S = 25
 PLAY_S = 11.0
 LIMIT_PER_S = 2.0
--- a/parsleyrouter/process/fleet_limits.py
+++ b/parsleyrouter/process/fleet_limits.py
@@ -31,6 +31,9 @@
 ENDED_RETENTION_S = 5.0
 """How long nodes tell each other that a limit has ended."""
 
+SHARE_INTERVAL_S = 0.1
+"""How long the share that this node accrues is used before it is computed again."""
+
 SETTLING_S = 1.0
 """Time after a limit was first heard of in which counts of other nodes may be from before."""
 
@@ -79,12 +82,15 @@
     share: Callable[[], float] = lambda: 1.0
     """Returns the share of a limit that the nodes hold of which this one hears, from 0 to 1."""
     limits: dict[EndpointId, _Limit] = field(default_factory=dict)
+    current_share: float = 1.0
+    share_until_s: float = 0.0
     on_change: Callable[[EndpointId, float | None], object] = lambda endpoint, per_s: None
     """Called when a limit begins, changes or ends."""
 
     def record_answer(self, entry: RegisteredEndpoint, per_s: float | None, now: float) -> None:
         """Record the limit that an answer names, ``None`` if it names none."""
-        if per_s is not None or entry.endpoint in self.limits:
+        limit = self.limits.get(entry.endpoint)
+        if per_s is not None or (limit is not None and limit.per_s is not None):
             self._apply_word(entry.endpoint, entry.started_ms, per_s, now, now)
 
     def record_sent(self, endpoint: EndpointId, now: float) -> None:
@@ -115,8 +121,9 @@
         limit = self._in_force(entry)
         if limit is None:
             return 0.0
-        missing = needed - self.permits(entry, now)
-        return max(0.0, missing / self._rate(limit)) if self._rate(limit) else math.inf
+        missing = max(0.0, needed - self.permits(entry, now))
+        rate = self._rate(limit)
+        return missing / rate if rate else math.inf
 
     def rate(self, entry: RegisteredEndpoint) -> float:
         """Return the requests per second that the nodes may send; infinite without a limit."""
@@ -187,12 +194,14 @@
         return limit
 
     def _rate(self, limit: _Limit) -> float:
-        return max(MIN_PER_S, limit.per_s or 0.0) * self.share()
+        return max(MIN_PER_S, limit.per_s or 0.0) * self.current_share
 
     def _capacity(self, limit: _Limit) -> float:
         return CAPACITY + CAPACITY_S * self._rate(limit)
 
     def _accrue(self, limit: _Limit, now: float) -> None:
+        if now >= self.share_until_s:
+            self.current_share, self.share_until_s = self.share(), now + SHARE_INTERVAL_S
         gained = self._rate(limit) * max(0.0, now - limit.updated_s)
         limit.permits = min(self._capacity(limit), limit.permits + gained)
         limit.updated_s = now
