Let the followers of a divided fleet wait long in direct reads, and ask their leader after an outage

Only the leader's reads must be short, since renewals tell every node when the service is back and end its reads.

--- a/parsleyrouter/process/cell_reader.py
+++ b/parsleyrouter/process/cell_reader.py
@@ -99,7 +99,7 @@
         self.started_s = loop.now()
         self.direct = DirectReads(loop, store)
         self.elsewhere = ChangesElsewhere()
-        store.on_lost.append(lambda _: self.direct_retry_at_s.clear())
+        store.on_lost.append(lambda _: self._end_pauses())
         store.on_failure.append(lambda: self._record_failure(loop.now()))
         self.on_failure: list[Callable[[float], object]] = []
         """Called with the time of each failed call to the service, made here or by the leader."""
@@ -148,7 +148,7 @@
         refused = self._refuse_direct_read(prefix)
         if refused is not None:
             return refused
-        wait_s = min(wait_s, self._max_wait_s())
+        wait_s = self._direct_wait_s(wait_s)
         page = await self.direct.changes(prefix, after, wait_s)
         self._record_answer(prefix, page)
         return page
@@ -212,15 +212,23 @@
         """Return the pause between reads of a prefix: longer on standby, where few callers come."""
         return max(usual_s, STANDBY_PAUSE_S) if usual_s and self.members.on_standby else usual_s
 
-    def _max_wait_s(self) -> float:
-        """Return the long-poll time of a direct read: short if other nodes depend on it."""
+    def _direct_wait_s(self, usual_s: float) -> float:
+        """Return the long-poll time of a direct read: short if other nodes depend on it.
+
+        The many others wait long, also after failures: renewals tell when the service is back.
+        """
         members = self.members
         if self.loop.now() - self.started_s < DISCOVERY_S:
-            return CHANGES_WAIT_S
+            return min(usual_s, CHANGES_WAIT_S)
         if not members.divided:
-            return math.inf
+            return usual_s
         leads = members.leader() == members.registry.own.node
-        return CHANGES_WAIT_S if leads else DIRECT_WAIT_S
+        return min(usual_s, CHANGES_WAIT_S) if leads else DIRECT_WAIT_S
+
+    def _end_pauses(self) -> None:
+        """Read again at once, now that the service answers again."""
+        self.direct_retry_at_s.clear()
+        self.leader_retry_at_s = 0.0
 
     def _refuse_direct_read(self, prefix: str) -> KeyValueFailure | None:
         """Keep the many nodes of a large fleet from calling a service that does not answer."""
