Soak: leave out requests that the crash of their endpoint broke off at a planned stop

The check leaves out only requests whose endpoint crashed while it ran them; the example of a cut request is still reported, and one of a crash is not.

--- a/features/soak_checks.feature
+++ b/features/soak_checks.feature
@@ -25,3 +25,7 @@
   Scenario: no violation is reported when all guarantees hold
     When nothing goes wrong for callers and endpoints
     Then the soak reports nothing
+
+  Scenario: a request that the crash of its endpoint broke off during a planned stop is not reported
+    When an endpoint crashes while it runs a request around a planned stop
+    Then the soak reports nothing
--- a/features/steps/soak_checks_steps.py
+++ b/features/steps/soak_checks_steps.py
@@ -118,6 +118,14 @@
     context.found = found(good_journal())
 
 
+@when("an endpoint crashes while it runs a request around a planned stop")
+def step_crash_at_stop(context: Any) -> None:
+    journal = good_journal()
+    journal.attempts["a1"].complete = False
+    journal.crashes.append(EndpointCrash(50.5, "e", "other"))
+    context.found = found(journal)
+
+
 @then("the soak reports nothing")
 def step_nothing(context: Any) -> None:
     assert not context.found, context.found
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -246,21 +246,34 @@
 
 @check("a graceful shutdown interrupts no request")
 def check_stops(world: World) -> list[str]:
-    """Check that requests which ran around a stop of their undisturbed node were answered."""
+    """Check that requests which ran around a stop of their undisturbed node were answered.
+
+    A request that an endpoint broke off by a crash does not count.
+    """
     found = []
     nodes = {node.name: node for node in world.nodes}
-    ran = {run.attempt for run in world.journal.runs}
+    runs = _runs(world.journal)
     for name, one in world.journal.attempts.items():
         node = nodes[one.node]
         stopping = any(
             one.ended_s >= at_s and one.sent_s <= at_s + GRACE_S for at_s in node.stops_s
         )
-        cut = name in ran and not one.complete and one.status in (0, 200)
+        cut = name in runs and not one.complete and one.status in (0, 200)
+        if cut and any(_crashed(world, run, one.ended_s) for run in runs[name]):
+            continue
         if stopping and cut and node.undisturbed_between(one.sent_s, one.ended_s):
             found.append(f"{name} at {one.node} was sent at {one.sent_s:.2f} and cut")
     return found
 
 
+def _crashed(world: World, run: Run, until_s: float) -> bool:
+    """Return whether the endpoint of a run crashed between its start and a time."""
+    return any(
+        crash.endpoint == run.endpoint and run.began_s <= crash.at_s <= until_s
+        for crash in world.journal.crashes
+    )
+
+
 @check("processes end only when told to")
 def check_process_ends(world: World) -> list[str]:
     """Return process ends that no signal explains."""
