--- a/features/support/crashing_endpoint.py
+++ b/features/support/crashing_endpoint.py
@@ -9,7 +9,6 @@
 from features.support.front_fleet import FrontFleet
 from features.support.platform_endpoint import Arrival, Behaviour, EndpointStandIn, stream
 from parsleyrouter.connection.forward_server import CallerExchange
-from parsleyrouter.ids import Address
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -66,9 +65,9 @@
             return
         self.down.add(id(endpoint))
         self.crashes.append(Crash(self.fleet.loop.now(), endpoint.name, part))
-        address = crash_server(endpoint.server.server)
+        reserved = crash_server(endpoint.server.server)
         await self.fleet.loop.sleep(self.down_s)
-        restart_server(endpoint.server.server, address)
+        restart_server(endpoint.server.server, reserved)
         self.down.discard(id(endpoint))
         self.starts += 1
         if renamed:
@@ -102,11 +101,17 @@
     return behave
 
 
-def crash_server(sockets: Any) -> Address:
-    """Stop listening and reset all connections of a TCP server; return its address."""
-    address = Address(f"{sockets.host}:{sockets.port}")
+def crash_server(sockets: Any) -> socket.socket:
+    """Stop listening and reset all connections of a TCP server.
+
+    The returned socket refuses connections and keeps others from using the port meanwhile.
+    """
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    address = sockets._sock.getsockname()
     sockets._poller.discard(sockets._sock)
     sockets._sock.close()
+    reserved.bind(address)
     # An accept that is already queued finds no connection here.
     sockets._sock = socket.create_server(("127.0.0.1", 0))
     sockets._sock.setblocking(False)
@@ -116,13 +121,13 @@
         # A shutdown, as the library does on close, would end the connection in an orderly way.
         os.close(sock.detach())
         sockets._close(sock)
-    return address
+    return reserved
 
 
-def restart_server(sockets: Any, address: Address) -> None:
+def restart_server(sockets: Any, reserved: socket.socket) -> None:
     """Listen again at the same address."""
     sockets._sock.close()
-    host, _, port = address.partition(":")
-    sockets._bind = (host, int(port))
+    sockets._bind = reserved.getsockname()
     sockets._sock = sockets._create_socket()
+    reserved.close()
     sockets._poller.addReader(sockets, sockets._sock)
--- a/soak/world.py
+++ b/soak/world.py
@@ -109,9 +109,9 @@
     async def _crash(self, name: str) -> None:
         self.down.add(name)
         listener = self.endpoint_links[name].listener
-        crash_server(listener)
+        reserved = crash_server(listener)
         await self.loop.sleep(CRASH_DOWN_S)
-        restart_server(listener, self.endpoint_addresses[name])
+        restart_server(listener, reserved)
         self.down.discard(name)
         if f"servers/{name}" in self.store.rows:
             self.announce(name, born=next(self.numbers))
