Report requests to limited endpoints at once

Each node may use the permits that are kept for a burst until it hears that another one has used them, and reports of sent requests waited 15 to 20 ms to be collected with others. Played: 40 requests within 20 ms after a pause, seven nodes, limit 2.6 a second: up to 36 in four seconds (20.6 allowed); twenty nodes, limit 0.5: up to 32 (8 allowed).

A node now reports a request to a limited endpoint at once. There are few of these, as the limit bounds them.

--- a/features/endpoint_limits.feature
+++ b/features/endpoint_limits.feature
@@ -30,6 +30,15 @@
       | a third of the reports are lost        |
       | the limit falls                        |
       | a burst follows a pause                |
+      | many requests come at once             |
+
+  Scenario: many requests come at once at twenty nodes
+    When many requests come at once at 20 nodes with a limit of 0.5 a second
+    Then it gets no more than the limit allows in any four seconds
+
+  Scenario: a request to a limited endpoint is reported before others are collected
+    When a node sends requests to an endpoint with a limit and to one without
+    Then it reports the first at once, and the second with those of the next milliseconds
 
   Scenario: a limit that ends is forgotten by all nodes
     When a limit ends while requests arrive
--- a/features/steps/endpoint_limits_steps.py
+++ b/features/steps/endpoint_limits_steps.py
@@ -9,8 +9,10 @@
 from features.steps.front_requests_steps import run_with_fleet
 from features.support.front_fleet import CallerAnswer, FrontFleet
 from features.support.limit_play import ENDPOINT, WINDOW_S, LimitPlay
+from features.support.load_exchange_fleet import LoadExchangeFleet
+from features.support.loop import run_on_loop
 from features.support.platform_endpoint import stream, stream_until
-from parsleyrouter.ids import NodeId, ServiceName
+from parsleyrouter.ids import EndpointId, NodeId, ServiceName
 from parsleyrouter.process.fleet_limits import ENDED_RETENTION_S
 from parsleyrouter.request.permit_queue import PermitQueue
 
@@ -94,6 +96,54 @@
     play.at(20.0, burst)
 
 
+FLASH = 40
+FLASH_AT_S = 20.0
+LATE_S = 0.01
+"""Longer than an immediate report takes, shorter than others are collected."""
+
+
+@event("many requests come at once")
+def _flash(play: LimitPlay) -> None:
+    play.demand_per_s = 1.0
+    play.at(FLASH_AT_S, lambda: play.flash(FLASH))
+
+
+@when("many requests come at once at {nodes:d} nodes with a limit of {per_s:f} a second")
+def step_flash(context: Any, nodes: int, per_s: float) -> None:
+    context.per_s = per_s
+    context.plays = []
+    for seed in SEEDS:
+        play = LimitPlay(nodes, per_s, per_s / 2, seed)
+        play.at(FLASH_AT_S, lambda play=play: play.flash(FLASH))
+        play.run(RUN_S)
+        context.plays.append((play, CONTACT_S))
+
+
+@when("a node sends requests to an endpoint with a limit and to one without")
+def step_reports(context: Any) -> None:
+    async def main(runtime: Any) -> None:
+        fleet = LoadExchangeFleet(runtime, {"z": 2})
+        sender, hearer = (fleet.exchanges[node] for node in sorted(fleet.exchanges))
+        now = fleet.loop.now()
+        sender.loads.limits.record_answer(ENDPOINT, PER_S, now)
+        await fleet.loop.sleep(0.1)
+        endpoints = ENDPOINT.endpoint, EndpointId("unlimited")
+        context.heard = []
+        for endpoint in endpoints:
+            sender.loads.request_started(endpoint, batch=False, now=fleet.loop.now())
+            await fleet.loop.sleep(LATE_S)
+            context.heard.append(hearer.loads.fleet_use(endpoint, fleet.loop.now()).online)
+            await fleet.loop.sleep(0.1)
+            context.heard.append(hearer.loads.fleet_use(endpoint, fleet.loop.now()).online)
+
+    run_on_loop(main)
+
+
+@then("it reports the first at once, and the second with those of the next milliseconds")
+def step_reported(context: Any) -> None:
+    assert context.heard == [1, 1, 0, 1], context.heard
+
+
 @when("{nodes:d} nodes get more requests than an endpoint with a limit of {per_s:f} a second takes")
 def step_saturate(context: Any, nodes: int, per_s: float) -> None:
     context.per_s = per_s
--- a/features/support/limit_play.py
+++ b/features/support/limit_play.py
@@ -9,10 +9,14 @@
 from parsleyrouter.ids import Address, DomainName, EndpointId, NodeId, ServiceName
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
 from parsleyrouter.process.fleet_limits import FleetLimits, LimitedRequest
+from parsleyrouter.process.load_exchange import LIMITED_DEBOUNCE_S
 
 WINDOW_S = 4.0
 REPORT_TTL_S = 1.6
 HEARTBEAT_S = 0.5
+FLASH_S = 0.02
+"""Time within which the requests of a flash arrive."""
+
 ENDPOINT = RegisteredEndpoint(
     EndpointId("e"), ServiceName("s"), Address("127.0.0.1:1"), DomainName("z"), 8
 )
@@ -77,8 +81,16 @@
         heard = [one for one in others if self.now - node.heard_s.get(one, -9) < REPORT_TTL_S]
         return (1 + len(heard)) / (1 + len(others))
 
+    def flash(self, requests: int) -> None:
+        """Let many requests arrive almost at once."""
+        for _ in range(requests):
+            self.at(self.random.uniform(0, FLASH_S), self._request)
+
     def _arrive(self) -> None:
         self.at(self.random.expovariate(self.demand_per_s), self._arrive)
+        self._request()
+
+    def _request(self) -> None:
         node = self.random.choice(list(self.nodes.values()))
         if node.limits.permits(ENDPOINT, self.now) < LimitedRequest.NEW.value:
             self.refused += 1
@@ -87,7 +99,7 @@
         self.at(self.random.uniform(0.001, 0.004), lambda: self._reach(node))
         if not node.report_pending:
             node.report_pending = True
-            self.at(0.015, lambda: self._report(node))
+            self.at(LIMITED_DEBOUNCE_S, lambda: self._report(node))
 
     def _reach(self, node: LimitNode) -> None:
         self.sent_s.append(self.now)
--- a/parsleyrouter/process/load_exchange.py
+++ b/parsleyrouter/process/load_exchange.py
@@ -8,6 +8,7 @@
 
 import itertools
 import logging
+import math
 from collections.abc import Callable, Mapping
 
 from parsleyrouter.connection.datagram import DatagramSocket
@@ -31,7 +32,7 @@
 from parsleyrouter.process.node_registry import NodeRegistry
 from parsleyrouter.request.crash_evidence import Crash, PartGroup, Prompt
 
-__all__ = ["LoadExchange"]
+__all__ = ["LIMITED_DEBOUNCE_S", "LoadExchange"]
 
 HEARTBEAT_INTERVAL_S = 0.5
 DEBOUNCE_S = 0.015
@@ -43,6 +44,10 @@
 STANDBY_DEBOUNCE_S = 0.1
 """Debounce time on standby, where a report only reaches the others with the next aggregate."""
 
+LIMITED_DEBOUNCE_S = 0.0
+"""Debounce time for requests to limited endpoints: until the others hear of one, they may use the
+same permit."""
+
 AGGREGATE_INTERVAL_S = 0.1
 """Interval between aggregates of a cell: a fifth of the time that a request takes."""
 
@@ -74,7 +79,8 @@
         self.sent_counts: dict[EndpointId, RequestCounts] = {}
         self.sent_limited: dict[EndpointId, int] = {}
         loads.limits.share = self.members.heard_share
-        self.broadcast_pending = False
+        self.broadcast_at_s = math.inf
+        """When the next broadcast of changes is due."""
         self.on_load_report: list[Callable[[], object]] = []
         self.known_changes: Callable[[], Mapping[str, Revision]] = dict
         """Returns the revision of the latest change known here, by watched prefix."""
@@ -169,17 +175,21 @@
         return loaded or self.relayed_load
 
     def _schedule_broadcast(self) -> None:
-        if not self.broadcast_pending:
-            self.broadcast_pending = True
-            self.loop.call_later(self._debounce_s(), self._broadcast_changes)
+        delay_s = self._debounce_s()
+        due_s = self.loop.now() + delay_s
+        if due_s < self.broadcast_at_s:
+            self.broadcast_at_s = due_s
+            self.loop.call_later(delay_s, self._broadcast_changes)
 
     def _debounce_s(self) -> float:
+        if self.sent_limited != self.loads.limits.sent():
+            return LIMITED_DEBOUNCE_S
         if self.members.on_standby:
             return STANDBY_DEBOUNCE_S
         return ACTIVE_DEBOUNCE_S if self.members.divided else DEBOUNCE_S
 
     def _broadcast_changes(self) -> None:
-        self.broadcast_pending = False
+        self.broadcast_at_s = math.inf
         if self.sent_counts != self.loads.own or self.sent_limited != self.loads.limits.sent():
             self.broadcast()
 
