Keep the limit of an endpoint whose registration is gone for a while

A registration that expired in an outage of the store and came back, of an endpoint that had not started again, ended the limit at that node, and at all nodes if all saw the same: until the first answers, requests were sent without a limit. The scenario failed before: infinite permits after the registration was gone.

A limit is now kept by the endpoint's id and start, as its word that it leaves is, for ten minutes after the endpoint last named it; a new start ends it. The metric counts registered endpoints only.

--- a/features/endpoint_limits.feature
+++ b/features/endpoint_limits.feature
@@ -40,6 +40,10 @@
     When a node sends requests to an endpoint with a limit and to one without
     Then it reports the first at once, and the second with those of the next milliseconds
 
+  Scenario: a limit outlives the registration of its endpoint
+    When the registration of an endpoint with a limit is gone and comes back without a restart
+    Then the limit is still in force, and it is not after a restart
+
   Scenario: a limit that ends is forgotten by all nodes
     When a limit ends while requests arrive
     Then all nodes send without a limit within two seconds
--- a/features/steps/endpoint_limits_steps.py
+++ b/features/steps/endpoint_limits_steps.py
@@ -1,6 +1,8 @@
 """Steps for limits that endpoints name."""
 
+import math
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from behave import given, then, when
@@ -13,6 +15,7 @@
 from features.support.loop import run_on_loop
 from features.support.platform_endpoint import stream, stream_until
 from parsleyrouter.ids import EndpointId, NodeId, ServiceName
+from parsleyrouter.process.endpoint_loads import EndpointLoads
 from parsleyrouter.process.fleet_limits import ENDED_RETENTION_S
 from parsleyrouter.request.permit_queue import PermitQueue
 
@@ -144,6 +147,22 @@
     assert context.heard == [1, 1, 0, 1], context.heard
 
 
+@when("the registration of an endpoint with a limit is gone and comes back without a restart")
+def step_gone(context: Any) -> None:
+    loads = EndpointLoads()
+    loads.limits.record_answer(ENDPOINT, PER_S, 1.0)
+    loads.forget(ENDPOINT.endpoint)
+    context.left = [
+        loads.limits.permits(entry, 1.0)
+        for entry in (ENDPOINT, replace(ENDPOINT, started_ms=ENDPOINT.started_ms + 1))
+    ]
+
+
+@then("the limit is still in force, and it is not after a restart")
+def step_kept(context: Any) -> None:
+    assert context.left == [0.0, math.inf], context.left
+
+
 @when("{nodes:d} nodes get more requests than an endpoint with a limit of {per_s:f} a second takes")
 def step_saturate(context: Any, nodes: int, per_s: float) -> None:
     context.per_s = per_s
--- a/parsleyrouter/process/endpoint_loads.py
+++ b/parsleyrouter/process/endpoint_loads.py
@@ -119,7 +119,6 @@
     def forget(self, endpoint: EndpointId) -> None:
         """Drop the state of an endpoint that is gone or has restarted."""
         self.ejector.health.pop(endpoint, None)
-        self.limits.limits.pop(endpoint, None)
         observed = self.observed.get(endpoint)
         if observed is not None and not observed.in_flight:
             del self.observed[endpoint]
--- a/parsleyrouter/process/fleet_limits.py
+++ b/parsleyrouter/process/fleet_limits.py
@@ -31,6 +31,10 @@
 ENDED_RETENTION_S = 5.0
 """How long nodes tell each other that a limit has ended."""
 
+RETENTION_S = 600.0
+"""How long a limit is kept after its endpoint last named it; registrations may be gone for a while
+although their endpoints are alive."""
+
 SHARE_INTERVAL_S = 0.1
 """How long the share that this node accrues is used before it is computed again."""
 
@@ -150,18 +154,18 @@
 
     def reports(self, now: float) -> list[LimitReport]:
         """Return what this node tells the others."""
-        ended = [
-            endpoint
-            for endpoint, limit in self.limits.items()
-            if limit.per_s is None and now - limit.said_s > ENDED_RETENTION_S
-        ]
-        for endpoint in ended:
-            del self.limits[endpoint]
+        for endpoint, limit in list(self.limits.items()):
+            if now - limit.said_s > (ENDED_RETENTION_S if limit.per_s is None else RETENTION_S):
+                del self.limits[endpoint]
         return [
             LimitReport(endpoint, limit.started_ms, limit.per_s, limit.said_s, limit.sent)
             for endpoint, limit in self.limits.items()
         ]
 
+    def in_force(self, entries: Iterable[RegisteredEndpoint]) -> int:
+        """Return how many endpoints are limited."""
+        return sum(self._in_force(entry) is not None for entry in entries)
+
     def sent(self) -> Mapping[EndpointId, int]:
         """Return the requests that this node has sent to limited endpoints."""
         return {endpoint: limit.sent for endpoint, limit in self.limits.items()}
--- a/parsleyrouter/process/front.py
+++ b/parsleyrouter/process/front.py
@@ -125,9 +125,8 @@
             watcher.start()
             age_s = partial(self.reader.answer_age_s, watcher.prefix)
             metrics.age.labels(watcher.prefix).set_function(age_s)
-        limits = self.loads.limits
         metrics.limited.set_function(
-            lambda: sum(one.per_s is not None for one in limits.limits.values())
+            lambda: self.loads.limits.in_force(self.directory.endpoints.values())
         )
         metrics.deferred_removals.set_function(lambda: len(self.directory.missing))
         self.quarantine.start()
