Soak: endpoints that say in their answers that they leave, or name a limit

The soak had no fault for either word. The new faults let a registered endpoint say that it leaves while its registration stays ready and is written again, and let an engine name a limit; two checks hold the nodes to DRAIN and LIMIT, a start or freeze of the node excuses it. Seeds that were kept for a failure leave the new faults out, so that they give those they gave before. The registry of checks has a module of its own. Each check has an example that breaks it and one that it allows.

--- a/features/soak_checks.feature
+++ b/features/soak_checks.feature
@@ -21,6 +21,8 @@
       | a process that ended by itself           | processes end               |
       | four runs with a part after five crashes | a part that crashes         |
       | sound requests refused for a first part  | requests that share         |
+      | a run after an answer that says leaving  | an endpoint that says       |
+      | too many runs at a limited endpoint      | the limits of endpoints     |
 
   Scenario: no violation is reported when all guarantees hold
     When nothing goes wrong for callers and endpoints
@@ -29,3 +31,11 @@
   Scenario: a request that the crash of its endpoint broke off during a planned stop is not reported
     When an endpoint crashes while it runs a request around a planned stop
     Then the soak reports nothing
+
+  Scenario: a restart of the node excuses a request to an endpoint that leaves
+    When a request follows an answer that says leaving and a start of its node
+    Then the soak reports nothing
+
+  Scenario: requests within the limit of an endpoint are not reported
+    When an endpoint with a limit gets as many requests as it allows
+    Then the soak reports nothing
--- a/features/steps/soak_checks_steps.py
+++ b/features/steps/soak_checks_steps.py
@@ -8,7 +8,7 @@
 
 from soak.checks import problems
 from soak.endpoints import expected_body, item_output
-from soak.journal import Attempt, EndpointCrash, JobTrace, Journal, Kind, Run
+from soak.journal import Attempt, EndpointCrash, EndpointLimit, JobTrace, Journal, Kind, Run
 
 Violation = Callable[[Journal], object]
 
@@ -60,6 +60,34 @@
     journal.runs.append(one)
 
 
+def add_safe_run(journal: Journal, at_s: float, endpoint: str, *, leaving: bool = False) -> None:
+    """Add a request that is answered within a tenth of a second."""
+    name = f"w{len(journal.runs)}"
+    body = expected_body(name, stream=False)
+    journal.attempts[name] = Attempt(
+        name, Kind.SAFE, "n", at_s, 200, f"sig-{endpoint}", body, True, at_s + 0.1
+    )
+    text = f"body {name}".encode()
+    journal.runs.append(Run(name, endpoint, "cards", "/", text, at_s, leaving=leaving))
+
+
+def add_leaving(journal: Journal) -> None:
+    """Add an answer that says that its endpoint leaves, and a request to it 2.2 s later."""
+    add_safe_run(journal, 70.0, "c", leaving=True)
+    add_safe_run(journal, 72.3, "c", leaving=True)
+
+
+LIMIT_PER_S = 1.0
+
+
+def add_limit(journal: Journal, requests: int) -> None:
+    """Add requests to an endpoint with a limit of one a second: first one, then many in 2 s."""
+    journal.limits.append(EndpointLimit("l", LIMIT_PER_S, 80.0, 90.0))
+    add_safe_run(journal, 80.0, "l")
+    for number in range(requests):
+        add_safe_run(journal, 84.0 + 2.0 * number / requests, "l")
+
+
 def refuse_first_part(journal: Journal) -> None:
     for one in journal.attempts.values():
         if one.parts[:1] == ("a1",) and one.attempt.startswith("s"):
@@ -96,13 +124,16 @@
     "a request cut at a planned stop": lambda journal: setattr(
         journal.attempts["a1"], "complete", False
     ),
+    "a run after an answer that says leaving": add_leaving,
+    "too many runs at a limited endpoint": lambda journal: add_limit(journal, 12),
     "a process that ended by itself": lambda journal: journal.ends.append("n ended by itself"),
 }
 
 
-def found(journal: Journal) -> list[str]:
+def found(journal: Journal, *, started_s: float = 0.0) -> list[str]:
     node = SimpleNamespace(
         name="n",
+        interruptions_s=[started_s],
         undisturbed_since=lambda at_s: True,
         undisturbed_between=lambda from_s, until_s: True,
         stops_s=[45.0],
@@ -126,6 +157,20 @@
     context.found = found(journal)
 
 
+@when("a request follows an answer that says leaving and a start of its node")
+def step_leaving_start(context: Any) -> None:
+    journal = good_journal()
+    add_leaving(journal)
+    context.found = found(journal, started_s=71.0)
+
+
+@when("an endpoint with a limit gets as many requests as it allows")
+def step_limit_kept(context: Any) -> None:
+    journal = good_journal()
+    add_limit(journal, 11)
+    context.found = found(journal)
+
+
 @then("the soak reports nothing")
 def step_nothing(context: Any) -> None:
     assert not context.found, context.found
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,10 +21,18 @@
 
 
 @app.command
-def one(seed: int, *, nodes: int = 4, faults_s: float = 10.0, gap_s: float = 0.8) -> None:
+def one(
+    seed: int,
+    *,
+    nodes: int = 4,
+    faults_s: float = 10.0,
+    gap_s: float = 0.8,
+    without: tuple[str, ...] = (),
+) -> None:
     """Run one seed; the logs of a failed soak stay in out/soak/SEED."""
     start_logs(program="soak", level="ERROR")
-    plan = Plan(seed, nodes=nodes, clients=3 * nodes // 2, faults_s=faults_s, gap_s=gap_s)
+    clients = 3 * nodes // 2
+    plan = Plan(seed, nodes=nodes, clients=clients, faults_s=faults_s, gap_s=gap_s, without=without)
     result = run_soak(plan, OUTPUT / str(seed))
     print(msgspec.json.encode(result).decode())
     sys.exit(1 if result.problems else 0)
@@ -43,13 +51,16 @@
     """Run the seeds that ever failed, then consecutive seeds, by default from the Unix time on."""
     start = int(time.time()) if first is None else first
     seeds = list(range(start, start + count))
+    without: dict[int, list[str]] = {}
     if kept:
         rows = tomllib.loads(FAILED_SEEDS.read_text()).get("seed", [])
         seeds = [row["number"] for row in rows] + seeds
+        without = {row["number"]: row.get("without", []) for row in rows}
 
     def run(seed: int) -> int:
         command = [sys.executable, "-m", "soak", "one", str(seed), "--nodes", str(nodes)]
         command += ["--faults-s", str(faults_s)]
+        command += [word for name in without.get(seed, []) for word in ("--without", name)]
         done = subprocess.run(
             command, capture_output=True, text=True, check=False, timeout=SOAK_TIMEOUT_S
         )
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,15 +1,17 @@
 """Checks of the guarantees, on what callers and endpoints observed."""
 
 from collections import Counter
-from collections.abc import Callable
 from math import comb
 
+from soak.answer_checks import check_leaving, check_limits
+from soak.check_registry import CHECKS, check
+from soak.check_registry import runs_by_attempt as _runs
 from soak.endpoints import expected_body, item_output
-from soak.journal import Attempt, Journal, Kind, Run
+from soak.journal import Attempt, Kind, Run
 from soak.nodes import GRACE_S
 from soak.world import World
 
-__all__ = ["CHECKS", "problems"]
+__all__ = ["CHECKS", "check_leaving", "check_limits", "problems"]
 
 MAX_RUNS = {Kind.STREAM: 1, Kind.RESUMABLE: 2, Kind.SAFE: 3, Kind.MOVED: 3}
 ROUTE_APPLY_S = 2.0
@@ -30,18 +32,6 @@
 """Chance below which a lower share in so few requests is reported."""
 
 REFUSALS = (408, 421, 429, 503)
-Check = Callable[[World], list[str]]
-CHECKS: dict[str, Check] = {}
-
-
-def check(name: str) -> Callable[[Check], Check]:
-    """Register a check under the guarantee that it verifies."""
-
-    def register(function: Check) -> Check:
-        CHECKS[name] = function
-        return function
-
-    return register
 
 
 def problems(world: World) -> list[str]:
@@ -49,13 +39,6 @@
     return [f"{name}: {found}" for name, one in CHECKS.items() for found in one(world)]
 
 
-def _runs(journal: Journal) -> dict[str, list[Run]]:
-    runs: dict[str, list[Run]] = {}
-    for run in journal.runs:
-        runs.setdefault(run.attempt, []).append(run)
-    return runs
-
-
 def _is_streamed(world: World, attempt: Attempt) -> bool:
     if attempt.kind is not Kind.MOVED:
         return attempt.kind is not Kind.SAFE
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -15,7 +15,18 @@
 from parsleyrouter.process.runtime import Runtime
 from soak.journal import Journal, Run
 
-__all__ = ["EVENTS", "ITEM_EVENTS", "SoakEndpoint", "expected_body", "item_output"]
+__all__ = [
+    "EVENTS",
+    "ITEM_EVENTS",
+    "LEAVING_HEADER",
+    "LIMIT_HEADER",
+    "SoakEndpoint",
+    "expected_body",
+    "item_output",
+]
+
+LEAVING_HEADER = (b"Server-Leaving", b"1")
+LIMIT_HEADER = b"Server-Limit"
 
 EVENTS = 12
 ITEM_EVENTS = 40
@@ -51,6 +62,8 @@
         self.random = random
         self.failure_mode = ""
         self.failure_rate = 0.0
+        self.born = 1
+        """Number of its start, as registered."""
         self.crash_on: Callable[[str], bool] = lambda part: False
         """Crashes the endpoint if a part is deadly and returns whether it is."""
         self.default_behaviour = _behave
@@ -70,6 +83,8 @@
                 now,
                 after,
                 tuple(prompt_parts(arrival)),
+                self.born,
+                LEAVING_HEADER in self.headers,
             )
         )
         return attempt
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,6 +5,8 @@
 from typing import Any
 
 from parsleyrouter.standins.fault_proxy import FaultProxy, ProxyFaults
+from soak.endpoints import LEAVING_HEADER, LIMIT_HEADER
+from soak.journal import EndpointLimit
 from soak.nodes import GRACE_S, Node
 from soak.world import FIRST_PARTS, World
 
@@ -209,6 +211,35 @@
     world.store.remove(f"servers/{old}")
 
 
+@fault("leave in answers")
+async def leave_in_answers(world: World) -> None:
+    """Let an endpoint say in its answers that it leaves while it is registered as ready."""
+    name = world.random.choice(world.registered(world.random.choice(["engines", "cards"])))
+    endpoint = world.endpoints[name]
+    endpoint.headers.append(LEAVING_HEADER)
+    for _ in range(3):
+        await world.loop.sleep(world.random.uniform(0.5, 2.5))
+        if f"servers/{name}" in world.store.rows:
+            world.announce(name)
+    endpoint.headers.remove(LEAVING_HEADER)
+    if f"servers/{name}" in world.store.rows:
+        world.announce(name, born=next(world.numbers))
+
+
+@fault("limited endpoint")
+async def limited_endpoint(world: World) -> None:
+    """Let an endpoint name a limit in its answers."""
+    endpoint = world.endpoints[world.random.choice(world.registered("engines"))]
+    per_s = world.random.uniform(0.5, 2.0)
+    header = (LIMIT_HEADER, b"%.2f" % per_s)
+    limit = EndpointLimit(endpoint.name, per_s, world.loop.now())
+    endpoint.headers.append(header)
+    world.journal.limits.append(limit)
+    await world.loop.sleep(world.random.uniform(5.0, 10.0))
+    endpoint.headers.remove(header)
+    limit.until_s = world.loop.now()
+
+
 @fault("lose endpoint")
 async def lose_endpoint(world: World) -> None:
     """Disconnect an endpoint without notice; register it again under the same name."""
@@ -224,7 +255,7 @@
         world.store.remove(f"servers/{name}")
         await world.loop.sleep(1.5)
         link.faults.cut = False
-        world.announce(name, born=2)
+        world.announce(name, born=next(world.numbers))
 
 
 @fault("store")
--- a/soak/journal.py
+++ b/soak/journal.py
@@ -1,9 +1,10 @@
 """Record of what callers and endpoints observed during a soak."""
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
-__all__ = ["Attempt", "EndpointCrash", "JobTrace", "Journal", "Kind", "Run"]
+__all__ = ["Attempt", "EndpointCrash", "EndpointLimit", "JobTrace", "Journal", "Kind", "Run"]
 
 
 class Kind(Enum):
@@ -54,6 +55,10 @@
     began_s: float
     resumed_after: int = 0
     parts: tuple[str, ...] = ()
+    born: int = 1
+    """The start of the endpoint."""
+    leaving: bool = False
+    """Whether the answer says that the endpoint leaves."""
 
 
 @dataclass
@@ -65,6 +70,16 @@
     part: str
 
 
+@dataclass
+class EndpointLimit:
+    """A limit that an endpoint named, in requests per second, and from when to when."""
+
+    endpoint: str
+    per_s: float
+    from_s: float
+    until_s: float = math.inf
+
+
 @dataclass
 class JobTrace:
     """One batch job as observed by its client."""
@@ -87,5 +102,6 @@
     runs: list[Run] = field(default_factory=list)
     jobs: dict[str, JobTrace] = field(default_factory=dict)
     crashes: list[EndpointCrash] = field(default_factory=list)
+    limits: list[EndpointLimit] = field(default_factory=list)
     ends: list[str] = field(default_factory=list)
     """Unexplained ends of processes."""
--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -54,6 +54,8 @@
         """When the node was cut off from other nodes or the store, or did not run."""
         self.disturbances: list[tuple[float, float]] = []
         """Begin and end of each disturbance of the node, its links or what it depends on."""
+        self.interruptions_s: list[float] = []
+        """When the process was started, frozen or resumed."""
         self.stops_s: list[float] = []
         """When graceful shutdowns began that the program handled."""
         self.stopping = False
@@ -104,6 +106,7 @@
             )
         self.expected_end = self.stopping = False
         self.started_s = self.loop.now()
+        self.interruptions_s.append(self.started_s)
 
     @property
     def alive(self) -> bool:
@@ -115,6 +118,8 @@
         if self.alive:
             assert self.process is not None
             os.kill(self.process.pid, number)
+            if number in (signal.SIGSTOP, signal.SIGCONT):
+                self.interruptions_s.append(self.loop.now())
 
     def send_sighup(self) -> None:
         """Send SIGHUP and note whether the process handles it."""
--- a/soak/play.py
+++ b/soak/play.py
@@ -1,6 +1,7 @@
 """Run one soak: start the processes, inject faults, let them recover, check."""
 
 import shutil
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -35,6 +36,8 @@
     faults_s: float = 10.0
     gap_s: float = 0.8
     """Mean time between the starts of two faults, which may overlap."""
+    without: Sequence[str] = ()
+    """Faults left out, so that a kept seed gives those that it gave before they were added."""
 
 
 @dataclass
@@ -90,7 +93,7 @@
     in_progress: list[Promise[Any]] = []
     fault_rng = Random(f"{plan.seed} order")
     while loop.now() < faults_until_s:
-        name = fault_rng.choice(list(FAULTS))
+        name = fault_rng.choice([name for name in FAULTS if name not in plan.without])
         result.faults.append(name)
         in_progress.append(loop.spawn(FAULTS[name](world), name))
         await loop.sleep(fault_rng.uniform(0.0, 2 * plan.gap_s))
--- a/soak/world.py
+++ b/soak/world.py
@@ -117,7 +117,8 @@
             self.announce(name, born=next(self.numbers))
 
     def announce(self, name: str, **changes: Any) -> None:
-        """Write the registration of an endpoint to the store."""
+        """Write the registration of an endpoint to the store; ``born`` tells of a new start."""
+        self.endpoints[name].born = changes.setdefault("born", self.endpoints[name].born)
         entry = {
             "service": self.endpoints[name].service,
             "address": self.endpoint_addresses[name],
@@ -125,7 +126,6 @@
             "slots": 4,
             "state": "ready",
             "sequence": next(self.numbers),
-            "born": 1,
         }
         self.store.put_json(f"servers/{name}", entry | changes)
 
