Go on with a planned stop of a front process when SIGTERM comes again

One fault had sent SIGTERM, another sent it again, and a second SIGTERM ended the process at once. The platform sends SIGKILL after the grace time, so nothing needs a forced end before.

parsley-front now logs the repeated signal and goes on; SIGINT twice still forces the stop, for a terminal. The other programs are unchanged. The soak no longer marks a node that gets it twice.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -15,6 +15,10 @@
     When a stopping entry with an open request gets a second signal
     Then the immediate exit logged the interrupted request
 
+  Scenario: A repeated SIGTERM does not interrupt requests of a process that its supervisor ends
+    When a process whose supervisor ends it gets SIGTERM twice and then SIGINT
+    Then the requests go on after the second SIGTERM, and SIGINT forces the stop
+
   Scenario: A process that follows an agent announces that it leaves before it stops
     When a process that follows an agent is stopped
     Then its service had left the fleet view before its work was handed over
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -1,6 +1,8 @@
 """Steps for graceful shutdowns."""
 
 import logging
+import os
+import signal
 import socket
 from typing import Any
 
@@ -219,6 +221,36 @@
     assert context.cut == [["GET /forever"]]
 
 
+@when("a process whose supervisor ends it gets SIGTERM twice and then SIGINT")
+def stop_repeatedly(context: Any) -> None:
+    runtime = Runtime(forcing_signals=(signal.SIGINT,))
+    entry = StoppableEntry(runtime)
+    context.forced = []
+    runtime.on_forced_stop(lambda: context.forced.append("forced"))
+
+    async def main() -> None:
+        await runtime.loop.sleep(0)
+        address = entry.server.bound_address()
+        runtime.loop.spawn(runtime.http.request(address, "GET", "/forever"))
+        slow = runtime.loop.spawn(runtime.http.request(address, "GET", "/slow"))
+        for _ in range(2):
+            await runtime.loop.sleep(0.2)
+            os.kill(os.getpid(), signal.SIGTERM)
+        context.slow = await slow
+        context.forced_by_sigterm = list(context.forced)
+        os.kill(os.getpid(), signal.SIGINT)
+
+    runtime.loop.spawn(main())
+    runtime.run()
+
+
+@then("the requests go on after the second SIGTERM, and SIGINT forces the stop")
+def not_interrupted(context: Any) -> None:
+    assert context.slow.status == 200, context.slow
+    assert not context.forced_by_sigterm
+    assert context.forced == ["forced"]
+
+
 @when("a process that follows an agent is stopped")
 def stop_follower(context: Any) -> None:
     runtime = Runtime()
--- a/parsleyrouter/commands/front_program.py
+++ b/parsleyrouter/commands/front_program.py
@@ -2,6 +2,7 @@
 
 import logging
 import os
+import signal
 import sys
 from dataclasses import fields
 from functools import partial
@@ -40,7 +41,8 @@
     """Run until a graceful shutdown has ended."""
     path, options = load_options()
     start_logs(program="parsley-front", level=options.log_level, output=sys.stdout.fileno())
-    runtime = Runtime()
+    # The platform ends the process after the grace time; a repeated SIGTERM must not do so earlier.
+    runtime = Runtime(forcing_signals=(signal.SIGINT,))
     watch = SettingsWatch(path, options)
     runtime.on_reload(watch.reload)
     watch.check_file(runtime.loop)
--- a/parsleyrouter/process/runtime.py
+++ b/parsleyrouter/process/runtime.py
@@ -2,7 +2,7 @@
 
 import logging
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from typing import Any
 
 from circuits import Component, handler
@@ -19,20 +19,22 @@
 
 log = logging.getLogger(__name__)
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 StopHook = Callable[[], Awaitable[None]]
 
 
 class Runtime(Component):
     """Hold the shared components of one process and stop them in order.
 
-    The first SIGTERM or SIGINT runs the stop hooks, the last registered first; a second one ends
-    the process at once.
+    The first SIGTERM or SIGINT runs the stop hooks, the last registered first; a second one that is
+    among ``forcing_signals`` ends the process at once.
     """
 
     channel = "runtime"
 
-    def __init__(self) -> None:
+    def __init__(self, forcing_signals: Collection[int] = STOP_SIGNALS) -> None:
         super().__init__()
+        self.forcing_signals = forcing_signals
         self.loop = Loop().register(self)
         self.connector = Connector(self.loop).register(self)
         self.http = HttpClient(self.loop, self.connector)
@@ -78,8 +80,11 @@
         self.stop()
 
     @handler("signal", channel="*", priority=100)
-    def _on_signal(self, event: Any, *_: Any) -> None:
+    def _on_signal(self, event: Any, number: int, *_: Any) -> None:
         event.stop()
+        if self.stopping and number not in self.forcing_signals:
+            log.info("planned stop goes on", extra={"signal": signal.Signals(number).name})
+            return
         self.begin_stop()
 
     @handler("exception", channel="*", priority=100)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -108,9 +108,6 @@
     """Kill a process during its graceful shutdown."""
     node = _random_node(world)
     node.expected_end = True
-    if node.stopping:
-        # A second SIGTERM ends a process at once.
-        node.mark_disturbed(world.loop.now() + 1.0)
     node.signal(signal.SIGTERM)
     await world.loop.sleep(world.random.uniform(0.0, 2.0))
     node.mark_disturbed(world.loop.now() + 1.0)
