--- a/soak/faults.py
+++ b/soak/faults.py
@@ -227,7 +227,7 @@
 async def limited_endpoint(world: World) -> None:
     """Let an endpoint name a limit in its answers."""
     endpoint = world.endpoints[world.random.choice(world.registered("engines"))]
-    per_s = world.random.uniform(0.5, 2.0)
+    per_s = world.random.uniform(0.2, 0.8)
     header = (LIMIT_HEADER, b"%.2f" % per_s)
     limit = EndpointLimit(endpoint.name, per_s, world.loop.now())
     endpoint.headers.append(header)
