--- a/parsleyrouter/process/endpoint_directory.py
+++ b/parsleyrouter/process/endpoint_directory.py
@@ -31,7 +31,8 @@
 
 
 LEAVING_RETENTION_S = 3600.0
-"""How long an endpoint's own word that it leaves is kept; registrations lag by seconds."""
+"""How long an endpoint that reported in an answer that it leaves counts as leaving; registrations
+lag by seconds."""
 
 
 @dataclass
@@ -41,8 +42,8 @@
     endpoints: dict[EndpointId, RegisteredEndpoint] = field(default_factory=dict)
     missing: set[EndpointId] = field(default_factory=set)
     removals_deferred_until_s: float = 0.0
-    said_leaving: dict[EndpointId, tuple[int, float]] = field(default_factory=dict)
-    """The start of each endpoint that said in an answer that it leaves, and when it said so.
+    reported_leaving: dict[EndpointId, tuple[int, float]] = field(default_factory=dict)
+    """The start of each endpoint that reported in an answer that it leaves, and when it did.
 
     Kept beyond the registration, which may still, or again, be read as that of a ready endpoint.
     """
@@ -95,16 +96,16 @@
         ]
 
     def mark_leaving(self, entry: RegisteredEndpoint, now: float) -> bool:
-        """Keep that an endpoint said that it leaves; return whether this is new."""
-        said = self.said_leaving.get(entry.endpoint)
-        if said is not None and entry.started_ms <= said[0]:
+        """Record that an endpoint reported that it leaves; return whether this is new."""
+        reported = self.reported_leaving.get(entry.endpoint)
+        if reported is not None and entry.started_ms <= reported[0]:
             return False
         since_s = now - LEAVING_RETENTION_S
-        kept = {name: one for name, one in self.said_leaving.items() if one[1] > since_s}
-        self.said_leaving = kept | {entry.endpoint: (entry.started_ms, now)}
+        kept = {name: one for name, one in self.reported_leaving.items() if one[1] > since_s}
+        self.reported_leaving = kept | {entry.endpoint: (entry.started_ms, now)}
         return not entry.leaving
 
     def is_leaving(self, entry: RegisteredEndpoint) -> bool:
         """Return whether an endpoint leaves, by its registration or an answer since its start."""
-        said = self.said_leaving.get(entry.endpoint)
-        return entry.leaving or (said is not None and entry.started_ms <= said[0])
+        reported = self.reported_leaving.get(entry.endpoint)
+        return entry.leaving or (reported is not None and entry.started_ms <= reported[0])
--- a/parsleyrouter/process/fleet_limits.py
+++ b/parsleyrouter/process/fleet_limits.py
@@ -95,7 +95,7 @@
         """Record the limit that an answer names, ``None`` if it names none."""
         limit = self.limits.get(entry.endpoint)
         if per_s is not None or (limit is not None and limit.per_s is not None):
-            self._apply_word(entry.endpoint, entry.started_ms, per_s, now, now)
+            self._apply_limit(entry.endpoint, entry.started_ms, per_s, now, now)
 
     def record_sent(self, endpoint: EndpointId, now: float) -> None:
         """Count a request that is about to be sent."""
@@ -139,7 +139,7 @@
     ) -> None:
         """Count the requests of another node and take over newer limits."""
         for report in reports:
-            self._apply_word(report.endpoint, report.started_ms, report.per_s, report.said_s, now)
+            self._apply_limit(report.endpoint, report.started_ms, report.per_s, report.said_s, now)
             limit = self.limits.get(report.endpoint)
             if limit is None or limit.started_ms != report.started_ms:
                 continue
@@ -170,7 +170,7 @@
         """Return the requests that this node has sent to limited endpoints."""
         return {endpoint: limit.sent for endpoint, limit in self.limits.items()}
 
-    def _apply_word(
+    def _apply_limit(
         self,
         endpoint: EndpointId,
         started_ms: int,
--- a/soak/answer_checks.py
+++ b/soak/answer_checks.py
@@ -1,4 +1,4 @@
-"""Checks of what nodes make of the words of endpoints in their answers."""
+"""Checks of how nodes follow what endpoints report in their answers."""
 
 from collections.abc import Iterator
 
