--- a/features/front_listeners.feature
+++ b/features/front_listeners.feature
@@ -19,3 +19,7 @@
   Scenario: a request that was just accepted is answered although the process stops
     When callers keep sending requests on open connections while their process stops
     Then every request that the process read is answered
+
+  Scenario: a request that is read while its idle connection is being closed does not begin
+    When the bytes of a request are queued as its connection is chosen for closing
+    Then the request does not begin
--- a/features/steps/front_listeners_steps.py
+++ b/features/steps/front_listeners_steps.py
@@ -5,9 +5,12 @@
 from typing import Any
 
 from behave import then, when
+from circuits.net.events import read
 
 from features.steps.front_requests_steps import run_with_fleet
 from features.support.front_fleet import Caller, FrontFleet
+from features.support.loop import run_on_loop
+from parsleyrouter.connection.forward_server import CallerExchange, ForwardServer
 from parsleyrouter.connection.stream import split_address
 from parsleyrouter.ids import Address, EndpointId
 from parsleyrouter.process.cell_reader import CHANGES_WAIT_S
@@ -160,3 +163,29 @@
 def step_answered(context: Any) -> None:
     assert context.during > 20, context.during
     assert all(context.outcomes), context.failures
+
+
+@when("the bytes of a request are queued as its connection is chosen for closing")
+def step_closing(context: Any) -> None:
+    context.begun = []
+
+    async def main(runtime: Any) -> None:
+        async def answer(exchange: CallerExchange) -> None:
+            context.begun.append(exchange.head.path)
+            exchange.reply(200, [], b"")
+
+        server = ForwardServer(runtime.loop, Address("127.0.0.1:0"), answer).register(runtime)
+        await runtime.loop.sleep(0)
+        caller = Caller(runtime, server.bound_address())
+        await caller.ask("GET", "/first")
+        sock = next(iter(server.connections))
+        server.fire(read(sock, b"GET /second HTTP/1.1\r\nHost: h\r\n\r\n"))
+        server.close_idle(0.0)
+        await runtime.loop.sleep(0.05)
+
+    run_on_loop(main)
+
+
+@then("the request does not begin")
+def step_not_begun(context: Any) -> None:
+    assert context.begun == ["/first"], context.begun
