--- a/features/endpoint_limits.feature
+++ b/features/endpoint_limits.feature
@@ -37,8 +37,8 @@
     Then it gets no more than the limit allows in any four seconds
 
   Scenario: a request to a limited endpoint is reported before others are collected
-    When a node sends requests to an endpoint with a limit and to one without
-    Then it reports the first at once, and the second with those of the next milliseconds
+    When a node sends a request to an endpoint without a limit and one to an endpoint with a limit
+    Then the report of the second is due at once, before the one that was scheduled for the first
 
   Scenario: a limit outlives the registration of its endpoint
     When the registration of an endpoint with a limit is gone and comes back without a restart
--- a/parsleyrouter/process/load_exchange.py
+++ b/parsleyrouter/process/load_exchange.py
@@ -32,7 +32,7 @@
 from parsleyrouter.process.node_registry import NodeRegistry
 from parsleyrouter.request.crash_evidence import Crash, PartGroup, Prompt
 
-__all__ = ["LIMITED_DEBOUNCE_S", "LoadExchange"]
+__all__ = ["DEBOUNCE_S", "LIMITED_DEBOUNCE_S", "LoadExchange"]
 
 HEARTBEAT_INTERVAL_S = 0.5
 DEBOUNCE_S = 0.015
