--- a/features/endpoint_limits.feature
+++ b/features/endpoint_limits.feature
@@ -40,6 +40,10 @@
     When a node sends a request to an endpoint without a limit and one to an endpoint with a limit
     Then the report of the second is due at once, before the one that was scheduled for the first
 
+  Scenario: nodes on standby send nothing to an endpoint with a limit
+    When a node learns of a limit on standby, and another one is on standby with permits left
+    Then neither sends any request to the endpoint, and both send again when they are active
+
   Scenario: a limit outlives the registration of its endpoint
     When the registration of an endpoint with a limit is gone and comes back without a restart
     Then the limit is still in force, and it is not after a restart
--- a/features/steps/endpoint_limits_steps.py
+++ b/features/steps/endpoint_limits_steps.py
@@ -13,7 +13,7 @@
 from features.support.loop import run_on_loop
 from parsleyrouter.ids import EndpointId, NodeId, ServiceName
 from parsleyrouter.process.endpoint_loads import EndpointLoads
-from parsleyrouter.process.fleet_limits import ENDED_RETENTION_S
+from parsleyrouter.process.fleet_limits import ENDED_RETENTION_S, FleetLimits, LimitedRequest
 from parsleyrouter.process.load_exchange import DEBOUNCE_S
 from parsleyrouter.request.permit_queue import PermitQueue
 
@@ -145,6 +145,27 @@
     assert limited_s <= context.ended_s, context.due_s
 
 
+@when("a node learns of a limit on standby, and another one is on standby with permits left")
+def step_standby(context: Any) -> None:
+    context.left, context.left_when_active = [], []
+    for standby_from_s in (0.0, 5.0):
+        share = [0.0 if standby_from_s == 0.0 else 1.0]
+        limits = FleetLimits(share=lambda share=share: share[0])  # type: ignore[misc]
+        limits.record_answer(ENDPOINT, PER_S, 1.0)
+        limits.permits(ENDPOINT, 4.0)
+        share[0] = 0.0
+        context.left += [limits.permits(ENDPOINT, 5.0), limits.batch_permits(ENDPOINT, 5.0)]
+        share[0] = 1.0
+        limits.permits(ENDPOINT, 6.0)
+        context.left_when_active.append(limits.permits(ENDPOINT, 8.0))
+
+
+@then("neither sends any request to the endpoint, and both send again when they are active")
+def step_standby_none(context: Any) -> None:
+    assert max(context.left) < LimitedRequest.CONTINUED.value, context.left
+    assert min(context.left_when_active) >= LimitedRequest.NEW.value, context.left_when_active
+
+
 @when("the registration of an endpoint with a limit is gone and comes back without a restart")
 def step_gone(context: Any) -> None:
     loads = EndpointLoads()
--- a/parsleyrouter/process/fleet_limits.py
+++ b/parsleyrouter/process/fleet_limits.py
@@ -28,6 +28,9 @@
 BATCH_RESERVE = 0.5
 """Share of the kept permits that batch items leave to online requests."""
 
+NO_PERMITS = -1.0
+"""Permits of a node that holds no share of the limits, such as one on standby."""
+
 ENDED_RETENTION_S = 5.0
 """How long nodes tell each other that a limit has ended."""
 
@@ -111,7 +114,7 @@
         if limit is None:
             return math.inf
         self._accrue(limit, now)
-        return limit.permits
+        return limit.permits if self.current_share else min(limit.permits, NO_PERMITS)
 
     def batch_permits(self, entry: RegisteredEndpoint, now: float) -> float:
         """Return the permits left for batch items; infinite without a limit."""
