Let the leaders of standby cells read often enough to answer the others

Traced with the reasons in the log lines 'changes read from': the leader of a cell on standby refuses the others when the store's answer that it knows is older than 1.85 s. It paused for a second between reads of registrations, as its followers do, so what it knew was up to 2.5 s old, each 1.6 s anew; whether a follower met that moment depended on the phase of both. A refused follower reads from the store for 2.1 to 3.9 s, which is billed.

Leaders on standby pause for 0.3 s, as active nodes do, and the bound adds up the pauses (2.15 s). A scenario adds up the longest age; with the pause of before it is 2.5 s.

--- a/features/large_fleet.feature
+++ b/features/large_fleet.feature
@@ -35,6 +35,11 @@
     When the fleet is idle and the routes change
     Then only the active leader reads from the store, and all nodes get the new routes at once
 
+  Scenario: the leader of a cell on standby answers the others whenever they ask
+    Given a large fleet of a few nodes that are divided into cells
+    When the longest age of what the leader of a cell on standby knows is added up
+    Then a slow answer beside it is no reason to refuse the other nodes of the cell
+
   Scenario: nodes that take each other for the leader do not believe each other's old answers
     Given a large fleet of a few nodes that are divided into cells
     When two nodes ask each other while neither reads from the store
--- a/features/steps/cell_reader_steps.py
+++ b/features/steps/cell_reader_steps.py
@@ -11,7 +11,11 @@
 from features.support.front_fleet import FrontFleet, routes
 from parsleyrouter.connection.peer import PeerFailure, PeerFailureKind
 from parsleyrouter.ids import Address, ItemId, ItemIndex, JobId, NodeId
-from parsleyrouter.process.cell_reader import CHANGES_WAIT_S
+from parsleyrouter.process.cell_reader import (
+    CHANGES_WAIT_S,
+    READ_PAUSE_S,
+    STANDBY_ANSWER_MAX_AGE_S,
+)
 from parsleyrouter.process.cells import ACTIVE_CELL
 from parsleyrouter.process.front import Front
 from parsleyrouter.request.shared_job import ItemResult, ItemState
@@ -19,7 +23,10 @@
 QUIET_S = 2.0
 
 SETTLED_S = 5.0
-"""Time after which all nodes read from their leaders."""
+"""Time after which all nodes read from their leaders, also those that were refused at the start."""
+
+SLOW_ANSWER_S = 0.25
+"""Time that an answer of a slow service takes."""
 
 
 @given("a large fleet of a few nodes that are divided into cells")
@@ -61,6 +68,7 @@
 def step_rest(context: Any) -> None:
     async def scenario(fleet: FrontFleet) -> None:
         leaders, others = await start_cells(fleet)
+        await fleet.loop.sleep(SETTLED_S)
         context.leaders = len(leaders)
         others = leaders[1:] + others
         before = [one.store.call_counts["changes"] for one in others]
@@ -83,6 +91,23 @@
     assert context.took_s < 0.5, context.took_s
 
 
+@when("the longest age of what the leader of a cell on standby knows is added up")
+def step_longest_age(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        leaders, _ = await start_cells(fleet)
+        context.longest_s = [
+            2 * CHANGES_WAIT_S + READ_PAUSE_S + one.reader.pause_s(READ_PAUSE_S)
+            for one in leaders[1:]
+        ]
+
+    run_with_fleet(context, scenario)
+
+
+@then("a slow answer beside it is no reason to refuse the other nodes of the cell")
+def step_not_refused(context: Any) -> None:
+    assert max(context.longest_s) + SLOW_ANSWER_S <= STANDBY_ANSWER_MAX_AGE_S, context.longest_s
+
+
 def _address_unless_failed(front: Front, leader: Front) -> tuple[NodeId, Address] | None:
     if front.loop.now() < front.reader.leader_retry_at_s:
         return None
--- a/parsleyrouter/process/cell_reader.py
+++ b/parsleyrouter/process/cell_reader.py
@@ -30,7 +30,13 @@
 from parsleyrouter.process.watched_prefix import WatchedPrefix
 from parsleyrouter.thrift_gen.nodes.ttypes import AskFollowed, Followed, FollowedKey
 
-__all__ = ["FAILURE_RETENTION_S", "READ_PAUSE_S", "CellReader"]
+__all__ = [
+    "CHANGES_WAIT_S",
+    "FAILURE_RETENTION_S",
+    "READ_PAUSE_S",
+    "STANDBY_ANSWER_MAX_AGE_S",
+    "CellReader",
+]
 
 CHANGES_WAIT_S = 0.6
 """Long-poll time of reads of changes, within a cell and from a leader to the service. It bounds how
@@ -40,8 +46,6 @@
 """Age of the service's last answer up to which a leader may answer others: one long poll, one
 answer of a slow service and some slack."""
 
-STANDBY_ANSWER_MAX_AGE_S = ANSWER_MAX_AGE_S + CHANGES_WAIT_S
-"""The same for the leader of a cell on standby, which waits for the leader of the active cell."""
 
 DISCOVERY_S = 2.0
 """Time after the start in which a node may learn that it leads a cell of a large fleet."""
@@ -54,6 +58,10 @@
 """Pause between reads of registrations of endpoints, which may change several times a second; a
 leaving endpoint must stop getting requests within two seconds."""
 
+STANDBY_ANSWER_MAX_AGE_S = ANSWER_MAX_AGE_S + CHANGES_WAIT_S + READ_PAUSE_S
+"""The same as ``ANSWER_MAX_AGE_S`` for the leader of a cell on standby, which reads from the leader
+of the active cell."""
+
 STANDBY_PAUSE_S = 1.0
 """Minimum pause on standby between reads of changes that are gathered for a moment anyway."""
 
@@ -209,8 +217,16 @@
         self.leader_retry_at_s = self.loop.now() + pause_s
 
     def pause_s(self, usual_s: float) -> float:
-        """Return the pause between reads of a prefix: longer on standby, where few callers come."""
-        return max(usual_s, STANDBY_PAUSE_S) if usual_s and self.members.on_standby else usual_s
+        """Return the pause between reads of a prefix: longer on standby, where few callers come.
+
+        The leader of a cell on standby makes no longer pauses, as the others read from it.
+        """
+        if not usual_s or not self.members.on_standby or self._leads():
+            return usual_s
+        return max(usual_s, STANDBY_PAUSE_S)
+
+    def _leads(self) -> bool:
+        return self.members.leader() == self.members.registry.own.node
 
     def _direct_wait_s(self, usual_s: float) -> float:
         """Return the long-poll time of a direct read: short if other nodes depend on it.
@@ -222,8 +238,7 @@
             return min(usual_s, CHANGES_WAIT_S)
         if not members.divided:
             return usual_s
-        leads = members.leader() == members.registry.own.node
-        return min(usual_s, CHANGES_WAIT_S) if leads else DIRECT_WAIT_S
+        return min(usual_s, CHANGES_WAIT_S) if self._leads() else DIRECT_WAIT_S
 
     def _end_pauses(self) -> None:
         """Read again at once, now that the service answers again."""
@@ -242,7 +257,7 @@
         if not isinstance(page, KeyValueFailure):
             self.answered_s[prefix] = now
             return
-        if self.members.leader() != self.members.registry.own.node:
+        if not self._leads():
             self.direct_retry_at_s[prefix] = now + DIRECT_RETRY_S * self.random.uniform(0.7, 1.3)
             self.leader_retry_at_s = 0.0
 
