--- a/parsleyrouter/process/cell_reader.py
+++ b/parsleyrouter/process/cell_reader.py
@@ -46,7 +46,6 @@
 """Age of the service's last answer up to which a leader may answer others: one long poll, one
 answer of a slow service and some slack."""
 
-
 DISCOVERY_S = 2.0
 """Time after the start in which a node may learn that it leads a cell of a large fleet."""
 
