Keep a leaving endpoint away although its last start is read late

Its log: the endpoint crashed at 17.06 s and started again; front-0, whose reads of the store were disturbed, still knew the former start when it marked the endpoint at 18.67 s, and read the new registration at 21.91 s, which ended the mark. The mark holds now for every start before the answer, by the time of day, as a registration names its start in Unix milliseconds. The stand-ins of the soak did not; they do now.

A scenario writes such a registration after the answer; its mutant restores the former behaviour.

--- a/features/leaving_endpoints.feature
+++ b/features/leaving_endpoints.feature
@@ -23,6 +23,7 @@
       | the store does not answer                     |
       | all registrations are listed anew             |
       | its registration expires and is written again |
+      | its start before that answer is read late     |
 
   Scenario: an endpoint that starts again under its id gets requests
     Given two endpoints of each service that are registered as ready
--- a/features/steps/leaving_endpoints_steps.py
+++ b/features/steps/leaving_endpoints_steps.py
@@ -1,5 +1,6 @@
 """Steps for endpoints that say in their answers that they leave."""
 
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -50,6 +51,11 @@
     fleet.announce("c2", "cards", sequence=2)
 
 
+@event("its start before that answer is read late")
+def _started_before(fleet: FrontFleet) -> None:
+    fleet.announce("c1", "cards", sequence=2, born=int(time.time() * 1000) - 1000)
+
+
 @event("its registration expires and is written again")
 def _expired(fleet: FrontFleet) -> None:
     fleet.store.remove("servers/c1")
@@ -127,12 +133,13 @@
         await start(context, fleet)
         await leave(fleet, "c1")
         fleet.endpoints["c1"].headers.clear()
-        fleet.announce("c1", "cards", born=2)
+        born = int(time.time() * 1000) + 1
+        fleet.announce("c1", "cards", born=born)
         # Otherwise placement may prefer the other one for its speed.
         fleet.announce("c2", "cards", state="draining")
         known = fleet.fronts[0].directory.endpoints
         await fleet.until(
-            lambda: known[EndpointId("c1")].started_ms == 2 and known[EndpointId("c2")].leaving
+            lambda: known[EndpointId("c1")].started_ms == born and known[EndpointId("c2")].leaving
         )
         await ask_on(context, fleet, "c1", "/card/")
 
--- a/parsleyrouter/process/answer_heads.py
+++ b/parsleyrouter/process/answer_heads.py
@@ -1,6 +1,7 @@
 """Record what endpoints say about themselves in the heads of their answers."""
 
 import logging
+import time
 
 from parsleyrouter.connection.endpoint_client import EndpointExchange
 from parsleyrouter.ids import EndpointId
@@ -28,7 +29,8 @@
     counts = headers.get(names.load, "").split(",")
     if len(counts) == 3 and counts[0].isdigit() and counts[1].isdigit():
         context.loads.record_report(endpoint, int(counts[0]) + int(counts[1]), now)
-    if headers.get(names.leaving) == "1" and context.directory.mark_leaving(registration, now):
+    leaving, unix_ms = headers.get(names.leaving) == "1", int(time.time() * 1000)
+    if leaving and context.directory.mark_leaving(registration, now, unix_ms):
         fields = {"endpoint": endpoint, "state": "leaving", "request": exchange.request}
         log.info("endpoint changed", extra=fields)
     per_s = parse_limit(headers.get(names.limit))
--- a/parsleyrouter/process/endpoint_directory.py
+++ b/parsleyrouter/process/endpoint_directory.py
@@ -43,7 +43,7 @@
     missing: set[EndpointId] = field(default_factory=set)
     removals_deferred_until_s: float = 0.0
     reported_leaving: dict[EndpointId, tuple[int, float]] = field(default_factory=dict)
-    """The start of each endpoint that reported in an answer that it leaves, and when it did.
+    """The latest start of each endpoint that reported in an answer that it leaves, and when it did.
 
     Kept beyond the registration, which may still, or again, be read as that of a ready endpoint.
     """
@@ -95,15 +95,17 @@
             if entry.service == service and not self.is_leaving(entry)
         ]
 
-    def mark_leaving(self, entry: RegisteredEndpoint, now: float) -> bool:
-        """Record that an endpoint reported that it leaves; return whether this is new."""
-        reported = self.reported_leaving.get(entry.endpoint)
-        if reported is not None and entry.started_ms <= reported[0]:
-            return False
+    def mark_leaving(self, entry: RegisteredEndpoint, now: float, unix_ms: int) -> bool:
+        """Record that an endpoint reported that it leaves; return whether this is new.
+
+        ``unix_ms`` is the time of day. The endpoint may have started again before it answered, and
+        its registration since that start may not have been read yet.
+        """
+        is_new = not self.is_leaving(entry)
         since_s = now - LEAVING_RETENTION_S
         kept = {name: one for name, one in self.reported_leaving.items() if one[1] > since_s}
-        self.reported_leaving = kept | {entry.endpoint: (entry.started_ms, now)}
-        return not entry.leaving
+        self.reported_leaving = kept | {entry.endpoint: (max(entry.started_ms, unix_ms), now)}
+        return is_new
 
     def is_leaving(self, entry: RegisteredEndpoint) -> bool:
         """Return whether an endpoint leaves, by its registration or an answer since its start."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,7 +8,7 @@
 from soak.endpoints import LEAVING_HEADER, LIMIT_HEADER
 from soak.journal import EndpointLimit
 from soak.nodes import GRACE_S, Node
-from soak.world import FIRST_PARTS, World
+from soak.world import FIRST_PARTS, World, unix_ms
 
 __all__ = ["FAULTS", "Fault"]
 
@@ -220,7 +220,7 @@
             world.announce(name)
     endpoint.headers.remove(LEAVING_HEADER)
     if f"servers/{name}" in world.store.rows:
-        world.announce(name, born=next(world.numbers))
+        world.announce(name, born=unix_ms())
 
 
 @fault("limited endpoint")
@@ -252,7 +252,7 @@
         world.store.remove(f"servers/{name}")
         await world.loop.sleep(1.5)
         link.faults.cut = False
-        world.announce(name, born=next(world.numbers))
+        world.announce(name, born=unix_ms())
 
 
 @fault("store")
--- a/soak/world.py
+++ b/soak/world.py
@@ -1,5 +1,6 @@
 """Processes, links, store and endpoints of one soak."""
 
+import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -16,7 +17,7 @@
 from soak.journal import EndpointCrash, Journal
 from soak.nodes import Node
 
-__all__ = ["World"]
+__all__ = ["World", "unix_ms"]
 
 START_TIMEOUT_S = 15.0
 """Startup timeout of the processes, long enough for many soaks on one machine."""
@@ -30,6 +31,11 @@
 """Time that a crashed endpoint is away."""
 
 
+def unix_ms() -> int:
+    """Return the time of day, which names the start of an endpoint."""
+    return int(time.time() * 1000)
+
+
 class World:
     """All components of one soak, on which faults act."""
 
@@ -114,7 +120,7 @@
         restart_server(listener, reserved)
         self.down.discard(name)
         if f"servers/{name}" in self.store.rows:
-            self.announce(name, born=next(self.numbers))
+            self.announce(name, born=unix_ms())
 
     def announce(self, name: str, **changes: Any) -> None:
         """Write the registration of an endpoint to the store; ``born`` tells of a new start."""
