--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -54,7 +54,7 @@
     without: dict[int, list[str]] = {}
     if kept:
         rows = tomllib.loads(FAILED_SEEDS.read_text()).get("seed", [])
-        seeds = [row["number"] for row in rows] + seeds
+        seeds = list(dict.fromkeys([*(row["number"] for row in rows), *seeds]))
         without = {row["number"]: row.get("without", []) for row in rows}
 
     def run(seed: int) -> int:
