--- a/review/common/http1.py
+++ b/review/common/http1.py
@@ -1,6 +1,8 @@
 """A small HTTP/1.1 server and client for the stand-ins of the review; standard library only."""
 
 import asyncio
+import socket
+import struct
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -87,10 +89,18 @@
 
 
 class Server:
-    """Serve requests on kept connections, one at a time on each."""
+    """Serve requests on kept connections, one at a time on each.
 
-    def __init__(self, handle: Handle) -> None:
+    Connections beyond ``max_connections`` are reset, those idle for ``idle_s`` are closed.
+    """
+
+    def __init__(
+        self, handle: Handle, max_connections: int = 100_000, idle_s: float = 3600.0
+    ) -> None:
         self.handle = handle
+        self.max_connections = max_connections
+        self.idle_s = idle_s
+        self.resets = 0
         self.address = ""
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
@@ -109,10 +119,16 @@
             writer.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if len(self.writers) >= self.max_connections:
+            self.resets += 1
+            linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+            return
         self.writers.add(writer)
         try:
             while True:
-                first, headers = await _read_head(reader)
+                first, headers = await asyncio.wait_for(_read_head(reader), self.idle_s)
                 method, target, _ = first.split(" ", 2)
                 body = bytearray()
                 named = {key.lower(): value for key, value in headers}
@@ -134,7 +150,7 @@
                 if not answer.done:
                     return
                 await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+        except (asyncio.IncompleteReadError, ConnectionError, TimeoutError, asyncio.CancelledError):
             pass
         finally:
             self.writers.discard(writer)
--- a/review/common/runner.py
+++ b/review/common/runner.py
@@ -10,6 +10,8 @@
 from store import Store
 
 HEARTBEAT_S = 1.2
+MAX_CONNECTIONS = 300
+IDLE_S = 10.0
 
 
 @dataclass
@@ -42,7 +44,7 @@
         self.plan: Callable[[Request], tuple[int, float]] = lambda request: (10, 0.02)
         """Returns the number of events and the pause before each."""
         self.registered = False
-        self.server = Server(self._answer)
+        self.server = Server(self._answer, MAX_CONNECTIONS, IDLE_S)
         self.beat: asyncio.Task[None] | None = None
 
     async def start(self, host: str, port: int = 0) -> None:
@@ -110,6 +112,7 @@
             ("X-Attempt-Id", attempt),
             ("X-Response-Signature", f"sig-{self.name}"),
             ("X-Server-Load", f"{self.running},0,{self.slots}"),
+            ("Keep-Alive", f"timeout={IDLE_S:.0f}"),
             *self.headers,
         ]
         start = int(request.header("Last-Event-Id") or 0)
