--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -4,6 +4,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -233,12 +234,13 @@
                 )
 
     def end(self) -> None:
-        """End every process that this case started."""
+        """End every process that this case started, and remove its temporary folder."""
         for front in self.fronts:
             if front.alive:
                 assert front.process is not None
                 front.process.kill()
                 front.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def item(number: int, prefix: str, **headers: str) -> dict[str, Any]:
