Take only an end that a read has returned for the end of a reply

Cause: a connection counted as reset only if recv raised the error. The send of the rest of the request, or the poller while reading is paused, can take the error first; the end then looked orderly and completed a body without a length.

Change: Stream.read alone sets ended_orderly, and only if no send has failed. After a failed send, what has arrived is still read; a broken connection is not used again.

Related: replies that were paused while the reset came lost what had arrived; same fix.

--- a/parsleyrouter/connection/http_client.py
+++ b/parsleyrouter/connection/http_client.py
@@ -117,7 +117,7 @@
         parser, stream = exchange.parser, exchange.stream
         idle = self.idle.setdefault(stream.address, [])
         done = parser.our_state is h11.DONE and parser.their_state is h11.DONE
-        clean = not stream.outgoing and not parser.trailing_data[0]
+        clean = not stream.outgoing and not stream.broken and not parser.trailing_data[0]
         if not done or not clean or len(idle) >= MAX_IDLE_PER_ADDRESS:
             stream.close()
             return
--- a/parsleyrouter/connection/http_exchange.py
+++ b/parsleyrouter/connection/http_exchange.py
@@ -153,12 +153,12 @@
             self.wait_timer = None
 
     def _on_closed(self) -> None:
-        """Handle the end of the connection; a reset never completes a reply."""
-        if self.stream.was_reset:
+        """Handle the end of the connection; only an orderly one may complete a reply."""
+        if self.stream.ended_orderly:
+            self._on_data(b"")
+        else:
             self.closed_early = not self.ended
             self.fail("connection reset")
-        else:
-            self._on_data(b"")
 
     def _on_data(self, data: bytes) -> None:
         if not data and self.failure is None and not self.ended:
--- a/parsleyrouter/connection/stream.py
+++ b/parsleyrouter/connection/stream.py
@@ -71,18 +71,21 @@
         self.buffered_bytes = 0
         self.bytes_sent = 0
         self.closed = False
-        self.was_reset = False
+        self.ended_orderly = False
+        """Whether a read has returned the end of the data; after any other end some may be lost."""
+        self.broken = False
+        """Whether the connection takes no data any more; what has arrived can still be read."""
         self.paused = False
         self.on_data: Callable[[bytes], None] = lambda data: None
         self.on_close: Callable[[], None] = lambda: None
 
     def send(self, data: bytes) -> None:
         """Send what the socket accepts now and queue the rest."""
-        if self.closed or not data:
+        if self.closed or self.broken or not data:
             return
         if not self.outgoing:
             data = self._send_now(data)
-        if data and not self.closed:
+        if data:
             self.outgoing.append(data)
             self.buffered_bytes += len(data)
             self.connector.poller.addWriter(self.connector, self.sock)
@@ -109,7 +112,7 @@
 
     def flush(self) -> None:
         """Send queued data while the socket accepts it."""
-        while self.outgoing and not self.closed:
+        while self.outgoing:
             data = self.outgoing.popleft()
             self.buffered_bytes -= len(data)
             rest = self._send_now(data)
@@ -117,22 +120,31 @@
                 self.outgoing.appendleft(rest)
                 self.buffered_bytes += len(rest)
                 return
-        if not self.closed:
-            self.connector.poller.removeWriter(self.sock)
+        self.connector.poller.removeWriter(self.sock)
 
-    def read(self) -> None:
-        """Read available data and pass it to ``on_data``."""
+    def read(self) -> bool:
+        """Read available data and pass it to ``on_data``; return whether there was any."""
         try:
             data = self.sock.recv(READ_BYTES)
         except (BlockingIOError, InterruptedError):
-            return
+            return False
         except OSError:
-            self.was_reset = True
-            data = b""
+            self.close_as_lost()
+            return False
         if data:
             self.on_data(data)
-        else:
-            self.close_as_lost()
+            return True
+        # A reset is reported once: after a failed send, the next read returns an end as well.
+        self.ended_orderly = not self.broken
+        self.close_as_lost()
+        return False
+
+    def close_as_broken(self) -> None:
+        """Read what has arrived and close; a paused stream does so after it has been resumed."""
+        self.broken = True
+        while not self.closed and not self.paused:
+            if not self.read():
+                self.close_as_lost()
 
     def close_as_lost(self) -> None:
         """Close because the connection is lost, and call ``on_close``."""
@@ -144,7 +156,10 @@
         try:
             rest = send_some(self.sock, data)
         except OSError:
-            self.connector.loop.call_soon(self.close_as_lost)
+            self.broken = True
+            self.outgoing.clear()
+            self.buffered_bytes = 0
+            self.connector.loop.call_soon(self.close_as_broken)
             return b""
         self.bytes_sent += len(data) - len(rest)
         return rest
@@ -235,4 +250,4 @@
             return
         stream = self.streams.get(sock)
         if stream is not None:
-            stream.close_as_lost()
+            stream.close_as_broken()
