Begin no request in a planned stop that its deadline lets outlast the process

Cause: a request began if one and a half times the longest recent answer of its service fitted. Only the deadline bounds how long an endpoint works. The deadline that was compared had been cut down to the exit, and retries after the SIGTERM asked nothing.

Change: a request begins, or is retried, only if its deadline is before the exit; otherwise 503 as not run at once. Calls about jobs, which may be repeated and are answered at the exit, keep their forecast under a name of its own. The check 'no request was refused that was as short as the grace time allows' assumed that recent durations bound the next one, which is the fault; in its place: none is refused whose deadline is before the exit of its node, with durations that do not depend on earlier ones and any grace time and deadline.

--- a/features/stops_in_series.feature
+++ b/features/stops_in_series.feature
@@ -10,7 +10,7 @@
     When any number of nodes stop in any series while callers look up addresses and send requests
     Then every caller with an unexpired list met a running process
     And every request that began ended before its process exited
-    And no request was refused that was as short as the grace time allows
+    And no request was refused whose deadline was before the exit of its node
 
   Scenario: a request that waits, uploads or streams begins only if it ends before the exit
     When requests of every kind arrive late at a stopping node
@@ -40,5 +40,15 @@
     Then its registration is gone soon after
 
   Scenario: a caller that left does not make a stopping node begin what it cannot finish
-    When the only earlier request was given up by its caller, and another one is still running
-    Then a stopping node judges a late request by its deadline, and by the running one
+    When the only earlier call was given up by its caller, and another one is still running
+    Then a stopping node judges a late call by the assumed duration, and by the running one
+
+  # Short answers before a long one made a stopping node begin it, and its exit cut it.
+  Scenario: a long stream that arrives late in a stop is not begun because others were short
+    When short requests have ended, and long ones arrive late at a stopping node
+    Then each of them is refused at once as not run, with a time to come again
+    And those whose deadline is before the exit are answered
+
+  Scenario: a stopping node does not retry what may outlast it
+    When an endpoint refuses a long request after its node has begun to stop
+    Then it is refused as not run, and no other endpoint gets it
--- a/features/support/stop_play.py
+++ b/features/support/stop_play.py
@@ -10,10 +10,9 @@
 from parsleyrouter.ids import Address, DomainName, NodeId
 from parsleyrouter.process.address_directory import AddressDirectory, AddressList
 from parsleyrouter.process.node_registry import RegisteredNode
-from parsleyrouter.process.stop_window import RecentMaximum, StopWindow, addresses_ttl_s
+from parsleyrouter.process.stop_window import StopWindow, addresses_ttl_s
 
 KEPT_LIFETIMES = 3
-DEADLINE_S = 5.0
 LOOK_UPS = 150
 REQUESTS_PER_LOOK_UP = 6
 
@@ -41,17 +40,22 @@
 
 @dataclass
 class StopPlay:
-    """Nodes that stop one after another, and callers that follow lists of addresses."""
+    """Nodes that stop one after another, and callers that follow lists of addresses.
+
+    A request takes any part of the time up to its deadline, whatever those before it took.
+    """
 
     node_count: int
     gap_s: float
     grace_s: float
     back_s: float
-    longest_s: float
+    deadline_s: float
     seed: int
     lost_callers: list[str] = field(default_factory=list)
     cut: list[str] = field(default_factory=list)
     refused: int = 0
+    refused_in_time: list[str] = field(default_factory=list)
+    """Requests that would have ended before the exit at the latest."""
     served: int = 0
 
     def run(self) -> "StopPlay":
@@ -62,17 +66,16 @@
         for number in range(LOOK_UPS):
             heappush(events, (random.uniform(0.0, end_s), number, None, 0.0))
         order = count(LOOK_UPS)
-        slowest = RecentMaximum(10.0)
         while events:
             now, _, node, duration_s = heappop(events)
             if node is not None:
-                self._request(node, now, duration_s, slowest)
+                self._request(node, now, duration_s)
                 continue
             found = self._look_up(nodes, now)
             for _ in range(REQUESTS_PER_LOOK_UP if found.nodes else 0):
                 chosen = random.choice(found.nodes).node
                 node = next(one for one in nodes if one.info.node == chosen)
-                duration_s = random.uniform(self.longest_s / 2, self.longest_s)
+                duration_s = self.deadline_s * random.choice((0.05, random.random(), 1.0))
                 at_s = now + random.uniform(0.0, KEPT_LIFETIMES * found.ttl_s)
                 heappush(events, (at_s, next(order), node, duration_s))
         return self
@@ -100,20 +103,19 @@
         directory = AddressDirectory(members, addresses_ttl_s(self.grace_s))
         return directory.for_domain(DomainName("d"))
 
-    def _request(
-        self, node: PlayedNode, at_s: float, duration_s: float, slowest: RecentMaximum
-    ) -> None:
+    def _request(self, node: PlayedNode, at_s: float, duration_s: float) -> None:
+        request = f"{node.info.node} at {at_s:.2f} for {duration_s:.2f}"
         if not node.running(at_s):
-            self.lost_callers.append(f"{node.info.node} at {at_s:.2f}")
+            self.lost_callers.append(request)
             return
         if not node.stopping(at_s):
-            slowest.record(duration_s, at_s)
             return
-        if not node.window.may_begin(at_s, at_s + DEADLINE_S, slowest.value(at_s)):
+        if not node.window.may_begin(at_s + self.deadline_s):
             self.refused += 1
+            if at_s + self.deadline_s <= node.window.exit_s:
+                self.refused_in_time.append(request)
             return
-        slowest.record(duration_s, at_s + duration_s)
         self.served += 1
         node.busy_until_s = max(node.busy_until_s, at_s + duration_s)
         if at_s + duration_s > node.window.exit_s:
-            self.cut.append(f"{node.info.node} at {at_s:.2f} for {duration_s:.2f}")
+            self.cut.append(request)
--- a/parsleyrouter/process/forwarder.py
+++ b/parsleyrouter/process/forwarder.py
@@ -12,7 +12,7 @@
 from parsleyrouter.outcome import ExecutionStatus, Refusal, RefusalKind
 from parsleyrouter.process.active_routes import ActiveRoutes
 from parsleyrouter.process.endpoint_chooser import RETRY_AFTER_S, EndpointChooser
-from parsleyrouter.process.endpoint_directory import EndpointDirectory
+from parsleyrouter.process.endpoint_directory import EndpointDirectory, RegisteredEndpoint
 from parsleyrouter.process.forward_attempt import ForwardAttempt
 from parsleyrouter.process.forward_context import ForwardContext, ResponseTimeouts
 from parsleyrouter.process.forward_metrics import ForwardMetrics
@@ -76,9 +76,9 @@
             self._log(exchange, None, request, RequestTrace())
             return
         trace = RequestTrace()
-        outcome = self.gate.refuse(request.service, request.deadline_s)
+        outcome = self.gate.refuse_request(request.deadline_s)
         if outcome is None:
-            outcome = await self._forward_timed(exchange, request, trace)
+            outcome = await self._forward(exchange, request, trace)
         if outcome is None:
             exchange.finish()
         elif exchange.headers_sent or exchange.disconnected:
@@ -111,22 +111,10 @@
             headers=end_to_end_headers(head.raw, connection, names.protected()),
             body=exchange.body,
             received_s=exchange.received_s,
-            deadline_s=self.gate.limit(exchange.received_s + allowed_s),
+            deadline_s=exchange.received_s + allowed_s,
             prompt=self.context.shared_parts(head.headers.get(names.prefix, "")),
         )
 
-    async def _forward_timed(
-        self, exchange: CallerExchange, request: ForwardedRequest, trace: RequestTrace
-    ) -> Refusal | None:
-        began_s = self.gate.start(request.service)
-        answered = False
-        try:
-            outcome = await self._forward(exchange, request, trace)
-            answered = outcome is None
-        finally:
-            self.gate.end(request.service, began_s, answered=answered)
-        return outcome
-
     async def _forward(
         self, exchange: CallerExchange, request: ForwardedRequest, trace: RequestTrace
     ) -> Refusal | None:
@@ -141,8 +129,7 @@
         last_event = ""
         self.budget.count_request(self.loop.now())
         while True:
-            quarantined = self.context.crashes.keeper.refusal(request.prompt)
-            chosen = quarantined or self.chooser.choose(request, history, trace, self.loop.now())
+            chosen = self._choose(request, history, trace, exchange.headers_sent)
             if isinstance(chosen, Refusal):
                 return replace(chosen, ran=max(chosen.ran, history.ran, key=_EXECUTION_ORDER.index))
             is_last = history.runs + 1 >= rules.max_executions
@@ -180,6 +167,24 @@
             history = step.history
             self.metrics.retries.labels(failure.failed_at.value).inc()
 
+    def _choose(
+        self,
+        request: ForwardedRequest,
+        history: AttemptHistory,
+        trace: RequestTrace,
+        headers_sent: bool,
+    ) -> RegisteredEndpoint | Refusal:
+        """Choose an endpoint; a stopping node retries only what ends before it exits.
+
+        A response that has begun is resumed all the same: its caller loses nothing by that.
+        """
+        stopping = None
+        if history.failed and not headers_sent:
+            stopping = self.gate.refuse_request(request.deadline_s)
+        quarantined = self.context.crashes.keeper.refusal(request.prompt)
+        refusal = stopping or quarantined
+        return refusal or self.chooser.choose(request, history, trace, self.loop.now())
+
     def _acquire_retry(self, failure: AttemptFailure) -> bool:
         return failure.response_started or self.budget.try_withdraw(self.loop.now())
 
--- a/parsleyrouter/process/shared_job_handler.py
+++ b/parsleyrouter/process/shared_job_handler.py
@@ -1,7 +1,6 @@
 """Handle calls of clients about batch jobs; every front process can handle all of them."""
 
 import logging
-import math
 from collections.abc import Callable
 from http import HTTPStatus
 
@@ -90,7 +89,7 @@
         if isinstance(call, Refusal):
             outcome: Refusal | tuple[int, bytes] = call
         else:
-            stopping = self.gate.refuse(asked, math.inf, ASSUMED_CALL_S)
+            stopping = self.gate.refuse_call(asked, ASSUMED_CALL_S)
             outcome = stopping or await self._answer_timed(asked, call)
         if isinstance(outcome, Refusal):
             send_refusal(exchange, outcome)
--- a/parsleyrouter/process/stop_gate.py
+++ b/parsleyrouter/process/stop_gate.py
@@ -1,4 +1,4 @@
-"""Refuse requests that a stopping process cannot finish."""
+"""Refuse requests and calls that a stopping process cannot finish."""
 
 from parsleyrouter.outcome import ExecutionStatus, Refusal, RefusalKind
 from parsleyrouter.process.cell_members import CellMembers
@@ -14,64 +14,66 @@
 
 
 class StopGate:
-    """Decide whether a request may begin; all may while the process is not stopping."""
+    """Decide whether a request or call may begin; all may while the process is not stopping."""
 
     def __init__(self, loop: Loop, members: CellMembers) -> None:
         self.loop = loop
         self.members = members
         self.window: StopWindow | None = None
         self.durations: dict[str, RecentMaximum] = {}
-        """Durations of the requests that were recently answered, by what determines them, such as
-        their service."""
+        """Durations of the calls that were recently answered, by kind."""
         self.running: dict[str, list[float]] = {}
-        """When the requests in progress began."""
+        """When the calls in progress began, by kind."""
         self.closed = False
         self.refused = 0
 
     def begin_stop(self, window: StopWindow) -> None:
-        """Begin only requests that end within a window from now on."""
+        """Begin only what ends within a window from now on."""
         self.window = window
 
     def close(self) -> None:
-        """Let no request begin from now on: the process is about to exit."""
+        """Let nothing begin from now on: the process is about to exit."""
         self.closed = True
 
-    def refuse(
-        self, kind: str, deadline_s: float, assumed_s: float | None = None
-    ) -> Refusal | None:
-        """Refuse and count a request that may not begin; ``deadline_s`` is monotonic.
+    def refuse_request(self, deadline_s: float) -> Refusal | None:
+        """Refuse a request that is not sure to end before the exit; ``deadline_s`` is monotonic."""
+        if self.window is None or (not self.closed and self.window.may_begin(deadline_s)):
+            return None
+        return self._refusal()
+
+    def refuse_call(self, kind: str, assumed_s: float) -> Refusal | None:
+        """Refuse a call of this node's own interface that is not expected to end before the exit.
 
-        ``assumed_s`` is its duration if there was no request of its kind recently.
+        ``assumed_s`` is its duration if there was no call of its kind recently.
         """
         if self.window is None:
             return None
         slowest_s = self._slowest_s(kind)
         slowest_s = assumed_s if slowest_s is None else slowest_s
-        if not self.closed and self.window.may_begin(self.loop.now(), deadline_s, slowest_s):
+        if not self.closed and self.window.expects_end(self.loop.now(), slowest_s):
             return None
-        self.refused += 1
-        message = "this node stops before the request can end: try another node"
-        retry_s = 0.0 if self.members.serving_nodes() else ALL_STOPPING_RETRY_S
-        return Refusal(RefusalKind.STOPPING, message, ExecutionStatus.NOT_RUN, retry_s)
-
-    def limit(self, deadline_s: float) -> float:
-        """Return the deadline of a request that begins now, which the exit limits."""
-        return deadline_s if self.window is None else min(deadline_s, self.window.exit_s)
+        return self._refusal()
 
     def start(self, kind: str) -> float:
-        """Note that a request begins, and return when."""
+        """Note that a call begins, and return when."""
         now = self.loop.now()
         self.running.setdefault(kind, []).append(now)
         return now
 
     def end(self, kind: str, began_s: float, *, answered: bool) -> None:
-        """Note the end of a request; only answered ones tell how long requests take."""
+        """Note the end of a call; only answered ones tell how long calls take."""
         self.running[kind].remove(began_s)
         if answered:
             now = self.loop.now()
             recent = self.durations.setdefault(kind, RecentMaximum(DURATIONS_WINDOW_S))
             recent.record(now - began_s, now)
 
+    def _refusal(self) -> Refusal:
+        self.refused += 1
+        message = "this node stops before the request can end: try another node"
+        retry_s = 0.0 if self.members.serving_nodes() else ALL_STOPPING_RETRY_S
+        return Refusal(RefusalKind.STOPPING, message, ExecutionStatus.NOT_RUN, retry_s)
+
     def _slowest_s(self, kind: str) -> float | None:
         """Return the longest recent duration, of requests in progress too."""
         now = self.loop.now()
--- a/parsleyrouter/process/stop_window.py
+++ b/parsleyrouter/process/stop_window.py
@@ -1,7 +1,8 @@
 """Times of a graceful shutdown: until when callers come, requests may begin and the process runs.
 
 Callers may use a list of addresses for three of its lifetimes. A node that stops is therefore named
-only in lists that expire while it still serves, and it begins only requests that it can finish.
+only in lists that expire while it still serves, and it begins only requests that it can finish: those whose
+deadline is before its exit, since nothing else bounds how long an endpoint works on a request.
 """
 
 from collections.abc import Iterable
@@ -36,13 +37,13 @@
 """Share of the grace time in which batch work is handed over."""
 
 FINISH_SHARE = 0.85
-"""Share of the grace time in which the requests that a stopping process begins are to end."""
+"""Share of the grace time in which the calls that a stopping process begins are expected to end."""
 
 EXIT_SHARE = 0.95
 """Share of the grace time after which the process exits even if that interrupts requests."""
 
 DURATION_MARGIN = 1.5
-"""A request may take this many times as long as the slowest recent one."""
+"""A call may take this many times as long as the slowest recent one."""
 
 
 def addresses_ttl_s(grace_s: float) -> float:
@@ -107,7 +108,7 @@
 
     @property
     def finish_s(self) -> float:
-        """Return when the requests that the process has begun are expected to have ended."""
+        """Return when the calls that the process has begun are expected to have ended."""
         return self.started_s + FINISH_SHARE * self.grace_s
 
     @property
@@ -120,10 +121,14 @@
         """Return when the process exits even if that interrupts requests."""
         return self.started_s + EXIT_SHARE * self.grace_s
 
-    def may_begin(self, now: float, deadline_s: float, slowest_s: float | None) -> bool:
-        """Return whether a request that begins now ends before the process exits.
+    def may_begin(self, deadline_s: float) -> bool:
+        """Return whether a request ends before the process exits, however long it takes."""
+        return deadline_s <= self.exit_s
 
-        ``slowest_s`` is the duration of the slowest recent request, ``None`` if there is none.
+    def expects_end(self, now: float, slowest_s: float) -> bool:
+        """Return whether a call that begins now is expected to end in time.
+
+        ``slowest_s`` is the duration of the slowest recent call. Only for calls that may be repeated
+        and get an answer even if the process exits before they have ended.
         """
-        end_s = deadline_s if slowest_s is None else now + DURATION_MARGIN * slowest_s
-        return min(deadline_s, end_s) <= self.finish_s
+        return now + DURATION_MARGIN * slowest_s <= self.finish_s
