Find stored jobs whatever routes are active

Cause: calls about jobs were recognized by the newest configuration only. Related paths had the same cause: a repeated submission got 404, items whose path an online route had taken were run by it, items of a removed route stayed open until their retention ended.

Change: JobLookup knows the hosts of stored jobs and of earlier routes. Unknown ids take a tenth of a node's calls to the store at most, then 503.

--- a/features/support/front_fleet.py
+++ b/features/support/front_fleet.py
@@ -142,12 +142,13 @@
         attempt: str = "a1",
         deadline_ms: int | None = 5000,
         headers: list[tuple[str, str]] | None = None,
+        host: str = HOST,
     ) -> None:
         if self.stream is None:
             self.stream = await self.runtime.connector.open(self.address)
             self.stream.on_data = self._take
             self.stream.on_close = lambda: self._take(b"")
-        lines = [("Host", HOST), ("X-Attempt-Id", attempt), ("Content-Length", str(len(body)))]
+        lines = [("Host", host), ("X-Attempt-Id", attempt), ("Content-Length", str(len(body)))]
         if deadline_ms is not None:
             lines.append(("X-Deadline-Ms", str(deadline_ms)))
         self.answer = CallerAnswer()
--- a/parsleyrouter/platform/jobs.py
+++ b/parsleyrouter/platform/jobs.py
@@ -11,6 +11,7 @@
 from parsleyrouter.ids import ItemId, JobId
 from parsleyrouter.outcome import ExecutionStatus, Refusal, RefusalKind
 from parsleyrouter.platform.headers import HEADERS
+from parsleyrouter.process.job_lookup import JobLookup
 from parsleyrouter.request.job_call import (
     EndJob,
     JobCall,
@@ -20,7 +21,7 @@
     SubmitJob,
 )
 from parsleyrouter.request.shared_job import ItemState, JobItem, SubmittedJob
-from parsleyrouter.version.route_table import RouteKind, RouteTable
+from parsleyrouter.version.route_table import RouteKind
 
 __all__ = ["decode_job_call", "encode_results"]
 
@@ -44,17 +45,24 @@
     items: list[_Item]
 
 
-def decode_job_call(head: RequestHead, body: bytes, table: RouteTable) -> JobCall | Refusal | None:
-    """Decode a call about a job; ``None`` if the request is not about jobs."""
+def decode_job_call(head: RequestHead, body: bytes, jobs: JobLookup) -> JobCall | Refusal | None:
+    """Decode a call about a job; ``None`` if the request is not about jobs.
+
+    A stored job can be read, ended and submitted again after its route was removed.
+    """
     host = head.headers.get("host", "").partition(":")[0]
-    if not table.serves_jobs(host):
+    if not jobs.may_hold_jobs(host):
         return None
+    route = jobs.route(host, head.path)
     found = _JOB_PATH.match(head.path)
     if found is not None:
-        return _decode_job_request(head, found[1], JobId(found[2]))
-    route = table.find(host, head.path)
+        job = JobId(found[2])
+        if route is None or jobs.takes_jobs(host) or jobs.is_known(job, host):
+            return _decode_job_request(head, found[1], job)
     if route is None or route.kind is not RouteKind.BATCH:
-        return None
+        job = JobId(head.headers.get(HEADERS.request, ""))
+        repeated = head.method == "POST" and jobs.is_known(job, host)
+        return _decode_submission(head, host, body) if repeated else None
     if head.method != "POST":
         return _bad_request("submit a job by POST")
     return _decode_submission(head, host, body)
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -18,6 +18,7 @@
 from parsleyrouter.process.front import Front
 from parsleyrouter.process.front_options import FrontOptions
 from parsleyrouter.process.front_shutdown import FrontShutdown
+from parsleyrouter.process.job_lookup import JobLookup, UnknownJobReads
 from parsleyrouter.process.job_metrics import JobMetrics
 from parsleyrouter.process.job_owner import JobOwner
 from parsleyrouter.process.job_reader import JobReader
@@ -82,12 +83,13 @@
     channel = f"nodes-{options.nodes}"
     front.peers = PeerServer(runtime.loop, options.nodes, methods, None, channel=channel)
     front.peers.register(runtime)
+    lookup = JobLookup(front.routes, front.job_directory)
     submission = JobSubmission(
         runtime.loop,
         job_store,
         owner,
         front.registry,
-        front.routes,
+        lookup,
         front.token_ledger,
         front.submission_retry_s,
     )
@@ -98,7 +100,8 @@
         PeerResultReader(runtime.loop, runtime.peers, front.registry, front.job_directory, reader),
         front.job_directory,
         submission,
-        front.routes,
+        lookup,
+        UnknownJobReads(options.key_value_calls_per_s),
         job_metrics,
         gate,
         port.decode_job_call,
--- a/parsleyrouter/process/job_directory.py
+++ b/parsleyrouter/process/job_directory.py
@@ -52,11 +52,16 @@
 
     def __init__(self) -> None:
         self.jobs: dict[JobId, JobView] = {}
+        self.hosts: set[str] = set()
+        """The hosts at which the jobs were submitted, in lower case."""
+        self.listed = False
+        """Whether all stored jobs were listed once."""
         self.on_change: list[Callable[[JobView], object]] = []
         self.on_tokens: list[Callable[[JobView], object]] = []
 
     def apply_list(self, entries: Iterable[Entry]) -> None:
         """Apply a complete listing of records and owners."""
+        self.listed = True
         changes = [KeyChange(entry.key, entry.revision, entry) for entry in entries]
         listed = {change.key for change in changes}
         for view in self.jobs.values():
@@ -77,6 +82,7 @@
         view = self.jobs.setdefault(versioned.record.job, JobView(versioned.record.job))
         if view.versioned is None or versioned.revision > view.versioned.revision:
             view.versioned = versioned
+            self.hosts.add(versioned.record.host.lower())
             self._notify(view)
         return view
 
@@ -118,6 +124,7 @@
         if view.versioned is not None and versioned.revision <= view.versioned.revision:
             return False
         view.versioned = versioned
+        self.hosts.add(versioned.record.host.lower())
         return True
 
     def _apply_left(self, view: JobView, change: KeyChange) -> None:
--- a/parsleyrouter/process/job_submission.py
+++ b/parsleyrouter/process/job_submission.py
@@ -16,7 +16,7 @@
 )
 from parsleyrouter.ids import Revision
 from parsleyrouter.outcome import ExecutionStatus, Refusal, RefusalKind
-from parsleyrouter.process.active_routes import ActiveRoutes
+from parsleyrouter.process.job_lookup import JobLookup
 from parsleyrouter.process.job_owner import JobOwner
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.node_registry import NodeRegistry
@@ -37,7 +37,7 @@
     plan_submission,
     retry_after_s,
 )
-from parsleyrouter.version.route_table import Route
+from parsleyrouter.version.route_table import Route, RouteKind
 
 __all__ = ["JobSubmission"]
 
@@ -59,24 +59,27 @@
     store: SharedJobStore
     owner: JobOwner
     registry: NodeRegistry
-    routes: ActiveRoutes
+    lookup: JobLookup
     ledger: TokenLedger
     retry_s: Callable[[], float | None]
     """Return the retry delay while this node cannot accept jobs, else ``None``."""
 
     async def submit(self, call: SubmitJob) -> Refusal | tuple[int, bytes]:
         """Accept a job, or confirm one that was accepted before."""
-        job, table = call.submitted, self.routes.table
-        route = table.find(job.host, job.path) if table is not None else None
-        if table is None or route is None:
+        job = call.submitted
+        route = self.lookup.route(job.host, job.path)
+        if route is None or route.kind is not RouteKind.BATCH:
+            if self.lookup.is_known(job.job, job.host):
+                return HTTPStatus.ACCEPTED, b"{}"
             return Refusal(RefusalKind.NOT_FOUND, "no route takes the job", ExecutionStatus.NOT_RUN)
         retry_s = self.retry_s()
         if retry_s is not None:
             message = "this node gets no answers from the key-value service: submit elsewhere"
             return _not_run(message, retry_s)
-        record = _new_record(call, route)
+        version = self.lookup.routes.version
+        record = _new_record(call, route, version)
         if route.max_waiting_tokens:
-            done = await self._create_within_limit(record, job.items, route, table.version)
+            done = await self._create_within_limit(record, job.items, route, version)
         else:
             done = await self._create(record, job.items)
         if isinstance(done, Refusal):
@@ -188,7 +191,7 @@
     return Refusal(RefusalKind.PLATFORM_UNAVAILABLE, message, ExecutionStatus.NOT_RUN, retry_s)
 
 
-def _new_record(call: SubmitJob, route: Route) -> JobRecord:
+def _new_record(call: SubmitJob, route: Route, routes_version: int) -> JobRecord:
     now_ms = int(time.time() * 1000)
     items = call.submitted.items
     return JobRecord(
@@ -202,4 +205,5 @@
         route=route.name,
         tokens=sum(item.tokens for item in items),
         share=UNSHARED,
+        routes_version=routes_version,
     )
--- a/parsleyrouter/process/job_worker.py
+++ b/parsleyrouter/process/job_worker.py
@@ -22,7 +22,7 @@
 from parsleyrouter.request.item_time import ItemTimes
 from parsleyrouter.request.placement import PlacementCandidate
 from parsleyrouter.request.shared_job import ItemResult, ItemState, JobRecord
-from parsleyrouter.version.route_table import Route
+from parsleyrouter.version.route_table import Route, RouteKind
 
 __all__ = ["JobWorker"]
 
@@ -42,7 +42,7 @@
 """Pause between checks whether an item's prompt may be run again."""
 
 CLOCK_SKEW_MARGIN_S = 3.0
-"""Items are given up this long after their retention ends, since clocks of nodes differ."""
+"""Items are given up this long after their time ends, since clocks of nodes differ."""
 
 log = logging.getLogger(__name__)
 
@@ -183,7 +183,8 @@
         record, item = job_run.versioned.record, job_run.items[index]
         route = self._route(record, item.path)
         retention_left_s = (record.kept_until_ms - wall_ms) / 1000
-        if retention_left_s < -CLOCK_SKEW_MARGIN_S:
+        gone = route is None and self._route_has_ended(record, wall_ms)
+        if gone or retention_left_s < -CLOCK_SKEW_MARGIN_S:
             job_run.finish(index, ItemResult(item.item, ItemState.GIVEN_UP, ""))
             return True
         if route is None:
@@ -215,8 +216,18 @@
         return True
 
     def _route(self, record: JobRecord, path: str) -> Route | None:
+        """Return the batch route of an item, which no other kind of route may replace."""
         table = self.routes.table
-        return table.find(record.host, path) if table is not None else None
+        route = table.find(record.host, path) if table is not None else None
+        return route if route is not None and route.kind is RouteKind.BATCH else None
+
+    def _route_has_ended(self, record: JobRecord, wall_ms: float) -> bool:
+        """Return whether items without a route are given up.
+
+        Until the job is due, the operator may restore a route that was removed by mistake.
+        """
+        due = wall_ms > record.due_ms + CLOCK_SKEW_MARGIN_S * 1000
+        return due and self.routes.version >= record.routes_version
 
     async def _run_item(
         self, job_run: JobRun, index: ItemIndex, item_run: ItemRun, route: Route
--- a/parsleyrouter/process/shared_job_handler.py
+++ b/parsleyrouter/process/shared_job_handler.py
@@ -10,9 +10,9 @@
 from parsleyrouter.connection.key_value import KeyValueFailure, WriteApplied
 from parsleyrouter.ids import ItemId, JobId
 from parsleyrouter.outcome import ExecutionStatus, Refusal, RefusalKind
-from parsleyrouter.process.active_routes import ActiveRoutes
 from parsleyrouter.process.forwarder import send_refusal
 from parsleyrouter.process.job_directory import JobDirectory
+from parsleyrouter.process.job_lookup import JobLookup, UnknownJobReads
 from parsleyrouter.process.job_metrics import JobMetrics
 from parsleyrouter.process.job_reader import JobReader
 from parsleyrouter.process.job_submission import JobSubmission
@@ -29,7 +29,6 @@
     SubmitJob,
 )
 from parsleyrouter.request.shared_job import JobItem, JobRecord, JobState
-from parsleyrouter.version.route_table import RouteTable
 
 __all__ = ["SharedJobHandler"]
 
@@ -43,7 +42,7 @@
 RETRY_PAUSE_S = 0.15
 READ_RETRY_AFTER_S = 0.5
 
-DecodeCall = Callable[[RequestHead, bytes, RouteTable], JobCall | Refusal | None]
+DecodeCall = Callable[[RequestHead, bytes, JobLookup], JobCall | Refusal | None]
 EncodeResults = Callable[[ResultPage], bytes]
 
 log = logging.getLogger(__name__)
@@ -60,7 +59,8 @@
         peers: PeerResultReader,
         job_directory: JobDirectory,
         submission: JobSubmission,
-        routes: ActiveRoutes,
+        lookup: JobLookup,
+        unknown_reads: UnknownJobReads,
         metrics: JobMetrics,
         gate: StopGate,
         decode_call: DecodeCall,
@@ -72,7 +72,8 @@
         self.peers = peers
         self.job_directory = job_directory
         self.submission = submission
-        self.routes = routes
+        self.lookup = lookup
+        self.unknown_reads = unknown_reads
         self.metrics = metrics
         self.gate = gate
         self.decode_call = decode_call
@@ -80,9 +81,9 @@
 
     async def handle(self, exchange: CallerExchange) -> bool:
         """Handle a call about a job; return whether the request was one."""
-        if self.routes.table is None:
+        if self.lookup.routes.table is None:
             return False
-        call = self.decode_call(exchange.head, exchange.body, self.routes.table)
+        call = self.decode_call(exchange.head, exchange.body, self.lookup)
         if call is None:
             return False
         asked = type(call).__name__ if not isinstance(call, Refusal) else "unreadable"
@@ -146,9 +147,9 @@
 
     async def _end(self, call: EndJob) -> Refusal | tuple[int, bytes]:
         for _ in range(MAX_TRIES):
-            versioned = await self.store.read(call.job)
-            if versioned is None:
-                return _unknown_job()
+            versioned = await self._read_record(call.job)
+            if isinstance(versioned, Refusal):
+                return versioned
             if isinstance(versioned, VersionedJob):
                 self.job_directory.put(versioned)
                 if versioned.record.state is not JobState.OPEN:
@@ -163,14 +164,28 @@
         view = self.job_directory.jobs.get(job)
         if view is not None and view.versioned is not None:
             return view.versioned.record
-        versioned = await self.store.read(job)
-        if versioned is None:
-            return _unknown_job()
+        versioned = await self._read_record(job)
+        if isinstance(versioned, Refusal):
+            return versioned
         if isinstance(versioned, KeyValueFailure):
             return _unavailable(versioned)
         self.job_directory.put(versioned)
         return versioned.record
 
+    async def _read_record(self, job: JobId) -> VersionedJob | KeyValueFailure | Refusal:
+        """Read the record of a job; refuse if there is none, or after too many unknown ids."""
+        if job not in self.job_directory.jobs:
+            wait_s = self.unknown_reads.wait_s(self.loop.now())
+            if wait_s > 0:
+                message = "too many unknown jobs are asked for: ask again"
+                return Refusal(
+                    RefusalKind.PLATFORM_UNAVAILABLE, message, ExecutionStatus.NOT_RUN, wait_s
+                )
+        versioned = await self.store.read(job)
+        if versioned is None:
+            return Refusal(RefusalKind.NOT_FOUND, "no such job", ExecutionStatus.NOT_RUN)
+        return versioned
+
     def _log(self, exchange: CallerExchange, call: object, status: int, reason: str) -> None:
         job = getattr(call, "job", "") or getattr(getattr(call, "submitted", None), "job", "")
         log.info(
@@ -190,10 +205,6 @@
     return next((one.body for one in items if one.item == item), None)
 
 
-def _unknown_job() -> Refusal:
-    return Refusal(RefusalKind.NOT_FOUND, "no such job", ExecutionStatus.NOT_RUN)
-
-
 def _unavailable(failure: KeyValueFailure) -> Refusal:
     message = f"the job cannot be read now: {failure.message}"
     return Refusal(
--- a/parsleyrouter/process/stop_window.py
+++ b/parsleyrouter/process/stop_window.py
@@ -1,8 +1,8 @@
 """Times of a graceful shutdown: until when callers come, requests may begin and the process runs.
 
 Callers may use a list of addresses for three of its lifetimes. A node that stops is therefore named
-only in lists that expire while it still serves, and it begins only requests that it can finish: those whose
-deadline is before its exit, since nothing else bounds how long an endpoint works on a request.
+only in lists that expire while it still serves. It begins only requests whose deadline is before
+its exit, since nothing else bounds how long an endpoint works on a request.
 """
 
 from collections.abc import Iterable
@@ -128,7 +128,7 @@
     def expects_end(self, now: float, slowest_s: float) -> bool:
         """Return whether a call that begins now is expected to end in time.
 
-        ``slowest_s`` is the duration of the slowest recent call. Only for calls that may be repeated
-        and get an answer even if the process exits before they have ended.
+        ``slowest_s`` is the duration of the slowest recent call. Only for calls that may be
+        repeated and get an answer even if the process exits before they have ended.
         """
         return now + DURATION_MARGIN * slowest_s <= self.finish_s
--- a/parsleyrouter/request/shared_job.py
+++ b/parsleyrouter/request/shared_job.py
@@ -67,6 +67,8 @@
     """Tokens of all items."""
     share: int = UNSHARED
     """Share of the route's limit on waiting tokens in which they count."""
+    routes_version: int = 0
+    """Version of the routes by which the job was accepted."""
 
 
 class ItemResult(msgspec.Struct, frozen=True):
