Soak: engines that run as processes, frozen, killed and writing refusals twice

Frozen or killed processes leave what engines inside the soak cannot: connections that nobody reads, unread bytes, resets. PARSLEY_SOAK_SOURCES plays the processes of another checkout.

--- a/features/support/platform_endpoint.py
+++ b/features/support/platform_endpoint.py
@@ -52,7 +52,7 @@
 
     def start(self) -> "EndpointStandIn":
         bind = Address("127.0.0.1:0")
-        server = ForwardServer(self.runtime.loop, bind, self._answer)
+        server = ForwardServer(self.runtime.loop, bind, self.answer)
         self.server = server.register(self.runtime)
         return self
 
@@ -72,7 +72,7 @@
             *self.headers,
         ]
 
-    async def _answer(self, exchange: CallerExchange) -> None:
+    async def answer(self, exchange: CallerExchange) -> None:
         head = exchange.head
         arrival = Arrival(
             method=head.method,
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,7 +13,7 @@
 from parsleyrouter.process.logs import start_logs
 from soak.play import Plan, run_soak
 
-OUTPUT = Path("out/soak")
+OUTPUT = Path("out/soak").absolute()
 FAILED_SEEDS = Path(__file__).parent / "seeds.toml"
 SOAK_TIMEOUT_S = 180.0
 
@@ -27,12 +27,21 @@
     nodes: int = 4,
     faults_s: float = 10.0,
     gap_s: float = 0.8,
+    engine_processes: int = 0,
     without: tuple[str, ...] = (),
 ) -> None:
     """Run one seed; the logs of a failed soak stay in out/soak/SEED."""
     start_logs(program="soak", level="ERROR")
     clients = 3 * nodes // 2
-    plan = Plan(seed, nodes=nodes, clients=clients, faults_s=faults_s, gap_s=gap_s, without=without)
+    plan = Plan(
+        seed,
+        nodes=nodes,
+        clients=clients,
+        faults_s=faults_s,
+        gap_s=gap_s,
+        engine_processes=engine_processes,
+        without=without,
+    )
     result = run_soak(plan, OUTPUT / str(seed))
     print(msgspec.json.encode(result).decode())
     sys.exit(1 if result.problems else 0)
@@ -46,6 +55,7 @@
     jobs: int = 3,
     nodes: int = 4,
     faults_s: float = 10.0,
+    engine_processes: int = 0,
     kept: bool = True,
 ) -> None:
     """Run the seeds that ever failed, then consecutive seeds, by default from the Unix time on."""
@@ -59,7 +69,7 @@
 
     def run(seed: int) -> int:
         command = [sys.executable, "-m", "soak", "one", str(seed), "--nodes", str(nodes)]
-        command += ["--faults-s", str(faults_s)]
+        command += ["--faults-s", str(faults_s), "--engine-processes", str(engine_processes)]
         command += [word for name in without.get(seed, []) for word in ("--without", name)]
         done = subprocess.run(
             command, capture_output=True, text=True, check=False, timeout=SOAK_TIMEOUT_S
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -21,6 +21,7 @@
     "LEAVING_HEADER",
     "LIMIT_HEADER",
     "SoakEndpoint",
+    "behave",
     "expected_body",
     "item_output",
 ]
@@ -66,7 +67,7 @@
         """Number of its start, as registered."""
         self.crash_on: Callable[[str], bool] = lambda part: False
         """Crashes the endpoint if a part is deadly and returns whether it is."""
-        self.default_behaviour = _behave
+        self.default_behaviour = behave
 
     def run(self, arrival: Arrival) -> str:
         """Record the start of a run; return the request id."""
@@ -90,7 +91,8 @@
         return attempt
 
 
-async def _behave(endpoint: Any, exchange: CallerExchange, arrival: Arrival) -> None:
+async def behave(endpoint: Any, exchange: CallerExchange, arrival: Arrival) -> None:
+    """Run a request, or fail it in the mode of the endpoint."""
     fails = endpoint.random.random() < endpoint.failure_rate
     if fails and endpoint.failure_mode == "shed":
         await shed(endpoint, exchange, arrival)
--- /dev/null
+++ b/soak/engine_program.py
@@ -0,0 +1,113 @@
+"""``python -m soak.engine_program``: an engine in a process of its own.
+
+Frozen or killed, it leaves what only processes leave: accepted connections that nobody reads,
+unread bytes in the kernel and connections that are reset. Every run is appended to a file.
+"""
+
+import os
+import sys
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import msgspec
+
+from features.support.platform_endpoint import Arrival, shed
+from parsleyrouter.connection.forward_server import CallerExchange, ForwardServer
+from parsleyrouter.ids import Address
+from parsleyrouter.process.runtime import Runtime
+from soak.endpoints import SoakEndpoint, behave
+from soak.journal import Journal, Run
+
+__all__ = ["EngineMode", "RUNS_SUFFIX", "main"]
+
+RUNS_SUFFIX = ".runs"
+SLOTS = 4
+MAX_COPY_DELAY_S = 0.03
+LATE_COPY_SHARE = 0.7
+
+
+class EngineMode(msgspec.Struct):
+    """What the engine does to a share of its requests; read again for each of them."""
+
+    copies: float = 0.0
+    """Share refused, with the refusal written once more, soon or before the next answer."""
+    identified: bool = False
+    """Whether such copies carry the id of the refused request."""
+
+
+class RunFile(list[Run]):
+    """Append runs to a file at once, so that a killed process loses none."""
+
+    def __init__(self, path: Path) -> None:
+        super().__init__()
+        self.descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
+
+    def append(self, run: Run) -> None:
+        os.write(self.descriptor, msgspec.json.encode(run) + b"\n")
+
+
+class ProcessEndpoint(SoakEndpoint):
+    """Engine that refuses what exceeds its slots and queue."""
+
+    def __init__(
+        self, runtime: Runtime, name: str, service: str, journal: Journal, random: Random
+    ) -> None:
+        super().__init__(runtime, name, service, journal, random)
+        self.default_behaviour = _behave_as_process
+        self.mode_file = Path()
+        self.running = 0
+        self.late_copies: dict[Any, bytes] = {}
+        """Copies to write on a connection before its next answer."""
+
+
+async def _behave_as_process(
+    endpoint: ProcessEndpoint, exchange: CallerExchange, arrival: Arrival
+) -> None:
+    copy = endpoint.late_copies.pop(exchange.sock, b"")
+    if copy:
+        exchange.server.send(exchange.sock, copy)
+    mode = msgspec.json.decode(endpoint.mode_file.read_bytes(), type=EngineMode)
+    if endpoint.random.random() < mode.copies:
+        await _refuse_twice(endpoint, exchange, arrival, mode)
+        return
+    if endpoint.running >= 2 * SLOTS:
+        await shed(endpoint, exchange, arrival)
+        return
+    endpoint.running += 1
+    try:
+        await behave(endpoint, exchange, arrival)
+    finally:
+        endpoint.running -= 1
+
+
+async def _refuse_twice(
+    endpoint: ProcessEndpoint, exchange: CallerExchange, arrival: Arrival, mode: EngineMode
+) -> None:
+    name = arrival.header("X-Attempt-Id") or ""
+    line = f"X-Attempt-Id: {name}\r\n" if mode.identified else ""
+    head = f"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n{line}"
+    copy = f"{head}Content-Length: 0\r\n\r\n".encode()
+    await shed(endpoint, exchange, arrival)
+    if endpoint.random.random() < LATE_COPY_SHARE:
+        endpoint.late_copies[exchange.sock] = copy
+        return
+    await endpoint.runtime.loop.sleep(endpoint.random.uniform(0.0, MAX_COPY_DELAY_S))
+    exchange.server.send(exchange.sock, copy)
+
+
+def main() -> None:
+    """Serve until killed; arguments: name, service, address, start, folder."""
+    name, service, address, born, folder = sys.argv[1:]
+    runtime = Runtime()
+    journal = Journal(runs=RunFile(Path(folder) / f"{name}{RUNS_SUFFIX}"))
+    endpoint = ProcessEndpoint(runtime, name, service, journal, Random(f"{name} {born}"))
+    endpoint.born = int(born)
+    endpoint.mode_file = Path(folder) / f"{name}.mode"
+    server = ForwardServer(runtime.loop, Address(address), endpoint.answer)
+    endpoint.server = server.register(runtime)
+    runtime.run()
+
+
+if __name__ == "__main__":
+    main()
--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -18,6 +18,9 @@
 __all__ = ["GRACE_S", "Node"]
 
 ROOT = Path(__file__).resolve().parents[1]
+SOURCES = Path(os.environ.get("PARSLEY_SOAK_SOURCES", ROOT))
+"""The checkout whose processes are played; another one shows where a failure began."""
+
 GRACE_S = 8.0
 CHECK_S = 0.05
 SIGNAL_SETUP_S = 3.0
@@ -97,12 +100,12 @@
         environment = os.environ | {
             "PARSLEYROUTER_CONFIG": str(self.settings),
             "PARSLEY_SOAK_CLOCK": str(self.clock),
-            "PYTHONPATH": f"{ROOT}:{ROOT / 'soak' / 'clock'}",
+            "PYTHONPATH": f"{SOURCES}:{ROOT / 'soak' / 'clock'}",
         }
         command = [sys.executable, "-m", "parsleyrouter.commands.front"]
         with self.log.open("ab") as output:
             self.process = subprocess.Popen(
-                command, cwd=ROOT, env=environment, stdout=output, stderr=output
+                command, cwd=SOURCES, env=environment, stdout=output, stderr=output
             )
         self.expected_end = self.stopping = False
         self.started_s = self.loop.now()
--- a/soak/play.py
+++ b/soak/play.py
@@ -11,7 +11,9 @@
 from parsleyrouter.process.runtime import Runtime
 from soak.callers import batch_client, online_client, probe_nodes
 from soak.checks import problems
-from soak.faults import FAULTS
+from soak.engine_faults import ENGINE_FAULTS
+from soak.engines import recorded_runs
+from soak.faults import FAULTS, Fault
 from soak.world import World
 
 __all__ = ["Plan", "SoakResult", "run_soak"]
@@ -36,6 +38,8 @@
     faults_s: float = 10.0
     gap_s: float = 0.8
     """Mean time between the starts of two faults, which may overlap."""
+    engine_processes: int = 0
+    """Engines that run as processes of their own, beside the others."""
     without: Sequence[str] = ()
     """Faults left out, so that a kept seed gives those that it gave before they were added."""
 
@@ -78,7 +82,7 @@
 
 
 async def _run(world: World, plan: Plan, result: SoakResult) -> None:
-    await world.start(plan.nodes, plan.engines, plan.cards)
+    await world.start(plan.nodes, plan.engines, plan.cards, plan.engine_processes)
     loop = world.loop
     faults_until_s = loop.now() + plan.faults_s
     end_s = faults_until_s + 60.0
@@ -92,10 +96,11 @@
         clients.append(loop.spawn(batch_client(world, number, faults_until_s, give_up_s)))
     in_progress: list[Promise[Any]] = []
     fault_rng = Random(f"{plan.seed} order")
+    faults = _faults(plan)
     while loop.now() < faults_until_s:
-        name = fault_rng.choice([name for name in FAULTS if name not in plan.without])
+        name = fault_rng.choice(list(faults))
         result.faults.append(name)
-        in_progress.append(loop.spawn(FAULTS[name](world), name))
+        in_progress.append(loop.spawn(faults[name](world), name))
         await loop.sleep(fault_rng.uniform(0.0, 2 * plan.gap_s))
     await loop.gather(in_progress)
     await loop.gather(clients)
@@ -105,8 +110,18 @@
             result.problems.append(f"after all faults {attempt.node} returns {attempt.status}")
     for supervisor in supervisors:
         supervisor.cancel()
+    world.journal.runs += recorded_runs(world.folder)
     result.problems += problems(world)
     attempts = world.journal.attempts.values()
     result.requests = len(attempts)
     result.answered = sum(one.complete and one.status == 200 for one in attempts)
     result.jobs = len(world.journal.jobs)
+
+
+def _faults(plan: Plan) -> dict[str, Fault]:
+    """Return the faults to draw from; no prompt part crashes engines that are processes."""
+    chosen = dict(FAULTS)
+    if plan.engine_processes:
+        del chosen["deadly part"]
+        chosen |= ENGINE_FAULTS
+    return {name: one for name, one in chosen.items() if name not in plan.without}
--- a/soak/world.py
+++ b/soak/world.py
@@ -10,10 +10,12 @@
 from features.support.crashing_endpoint import crash_server, restart_server
 from features.support.front_fleet import routes
 from features.support.platform_store import PlatformStoreStandIn
+from parsleyrouter.connection.stream import ConnectFailed
 from parsleyrouter.ids import Address
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.standins.fault_proxy import FaultProxy
 from soak.endpoints import SoakEndpoint
+from soak.engines import EngineProcess
 from soak.journal import EndpointCrash, Journal
 from soak.nodes import Node
 
@@ -56,14 +58,19 @@
         self.endpoint_addresses: dict[str, Address] = {}
         self.deadly_parts: dict[str, str] = {}
         """First part of the prompts by the part that crashes endpoints at present."""
+        self.engines: list[EngineProcess] = []
+        """The engines that run as processes of their own."""
         self.down: set[str] = set()
         self.version = 0
         self.version_s = 0.0
         self.numbers = iter(range(1, 1_000_000))
 
-    async def start(self, nodes: int, engines: int, cards: int) -> None:
+    async def start(self, nodes: int, engines: int, cards: int, engine_processes: int = 0) -> None:
         """Start everything and wait until all nodes serve."""
         self.change_routes()
+        for _ in range(engine_processes):
+            self.engines.append(EngineProcess(self, f"engine-{next(self.numbers)}"))
+        await self.loop.gather([self.loop.spawn(one.start(unix_ms())) for one in self.engines])
         for _ in range(engines):
             await self.add_endpoint("engines")
         for _ in range(cards):
@@ -103,6 +110,15 @@
         self.announce(name)
         return endpoint
 
+    async def is_listening(self, address: Address) -> bool:
+        """Return whether a process accepts connections at an address."""
+        try:
+            stream = await self.runtime.connector.open(address)
+        except ConnectFailed:
+            return False
+        stream.close()
+        return True
+
     def _crash_on(self, name: str, part: str) -> bool:
         """Crash an endpoint if a part is deadly; return whether it is."""
         if part not in self.deadly_parts:
@@ -172,3 +188,5 @@
         for node in self.nodes:
             node.auto_restart = False
             node.kill()
+        for engine in self.engines:
+            engine.kill()
