List results and close jobs until that has worked

An error while results were listed left them unlisted until another item of the job ended; after the last item, for ever (LOST). A close that failed left the job open with its owner.

Change: the listing goes on after an error, with growing pauses, and closes the job itself.

--- a/features/job_states.feature
+++ b/features/job_states.feature
@@ -1,5 +1,11 @@
 Feature: an item that is neither running nor listed always has somebody who takes it up
 
+  # A listing that raised an error left its results unlisted until another item ended.
+  Scenario: results are listed although the store's reply to their listing cannot be read
+    Given a store whose reply to a listing cannot be read
+    When a job is submitted
+    Then all its items complete
+
   Scenario Outline: a job is taken up although <reply> cannot be read
     Given a store whose reply to <reply> cannot be read
     When a job that has no owner appears
@@ -15,3 +21,9 @@
   Scenario: a job that loses its owner while a node takes it up is taken up again
     When the lease of the only node ends while it reads the items of a job
     Then all its items complete
+
+  Scenario: a job whose last result is listed is closed although the store fails then
+    Given a store whose reply to a close cannot be read
+    When a job is submitted
+    Then all its items complete
+    And the job is closed
--- a/parsleyrouter/process/job_run.py
+++ b/parsleyrouter/process/job_run.py
@@ -27,6 +27,7 @@
 
 MAX_LISTING_BYTES = 400_000
 RETRY_PAUSE_S = 0.2
+MAX_RETRY_PAUSE_S = 5.0
 
 LISTING_DELAY_S = 0.25
 """Time over which results are gathered, since each listing costs a call; readers of a job with time
@@ -136,15 +137,33 @@
             run.cancel(ItemEnd.STOPPED)
 
     async def _list_all(self) -> None:
+        """List results until none waits, and close the job with the last one."""
+        pause_s = RETRY_PAUSE_S
         try:
-            while self.unlisted:
-                await self._gather_results()
-                await self._list_some()
-            if len(self.listed) == len(self.items):
-                await self._close()
+            while self.unlisted or self._may_close():
+                try:
+                    await self._list_next()
+                    pause_s = RETRY_PAUSE_S
+                except Exception:
+                    log.exception("results not listed yet", extra={"job": self.job})
+                    await self.loop.sleep(pause_s)
+                    pause_s = min(MAX_RETRY_PAUSE_S, 2 * pause_s)
         finally:
             self.listing = False
 
+    async def _list_next(self) -> None:
+        if not self.unlisted:
+            await self._close()
+            return
+        await self._gather_results()
+        await self._list_some()
+
+    def _may_close(self) -> bool:
+        """Return whether all items are listed and the job is still this node's to close."""
+        view = self.job_directory.jobs.get(self.versioned.record.job)
+        open_here = view is not None and view.open and not self.stopped
+        return open_here and len(self.listed) == len(self.items)
+
     async def _gather_results(self) -> None:
         """Wait for further results unless the job is due, stopped or has no running items."""
         left_s = self.versioned.record.due_ms / 1000 - time.time()
@@ -197,7 +216,7 @@
             self.unlisted.pop(index, None)
 
     async def _close(self) -> None:
-        """Record that all items are listed; if that fails, the next owner does it."""
+        """Record that all items are listed."""
         view: JobView | None = self.job_directory.jobs.get(self.versioned.record.job)
         if view is None or view.versioned is None or not view.open:
             return
@@ -209,6 +228,7 @@
         versioned = await self.store.read(self.versioned.record.job)
         if isinstance(versioned, VersionedJob):
             self.job_directory.put(versioned)
+        await self.loop.sleep(RETRY_PAUSE_S)
 
     def _log_listing(
         self, message: str, position: int, batch: dict[ItemIndex, ItemResult], **more: object
