Let an item that cannot be sent or placed cost itself only

An item that h11 refuses to send was started again 20 times a second on connections that nobody closed; one that is not Latin-1 stopped the placing of all behind it; items without a free endpoint stopped those of other routes and the end of expired ones.

Change: an error ends the run, closes its connection and gives the item up if it cannot be sent, or tries it again later. Routes without room are left out; expired items end first.

--- a/features/job_states.feature
+++ b/features/job_states.feature
@@ -27,3 +27,24 @@
     When a job is submitted
     Then all its items complete
     And the job is closed
+
+  # Such an item was started again 20 times a second, on connections that nobody closed.
+  Scenario Outline: an item with <what> is given up, runs nowhere and delays no other
+    When a job is submitted with an item that has <what>
+    Then that item is given up, and the others complete
+    And its node has no open connection to an endpoint that it does not use
+
+    Examples:
+      | what                          |
+      | a blank at the end of a value |
+      | a blank in its path           |
+      | a value beyond Latin-1        |
+
+  Scenario: items whose endpoints are all gone do not delay those of another route
+    Given a job whose route has no endpoint, due before another job
+    When a job is submitted on a route that has endpoints
+    Then the items of that route complete
+
+  Scenario: items whose retention has ended are given up although none can be placed
+    Given a job whose retention ends, and another that waits for an endpoint
+    Then the items of the first are given up soon after
--- a/parsleyrouter/process/forward_attempt.py
+++ b/parsleyrouter/process/forward_attempt.py
@@ -87,13 +87,16 @@
         started_s = self.context.loop.now()
         crashes = self.context.crashes
         crashes.start(self.running)
-        cut = served = False
+        cut = served = ended = False
         try:
             failure = await self._run()
+            ended = True
             closed_early = self.exchange is not None and self.exchange.closed_early
             cut = closed_early and not self.cancelled
             served = failure is None and self.status < 300
         finally:
+            if not ended and self.exchange is not None:
+                self.exchange.cancel()
             self.context.loads.request_ended(self.endpoint, batch=self.batch)
             crashes.end(self.running, cut=cut, served=served)
         ended_s = self.context.loop.now()
--- a/parsleyrouter/process/job_worker.py
+++ b/parsleyrouter/process/job_worker.py
@@ -4,6 +4,8 @@
 import time
 from random import Random
 
+from h11 import LocalProtocolError
+
 from parsleyrouter.ids import EndpointId, ItemIndex, NodeId, RouteName
 from parsleyrouter.process.active_routes import ActiveRoutes
 from parsleyrouter.process.batch_placement import (
@@ -155,10 +157,18 @@
         ]
         waiting.sort(key=lambda entry: (entry[0], entry[1].job, entry[2]))
         self.context.loads.waiting_items = len(waiting)
+        full: set[RouteName] = set()
         for _, job_run, index in waiting:
-            if not self._start_item(job_run, index, wall_ms):
-                return
-            self.context.loads.waiting_items -= 1
+            if self._give_up_expired(job_run, index, wall_ms):
+                self.context.loads.waiting_items -= 1
+                continue
+            route = job_run.versioned.record.route
+            if route in full:
+                continue
+            if self._try_start_item(job_run, index, wall_ms):
+                self.context.loads.waiting_items -= 1
+            else:
+                full.add(route)
 
     def _waiting_rank(
         self, job_run: JobRun, index: ItemIndex, wall_ms: float
@@ -178,15 +188,27 @@
             expected_s=self.item_times.expected_s(route),
         )
 
+    def _try_start_item(self, job_run: JobRun, index: ItemIndex, wall_ms: float) -> bool:
+        """Start an item; one that cannot be started delays no other."""
+        try:
+            return self._start_item(job_run, index, wall_ms)
+        except Exception as error:
+            self._end_unsendable(job_run, index, error)
+            return True
+
+    def _end_unsendable(self, job_run: JobRun, index: ItemIndex, error: Exception) -> None:
+        """Give up an item that no endpoint can get; after any other error, try it again later."""
+        item = job_run.items[index].item
+        log.exception("item not started", extra={"job": job_run.job, "request": item})
+        if isinstance(error, UnicodeEncodeError | LocalProtocolError):
+            job_run.finish(index, ItemResult(item, ItemState.GIVEN_UP, ""))
+        else:
+            job_run.not_before_s[index] = self.loop.now() + ITEM_RETRY_PAUSE_S
+
     def _start_item(self, job_run: JobRun, index: ItemIndex, wall_ms: float) -> bool:
-        """Start an item; return whether there may be room for another one."""
+        """Start an item; return whether there may be room for another one of its route."""
         record, item = job_run.versioned.record, job_run.items[index]
         route = self._route(record, item.path)
-        retention_left_s = (record.kept_until_ms - wall_ms) / 1000
-        gone = route is None and self._route_has_ended(record, wall_ms)
-        if gone or retention_left_s < -CLOCK_SKEW_MARGIN_S:
-            job_run.finish(index, ItemResult(item.item, ItemState.GIVEN_UP, ""))
-            return True
         if route is None:
             job_run.not_before_s[index] = self.loop.now() + ITEM_RETRY_PAUSE_S
             return True
@@ -205,7 +227,7 @@
         if best is None:
             return False
         progress = job_run.progress_of(index)
-        left_s = max(1.0, retention_left_s)
+        left_s = max(1.0, (record.kept_until_ms - wall_ms) / 1000)
         item_run = ItemRun(
             self.context, route, service, item, entries[best.endpoint], progress, left_s
         )
@@ -221,19 +243,29 @@
         route = table.find(record.host, path) if table is not None else None
         return route if route is not None and route.kind is RouteKind.BATCH else None
 
-    def _route_has_ended(self, record: JobRecord, wall_ms: float) -> bool:
-        """Return whether items without a route are given up.
+    def _give_up_expired(self, job_run: JobRun, index: ItemIndex, wall_ms: float) -> bool:
+        """Give an item up if its retention, or its route, has ended; return whether it did.
 
-        Until the job is due, the operator may restore a route that was removed by mistake.
+        Until its job is due, the operator may restore a route that was removed by mistake.
         """
-        due = wall_ms > record.due_ms + CLOCK_SKEW_MARGIN_S * 1000
-        return due and self.routes.version >= record.routes_version
+        record, item = job_run.versioned.record, job_run.items[index]
+        now_ms = wall_ms - CLOCK_SKEW_MARGIN_S * 1000
+        expired = now_ms > record.kept_until_ms
+        if not expired and now_ms > record.due_ms:
+            known = self.routes.version >= record.routes_version
+            expired = known and self._route(record, item.path) is None
+        if expired:
+            job_run.finish(index, ItemResult(item.item, ItemState.GIVEN_UP, ""))
+        return expired
 
     async def _run_item(
         self, job_run: JobRun, index: ItemIndex, item_run: ItemRun, route: Route
     ) -> None:
         try:
             end, reason = await item_run.run()
+        except Exception as error:
+            self._end_unsendable(job_run, index, error)
+            return
         finally:
             job_run.running.pop(index, None)
         progress = item_run.progress
