--- a/soak/engine_faults.py
+++ b/soak/engine_faults.py
@@ -35,12 +35,14 @@
 @engine_fault("kill engine")
 async def kill_engine(world: World) -> None:
     """Kill an engine; it starts again at its address, under its id."""
-    engine = world.random.choice(world.engines)
+    engine, down_s = world.random.choice(world.engines), world.random.uniform(0.0, 1.0)
+    if engine.starting:
+        return
     with world.disturbed(*world.nodes, lasts_s=2.0, in_touch=True):
+        engine.starting = True
         engine.kill()
-        await world.loop.sleep(world.random.uniform(0.0, 1.0))
-        if engine.process is not None and engine.process.poll() is not None:
-            await engine.start(unix_ms())
+        await world.loop.sleep(down_s)
+        await engine.start(unix_ms())
 
 
 @engine_fault("copies of refusals")
--- a/soak/engines.py
+++ b/soak/engines.py
@@ -19,7 +19,9 @@
 __all__ = ["EngineProcess", "recorded_runs"]
 
 ROOT = Path(__file__).resolve().parents[1]
-START_S = 5.0
+START_S = 15.0
+"""Time in which an engine must listen, which may be frozen meanwhile."""
+
 POLL_S = 0.05
 
 
@@ -31,6 +33,7 @@
         self.name = name
         self.address = free_address()
         self.born = 0
+        self.starting = False
         self.process: subprocess.Popen[bytes] | None = None
 
     def set_mode(self, mode: EngineMode) -> None:
@@ -42,7 +45,7 @@
 
     async def start(self, born: int) -> None:
         """Start the process, wait until it listens and register it."""
-        self.born = born
+        self.born, self.starting = born, True
         self.set_mode(EngineMode())
         arguments = [self.name, "engines", self.address, str(born), str(self.world.folder)]
         with (self.world.folder / f"{self.name}.log").open("ab") as output:
@@ -58,6 +61,7 @@
             if self.process.poll() is not None or self.world.loop.now() > until_s:
                 raise RuntimeError(f"{self.name} does not listen at {self.address}")
             await self.world.loop.sleep(POLL_S)
+        self.starting = False
         self.announce()
 
     def announce(self) -> None:
