Pass on no promise that an endpoint has not made

A stream that must not be repeated was answered with 408, 429 or 503 although its endpoint had run it: these statuses of an endpoint were passed on unchanged, also without the header by which endpoints say that they have not run the request (REFUSED).

Change: without that header they become a 502, which promises nothing.

--- a/features/repeated_refusals.feature
+++ b/features/repeated_refusals.feature
@@ -15,3 +15,14 @@
     Given an engine that has refused a request on a connection that is kept
     When a refused item is sent to the engine again, which would write the refusal again
     Then the item runs once more and completes
+
+  # Passed on unchanged, these statuses promise callers what the engine has not said.
+  Scenario Outline: status <code> of an engine that does not say that it has not run is no promise
+    When an engine runs a stream that must not be repeated and answers with status <code>
+    Then the caller gets a failure that promises nothing, and no other engine runs it
+
+    Examples:
+      | code |
+      | 408  |
+      | 429  |
+      | 503  |
--- a/features/steps/broken_answers_steps.py
+++ b/features/steps/broken_answers_steps.py
@@ -255,3 +255,21 @@
 @then("the caller gets no success that is empty or short")
 def step_no_success(context: Any) -> None:
     assert context.answer.status in (502, 504), context.answer.status
+
+
+@when("an engine runs a stream that must not be repeated and answers with status {code:d}")
+def step_status(context: Any, code: int) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        for name in ("e1", "e2"):
+            fleet.register(name).default_behaviour = answer(code, [TEXT], b"the engine failed")
+        await fleet.start()
+        context.answer = await fleet.caller().ask("POST", "/chat/1")
+        context.arrivals = sum(len(one.arrivals) for one in fleet.endpoints.values())
+
+    run_with_fleet(context, scenario)
+
+
+@then("the caller gets a failure that promises nothing, and no other engine runs it")
+def step_no_promise(context: Any) -> None:
+    assert context.answer.status == 502, context.answer.status
+    assert context.arrivals == 1, context.arrivals
--- a/parsleyrouter/process/answer_heads.py
+++ b/parsleyrouter/process/answer_heads.py
@@ -9,10 +9,20 @@
 from parsleyrouter.process.fleet_limits import parse_limit
 from parsleyrouter.process.forward_context import ForwardContext
 
-__all__ = ["MISDIRECTED_STATUS", "record_head", "refuses_request"]
+__all__ = [
+    "MISDIRECTED_STATUS",
+    "PROMISING_STATUSES",
+    "body_length",
+    "content_type",
+    "record_head",
+    "refuses_request",
+]
 
 MISDIRECTED_STATUS = 421
 
+PROMISING_STATUSES = frozenset({408, 429, 503})
+"""Statuses by which callers are promised that a request has not run and never will."""
+
 log = logging.getLogger(__name__)
 
 
@@ -51,3 +61,16 @@
         return True
     instance = exchange.headers.get(context.names.instance)
     return exchange.status == MISDIRECTED_STATUS and instance not in (None, endpoint)
+
+
+def content_type(exchange: EndpointExchange) -> str:
+    """Return the type of an answer's body, empty if it is not given."""
+    return exchange.headers.get("content-type", "")
+
+
+def body_length(exchange: EndpointExchange) -> int | None:
+    """Return the length of an answer's body, ``None`` if it is not given."""
+    if "transfer-encoding" in exchange.headers:
+        return None
+    length = exchange.headers.get("content-length")
+    return int(length) if length is not None else None
--- a/parsleyrouter/process/forward_attempt.py
+++ b/parsleyrouter/process/forward_attempt.py
@@ -13,7 +13,14 @@
     last_event_id,
 )
 from parsleyrouter.ids import EndpointId
-from parsleyrouter.process.answer_heads import MISDIRECTED_STATUS, record_head, refuses_request
+from parsleyrouter.process.answer_heads import (
+    MISDIRECTED_STATUS,
+    PROMISING_STATUSES,
+    body_length,
+    content_type,
+    record_head,
+    refuses_request,
+)
 from parsleyrouter.process.crash_monitor import RunningRequest
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
 from parsleyrouter.process.forward_context import ForwardContext, ForwardSink, ResponseTimeouts
@@ -131,7 +138,7 @@
             return rejection
         if self.request.route.kind is RouteKind.SAFE and not self.headers_sent:
             return await self._read_buffered(exchange)
-        if self.request.route.resumable and is_event_stream(_content_type(exchange)):
+        if self.request.route.resumable and is_event_stream(content_type(exchange)):
             return await self._forward_events(exchange)
         return await self._forward_body(exchange)
 
@@ -157,17 +164,18 @@
             return self._failure(FailurePoint.REFUSED, f"refused with status {status}")
         verified = exchange.has_request_id and names.signature in headers
         unverified_success = status < 300 and (not verified or "content-encoding" in headers)
-        if unverified_success or not exchange.has_request_id:
+        promise = status in PROMISING_STATUSES and not self.request.route.repeatable
+        if unverified_success or promise or not exchange.has_request_id:
             self.context.client.discard(exchange)
             return self._failure(
-                FailurePoint.MAYBE_SENT, "response is not verifiably the endpoint's own"
+                FailurePoint.MAYBE_SENT, f"response does not prove what status {status} says"
             )
         if status >= 500 and self.may_retry and self.request.route.repeatable:
             await exchange.read_all(REFUSAL_READ_TIMEOUT_S)
             return self._failure(FailurePoint.ERROR_STATUS, f"failed with status {status}")
-        if self.headers_sent and (status != 200 or not is_event_stream(_content_type(exchange))):
+        if self.headers_sent and (status != 200 or not is_event_stream(content_type(exchange))):
             self.context.client.discard(exchange)
-            message = f"not resumed, answered with status {status} and {_content_type(exchange)!r}"
+            message = f"not resumed, answered with status {status} and {content_type(exchange)!r}"
             return self._failure(FailurePoint.RESPONSE_TRUNCATED, message)
         return None
 
@@ -190,17 +198,17 @@
                 return None
             chunks.append(chunk)
             size += len(chunk)
-        self._begin(exchange, _length(exchange))
+        self._begin(exchange, body_length(exchange))
         for chunk in chunks:
             self.sink.send(chunk)
         return await self._forward_rest(exchange)
 
     async def _forward_body(self, exchange: EndpointExchange) -> AttemptFailure | None:
-        self._begin(exchange, _length(exchange))
+        self._begin(exchange, body_length(exchange))
         return await self._forward_rest(exchange)
 
     async def _forward_rest(self, exchange: EndpointExchange) -> AttemptFailure | None:
-        splitter = EventSplitter() if is_event_stream(_content_type(exchange)) else None
+        splitter = EventSplitter() if is_event_stream(content_type(exchange)) else None
         while True:
             chunk = await self._read(exchange)
             if chunk is None:
@@ -290,14 +298,3 @@
     def _failure(self, failed_at: FailurePoint, message: str) -> AttemptFailure:
         resumable = self.request.route.resumable
         return AttemptFailure(self.endpoint, failed_at, message, self.headers_sent, resumable)
-
-
-def _content_type(exchange: EndpointExchange) -> str:
-    return exchange.headers.get("content-type", "")
-
-
-def _length(exchange: EndpointExchange) -> int | None:
-    if "transfer-encoding" in exchange.headers:
-        return None
-    length = exchange.headers.get("content-length")
-    return int(length) if length is not None else None
