Begin no request on a connection that is closed for being idle

Bytes that had been read when the idle time ran out began a request on the closed connection: an endpoint ran it and nobody got the answer (LOST).

Evidence: the second row of 'a request that is read while its idle connection is being closed does not begin' failed before (the endpoint got /second), both pass.

--- a/features/front_listeners.feature
+++ b/features/front_listeners.feature
@@ -20,6 +20,11 @@
     When callers keep sending requests on open connections while their process stops
     Then every request that the process read is answered
 
-  Scenario: a request that is read while its idle connection is being closed does not begin
-    When the bytes of a request are queued as its connection is chosen for closing
+  Scenario Outline: a request that is read while its idle connection is being closed does not begin
+    When the bytes of a request are queued as its connection is chosen for closing <why>
     Then the request does not begin
+
+    Examples:
+      | why                |
+      | in a stop          |
+      | after its idle time |
--- a/features/steps/front_listeners_steps.py
+++ b/features/steps/front_listeners_steps.py
@@ -165,8 +165,8 @@
     assert all(context.outcomes), context.failures
 
 
-@when("the bytes of a request are queued as its connection is chosen for closing")
-def step_closing(context: Any) -> None:
+@when("the bytes of a request are queued as its connection is chosen for closing {why}")
+def step_closing(context: Any, why: str) -> None:
     context.begun = []
 
     async def main(runtime: Any) -> None:
@@ -180,7 +180,10 @@
         await caller.ask("GET", "/first")
         sock = next(iter(server.connections))
         server.fire(read(sock, b"GET /second HTTP/1.1\r\nHost: h\r\n\r\n"))
-        server.close_idle(0.0)
+        if why == "in a stop":
+            server.close_idle(0.0)
+        else:
+            server.drop_overdue(sock, server.connections[sock])
         await runtime.loop.sleep(0.05)
 
     run_on_loop(main)
--- a/parsleyrouter/connection/public_http_server.py
+++ b/parsleyrouter/connection/public_http_server.py
@@ -156,14 +156,17 @@
         for sock, connection in list(self.connections.items()):
             unsent_bytes = self.buffered_bytes(sock)
             if connection.is_overdue(now, unsent_bytes):
-                self._drop_overdue(sock, connection)
+                self.drop_overdue(sock, connection)
         self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
-    def _drop_overdue(self, sock: Any, connection: CallerConnection) -> None:
+    def drop_overdue(self, sock: Any, connection: CallerConnection) -> None:
+        """Refuse or close a connection that has exceeded one of its timeouts."""
         if connection.stage in (ConnectionStage.HEAD, ConnectionStage.BODY):
             log.warning("caller is too slow", extra={"remote": connection.remote})
             connection.refuse(_TOO_SLOW)
         elif connection.upload is not None and connection.body_pending:
             connection.upload.abort("the rest of the body did not arrive in time")
         else:
+            # Bytes that were read before the close takes effect must not begin a request.
+            connection.discard()
             self.server._close(sock)
