Close the connection of an ended exchange only if no other request has taken it

A check that rejects an answer closes its connection; if another request had taken it from the pool meanwhile, that one lost it without being told and waited for its deadline. Shown by the scenario only; whether two requests can meet so closely in a process is not shown.

Evidence: 'closing the connection of an ended exchange ...' failed before, passes.

--- a/features/reset_replies.feature
+++ b/features/reset_replies.feature
@@ -23,3 +23,7 @@
     Given a server that answers before it has read a long request, with a length
     When it resets the connection after its whole reply, while the request is being sent
     Then the client gets a complete reply and does not use the connection again
+
+  Scenario: closing the connection of an ended exchange does not close it under another request
+    When the connection of an ended exchange is discarded after another request has taken it
+    Then that connection stays open
--- a/features/steps/reset_replies_steps.py
+++ b/features/steps/reset_replies_steps.py
@@ -144,3 +144,25 @@
     step_complete(context)
     assert context.play.exchange.stream.closed
     assert not any(context.play.client.idle.values())
+
+
+@when("the connection of an ended exchange is discarded after another request has taken it")
+def step_discard(context: Any) -> None:
+    server = EarlyServer(with_length=True)
+    play = EarlyPlay(server)
+
+    async def scenario(runtime: Runtime) -> None:
+        await play.begin(runtime, request_bytes=100)
+        server.send(HALF + HALF)
+        await play.read()
+        other = await play.client.start(server.address)
+        assert other.stream is play.exchange.stream
+        play.client.discard(play.exchange)
+        context.open = not other.stream.closed
+
+    run_on_loop(scenario)
+
+
+@then("that connection stays open")
+def step_open(context: Any) -> None:
+    assert context.open
--- a/parsleyrouter/connection/http_client.py
+++ b/parsleyrouter/connection/http_client.py
@@ -143,7 +143,10 @@
         return None
 
     def discard(self, exchange: HttpExchange) -> None:
-        """Close the connection of an exchange, also if it has ended and its connection is idle."""
+        """Close the connection of an exchange, also if it has ended and its connection is idle.
+
+        Another request may have taken the connection since; it then goes on.
+        """
         exchange.cancel()
         self._drop_idle(exchange)
 
@@ -151,7 +154,7 @@
         idle = self.idle.get(exchange.stream.address, [])
         if exchange in idle:
             idle.remove(exchange)
-        exchange.stream.close()
+            exchange.stream.close()
 
 
 def _max_idle_s(headers: Mapping[str, str]) -> float:
