Log errors of event handlers with their traceback

The line itself raised an error, since the event of the library holds its traceback as lines of text, so no such error ever reached the log. Found by features/odd_entries.feature, whose first odd header ended the test run there.

--- a/parsleyrouter/process/runtime.py
+++ b/parsleyrouter/process/runtime.py
@@ -88,6 +88,7 @@
         self.begin_stop()
 
     @handler("exception", channel="*", priority=100)
-    def _on_exception(self, event: Any, etype: Any, value: Any, trace: Any, **_: Any) -> None:
+    def _on_exception(self, event: Any, etype: Any, value: Any, *_: Any, **__: Any) -> None:
+        # The event itself has the traceback as lines of text only.
         if not isinstance(value, (KeyboardInterrupt, SystemExit)):
-            log.error("event handler failed", exc_info=(etype, value, trace))
+            log.error("event handler failed", exc_info=(etype, value, value.__traceback__))
