Believe only plain numbers in the headers of answers

X-Server-Load with other digits than ASCII ones gave 500 to a request that had run; with 401 digits every request got 500 while the report was valid. Keep-Alive with 5,000 digits kept an answer from being handed on.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -28,6 +28,20 @@
     When any values are stored as registrations
     Then each is left out, or a request can be placed at it, sent to it and reported
 
+  Scenario Outline: an odd header of an answer does not reach other requests: <header>
+    Given an endpoint whose answers have the header <header>
+    When requests are sent one after another
+    Then all of them are answered
+
+    Examples:
+      | header                              |
+      | X-Server-Load of other digits       |
+      | X-Server-Load of 401 digits         |
+      | X-Server-Load of 5000 digits        |
+      | Keep-Alive of 5000 digits           |
+      | Server-Limit of 401 digits          |
+      | Server-Limit without end            |
+
   Scenario Outline: an odd call about a job is answered: <call>
     When a node gets a call with <call>
     Then the answer is <status>, and the next job is accepted and done
--- a/parsleyrouter/connection/http_client.py
+++ b/parsleyrouter/connection/http_client.py
@@ -25,7 +25,7 @@
 """Fraction of the announced keep-alive timeout after which a connection is not reused, so that a
 request does not race with the server closing it."""
 
-_KEEP_ALIVE = re.compile(r"timeout\s*=\s*(\d+)")
+_KEEP_ALIVE = re.compile(r"timeout\s*=\s*([0-9]{1,9})(?![0-9])")
 
 
 class HttpClient:
--- a/parsleyrouter/process/answer_heads.py
+++ b/parsleyrouter/process/answer_heads.py
@@ -4,6 +4,7 @@
 import time
 
 from parsleyrouter.connection.endpoint_client import EndpointExchange
+from parsleyrouter.decoding import parse_count
 from parsleyrouter.ids import EndpointId
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
 from parsleyrouter.process.fleet_limits import parse_limit
@@ -36,9 +37,9 @@
         # Another endpoint has taken over the address.
         return
     headers, names = exchange.headers, context.names
-    counts = headers.get(names.load, "").split(",")
-    if len(counts) == 3 and counts[0].isdigit() and counts[1].isdigit():
-        context.loads.record_report(endpoint, int(counts[0]) + int(counts[1]), now)
+    counts = [parse_count(text) for text in headers.get(names.load, "").split(",")]
+    if len(counts) == 3 and counts[0] is not None and counts[1] is not None:
+        context.loads.record_report(endpoint, counts[0] + counts[1], now)
     leaving, unix_ms = headers.get(names.leaving) == "1", int(time.time() * 1000)
     if leaving and context.directory.mark_leaving(registration, now, unix_ms):
         fields = {"endpoint": endpoint, "state": "leaving", "request": exchange.request}
--- a/parsleyrouter/process/fleet_limits.py
+++ b/parsleyrouter/process/fleet_limits.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from parsleyrouter.decoding import MAX_COUNT
 from parsleyrouter.ids import EndpointId, NodeId
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
 
@@ -220,4 +221,4 @@
         value = float(text) if text else math.nan
     except ValueError:
         return None
-    return value if math.isfinite(value) and value >= 0 else None
+    return value if 0 <= value <= MAX_COUNT else None
