Tell callers of a stopping fleet when the first node is back

Retry-After now follows from the times up to which stopping nodes are named.

Evidence: 'while all nodes stop, a refusal names the time when the first of them is back', failed before (1 s instead of 2.8 s), passes.

--- a/features/steps/stops_in_series_steps.py
+++ b/features/steps/stops_in_series_steps.py
@@ -23,8 +23,8 @@
 from parsleyrouter.process.cells import ACTIVE_CELL
 from parsleyrouter.process.front import Front
 from parsleyrouter.process.front_shutdown import FrontShutdown
-from parsleyrouter.process.stop_gate import StopGate
-from parsleyrouter.process.stop_window import KEPT_LIFETIMES, StopWindow
+from parsleyrouter.process.stop_gate import START_S, StopGate
+from parsleyrouter.process.stop_window import KEPT_LIFETIMES, REQUEST_ARRIVAL_S, StopWindow
 
 STOP_INTERVAL_S = 0.5
 JOB = b'{"items":[{"id":"i1","path":"/bulk/i1","headers":{},"body":"","tokens":1}]}'
@@ -456,3 +456,23 @@
     assert context.by_assumption is not None
     assert context.after_short is None
     assert context.by_running is not None
+
+
+@when("requests are refused while all nodes stop, and once one of them is back")
+def step_refused_while_all_stop(context: Any) -> None:
+    fleet = registered_members(["a", "own"])
+    now = fleet.loop.now()
+    gate = StopGate(fleet.loop, fleet.members)
+    gate.begin_stop(StopWindow(now, 8.0))
+    fleet.report("a", boot=1, leaving=True, named_until_s=now + 1.5)
+    fleet.stop_own(named_until_s=now + 4.5)
+    context.all_stop = gate.refuse_request(now + 60.0)
+    fleet.register("a", boot=2)
+    context.one_back = gate.refuse_request(now + 60.0)
+
+
+@then("they are told to come when a node has exited and started, and then at once")
+def step_told_when(context: Any) -> None:
+    expected_s = 1.5 + REQUEST_ARRIVAL_S + START_S
+    assert abs(context.all_stop.retry_after_s - expected_s) < 0.001, context.all_stop
+    assert context.one_back.retry_after_s == 0.0
--- a/features/stops_in_series.feature
+++ b/features/stops_in_series.feature
@@ -52,3 +52,7 @@
   Scenario: a stopping node does not retry what may outlast it
     When an endpoint refuses a long request after its node has begun to stop
     Then it is refused as not run, and no other endpoint gets it
+
+  Scenario: while all nodes stop, a refusal names the time when the first of them is back
+    When requests are refused while all nodes stop, and once one of them is back
+    Then they are told to come when a node has exited and started, and then at once
--- a/parsleyrouter/process/stop_gate.py
+++ b/parsleyrouter/process/stop_gate.py
@@ -3,14 +3,14 @@
 from parsleyrouter.outcome import ExecutionStatus, Refusal, RefusalKind
 from parsleyrouter.process.cell_members import CellMembers
 from parsleyrouter.process.loop import Loop
-from parsleyrouter.process.stop_window import RecentMaximum, StopWindow
+from parsleyrouter.process.stop_window import REQUEST_ARRIVAL_S, RecentMaximum, StopWindow
 
 __all__ = ["StopGate"]
 
 DURATIONS_WINDOW_S = 10.0
 
-ALL_STOPPING_RETRY_S = 1.0
-"""Retry-After while no other node accepts callers: about the time that a process takes to start."""
+START_S = 1.0
+"""About the time from the exit of a process until its next start accepts callers."""
 
 
 class StopGate:
@@ -71,8 +71,16 @@
     def _refusal(self) -> Refusal:
         self.refused += 1
         message = "this node stops before the request can end: try another node"
-        retry_s = 0.0 if self.members.serving_nodes() else ALL_STOPPING_RETRY_S
-        return Refusal(RefusalKind.STOPPING, message, ExecutionStatus.NOT_RUN, retry_s)
+        return Refusal(RefusalKind.STOPPING, message, ExecutionStatus.NOT_RUN, self._retry_s())
+
+    def _retry_s(self) -> float:
+        """Return the time until a node accepts callers, 0 while another one does."""
+        if self.members.serving_nodes():
+            return 0.0
+        now = self.loop.now()
+        named_until_s = [until_s for _, until_s in self.members.stopping_nodes().values()]
+        exit_s = min(named_until_s, default=now) + REQUEST_ARRIVAL_S
+        return max(0.0, exit_s - now) + START_S
 
     def _slowest_s(self, kind: str) -> float | None:
         """Return the longest recent duration, of requests in progress too."""
