Refuse odd lines of uploaded jobs as those lines

A line nested 100,000 deep, or a model that is no text, raised an error of another kind than the upload expected, which refused the whole upload as an internal error; a number of tokens of 401 digits was believed.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -60,3 +60,7 @@
   Scenario: bad frames of a peer end its connection and the calls that wait on it
     When a peer answers a call with any bytes
     Then the call fails at once, or when its time is over if a frame is not complete
+
+  Scenario: an odd line of an uploaded job is refused as that line
+    When lines of a job are nested too deep, no text, or name too many tokens
+    Then each is refused with its reason, or read with a number of tokens that is believed
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -16,10 +16,12 @@
 from features.support.loop import run_on_loop
 from parsleyrouter.connection.key_value import Entry
 from parsleyrouter.connection.peer import FRAME_HEADER, PeerFailure
+from parsleyrouter.decoding import MAX_COUNT
 from parsleyrouter.ids import DomainName, EndpointId, Revision
 from parsleyrouter.platform.adapter import PLATFORM
 from parsleyrouter.process.endpoint_loads import EndpointLoads
 from parsleyrouter.process.load_codec import decode, encode_crashes
+from parsleyrouter.request.batch_item import InvalidItem, read_item
 from parsleyrouter.request.crash_evidence import Crash
 from parsleyrouter.request.placement import choose_endpoint, queue_wait_s
 from parsleyrouter.thrift_gen.peer.ttypes import Envelope
@@ -290,3 +292,31 @@
 def step_calls_failed(context: Any) -> None:
     assert len(context.outcomes) == 60
     assert all(isinstance(one, PeerFailure) for one in context.outcomes), context.outcomes
+
+
+@when("lines of a job are nested too deep, no text, or name too many tokens")
+def step_lines(context: Any) -> None:
+    body = b'{"model":"m","max_tokens":%d}' % HUGE
+    head = b'{"custom_id":"a","url":"/v1/completions","body":'
+    lines = [
+        NESTED,
+        head + b'{"model":"m","more":' + NESTED + b"}}",
+        head + b'{"model":"\xff"}}',
+        head + b'{"model":1}}',
+        head + body + b"}",
+    ]
+    context.lines = [_read_line(line) for line in lines]
+
+
+def _read_line(line: bytes) -> Any:
+    try:
+        return read_item(line)
+    except InvalidItem as error:
+        return error
+
+
+@then("each is refused with its reason, or read with a number of tokens that is believed")
+def step_lines_refused(context: Any) -> None:
+    *refused, read_line = context.lines
+    assert all(isinstance(one, InvalidItem) and str(one) for one in refused), refused
+    assert read_line.output_tokens == MAX_COUNT
--- a/parsleyrouter/connection/api_settings.py
+++ b/parsleyrouter/connection/api_settings.py
@@ -5,11 +5,10 @@
 from dataclasses import asdict, dataclass
 from typing import Any, Protocol
 
-import msgspec
-
 from parsleyrouter.connection.http import HttpReply, json_reply, refusal_reply
 from parsleyrouter.connection.http_server import Exchange, Routes
 from parsleyrouter.connection.key_value import KeyValueFailure
+from parsleyrouter.decoding import JSON_ERRORS
 from parsleyrouter.ids import Revision, TeamName
 from parsleyrouter.outcome import ExecutionStatus, Refusal, RefusalKind
 from parsleyrouter.process.agent import Agent
@@ -143,7 +142,7 @@
 async def _put(api: SettingsApi, operator: Operator, exchange: Exchange) -> HttpReply:
     try:
         new = exchange.request.json()
-    except msgspec.DecodeError as error:
+    except JSON_ERRORS as error:
         return _refuse(RefusalKind.BAD_REQUEST, f"the body is not JSON: {error}")
     return await _change(api, operator, exchange, new)
 
--- a/parsleyrouter/decoding.py
+++ b/parsleyrouter/decoding.py
@@ -4,7 +4,14 @@
 
 import msgspec
 
-__all__ = ["MAX_COUNT", "MAX_UNIX_MS", "InvalidData", "decode_json", "parse_count"]
+__all__ = [
+    "JSON_ERRORS",
+    "MAX_COUNT",
+    "MAX_UNIX_MS",
+    "InvalidData",
+    "decode_json",
+    "parse_count",
+]
 
 T = TypeVar("T")
 
@@ -15,6 +22,10 @@
 """Latest time that is believed; larger numbers are not exact as floating point."""
 
 
+JSON_ERRORS = (msgspec.DecodeError, ValueError, RecursionError, OverflowError)
+"""What decoding may raise: deep nesting and other encodings raise errors of their own."""
+
+
 class InvalidData(ValueError):
     """Data of another writer that cannot be read; the message gives the reason."""
 
@@ -22,12 +33,11 @@
 def decode_json(data: bytes, wanted: type[T], *, strict: bool = True) -> T:
     """Return a JSON value of a type; raise ``InvalidData`` for whatever is wrong with it.
 
-    Deep nesting, numbers without end and text that is not UTF-8 raise errors of several kinds.
     Without ``strict``, numbers may be written as text.
     """
     try:
         return msgspec.json.decode(data, type=wanted, strict=strict)
-    except (msgspec.DecodeError, ValueError, RecursionError, OverflowError) as error:
+    except JSON_ERRORS as error:
         raise InvalidData(f"{type(error).__name__}: {error}"[:200]) from error
 
 
--- a/parsleyrouter/request/batch_item.py
+++ b/parsleyrouter/request/batch_item.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from parsleyrouter.decoding import JSON_ERRORS, MAX_COUNT
 from parsleyrouter.ids import ItemIndex, ModelName
 from parsleyrouter.version.schema import TeamSettings
 
@@ -86,7 +87,7 @@
     """Read one JSON line; raise ``InvalidItem`` with the reason."""
     try:
         parsed = _line_decoder.decode(line)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except JSON_ERRORS as error:
         raise InvalidItem(f"{error}") from error
     if not 0 < len(parsed.custom_id) <= CUSTOM_ID_CHARACTERS:
         raise InvalidItem(f"custom_id must have 1 to {CUSTOM_ID_CHARACTERS} characters")
@@ -103,9 +104,9 @@
 def _model_item(parsed: _Line, body: bytes) -> BatchItem:
     try:
         fields = _body_decoder.decode(body)
-    except msgspec.DecodeError as error:
+    except JSON_ERRORS as error:
         raise InvalidItem(f"body: {error}") from error
-    tokens = fields.max_completion_tokens or fields.max_tokens or 0
+    tokens = min(fields.max_completion_tokens or fields.max_tokens or 0, MAX_COUNT)
     return BatchItem(
         parsed.custom_id, parsed.url, body, model=ModelName(fields.model), output_tokens=tokens
     )
@@ -155,6 +156,6 @@
 def _as_json(body: bytes) -> Any:
     try:
         msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except JSON_ERRORS:
         return body.decode(errors="replace")
     return msgspec.Raw(body.replace(b"\n", b" ").replace(b"\r", b" "))
