--- a/parsleyrouter/process/job_worker.py
+++ b/parsleyrouter/process/job_worker.py
@@ -193,13 +193,13 @@
         try:
             return self._start_item(job_run, index, wall_ms)
         except Exception as error:
-            self._end_unsendable(job_run, index, error)
+            self._handle_item_error(job_run, index, error)
             return True
 
-    def _end_unsendable(self, job_run: JobRun, index: ItemIndex, error: Exception) -> None:
-        """Give up an item that no endpoint can get; after any other error, try it again later."""
+    def _handle_item_error(self, job_run: JobRun, index: ItemIndex, error: Exception) -> None:
+        """Give up an item that cannot be sent; after any other error, try it again later."""
         item = job_run.items[index].item
-        log.exception("item not started", extra={"job": job_run.job, "request": item})
+        log.exception("item failed to run", extra={"job": job_run.job, "request": item})
         if isinstance(error, UnicodeEncodeError | LocalProtocolError):
             job_run.finish(index, ItemResult(item, ItemState.GIVEN_UP, ""))
         else:
@@ -264,7 +264,7 @@
         try:
             end, reason = await item_run.run()
         except Exception as error:
-            self._end_unsendable(job_run, index, error)
+            self._handle_item_error(job_run, index, error)
             return
         finally:
             job_run.running.pop(index, None)
