--- a/features/steps/deadly_parts_steps.py
+++ b/features/steps/deadly_parts_steps.py
@@ -157,7 +157,13 @@
     async def scenario(one: DeadlyPlay) -> None:
         for front in one.fleet.fronts:
             one.fleet.loop.spawn(one.sound_client(front, "/chat/x", TEAM), "sound")
-        body = json.dumps({"items": [_item(number) for number in range(8)]}).encode()
+        body = json.dumps(
+            {
+                "items": [
+                    batch_item(f"item{number}", deadly=_is_deadly(number)) for number in range(8)
+                ]
+            }
+        ).encode()
         answer = await one.fleet.caller().ask(
             "POST", "/bulk/x", body, attempt="job1", deadline_ms=None
         )
@@ -180,17 +186,18 @@
     return number % 4 == 1
 
 
-def _item(number: int) -> dict[str, Any]:
-    deadly = f"{DEADLY}:95," if _is_deadly(number) else ""
+def batch_item(name: str, *, deadly: bool) -> dict[str, Any]:
+    """Return an item of a job, with or without the deadly part."""
+    part = f"{DEADLY}:95," if deadly else ""
     return {
-        "id": f"item{number}",
-        "path": f"/bulk/{number}",
+        "id": name,
+        "path": f"/bulk/{name}",
         "headers": {
             "X-Model": "m",
             "X-Token-Usage": "300,50",
-            "X-Prompt-Prefix": f"{TEAM}:100,{deadly}b{number:x}:50",
+            "X-Prompt-Prefix": f"{TEAM}:100,{part}b{name.encode().hex()}:50",
         },
-        "body": b64encode(b"body %d" % number).decode(),
+        "body": b64encode(f"body {name}".encode()).decode(),
         "tokens": 350,
     }
 
