One line and a metric for what each unlisted batch item waits for

Cause: an item that waits for a route, an endpoint or room, or that is done and not listed, wrote nothing; `item held back` named parts only, every 5 s; no line told how a trial ended. Change: the worker's turn tells a tracker what it finds; `item waits` is written when that changes, at most 3 lines a turn, waits of every burst only once they last; `item hold ended`; `quarantine trial ended`; parsley_waiting_items, parsley_waiting_item_age_seconds by state, parsley_quarantined_groups. `item held back` is gone. Placements, pauses and decisions are as before. An item that is done is told after 1 s only, as each item is unlisted for up to 0.25 s.

--- a/parsleyrouter/process/crash_monitor.py
+++ b/parsleyrouter/process/crash_monitor.py
@@ -85,7 +85,8 @@
         self.running.discard(request)
         if not request.prompt:
             return
-        self.keeper.end_trial(request.prompt, began=request.began_s is not None or cut)
+        began = request.began_s is not None or cut
+        self.keeper.end_trial(request.prompt, began=began, cut=cut)
         if cut:
             self._record_cut(request, served=served)
         elif served and request.began_s is not None:
--- a/parsleyrouter/process/front.py
+++ b/parsleyrouter/process/front.py
@@ -128,6 +128,7 @@
             lambda: self.loads.limits.in_force(self.directory.endpoints.values())
         )
         metrics.deferred_removals.set_function(lambda: len(self.directory.missing))
+        metrics.quarantined_groups.set_function(lambda: len(self.quarantine.quarantine.groups))
         self.quarantine.start()
         self._check_missing()
         self.loop.call_later(CALL_LOG_INTERVAL_S, self._log_calls)
--- a/parsleyrouter/process/item_run.py
+++ b/parsleyrouter/process/item_run.py
@@ -142,6 +142,17 @@
             return ItemEnd.STOPPED, "answered with something else than events"
         return ItemEnd.COMPLETED, ""
 
+    def fields(self) -> dict[str, object]:
+        """Return the log fields of a run that has ended."""
+        return {
+            "request": self.item.item,
+            "endpoint": self.entry.endpoint,
+            "run": self.progress.runs,
+            "failures": self.progress.failures,
+            "last_event": self.progress.last_event,
+            "took_s": round(self.attempt.context.loop.now() - self.started_s, 3),
+        }
+
     def cancel(self, end: ItemEnd) -> None:
         """Cancel the run and free its slot; the output so far is kept."""
         self.cancelled_as = end
--- a/parsleyrouter/process/job_owner.py
+++ b/parsleyrouter/process/job_owner.py
@@ -57,6 +57,8 @@
         self.leaving = False
         self.on_listed: Callable[[JobId, int, list[ItemResult]], object] = lambda *_: None
         """Called with the results that this node has listed, starting at a position."""
+        self.on_release: list[Callable[[JobRun], object]] = []
+        """Called with the run of a job that this node no longer owns or that has ended."""
         job_directory.on_change.append(self.reconcile)
         registry.on_lease.append(self.reconcile_all)
 
@@ -117,6 +119,8 @@
         """Start no more items of a job; finished results are still listed."""
         del self.runs[view.job]
         run.stop()
+        for callback in self.on_release:
+            callback(run)
         self._log_job("job released", view)
 
     def _schedule_claim(self, view: JobView) -> None:
--- a/parsleyrouter/process/job_worker.py
+++ b/parsleyrouter/process/job_worker.py
@@ -17,10 +17,12 @@
 from parsleyrouter.process.fleet_loads import RequestCounts
 from parsleyrouter.process.forward_context import ForwardContext
 from parsleyrouter.process.item_run import ItemEnd, ItemRun, item_prompt
+from parsleyrouter.process.item_states import ItemStates
 from parsleyrouter.process.job_metrics import JobMetrics
 from parsleyrouter.process.job_owner import JobOwner
 from parsleyrouter.process.job_run import JobRun
 from parsleyrouter.process.load_exchange import LoadExchange
+from parsleyrouter.request.item_state import WaitReason
 from parsleyrouter.request.item_time import ItemTimes
 from parsleyrouter.request.placement import PlacementCandidate
 from parsleyrouter.request.shared_job import ItemResult, ItemState, JobRecord
@@ -71,6 +73,7 @@
         self.metrics = metrics
         self.rng = rng
         self.item_times = ItemTimes()
+        self.states = ItemStates(owner, context.crashes.keeper.quarantine, metrics)
         self.check_scheduled = self.report_check_scheduled = False
         context.loads.on_own_change.append(self._schedule_check)
 
@@ -143,6 +146,7 @@
                 self.preempt_items()
                 self._place_items()
                 self.owner.saver.save_when_due(self.owner.runs.values())
+                self.states.end_turn()
             except Exception:
                 log.exception("turn of batch work failed")
 
@@ -157,18 +161,20 @@
         ]
         waiting.sort(key=lambda entry: (entry[0], entry[1].job, entry[2]))
         self.context.loads.waiting_items = len(waiting)
-        full: set[RouteName] = set()
+        full: dict[RouteName, WaitReason] = {}
         for _, job_run, index in waiting:
             if self._give_up_expired(job_run, index, wall_ms):
                 self.context.loads.waiting_items -= 1
                 continue
             route = job_run.versioned.record.route
             if route in full:
+                self.states.pass_over(job_run, index, full[route])
                 continue
-            if self._try_start_item(job_run, index, wall_ms):
-                self.context.loads.waiting_items -= 1
+            reason = self._try_start_item(job_run, index, wall_ms)
+            if reason.fills_route:
+                full[route] = reason
             else:
-                full.add(route)
+                self.context.loads.waiting_items -= 1
 
     def _waiting_rank(
         self, job_run: JobRun, index: ItemIndex, wall_ms: float
@@ -188,44 +194,56 @@
             expected_s=self.item_times.expected_s(route),
         )
 
-    def _try_start_item(self, job_run: JobRun, index: ItemIndex, wall_ms: float) -> bool:
+    def _try_start_item(self, job_run: JobRun, index: ItemIndex, wall_ms: float) -> WaitReason:
         """Start an item; one that cannot be started delays no other."""
         try:
-            return self._start_item(job_run, index, wall_ms)
+            reason = self._start_item(job_run, index, wall_ms)
         except Exception as error:
             self._handle_item_error(job_run, index, error)
-            return True
+            return WaitReason.PAUSED
+        if reason is not WaitReason.HELD:
+            self.states.note(job_run, index, reason)
+        return reason
 
     def _handle_item_error(self, job_run: JobRun, index: ItemIndex, error: Exception) -> None:
         """Give up an item that cannot be sent; after any other error, try it again later."""
         item = job_run.items[index].item
         log.exception("item failed to run", extra={"job": job_run.job, "request": item})
         if isinstance(error, UnicodeEncodeError | LocalProtocolError):
-            job_run.finish(index, ItemResult(item, ItemState.GIVEN_UP, ""))
+            self._finish(job_run, index, ItemState.GIVEN_UP)
         else:
-            job_run.not_before_s[index] = self.loop.now() + ITEM_RETRY_PAUSE_S
+            self._pause(job_run, index)
+
+    def _finish(
+        self, job_run: JobRun, index: ItemIndex, state: ItemState, output: str = ""
+    ) -> None:
+        job_run.finish(index, ItemResult(job_run.items[index].item, state, output))
+        self.states.note(job_run, index, WaitReason.NOT_LISTED)
 
-    def _start_item(self, job_run: JobRun, index: ItemIndex, wall_ms: float) -> bool:
-        """Start an item; return whether there may be room for another one of its route."""
+    def _pause(self, job_run: JobRun, index: ItemIndex) -> None:
+        job_run.not_before_s[index] = self.loop.now() + ITEM_RETRY_PAUSE_S
+        self.states.note(job_run, index, WaitReason.PAUSED)
+
+    def _start_item(self, job_run: JobRun, index: ItemIndex, wall_ms: float) -> WaitReason:
+        """Start an item; return what it waits for."""
         record, item = job_run.versioned.record, job_run.items[index]
         route = self._route(record, item.path)
         if route is None:
             job_run.not_before_s[index] = self.loop.now() + ITEM_RETRY_PAUSE_S
-            return True
-        now = self.loop.now()
-        quarantined = self.context.crashes.keeper.refusal(item_prompt(self.context, item))
-        if quarantined is not None:
+            return WaitReason.NO_ROUTE
+        now, keeper = self.loop.now(), self.context.crashes.keeper
+        prompt = item_prompt(self.context, item)
+        if keeper.refusal(prompt) is not None:
             job_run.not_before_s[index] = now + QUARANTINED_PAUSE_S
-            fields = {"job": job_run.job, "request": item.item, "reason": quarantined.message}
-            log.info("item held back", extra=fields)
-            return True
+            self.states.note(job_run, index, WaitReason.HELD, keeper.quarantine.find(prompt))
+            return WaitReason.HELD
         service = route.pick_service(self.rng)
         entries = {entry.endpoint: entry for entry in self.directory.available_for(service)}
         candidates: list[PlacementCandidate] = self.context.loads.candidates(entries.values(), now)
         waiting_nodes = self.context.loads.fleet.count_waiting_nodes(now) + 1
         best = pick_batch_endpoint(candidates, waiting_nodes=waiting_nodes, draw=self.rng.random())
         if best is None:
-            return False
+            return WaitReason.NO_ROOM if entries else WaitReason.NO_ENDPOINT
         progress = job_run.progress_of(index)
         left_s = max(1.0, (record.kept_until_ms - wall_ms) / 1000)
         item_run = ItemRun(
@@ -235,7 +253,7 @@
         item_run.job_route = record.route
         job_run.running[index] = item_run
         self.loop.spawn(self._run_item(job_run, index, item_run, route), f"item {item.item}")
-        return True
+        return WaitReason.RUNNING
 
     def _route(self, record: JobRecord, path: str) -> Route | None:
         """Return the batch route of an item, which no other kind of route may replace."""
@@ -255,7 +273,7 @@
             known = self.routes.version >= record.routes_version
             expired = known and self._route(record, item.path) is None
         if expired:
-            job_run.finish(index, ItemResult(item.item, ItemState.GIVEN_UP, ""))
+            self._finish(job_run, index, ItemState.GIVEN_UP)
         return expired
 
     async def _run_item(
@@ -270,26 +288,12 @@
             job_run.running.pop(index, None)
         progress = item_run.progress
         self.metrics.runs.labels(end.value).inc()
-        log.info(
-            "item run ended",
-            extra={
-                "job": job_run.job,
-                "request": item_run.item.item,
-                "endpoint": item_run.entry.endpoint,
-                "end": end.value,
-                "reason": reason,
-                "run": progress.runs,
-                "failures": progress.failures,
-                "last_event": progress.last_event,
-                "took_s": round(self.loop.now() - item_run.started_s, 3),
-            },
-        )
+        fields = {"job": job_run.job, "end": end.value, "reason": reason}
+        log.info("item run ended", extra=fields | item_run.fields())
         if end is ItemEnd.COMPLETED:
             self.item_times.record(item_run.job_route, progress.spent_s)
-            job_run.finish(
-                index, ItemResult(item_run.item.item, ItemState.COMPLETED, progress.output)
-            )
+            self._finish(job_run, index, ItemState.COMPLETED, progress.output)
         elif end is ItemEnd.IMPOSSIBLE or progress.failures >= route.max_executions:
-            job_run.finish(index, ItemResult(item_run.item.item, ItemState.GIVEN_UP, ""))
+            self._finish(job_run, index, ItemState.GIVEN_UP)
         else:
-            job_run.not_before_s[index] = self.loop.now() + ITEM_RETRY_PAUSE_S
+            self._pause(job_run, index)
--- a/parsleyrouter/process/quarantine_keeper.py
+++ b/parsleyrouter/process/quarantine_keeper.py
@@ -25,7 +25,7 @@
     PartGroup,
     Prompt,
 )
-from parsleyrouter.request.quarantine import Quarantine
+from parsleyrouter.request.quarantine import TRIAL_TIMEOUT_S, Quarantine
 
 __all__ = ["QuarantineKeeper"]
 
@@ -89,9 +89,14 @@
         retry_s = min(MAX_RETRY_S, max(MIN_RETRY_S, retry_s))
         return Refusal(RefusalKind.QUARANTINED, message, ExecutionStatus.NOT_RUN, retry_s)
 
-    def end_trial(self, prompt: Prompt, *, began: bool) -> None:
+    def end_trial(self, prompt: Prompt, *, began: bool, cut: bool) -> None:
         """Note that a request has ended; it may have been the trial of its groups."""
         for group in self.quarantine.find(prompt):
+            if group.trial_until_s:
+                took_s = self.loop.now() - group.trial_until_s + TRIAL_TIMEOUT_S
+                fields = {"parts": sorted(group.parts), "trials": group.trials, "began": began}
+                fields |= {"cut": cut, "took_s": round(took_s, 3)}
+                log.warning("quarantine trial ended", extra=fields)
             group.end_trial(began=began)
 
     def report_crash(self, crash: Crash) -> None:
--- a/parsleyrouter/process/state_metrics.py
+++ b/parsleyrouter/process/state_metrics.py
@@ -27,3 +27,8 @@
             "Endpoints without a registration that still count, since registrations may reappear.",
             registry=registry,
         )
+        self.quarantined_groups = Gauge(
+            "parsley_quarantined_groups",
+            "Groups of prompt parts that are kept away from endpoints.",
+            registry=registry,
+        )
