Explain an item with the quarantine of the groups that have held it

Cause: lines about a group name no item, and may come from another process or long before. Change: lines about a group that a line of the item names count as context, of any process. Result: the scenario failed before (`prompt parts quarantined` was missing) and passes now.

--- a/features/steps/waiting_items_steps.py
+++ b/features/steps/waiting_items_steps.py
@@ -8,6 +8,7 @@
 from behave import then, when
 
 from features.steps.deadly_parts_steps import DEADLY, GROUP, batch_item
+from features.steps.explain_steps import explain
 from features.steps.front_jobs_steps import item_runs, items, read_all, submit
 from features.steps.front_requests_steps import run_with_fleet
 from features.steps.job_states_steps import submit_other, two_routes
@@ -329,3 +330,24 @@
     (ended,) = lines(context, "quarantine trial ended")
     assert (ended.parts, ended.trials, ended.began, ended.cut) == ([DEADLY], 0, True, True)
     assert 0 <= ended.took_s < 1, ended.took_s
+
+
+@when("an item is held by a quarantined group and its id is explained")
+def step_explain(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        await hold_item(context, fleet)
+        fleet.fronts[0].quarantine.add(frozenset((PromptPart("another"),)), {})
+        await release_item(fleet)
+
+    with patch.object(job_worker, "QUARANTINED_PAUSE_S", CHECK_PAUSE_S):
+        context.explanation = explain(context, scenario, "item0")
+
+
+@then("the explanation contains the hold, the start of the quarantine and its end")
+def step_explained(context: Any) -> None:
+    told = ("prompt parts quarantined", "item waits", "quarantine ended", "item hold ended")
+    places = [context.explanation.find(words) for words in told]
+    assert places[0] > -1 and places == sorted(places), (places, context.explanation)
+    for words in ('state="held"', f'parts=[["{DEADLY}"]]', "next_trial_s", "retention_left_s"):
+        assert words in context.explanation, (words, context.explanation)
+    assert "another" not in context.explanation, context.explanation
--- a/features/waiting_items.feature
+++ b/features/waiting_items.feature
@@ -46,3 +46,7 @@
   Scenario: a trial that ends tells how
     When a request of a quarantined group is let through as a trial and its connection is cut
     Then one line tells that the trial began, was cut and how long it took
+
+  Scenario: the reason is found from the item's id
+    When an item is held by a quarantined group and its id is explained
+    Then the explanation contains the hold, the start of the quarantine and its end
--- a/parsleyrouter/process/log_timeline.py
+++ b/parsleyrouter/process/log_timeline.py
@@ -24,6 +24,16 @@
 )
 """Messages that report a change in what a process knows of the system."""
 
+QUARANTINE_MESSAGES = frozenset(
+    {
+        "prompt parts quarantined",
+        "quarantine ended",
+        "quarantine trial ended",
+        "quarantine tried",
+    }
+)
+"""Messages of any process that count as context of a request that the same parts have held."""
+
 CONTEXT_S = 3.0
 """How long before the first line of a request such a message counts as context."""
 
@@ -49,6 +59,14 @@
         items = self.fields.get("items")
         return name in values or (isinstance(items, list) and name in items)
 
+    def groups(self) -> set[frozenset[str]]:
+        """Return the groups of prompt parts that the line names, one or a list of them."""
+        parts = self.fields.get("parts")
+        if not isinstance(parts, list) or not parts:
+            return set()
+        listed = parts if isinstance(parts[0], list) else [parts]
+        return {frozenset(map(str, one)) for one in listed}
+
     def render(self) -> str:
         """Return the line as text."""
         other_fields = {k: v for k, v in self.fields.items() if k not in STANDARD_FIELDS}
@@ -100,7 +118,12 @@
     endpoints = {str(line.fields.get("endpoint")) for line in timeline.lines}
     for line in timeline.lines:
         endpoints.update(line.fields.get("endpoints") or ())
+    groups = set().union(*(line.groups() for line in timeline.lines))
     for line in all_lines:
+        if line.message in QUARANTINE_MESSAGES:
+            if line.at_s <= ended_s and groups & line.groups():
+                timeline.context.append(line)
+            continue
         in_window = started_s - CONTEXT_S <= line.at_s <= ended_s and line.source in sources
         other_endpoint = "endpoint" in line.fields and line.fields["endpoint"] not in endpoints
         if (
