--- a/parsleyrouter/process/item_states.py
+++ b/parsleyrouter/process/item_states.py
@@ -131,7 +131,10 @@
 
         An item stays held while one of its groups is in quarantine.
         """
-        item = self.items.get(job_run.versioned.record.job, {}).get(index)
+        items = self.items.get(job_run.versioned.record.job)
+        item = items.get(index) if items else None
+        if item is not None and item.reason is reason:
+            return
         if item is not None and item.reason is WaitReason.HELD:
             known = self.quarantine.groups
             if any(known.get(group.parts) is group for group in item.groups):
