Accuse runs that a node gave up just before their endpoint crashed, and count runs one by one

Callers see sound requests blamed, and a deadly part recognized a crash late. Nodes now remember the runs they gave up for a second and report those at an endpoint of which another node reports the crash.

Older nodes ignore the names.

features/deadly_parts.feature, "a run that its node gave up ..." fails without the report (0 runs counted); the feature passes.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -40,3 +40,7 @@
   Scenario: a quarantine is stored although the node that decided on it ends at once
     When only another node has heard of a quarantine from the node that decided
     Then the quarantine is stored, and a node that starts afterwards keeps it
+
+  Scenario: a run that its node gave up just before a crash is counted with those that were cut
+    When an endpoint crashes just after a node has given up a run there, which another node reports
+    Then both nodes count the run
--- a/parsleyrouter/ids.py
+++ b/parsleyrouter/ids.py
@@ -22,6 +22,7 @@
     "RequestId",
     "Revision",
     "RouteName",
+    "RunId",
     "ServiceName",
     "TeamName",
 ]
@@ -53,5 +54,8 @@
 PromptPart = NewType("PromptPart", str)
 """The id of a part of a prompt that several requests may share."""
 
+RunId = NewType("RunId", str)
+"""One run of a request at an endpoint; unique in the fleet."""
+
 Revision = NewType("Revision", int)
 """A modification revision of the key-value service; increases monotonically."""
--- a/parsleyrouter/process/crash_monitor.py
+++ b/parsleyrouter/process/crash_monitor.py
@@ -1,11 +1,14 @@
 """Detect crashes of endpoints from requests that they cut, and what may have caused them."""
 
+import itertools
 import logging
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from secrets import token_hex
 
 from parsleyrouter.connection.stream import ConnectFailed, ConnectionRefused, Connector
-from parsleyrouter.ids import EndpointId
+from parsleyrouter.ids import EndpointId, RunId
 from parsleyrouter.process.endpoint_directory import EndpointDirectory, RegisteredEndpoint
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.quarantine_keeper import QuarantineKeeper
@@ -25,6 +28,8 @@
 
 SURVIVORS_INTERVAL_S = 0.25
 
+MAX_ABANDONED = 1024
+
 log = logging.getLogger(__name__)
 
 
@@ -48,11 +53,20 @@
     confirmed: bool = False
     """Whether the endpoint has crashed, once that is ``checked``."""
     checked: bool = False
-    prompts: set[Prompt] = field(default_factory=set)
+    runs: dict[RunId, Prompt] = field(default_factory=dict)
     answered: dict[Prompt, float] = field(default_factory=dict)
     """When the answers began that ended with their connection."""
 
 
+@dataclass(frozen=True)
+class _AbandonedRun:
+    """A run that this node gave up; its endpoint may have read it and begin its answer later."""
+
+    request: RunningRequest
+    run: RunId
+    ended_s: float
+
+
 class CrashMonitor:
     """Watch the requests at endpoints; report an endpoint that cuts some and accepts no more."""
 
@@ -69,7 +83,11 @@
         self.keeper = keeper
         self.running: set[RunningRequest] = set()
         self.cuts: dict[EndpointId, _Cuts] = {}
+        self.abandoned: deque[_AbandonedRun] = deque(maxlen=MAX_ABANDONED)
+        self.start_name = token_hex(4)
+        self.run_numbers = itertools.count(1)
         keeper.on_quarantined.append(self._cancel_waiting)
+        keeper.exchange.on_crashes.append(self._report_abandoned)
         loop.call_later(SURVIVORS_INTERVAL_S, self._report_survivors)
 
     def start(self, request: RunningRequest) -> None:
@@ -77,10 +95,13 @@
         if request.prompt:
             self.running.add(request)
 
-    def end(self, request: RunningRequest, *, cut: bool, served: bool) -> None:
+    def end(
+        self, request: RunningRequest, *, cut: bool, served: bool, abandoned: bool = False
+    ) -> None:
         """Note how a request ended: its connection closed by the endpoint, answered whole, or both.
 
-        An answer may end with its connection; it is whole only if the endpoint still runs.
+        An answer may end with its connection; it is whole only if the endpoint still runs. An
+        ``abandoned`` request was ended by this node.
         """
         self.running.discard(request)
         if not request.prompt:
@@ -91,6 +112,32 @@
             self._record_cut(request, served=served)
         elif served and request.began_s is not None:
             self.keeper.report_served(request.prompt, request.began_s)
+        elif abandoned and not request.survived:
+            self.abandoned.append(_AbandonedRun(request, self._name_run(), self.loop.now()))
+
+    def _name_run(self) -> RunId:
+        return RunId(f"{self.start_name}.{next(self.run_numbers):x}")
+
+    def _abandoned_before(self, crash: Crash) -> dict[RunId, Prompt]:
+        """Return the runs given up at an endpoint within the second before it crashed."""
+        return {
+            one.run: one.request.prompt
+            for one in self.abandoned
+            if one.request.registration.endpoint == crash.endpoint
+            and one.request.registration.started_ms == crash.started_ms
+            and -GATHER_S <= crash.at_s - one.ended_s <= RECENT_S
+        }
+
+    def _report_abandoned(self, crashes: Iterable[Crash]) -> None:
+        """Report the runs given up here that may have caused a crash that another node saw."""
+        for crash in crashes:
+            known = self.keeper.evidence.known_runs(crash)
+            runs = self._abandoned_before(crash)
+            if runs.keys() - known:
+                found = Crash(
+                    crash.endpoint, crash.at_s, set(runs.values()), crash.started_ms, runs
+                )
+                self.keeper.report_crash(found)
 
     def _record_cut(self, request: RunningRequest, *, served: bool) -> None:
         now, endpoint = self.loop.now(), request.registration.endpoint
@@ -102,11 +149,12 @@
         if cuts is None or now - cuts.at_s > SAME_CRASH_S:
             cuts = self.cuts[endpoint] = _Cuts(now)
             self.loop.spawn(self._confirm(request.registration, cuts), f"check {endpoint}")
-        cuts.prompts.add(request.prompt)
+        run = self._name_run()
+        cuts.runs[run] = request.prompt
         if served and request.began_s is not None:
             cuts.answered[request.prompt] = request.began_s
         if cuts.confirmed:
-            self._report(request.registration, cuts, {request.prompt})
+            self._report(request.registration, cuts, {run: request.prompt})
         elif cuts.checked:
             self._report_answered(cuts)
 
@@ -120,9 +168,9 @@
         cuts.checked = True
         if cuts.confirmed:
             await self.loop.sleep(GATHER_S)
-            fields = {"endpoint": registration.endpoint, "prompts": sorted(cuts.prompts)}
+            fields = {"endpoint": registration.endpoint, "prompts": sorted(set(cuts.runs.values()))}
             log.warning("endpoint crashed", extra=fields)
-            self._report(registration, cuts, set(cuts.prompts))
+            self._report(registration, cuts, dict(cuts.runs))
         else:
             self._report_answered(cuts)
         if len(self.cuts) > len(self.directory.endpoints):
@@ -141,8 +189,12 @@
         stream.close()
         return False
 
-    def _report(self, registration: RegisteredEndpoint, cuts: _Cuts, prompts: set[Prompt]) -> None:
-        crash = Crash(registration.endpoint, cuts.at_s, prompts, registration.started_ms)
+    def _report(
+        self, registration: RegisteredEndpoint, cuts: _Cuts, runs: dict[RunId, Prompt]
+    ) -> None:
+        crash = Crash(registration.endpoint, cuts.at_s, started_ms=registration.started_ms)
+        crash.runs = runs | self._abandoned_before(crash)
+        crash.prompts = set(crash.runs.values())
         self.keeper.report_crash(crash)
 
     def _report_answered(self, cuts: _Cuts) -> None:
--- a/parsleyrouter/process/forward_attempt.py
+++ b/parsleyrouter/process/forward_attempt.py
@@ -94,18 +94,19 @@
         started_s = self.context.loop.now()
         crashes = self.context.crashes
         crashes.start(self.running)
-        cut = served = ended = False
+        cut = served = ended = abandoned = False
         try:
             failure = await self._run()
             ended = True
-            closed_early = self.exchange is not None and self.exchange.closed_early
-            cut = closed_early and not self.cancelled
             served = failure is None and self.status < 300
+            if self.exchange is not None:
+                cut = self.exchange.closed_early and not self.cancelled
+                abandoned = not (self.exchange.ended or cut)
         finally:
             if not ended and self.exchange is not None:
                 self.exchange.cancel()
             self.context.loads.request_ended(self.endpoint, batch=self.batch)
-            crashes.end(self.running, cut=cut, served=served)
+            crashes.end(self.running, cut=cut, served=served, abandoned=abandoned)
         ended_s = self.context.loop.now()
         if failure is None and self.status < 500:
             self.context.loads.record_success(
@@ -290,9 +291,8 @@
         self.sink.begin(exchange.status, exchange.reason, headers, length)
 
     def _transport_failure(self, failure: TransportFailure) -> AttemptFailure:
-        failed_at = (
-            FailurePoint.NOT_SENT if failure.sent is Sent.NOTHING else FailurePoint.MAYBE_SENT
-        )
+        is_sent = failure.sent is not Sent.NOTHING
+        failed_at = FailurePoint.MAYBE_SENT if is_sent else FailurePoint.NOT_SENT
         return self._failure(failed_at, failure.message)
 
     def _failure(self, failed_at: FailurePoint, message: str) -> AttemptFailure:
--- a/parsleyrouter/process/load_codec.py
+++ b/parsleyrouter/process/load_codec.py
@@ -6,7 +6,16 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
-from parsleyrouter.ids import Address, CellId, DomainName, EndpointId, NodeId, PromptPart, Revision
+from parsleyrouter.ids import (
+    Address,
+    CellId,
+    DomainName,
+    EndpointId,
+    NodeId,
+    PromptPart,
+    Revision,
+    RunId,
+)
 from parsleyrouter.process.fleet_limits import LimitReport
 from parsleyrouter.process.fleet_loads import CellLoadReport, NodeLoadReport, RequestCounts
 from parsleyrouter.process.node_registry import RegisteredNode
@@ -104,11 +113,7 @@
 
 def encode_crashes(crashes: Iterable[Crash], age_s: float) -> bytes:
     """Encode crashes that this node saw ``age_s`` ago."""
-    rows = [
-        CrashNews(one.endpoint, int(age_s * 1000), _prompts_to_wire(one.prompts), one.started_ms)
-        for one in crashes
-    ]
-    return _write(FleetNews(crashes=rows))
+    return _write(FleetNews(crashes=[_crash_to_wire(one, age_s) for one in crashes]))
 
 
 def encode_served(
@@ -133,15 +138,7 @@
     try:
         message.read(TCompactProtocolAccelerated(TMemoryBuffer(data)))
         node = None if message.node is None else _node_report(message.node, received_s)
-        crashes = [
-            Crash(
-                EndpointId(row.endpoint),
-                received_s - row.age_ms / 1000,
-                set(_prompts_from_wire(row.prompts)),
-                row.started_ms or 0,
-            )
-            for row in message.crashes or ()
-        ]
+        crashes = [_crash_from_wire(row, received_s) for row in message.crashes or ()]
         served = message.served or ServedNews([], [])
         return Datagram(
             node,
@@ -204,6 +201,22 @@
     )
 
 
+def _crash_to_wire(crash: Crash, age_s: float) -> CrashNews:
+    """Return a crash with the prompt of each run, then the prompts without a known run."""
+    runs = list(crash.runs.items())[:MAX_PROMPTS]
+    prompts: list[list[str]] = [list(prompt[-MAX_PARTS:]) for _, prompt in runs]
+    prompts += _prompts_to_wire(crash.prompts - set(crash.runs.values()))
+    age_ms, names = int(age_s * 1000), [run for run, _ in runs]
+    return CrashNews(crash.endpoint, age_ms, prompts[:MAX_PROMPTS], crash.started_ms, names)
+
+
+def _crash_from_wire(row: CrashNews, received_s: float) -> Crash:
+    prompts = _prompts_from_wire(row.prompts)
+    runs = {RunId(run): prompt for run, prompt in zip(row.runs or (), prompts, strict=False)}
+    at_s = received_s - row.age_ms / 1000
+    return Crash(EndpointId(row.endpoint), at_s, set(prompts), row.started_ms or 0, runs)
+
+
 def _prompts_to_wire(prompts: Iterable[Prompt]) -> list[list[str]]:
     return [list(prompt[-MAX_PARTS:]) for prompt in sorted(prompts)[:MAX_PROMPTS]]
 
--- a/parsleyrouter/request/crash_evidence.py
+++ b/parsleyrouter/request/crash_evidence.py
@@ -10,13 +10,14 @@
 from collections.abc import Iterable, Set
 from dataclasses import dataclass, field
 
-from parsleyrouter.ids import EndpointId, PromptPart
+from parsleyrouter.ids import EndpointId, PromptPart, RunId
 
 __all__ = [
     "ANSWER_S",
     "MAX_CRASHES",
     "MAX_PARTS",
     "MAX_PROMPTS",
+    "MAX_RUNS",
     "SETTLE_S",
     "Crash",
     "CrashEvidence",
@@ -58,6 +59,9 @@
 MAX_PROMPTS = 32
 """Prompts kept for each crash."""
 
+MAX_RUNS = 64
+"""Runs kept for each crash."""
+
 MAX_PARTS = 16
 """Parts kept of each prompt, the last ones."""
 
@@ -66,13 +70,20 @@
 class Crash:
     """One crash of an endpoint and the prompts that may have caused it.
 
-    ``started_ms`` tells the starts of an endpoint apart; 0 if it is not known.
+    ``started_ms`` tells the starts of an endpoint apart; 0 if it is not known. ``runs`` are those
+    that it cut, as far as they are known one by one.
     """
 
     endpoint: EndpointId
     at_s: float
     prompts: set[Prompt] = field(default_factory=set)
     started_ms: int = 0
+    runs: dict[RunId, Prompt] = field(default_factory=dict)
+
+    def count_runs(self, group: PartGroup) -> int:
+        """Return how many runs with all parts of a group it cut, 1 if that is not known."""
+        runs = sum(group.issubset(prompt) for prompt in self.runs.values())
+        return runs or int(any(group.issubset(prompt) for prompt in self.prompts))
 
     @property
     def parts(self) -> set[PromptPart]:
@@ -108,8 +119,17 @@
                 known.prompts.add(prompt)
                 for part in prompt:
                     self.accused_s[part] = max(self.accused_s.get(part, known.at_s), known.at_s)
+        for run in crash.runs.keys() - known.runs.keys():
+            if len(known.runs) < MAX_RUNS:
+                new = True
+                known.runs[run] = crash.runs[run][-MAX_PARTS:]
         return new
 
+    def known_runs(self, crash: Crash) -> Set[RunId]:
+        """Return the runs that are known to have been cut by a crash."""
+        known = next((one for one in self.crashes if _is_same(one, crash)), None)
+        return known.runs.keys() if known is not None else frozenset()
+
     def record_served(self, prompt: Prompt, began_s: float) -> bool:
         """Note an answer that did not crash its endpoint; return whether the evidence changes."""
         prompt = prompt[-MAX_PARTS:]
@@ -135,6 +155,12 @@
         """Return the parts of a crash that were answered before."""
         return {part for part in crash.parts if part in self.history}
 
+    def count_runs(self, group: PartGroup) -> tuple[int, float]:
+        """Return how many runs with a group's parts crashes have cut, and when the last did."""
+        counts = [(crash.count_runs(group), crash.at_s) for crash in self.crashes]
+        latest_s = max((at_s for runs, at_s in counts if runs), default=-math.inf)
+        return sum(runs for runs, _ in counts), latest_s
+
     def find_groups(self, now: float, known: Iterable[PartGroup] = ()) -> list[PartGroup]:
         """Return the groups of parts to hold responsible, besides the known ones."""
         self._drop_expired(now)
--- a/parsleyrouter/thrift_gen/load/ttypes.py
+++ b/parsleyrouter/thrift_gen/load/ttypes.py
@@ -571,15 +571,17 @@
      - age_ms
      - prompts
      - started_ms
+     - runs
 
     """
 
 
-    def __init__(self, endpoint=None, age_ms=None, prompts=None, started_ms=None,):
+    def __init__(self, endpoint=None, age_ms=None, prompts=None, started_ms=None, runs=None,):
         self.endpoint = endpoint
         self.age_ms = age_ms
         self.prompts = prompts
         self.started_ms = started_ms
+        self.runs = runs
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -620,6 +622,16 @@
                     self.started_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.runs = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.runs.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -641,10 +653,10 @@
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 3)
             oprot.writeListBegin(TType.LIST, len(self.prompts))
-            for iter49 in self.prompts:
-                oprot.writeListBegin(TType.STRING, len(iter49))
-                for iter50 in iter49:
-                    oprot.writeString(iter50.encode('utf-8') if sys.version_info[0] == 2 else iter50)
+            for iter55 in self.prompts:
+                oprot.writeListBegin(TType.STRING, len(iter55))
+                for iter56 in iter55:
+                    oprot.writeString(iter56.encode('utf-8') if sys.version_info[0] == 2 else iter56)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -652,6 +664,13 @@
             oprot.writeFieldBegin('started_ms', TType.I64, 4)
             oprot.writeI64(self.started_ms)
             oprot.writeFieldEnd()
+        if self.runs is not None:
+            oprot.writeFieldBegin('runs', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.runs))
+            for iter57 in self.runs:
+                oprot.writeString(iter57.encode('utf-8') if sys.version_info[0] == 2 else iter57)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -695,10 +714,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.parts.append(_elem56)
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.parts.append(_elem63)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -720,8 +739,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.parts))
-            for iter57 in self.parts:
-                oprot.writeString(iter57.encode('utf-8') if sys.version_info[0] == 2 else iter57)
+            for iter64 in self.parts:
+                oprot.writeString(iter64.encode('utf-8') if sys.version_info[0] == 2 else iter64)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -771,21 +790,21 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.prompts = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = ServedPrompt()
-                        _elem63.read(iprot)
-                        self.prompts.append(_elem63)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = ServedPrompt()
+                        _elem70.read(iprot)
+                        self.prompts.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts_before = []
-                    (_etype67, _size64) = iprot.readListBegin()
-                    for _i68 in range(_size64):
-                        _elem69 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.parts_before.append(_elem69)
+                    (_etype74, _size71) = iprot.readListBegin()
+                    for _i75 in range(_size71):
+                        _elem76 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.parts_before.append(_elem76)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -802,15 +821,15 @@
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter70 in self.prompts:
-                iter70.write(oprot)
+            for iter77 in self.prompts:
+                iter77.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.parts_before is not None:
             oprot.writeFieldBegin('parts_before', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.parts_before))
-            for iter71 in self.parts_before:
-                oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
+            for iter78 in self.parts_before:
+                oprot.writeString(iter78.encode('utf-8') if sys.version_info[0] == 2 else iter78)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -868,22 +887,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.cells = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = CellNews()
-                        _elem77.read(iprot)
-                        self.cells.append(_elem77)
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = CellNews()
+                        _elem84.read(iprot)
+                        self.cells.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype81, _size78) = iprot.readListBegin()
-                    for _i82 in range(_size78):
-                        _elem83 = CrashNews()
-                        _elem83.read(iprot)
-                        self.crashes.append(_elem83)
+                    (_etype88, _size85) = iprot.readListBegin()
+                    for _i89 in range(_size85):
+                        _elem90 = CrashNews()
+                        _elem90.read(iprot)
+                        self.crashes.append(_elem90)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -896,15 +915,15 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.quarantined = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = []
-                        (_etype93, _size90) = iprot.readListBegin()
-                        for _i94 in range(_size90):
-                            _elem95 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                            _elem89.append(_elem95)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = []
+                        (_etype100, _size97) = iprot.readListBegin()
+                        for _i101 in range(_size97):
+                            _elem102 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _elem96.append(_elem102)
                         iprot.readListEnd()
-                        self.quarantined.append(_elem89)
+                        self.quarantined.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -925,15 +944,15 @@
         if self.cells is not None:
             oprot.writeFieldBegin('cells', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.cells))
-            for iter96 in self.cells:
-                iter96.write(oprot)
+            for iter103 in self.cells:
+                iter103.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter97 in self.crashes:
-                iter97.write(oprot)
+            for iter104 in self.crashes:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.served is not None:
@@ -943,10 +962,10 @@
         if self.quarantined is not None:
             oprot.writeFieldBegin('quarantined', TType.LIST, 5)
             oprot.writeListBegin(TType.LIST, len(self.quarantined))
-            for iter98 in self.quarantined:
-                oprot.writeListBegin(TType.STRING, len(iter98))
-                for iter99 in iter98:
-                    oprot.writeString(iter99.encode('utf-8') if sys.version_info[0] == 2 else iter99)
+            for iter105 in self.quarantined:
+                oprot.writeListBegin(TType.STRING, len(iter105))
+                for iter106 in iter105:
+                    oprot.writeString(iter106.encode('utf-8') if sys.version_info[0] == 2 else iter106)
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -1018,6 +1037,7 @@
     (2, TType.I32, 'age_ms', None, None, ),  # 2
     (3, TType.LIST, 'prompts', (TType.LIST, (TType.STRING, 'UTF8', False), False), None, ),  # 3
     (4, TType.I64, 'started_ms', None, None, ),  # 4
+    (5, TType.LIST, 'runs', (TType.STRING, 'UTF8', False), None, ),  # 5
 )
 all_structs.append(ServedPrompt)
 ServedPrompt.thrift_spec = (
--- a/thrift/load.thrift
+++ b/thrift/load.thrift
@@ -52,6 +52,7 @@
   2: i32 age_ms,
   3: list<list<string>> prompts,
   4: i64 started_ms,  // tells the starts of an endpoint apart
+  5: optional list<string> runs,  // an id of the run with each of the prompts, in their order
 }
 
 // A prompt of which an answer began so long ago and did not crash its endpoint.
