Handle what one endpoint sends in bounded shares of a loop's turn

Cause: an exchange handled all that one read of 64 KiB brought in one go. In chunks of one byte that is 10,900 events of h11 at 13 us each, 141 ms for one connection and turn; interim responses took 70 ms; reads of large chunks or one long line took 0.3 ms. Where the time goes: h11's next_event, not the copy. Heads before the reply's own were not limited in number. A failed exchange kept its last read until a collection of garbage, since it and its stream refer to each other.

Change: received bytes of a connection are handled for a fortieth of the time between two tokens (45 ms) in one turn; what is left waits with reading paused, and all that waits gets a tenth of that time in a turn, one connection after the other. Heads before the reply's own may have the size of one head together (16 KiB, as h11 limits a head and trailers); a failed exchange drops what its parser holds, and one log line a minute names an endpoint that sends no valid answer. The body is collected in one buffer of at most 256 KiB and a read. A queued read event of a paused stream is ignored. Metrics: parsley_connection_longest_share_seconds and parsley_connection_shares_used_up_total.

--- a/features/endless_replies.feature
+++ b/features/endless_replies.feature
@@ -48,3 +48,34 @@
     When endpoints end streams without a length within an event, and between two events
     Then the one that was broken off is incomplete, or resumed where the route allows it
     And the other one is complete
+
+  Scenario Outline: eight endpoints that send <what> at once leave the other requests their answers
+    When eight endpoints send <what> without end beside a slow reader and sound requests
+    Then every sound request is answered within half a second
+    And memory stays within its bounds, also for the slow reader
+
+    Examples:
+      | what                                   |
+      | chunks of two bytes                    |
+      | large chunks                           |
+      | interim responses                      |
+      | trailers                               |
+      | each another kind                      |
+
+  Scenario Outline: <what> before the reply are given up at the size of one head
+    When eight endpoints send <what> without end beside a slow reader and sound requests
+    Then the requests to them fail for the size of the heads
+
+    Examples:
+      | what                           |
+      | interim responses              |
+      | interim responses with headers |
+      | responses to another           |
+
+  Scenario: forty connections that wait for their share leave each turn to others
+    When forty connections need much longer than their share of a turn
+    Then few of them are served in one turn, and all in the end
+
+  Scenario: failed exchanges release what they have received
+    When a thousand requests meet header lines without end, and no collection of garbage
+    Then they all fail, and memory does not hold what they have received
--- /dev/null
+++ b/features/steps/endless_play_steps.py
@@ -0,0 +1,245 @@
+"""Steps for endpoints and services in another process that send without end."""
+
+import gc
+import time
+from typing import Any
+
+from behave import then, when
+
+from features.steps.front_requests_steps import run_with_fleet
+from features.support.endless_play import EndlessPlay, resident_bytes
+from features.support.endless_sender import EndlessSender
+from features.support.front_fleet import FrontFleet
+from features.support.log_records import collected_logs
+from features.support.loop import run_on_loop
+from features.support.stand_ins import UNLIMITED_BUDGET
+from parsleyrouter.connection.etcd import EtcdKeyValue
+from parsleyrouter.connection.http import TransportFailure
+from parsleyrouter.connection.turn_shares import CONNECTION_SHARE_S, TURN_SHARE_S
+from parsleyrouter.ids import EndpointId, Revision
+from parsleyrouter.process.runtime import Runtime
+from parsleyrouter.standins.key_value_server import KeyValueServer
+
+PLAY_S = 1.0
+MAX_SOUND_S = 0.5
+MAX_SLOW_BYTES = (256 + 2 * 64) * 1024
+"""What is kept for one reader, one read beyond it, and one that waits to be handled."""
+
+MAX_GROWTH_BYTES = 32 * 1024 * 1024
+MAX_RELEASED_GROWTH_BYTES = 24 * 1024 * 1024
+"""Far less than a thousand reads of 64 KiB."""
+
+MAX_REPLIES_BYTES = 64 * 1024 * 1024
+DEADLINE_MS = 5000
+CONNECTIONS = 40
+
+MIXED = (
+    "chunks of one byte",
+    "chunk extensions",
+    "trailers",
+    "interim responses",
+    "responses to another",
+    "header lines",
+    "a body with a length",
+    "a body up to the end of the connection",
+)
+
+
+@when("eight endpoints send {what} without end beside a slow reader and sound requests")
+def step_eight(context: Any, what: str) -> None:
+    sender = EndlessSender(8, *(MIXED if what == "each another kind" else [what]))
+
+    async def main(runtime: Runtime) -> None:
+        context.play = EndlessPlay(runtime, sender)
+        await context.play.run(PLAY_S)
+
+    try:
+        run_on_loop(main)
+    finally:
+        sender.close()
+
+
+@then("every sound request is answered within half a second")
+def step_sound_answered(context: Any) -> None:
+    assert context.play.sound_s and max(context.play.sound_s) < MAX_SOUND_S, context.play.sound_s
+
+
+@then("memory stays within its bounds, also for the slow reader")
+def step_memory(context: Any) -> None:
+    assert context.play.slow_bytes <= MAX_SLOW_BYTES, context.play.slow_bytes
+    assert context.play.memory_bytes < MAX_GROWTH_BYTES, context.play.memory_bytes
+
+
+@then("the requests to them fail for the size of the heads")
+def step_heads(context: Any) -> None:
+    failures = context.play.failures
+    assert failures and all("16384 bytes of heads" in one for one in failures), failures
+
+
+@when("callers ask for {what} at an endpoint that sends {kind} without end")
+def step_callers(context: Any, what: str, kind: str) -> None:
+    sender = EndlessSender(1, kind)
+    service, target = ("engines", "/chat/1") if what == "chats" else ("cards", "/card/1")
+
+    async def scenario(fleet: FrontFleet) -> None:
+        front = await fleet.start()
+        fields = {"zone": "z1", "slots": 8, "state": "ready", "version": "v1"}
+        address = {"service": service, "address": sender.addresses[0], "sequence": 1, "born": 1}
+        fleet.store.put_json("servers/x1", fields | address)
+        await fleet.until(lambda: front.directory.endpoints)
+        context.answers = []
+        for number in range(2):
+            began_s = fleet.loop.now()
+            answer = await fleet.caller().ask(
+                "POST", target, attempt=f"a{number}", deadline_ms=DEADLINE_MS
+            )
+            context.answers.append((answer, fleet.loop.now() - began_s))
+        health = front.loads.ejector.health.get(EndpointId("x1"))
+        context.held_back = health is not None and health.ejected
+
+    with collected_logs("parsleyrouter.connection.endpoint_client") as records:
+        try:
+            run_with_fleet(context, scenario)
+        finally:
+            sender.close()
+    context.lines = [one for one in records if one.address == sender.addresses[0]]
+
+
+@then("each ends as incomplete long before its deadline")
+def step_cut(context: Any) -> None:
+    for answer, took_s in context.answers:
+        assert answer.status == 200 and not answer.complete, answer.body[-100:]
+        assert took_s < DEADLINE_MS / 1000 * 0.8, took_s
+
+
+@then("the endpoint is held back")
+def step_held_back(context: Any) -> None:
+    assert context.held_back
+
+
+@then("the endpoint is held back, and named in one log line")
+def step_held_back_and_logged(context: Any) -> None:
+    assert context.held_back
+    assert len(context.lines) == 1, context.lines
+
+
+@when("eight calls to services are answered by large chunks without end")
+def step_whole_replies(context: Any) -> None:
+    sender = EndlessSender(8, "large chunks")
+
+    async def main(runtime: Runtime) -> None:
+        server = KeyValueServer(runtime).register(runtime)
+        memory = runtime.http.memory
+        tasks = [
+            runtime.loop.spawn(runtime.http.request(one, "GET", "/", timeout_s=10.0))
+            for one in sender.addresses
+        ]
+        context.used_bytes = 0
+        context.small: list[Any] = []
+        client = EtcdKeyValue(runtime, await server.address, budget=UNLIMITED_BUDGET)
+        while not all(one.done for one in tasks):
+            context.small.append(await client.get("k"))
+            context.used_bytes = max(context.used_bytes, memory.used_bytes)
+            await runtime.loop.sleep(0.01)
+        context.replies = await runtime.loop.gather(tasks)
+        context.left_bytes = memory.used_bytes
+
+    try:
+        run_on_loop(main)
+    finally:
+        sender.close()
+
+
+@then("they fail below the memory for all replies, and a small reply beside them comes whole")
+def step_whole_bounded(context: Any) -> None:
+    for reply in context.replies:
+        assert isinstance(reply, TransportFailure), reply
+        assert "no end of the body within" in reply.message and " bytes" in reply.message, reply
+    assert context.small and not any(context.small), context.small
+    assert 0 < context.used_bytes <= MAX_REPLIES_BYTES, context.used_bytes
+    assert context.left_bytes == 0, context.left_bytes
+
+
+@when("the watched service sends {what} without end")
+def step_watch(context: Any, what: str) -> None:
+    sender = EndlessSender(1, what)
+
+    async def main(runtime: Runtime) -> None:
+        address = sender.addresses[0]
+        # Only the size may end a watch that is sent one long line.
+        silence_s = 0.5 if what == "empty events" else 60.0
+        client = EtcdKeyValue(runtime, address, watch_silence_s=silence_s, budget=UNLIMITED_BUDGET)
+        changes: list[Any] = []
+        watch = client.watch("/w/", Revision(2), changes.append, changes.append)
+        until_s = runtime.loop.now() + 10.0
+        while watch.failures < 2 and runtime.loop.now() < until_s:
+            await runtime.loop.sleep(0.02)
+        context.opened_again, context.changes = watch.failures, changes
+        watch.cancel()
+
+    with collected_logs("parsleyrouter.connection.etcd_watch") as context.records:
+        try:
+            run_on_loop(main)
+        finally:
+            sender.close()
+
+
+@then("the watch is opened again, with one log line for each time")
+def step_watch_reopened(context: Any) -> None:
+    assert context.opened_again >= 2 and not context.changes, context.opened_again
+    assert len(context.records) == context.opened_again, context.records
+
+
+@when("forty connections need much longer than their share of a turn")
+def step_forty(context: Any) -> None:
+    async def main(runtime: Runtime) -> None:
+        loop, shares = runtime.loop, runtime.connector.shares
+        context.served = []
+        context.per_turn = []
+
+        def work(number: int) -> None:
+            time.sleep(2 * CONNECTION_SHARE_S)
+            context.served.append(number)
+
+        for number in range(CONNECTIONS):
+            shares.defer(lambda number=number: work(number))
+        while shares.waiting:
+            before = len(context.served)
+            await loop.sleep(0.0)
+            context.per_turn.append(len(context.served) - before)
+
+    run_on_loop(main)
+
+
+@then("few of them are served in one turn, and all in the end")
+def step_few(context: Any) -> None:
+    assert sorted(context.served) == list(range(CONNECTIONS)), context.served
+    assert max(context.per_turn) <= 2 * TURN_SHARE_S / CONNECTION_SHARE_S, context.per_turn
+
+
+@when("a thousand requests meet header lines without end, and no collection of garbage")
+def step_thousand(context: Any) -> None:
+    sender = EndlessSender(1, "header lines")
+
+    async def main(runtime: Runtime) -> None:
+        play = EndlessPlay(runtime, sender)
+        gc.collect()
+        gc.disable()
+        before_bytes = resident_bytes()
+        context.failures = []
+        for _ in range(1000):
+            exchange = await play.open(sender.addresses[0])
+            context.failures.append(await exchange.wait_headers(5.0))
+        context.growth_bytes = resident_bytes() - before_bytes
+
+    try:
+        run_on_loop(main)
+    finally:
+        gc.enable()
+        sender.close()
+
+
+@then("they all fail, and memory does not hold what they have received")
+def step_released(context: Any) -> None:
+    assert all(isinstance(one, TransportFailure) for one in context.failures)
+    assert context.growth_bytes < MAX_RELEASED_GROWTH_BYTES, context.growth_bytes
--- a/parsleyrouter/connection/endpoint_client.py
+++ b/parsleyrouter/connection/endpoint_client.py
@@ -1,19 +1,27 @@
 """Requests to endpoints: raw headers are kept, responses are matched to requests by id."""
 
+import logging
+import math
 from collections.abc import Sequence
-from typing import Any
 
 import h11
 
 from parsleyrouter.connection.http import TransportFailure
 from parsleyrouter.connection.http_client import HttpClient
-from parsleyrouter.connection.http_exchange import PAUSE_ABOVE_BYTES, HttpExchange
+from parsleyrouter.connection.http_exchange import HttpExchange, new_parser
+from parsleyrouter.connection.stream import CONNECT_TIMEOUT_S, Connector
 from parsleyrouter.ids import Address, RequestId
+from parsleyrouter.process.loop import Loop
 
 __all__ = ["EndpointClient", "EndpointExchange", "RawHeaders"]
 
 RawHeaders = Sequence[tuple[bytes, bytes]]
 
+LOG_INTERVAL_S = 60.0
+"""Time after a log line about an endpoint in which no other one of its kind follows."""
+
+log = logging.getLogger(__name__)
+
 
 class EndpointExchange(HttpExchange):
     """One request in flight at an endpoint.
@@ -50,41 +58,30 @@
         """Whether the response carries the id of this request."""
         return self.headers.get(self.id_header) == self.request
 
-    def _handle_events(self) -> None:
-        while True:
-            event: Any = self.parser.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                break
-            if isinstance(event, h11.Response):
-                self._handle_head(event)
-            elif isinstance(event, h11.Data):
-                if not self.skipping:
-                    self.pieces.append(bytes(event.data))
-                    self.pending_bytes += len(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                if self.skipping and self._continue_after_skipped():
-                    continue
-                self.ended = True
-                self._cancel_wait_timer()
-                self.client.release(self)
-                break
-            elif isinstance(event, h11.ConnectionClosed):
-                self.fail("connection closed early")
-                return
-        if self.pending_bytes > PAUSE_ABOVE_BYTES and not self.ended:
-            self.stream.pause()
-        self._notify()
+    def fail_invalid(self, message: str) -> None:
+        """End the exchange and log that the endpoint has sent bytes that are no answer."""
+        if not self.ended and self.failure is None and isinstance(self.client, EndpointClient):
+            self.client.log_invalid(self, message)
+        super().fail_invalid(message)
 
     def _handle_head(self, event: h11.Response) -> None:
         headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
         if headers.get(self.id_header, self.request) != self.request:
             self.skipping = True
+            self._count_early_head(event)
             return
         self.headers = headers
         self.raw_headers = event.headers.raw_items()
         self.reason = bytes(event.reason)
         self.status = event.status_code
 
+    def _handle_body(self, data: bytes) -> None:
+        if not self.skipping:
+            super()._handle_body(data)
+
+    def _handle_end(self) -> bool:
+        return self._continue_after_skipped() if self.skipping else super()._handle_end()
+
     def _continue_after_skipped(self) -> bool:
         """Continue with the response after a skipped one; return whether the connection allows it.
 
@@ -96,7 +93,7 @@
         if self.parser.their_state is not h11.DONE or self.request_head is None:
             self.fail("the connection ended after the response to another request")
             return False
-        self.parser = h11.Connection(h11.CLIENT)
+        self.parser = new_parser()
         self.parser.send(self.request_head)
         length = dict(self.request_head.headers).get(b"content-length", b"0")
         if int(length):
@@ -113,6 +110,12 @@
     exchange_type = EndpointExchange
     id_header = ""
 
+    def __init__(
+        self, loop: Loop, connector: Connector, connect_timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> None:
+        super().__init__(loop, connector, connect_timeout_s)
+        self.logged_s: dict[Address, float] = {}
+
     async def start(
         self, address: Address, new_connection: bool = False
     ) -> EndpointExchange | TransportFailure:
@@ -122,3 +125,13 @@
             exchange.id_header = self.id_header
         assert isinstance(exchange, EndpointExchange | TransportFailure)
         return exchange
+
+    def log_invalid(self, exchange: EndpointExchange, reason: str) -> None:
+        """Log that an endpoint sent bytes that are no answer, once in a while."""
+        now, address = self.loop.now(), exchange.stream.address
+        if now < self.logged_s.get(address, -math.inf) + LOG_INTERVAL_S:
+            return
+        recent = {one: at for one, at in self.logged_s.items() if now < at + LOG_INTERVAL_S}
+        self.logged_s = recent | {address: now}
+        fields = {"address": address, "request": exchange.request, "reason": reason}
+        log.warning("endpoint sends no valid answer", extra=fields)
--- a/parsleyrouter/connection/http_client.py
+++ b/parsleyrouter/connection/http_client.py
@@ -39,6 +39,7 @@
         self.loop = loop
         self.connector = connector
         self.connect_timeout_s = connect_timeout_s
+        self.shares = connector.shares
         self.idle: dict[Address, list[HttpExchange]] = {}
 
     async def open(
--- a/parsleyrouter/connection/http_exchange.py
+++ b/parsleyrouter/connection/http_exchange.py
@@ -1,7 +1,6 @@
 """One HTTP/1.1 request in flight and the incremental reading of its reply."""
 
 import math
-from collections import deque
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any
 
@@ -14,13 +13,18 @@
 if TYPE_CHECKING:
     from parsleyrouter.connection.http_client import HttpClient
 
-__all__ = ["PAUSE_ABOVE_BYTES", "HttpExchange"]
+__all__ = ["HttpExchange", "new_parser"]
 
 BODY_GAP_TIMEOUT_S = 30.0
 PAUSE_ABOVE_BYTES = 256 * 1024
 MAX_REPLY_BYTES = 64 * 1024 * 1024
 """Maximum size of a reply that is read as a whole; those of the services used are far smaller."""
 
+MAX_HEAD_BYTES = 16 * 1024
+"""Maximum size of a head, which h11 checks, and of all heads before that of the reply."""
+
+HEADER_LINE_BYTES = len(b": \r\n")
+
 
 class HttpExchange:
     """One request in flight and its reply, read incrementally."""
@@ -28,11 +32,20 @@
     def __init__(self, client: "HttpClient", stream: Stream) -> None:
         self.client = client
         self.stream = stream
-        self.parser = h11.Connection(h11.CLIENT)
+        self.parser = new_parser()
         self.status = 0
         self.headers: dict[str, str] = {}
-        self.pieces: deque[bytes] = deque()
-        self.pending_bytes = 0
+        self.pending = bytearray()
+        """Received bytes of the body that have not been read yet."""
+        self.received_bytes = 0
+        """Bytes received in all, also those that are not part of a body."""
+        self.early_head_bytes = 0
+        """Size of the heads before the reply's own."""
+        self.rest_waits = False
+        """Whether received bytes are not handled yet; no more are read before."""
+        self.deferred = False
+        self.held = False
+        self.at_end = False
         self.ended = False
         self.failure: TransportFailure | None = None
         self.reused = False
@@ -73,13 +86,12 @@
     async def read(self, timeout_s: float = BODY_GAP_TIMEOUT_S) -> bytes | None | TransportFailure:
         """Return the body bytes received so far, ``None`` at the end of the body."""
         deadline_s = self.client.loop.now() + timeout_s
-        while not self.pieces and not self.ended and self.failure is None:
+        while not self.pending and not self.ended and self.failure is None:
             await self._wait_until(deadline_s, f"no more body data within {timeout_s:g} s")
-        if self.pieces:
-            data = b"".join(self.pieces)
-            self.pieces.clear()
-            self.pending_bytes = 0
-            self.stream.resume()
+        if self.pending:
+            data = bytes(self.pending)
+            self.pending.clear()
+            self._go_on()
             return data
         if self.ended:
             return None
@@ -108,10 +120,25 @@
                 if self.failure is not None:
                     return self.failure
 
+    def pause(self) -> None:
+        """Receive nothing until ``resume``."""
+        if not self.ended:
+            self.held = True
+            self.stream.pause()
+
+    def resume(self) -> None:
+        """Receive again after ``pause``."""
+        self.held = False
+        self._go_on()
+
     def cancel(self) -> None:
         """Close the connection; the server sees a disconnect."""
         self.fail("cancelled")
 
+    def fail_invalid(self, message: str) -> None:
+        """End the exchange because the peer has sent bytes that are no reply, or too many."""
+        self.fail(message)
+
     def fail(self, message: str) -> None:
         """End the exchange with a failure unless it has ended."""
         if self.ended or self.failure is not None:
@@ -120,6 +147,8 @@
         self.failure = TransportFailure(f"{self.stream.address}: {message}", sent)
         self._cancel_wait_timer()
         self.stream.close()
+        # Exchange and stream refer to each other, so what the parser holds would stay for a while.
+        self.parser = new_parser()
         self._notify()
 
     async def _wait_until(self, deadline_s: float, reason: str) -> None:
@@ -161,39 +190,111 @@
             self.fail("connection reset")
 
     def _on_data(self, data: bytes) -> None:
-        if not data and self.failure is None and not self.ended:
+        if self.ended or self.failure is not None:
+            return
+        if not data:
             self.closed_early = True
+        self.at_end = not data
+        self.received_bytes += len(data)
+        self.parser.receive_data(data)
+        self._handle_received()
+
+    def _go_on(self) -> None:
+        """Handle what is left, or receive more, unless the reader has to take something first."""
+        if self.ended or self.failure is not None or self.held:
+            return
+        if not self.rest_waits:
+            self.stream.resume()
+        elif not self.deferred and len(self.pending) <= PAUSE_ABOVE_BYTES:
+            self.deferred = True
+            self.client.shares.defer(self._handle_rest)
+
+    def _handle_rest(self) -> None:
+        self.deferred = False
+        if self.ended or self.failure is not None or self.held:
+            return
+        self._handle_received()
+        if not self.rest_waits and len(self.pending) <= PAUSE_ABOVE_BYTES:
+            self._go_on()
+
+    def _handle_received(self) -> None:
+        """Handle received bytes for one share of a turn."""
         try:
-            self.parser.receive_data(data)
-            self._handle_events()
+            self.rest_waits = not self._handle_events()
         except h11.RemoteProtocolError as error:
-            self.fail(f"broken reply: {error}" if data else "connection closed early")
-        if not data:
+            self.rest_waits = False
+            if self.at_end:
+                self.fail("connection closed early")
+            else:
+                self.fail_invalid(f"broken reply: {error}")
+        if self.rest_waits:
+            self.stream.pause()
+            self._go_on()
+        elif self.at_end:
             self.fail("connection closed early")
 
-    def _handle_events(self) -> None:
-        while True:
-            event: Any = self.parser.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                break
-            if isinstance(event, h11.Response):
-                self.headers = {k.decode(): v.decode("latin-1") for k, v in event.headers}
-                self.status = event.status_code
-            elif isinstance(event, h11.Data):
-                self.pieces.append(bytes(event.data))
-                self.pending_bytes += len(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                self.ended = True
-                self._cancel_wait_timer()
-                self.client.release(self)
-                break
-            elif isinstance(event, h11.ConnectionClosed):
-                self.fail("connection closed early")
-                return
-        if self.pending_bytes > PAUSE_ABOVE_BYTES and not self.ended:
+    def _handle_events(self) -> bool:
+        """Handle events for one share of a turn; return whether no bytes are left that form one."""
+        loop, shares = self.client.loop, self.client.shares
+        began_s, until_s = loop.now(), shares.end_s()
+        more = True
+        while (
+            more
+            and self.failure is None
+            and len(self.pending) <= PAUSE_ABOVE_BYTES
+            and loop.now() < until_s
+        ):
+            more = self._handle_event(self.parser.next_event())
+        shares.record(began_s)
+        if len(self.pending) > PAUSE_ABOVE_BYTES and not self.ended:
             self.stream.pause()
         self._notify()
+        return not more or self.failure is not None
+
+    def _handle_event(self, event: Any) -> bool:
+        """Handle one event; return whether another one may follow."""
+        if event is h11.NEED_DATA or event is h11.PAUSED:
+            return False
+        if isinstance(event, h11.InformationalResponse):
+            return self._count_early_head(event)
+        if isinstance(event, h11.Response):
+            self._handle_head(event)
+        elif isinstance(event, h11.Data):
+            self._handle_body(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            return self._handle_end()
+        elif isinstance(event, h11.ConnectionClosed):
+            self.fail("connection closed early")
+            return False
+        return True
+
+    def _count_early_head(self, head: h11.InformationalResponse | h11.Response) -> bool:
+        """Count a head before the reply's own; return whether another one may follow."""
+        lines = (len(name) + len(value) + HEADER_LINE_BYTES for name, value in head.headers)
+        self.early_head_bytes += len(b"HTTP/1.1 100 \r\n\r\n") + len(head.reason) + sum(lines)
+        if self.early_head_bytes > MAX_HEAD_BYTES:
+            self.fail_invalid(f"no reply within {MAX_HEAD_BYTES} bytes of heads")
+        return self.failure is None
+
+    def _handle_head(self, head: h11.Response) -> None:
+        self.headers = {k.decode(): v.decode("latin-1") for k, v in head.headers}
+        self.status = head.status_code
+
+    def _handle_body(self, data: bytes) -> None:
+        self.pending += data
+
+    def _handle_end(self) -> bool:
+        """Handle the end of a reply; return whether another one follows."""
+        self.ended = True
+        self._cancel_wait_timer()
+        self.client.release(self)
+        return False
 
     def _notify(self) -> None:
         if self.waiter is not None:
             self.waiter.resolve(None)
+
+
+def new_parser() -> h11.Connection:
+    """Return the parser of a connection without a request."""
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
--- a/parsleyrouter/connection/stream.py
+++ b/parsleyrouter/connection/stream.py
@@ -8,6 +8,7 @@
 
 from circuits import Component, handler
 
+from parsleyrouter.connection.turn_shares import TurnShares
 from parsleyrouter.ids import Address
 from parsleyrouter.process.loop import Loop, Promise, TimedOut
 
@@ -174,6 +175,7 @@
         super().__init__()
         self.loop = loop
         self.poller = loop.poller
+        self.shares = TurnShares(loop)
         self.streams: dict[socket.socket, Stream] = {}
         self.connecting: dict[socket.socket, Promise[Any]] = {}
 
@@ -229,7 +231,7 @@
     @handler("_read")
     def _on_readable(self, sock: socket.socket) -> None:
         stream = self.streams.get(sock)
-        if stream is not None:
+        if stream is not None and not stream.paused:
             stream.read()
 
     @handler("_write")
--- a/parsleyrouter/process/forward_attempt.py
+++ b/parsleyrouter/process/forward_attempt.py
@@ -261,9 +261,9 @@
                 self.sink.send(events)
                 await self.sink.drain()
             if self.batch and not exchange.ended:
-                exchange.stream.pause()
+                exchange.pause()
                 await self.context.loop.sleep(BATCH_READ_INTERVAL_S)
-                exchange.stream.resume()
+                exchange.resume()
 
     async def _read(
         self, exchange: EndpointExchange, waited_s: float = 0.0, until_s: float = math.inf
--- a/parsleyrouter/process/runtime.py
+++ b/parsleyrouter/process/runtime.py
@@ -42,6 +42,7 @@
         self.metrics = CollectorRegistry()
         ProcessCollector(registry=self.metrics)
         PlatformCollector(registry=self.metrics)
+        self.connector.shares.expose(self.metrics)
         self.stop_hooks: list[StopHook] = []
         self.forced_stop_hooks: list[Callable[[], None]] = []
         self.stopping = False
