Bound the memory of all replies that are read as a whole

Cause: each reply of the store or another service that is read as a whole could take 64 MB, so eight at once 512 MB, more than a process has.

Change: 64 MB for all such replies in progress together; one may take as much as the others leave free, so a small reply beside large ones still comes (a single one 32 MB; the store's pages are about 1 MB, its values 1 MiB).

The scenario fails without the shared bound (mutant, caught). On the code before it could not run, as there was no such memory to ask.

--- a/features/endless_replies.feature
+++ b/features/endless_replies.feature
@@ -72,6 +72,10 @@
       | interim responses with headers |
       | responses to another           |
 
+  Scenario: replies without end that are read as a whole share a bounded memory
+    When eight calls to services are answered by large chunks without end
+    Then they fail below the memory for all replies, and a small reply beside them comes whole
+
   Scenario: forty connections that wait for their share leave each turn to others
     When forty connections need much longer than their share of a turn
     Then few of them are served in one turn, and all in the end
--- a/parsleyrouter/connection/http_client.py
+++ b/parsleyrouter/connection/http_client.py
@@ -8,6 +8,7 @@
 
 from parsleyrouter.connection.http import HttpReply, Sent, TransportFailure
 from parsleyrouter.connection.http_exchange import HttpExchange
+from parsleyrouter.connection.reply_memory import ReplyMemory
 from parsleyrouter.connection.stream import (
     CONNECT_TIMEOUT_S,
     ConnectFailed,
@@ -40,6 +41,7 @@
         self.connector = connector
         self.connect_timeout_s = connect_timeout_s
         self.shares = connector.shares
+        self.memory = ReplyMemory()
         self.idle: dict[Address, list[HttpExchange]] = {}
 
     async def open(
--- a/parsleyrouter/connection/http_exchange.py
+++ b/parsleyrouter/connection/http_exchange.py
@@ -17,9 +17,6 @@
 
 BODY_GAP_TIMEOUT_S = 30.0
 PAUSE_ABOVE_BYTES = 256 * 1024
-MAX_REPLY_BYTES = 64 * 1024 * 1024
-"""Maximum size of a reply that is read as a whole; those of the services used are far smaller."""
-
 MAX_HEAD_BYTES = 16 * 1024
 """Maximum size of a head, which h11 checks, and of all heads before that of the reply."""
 
@@ -98,27 +95,31 @@
         return self.failure
 
     async def read_all(
-        self, timeout_s: float, max_bytes: int = MAX_REPLY_BYTES
+        self, timeout_s: float, max_bytes: float = math.inf
     ) -> HttpReply | TransportFailure:
         """Return the complete reply; headers and body may take ``timeout_s`` each."""
         failure = await self.wait_headers(timeout_s)
         if failure is not None:
             return failure
-        parts: list[bytes] = []
-        size = 0
+        body, memory = bytearray(), self.client.memory
         deadline_s = self.client.loop.now() + timeout_s
-        while True:
-            piece = await self.read(max(0.0, deadline_s - self.client.loop.now()))
-            if isinstance(piece, TransportFailure):
-                return piece
-            if piece is None:
-                return HttpReply(self.status, self.headers, b"".join(parts))
-            parts.append(piece)
-            size += len(piece)
-            if size > max_bytes or self.client.loop.now() >= deadline_s:
-                self.fail(f"no end of the body within {timeout_s:g} s and {max_bytes} bytes")
+        try:
+            while True:
+                piece = await self.read(max(0.0, deadline_s - self.client.loop.now()))
+                if isinstance(piece, TransportFailure):
+                    return piece
+                if piece is None:
+                    return HttpReply(self.status, self.headers, bytes(body))
+                body += piece
+                memory.take(len(piece))
+                if len(body) > max_bytes or not memory.allows(len(body)):
+                    self.fail_invalid(f"no end of the body within {len(body)} bytes")
+                elif self.client.loop.now() >= deadline_s:
+                    self.fail(f"no end of the body within {timeout_s:g} s")
                 if self.failure is not None:
                     return self.failure
+        finally:
+            memory.free(len(body))
 
     def pause(self) -> None:
         """Receive nothing until ``resume``."""
