Open a watch again when its bytes form no message

Cause: any byte restarted the wait for the next message of a watch, and an unfinished message had no maximum; each read copied all of it. A service that sent blank lines, or one line without end, kept the watch without changes and its memory growing.

Change: the wait of a watch counts from the last message, and an unfinished message takes its memory from that of whole replies. The watch is opened again with one log line, and continues from its revision.

Both scenarios failed on the code before (the watch was never opened again); both mutants are caught.

--- a/features/endless_replies.feature
+++ b/features/endless_replies.feature
@@ -76,6 +76,15 @@
     When eight calls to services are answered by large chunks without end
     Then they fail below the memory for all replies, and a small reply beside them comes whole
 
+  Scenario Outline: a watch that is sent <what> without end is opened again
+    When the watched service sends <what> without end
+    Then the watch is opened again, with one log line for each time
+
+    Examples:
+      | what         |
+      | empty events |
+      | large chunks |
+
   Scenario: forty connections that wait for their share leave each turn to others
     When forty connections need much longer than their share of a turn
     Then few of them are served in one turn, and all in the end
--- a/parsleyrouter/connection/etcd_watch.py
+++ b/parsleyrouter/connection/etcd_watch.py
@@ -106,15 +106,35 @@
         return exchange
 
     async def _read(self, exchange: HttpExchange) -> None:
-        incomplete = b""
+        """Handle messages until one is late, too long or the last."""
+        incomplete = bytearray()
+        try:
+            await self._read_messages(exchange, incomplete)
+        finally:
+            exchange.client.memory.free(len(incomplete))
+
+    async def _read_messages(self, exchange: HttpExchange, incomplete: bytearray) -> None:
+        loop, memory = self.client.loop, exchange.client.memory
+        due_s = loop.now() + self.client.watch_silence_s
         while not self.ended:
-            data = await exchange.read(self.client.watch_silence_s)
+            data = await exchange.read(max(0.0, due_s - loop.now()))
             if not isinstance(data, bytes):
                 return
-            *lines, incomplete = (incomplete + data).split(b"\n")
-            for line in lines:
-                if line.strip() and not self._handle_message(line):
+            start = len(incomplete)
+            incomplete += data
+            memory.take(len(data))
+            end = incomplete.rfind(b"\n", start) + 1
+            lines = bytes(incomplete[:end]).split(b"\n")
+            del incomplete[:end]
+            memory.free(end)
+            for line in filter(bytes.strip, lines):
+                due_s = loop.now() + self.client.watch_silence_s
+                if not self._handle_message(line):
                     return
+            if loop.now() >= due_s or not memory.allows(len(incomplete)):
+                fields = {"prefix": self.prefix, "incomplete_bytes": len(incomplete)}
+                log.warning("watch is reopened after bytes that are no message", extra=fields)
+                return
 
     def _handle_message(self, line: bytes) -> bool:
         """Handle one message; return whether to continue reading."""
