Split events without copying the unfinished one for each piece

Cause: each piece of a stream copied and searched all of the unfinished event.

Change: only what is new is searched; the rest is kept in one buffer.

The existing scenarios of event streams cover it.

--- a/parsleyrouter/connection/sse.py
+++ b/parsleyrouter/connection/sse.py
@@ -31,18 +31,23 @@
     """Return complete events only and buffer the incomplete rest."""
 
     def __init__(self) -> None:
-        self.rest = b""
+        self.buffer = bytearray()
         self.done = False
         self.too_long = False
 
+    @property
+    def rest(self) -> bytes:
+        """Return the incomplete rest."""
+        return bytes(self.buffer)
+
     def feed(self, data: bytes) -> bytes:
         """Return the events that ``data`` completes, concatenated."""
-        if self.rest:
-            data = self.rest + data
-        end = _end_of_last_event(data)
-        self.rest = data[end:]
-        self.too_long = len(self.rest) > MAX_EVENT_BYTES
-        whole = data[:end]
+        searched = max(0, len(self.buffer) - len(b"\r\n\r\n") + 1)
+        self.buffer += data
+        end = _end_of_last_event(self.buffer, searched)
+        whole = bytes(self.buffer[:end])
+        del self.buffer[:end]
+        self.too_long = len(self.buffer) > MAX_EVENT_BYTES
         if whole and whole.rstrip().endswith(_DONE_FORMS):
             self.done = True
         return whole
@@ -58,10 +63,10 @@
     return b"data: " + msgspec.json.encode(refusal.body()) + b"\n\n"
 
 
-def _end_of_last_event(data: bytes) -> int:
-    """Return the index after the last blank line, 0 when there is none."""
-    end = data.rfind(b"\n\n")
-    other = data.rfind(b"\r\n\r\n")
+def _end_of_last_event(data: bytearray, start: int) -> int:
+    """Return the index after the last blank line from ``start`` on, 0 when there is none."""
+    end = data.rfind(b"\n\n", start)
+    other = data.rfind(b"\r\n\r\n", start)
     if other > end:
         return other + 4
     return end + 2 if end >= 0 else 0
