End answers whose bytes form no event, and count refusals without end

Cause: a stream on a route that is not resumable was passed on until its deadline, whatever its bytes were; on a resumable one an event could have 4 MB. A refusal or an error that is dropped could have a body of 64 MB, and a refusal whose body had no end did not count against its endpoint.

Change: what an endpoint sends for one event, framing included, may be as large as a buffered response (256 KiB) and one read; the answer then ends as incomplete, the endpoint counts as failing, and one log line a minute names it. A dropped body may be as large as a buffered response, too; a refusal whose body does not end within that or 0.2 s counts as a failure of its endpoint (a connection that ends counts as an end). Buffered pieces of a response that turns out to be large are sent at once.

--- a/features/endless_replies.feature
+++ b/features/endless_replies.feature
@@ -72,6 +72,15 @@
       | interim responses with headers |
       | responses to another           |
 
+  Scenario: a stream whose bytes complete no event is cut before its deadline
+    When callers ask for chats at an endpoint that sends chunks of one byte without end
+    Then each ends as incomplete long before its deadline
+    And the endpoint is held back, and named in one log line
+
+  Scenario: an endpoint whose refusals have no end is held back
+    When callers ask for cards at an endpoint that sends a refusal without end
+    Then the endpoint is held back
+
   Scenario: replies without end that are read as a whole share a bounded memory
     When eight calls to services are answered by large chunks without end
     Then they fail below the memory for all replies, and a small reply beside them comes whole
--- a/parsleyrouter/process/answer_heads.py
+++ b/parsleyrouter/process/answer_heads.py
@@ -9,12 +9,14 @@
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
 from parsleyrouter.process.fleet_limits import parse_limit
 from parsleyrouter.process.forward_context import ForwardContext
+from parsleyrouter.request.forwarded_request import HeaderNames
+from parsleyrouter.version.route_table import Route
 
 __all__ = [
     "MISDIRECTED_STATUS",
-    "PROMISING_STATUSES",
     "body_length",
     "content_type",
+    "proves_status",
     "record_head",
     "refuses_request",
 ]
@@ -64,6 +66,15 @@
     return exchange.status == MISDIRECTED_STATUS and instance not in (None, endpoint)
 
 
+def proves_status(names: HeaderNames, route: Route, exchange: EndpointExchange) -> bool:
+    """Return whether an answer proves that it is that of the endpoint to the request."""
+    status = exchange.status
+    verified = exchange.has_request_id and names.signature in exchange.headers
+    unverified_success = status < 300 and (not verified or "content-encoding" in exchange.headers)
+    promise = status in PROMISING_STATUSES and not route.repeatable
+    return exchange.has_request_id and not unverified_success and not promise
+
+
 def content_type(exchange: EndpointExchange) -> str:
     """Return the type of an answer's body, empty if it is not given."""
     return exchange.headers.get("content-type", "")
--- a/parsleyrouter/process/forward_attempt.py
+++ b/parsleyrouter/process/forward_attempt.py
@@ -13,11 +13,17 @@
     last_event_id,
 )
 from parsleyrouter.ids import EndpointId
+from parsleyrouter.process.answer_bounds import (
+    BATCH_READ_INTERVAL_S,
+    MAX_BUFFERED_RESPONSE_BYTES,
+    EventBound,
+    read_dropped_body,
+)
 from parsleyrouter.process.answer_heads import (
     MISDIRECTED_STATUS,
-    PROMISING_STATUSES,
     body_length,
     content_type,
+    proves_status,
     record_head,
     refuses_request,
 )
@@ -33,16 +39,6 @@
 
 __all__ = ["ForwardAttempt"]
 
-MAX_BUFFERED_RESPONSE_BYTES = 256 * 1024
-"""Responses of safe requests up to this size are buffered, so that a failed one can be retried."""
-
-BATCH_READ_INTERVAL_S = 0.1
-"""Pause between reads of a batch item's events, so that several are read at once: batch items are
-not latency sensitive, and an engine produces an event every few tens of milliseconds."""
-
-REFUSAL_READ_TIMEOUT_S = 0.2
-"""Timeout for reading the body of a refusal; the connection is closed after it."""
-
 
 @dataclass
 class ForwardAttempt:
@@ -64,6 +60,7 @@
     exchange: EndpointExchange | None = None
     cancelled: bool = False
     reserved: bool = False
+    refusal_unfinished: bool = False
     on_first_byte: Callable[[], None] = field(default=lambda: None)
     running: RunningRequest = field(init=False)
 
@@ -111,12 +108,15 @@
             self.context.loads.record_success(
                 self.endpoint, self.request.service, ended_s - started_s, ended_s
             )
-        elif failure is None or (
-            not self.cancelled and failure.failed_at is not FailurePoint.REFUSED
-        ):
+        elif failure is None or self._is_failing(failure):
             self.context.loads.record_failure(self.endpoint, ended_s)
         return failure
 
+    def _is_failing(self, failure: AttemptFailure) -> bool:
+        """Return whether a failure is one of the endpoint."""
+        refused = failure.failed_at is FailurePoint.REFUSED
+        return not self.cancelled and (self.refusal_unfinished or not refused)
+
     async def _run(self) -> AttemptFailure | None:
         address = self.registration.address
         exchange = await self.context.client.start(address, self.new_connection)
@@ -140,7 +140,8 @@
             return await self._read_buffered(exchange)
         if self.request.route.resumable and is_event_stream(content_type(exchange)):
             return await self._forward_events(exchange)
-        return await self._forward_body(exchange)
+        self._begin(exchange, body_length(exchange))
+        return await self._forward_rest(exchange)
 
     def _send(self, exchange: EndpointExchange) -> None:
         request = self.request
@@ -160,18 +161,15 @@
                 self.context.client.discard(exchange)
                 message = "the refusal may be that of an earlier request on the connection"
                 return self._failure(FailurePoint.MAYBE_SENT, message)
-            await exchange.read_all(REFUSAL_READ_TIMEOUT_S)
+            self.refusal_unfinished = not await read_dropped_body(exchange)
             return self._failure(FailurePoint.REFUSED, f"refused with status {status}")
-        verified = exchange.has_request_id and names.signature in headers
-        unverified_success = status < 300 and (not verified or "content-encoding" in headers)
-        promise = status in PROMISING_STATUSES and not self.request.route.repeatable
-        if unverified_success or promise or not exchange.has_request_id:
+        if not proves_status(names, self.request.route, exchange):
             self.context.client.discard(exchange)
             return self._failure(
                 FailurePoint.MAYBE_SENT, f"response does not prove what status {status} says"
             )
         if status >= 500 and self.may_retry and self.request.route.repeatable:
-            await exchange.read_all(REFUSAL_READ_TIMEOUT_S)
+            await read_dropped_body(exchange)
             return self._failure(FailurePoint.ERROR_STATUS, f"failed with status {status}")
         if self.headers_sent and (status != 200 or not is_event_stream(content_type(exchange))):
             self.context.client.discard(exchange)
@@ -199,16 +197,12 @@
             chunks.append(chunk)
             size += len(chunk)
         self._begin(exchange, body_length(exchange))
-        for chunk in chunks:
-            self.sink.send(chunk)
-        return await self._forward_rest(exchange)
-
-    async def _forward_body(self, exchange: EndpointExchange) -> AttemptFailure | None:
-        self._begin(exchange, body_length(exchange))
+        self.sink.send(b"".join(chunks))
         return await self._forward_rest(exchange)
 
     async def _forward_rest(self, exchange: EndpointExchange) -> AttemptFailure | None:
         splitter = EventSplitter() if is_event_stream(content_type(exchange)) else None
+        bound = EventBound(exchange)
         while True:
             chunk = await self._read(exchange)
             if chunk is None:
@@ -216,8 +210,8 @@
             if isinstance(chunk, TransportFailure):
                 return self._failure(FailurePoint.RESPONSE_TRUNCATED, chunk.message)
             self.context.loads.record_activity(self.endpoint, self.context.loop.now())
-            if splitter is not None:
-                splitter.feed(chunk)
+            if splitter is not None and not bound.allows(bool(splitter.feed(chunk))):
+                return self._too_long_event(exchange)
             self.sink.send(chunk)
             await self.sink.drain()
 
@@ -234,7 +228,7 @@
         splitter = EventSplitter()
         resumed = self.headers_sent
         self._begin(exchange, None)
-        event_s = self.context.loop.now()
+        event_s, bound = self.context.loop.now(), EventBound(exchange)
         while True:
             waited_s = self.context.loop.now() - event_s
             chunk = await self._read(exchange, waited_s)
@@ -248,13 +242,13 @@
             if isinstance(chunk, TransportFailure):
                 return self._failure(FailurePoint.RESPONSE_TRUNCATED, chunk.message)
             self.context.loads.record_activity(self.endpoint, self.context.loop.now())
-            events: bytes | None = splitter.feed(chunk)
-            if resumed and events:
-                events = events_after(events, self.last_event)
-            if splitter.too_long or events is None:
+            whole = splitter.feed(chunk)
+            events = events_after(whole, self.last_event) if resumed and whole else whole
+            if events is None:
                 self.context.client.discard(exchange)
-                wrong = "exceeds the maximum size" if splitter.too_long else "does not come next"
-                return self._failure(FailurePoint.RESPONSE_TRUNCATED, f"an event {wrong}")
+                return self._failure(FailurePoint.RESPONSE_TRUNCATED, "an event does not come next")
+            if not bound.allows(bool(whole)):
+                return self._too_long_event(exchange)
             if events:
                 event_s = self.context.loop.now()
                 self.last_event = last_event_id(events) or self.last_event
@@ -265,6 +259,11 @@
                 await self.context.loop.sleep(BATCH_READ_INTERVAL_S)
                 exchange.resume()
 
+    def _too_long_event(self, exchange: EndpointExchange) -> AttemptFailure:
+        message = "an event exceeds the maximum size"
+        exchange.fail_invalid(message)
+        return self._failure(FailurePoint.RESPONSE_TRUNCATED, message)
+
     async def _read(
         self, exchange: EndpointExchange, waited_s: float = 0.0, until_s: float = math.inf
     ) -> bytes | None | TransportFailure:
