Run an item anew whose events have no end

Cause: the events of a batch item were kept until its job was due, however many came; events without end pass the limit on the pause between events.

Change: the output of an item may be as large as a page of results (1 MB), since a longer one could not be read. The run then ends, its endpoint counts as failing, the output is dropped, and the item runs from its start. It is not given up: no endpoint answered 500 or 422.

Both mutants are caught: without the maximum the scenario fails, and it fails if the output is kept.

--- a/features/endless_replies.feature
+++ b/features/endless_replies.feature
@@ -101,3 +101,7 @@
   Scenario: failed exchanges release what they have received
     When a thousand requests meet header lines without end, and no collection of garbage
     Then they all fail, and memory does not hold what they have received
+
+  Scenario: an item whose events have no end is run anew at another endpoint
+    When a job runs at an endpoint that sends events without end, and then at a sound one
+    Then memory held no more than a result may have, and the item is listed with its whole output
--- a/features/steps/endless_play_steps.py
+++ b/features/steps/endless_play_steps.py
@@ -1,11 +1,13 @@
 """Steps for endpoints and services in another process that send without end."""
 
 import gc
+import json
 import time
 from typing import Any
 
 from behave import then, when
 
+from features.steps.front_jobs_steps import full_output, items, read_all, submit
 from features.steps.front_requests_steps import run_with_fleet
 from features.support.endless_play import EndlessPlay, resident_bytes
 from features.support.endless_sender import EndlessSender
@@ -76,6 +78,13 @@
     assert failures and all("16384 bytes of heads" in one for one in failures), failures
 
 
+async def announce(fleet: FrontFleet, service: str, sender: EndlessSender) -> None:
+    fields = {"zone": "z1", "slots": 8, "state": "ready", "version": "v1"}
+    address = {"service": service, "address": sender.addresses[0], "sequence": 1, "born": 1}
+    fleet.store.put_json("servers/x1", fields | address)
+    await fleet.until(lambda: fleet.fronts[0].directory.endpoints)
+
+
 @when("callers ask for {what} at an endpoint that sends {kind} without end")
 def step_callers(context: Any, what: str, kind: str) -> None:
     sender = EndlessSender(1, kind)
@@ -83,10 +92,7 @@
 
     async def scenario(fleet: FrontFleet) -> None:
         front = await fleet.start()
-        fields = {"zone": "z1", "slots": 8, "state": "ready", "version": "v1"}
-        address = {"service": service, "address": sender.addresses[0], "sequence": 1, "born": 1}
-        fleet.store.put_json("servers/x1", fields | address)
-        await fleet.until(lambda: front.directory.endpoints)
+        await announce(fleet, service, sender)
         context.answers = []
         for number in range(2):
             began_s = fleet.loop.now()
@@ -243,3 +249,35 @@
 def step_released(context: Any) -> None:
     assert all(isinstance(one, TransportFailure) for one in context.failures)
     assert context.growth_bytes < MAX_RELEASED_GROWTH_BYTES, context.growth_bytes
+
+
+@when("a job runs at an endpoint that sends events without end, and then at a sound one")
+def step_endless_item(context: Any) -> None:
+    sender = EndlessSender(1, "events")
+
+    async def scenario(fleet: FrontFleet) -> None:
+        await fleet.start()
+        await announce(fleet, "engines", sender)
+        before_bytes = context.growth_bytes = resident_bytes()
+        body = json.dumps({"items": items(1)}).encode()
+        assert (await submit(fleet, body=body)).status == 202
+        until_s = fleet.loop.now() + 3.0
+        while fleet.loop.now() < until_s:
+            await fleet.loop.sleep(0.02)
+            context.growth_bytes = max(context.growth_bytes, resident_bytes())
+        context.growth_bytes -= before_bytes
+        fleet.register("e1")
+        context.results = await read_all(fleet)
+
+    with collected_logs("parsleyrouter.connection.endpoint_client") as context.records:
+        try:
+            run_with_fleet(context, scenario)
+        finally:
+            sender.close()
+
+
+@then("memory held no more than a result may have, and the item is listed with its whole output")
+def step_item_anew(context: Any) -> None:
+    assert any("an output of more than" in one.reason for one in context.records)
+    assert context.growth_bytes < MAX_GROWTH_BYTES, context.growth_bytes
+    assert [one["output"] for one in context.results] == [full_output()]
--- a/features/support/endless_sender.py
+++ b/features/support/endless_sender.py
@@ -29,6 +29,7 @@
     "one chunk extension": (CHUNKED + b"1;", b"e" * 4096),
     "trailers": (CHUNKED + b"0\r\n", b"a: b\r\n"),
     "empty events": (CHUNKED, b"2\r\n\n\n\r\n"),
+    "events": (CHUNKED, b"1008\r\ndata: " + b"x" * 4096 + b"\n\n\r\n"),
     "interim responses": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
     "interim responses with headers": (
         b"",
--- a/parsleyrouter/process/item_run.py
+++ b/parsleyrouter/process/item_run.py
@@ -1,5 +1,6 @@
 """Run a batch item at one endpoint, resuming its output where the last run stopped."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from enum import Enum
 
@@ -23,6 +24,9 @@
 """How long an endpoint may send nothing. An item may be queued after a misjudged load, and no
 caller waits for its next event."""
 
+MAX_OUTPUT_BYTES = 1_000_000
+"""Size of a page of results, so a longer output could not be read."""
+
 
 class ItemEnd(Enum):
     """How one run of an item ended."""
@@ -51,6 +55,9 @@
     """Whether the answer in progress is a successful stream of events."""
     endpoints: set[EndpointId] = field(default_factory=set)
     """The endpoints that this node has sent the item to."""
+    output_bytes: int = 0
+    """Size of the output, counted from the start of a run on."""
+    on_too_long: Callable[[], None] = field(default=lambda: None)
 
     def begin(self, status: int, reason: bytes, headers: RawHeaders, length: int | None) -> None:
         """Accept the body of a successful stream of events only."""
@@ -61,12 +68,25 @@
         """Append the data of complete events."""
         if not self.accepts:
             return
-        self.pieces.extend(event_data(data))
+        new = event_data(data)
+        self.pieces.extend(new)
+        self.output_bytes += sum(map(len, new)) + len(new)
         self.last_event = last_event_id(data) or self.last_event
+        if self.too_long:
+            self.on_too_long()
 
     async def drain(self) -> None:
         """Return at once, since output is only kept in memory."""
 
+    @property
+    def too_long(self) -> bool:
+        """Whether the output is larger than a result may be."""
+        return self.output_bytes > MAX_OUTPUT_BYTES
+
+    def restart(self) -> None:
+        """Drop the output, so that the next run begins anew."""
+        self.pieces, self.last_event = [], ""
+
     @property
     def output(self) -> str:
         """Return the data of all events."""
@@ -121,6 +141,8 @@
             new_connection=entry.endpoint in progress.endpoints,
         )
         progress.endpoints.add(entry.endpoint)
+        progress.output_bytes = sum(map(len, progress.pieces)) + len(progress.pieces)
+        progress.on_too_long = self._end_too_long
         self.attempt.reserve()
 
     async def run(self) -> tuple[ItemEnd, str]:
@@ -129,6 +151,9 @@
         failure = await self.attempt.run()
         self.progress.spent_s += self.attempt.context.loop.now() - self.started_s
         status = self.attempt.status
+        if self.progress.too_long:
+            self.progress.restart()
+            return ItemEnd.STOPPED, "the output was too long, and is dropped"
         if status == IMPOSSIBLE_STATUS:
             return ItemEnd.IMPOSSIBLE, "the endpoint reported the item as impossible"
         if status == FAILED_STATUS:
@@ -142,6 +167,10 @@
             return ItemEnd.STOPPED, "answered with something else than events"
         return ItemEnd.COMPLETED, ""
 
+    def _end_too_long(self) -> None:
+        if self.attempt.exchange is not None:
+            self.attempt.exchange.fail_invalid(f"an output of more than {MAX_OUTPUT_BYTES} bytes")
+
     def cancel(self, end: ItemEnd) -> None:
         """Cancel the run and free its slot; the output so far is kept."""
         self.cancelled_as = end
