--- a/features/support/loop.py
+++ b/features/support/loop.py
@@ -11,7 +11,9 @@
 RUN_LIMIT_S = 60.0
 
 
-def run_on_loop(start: Callable[[Runtime], Coroutine[Any, Any, T]]) -> T:
+def run_on_loop(
+    start: Callable[[Runtime], Coroutine[Any, Any, T]], limit_s: float = RUN_LIMIT_S
+) -> T:
     """Run ``start(runtime)`` to completion and return its value."""
     runtime = Runtime()
     outcome: list[Any] = []
@@ -20,7 +22,7 @@
         await runtime.loop.sleep(0)
         task = runtime.loop.spawn(start(runtime))
         try:
-            outcome.append((True, await runtime.loop.within(RUN_LIMIT_S, task)))
+            outcome.append((True, await runtime.loop.within(limit_s, task)))
         except (Exception, TimedOut) as error:
             outcome.append((False, error))
         runtime.stop()
