--- a/features/endless_replies.feature
+++ b/features/endless_replies.feature
@@ -105,3 +105,7 @@
   Scenario: an item whose events have no end is run anew at another endpoint
     When a job runs at an endpoint that sends events without end, and then at a sound one
     Then memory held no more than a result may have, and the item is listed with its whole output
+
+  Scenario: a long but sound stream is not cut
+    When an endpoint sends a chat and a tale of many events, far larger than one event may be
+    Then both arrive whole from their first endpoint
--- a/features/steps/endless_play_steps.py
+++ b/features/steps/endless_play_steps.py
@@ -7,6 +7,7 @@
 
 from behave import then, when
 
+from features.steps.endless_replies_steps import unframed
 from features.steps.front_jobs_steps import full_output, items, read_all, submit
 from features.steps.front_requests_steps import run_with_fleet
 from features.support.endless_play import EndlessPlay, resident_bytes
@@ -14,13 +15,10 @@
 from features.support.front_fleet import FrontFleet
 from features.support.log_records import collected_logs
 from features.support.loop import run_on_loop
-from features.support.stand_ins import UNLIMITED_BUDGET
-from parsleyrouter.connection.etcd import EtcdKeyValue
 from parsleyrouter.connection.http import TransportFailure
 from parsleyrouter.connection.turn_shares import CONNECTION_SHARE_S, TURN_SHARE_S
-from parsleyrouter.ids import EndpointId, Revision
+from parsleyrouter.ids import EndpointId
 from parsleyrouter.process.runtime import Runtime
-from parsleyrouter.standins.key_value_server import KeyValueServer
 
 PLAY_S = 1.0
 MAX_SOUND_S = 0.5
@@ -31,7 +29,6 @@
 MAX_RELEASED_GROWTH_BYTES = 24 * 1024 * 1024
 """Far less than a thousand reads of 64 KiB."""
 
-MAX_REPLIES_BYTES = 64 * 1024 * 1024
 DEADLINE_MS = 5000
 CONNECTIONS = 40
 
@@ -129,73 +126,6 @@
     assert len(context.lines) == 1, context.lines
 
 
-@when("eight calls to services are answered by large chunks without end")
-def step_whole_replies(context: Any) -> None:
-    sender = EndlessSender(8, "large chunks")
-
-    async def main(runtime: Runtime) -> None:
-        server = KeyValueServer(runtime).register(runtime)
-        memory = runtime.http.memory
-        tasks = [
-            runtime.loop.spawn(runtime.http.request(one, "GET", "/", timeout_s=10.0))
-            for one in sender.addresses
-        ]
-        context.used_bytes = 0
-        context.small: list[Any] = []
-        client = EtcdKeyValue(runtime, await server.address, budget=UNLIMITED_BUDGET)
-        while not all(one.done for one in tasks):
-            context.small.append(await client.get("k"))
-            context.used_bytes = max(context.used_bytes, memory.used_bytes)
-            await runtime.loop.sleep(0.01)
-        context.replies = await runtime.loop.gather(tasks)
-        context.left_bytes = memory.used_bytes
-
-    try:
-        run_on_loop(main)
-    finally:
-        sender.close()
-
-
-@then("they fail below the memory for all replies, and a small reply beside them comes whole")
-def step_whole_bounded(context: Any) -> None:
-    for reply in context.replies:
-        assert isinstance(reply, TransportFailure), reply
-        assert "no end of the body within" in reply.message and " bytes" in reply.message, reply
-    assert context.small and not any(context.small), context.small
-    assert 0 < context.used_bytes <= MAX_REPLIES_BYTES, context.used_bytes
-    assert context.left_bytes == 0, context.left_bytes
-
-
-@when("the watched service sends {what} without end")
-def step_watch(context: Any, what: str) -> None:
-    sender = EndlessSender(1, what)
-
-    async def main(runtime: Runtime) -> None:
-        address = sender.addresses[0]
-        # Only the size may end a watch that is sent one long line.
-        silence_s = 0.5 if what == "empty events" else 60.0
-        client = EtcdKeyValue(runtime, address, watch_silence_s=silence_s, budget=UNLIMITED_BUDGET)
-        changes: list[Any] = []
-        watch = client.watch("/w/", Revision(2), changes.append, changes.append)
-        until_s = runtime.loop.now() + 10.0
-        while watch.failures < 2 and runtime.loop.now() < until_s:
-            await runtime.loop.sleep(0.02)
-        context.opened_again, context.changes = watch.failures, changes
-        watch.cancel()
-
-    with collected_logs("parsleyrouter.connection.etcd_watch") as context.records:
-        try:
-            run_on_loop(main)
-        finally:
-            sender.close()
-
-
-@then("the watch is opened again, with one log line for each time")
-def step_watch_reopened(context: Any) -> None:
-    assert context.opened_again >= 2 and not context.changes, context.opened_again
-    assert len(context.records) == context.opened_again, context.records
-
-
 @when("forty connections need much longer than their share of a turn")
 def step_forty(context: Any) -> None:
     async def main(runtime: Runtime) -> None:
@@ -281,3 +211,26 @@
     assert any("an output of more than" in one.reason for one in context.records)
     assert context.growth_bytes < MAX_GROWTH_BYTES, context.growth_bytes
     assert [one["output"] for one in context.results] == [full_output()]
+
+
+@when("an endpoint sends a chat and a tale of many events, far larger than one event may be")
+def step_long_streams(context: Any) -> None:
+    body = b"data: " + b"x" * 2000 + b"\n\n"
+
+    async def scenario(fleet: FrontFleet) -> None:
+        endpoint = fleet.register("e1")
+        endpoint.default_behaviour = unframed(body * 500)
+        await fleet.start()
+        context.answers = [
+            await fleet.caller().ask("POST", target) for target in ("/chat/1", "/tale/1")
+        ]
+        context.sent = len(endpoint.arrivals)
+
+    run_with_fleet(context, scenario)
+    context.expected = body * 500
+
+
+@then("both arrive whole from their first endpoint")
+def step_long_whole(context: Any) -> None:
+    assert all(one.complete and one.body == context.expected for one in context.answers)
+    assert context.sent == 2
