Open a watch again when a message cannot be read

Cause: a message that is no JSON, or no object, raised in the task of the watch, which ended with a log line; nobody was told, and the watch saw no change any more.

Change: the watch is opened again from its revision, with a log line.

--- a/features/endless_replies.feature
+++ b/features/endless_replies.feature
@@ -90,9 +90,11 @@
     Then the watch is opened again, with one log line for each time
 
     Examples:
-      | what         |
-      | empty events |
-      | large chunks |
+      | what                      |
+      | empty events              |
+      | large chunks              |
+      | lines that are no message |
+      | lines that are no object  |
 
   Scenario: forty connections that wait for their share leave each turn to others
     When forty connections need much longer than their share of a turn
--- a/features/support/endless_sender.py
+++ b/features/support/endless_sender.py
@@ -22,6 +22,8 @@
 REFUSAL = b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n%sTransfer-Encoding: chunked\r\n\r\n"
 
 KINDS: dict[str, tuple[bytes, bytes]] = {
+    "lines that are no message": (CHUNKED, b"3\r\n{x\n\r\n"),
+    "lines that are no object": (CHUNKED, b"3\r\n[]\n\r\n"),
     "chunks of one byte": (CHUNKED, b"1\r\nx\r\n"),
     "chunks of two bytes": (CHUNKED, b"2\r\nxy\r\n"),
     "large chunks": (CHUNKED, b"1000\r\n" + b"x" * 4096 + b"\r\n"),
--- a/parsleyrouter/connection/etcd_watch.py
+++ b/parsleyrouter/connection/etcd_watch.py
@@ -16,6 +16,7 @@
 from parsleyrouter.connection.http import TransportFailure
 from parsleyrouter.connection.http_client import HttpExchange
 from parsleyrouter.connection.key_value import KeyChange, KeyValueFailure, KeyValueFailureKind
+from parsleyrouter.decoding import InvalidData, decode_json
 from parsleyrouter.ids import Revision
 
 if TYPE_CHECKING:
@@ -138,7 +139,11 @@
 
     def _handle_message(self, line: bytes) -> bool:
         """Handle one message; return whether to continue reading."""
-        body = msgspec.json.decode(line)
+        try:
+            body: dict[str, Any] = decode_json(line, dict)
+        except InvalidData as error:
+            log.warning("watch message unreadable", extra={"error": str(error)})
+            return False
         result = body.get("result")
         if result is None:
             return False
