Callers that send or read without end get a bounded share of a turn and of memory

Cause: each read of 64 KB was parsed at once, whatever it held; tiny chunks and pipelined requests took 0.8 to 1.1 s of a turn with 8 connections, heads of many short headers 0.4 s, and sound requests waited for up to 3.2 s. Pipelined requests whose answers are not read were answered without end (3.1 GB in 3 s). Pieces of a body were kept one by one (1.9 MB for 0.4 MB). Framing of chunks had no limit. Heads and chunks are parsed in small pieces, a head ends at its maximum of lines, framing is limited like the body. Unread answers hold up the requests after them and are limited in sum (unsent_bytes); refusals are logged, five lines in half a second at most.

--- a/parsleyrouter/connection/caller_connection.py
+++ b/parsleyrouter/connection/caller_connection.py
@@ -8,9 +8,12 @@
 from parsleyrouter.connection.http_limits import (
     RequestHead,
     check_head,
+    framing_refusal,
     read_head,
     too_large_refusal,
+    too_many_lines_refusal,
 )
+from parsleyrouter.connection.read_queue import SLICE_S
 from parsleyrouter.connection.upload import Upload
 from parsleyrouter.outcome import ExecutionStatus, Refusal, RefusalKind
 
@@ -19,7 +22,11 @@
 
 __all__ = ["ConnectionStage", "CallerConnection"]
 
-PIPELINE_PAUSE_BYTES = 64 * 1024
+PIPELINE_PAUSE_BYTES = 16 * 1024
+
+SMALL_PIECE_BYTES = 2048
+"""Bytes that the parser gets at once where each line costs time: of heads and chunked bodies."""
+
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 _BUSY = Refusal(
@@ -54,12 +61,19 @@
         self.request_started_s = self.progress_s
         """When the first byte of the current request was read."""
         self.head: RequestHead | None = None
-        self.body: list[bytes] = []
+        self.body = bytearray()
         self.body_bytes = 0
+        self.sent_body_bytes = 0
+        """Bytes of the body as sent, with the framing of its chunks."""
+        self.unended_lines = 0
+        """Lines since the parser's latest event, which one event will hold."""
         self.buffered_bytes = 0
         self.upload: Upload | None = None
         self.body_pending = False
-        self.pipelined = b""
+        self.input = bytearray()
+        """Bytes that were read and not parsed yet."""
+        self.paused = False
+        """Whether an upload or pipelined requests keep the connection from being read."""
         self.pipeline_paused = False
         self.unsent_bytes = 0
         self.unsent_since_s = 0.0
@@ -67,25 +81,46 @@
     @property
     def idle(self) -> bool:
         """Whether no request is in progress."""
-        return self.stage is ConnectionStage.IDLE
+        return self.stage is ConnectionStage.IDLE and not self.input
 
     def describe(self) -> str:
         """Describe the current request for a log line."""
         return f"{self.head.method} {self.head.path}" if self.head else self.remote
 
+    @property
+    def parseable(self) -> bool:
+        """Whether there are bytes that may be parsed now."""
+        waits = self.stage is ConnectionStage.RESPONSE and not self.body_pending
+        if self.stage is ConnectionStage.IDLE and self.input:
+            # Answers that are not read hold up the requests after them.
+            waits = self.server.buffered_bytes(self.sock) > self.server.drain_above_bytes()
+        return bool(self.input) and not waits and not (self.upload and self.upload.paused)
+
     def receive(self, data: bytes) -> None:
-        """Handle received bytes."""
+        """Handle received bytes; what takes more than a slice of time waits in ``input``."""
         if self.stage is ConnectionStage.DISCARD:
             return
-        if self.stage is ConnectionStage.RESPONSE and not self.body_pending:
-            self._buffer_pipelined(data)
+        self.input += data
+        if not self.parseable:
+            self._pause_pipeline()
             return
-        if self.stage is ConnectionStage.IDLE:
-            self._enter_stage(ConnectionStage.HEAD)
-            self.request_started_s = self.progress_s
-        elif self.stage is ConnectionStage.BODY or self.body_pending:
+        if self.stage is ConnectionStage.BODY or self.body_pending:
             self.progress_s = self.server.loop.now()
-        self._parse(data)
+        self.parse_some()
+
+    def parse_some(self) -> None:
+        """Parse received bytes for a slice of time."""
+        until_s = self.server.loop.now() + SLICE_S
+        try:
+            while self.parseable:
+                self._parse_piece()
+                if self.server.loop.now() >= until_s:
+                    break
+        except h11.RemoteProtocolError as error:
+            message = f"not a valid HTTP request: {error}"
+            self.refuse(Refusal(RefusalKind.BAD_REQUEST, message, ExecutionStatus.NOT_RUN))
+        if self.parseable:
+            self.server.parse_later(self.sock)
 
     def refuse(self, refusal: Refusal) -> None:
         """Send a refusal and close once the caller has had time to read it."""
@@ -98,6 +133,7 @@
     def discard(self) -> None:
         """Drop further bytes; the connection closes after the discard timeout."""
         self._drop_body()
+        self.input.clear()
         self.upload = None
         self.body_pending = False
         self._enter_stage(ConnectionStage.DISCARD)
@@ -105,8 +141,7 @@
 
     def start_next_request(self) -> None:
         """Start reading the next request."""
-        trailing = self.parser.trailing_data[0] + self.pipelined
-        self.pipelined = b""
+        self.input[:0] = self.parser.trailing_data[0]
         self.head = None
         self.upload = None
         self._drop_body()
@@ -115,8 +150,8 @@
         if self.pipeline_paused:
             self.pipeline_paused = False
             self.server.resume(self.sock)
-        if trailing:
-            self.server.loop.call_soon(lambda: self.receive(trailing))
+        if self.input:
+            self.server.parse_later(self.sock)
 
     def handle_disconnect(self) -> None:
         """Clean up after the connection has closed."""
@@ -129,6 +164,10 @@
         if unsent_bytes == 0 or unsent_bytes != self.unsent_bytes:
             self.unsent_bytes, self.unsent_since_s = unsent_bytes, now
         waited_s = now - self.progress_s
+        receives = self.stage in (ConnectionStage.HEAD, ConnectionStage.BODY) or self.body_pending
+        if receives and self.server.queue.waits(self.sock):
+            # What has not been read yet is not late.
+            waited_s = 0.0
         if unsent_bytes and now - self.unsent_since_s > self.limits.send_stall_timeout_s:
             return True
         if self.upload is not None and self.body_pending and not self.upload.paused:
@@ -148,24 +187,37 @@
         self.stage = stage
         self.progress_s = self.server.loop.now()
 
-    def _buffer_pipelined(self, data: bytes) -> None:
-        """Buffer pipelined bytes; stop reading above ``PIPELINE_PAUSE_BYTES``."""
-        self.pipelined += data
-        if len(self.pipelined) > PIPELINE_PAUSE_BYTES and not self.pipeline_paused:
+    def _pause_pipeline(self) -> None:
+        """Stop reading while more than ``PIPELINE_PAUSE_BYTES`` of later requests wait."""
+        if len(self.input) > PIPELINE_PAUSE_BYTES and not self.pipeline_paused:
             self.pipeline_paused = True
             self.server.pause(self.sock)
 
-    def _parse(self, data: bytes) -> None:
-        try:
-            self.parser.receive_data(data)
-            while self.stage is not ConnectionStage.DISCARD and self._handle_event():
-                pass
-        except h11.RemoteProtocolError as error:
-            message = f"not a valid HTTP request: {error}"
-            self.refuse(Refusal(RefusalKind.BAD_REQUEST, message, ExecutionStatus.NOT_RUN))
+    def _parse_piece(self) -> None:
+        """Parse at most ``SMALL_PIECE_BYTES`` of a head or of chunks, or the rest of a body."""
+        if self.stage is ConnectionStage.IDLE:
+            self._enter_stage(ConnectionStage.HEAD)
+            self.request_started_s = self.progress_s
+        plain_body = self.head is not None and "transfer-encoding" not in self.head.headers
+        piece = bytes(self.input if plain_body else self.input[:SMALL_PIECE_BYTES])
+        del self.input[: len(piece)]
+        if self.stage is not ConnectionStage.HEAD:
+            self.sent_body_bytes += len(piece)
+        self.unended_lines += piece.count(b"\n")
+        self.parser.receive_data(piece)
+        while self.stage is not ConnectionStage.DISCARD and self._handle_event():
+            pass
+        if self.stage is ConnectionStage.DISCARD:
+            return
+        if self.unended_lines > self.limits.header_count + 1:
+            self.refuse(too_many_lines_refusal(self.limits.header_count))
+        elif self.body_pending:
+            self._check_framing()
 
     def _handle_event(self) -> bool:
         event: Any = self.parser.next_event()
+        if event is not h11.NEED_DATA:
+            self.unended_lines = 0
         if isinstance(event, h11.Request):
             return self._handle_head(read_head(event))
         if isinstance(event, h11.Data):
@@ -203,9 +255,20 @@
         self.progress_s = self.server.loop.now()
         self.server.resume(self.sock)
 
+    @property
+    def max_body_bytes(self) -> int:
+        """The largest body that this connection may send now."""
+        return self.limits.body_bytes if self.upload is None else self.limits.upload_bytes
+
+    def _check_framing(self) -> None:
+        """Refuse a body whose chunk extensions and sizes are longer than a body may be."""
+        max_bytes = self.max_body_bytes + self.limits.header_bytes
+        if self.sent_body_bytes - self.body_bytes > max_bytes:
+            self.refuse(framing_refusal(max_bytes))
+
     def _handle_data(self, data: bytes) -> bool:
         self.body_bytes += len(data)
-        max_bytes = self.limits.body_bytes if self.upload is None else self.limits.upload_bytes
+        max_bytes = self.max_body_bytes
         if self.body_bytes > max_bytes:
             self.refuse(too_large_refusal(max_bytes))
             return False
@@ -214,7 +277,7 @@
             return True
         self.server.buffered += len(data)
         self.buffered_bytes += len(data)
-        self.body.append(data)
+        self.body += data
         if self.server.buffered > self.limits.buffered_bytes:
             self.refuse(_BUSY)
             return False
@@ -225,13 +288,12 @@
         if self.upload is not None:
             self.upload.finish()
             return
-        body = b"".join(self.body)
-        self.body.clear()
+        body, self.body = bytes(self.body), bytearray()
         self._enter_stage(ConnectionStage.RESPONSE)
         self.server.begin(self, body, None)
 
     def _drop_body(self) -> None:
         self.server.buffered -= self.buffered_bytes
         self.buffered_bytes = 0
-        self.body.clear()
-        self.body_bytes = 0
+        self.body = bytearray()
+        self.body_bytes = self.sent_body_bytes = self.unended_lines = 0
--- a/parsleyrouter/connection/forward_server.py
+++ b/parsleyrouter/connection/forward_server.py
@@ -19,11 +19,6 @@
 
 __all__ = ["CallerExchange", "ForwardServer"]
 
-DRAIN_ABOVE_BYTES = 256 * 1024
-"""Unsent bytes to a slow caller above which reading from the endpoint pauses."""
-
-DRAIN_POLL_S = 0.01
-
 _server_numbers = itertools.count(1)
 
 log = logging.getLogger(__name__)
@@ -95,8 +90,7 @@
 
     async def drain(self) -> None:
         """Wait until the send buffer to the caller has room."""
-        while not self.disconnected and self.server.buffered_bytes(self.sock) > DRAIN_ABOVE_BYTES:
-            await self.server.loop.sleep(DRAIN_POLL_S)
+        await self.server.drain(self.sock)
 
     def finish(self) -> None:
         """End the response as complete."""
--- a/parsleyrouter/connection/http_limits.py
+++ b/parsleyrouter/connection/http_limits.py
@@ -14,8 +14,10 @@
     "RequestHead",
     "check_head",
     "encode_refusal",
+    "framing_refusal",
     "read_head",
     "too_large_refusal",
+    "too_many_lines_refusal",
 ]
 
 _STREAMED_ROUTES = frozenset({("POST", "/v1/batches")})
@@ -32,6 +34,9 @@
     body_bytes: int = 8 * 1024 * 1024
     upload_bytes: int = 1024 * 1024 * 1024
     buffered_bytes: int = 256 * 1024 * 1024
+    """Bodies that are being received or answered, of all connections."""
+    unsent_bytes: int = 256 * 1024 * 1024
+    """Responses that callers have not read, of all connections; at most one response more."""
     connections: int = 4000
     uploads: int = 16
     header_timeout_s: float = 10.0
@@ -86,7 +91,7 @@
 def check_head(head: RequestHead, limits: HttpLimits) -> Refusal | None:
     """Return why a request is refused before its body is read."""
     if len(head.headers) > limits.header_count:
-        return _bad_request(f"more than {limits.header_count} headers: send fewer")
+        return too_many_lines_refusal(limits.header_count)
     if sum(len(name) + len(value) for name, value in head.raw) > limits.header_bytes:
         return _bad_request(f"the headers are over {limits.header_bytes} bytes: send less in them")
     if not head.path.startswith("/"):
@@ -110,6 +115,20 @@
     )
 
 
+def framing_refusal(max_bytes: int) -> Refusal:
+    """Return the refusal of chunks whose sizes, extensions and trailers exceed a limit."""
+    return Refusal(
+        RefusalKind.TOO_LARGE,
+        f"the framing of the chunks is over {max_bytes} bytes: send larger chunks",
+        ExecutionStatus.NOT_RUN,
+    )
+
+
+def too_many_lines_refusal(max_lines: int) -> Refusal:
+    """Return the refusal of a head or of trailers with too many lines."""
+    return _bad_request(f"more than {max_lines} headers: send fewer")
+
+
 def encode_refusal(refusal: Refusal) -> bytes:
     """Encode a refusal as a reply that closes the connection."""
     reply: HttpReply = refusal_reply(refusal)
--- a/parsleyrouter/connection/http_server.py
+++ b/parsleyrouter/connection/http_server.py
@@ -20,6 +20,8 @@
 __all__ = ["Exchange", "HttpServer", "ReplyStream", "Routes"]
 
 DRAIN_ABOVE_BYTES = 256 * 1024
+"""Unsent bytes to a slow caller above which a response waits, and reading from its endpoint."""
+
 DRAIN_POLL_S = 0.01
 
 log = logging.getLogger(__name__)
@@ -100,8 +102,7 @@
 
     async def drain(self) -> None:
         """Wait until the send buffer to the caller has room."""
-        while not self.disconnected and self.server.buffered_bytes(self.sock) > DRAIN_ABOVE_BYTES:
-            await self.server.loop.sleep(DRAIN_POLL_S)
+        await self.server.drain(self.sock)
 
     def finish(self) -> None:
         """End the reply as complete."""
@@ -174,6 +175,15 @@
         """Return the number of bytes queued for a caller."""
         return sum(map(len, self.server._buffers.get(sock, ())))
 
+    def drain_above_bytes(self) -> int:
+        """Return the unsent bytes above which a response waits for its caller."""
+        return DRAIN_ABOVE_BYTES
+
+    async def drain(self, sock: Any) -> None:
+        """Wait until the send buffer to a caller has room, or the caller has gone."""
+        while sock in self.server._clients and self.buffered_bytes(sock) > self.drain_above_bytes():
+            await self.loop.sleep(DRAIN_POLL_S)
+
     def open_requests(self) -> list[str]:
         """Describe the requests that are being received, answered or not yet fully sent."""
         running = {sock: task.name for sock, task in self.tasks.items()}
--- a/parsleyrouter/connection/public_http_server.py
+++ b/parsleyrouter/connection/public_http_server.py
@@ -16,6 +16,7 @@
 from parsleyrouter.connection.http import HttpRequest
 from parsleyrouter.connection.http_limits import HttpLimits, RequestHead, encode_refusal
 from parsleyrouter.connection.http_server import Exchange, HttpServer, Routes
+from parsleyrouter.connection.read_queue import ReadQueue
 from parsleyrouter.connection.upload import Upload
 from parsleyrouter.ids import Address
 from parsleyrouter.outcome import ExecutionStatus, Refusal, RefusalKind
@@ -24,8 +25,12 @@
 __all__ = ["PublicHttpServer"]
 
 READ_BYTES = 64 * 1024
+READ_BYTES_OUTSIDE_BODY = 16 * 1024
 SWEEP_INTERVAL_S = 0.5
 
+MAX_REFUSAL_LINES = 5
+"""Refusals that are logged one by one between two sweeps; others are counted in one line."""
+
 log = logging.getLogger(__name__)
 
 _TOO_MANY_CONNECTIONS = Refusal(
@@ -68,7 +73,10 @@
         self.limits = limits or HttpLimits()
         self.connections: dict[Any, CallerConnection] = {}
         self.buffered = 0
-        self.server._bufsize = READ_BYTES
+        self.queue = ReadQueue(loop, self._serve, self._watch, self.fire)
+        self.refusals = 0
+        self.unsent_bytes = 0
+        """Unsent bytes of all responses, at most; exact after each sweep."""
         loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
     def open_requests(self) -> list[str]:
@@ -87,6 +95,11 @@
 
     def refuse(self, sock: Any, refusal: Refusal) -> None:
         """Send a refusal with ``Connection: close``."""
+        self.refusals += 1
+        if self.refusals <= MAX_REFUSAL_LINES:
+            remote = self.connections[sock].remote if sock in self.connections else ""
+            fields = {"remote": remote, "reason": refusal.message}
+            log.info("request refused and connection closed", extra=fields)
         self.send(sock, encode_refusal(refusal))
 
     def begin(self, connection: CallerConnection, body: bytes, upload: Upload | None) -> None:
@@ -124,14 +137,106 @@
 
     def pause(self, sock: Any) -> None:
         """Stop reading from a caller."""
-        if sock in self.server._clients:
-            self.server._poller.removeReader(sock)
+        self._set_paused(sock, True)
 
     def resume(self, sock: Any) -> None:
         """Resume reading from a caller."""
-        if sock in self.server._clients:
+        self._set_paused(sock, False)
+        connection = self.connections.get(sock)
+        if connection is not None and connection.parseable:
+            self.parse_later(sock)
+
+    def parse_later(self, sock: Any) -> None:
+        """Parse bytes that a connection holds in its next slice of time."""
+        if sock in self.connections:
+            self.queue.add(sock)
+
+    def _set_paused(self, sock: Any, paused: bool) -> None:
+        connection = self.connections.get(sock)
+        if connection is not None:
+            connection.paused = paused
+            self._watch(sock)
+
+    def _watch(self, sock: Any) -> None:
+        """Poll a connection unless it is paused or waits for its next slice of time."""
+        connection = self.connections.get(sock)
+        if connection is None or sock not in self.server._clients:
+            return
+        if connection.paused or sock in self.queue.busy:
+            self.server._poller.removeReader(sock)
+        else:
             self.server._poller.addReader(self.server, sock)
 
+    def _serve(self, sock: Any) -> bool:
+        """Parse or read a slice; return whether more is to be parsed or probably read."""
+        connection = self.connections.get(sock)
+        if connection is None or sock not in self.server._clients:
+            return False
+        if connection.parseable:
+            connection.parse_some()
+            return connection.parseable
+        if connection.paused:
+            return False
+        max_bytes = READ_BYTES if connection.body_pending else READ_BYTES_OUTSIDE_BODY
+        try:
+            data = sock.recv(max_bytes)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError as failure:
+            log.debug("caller not read", extra={"error": str(failure)})
+            self.server._close(sock)
+            return False
+        if not data:
+            self.server.close(sock)
+            return False
+        connection.receive(data)
+        return connection.parseable or (len(data) == max_bytes and not connection.paused)
+
+    def send(self, sock: Any, data: bytes) -> None:
+        """Send to a caller; close the slowest readers if all of them hold too much."""
+        super().send(sock, data)
+        if self.server._buffers.get(sock):
+            self.unsent_bytes += len(data)
+            if self.unsent_bytes > self.limits.unsent_bytes:
+                self._drop_slow_readers()
+
+    def drain_above_bytes(self) -> int:
+        """Return the unsent bytes above which a response waits for its caller."""
+        share = self.limits.unsent_bytes // max(1, len(self.connections))
+        return min(super().drain_above_bytes(), share)
+
+    def _drop_slow_readers(self) -> None:
+        unsent = {sock: self.buffered_bytes(sock) for sock in self.connections}
+        self.unsent_bytes = sum(unsent.values())
+        slowest = sorted(
+            (sock for sock in unsent if unsent[sock]),
+            key=lambda sock: (self.connections[sock].unsent_since_s, -unsent[sock]),
+        )
+        for sock in slowest:
+            if self.unsent_bytes <= self.limits.unsent_bytes:
+                return
+            fields = {"remote": self.connections[sock].remote, "unsent_bytes": unsent[sock]}
+            log.warning("caller closed: unread responses take too much memory", extra=fields)
+            self.unsent_bytes -= unsent[sock]
+            self.connections[sock].discard()
+            self.server._close(sock)
+
+    @handler("read_turn")
+    def _on_read_turn(self) -> None:
+        self.queue.run()
+
+    @handler("_write", priority=0)
+    def _on_sent(self, sock: Any) -> None:
+        connection = self.connections.get(sock)
+        if connection is not None and connection.parseable and not self.queue.waits(sock):
+            self.parse_later(sock)
+
+    @handler("_read", priority=2)
+    def _on_readable(self, event: Any, sock: Any) -> None:
+        if sock in self.connections:
+            event.stop()
+            self.queue.add(sock)
+
     @handler("connect", priority=100)
     def _on_caller_connect(self, sock: Any, host: str, port: int) -> None:
         self.connections[sock] = connection = CallerConnection(self, sock, host)
@@ -147,14 +252,21 @@
 
     @handler("disconnect", priority=100)
     def _on_caller_disconnect(self, sock: Any) -> None:
+        self.queue.discard(sock)
         connection = self.connections.pop(sock, None)
         if connection is not None:
             connection.handle_disconnect()
 
     def _sweep(self) -> None:
         now = self.loop.now()
+        if self.refusals > MAX_REFUSAL_LINES:
+            extra = {"requests": self.refusals - MAX_REFUSAL_LINES}
+            log.info("more requests refused and connections closed", extra=extra)
+        self.refusals = 0
+        self.unsent_bytes = 0
         for sock, connection in list(self.connections.items()):
             unsent_bytes = self.buffered_bytes(sock)
+            self.unsent_bytes += unsent_bytes
             if connection.is_overdue(now, unsent_bytes):
                 self.drop_overdue(sock, connection)
         self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
--- a/parsleyrouter/connection/upload.py
+++ b/parsleyrouter/connection/upload.py
@@ -1,6 +1,5 @@
 """A request body that is read while it arrives."""
 
-from collections import deque
 from collections.abc import Callable
 
 from parsleyrouter.process.loop import Loop, Promise
@@ -21,8 +20,7 @@
         self.loop = loop
         self.pause = pause
         self.resume = resume
-        self.pieces: deque[bytes] = deque()
-        self.queued_bytes = 0
+        self.queued = bytearray()
         self.total_bytes = 0
         self.paused = False
         self.ended = False
@@ -31,10 +29,9 @@
 
     def feed(self, data: bytes) -> None:
         """Queue a piece; pause the sender above ``PAUSE_ABOVE_BYTES``."""
-        self.pieces.append(data)
-        self.queued_bytes += len(data)
+        self.queued += data
         self.total_bytes += len(data)
-        if self.queued_bytes > PAUSE_ABOVE_BYTES and not self.paused:
+        if len(self.queued) > PAUSE_ABOVE_BYTES and not self.paused:
             self.paused = True
             self.pause()
         self._wake()
@@ -54,19 +51,17 @@
         return self
 
     async def __anext__(self) -> bytes:
-        while not self.pieces and not self.ended and not self.abort_reason:
+        while not self.queued and not self.ended and not self.abort_reason:
             self.waiter = self.loop.promise()
             await self.waiter
         if self.abort_reason:
             raise UploadAborted(self.abort_reason)
-        if not self.pieces:
+        if not self.queued:
             raise StopAsyncIteration
         return self._take_queued()
 
     def _take_queued(self) -> bytes:
-        data = b"".join(self.pieces)
-        self.pieces.clear()
-        self.queued_bytes = 0
+        data, self.queued = bytes(self.queued), bytearray()
         if self.paused:
             self.paused = False
             self.resume()
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -108,7 +108,8 @@
         port.encode_results,
     )
     address_directory = AddressDirectory(front.exchange.members, addresses_ttl_s(options.grace_s))
-    limits = HttpLimits(buffered_bytes=int(options.memory_mb * 1e6 * MAX_BUFFERED_SHARE))
+    buffered_bytes = int(options.memory_mb * 1e6 * MAX_BUFFERED_SHARE)
+    limits = HttpLimits(buffered_bytes=buffered_bytes, unsent_bytes=buffered_bytes)
 
     async def handle(exchange: CallerExchange) -> None:
         if not await job_handler.handle(exchange):
@@ -153,6 +154,7 @@
         header_timeout_s=limits.header_timeout_s,
         idle_timeout_s=limits.idle_timeout_s,
         buffered_bytes=server.limits.buffered_bytes,
+        unsent_bytes=server.limits.unsent_bytes,
     )
 
 
