Nodes that send or answer without end get a bounded share of a turn and of memory

Open calls, unread answers, incomplete frames and unsent calls had no limit; answers that nobody had asked for were read without end. Also: a caller that waits to be read is not late, and the scenario of unread answers has 100 callers, as with 40 its mutant was missed.

--- a/features/endless_senders.feature
+++ b/features/endless_senders.feature
@@ -53,3 +53,40 @@
   Scenario: a slow but sound upload is served beside callers that send without end
     When a caller sends a sound body slowly beside callers that send tiny chunks without end
     Then its body arrives whole
+
+  Scenario: a caller whose bytes wait to be read is not late
+    When a caller that has sent nothing for long waits to be read
+    Then it is late only after it has been read
+
+  Scenario Outline: nodes that send <what> without end do not hold up the others
+    When nodes send <what> without end
+    Then the other requests are answered, and turns and memory stay within their bounds
+
+    Examples:
+      | what                                   |
+      | empty calls                            |
+      | calls of no known method               |
+      | calls that wait                        |
+      | calls whose large answers are not read |
+      | a frame of huge length                 |
+      | large frames                           |
+      | almost whole frames                    |
+
+  Scenario Outline: a node that answers with <what> without end is disconnected
+    When a node answers calls with <what> without end
+    Then the other requests are answered, and turns and memory stay within their bounds
+    And its connections were closed
+
+    Examples:
+      | what                     |
+      | empty answers            |
+      | answers to no call       |
+      | an answer of huge length |
+
+  Scenario: a frame that never ends is given up in time
+    When a node begins a frame and sends no more of it
+    Then its connections were closed
+
+  Scenario: a node that reads no calls is not sent calls without end
+    When a node reads none of many large calls
+    Then the calls over the limit fail as not run
--- a/features/steps/endless_senders_steps.py
+++ b/features/steps/endless_senders_steps.py
@@ -1,8 +1,10 @@
 """Steps for callers and nodes that send without end."""
 
 import json
+import socket
 import tracemalloc
 from typing import Any
+from unittest.mock import patch
 
 from behave import then, when
 
@@ -10,14 +12,21 @@
 from features.support.endless_senders import CALLER_KINDS, CHUNKED, POST
 from features.support.endless_serving import LARGE_ANSWER_BYTES, Serving
 from features.support.loop import run_on_loop
+from parsleyrouter.connection import peer_server
 from parsleyrouter.connection.http_limits import HttpLimits
+from parsleyrouter.connection.peer import MAX_UNSENT_BYTES, PeerFailureKind
+from parsleyrouter.ids import Address
 from parsleyrouter.process.runtime import Runtime
+from parsleyrouter.thrift_gen.peer.ttypes import Envelope
 
 CONNECTIONS = 8
 SECONDS = 1.5
 MAX_TURN_S = 0.1
 """The shares of the servers are a tenth of it; before there were bounds, turns took 0.4 to 3 s."""
 
+OPEN_CALL_BYTES = 4096
+"""Memory of a call that waits, with its task."""
+
 SMALL_LIMITS = HttpLimits(body_bytes=20_000, discard_timeout_s=0.2)
 
 
@@ -56,7 +65,7 @@
     context.max_growth_mb = 2 * (limits.unsent_bytes + 2 * LARGE_ANSWER_BYTES) / 1e6
 
     async def main(runtime: Runtime) -> None:
-        context.outcome = await Serving(runtime, limits).beside(kind, 40, SECONDS)
+        context.outcome = await Serving(runtime, limits).beside(kind, 100, SECONDS)
 
     run_on_loop(main)
 
@@ -157,3 +166,98 @@
 @then("its body arrives whole")
 def step_arrives_whole(context: Any) -> None:
     assert context.received.endswith(b"2560 bytes"), context.received[-200:]
+
+
+def _max_peer_growth_mb(what: str, connections: int) -> float:
+    """Return the bound of what connections of nodes may hold, with half again for copies."""
+    unsent_bytes = peer_server.MAX_UNSENT_BYTES // 4 + LARGE_ANSWER_BYTES
+    each_bytes = peer_server.SMALL_BYTES + peer_server.READ_BYTES
+    held_bytes = peer_server.MAX_HELD_BYTES + connections * each_bytes
+    if "not read" in what:
+        held_bytes += connections * unsent_bytes
+    elif "wait" in what:
+        held_bytes = connections * (each_bytes + peer_server.MAX_OPEN_CALLS * OPEN_CALL_BYTES)
+    return 1.5 * held_bytes / 1e6
+
+
+@when("nodes send {what} without end")
+def step_nodes_send(context: Any, what: str) -> None:
+    connections = 12 if "almost" in what else CONNECTIONS
+    context.max_growth_mb = _max_peer_growth_mb(what, connections)
+
+    async def main(runtime: Runtime) -> None:
+        context.outcome = await Serving(runtime).beside(what, connections, SECONDS)
+
+    run_on_loop(main)
+
+
+@when("a node answers calls with {what} without end")
+def step_node_answers(context: Any, what: str) -> None:
+    context.max_growth_mb = 50.0
+
+    async def main(runtime: Runtime) -> None:
+        context.outcome = await Serving(runtime).beside(what, CONNECTIONS, SECONDS)
+
+    run_on_loop(main)
+
+
+@when("a node begins a frame and sends no more of it")
+def step_unended_frame(context: Any) -> None:
+    async def main(runtime: Runtime) -> None:
+        serving = Serving(runtime)
+        context.outcome = await serving.beside("a frame that never ends", 2, 2 * SECONDS)
+
+    with patch.object(peer_server, "FRAME_TIMEOUT_S", 0.5):
+        run_on_loop(main)
+
+
+@then("its connections were closed")
+def step_closed(context: Any) -> None:
+    assert context.outcome.closed > 0, context.outcome
+    assert context.outcome.unanswered == 0, context.outcome
+
+
+@when("a node reads none of many large calls")
+def step_reads_no_calls(context: Any) -> None:
+    async def main(runtime: Runtime) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = Address(f"127.0.0.1:{listener.getsockname()[1]}")
+            request = Envelope(payload=b"a" * 10_000_000)
+            calls = [
+                runtime.loop.spawn(runtime.peers.call(address, "any", request, Envelope, 1.0))
+                for _ in range(10)
+            ]
+            context.results = await runtime.loop.gather(calls)
+            context.unsent_bytes = runtime.peers.connections[address].stream.buffered_bytes
+
+    run_on_loop(main)
+
+
+@then("the calls over the limit fail as not run")
+def step_not_run(context: Any) -> None:
+    kinds = [one.kind for one in context.results]
+    assert kinds.count(PeerFailureKind.TIMEOUT) >= 1, kinds
+    assert kinds.count(PeerFailureKind.UNREACHABLE) >= 5, kinds
+    assert context.unsent_bytes < MAX_UNSENT_BYTES + 11_000_000, context.unsent_bytes
+
+
+@when("a caller that has sent nothing for long waits to be read")
+def step_waits_to_be_read(context: Any) -> None:
+    async def main(runtime: Runtime) -> None:
+        server = Serving(runtime).callers
+        caller = RawCaller(runtime, await runtime.connector.open(server.bound_address()))
+        caller.stream.send(b"GET /sound HTTP/1.1\r\n")
+        await runtime.loop.sleep(0.1)
+        ((sock, connection),) = server.connections.items()
+        after_s = runtime.loop.now() + 2 * server.limits.header_timeout_s
+        server.queue.add(sock)
+        context.late = [connection.is_overdue(after_s, 0)]
+        await runtime.loop.sleep(0.1)
+        context.late.append(connection.is_overdue(after_s, 0))
+
+    run_on_loop(main)
+
+
+@then("it is late only after it has been read")
+def step_late_after(context: Any) -> None:
+    assert context.late == [False, True], context.late
