Load reports without end get a bounded share of a turn; their names are bounded

Cause: up to 64 datagrams were decoded in a turn whatever they held (0.28 s with large reports, sound requests waited for 1.3 s); reports of any number of nodes were kept; an address that is a host name was looked up, which blocked the loop (seen for over 8 s). Change: datagrams are read for 5 ms a turn; reports of 1,024 nodes and cells at most are kept, a node that is registered always; only IPv4 addresses are sent to. The scenario of unread answers pipelines its requests now: loopback buffers held whole single answers, so its mutant was missed.

--- a/features/endless_senders.feature
+++ b/features/endless_senders.feature
@@ -90,3 +90,18 @@
   Scenario: a node that reads no calls is not sent calls without end
     When a node reads none of many large calls
     Then the calls over the limit fail as not run
+
+  Scenario Outline: <what> without end do not hold up the others
+    When a node sends <what> without end
+    Then the other requests are answered, and turns and memory stay within their bounds
+    And load reports of a bounded number of nodes are kept
+
+    Examples:
+      | what                       |
+      | large load reports         |
+      | load reports of many nodes |
+      | arbitrary datagrams        |
+
+  Scenario: a load report with a host name as its address does not have it looked up
+    When a node reports a host name as its address
+    Then no name is looked up for it
--- a/features/steps/endless_senders_steps.py
+++ b/features/steps/endless_senders_steps.py
@@ -16,6 +16,7 @@
 from parsleyrouter.connection.http_limits import HttpLimits
 from parsleyrouter.connection.peer import MAX_UNSENT_BYTES, PeerFailureKind
 from parsleyrouter.ids import Address
+from parsleyrouter.process.load_exchange import MAX_REPORTED_NODES
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.thrift_gen.peer.ttypes import Envelope
 
@@ -61,11 +62,11 @@
 @when("many callers never read their large answers")
 def step_never_read(context: Any) -> None:
     limits = HttpLimits(unsent_bytes=20_000_000)
-    kind = "one request whose answer is not read"
+    kind = "requests whose answers are not read"
     context.max_growth_mb = 2 * (limits.unsent_bytes + 2 * LARGE_ANSWER_BYTES) / 1e6
 
     async def main(runtime: Runtime) -> None:
-        context.outcome = await Serving(runtime, limits).beside(kind, 100, SECONDS)
+        context.outcome = await Serving(runtime, limits).beside(kind, 50, SECONDS)
 
     run_on_loop(main)
 
@@ -261,3 +262,38 @@
 @then("it is late only after it has been read")
 def step_late_after(context: Any) -> None:
     assert context.late == [False, True], context.late
+
+
+@when("a node sends {what} without end")
+def step_datagrams(context: Any, what: str) -> None:
+    context.max_growth_mb = 50.0
+
+    async def main(runtime: Runtime) -> None:
+        serving = Serving(runtime)
+        context.outcome = await serving.beside(what, 1, SECONDS)
+        kept = (serving.exchange.loads.fleet.nodes, serving.exchange.members.reported_nodes)
+        context.kept = [len(reports) for reports in kept]
+
+    run_on_loop(main)
+
+
+@then("load reports of a bounded number of nodes are kept")
+def step_bounded_nodes(context: Any) -> None:
+    assert max(context.kept) <= 2 * MAX_REPORTED_NODES, context.kept
+    assert context.kept[0] <= MAX_REPORTED_NODES, context.kept
+
+
+@when("a node reports a host name as its address")
+def step_host_name(context: Any) -> None:
+    async def main(runtime: Runtime) -> None:
+        exchange = Serving(runtime).exchange
+        with patch.object(exchange.datagrams, "sock") as sock:
+            exchange.datagrams.send(Address("no-such-host.invalid:9"), b"report")
+            context.names_sent_to = sock.sendto.mock_calls
+
+    run_on_loop(main)
+
+
+@then("no name is looked up for it")
+def step_no_lookup(context: Any) -> None:
+    assert context.names_sent_to == [], context.names_sent_to
--- a/parsleyrouter/connection/datagram.py
+++ b/parsleyrouter/connection/datagram.py
@@ -8,6 +8,7 @@
 
 from circuits import Component, handler
 
+from parsleyrouter.connection.read_queue import TURN_SHARE_S
 from parsleyrouter.connection.stream import split_address
 from parsleyrouter.ids import Address
 from parsleyrouter.process.loop import Loop
@@ -19,6 +20,7 @@
 """Bytes that IP and UDP add to each datagram."""
 
 MAX_READS_PER_WAKEUP = 64
+"""Datagrams that are read in a turn; others come first once they have taken ``TURN_SHARE_S``."""
 
 log = logging.getLogger(__name__)
 
@@ -47,7 +49,10 @@
     def send(self, to: Address, data: bytes) -> None:
         """Send one datagram; it may be lost."""
         try:
-            self.sock.sendto(data, split_address(to))
+            host, port = split_address(to)
+            # A name would be looked up, which blocks the loop.
+            socket.inet_pton(socket.AF_INET, host)
+            self.sock.sendto(data, (host, port))
         except (OSError, ValueError) as error:
             log.debug("datagram not sent", extra={"to": to, "error": str(error)})
             return
@@ -60,6 +65,7 @@
 
     @handler("_read")
     def _on_readable(self, *_: Any) -> None:
+        until_s = self.loop.now() + TURN_SHARE_S
         for _read in range(MAX_READS_PER_WAKEUP):
             try:
                 data = self.sock.recv(MAX_PAYLOAD_BYTES)
@@ -69,3 +75,5 @@
                 return
             self.received_bytes += len(data) + HEADER_BYTES
             self.on_datagram(data)
+            if self.loop.now() >= until_s:
+                return
--- a/parsleyrouter/process/load_exchange.py
+++ b/parsleyrouter/process/load_exchange.py
@@ -10,9 +10,10 @@
 import logging
 import math
 from collections.abc import Callable, Mapping
+from typing import Any
 
 from parsleyrouter.connection.datagram import DatagramSocket
-from parsleyrouter.ids import EndpointId, PromptPart, Revision
+from parsleyrouter.ids import EndpointId, NodeId, PromptPart, Revision
 from parsleyrouter.process.active_routes import ActiveRoutes
 from parsleyrouter.process.cell_members import CellMembers
 from parsleyrouter.process.endpoint_loads import EndpointLoads
@@ -57,6 +58,11 @@
 LEADER_CHECK_INTERVAL_S = 0.5
 """Interval at which a node that does not lead its cell checks whether it does."""
 
+MAX_REPORTED_NODES = 1024
+"""Nodes and cells whose reports are kept although the store doesn't name them; a fleet has 360."""
+
+REFUSAL_LOG_INTERVAL_S = 10.0
+
 log = logging.getLogger(__name__)
 
 
@@ -68,6 +74,7 @@
     ) -> None:
         self.loop = loop
         self.loads = loads
+        self.next_refusal_log_s = 0.0
         self.registry = registry
         self.routes = routes
         self.datagrams = DatagramSocket(loop, registry.own.nodes, self._receive)
@@ -196,6 +203,25 @@
     def _own_counts(self) -> dict[EndpointId, RequestCounts]:
         return {name: RequestCounts(use.online, use.batch) for name, use in self.loads.own.items()}
 
+    def _takes(self, node: NodeId) -> bool:
+        """Return whether a node is registered, or reports are kept of it or can be."""
+        reported = self.members.reported_nodes
+        if len(reported) >= 2 * MAX_REPORTED_NODES:
+            kept = self.loads.fleet.nodes.keys() | self.registry.nodes.keys()
+            self.members.reported_nodes = {
+                name: info for name, info in reported.items() if name in kept
+            }
+        return node in self.registry.nodes or self._has_room(self.loads.fleet.nodes, node)
+
+    def _has_room(self, reports: Mapping[Any, object], name: object) -> bool:
+        if name in reports or len(reports) < MAX_REPORTED_NODES:
+            return True
+        now = self.loop.now()
+        if now >= self.next_refusal_log_s:
+            self.next_refusal_log_s = now + REFUSAL_LOG_INTERVAL_S
+            log.warning("load reports of more nodes than a fleet has are dropped")
+        return False
+
     def _receive(self, data: bytes) -> None:
         try:
             received = decode(data, self.loop.now())
@@ -206,8 +232,9 @@
             self.loads.fleet.apply_cell(aggregate)
             for aggregate in received.cells
             if aggregate.cell != self.members.cell
+            and self._has_room(self.loads.fleet.cells, aggregate.cell)
         ]
-        if received.node is not None:
+        if received.node is not None and self._takes(received.node[0].node):
             report, info = received.node
             former = self.loads.fleet.nodes.get(report.node)
             if report.store_failing and not (former and former.store_failing):
