Soak: deadly parts in batch jobs and at engine processes, and checks by the state of each item

Change: a quarter of the items hold a part while it is deadly, half of the others have a sound prompt. Endpoints record how each run ended. Two checks: an open item at the end is reported with its runs, part, nodes and last log line; an item that no endpoint had for 5 s (20 s after a failed run, 40 s after the last crash by a part that is not deadly any more) while endpoints had room and its node was undisturbed is reported, over the whole play. The retention of the soak's batch route is 600 s, so that none may be given up for its age. Clients submit further jobs while one takes long, and read on until 40 s after the last deadly part and 15 s more.

Changed check: 'a part that crashes endpoints is sent no more' counts runs only while the part is deadly: held items run once it is not, and streams are sent no part that has ended, so nothing that it reported before is passed over. Item runs count too now.

--- a/features/soak_checks.feature
+++ b/features/soak_checks.feature
@@ -23,6 +23,14 @@
       | sound requests refused for a first part  | requests that share         |
       | a run after an answer that says leaving  | an endpoint that says       |
       | too many runs at a limited endpoint      | the limits of endpoints     |
+      | another run of an item with that part    | a part that crashes         |
+      | a job with an item missing               | no item is left lying       |
+      | an item that had no run for 6 s          | an item that no endpoint    |
+      | an item not run again after it was cut   | an item that no endpoint    |
+      | an item not run again after a failure    | an item that no endpoint    |
+      | an item held 41 s after its part ended   | an item that no endpoint    |
+      | a sound item held 41 s after a crash     | an item that no endpoint    |
+      | an item that completed and is not listed | an item that no endpoint    |
 
   Scenario: no violation is reported when all guarantees hold
     When nothing goes wrong for callers and endpoints
@@ -36,6 +44,28 @@
     When a request follows an answer that says leaving and a start of its node
     Then the soak reports nothing
 
+  Scenario Outline: an item that may wait is not reported
+    When an item waits while <reason>
+    Then the soak reports nothing
+
+    Examples:
+      | reason                                          |
+      | its endpoints are half full                     |
+      | its endpoints are away                          |
+      | its node is disturbed                           |
+      | its part is deadly                              |
+      | its part was deadly 39 s ago                    |
+      | its part was deadly 45 s ago with 7 s disturbed |
+      | its run failed 19 s ago                         |
+
+  Scenario: a run with a part that crashes endpoints no more is not reported
+    When an item runs with a part that had its five crashes and three runs and has ended
+    Then the soak reports nothing
+
+  Scenario: the text of a lying item tells its state
+    When callers and endpoints see an item that is held to the end
+    Then the soak reports its owner, its last run, its part and the line that holds it
+
   Scenario: requests within the limit of an endpoint are not reported
     When an endpoint with a limit gets as many requests as it allows
     Then the soak reports nothing
--- a/features/steps/soak_checks_steps.py
+++ b/features/steps/soak_checks_steps.py
@@ -1,14 +1,34 @@
 """Steps for the checks of the soak, on journals that violate one guarantee each."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from types import SimpleNamespace
 from typing import Any
 
 from behave import then, when
 
+from features.support.soak_items import (
+    DISTURBED,
+    ITEM_S,
+    ITEM_VIOLATIONS,
+    WAITS,
+    add_deadly_item_run,
+    add_item,
+    item_run,
+    run,
+)
 from soak.checks import problems
 from soak.endpoints import expected_body, item_output
-from soak.journal import Attempt, EndpointCrash, EndpointLimit, JobTrace, Journal, Kind, Run
+from soak.journal import (
+    Attempt,
+    DeadlySpan,
+    EndpointCrash,
+    EndpointLimit,
+    JobTrace,
+    Journal,
+    Kind,
+    Run,
+    RunEnd,
+)
 
 Violation = Callable[[Journal], object]
 
@@ -32,6 +52,9 @@
         Run(one, "e", "engines", "/", f"body {one}".encode(), 41.0) for one in record.items
     ]
     add_deadly_part(journal)
+    journal.item_slots = 4
+    for one in journal.runs:
+        one.ended_s, one.end = one.began_s + 0.5, RunEnd.COMPLETE
     return journal
 
 
@@ -95,10 +118,6 @@
     journal.runs = [one for one in journal.runs if not one.attempt.startswith("s")]
 
 
-def run(attempt: str, service: str = "engines", body: bytes | None = None) -> Run:
-    return Run(attempt, "e", service, "/", body or f"body {attempt}".encode(), 50.0)
-
-
 def result(position: int, item: str, output: str) -> Violation:
     return lambda journal: journal.jobs["j"].results.update({position: (item, "completed", output)})
 
@@ -126,11 +145,18 @@
     ),
     "a run after an answer that says leaving": add_leaving,
     "too many runs at a limited endpoint": lambda journal: add_limit(journal, 12),
+    **ITEM_VIOLATIONS,
     "a process that ended by itself": lambda journal: journal.ends.append("n ended by itself"),
 }
 
 
-def found(journal: Journal, *, started_s: float = 0.0) -> list[str]:
+def found(
+    journal: Journal,
+    *,
+    started_s: float = 0.0,
+    disturbances: Sequence[tuple[float, float]] = (),
+    rows: Sequence[dict[str, Any]] = (),
+) -> list[str]:
     node = SimpleNamespace(
         name="n",
         interruptions_s=[started_s],
@@ -139,6 +165,8 @@
         stops_s=[45.0],
         in_touch_between=lambda from_s, until_s: True,
         versions=lambda: [0, 1, 2],
+        disturbances=disturbances,
+        rows=lambda: rows,
     )
     world: Any = SimpleNamespace(journal=journal, nodes=[node], version=2, version_s=10.0)
     return problems(world)
@@ -171,6 +199,45 @@
     context.found = found(journal)
 
 
+@when("an item waits while {reason}")
+def step_item_waits(context: Any, reason: str) -> None:
+    journal = good_journal()
+    WAITS[reason](journal)
+    context.found = found(journal, disturbances=[DISTURBED[reason]] if reason in DISTURBED else ())
+
+
+@when("an item runs with a part that had its five crashes and three runs and has ended")
+def step_ended_part_run(context: Any) -> None:
+    journal = good_journal()
+    journal.deadly["dead"] = DeadlySpan("dead", "a1", 20.0, ITEM_S - 1.0)
+    add_deadly_item_run(journal)
+    context.found = found(journal)
+
+
+@when("callers and endpoints see an item that is held to the end")
+def step_item_held(context: Any) -> None:
+    journal = good_journal()
+    job = add_item(journal, 1.0, item_run(1.0, RunEnd.CRASHED), parts=("a9", "part", "i9"))
+    job.results.clear()
+    journal.deadly["part"] = DeadlySpan("part", "a9", ITEM_S, ITEM_S + 5.0)
+    rows = [
+        {"message": "job runs here", "job": "l", "time": "10:00:00"},
+        {"message": "item held back", "request": "i9", "time": "10:00:05", "reason": "part"},
+    ]
+    context.found = found(journal, rows=rows)
+
+
+@then("the soak reports its owner, its last run, its part and the line that holds it")
+def step_state_told(context: Any) -> None:
+    text = next(one for one in context.found if one.startswith("no item is left lying"))
+    told = (
+        "1 runs, the last at e from 199.00, crashed at 201.00",
+        "part was deadly until 205.00",
+        "n: item held back at 10:00:05 (part), held",
+    )
+    assert all(one in text for one in told), text
+
+
 @then("the soak reports nothing")
 def step_nothing(context: Any) -> None:
     assert not context.found, context.found
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -55,6 +55,7 @@
     jobs: int = 3,
     nodes: int = 4,
     faults_s: float = 10.0,
+    gap_s: float = 0.8,
     engine_processes: int = 0,
     kept: bool = True,
 ) -> None:
@@ -69,10 +70,11 @@
 
     def run(seed: int) -> int:
         command = [sys.executable, "-m", "soak", "one", str(seed), "--nodes", str(nodes)]
-        command += ["--faults-s", str(faults_s), "--engine-processes", str(engine_processes)]
+        command += ["--faults-s", str(faults_s), "--gap-s", str(gap_s)]
+        command += ["--engine-processes", str(engine_processes)]
         command += [word for name in without.get(seed, []) for word in ("--without", name)]
         done = subprocess.run(
-            command, capture_output=True, text=True, check=False, timeout=SOAK_TIMEOUT_S
+            command, capture_output=True, text=True, check=False, timeout=SOAK_TIMEOUT_S + faults_s
         )
         print(done.stdout.strip() or f"seed {seed}: {done.stderr[-600:]}", flush=True)
         return done.returncode
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -2,12 +2,14 @@
 
 import json
 from base64 import b64encode
+from collections.abc import Callable
 from typing import Any
 
 import h11
 
 from features.support.front_fleet import Caller
 from parsleyrouter.connection.stream import ConnectFailed
+from parsleyrouter.process.loop import Promise
 from soak.journal import Attempt, JobTrace, Kind
 from soak.nodes import Node
 from soak.world import FIRST_PARTS, World
@@ -22,9 +24,16 @@
 READ_INTERVAL_S = 0.3
 ITEMS_PER_JOB = 5
 MAX_SUBMITS = 6
+LONG_JOB_S = 4.0
+"""Time after which a client submits another job though the last is not read."""
+
+MAX_UNREAD_JOBS = 4
 
 DEADLY_SHARE = 0.25
-"""Share of streams that hold a deadly part while there is one."""
+"""Share of streams and items that hold a deadly part while there is one."""
+
+PROMPT_SHARE = 0.5
+"""Share of the other items that have a prompt of several parts."""
 
 SECOND_PARTS = 3
 
@@ -35,13 +44,14 @@
     """Send one request; return its record and the connection if it can be reused."""
     seen = Attempt(attempt, kind, node.name, world.loop.now())
     seen.version, seen.version_s = world.version, world.version_s
-    seen.parts = _choose_parts(world, kind, attempt)
+    if kind in (Kind.STREAM, Kind.RESUMABLE):
+        seen.parts = _choose_parts(world, attempt)
     world.journal.attempts[attempt] = seen
     if caller is None or not _reusable(caller):
         caller = Caller(world.runtime, world.address_of(node))
     try:
         target, body = f"/{kind.value}/{attempt}", f"body {attempt}".encode()
-        headers = [("X-Model", "m"), ("X-Prompt-Prefix", ",".join(f"{p}:50" for p in seen.parts))]
+        headers = list(_prompt_headers(seen.parts).items())
         await caller.send(
             "POST",
             target,
@@ -64,14 +74,18 @@
     return seen, caller if reusable else None
 
 
-def _choose_parts(world: World, kind: Kind, attempt: str) -> tuple[str, ...]:
-    """Return the prompt parts of a stream; some hold a part that is deadly at present."""
-    if kind not in (Kind.STREAM, Kind.RESUMABLE):
-        return ()
-    if world.deadly_parts and world.client_random.random() < DEADLY_SHARE:
-        deadly = world.client_random.choice(list(world.deadly_parts))
-        first = world.deadly_parts[deadly]
-        return (first, f"{first}b0", deadly, attempt)
+def _prompt_headers(parts: tuple[str, ...]) -> dict[str, str]:
+    """Return the headers that name the model and the parts of a prompt, if it has any."""
+    prompt = {"X-Prompt-Prefix": ",".join(f"{part}:50" for part in parts)} if parts else {}
+    return {"X-Model": "m"} | prompt
+
+
+def _choose_parts(world: World, attempt: str) -> tuple[str, ...]:
+    """Return the parts of a prompt; some hold a part that is deadly at present."""
+    deadly = list(world.deadly_parts().values())
+    if deadly and world.client_random.random() < DEADLY_SHARE:
+        one = world.client_random.choice(deadly)
+        return (one.first_part, f"{one.first_part}b0", one.part, attempt)
     first = world.client_random.choice(FIRST_PARTS)
     return (first, f"{first}b{world.client_random.randrange(SECOND_PARTS)}", attempt)
 
@@ -96,16 +110,38 @@
         await world.loop.sleep(world.client_random.uniform(0.0, 2 * MEAN_PAUSE_S))
 
 
-async def batch_client(world: World, number: int, until_s: float, give_up_s: float) -> None:
+async def batch_client(
+    world: World, number: int, until_s: float, give_up_s: Callable[[], float]
+) -> None:
     """Submit jobs until a time, and read each until it is complete or the soak gives up."""
     count = 0
+    reads: list[Promise[Any]] = []
     while world.loop.now() < until_s:
         count += 1
         job = f"{number:x}b{count:x}f"
         record = JobTrace(job, [f"{job}i{index}" for index in range(ITEMS_PER_JOB)])
+        record.parts = {item: _choose_item_parts(world, item) for item in record.items}
         world.journal.jobs[job] = record
         if await _submit(world, record):
-            await _read_results(world, record, give_up_s)
+            reads.append(world.loop.spawn(_read_results(world, record, give_up_s)))
+            await _wait_for_read(world, reads, until_s)
+    await world.loop.gather(reads)
+
+
+async def _wait_for_read(world: World, reads: list[Promise[Any]], until_s: float) -> None:
+    """Wait until the last job is read, or takes long and few others are unread."""
+    long_s = world.loop.now() + LONG_JOB_S
+    while not reads[-1].done and world.loop.now() < until_s:
+        await world.loop.sleep(READ_INTERVAL_S)
+        unread = sum(not one.done for one in reads)
+        if unread < MAX_UNREAD_JOBS and world.loop.now() > long_s:
+            return
+
+
+def _choose_item_parts(world: World, item: str) -> tuple[str, ...]:
+    parts = _choose_parts(world, item)
+    deadly = not world.deadly_parts().keys().isdisjoint(parts)
+    return parts if deadly or world.client_random.random() < PROMPT_SHARE else ()
 
 
 def _job_body(record: JobTrace) -> bytes:
@@ -113,7 +149,7 @@
         {
             "id": item,
             "path": f"/bulk/{item}",
-            "headers": {"X-Model": "m"},
+            "headers": _prompt_headers(record.parts[item]),
             "body": b64encode(f"body {item}".encode()).decode(),
             "tokens": 10,
         }
@@ -151,8 +187,8 @@
     return not record.refused_for_good
 
 
-async def _read_results(world: World, record: JobTrace, give_up_s: float) -> None:
-    while len(record.results) < len(record.items) and world.loop.now() < give_up_s:
+async def _read_results(world: World, record: JobTrace, give_up_s: Callable[[], float]) -> None:
+    while len(record.results) < len(record.items) and world.loop.now() < give_up_s():
         after = len(record.results)
         if world.client_random.random() < 0.2:
             after = world.client_random.randint(0, after)
@@ -185,6 +221,8 @@
         result = (row["id"], row["state"], row["output"])
         if record.results.setdefault(position, result) != result:
             record.problems.append(f"position {position} has changed")
+    listed = {item for item, _, _ in record.results.values()}
+    record.missing_s |= {item: sent_s for item in record.items if item not in listed}
 
 
 async def probe_nodes(world: World, tries: int) -> list[Attempt]:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,17 +1,26 @@
 """Checks of the guarantees, on what callers and endpoints observed."""
 
 from collections import Counter
-from math import comb
+from math import comb, inf
 
 from soak.answer_checks import check_leaving, check_limits
 from soak.check_registry import CHECKS, check
 from soak.check_registry import runs_by_attempt as _runs
 from soak.endpoints import expected_body, item_output
+from soak.item_checks import check_idle, check_open
+from soak.item_states import owner_nodes
 from soak.journal import Attempt, Kind, Run
-from soak.nodes import GRACE_S
+from soak.nodes import GRACE_S, Node
 from soak.world import World
 
-__all__ = ["CHECKS", "check_leaving", "check_limits", "problems"]
+__all__ = [
+    "CHECKS",
+    "check_idle",
+    "check_leaving",
+    "check_limits",
+    "check_open",
+    "problems",
+]
 
 MAX_RUNS = {Kind.STREAM: 1, Kind.RESUMABLE: 2, Kind.SAFE: 3, Kind.MOVED: 3}
 ROUTE_APPLY_S = 2.0
@@ -175,20 +184,33 @@
     return node.in_touch_between(at_s - CONTACT_S, at_s)
 
 
+def _sent_in_touch(world: World, run: Run, owners: dict[str, list[Node]]) -> bool:
+    """Tell whether the node that sent a run was in touch; for items, all that owned its job."""
+    attempt = world.journal.attempts.get(run.attempt)
+    if attempt is not None:
+        return _is_in_touch(world, attempt, run.began_s)
+    job = next(job for job in world.journal.jobs.values() if run.attempt in job.items)
+    return all(
+        node.in_touch_between(run.began_s - CONTACT_S, run.began_s) for node in owners[job.job]
+    )
+
+
 @check("a part that crashes endpoints is sent no more")
 def check_deadly_parts(world: World) -> list[str]:
-    """Check how many requests with the part ran after nodes in touch knew of five crashes."""
+    """Check how many requests ran with a deadly part after nodes in touch knew of five crashes."""
     found = []
+    owners = owner_nodes(world)
     for part, times in _crash_times(world).items():
         if len(times) < CRASHES_KNOWN:
             continue
         known_s = times[CRASHES_KNOWN - 1] + CONTACT_S
+        until_s = world.journal.deadly[part].until_s if part in world.journal.deadly else inf
         later = [
             run
             for run in world.journal.runs
             if part in run.parts
-            and run.began_s > known_s
-            and _is_in_touch(world, world.journal.attempts[run.attempt], run.began_s)
+            and known_s < run.began_s <= until_s
+            and _sent_in_touch(world, run, owners)
         ]
         if len(later) > MAX_LATER_RUNS:
             found.append(f"{part} ran {len(later)} times later; {len(times)} crashes")
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -13,7 +13,7 @@
 )
 from parsleyrouter.connection.forward_server import CallerExchange
 from parsleyrouter.process.runtime import Runtime
-from soak.journal import Journal, Run
+from soak.journal import Journal, Run, RunEnd
 
 __all__ = [
     "EVENTS",
@@ -67,28 +67,35 @@
         """Number of its start, as registered."""
         self.crash_on: Callable[[str], bool] = lambda part: False
         """Crashes the endpoint if a part is deadly and returns whether it is."""
+        self.down = False
+        """Whether it has crashed and not started again."""
         self.default_behaviour = behave
 
-    def run(self, arrival: Arrival) -> str:
-        """Record the start of a run; return the request id."""
+    def run(self, arrival: Arrival) -> Run:
+        """Record the start of a run."""
         attempt = arrival.header("X-Attempt-Id") or ""
         after = int(arrival.header("Last-Event-Id") or 0)
         now = self.runtime.loop.now()
-        self.journal.runs.append(
-            Run(
-                attempt,
-                self.name,
-                self.service,
-                arrival.target,
-                arrival.body,
-                now,
-                after,
-                tuple(prompt_parts(arrival)),
-                self.born,
-                LEAVING_HEADER in self.headers,
-            )
+        run = Run(
+            attempt,
+            self.name,
+            self.service,
+            arrival.target,
+            arrival.body,
+            now,
+            after,
+            tuple(prompt_parts(arrival)),
+            self.born,
+            LEAVING_HEADER in self.headers,
         )
-        return attempt
+        self.journal.runs.append(run)
+        return run
+
+    def end_run(self, run: Run, end: RunEnd) -> None:
+        """Record the end of a run, unless it has ended."""
+        if run.end is None:
+            run.end = RunEnd.CRASHED if self.down else end
+            run.ended_s = self.runtime.loop.now()
 
 
 async def behave(endpoint: Any, exchange: CallerExchange, arrival: Arrival) -> None:
@@ -97,7 +104,21 @@
     if fails and endpoint.failure_mode == "shed":
         await shed(endpoint, exchange, arrival)
         return
-    attempt = endpoint.run(arrival)
+    run = endpoint.run(arrival)
+    note_gone = exchange.on_disconnect or (lambda: None)
+
+    def leave() -> None:
+        note_gone()
+        endpoint.end_run(run, RunEnd.LEFT)
+
+    exchange.on_disconnect = leave
+    end = await _answer(endpoint, exchange, arrival, run.attempt, fails=fails)
+    endpoint.end_run(run, end)
+
+
+async def _answer(
+    endpoint: Any, exchange: CallerExchange, arrival: Arrival, attempt: str, *, fails: bool
+) -> RunEnd:
     if fails and endpoint.failure_mode == "drop":
         exchange.abort()
     elif fails and endpoint.failure_mode == "mute":
@@ -107,25 +128,27 @@
     elif endpoint.service == "cards":
         exchange.reply(200, endpoint.proof(arrival), expected_body(attempt, stream=False))
     else:
-        await _stream(endpoint, exchange, arrival, attempt, cut=fails)
+        return await _stream(endpoint, exchange, arrival, attempt, cut=fails)
+    return RunEnd.FAILED if fails else RunEnd.COMPLETE
 
 
 async def _stream(
     endpoint: Any, exchange: CallerExchange, arrival: Arrival, attempt: str, *, cut: bool
-) -> None:
+) -> RunEnd:
     last = ITEM_EVENTS if arrival.target.startswith("/bulk/") else EVENTS
     start = int(arrival.header("Last-Event-Id") or 0)
     exchange.begin(200, b"", [*endpoint.proof(arrival), STREAM], None)
     if any(endpoint.crash_on(part) for part in prompt_parts(arrival)[:-1]):
-        return
+        return RunEnd.CRASHED
     for number in range(start + 1, last + 1):
         event = _event(attempt, number)
         if cut and number == (start + last) // 2:
             exchange.send(event[: len(event) // 2])
             exchange.abort()
-            return
+            return RunEnd.FAILED
         exchange.send(event)
         await endpoint.runtime.loop.sleep(GAP_S)
         if exchange.disconnected:
-            return
+            return RunEnd.LEFT
     exchange.finish()
+    return RunEnd.COMPLETE
--- a/soak/engine_faults.py
+++ b/soak/engine_faults.py
@@ -3,9 +3,8 @@
 import signal
 from collections.abc import Callable
 
-from soak.engine_program import EngineMode
 from soak.faults import Fault
-from soak.world import World, unix_ms
+from soak.world import World
 
 __all__ = ["ENGINE_FAULTS"]
 
@@ -42,7 +41,7 @@
         engine.starting = True
         engine.kill()
         await world.loop.sleep(down_s)
-        await engine.start(unix_ms())
+        await engine.start()
 
 
 @engine_fault("copies of refusals")
@@ -50,9 +49,9 @@
     """Let an engine refuse requests and write each refusal once more."""
     engine = world.random.choice(world.engines)
     with world.disturbed(*world.nodes, lasts_s=3.0, in_touch=True):
-        engine.set_mode(EngineMode(copies=0.3, identified=world.random.random() < 0.3))
+        engine.set_mode(copies=0.3, identified=world.random.random() < 0.3)
         await world.loop.sleep(world.random.uniform(1.0, 4.0))
-        engine.set_mode(EngineMode())
+        engine.set_mode(copies=0.0, identified=False)
 
 
 @engine_fault("freeze all")
--- a/soak/engine_program.py
+++ b/soak/engine_program.py
@@ -17,11 +17,15 @@
 from parsleyrouter.ids import Address
 from parsleyrouter.process.runtime import Runtime
 from soak.endpoints import SoakEndpoint, behave
-from soak.journal import Journal, Run
+from soak.journal import EndpointCrash, Journal, Run, RunEnd
 
-__all__ = ["EngineMode", "RUNS_SUFFIX", "main"]
+__all__ = ["CRASHES_SUFFIX", "CRASH_EXIT", "EngineMode", "RUNS_SUFFIX", "main"]
 
 RUNS_SUFFIX = ".runs"
+CRASHES_SUFFIX = ".crashes"
+CRASH_EXIT = 70
+"""Exit code of an engine that a deadly part has ended."""
+
 SLOTS = 4
 MAX_COPY_DELAY_S = 0.03
 LATE_COPY_SHARE = 0.7
@@ -34,10 +38,12 @@
     """Share refused, with the refusal written once more, soon or before the next answer."""
     identified: bool = False
     """Whether such copies carry the id of the refused request."""
+    deadly: tuple[str, ...] = ()
+    """Parts that end the process when it begins to answer a request with one of them."""
 
 
 class RunFile(list[Run]):
-    """Append runs to a file at once, so that a killed process loses none."""
+    """Append runs to a file at their begin and end, so that a killed process loses none."""
 
     def __init__(self, path: Path) -> None:
         super().__init__()
@@ -59,6 +65,26 @@
         self.running = 0
         self.late_copies: dict[Any, bytes] = {}
         """Copies to write on a connection before its next answer."""
+        self.crash_on = self._crash_on
+
+    @property
+    def mode(self) -> EngineMode:
+        """Return how to treat the next request."""
+        return msgspec.json.decode(self.mode_file.read_bytes(), type=EngineMode)
+
+    def end_run(self, run: Run, end: RunEnd) -> None:
+        """Record the end of a run, unless it has ended."""
+        if run.end is None:
+            super().end_run(run, end)
+            self.journal.runs.append(run)
+
+    def _crash_on(self, part: str) -> bool:
+        if part not in self.mode.deadly:
+            return False
+        crash = EndpointCrash(self.runtime.loop.now(), self.name, part)
+        with self.mode_file.with_suffix(CRASHES_SUFFIX).open("ab", buffering=0) as output:
+            output.write(msgspec.json.encode(crash) + b"\n")
+        os._exit(CRASH_EXIT)
 
 
 async def _behave_as_process(
@@ -67,7 +93,7 @@
     copy = endpoint.late_copies.pop(exchange.sock, b"")
     if copy:
         exchange.server.send(exchange.sock, copy)
-    mode = msgspec.json.decode(endpoint.mode_file.read_bytes(), type=EngineMode)
+    mode = endpoint.mode
     if endpoint.random.random() < mode.copies:
         await _refuse_twice(endpoint, exchange, arrival, mode)
         return
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -191,9 +191,9 @@
 async def deadly_part(world: World) -> None:
     """Let one part of the clients' prompts crash every endpoint that begins to answer it."""
     part = f"dead{next(world.numbers):x}"
-    world.deadly_parts[part] = world.random.choice(FIRST_PARTS)
+    world.begin_deadly(part, world.random.choice(FIRST_PARTS))
     await world.loop.sleep(world.random.uniform(9.0, 13.0))
-    del world.deadly_parts[part]
+    world.end_deadly(part)
 
 
 @fault("replace endpoint")
@@ -214,10 +214,11 @@
     name = world.random.choice(world.registered(world.random.choice(["engines", "cards"])))
     endpoint = world.endpoints[name]
     endpoint.headers.append(LEAVING_HEADER)
-    for _ in range(3):
-        await world.loop.sleep(world.random.uniform(0.5, 2.5))
-        if f"servers/{name}" in world.store.rows:
-            world.announce(name)
+    with world.absent(name):
+        for _ in range(3):
+            await world.loop.sleep(world.random.uniform(0.5, 2.5))
+            if f"servers/{name}" in world.store.rows:
+                world.announce(name)
     endpoint.headers.remove(LEAVING_HEADER)
     if f"servers/{name}" in world.store.rows:
         world.announce(name, born=unix_ms())
@@ -232,7 +233,8 @@
     limit = EndpointLimit(endpoint.name, per_s, world.loop.now())
     endpoint.headers.append(header)
     world.journal.limits.append(limit)
-    await world.loop.sleep(world.random.uniform(5.0, 10.0))
+    with world.absent(endpoint.name):
+        await world.loop.sleep(world.random.uniform(5.0, 10.0))
     endpoint.headers.remove(header)
     limit.until_s = world.loop.now()
 
--- a/soak/journal.py
+++ b/soak/journal.py
@@ -4,7 +4,18 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-__all__ = ["Attempt", "EndpointCrash", "EndpointLimit", "JobTrace", "Journal", "Kind", "Run"]
+__all__ = [
+    "Absence",
+    "Attempt",
+    "DeadlySpan",
+    "EndpointCrash",
+    "EndpointLimit",
+    "JobTrace",
+    "Journal",
+    "Kind",
+    "Run",
+    "RunEnd",
+]
 
 
 class Kind(Enum):
@@ -43,6 +54,18 @@
     """Parts of its prompt, in order."""
 
 
+class RunEnd(Enum):
+    """How a run ended at its endpoint."""
+
+    COMPLETE = "complete"
+    FAILED = "failed"
+    """The endpoint answered with a failure or broke the answer off."""
+    CRASHED = "crashed"
+    """The endpoint ended."""
+    LEFT = "left"
+    """The sender closed the connection."""
+
+
 @dataclass
 class Run:
     """One run of a request or item at an endpoint."""
@@ -59,6 +82,28 @@
     """The start of the endpoint."""
     leaving: bool = False
     """Whether the answer says that the endpoint leaves."""
+    ended_s: float = 0.0
+    """When it ended at the endpoint; 0 while it lasts."""
+    end: RunEnd | None = None
+
+
+@dataclass
+class DeadlySpan:
+    """A part that crashes endpoints, from when to when."""
+
+    part: str
+    first_part: str
+    from_s: float
+    until_s: float = math.inf
+
+
+@dataclass
+class Absence:
+    """A time in which an endpoint of the items takes few requests or none."""
+
+    endpoint: str
+    from_s: float
+    until_s: float = math.inf
 
 
 @dataclass
@@ -91,6 +136,10 @@
     refused_for_good: bool = False
     results: dict[int, tuple[str, str, str]] = field(default_factory=dict)
     """Item, state and output by position."""
+    parts: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    """The parts of the prompt of each item that has one, in order."""
+    missing_s: dict[str, float] = field(default_factory=dict)
+    """When the last read was sent that found the item not listed."""
     problems: list[str] = field(default_factory=list)
 
 
@@ -103,5 +152,11 @@
     jobs: dict[str, JobTrace] = field(default_factory=dict)
     crashes: list[EndpointCrash] = field(default_factory=list)
     limits: list[EndpointLimit] = field(default_factory=list)
+    deadly: dict[str, DeadlySpan] = field(default_factory=dict)
+    absences: list[Absence] = field(default_factory=list)
+    item_slots: int = 0
+    """Slots of the endpoints that run items, while none is absent."""
+    ended_s: float = 0.0
+    """When the play ended."""
     ends: list[str] = field(default_factory=list)
     """Unexplained ends of processes."""
--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
+from typing import Any
 
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.setting_checks import EXIT_INVALID_SETTING
@@ -194,14 +195,17 @@
         elif self.stopping and code != 0 and self.served_s > SIGNAL_SETUP_S:
             self.journal.ends.append(f"{self.name} ended a graceful shutdown with {code}")
 
+    def rows(self) -> list[dict[str, Any]]:
+        """Return the lines of the log that are complete."""
+        lines = self.log.read_text(errors="replace").splitlines()
+        return [json.loads(one) for one in lines if one.startswith("{") and one.endswith("}")]
+
     def versions(self) -> list[int]:
         """Return the versions of applied routes from the log, with a 0 at each start."""
         found = []
-        for line in self.log.read_text(errors="replace").splitlines():
-            if line.startswith("{"):
-                row = json.loads(line) if line.endswith("}") else {}
-                if row.get("message") == "started":
-                    found.append(0)
-                elif row.get("message") == "routes in force":
-                    found.append(row["version"])
+        for row in self.rows():
+            if row.get("message") == "started":
+                found.append(0)
+            elif row.get("message") == "routes in force":
+                found.append(row["version"])
         return found
--- a/soak/play.py
+++ b/soak/play.py
@@ -1,5 +1,6 @@
 """Run one soak: start the processes, inject faults, let them recover, check."""
 
+import math
 import shutil
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -7,13 +8,16 @@
 from random import Random
 from typing import Any
 
+import msgspec
+
 from parsleyrouter.process.loop import Promise
 from parsleyrouter.process.runtime import Runtime
 from soak.callers import batch_client, online_client, probe_nodes
 from soak.checks import problems
 from soak.engine_faults import ENGINE_FAULTS
-from soak.engines import recorded_runs
+from soak.engines import recorded_crashes, recorded_runs
 from soak.faults import FAULTS, Fault
+from soak.item_checks import CLEARED_S
 from soak.world import World
 
 __all__ = ["Plan", "SoakResult", "run_soak"]
@@ -22,7 +26,7 @@
 """Time after the last fault in which all nodes must serve again."""
 
 JOBS_DONE_S = 15.0
-"""Time after the last fault in which all batch jobs must be done."""
+"""Time after the last fault, and after deadly parts are cleared, in which jobs must be done."""
 
 
 @dataclass(frozen=True)
@@ -72,6 +76,7 @@
             result.problems.append(f"the soak itself failed: {type(error).__name__} {error}")
         finally:
             world.end()
+            (folder / "journal.json").write_bytes(msgspec.json.encode(world.journal))
             runtime.stop()
 
     runtime.loop.spawn(main())
@@ -85,14 +90,18 @@
     await world.start(plan.nodes, plan.engines, plan.cards, plan.engine_processes)
     loop = world.loop
     faults_until_s = loop.now() + plan.faults_s
-    end_s = faults_until_s + 60.0
-    supervisors = [loop.spawn(node.supervise(end_s)) for node in world.nodes]
+    end_s = math.inf
+    supervisors = [loop.spawn(one.supervise(end_s)) for one in (*world.nodes, *world.engines)]
     clients: list[Promise[Any]] = [
         loop.spawn(online_client(world, number, faults_until_s + RECOVER_S))
         for number in range(plan.clients)
     ]
+
+    def give_up_s() -> float:
+        cleared_s = [one.until_s + CLEARED_S for one in world.journal.deadly.values()]
+        return max([faults_until_s + RECOVER_S, *cleared_s]) + JOBS_DONE_S
+
     for number in range(plan.batch_clients):
-        give_up_s = faults_until_s + RECOVER_S + JOBS_DONE_S
         clients.append(loop.spawn(batch_client(world, number, faults_until_s, give_up_s)))
     in_progress: list[Promise[Any]] = []
     fault_rng = Random(f"{plan.seed} order")
@@ -104,13 +113,15 @@
         await loop.sleep(fault_rng.uniform(0.0, 2 * plan.gap_s))
     await loop.gather(in_progress)
     await loop.gather(clients)
+    world.journal.ended_s = loop.now()
     last = await probe_nodes(world, tries=5)
     for attempt in last:
         if attempt.status != 200:
             result.problems.append(f"after all faults {attempt.node} returns {attempt.status}")
     for supervisor in supervisors:
         supervisor.cancel()
-    world.journal.runs += recorded_runs(world.folder)
+    world.journal.runs += recorded_runs(world.engines, world.folder)
+    world.journal.crashes += recorded_crashes(world.folder)
     result.problems += problems(world)
     attempts = world.journal.attempts.values()
     result.requests = len(attempts)
@@ -119,9 +130,8 @@
 
 
 def _faults(plan: Plan) -> dict[str, Fault]:
-    """Return the faults to draw from; no prompt part crashes engines that are processes."""
+    """Return the faults to draw from."""
     chosen = dict(FAULTS)
     if plan.engine_processes:
-        del chosen["deadly part"]
         chosen |= ENGINE_FAULTS
     return {name: one for name, one in chosen.items() if name not in plan.without}
--- a/soak/world.py
+++ b/soak/world.py
@@ -1,6 +1,5 @@
 """Processes, links, store and endpoints of one soak."""
 
-import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -15,11 +14,11 @@
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.standins.fault_proxy import FaultProxy
 from soak.endpoints import SoakEndpoint
-from soak.engines import EngineProcess
-from soak.journal import EndpointCrash, Journal
+from soak.engines import EngineProcess, unix_ms
+from soak.journal import Absence, DeadlySpan, EndpointCrash, Journal
 from soak.nodes import Node
 
-__all__ = ["World", "unix_ms"]
+__all__ = ["FIRST_PARTS", "SLOTS", "World", "unix_ms"]
 
 START_TIMEOUT_S = 15.0
 """Startup timeout of the processes, long enough for many soaks on one machine."""
@@ -29,13 +28,14 @@
 FIRST_PARTS = ("a1", "a2", "a3")
 """First parts of the prompts of streams."""
 
-CRASH_DOWN_S = 1.0
-"""Time that a crashed endpoint is away."""
+SLOTS = 4
+"""Slots of an endpoint, as registered."""
 
+RETENTION_S = 600
+"""Time in which items must complete, longer than a play: none may be given up for its age."""
 
-def unix_ms() -> int:
-    """Return the time of day, which names the start of an endpoint."""
-    return int(time.time() * 1000)
+CRASH_DOWN_S = 1.0
+"""Time that a crashed endpoint is away."""
 
 
 class World:
@@ -56,11 +56,8 @@
         self.endpoints: dict[str, SoakEndpoint] = {}
         self.endpoint_links: dict[str, FaultProxy] = {}
         self.endpoint_addresses: dict[str, Address] = {}
-        self.deadly_parts: dict[str, str] = {}
-        """First part of the prompts by the part that crashes endpoints at present."""
         self.engines: list[EngineProcess] = []
         """The engines that run as processes of their own."""
-        self.down: set[str] = set()
         self.version = 0
         self.version_s = 0.0
         self.numbers = iter(range(1, 1_000_000))
@@ -68,9 +65,10 @@
     async def start(self, nodes: int, engines: int, cards: int, engine_processes: int = 0) -> None:
         """Start everything and wait until all nodes serve."""
         self.change_routes()
+        self.journal.item_slots = SLOTS * (engines + engine_processes)
         for _ in range(engine_processes):
             self.engines.append(EngineProcess(self, f"engine-{next(self.numbers)}"))
-        await self.loop.gather([self.loop.spawn(one.start(unix_ms())) for one in self.engines])
+        await self.loop.gather([self.loop.spawn(one.start()) for one in self.engines])
         for _ in range(engines):
             await self.add_endpoint("engines")
         for _ in range(cards):
@@ -119,22 +117,51 @@
         stream.close()
         return True
 
+    def deadly_parts(self) -> dict[str, DeadlySpan]:
+        """Return the parts that crash endpoints at present."""
+        now = self.loop.now()
+        return {part: one for part, one in self.journal.deadly.items() if one.until_s > now}
+
+    def begin_deadly(self, part: str, first_part: str) -> None:
+        """Let a part crash all endpoints from now on."""
+        self.journal.deadly[part] = DeadlySpan(part, first_part, self.loop.now())
+        self._tell_engines()
+
+    def end_deadly(self, part: str) -> None:
+        """Let a part crash no endpoint any more."""
+        self.journal.deadly[part].until_s = self.loop.now()
+        self._tell_engines()
+
+    def _tell_engines(self) -> None:
+        for engine in self.engines:
+            engine.set_mode(deadly=tuple(self.deadly_parts()))
+
+    @contextmanager
+    def absent(self, name: str) -> Iterator[None]:
+        """Note a time in which an endpoint takes few requests or none."""
+        absence = Absence(name, self.loop.now())
+        if self.endpoints[name].service == "engines":
+            self.journal.absences.append(absence)
+        yield
+        absence.until_s = self.loop.now()
+
     def _crash_on(self, name: str, part: str) -> bool:
         """Crash an endpoint if a part is deadly; return whether it is."""
-        if part not in self.deadly_parts:
+        if part not in self.deadly_parts():
             return False
-        if name not in self.down:
+        if not self.endpoints[name].down:
+            self.endpoints[name].down = True
             self.journal.crashes.append(EndpointCrash(self.loop.now(), name, part))
             self.loop.spawn(self._crash(name), "endpoint crash")
         return True
 
     async def _crash(self, name: str) -> None:
-        self.down.add(name)
         listener = self.endpoint_links[name].listener
         reserved = crash_server(listener)
-        await self.loop.sleep(CRASH_DOWN_S)
+        with self.absent(name):
+            await self.loop.sleep(CRASH_DOWN_S)
         restart_server(listener, reserved)
-        self.down.discard(name)
+        self.endpoints[name].down = False
         if f"servers/{name}" in self.store.rows:
             self.announce(name, born=unix_ms())
 
@@ -145,7 +172,7 @@
             "service": self.endpoints[name].service,
             "address": self.endpoint_addresses[name],
             "zone": DOMAINS[0],
-            "slots": 4,
+            "slots": SLOTS,
             "state": "ready",
             "sequence": next(self.numbers),
         }
@@ -166,6 +193,8 @@
         common = {key: table["routes"][0][key] for key in ("host", "timeoutMs", "gapAimMs")}
         service = ("cards", "engines")[self.version % 2]
         moved = {"name": "moved", "prefix": "/moved/", "kind": "safe", "maxAttempts": 3}
+        bulk = next(route for route in table["routes"] if route["kind"] == "batch")
+        bulk["retentionS"] = RETENTION_S
         table["routes"].append(common | moved | {"targetLatencyMs": 300, "service": service})
         self.store.put_json("op/config", table)
         self.version_s = self.loop.now()
