--- a/features/soak_checks.feature
+++ b/features/soak_checks.feature
@@ -58,6 +58,10 @@
       | its part was deadly 45 s ago with 7 s disturbed |
       | its run failed 19 s ago                         |
 
+  Scenario: no item is left lying in a play whose engines are killed
+    When a soak plays jobs while engines are killed and connections are reset
+    Then the soak reports nothing
+
   Scenario: a run with a part that crashes endpoints no more is not reported
     When an item runs with a part that had its five crashes and three runs and has ended
     Then the soak reports nothing
--- a/features/steps/soak_checks_steps.py
+++ b/features/steps/soak_checks_steps.py
@@ -1,6 +1,8 @@
 """Steps for the checks of the soak, on journals that violate one guarantee each."""
 
+import tempfile
 from collections.abc import Callable, Sequence
+from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
 
@@ -18,6 +20,8 @@
 )
 from soak.checks import problems
 from soak.endpoints import expected_body, item_output
+from soak.engine_faults import ENGINE_FAULTS
+from soak.faults import FAULTS
 from soak.journal import (
     Attempt,
     DeadlySpan,
@@ -29,6 +33,7 @@
     Run,
     RunEnd,
 )
+from soak.play import Plan, run_soak
 
 Violation = Callable[[Journal], object]
 
@@ -206,6 +211,16 @@
     context.found = found(journal, disturbances=[DISTURBED[reason]] if reason in DISTURBED else ())
 
 
+@when("a soak plays jobs while engines are killed and connections are reset")
+def step_short_play(context: Any) -> None:
+    without = sorted((FAULTS.keys() | ENGINE_FAULTS.keys()) - {"kill engine", "resets"})
+    plan = Plan(1, nodes=2, clients=2, faults_s=6.0, engine_processes=2, without=without)
+    with tempfile.TemporaryDirectory() as folder:
+        result = run_soak(plan, Path(folder) / "play")
+    assert result.jobs, "no job was submitted"
+    context.found = result.problems
+
+
 @when("an item runs with a part that had its five crashes and three runs and has ended")
 def step_ended_part_run(context: Any) -> None:
     journal = good_journal()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -192,7 +192,7 @@
     """Let one part of the clients' prompts crash every endpoint that begins to answer it."""
     part = f"dead{next(world.numbers):x}"
     world.begin_deadly(part, world.random.choice(FIRST_PARTS))
-    await world.loop.sleep(world.random.uniform(9.0, 13.0))
+    await world.loop.sleep(world.random.uniform(9.0, 16.0))
     world.end_deadly(part)
 
 
