--- a/features/steps/soak_checks_steps.py
+++ b/features/steps/soak_checks_steps.py
@@ -248,7 +248,7 @@
     told = (
         "1 runs, the last at e from 199.00, crashed at 201.00",
         "part was deadly until 205.00",
-        "n: item held back at 10:00:05 (part), held",
+        "n holds it since 10:00:05: item held back at 10:00:05 (part)",
     )
     assert all(one in text for one in told), text
 
--- a/soak/item_states.py
+++ b/soak/item_states.py
@@ -92,11 +92,20 @@
     deadly = [spans[part] for part in job.parts.get(item, ()) if part in spans]
     known += [f"{one.part} was deadly until {one.until_s:.2f}" for one in deadly]
     for node in world.nodes:
-        lines = [row for row in node.rows() if _names(row, item)]
-        if lines:
-            known.append(f"{node.name}: {_brief(lines[-1])}")
-    held = any(": " + HELD in one for one in known)
-    return ", ".join([*known, "held" if held else "not held"])
+        known += _told_by(node, item)
+    return ", ".join(known)
+
+
+def _told_by(node: Node, item: str) -> list[str]:
+    """Return whether a node holds or held an item, and its last line on it."""
+    lines = [row for row in node.rows() if _names(row, item)]
+    if not lines:
+        return []
+    held = [row for row in lines if row["message"] == HELD]
+    if held and held[-1] is lines[-1]:
+        return [f"{node.name} holds it since {held[0]['time']}: {_brief(lines[-1])}"]
+    past = [f"{node.name} held it until {held[-1]['time']}"] if held else []
+    return [*past, f"{node.name}, not held: {_brief(lines[-1])}"]
 
 
 def _names(row: dict[str, Any], item: str) -> bool:
