--- a/soak/play.py
+++ b/soak/play.py
@@ -58,6 +58,9 @@
     requests: int = 0
     answered: int = 0
     jobs: int = 0
+    deadly_items: int = 0
+    """Items of accepted jobs with a part that crashed endpoints for a time."""
+    crashes: int = 0
 
 
 def run_soak(plan: Plan, folder: Path) -> SoakResult:
@@ -127,6 +130,12 @@
     result.requests = len(attempts)
     result.answered = sum(one.complete and one.status == 200 for one in attempts)
     result.jobs = len(world.journal.jobs)
+    result.crashes = len(world.journal.crashes)
+    deadly = world.journal.deadly.keys()
+    accepted = [job for job in world.journal.jobs.values() if job.accepted_s]
+    result.deadly_items = sum(
+        not deadly.isdisjoint(parts) for job in accepted for parts in job.parts.values()
+    )
 
 
 def _faults(plan: Plan) -> dict[str, Fault]:
