--- a/features/support/held_play.py
+++ b/features/support/held_play.py
@@ -63,6 +63,7 @@
         self.quarantine.add(GROUP, 0.0)
         group = self.quarantine.groups[GROUP]
         group.note_crashes(CutRuns(self.cut_runs, 0, 0.0))
+        group.note_waiting(self.retention_s)
         self.waiting = [
             HeldItem(self.random.uniform(0.0, self.arrivals_s)) for _ in range(self.items)
         ]
@@ -73,7 +74,7 @@
             here = [one for one in self.waiting if one.arrived_s <= now]
             if here and not self.quarantine.groups:
                 self._begin(here, now)
-            elif here and group.trial_due(now, self.retention_s):
+            elif here and group.trial_due(now):
                 self._claim(group, here, now)
         return self
 
--- a/parsleyrouter/process/held_items.py
+++ b/parsleyrouter/process/held_items.py
@@ -1,6 +1,5 @@
 """Batch items of this node that a quarantine holds back, and their part in its trials."""
 
-import math
 import time
 from collections.abc import Callable, Sequence
 
@@ -29,8 +28,6 @@
         """The held items, those that have waited longest for a trial first."""
         self.tried_s: dict[Key, float] = {}
         """When the latest trial was claimed that each of them took part in."""
-        self.give_up_s: dict[PartGroup, float] = {}
-        """When the last of the items that a group has held is given up; monotonic."""
         self.choose_endpoint: Callable[[JobRun, ItemIndex], EndpointId | None] = lambda *_: None
         """Returns where an item could be tried now."""
         self.start_at: Callable[[JobRun, ItemIndex, EndpointId], bool] = lambda *_: False
@@ -45,8 +42,7 @@
         now = self.loop.now()
         left_s = job_run.versioned.record.kept_until_ms / 1000 - time.time()
         for group in groups:
-            give_up_s = max(now + left_s, self.give_up_s.get(group.parts, 0.0))
-            self.give_up_s[group.parts] = give_up_s
+            group.note_waiting(now + left_s)
         self.keeper.note_requested(groups, now)
         self.items.setdefault((job_run.versioned.record.job, index), (job_run, prompt))
         job_run.not_before_s[index] = now + CHECK_INTERVAL_S
@@ -61,14 +57,14 @@
         """Claim the trials that are due, each for an item that waits for it."""
         now = self.loop.now()
         groups = self.keeper.quarantine.groups
-        if not self.items or not any(self._is_due(one, now) for one in groups.values()):
+        if not self.items or not any(one.trial_due(now) for one in groups.values()):
             return
         self._drop_ended()
         claimed: set[PartGroup] = set()
         for (_, index), (job_run, prompt) in self.items.items():
             held_by = self.keeper.quarantine.find(prompt)
             if not held_by or not all(
-                self._is_due(one, now) and one.parts not in claimed for one in held_by
+                one.trial_due(now) and one.parts not in claimed for one in held_by
             ):
                 continue
             endpoint = self.choose_endpoint(job_run, index)
@@ -96,13 +92,9 @@
                 self.items[key] = self.items.pop(key)
                 self.tried_s[key] = claimed_s
 
-    def _is_due(self, group: QuarantinedGroup, now: float) -> bool:
-        return group.trial_due(now, self.give_up_s.get(group.parts, math.inf))
-
     def _wake(self) -> None:
         """Check the items that nothing holds back any more at once."""
-        known = self.keeper.quarantine.groups
-        self.give_up_s = {name: at_s for name, at_s in self.give_up_s.items() if name in known}
+        self._drop_ended()
         for (_, index), (job_run, prompt) in self.items.items():
             if not self.keeper.quarantine.find(prompt):
                 job_run.not_before_s[index] = self.loop.now()
--- a/parsleyrouter/request/quarantine.py
+++ b/parsleyrouter/request/quarantine.py
@@ -98,6 +98,8 @@
     """Requests with the parts that came after ``MAX_EARLY_RUNS`` up to the latest trial."""
     late_runs: int = 0
     """Those of them that a crash has cut."""
+    give_up_s: float = math.inf
+    """When the last of the batch items that wait at this node is given up."""
     trial: Trial | None = None
     """The trial in which this node may take part."""
 
@@ -116,33 +118,38 @@
         """Return whether the next trial may hold all batch items that wait: the last early one."""
         return self.cut_runs == MAX_EARLY_RUNS - 1
 
-    def next_trial_s(self, give_up_s: float = math.inf) -> float:
-        """Return when requests should next be let through; items are given up at ``give_up_s``."""
+    def next_trial_s(self) -> float:
+        """Return when requests should next be let through."""
         if not self.trials:
             first_s = DOUBTFUL_TRIAL_S if self.doubtful else FIRST_TRIAL_S
             return max(self.since_s, self.crashed_s) + first_s
         if self.late:
-            return self.latest_s + self._late_pause_s(give_up_s)
+            return self.latest_s + self._late_pause_s()
         if self.claimed_s > self.crashed_s:
             return self.claimed_s + TRIAL_TIMEOUT_S
         return max(self.since_s, self.crashed_s) + TRIAL_INTERVAL_S
 
-    def _late_pause_s(self, give_up_s: float) -> float:
+    def _late_pause_s(self) -> float:
         """Return the pause after a trial; at first it spreads trials over what items have left."""
         pause_s: float = FIRST_TRIAL_S * LATE_TRIAL_FACTOR**self.late_requests
         if self.late_requests >= MAX_LATE_TRIALS:
             return pause_s
         left = MAX_LATE_TRIALS - self.late_requests
-        return min(pause_s, max(FIRST_TRIAL_S, (give_up_s - self.latest_s) / (left + 1)))
+        return min(pause_s, max(FIRST_TRIAL_S, (self.give_up_s - self.latest_s) / (left + 1)))
 
     @property
     def latest_s(self) -> float:
         """Return when the quarantine began, was tried or saw a crash, whichever is latest."""
         return max(self.since_s, self.crashed_s, self.claimed_s)
 
-    def trial_due(self, now: float, give_up_s: float = math.inf) -> bool:
+    def trial_due(self, now: float) -> bool:
         """Return whether requests should be let through."""
-        return now >= self.next_trial_s(give_up_s)
+        return now >= self.next_trial_s()
+
+    def note_waiting(self, give_up_s: float) -> None:
+        """Note that a batch item waits for the group until it is given up."""
+        known = math.isfinite(self.give_up_s)
+        self.give_up_s = max(self.give_up_s, give_up_s) if known else give_up_s
 
     def note_crashes(self, cuts: CutRuns) -> None:
         """Apply what is known of the group's crashes; one after a claim ends the trial."""
