Clear a part that crashes nothing any more within 40 s of the first late trial

Late trials follow after 10, 30, 640 and 5,120 s; three of them still fit what the rule allows. Parts that were answered before may be sound, so the runs that ordinary crashes cut do not count against their trials.

--- a/parsleyrouter/request/quarantine.py
+++ b/parsleyrouter/request/quarantine.py
@@ -50,8 +50,9 @@
 MAX_EARLY_RUNS = 5
 """Runs with a group that crashes have cut, from which on each further request counts."""
 
-LATE_TRIAL_FACTOR = 8
-"""Factor from one trial to the time of the next from then on."""
+LATE_PAUSES_S = (FIRST_TRIAL_S, 30.0, 640.0, 5120.0)
+"""Pauses before late trials, by how many requests have come since each counts. A part that crashes
+nothing any more is cleared within 40 s of the first late trial."""
 
 MAX_LATE_TRIALS = 3
 """Late trials that waiting items have, spread over the time that they have left."""
@@ -97,7 +98,7 @@
     late_trials: int = 0
     """Requests with the parts that came after ``MAX_EARLY_RUNS`` up to the latest trial."""
     late_runs: int = 0
-    """Those of them that a crash has cut."""
+    """Those of them that a crash has cut; not known of parts that may be sound."""
     give_up_s: float = math.inf
     """When the last of the batch items that wait at this node is given up."""
     trial: Trial | None = None
@@ -131,7 +132,7 @@
 
     def _late_pause_s(self) -> float:
         """Return the pause after a trial; at first it spreads trials over what items have left."""
-        pause_s: float = FIRST_TRIAL_S * LATE_TRIAL_FACTOR**self.late_requests
+        pause_s = LATE_PAUSES_S[min(self.late_requests, len(LATE_PAUSES_S) - 1)]
         if self.late_requests >= MAX_LATE_TRIALS:
             return pause_s
         left = MAX_LATE_TRIALS - self.late_requests
@@ -154,7 +155,8 @@
     def note_crashes(self, cuts: CutRuns) -> None:
         """Apply what is known of the group's crashes; one after a claim ends the trial."""
         self.cut_runs = max(self.cut_runs, cuts.count)
-        self.late_runs = max(self.late_runs, cuts.late)
+        if not self.doubtful:
+            self.late_runs = max(self.late_runs, cuts.late)
         self.crashed_s = max(self.crashed_s, cuts.latest_s)
         if self.crashed_s > self.claimed_s:
             self.trial = None
