--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	$(PYTHON) tools/run_tests.py
 
 soak: $(STAMP) ## play a few seeded faults against real processes
-	$(PYTHON) -m soak many 3 --first 1 --jobs 3
+	$(PYTHON) -m soak many 3 --first 1 --jobs 4
 	$(PYTHON) -m soak many 3 --first 9501 --jobs 3 --no-kept --engine-processes 4 --faults-s 15
 
 demo: $(STAMP) ## set up and run the whole system on embedded stand-ins
