Scenarios of unread answers and incomplete frames tell their mutants apart

Change: one answer of 16 MB each; the bound of answers to nodes without frames (smaller); almost whole frames on 16 connections, with as much again for copies (144 MB; 16 frames are 240 MB).

--- a/features/steps/endless_senders_steps.py
+++ b/features/steps/endless_senders_steps.py
@@ -10,7 +10,7 @@
 
 from features.steps.bad_input_steps import RawCaller
 from features.support.endless_senders import CALLER_KINDS, CHUNKED, POST
-from features.support.endless_serving import LARGE_ANSWER_BYTES, Serving
+from features.support.endless_serving import HUGE_ANSWER_BYTES, LARGE_ANSWER_BYTES, Serving
 from features.support.loop import run_on_loop
 from parsleyrouter.connection import peer_server
 from parsleyrouter.connection.http_limits import HttpLimits
@@ -62,11 +62,11 @@
 @when("many callers never read their large answers")
 def step_never_read(context: Any) -> None:
     limits = HttpLimits(unsent_bytes=20_000_000)
-    kind = "requests whose answers are not read"
-    context.max_growth_mb = 2 * (limits.unsent_bytes + 2 * LARGE_ANSWER_BYTES) / 1e6
+    kind = "one request whose huge answer is not read"
+    context.max_growth_mb = 1.5 * (limits.unsent_bytes + 2 * HUGE_ANSWER_BYTES) / 1e6
 
     async def main(runtime: Runtime) -> None:
-        context.outcome = await Serving(runtime, limits).beside(kind, 50, SECONDS)
+        context.outcome = await Serving(runtime, limits).beside(kind, 12, SECONDS)
 
     run_on_loop(main)
 
@@ -170,20 +170,22 @@
 
 
 def _max_peer_growth_mb(what: str, connections: int) -> float:
-    """Return the bound of what connections of nodes may hold, with half again for copies."""
+    """Return the bound of what connections of nodes may hold, with as much again for copies."""
     unsent_bytes = peer_server.MAX_UNSENT_BYTES // 4 + LARGE_ANSWER_BYTES
     each_bytes = peer_server.SMALL_BYTES + peer_server.READ_BYTES
     held_bytes = peer_server.MAX_HELD_BYTES + connections * each_bytes
     if "not read" in what:
-        held_bytes += connections * unsent_bytes
-    elif "wait" in what:
+        return 1.5 * connections * (each_bytes + unsent_bytes) / 1e6
+    if "wait" in what:
         held_bytes = connections * (each_bytes + peer_server.MAX_OPEN_CALLS * OPEN_CALL_BYTES)
-    return 1.5 * held_bytes / 1e6
+    return 2 * held_bytes / 1e6
 
 
 @when("nodes send {what} without end")
 def step_nodes_send(context: Any, what: str) -> None:
-    connections = 12 if "almost" in what else CONNECTIONS
+    connections = {"almost whole frames": 16, "calls whose large answers are not read": 4}.get(
+        what, CONNECTIONS
+    )
     context.max_growth_mb = _max_peer_growth_mb(what, connections)
 
     async def main(runtime: Runtime) -> None:
--- a/features/support/endless_senders.py
+++ b/features/support/endless_senders.py
@@ -29,6 +29,7 @@
 POST = b"POST /bulk/x HTTP/1.1\r\nHost: callers.example\r\nX-Attempt-Id: a\r\n"
 GET = b"GET /card/1 HTTP/1.1\r\nHost: callers.example\r\n"
 LARGE = b"GET /large HTTP/1.1\r\nHost: callers.example\r\n"
+HUGE = b"GET /huge HTTP/1.1\r\nHost: callers.example\r\n"
 UPLOAD = b"POST /v1/batches HTTP/1.1\r\nHost: callers.example\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 UNENDING = b"Content-Length: 4000000\r\n\r\n"
@@ -70,7 +71,7 @@
     "trailers": Bytes(POST + CHUNKED + b"1\r\na\r\n0\r\n", _many(b"X-T: b\r\n")),
     "pipelined requests": Bytes(b"", _many(GET + b"\r\n")),
     "requests whose answers are not read": Bytes(b"", _many(LARGE + b"\r\n"), reads=False),
-    "one request whose answer is not read": Bytes(LARGE + b"\r\n", b"", reads=False),
+    "one request whose huge answer is not read": Bytes(HUGE + b"\r\n", b"", reads=False),
     "a job of tiny chunks": Bytes(UPLOAD + CHUNKED, _many(b"2\r\nab\r\n")),
     "a job with a length": Bytes(UPLOAD + b"Content-Length: 900000000\r\n\r\n", _many(b"a\n")),
 }
--- a/features/support/endless_serving.py
+++ b/features/support/endless_serving.py
@@ -24,6 +24,10 @@
 LOCAL = Address("127.0.0.1:0")
 ANSWER_TIMEOUT_S = 2.0
 LARGE_ANSWER_BYTES = 4 * 1024 * 1024
+HUGE_ANSWER_BYTES = 16 * 1024 * 1024
+"""More than the buffers of a loopback connection hold."""
+
+ANSWER_BYTES = {"/large": LARGE_ANSWER_BYTES, "/huge": HUGE_ANSWER_BYTES}
 WARM_UP_S = 0.3
 
 
@@ -65,9 +69,9 @@
         self.running = True
 
     async def _answer(self, exchange: CallerExchange) -> None:
-        large = exchange.head.path == "/large"
+        size = ANSWER_BYTES.get(exchange.head.path)
         length = b"%d bytes" % len(exchange.body)
-        exchange.reply(200, (), b"a" * LARGE_ANSWER_BYTES if large else length)
+        exchange.reply(200, (), length if size is None else b"a" * size)
 
     async def _echo(self, _: Any, request: Envelope) -> Envelope:
         return request
@@ -123,8 +127,10 @@
         address = self.callers.bound_address()
         while self.running:
             started_s = self.loop.now()
-            asked = self.loop.spawn(Caller(self.runtime, address).ask("GET", "/sound"))
+            caller = Caller(self.runtime, address)
+            asked = self.loop.spawn(caller.ask("GET", "/sound"))
             await self._count(started_s, asked, lambda answer: answer.status == 200)
+            caller.close()
             await self.loop.sleep(0.02)
 
     async def _ask_peers(self) -> None:
