Calls of nodes that have closed their connection are limited in sum

Cause: a call goes on after its connection has closed, so a node that connects again and again could have any number open; the limit counted those of one connection. Change: 16,384 calls of all connections are open at once, twice that with the calls of connections that have fewer than 16; others are refused with a failure. Its scenario is red on a mutant that has no such limit. Steps of nodes are in a file of their own.

--- a/features/endless_senders.feature
+++ b/features/endless_senders.feature
@@ -87,6 +87,10 @@
     When a node begins a frame and sends no more of it
     Then its connections were closed
 
+  Scenario: calls that go on after their connection has closed are limited in sum
+    When nodes connect, begin calls that wait and close, again and again
+    Then calls over the limit of all connections are refused as such
+
   Scenario: a node that reads no calls is not sent calls without end
     When a node reads none of many large calls
     Then the calls over the limit fail as not run
--- a/features/steps/endless_senders_steps.py
+++ b/features/steps/endless_senders_steps.py
@@ -1,10 +1,8 @@
 """Steps for callers and nodes that send without end."""
 
 import json
-import socket
 import tracemalloc
 from typing import Any
-from unittest.mock import patch
 
 from behave import then, when
 
@@ -12,22 +10,14 @@
 from features.support.endless_senders import CALLER_KINDS, CHUNKED, POST
 from features.support.endless_serving import HUGE_ANSWER_BYTES, LARGE_ANSWER_BYTES, Serving
 from features.support.loop import run_on_loop
-from parsleyrouter.connection import peer_server
 from parsleyrouter.connection.http_limits import HttpLimits
-from parsleyrouter.connection.peer import MAX_UNSENT_BYTES, PeerFailureKind
-from parsleyrouter.ids import Address
-from parsleyrouter.process.load_exchange import MAX_REPORTED_NODES
 from parsleyrouter.process.runtime import Runtime
-from parsleyrouter.thrift_gen.peer.ttypes import Envelope
 
 CONNECTIONS = 8
 SECONDS = 1.5
 MAX_TURN_S = 0.1
 """The shares of the servers are a tenth of it; before there were bounds, turns took 0.4 to 3 s."""
 
-OPEN_CALL_BYTES = 4096
-"""Memory of a call that waits, with its task."""
-
 SMALL_LIMITS = HttpLimits(body_bytes=20_000, discard_timeout_s=0.2)
 
 
@@ -169,81 +159,6 @@
     assert context.received.endswith(b"2560 bytes"), context.received[-200:]
 
 
-def _max_peer_growth_mb(what: str, connections: int) -> float:
-    """Return the bound of what connections of nodes may hold, with as much again for copies."""
-    unsent_bytes = peer_server.MAX_UNSENT_BYTES // 4 + LARGE_ANSWER_BYTES
-    each_bytes = peer_server.SMALL_BYTES + peer_server.READ_BYTES
-    held_bytes = peer_server.MAX_HELD_BYTES + connections * each_bytes
-    if "not read" in what:
-        return 1.5 * connections * (each_bytes + unsent_bytes) / 1e6
-    if "wait" in what:
-        held_bytes = connections * (each_bytes + peer_server.MAX_OPEN_CALLS * OPEN_CALL_BYTES)
-    return 2 * held_bytes / 1e6
-
-
-@when("nodes send {what} without end")
-def step_nodes_send(context: Any, what: str) -> None:
-    connections = {"almost whole frames": 16, "calls whose large answers are not read": 4}.get(
-        what, CONNECTIONS
-    )
-    context.max_growth_mb = _max_peer_growth_mb(what, connections)
-
-    async def main(runtime: Runtime) -> None:
-        context.outcome = await Serving(runtime).beside(what, connections, SECONDS)
-
-    run_on_loop(main)
-
-
-@when("a node answers calls with {what} without end")
-def step_node_answers(context: Any, what: str) -> None:
-    context.max_growth_mb = 50.0
-
-    async def main(runtime: Runtime) -> None:
-        context.outcome = await Serving(runtime).beside(what, CONNECTIONS, SECONDS)
-
-    run_on_loop(main)
-
-
-@when("a node begins a frame and sends no more of it")
-def step_unended_frame(context: Any) -> None:
-    async def main(runtime: Runtime) -> None:
-        serving = Serving(runtime)
-        context.outcome = await serving.beside("a frame that never ends", 2, 2 * SECONDS)
-
-    with patch.object(peer_server, "FRAME_TIMEOUT_S", 0.5):
-        run_on_loop(main)
-
-
-@then("its connections were closed")
-def step_closed(context: Any) -> None:
-    assert context.outcome.closed > 0, context.outcome
-    assert context.outcome.unanswered == 0, context.outcome
-
-
-@when("a node reads none of many large calls")
-def step_reads_no_calls(context: Any) -> None:
-    async def main(runtime: Runtime) -> None:
-        with socket.create_server(("127.0.0.1", 0)) as listener:
-            address = Address(f"127.0.0.1:{listener.getsockname()[1]}")
-            request = Envelope(payload=b"a" * 10_000_000)
-            calls = [
-                runtime.loop.spawn(runtime.peers.call(address, "any", request, Envelope, 1.0))
-                for _ in range(10)
-            ]
-            context.results = await runtime.loop.gather(calls)
-            context.unsent_bytes = runtime.peers.connections[address].stream.buffered_bytes
-
-    run_on_loop(main)
-
-
-@then("the calls over the limit fail as not run")
-def step_not_run(context: Any) -> None:
-    kinds = [one.kind for one in context.results]
-    assert kinds.count(PeerFailureKind.TIMEOUT) >= 1, kinds
-    assert kinds.count(PeerFailureKind.UNREACHABLE) >= 5, kinds
-    assert context.unsent_bytes < MAX_UNSENT_BYTES + 11_000_000, context.unsent_bytes
-
-
 @when("a caller that has sent nothing for long waits to be read")
 def step_waits_to_be_read(context: Any) -> None:
     async def main(runtime: Runtime) -> None:
@@ -264,38 +179,3 @@
 @then("it is late only after it has been read")
 def step_late_after(context: Any) -> None:
     assert context.late == [False, True], context.late
-
-
-@when("a node sends {what} without end")
-def step_datagrams(context: Any, what: str) -> None:
-    context.max_growth_mb = 50.0
-
-    async def main(runtime: Runtime) -> None:
-        serving = Serving(runtime)
-        context.outcome = await serving.beside(what, 1, SECONDS)
-        kept = (serving.exchange.loads.fleet.nodes, serving.exchange.members.reported_nodes)
-        context.kept = [len(reports) for reports in kept]
-
-    run_on_loop(main)
-
-
-@then("load reports of a bounded number of nodes are kept")
-def step_bounded_nodes(context: Any) -> None:
-    assert max(context.kept) <= 2 * MAX_REPORTED_NODES, context.kept
-    assert context.kept[0] <= MAX_REPORTED_NODES, context.kept
-
-
-@when("a node reports a host name as its address")
-def step_host_name(context: Any) -> None:
-    async def main(runtime: Runtime) -> None:
-        exchange = Serving(runtime).exchange
-        with patch.object(exchange.datagrams, "sock") as sock:
-            exchange.datagrams.send(Address("no-such-host.invalid:9"), b"report")
-            context.names_sent_to = sock.sendto.mock_calls
-
-    run_on_loop(main)
-
-
-@then("no name is looked up for it")
-def step_no_lookup(context: Any) -> None:
-    assert context.names_sent_to == [], context.names_sent_to
--- a/parsleyrouter/connection/peer_server.py
+++ b/parsleyrouter/connection/peer_server.py
@@ -22,6 +22,12 @@
 MAX_OPEN_CALLS = 1024
 """Calls of one connection that are answered at the same time; others are refused."""
 
+MAX_OPEN_CALLS_IN_SUM = 16 * MAX_OPEN_CALLS
+"""The same of all connections, closed ones too, whose calls go on; twice that with the calls of
+connections that have few."""
+
+FEW_OPEN_CALLS = 16
+
 MAX_UNSENT_BYTES = 4 * MAX_FRAME_BYTES
 """Unsent answers on one connection; above a quarter of it, no further call is read."""
 
@@ -90,6 +96,7 @@
         self.context = context
         self.peers: dict[Any, _Peer] = {}
         self.held_bytes = 0
+        self.open_calls = 0
         self.queue = ReadQueue(loop, self._serve, self._watch, self.fire)
         self.held_back: set[Any] = set()
         """Connections that are not read because of their answers or of the memory of all."""
@@ -179,10 +186,13 @@
         while (data := peer.frames.take()) is not None:
             envelope = unpack(Envelope, data)
             peer.begun_s = self.loop.now()
-            if peer.open_calls >= MAX_OPEN_CALLS:
+            few = peer.open_calls < FEW_OPEN_CALLS
+            full = self.open_calls >= MAX_OPEN_CALLS_IN_SUM * (2 if few else 1)
+            if full or peer.open_calls >= MAX_OPEN_CALLS:
                 self._refuse(sock, peer, envelope)
             else:
                 peer.open_calls += 1
+                self.open_calls += 1
                 self.loop.spawn(self._answer(sock, peer, envelope), str(envelope.method))
             if self.loop.now() >= until_s:
                 break
@@ -191,7 +201,7 @@
     def _refuse(self, sock: Any, peer: _Peer, envelope: Envelope) -> None:
         peer.refused_calls += 1
         if envelope.call:
-            failure = f"{MAX_OPEN_CALLS} calls are open already: wait for their answers"
+            failure = "too many calls are open already: wait for their answers"
             reply = Envelope(envelope.call, envelope.method, b"", failure=failure)
             self._send(sock, frame(reply))
 
@@ -200,6 +210,7 @@
             reply = await self._reply(envelope)
         finally:
             peer.open_calls -= 1
+            self.open_calls -= 1
         if envelope.call and sock in self._clients:
             self._send(sock, frame(reply))
 
