--- a/parsleyrouter/connection/caller_connection.py
+++ b/parsleyrouter/connection/caller_connection.py
@@ -13,7 +13,7 @@
     too_large_refusal,
     too_many_lines_refusal,
 )
-from parsleyrouter.connection.read_queue import SLICE_S
+from parsleyrouter.connection.turn_shares import CONNECTION_SHARE_S
 from parsleyrouter.connection.upload import Upload
 from parsleyrouter.outcome import ExecutionStatus, Refusal, RefusalKind
 
@@ -97,7 +97,7 @@
         return bool(self.input) and not waits and not (self.upload and self.upload.paused)
 
     def receive(self, data: bytes) -> None:
-        """Handle received bytes; what takes more than a slice of time waits in ``input``."""
+        """Handle received bytes; what takes more than its share of a turn waits in ``input``."""
         if self.stage is ConnectionStage.DISCARD:
             return
         self.input += data
@@ -109,8 +109,8 @@
         self.parse_some()
 
     def parse_some(self) -> None:
-        """Parse received bytes for a slice of time."""
-        until_s = self.server.loop.now() + SLICE_S
+        """Parse received bytes for its share of a turn."""
+        until_s = self.server.loop.now() + CONNECTION_SHARE_S
         try:
             while self.parseable:
                 self._parse_piece()
--- a/parsleyrouter/connection/datagram.py
+++ b/parsleyrouter/connection/datagram.py
@@ -8,8 +8,8 @@
 
 from circuits import Component, handler
 
-from parsleyrouter.connection.read_queue import TURN_SHARE_S
 from parsleyrouter.connection.stream import split_address
+from parsleyrouter.connection.turn_shares import TURN_SHARE_S
 from parsleyrouter.ids import Address
 from parsleyrouter.process.loop import Loop
 
--- a/parsleyrouter/connection/http_exchange.py
+++ b/parsleyrouter/connection/http_exchange.py
@@ -40,9 +40,7 @@
         """Size of the heads before the reply's own."""
         self.rest_waits = False
         """Whether received bytes are not handled yet; no more are read before."""
-        self.deferred = False
-        self.held = False
-        self.at_end = False
+        self.deferred = self.held = self.at_end = False
         self.ended = False
         self.failure: TransportFailure | None = None
         self.reused = False
--- a/parsleyrouter/connection/peer.py
+++ b/parsleyrouter/connection/peer.py
@@ -14,8 +14,8 @@
     unpack,
 )
 from parsleyrouter.connection.peer_server import PeerMethods, PeerServer
-from parsleyrouter.connection.read_queue import SLICE_S
 from parsleyrouter.connection.stream import ConnectFailed, Connector, Stream
+from parsleyrouter.connection.turn_shares import CONNECTION_SHARE_S
 from parsleyrouter.decoding import InvalidData
 from parsleyrouter.ids import Address
 from parsleyrouter.process.loop import Loop, Promise, TimedOut
@@ -82,8 +82,8 @@
         self._take_answers()
 
     def _take_answers(self) -> None:
-        """Pass answers on for a slice of time; read no more until the rest has been."""
-        until_s = self.loop.now() + SLICE_S
+        """Pass answers on for its share of a turn; read no more until the rest has been."""
+        until_s = self.loop.now() + CONNECTION_SHARE_S
         try:
             while not self.stream.closed and (data := self.frames.take()) is not None:
                 self._take_answer(unpack(Envelope, data))
--- a/parsleyrouter/connection/peer_server.py
+++ b/parsleyrouter/connection/peer_server.py
@@ -9,9 +9,10 @@
 from circuits.net.sockets import TCPServer
 
 from parsleyrouter.connection.frames import MAX_FRAME_BYTES, FrameBuffer, frame, pack, unpack
-from parsleyrouter.connection.read_queue import SLICE_S, ReadQueue
+from parsleyrouter.connection.read_queue import ReadQueue
 from parsleyrouter.connection.socket_set import SocketSet
 from parsleyrouter.connection.stream import send_some
+from parsleyrouter.connection.turn_shares import CONNECTION_SHARE_S
 from parsleyrouter.ids import Address
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.thrift_gen.peer.ttypes import Envelope
@@ -131,7 +132,7 @@
         """Ignore notifications of the library that need no action."""
 
     def _serve(self, sock: Any) -> bool:
-        """Answer or read for a slice; return whether there is more of either."""
+        """Answer or read for one share of a turn; return whether there is more of either."""
         peer = self.peers.get(sock)
         if peer is None or sock not in self._clients or self._holds_back(sock, peer):
             return False
@@ -182,7 +183,7 @@
 
     def _start_calls(self, sock: Any, peer: _Peer) -> bool:
         """Start the calls that have arrived; return whether others are left."""
-        until_s = self.loop.now() + SLICE_S
+        until_s = self.loop.now() + CONNECTION_SHARE_S
         while (data := peer.frames.take()) is not None:
             envelope = unpack(Envelope, data)
             peer.begun_s = self.loop.now()
@@ -261,7 +262,7 @@
         self.queue.add(sock)
 
     def _watch(self, sock: Any) -> None:
-        """Poll a connection unless it is held back or waits for its next slice of time."""
+        """Poll a connection unless it is held back or waits for its next share of a turn."""
         if sock not in self._clients:
             return
         if sock in self.held_back or sock in self.queue.busy:
--- a/parsleyrouter/connection/public_http_server.py
+++ b/parsleyrouter/connection/public_http_server.py
@@ -147,7 +147,7 @@
             self.parse_later(sock)
 
     def parse_later(self, sock: Any) -> None:
-        """Parse bytes that a connection holds in its next slice of time."""
+        """Parse bytes that a connection holds in its next share of a turn."""
         if sock in self.connections:
             self.queue.add(sock)
 
@@ -158,7 +158,7 @@
             self._watch(sock)
 
     def _watch(self, sock: Any) -> None:
-        """Poll a connection unless it is paused or waits for its next slice of time."""
+        """Poll a connection unless it is paused or waits for its next share of a turn."""
         connection = self.connections.get(sock)
         if connection is None or sock not in self.server._clients:
             return
@@ -168,7 +168,7 @@
             self.server._poller.addReader(self.server, sock)
 
     def _serve(self, sock: Any) -> bool:
-        """Parse or read a slice; return whether more is to be parsed or probably read."""
+        """Parse or read for one share of a turn; return whether more is to be parsed or probably read."""
         connection = self.connections.get(sock)
         if connection is None or sock not in self.server._clients:
             return False
--- a/parsleyrouter/connection/read_queue.py
+++ b/parsleyrouter/connection/read_queue.py
@@ -6,15 +6,10 @@
 
 from circuits import Event
 
+from parsleyrouter.connection.turn_shares import TURN_SHARE_S
 from parsleyrouter.process.loop import Loop
 
-__all__ = ["SLICE_S", "TURN_SHARE_S", "ReadQueue", "read_turn"]
-
-TURN_SHARE_S = 0.005
-"""Time that the connections of one server get in a turn of the loop."""
-
-SLICE_S = 0.001
-"""Time that one connection gets before the others come."""
+__all__ = ["ReadQueue", "read_turn"]
 
 log = logging.getLogger(__name__)
 
@@ -22,7 +17,7 @@
 class read_turn(Event):  # noqa: N801
     """Have a server run its queue.
 
-    Tasks that an event starts run at once and so within the slice; those of a timer run later.
+    Tasks that an event starts run at once and so within the share; those of a timer run later.
     """
 
 
