--- a/parsleyrouter/connection/http_exchange.py
+++ b/parsleyrouter/connection/http_exchange.py
@@ -37,7 +37,6 @@
         self.received_bytes = 0
         """Bytes received in all, also those that are not part of a body."""
         self.early_head_bytes = 0
-        """Size of the heads before the reply's own."""
         self.rest_waits = False
         """Whether received bytes are not handled yet; no more are read before."""
         self.deferred = False
@@ -266,8 +265,7 @@
             return self._handle_end()
         elif isinstance(event, h11.ConnectionClosed):
             self.fail("connection closed early")
-            return False
-        return True
+        return self.failure is None
 
     def _count_early_head(self, head: h11.InformationalResponse | h11.Response) -> bool:
         """Count a head before the reply's own; return whether another one may follow."""
