--- a/features/held_items.feature
+++ b/features/held_items.feature
@@ -34,3 +34,23 @@
   Scenario: a single trial that finds no endpoint is given back
     When a late trial is claimed while its request can be sent nowhere
     Then the fleet still has as many late trials as before
+
+  Scenario: news of a joint trial that comes after its crash sends no further items
+    When a node hears of a joint trial after its crash, or has just started and reads its claim
+    Then it takes no part in the trial, and plans no other joint one
+
+  Scenario: an answer that crashes nothing is no cut run
+    When all items of a joint trial are refused by their endpoint
+    Then the next trial may be a joint one again
+
+  Scenario: an item that cannot be sent keeps no other from a trial
+    When one of the items that a node holds has a header beyond Latin-1
+    Then the others are tried, and that item is given up
+
+  Scenario: a group that was released does not come back by a renewal of another node
+    When a group is released while another node writes it
+    Then no node has it afterwards, and its key is gone
+
+  Scenario: the claim of a trial whose reply is lost is still made use of
+    When the store applies the claim of a late trial and its reply is lost
+    Then the node that claimed it lets one request through
--- a/features/steps/held_trials_steps.py
+++ b/features/steps/held_trials_steps.py
@@ -1,6 +1,7 @@
 """Steps for trials of held items at the nodes of a fleet."""
 
 import json
+import time
 from typing import Any
 from unittest.mock import patch
 
@@ -10,14 +11,18 @@
 from features.steps.front_requests_steps import run_with_fleet
 from features.support.deadly_play import DeadlyPlay
 from features.support.front_fleet import FrontFleet
-from features.support.platform_endpoint import silent
-from parsleyrouter.ids import PromptPart
+from features.support.platform_endpoint import shed, silent
+from parsleyrouter.connection.key_value import KeyValueFailure, KeyValueFailureKind
+from parsleyrouter.ids import EndpointId, PromptPart
 from parsleyrouter.process.crash_monitor import RECENT_S
 from parsleyrouter.process.fleet_loads import RequestCounts
 from parsleyrouter.process.item_run import ItemRun
+from parsleyrouter.process.quarantine_records import QUARANTINE_PREFIX, GroupRecord
+from parsleyrouter.request.crash_evidence import CutRuns
 from parsleyrouter.request.quarantine import (
     FIRST_TRIAL_S,
     MAX_EARLY_RUNS,
+    ONLINE_DELAY_S,
     TRIAL_TIMEOUT_S,
     QuarantinedGroup,
 )
@@ -125,3 +130,134 @@
 def step_given_back(context: Any) -> None:
     assert context.during == [1, 1], context.during
     assert context.after == [0, 0], context.after
+
+
+@when("a node hears of a joint trial after its crash, or has just started and reads its claim")
+def step_late_news(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        await fleet.start(2)
+        groups = await _quarantine_everywhere(fleet, MAX_EARLY_RUNS - 1)
+        first, second = [front.quarantine for front in fleet.fronts]
+        record = GroupRecord(
+            tuple(GROUP),
+            trials=1,
+            cut_runs=MAX_EARLY_RUNS - 1,
+            claimed_ms=int(time.time() * 1000),
+            endpoint=EndpointId("e1"),
+        )
+        groups[0].note_crashes(CutRuns(MAX_EARLY_RUNS + 2, 0, fleet.loop.now()))
+        first.trials.apply_record(record, is_known=True)
+        second.quarantine.groups.pop(GROUP)
+        second._apply_stored(record)
+        context.groups = [groups[0], second.quarantine.groups[GROUP]]
+
+    run_with_fleet(context, scenario)
+
+
+@then("it takes no part in the trial, and plans no other joint one")
+def step_no_part(context: Any) -> None:
+    assert [one.trial for one in context.groups] == [None, None], context.groups
+    assert [one.late and not one.joint for one in context.groups] == [True, True], context.groups
+
+
+@when("all items of a joint trial are refused by their endpoint")
+def step_refused(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        fleet.register("e1").default_behaviour = shed
+        await fleet.start(2)
+        groups = await _quarantine_everywhere(fleet, MAX_EARLY_RUNS - 1)
+        await _hold_an_item_at_each_node(fleet)
+        _make_due(groups)
+        await fleet.until(lambda: len(fleet.endpoints["e1"].arrivals) >= 2)
+        await fleet.loop.sleep(0.5)
+        context.cut_runs = [group.cut_runs for group in groups]
+
+    run_with_fleet(context, scenario)
+
+
+@then("the next trial may be a joint one again")
+def step_joint_again(context: Any) -> None:
+    assert context.cut_runs == [MAX_EARLY_RUNS - 1] * 2, context.cut_runs
+
+
+@when("one of the items that a node holds has a header beyond Latin-1")
+def step_bad_header(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        fleet.register("e1")
+        front = await fleet.start()
+        groups = await _quarantine_everywhere(fleet, MAX_EARLY_RUNS - 1)
+        rows = [batch_item(f"held{number}", deadly=True) for number in range(3)]
+        rows[0]["headers"]["X-Note"] = "\u4f8b"
+        body = json.dumps({"items": rows}).encode()
+        answer = await fleet.caller().ask(
+            "POST", "/bulk/job1", body, attempt="job1", deadline_ms=None
+        )
+        assert answer.status == 202, answer.status
+        await fleet.until(lambda: len(front.worker.held.items) == 3)
+        _make_due(groups)
+        await fleet.until(lambda: GROUP not in front.quarantine.quarantine.groups)
+        await fleet.loop.sleep(1.0)
+        page = await fleet.caller().ask("GET", "/lots/job1?after=0", deadline_ms=None)
+        context.states = {row["id"]: row["state"] for row in json.loads(page.body)["results"]}
+        context.held = len(front.worker.held.items)
+
+    run_with_fleet(context, scenario)
+
+
+@then("the others are tried, and that item is given up")
+def step_others_tried(context: Any) -> None:
+    expected = {"held0": "dead_lettered", "held1": "completed", "held2": "completed"}
+    assert context.states == expected, context.states
+    assert context.held == 0, context.held
+
+
+@when("a group is released while another node writes it")
+def step_release_beside_write(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        await fleet.start(2)
+        groups = await _quarantine_everywhere(fleet, 0)
+        keepers = [front.quarantine for front in fleet.fronts]
+        fleet.store.faults.delay_s = 0.1
+        fleet.loop.spawn(keepers[1].records.rewrite(groups[1]))
+        await fleet.loop.sleep(0.05)
+        keepers[0].report_served(PROMPT, fleet.loop.now())
+        await fleet.loop.sleep(2.0)
+        context.left = [GROUP in one.quarantine.groups for one in keepers]
+        context.keys = [key for key in fleet.store.rows if key.startswith(QUARANTINE_PREFIX)]
+
+    run_with_fleet(context, scenario)
+
+
+@then("no node has it afterwards, and its key is gone")
+def step_gone(context: Any) -> None:
+    assert context.left == [False, False] and not context.keys, (context.left, context.keys)
+
+
+@when("the store applies the claim of a late trial and its reply is lost")
+def step_lost_reply(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        await fleet.start(2)
+        groups = await _quarantine_everywhere(fleet, MAX_EARLY_RUNS)
+        _make_due(groups)
+        first, second = [front.quarantine for front in fleet.fronts]
+        transact = first.records.store.transact
+
+        async def lose_reply(transaction: Any) -> KeyValueFailure:
+            await transact(transaction)
+            return KeyValueFailure(KeyValueFailureKind.TIMEOUT, "no reply", maybe_applied=True)
+
+        await fleet.loop.sleep(ONLINE_DELAY_S)
+        with patch.object(first.records.store, "transact", lose_reply):
+            first.refusal(PROMPT)
+            await fleet.until(lambda: groups[1].trials == 1)
+        await fleet.loop.sleep(0.3)
+        context.passed = [
+            sum(keeper.refusal(PROMPT) is None for _ in range(3)) for keeper in (first, second)
+        ]
+
+    run_with_fleet(context, scenario)
+
+
+@then("the node that claimed it lets one request through")
+def step_one_through(context: Any) -> None:
+    assert context.passed == [1, 0], context.passed
--- a/parsleyrouter/process/crash_monitor.py
+++ b/parsleyrouter/process/crash_monitor.py
@@ -106,8 +106,7 @@
         self.running.discard(request)
         if not request.prompt:
             return
-        began = request.began_s is not None or cut
-        self.keeper.end_trial(request.prompt, began=began, cut=cut)
+        self.keeper.end_trial(request.prompt, began=cut or served or abandoned, cut=cut)
         if cut:
             self._record_cut(request, served=served)
         elif served and request.began_s is not None:
@@ -118,22 +117,24 @@
     def _name_run(self) -> RunId:
         return RunId(f"{self.start_name}.{next(self.run_numbers):x}")
 
-    def _abandoned_before(self, crash: Crash) -> dict[RunId, Prompt]:
-        """Return the runs given up at an endpoint within the second before it crashed."""
-        return {
-            one.run: one.request.prompt
+    def _take_abandoned(self, crash: Crash) -> dict[RunId, Prompt]:
+        """Remove and return the runs given up at an endpoint in the second before it crashed."""
+        taken = [
+            one
             for one in self.abandoned
             if one.request.registration.endpoint == crash.endpoint
             and one.request.registration.started_ms == crash.started_ms
             and -GATHER_S <= crash.at_s - one.ended_s <= RECENT_S
-        }
+        ]
+        for one in taken:
+            self.abandoned.remove(one)
+        return {one.run: one.request.prompt for one in taken}
 
     def _report_abandoned(self, crashes: Iterable[Crash]) -> None:
         """Report the runs given up here that may have caused a crash that another node saw."""
         for crash in crashes:
-            known = self.keeper.evidence.known_runs(crash)
-            runs = self._abandoned_before(crash)
-            if runs.keys() - known:
+            runs = self._take_abandoned(crash)
+            if runs:
                 found = Crash(
                     crash.endpoint, crash.at_s, set(runs.values()), crash.started_ms, runs
                 )
@@ -193,7 +194,7 @@
         self, registration: RegisteredEndpoint, cuts: _Cuts, runs: dict[RunId, Prompt]
     ) -> None:
         crash = Crash(registration.endpoint, cuts.at_s, started_ms=registration.started_ms)
-        crash.runs = runs | self._abandoned_before(crash)
+        crash.runs = runs | self._take_abandoned(crash)
         crash.prompts = set(crash.runs.values())
         self.keeper.report_crash(crash)
 
--- a/parsleyrouter/process/held_items.py
+++ b/parsleyrouter/process/held_items.py
@@ -7,11 +7,14 @@
 from parsleyrouter.process.job_run import JobRun
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.quarantine_keeper import QuarantineKeeper
-from parsleyrouter.request.crash_evidence import PartGroup, Prompt
+from parsleyrouter.request.crash_evidence import Prompt
 from parsleyrouter.request.quarantine import QuarantinedGroup, joint_endpoint
 
 __all__ = ["HeldItems"]
 
+CLAIM_INTERVAL_S = 0.25
+"""Pause between looks for an item whose trial can be claimed."""
+
 CHECK_INTERVAL_S = 5.0
 """Pause between checks of an item; its trial and the end of its quarantine come in between."""
 
@@ -28,6 +31,7 @@
         """The held items, those that have waited longest for a trial first."""
         self.tried_s: dict[Key, float] = {}
         """When the latest trial was claimed that each of them took part in."""
+        self.next_claim_s = 0.0
         self.choose_endpoint: Callable[[JobRun, ItemIndex], EndpointId | None] = lambda *_: None
         """Returns where an item could be tried now."""
         self.start_at: Callable[[JobRun, ItemIndex, EndpointId], bool] = lambda *_: False
@@ -56,23 +60,30 @@
     def claim_due_trials(self) -> None:
         """Claim the trials that are due, each for an item that waits for it."""
         now = self.loop.now()
-        groups = self.keeper.quarantine.groups
-        if not self.items or not any(one.trial_due(now) for one in groups.values()):
+        due = {name for name, one in self.keeper.quarantine.groups.items() if one.trial_due(now)}
+        if not due or not self.items or now < self.next_claim_s:
             return
+        self.next_claim_s = now + CLAIM_INTERVAL_S
         self._drop_ended()
-        claimed: set[PartGroup] = set()
         for (_, index), (job_run, prompt) in self.items.items():
-            held_by = self.keeper.quarantine.find(prompt)
-            if not held_by or not all(
-                one.trial_due(now) and one.parts not in claimed for one in held_by
-            ):
+            if not due:
+                return
+            if not any(name.issubset(prompt) for name in due):
                 continue
-            endpoint = self.choose_endpoint(job_run, index)
-            if endpoint is None:
+            groups = self.keeper.quarantine.find(prompt)
+            if not all(one.parts in due for one in groups):
                 continue
-            claimed |= {one.parts for one in held_by}
-            joint = all(one.joint for one in held_by)
-            self.keeper.trials.claim(held_by, now, endpoint if joint else None)
+            due -= {one.parts for one in groups}
+            endpoint = self.choose_endpoint(job_run, index)
+            if endpoint is not None:
+                joint = all(one.joint for one in groups)
+                self.keeper.trials.claim(groups, now, endpoint if joint else None)
+
+    def forget_job(self, job_run: JobRun) -> None:
+        """Forget the items of a job that this node no longer runs."""
+        for key, (known, _) in list(self.items.items()):
+            if known is job_run:
+                self.release(job_run, key[1])
 
     def join_trials(self) -> None:
         """Start the items whose groups are tried now at one endpoint, up to its slots."""
--- a/parsleyrouter/process/job_worker.py
+++ b/parsleyrouter/process/job_worker.py
@@ -70,6 +70,7 @@
         self.states = ItemStates(owner, context.crashes.keeper.quarantine, metrics)
         self.preemption = ItemPreemption(context, owner, exchange, metrics, self._running_rank)
         self.held = HeldItems(self.loop, context.crashes.keeper)
+        owner.on_release.append(self.held.forget_job)
         self.held.choose_endpoint, self.held.start_at = self._trial_endpoint, self._start_trial
 
     def start(self) -> None:
@@ -240,7 +241,11 @@
         )
         if tried >= entry.slots:
             return False
-        self._begin_run(job_run, index, route, entry, is_trial=True)
+        try:
+            self._begin_run(job_run, index, route, entry, is_trial=True)
+        except Exception as error:
+            self._handle_item_error(job_run, index, error)
+            return False
         self.states.note(job_run, index, WaitReason.RUNNING)
         return True
 
--- a/parsleyrouter/process/load_codec.py
+++ b/parsleyrouter/process/load_codec.py
@@ -203,7 +203,9 @@
 
 def _crash_to_wire(crash: Crash, age_s: float) -> CrashNews:
     """Return a crash with the prompt of each run, then the prompts without a known run."""
-    runs = list(crash.runs.items())[:MAX_PROMPTS]
+    one_each = {prompt: run for run, prompt in crash.runs.items()}
+    firsts = set(one_each.values())
+    runs = sorted(crash.runs.items(), key=lambda entry: entry[0] not in firsts)[:MAX_PROMPTS]
     prompts: list[list[str]] = [list(prompt[-MAX_PARTS:]) for _, prompt in runs]
     prompts += _prompts_to_wire(crash.prompts - set(crash.runs.values()))
     age_ms, names = int(age_s * 1000), [run for run, _ in runs]
--- a/parsleyrouter/process/quarantine_keeper.py
+++ b/parsleyrouter/process/quarantine_keeper.py
@@ -106,7 +106,7 @@
     def end_trial(self, prompt: Prompt, *, began: bool, cut: bool = False) -> None:
         """Note that a request has ended; it may have been the trial of its groups."""
         for group in self.quarantine.find(prompt):
-            if group.end_trial(began=began):
+            if group.end_trial(began=began, cut=cut):
                 took_s = round(self.loop.now() - group.claimed_s, 3)
                 fields = {"parts": sorted(group.parts), "trials": group.trials, "began": began}
                 log.warning("quarantine trial ended", extra=fields | {"cut": cut, "took_s": took_s})
@@ -209,8 +209,9 @@
 
     def _apply_stored(self, record: GroupRecord) -> None:
         """Apply a group that some node has stored."""
+        is_known = record.group in self.quarantine.groups
         self.add(record.group, {"source": "key-value service"})
-        self.trials.apply_claim(record)
+        self.trials.apply_record(record, is_known=is_known)
 
     def _forget(self, group: PartGroup) -> None:
         if self.quarantine.groups.pop(group, None) is not None:
--- a/parsleyrouter/process/quarantine_records.py
+++ b/parsleyrouter/process/quarantine_records.py
@@ -21,11 +21,16 @@
     WriteApplied,
 )
 from parsleyrouter.decoding import InvalidData, decode_json
-from parsleyrouter.ids import EndpointId, PromptPart, Revision
+from parsleyrouter.ids import EndpointId, NodeId, PromptPart, Revision
 from parsleyrouter.process.cell_members import CellMembers
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.request.crash_evidence import PartGroup
-from parsleyrouter.request.quarantine import TRIAL_TIMEOUT_S, Quarantine, QuarantinedGroup
+from parsleyrouter.request.quarantine import (
+    MAX_EARLY_RUNS,
+    TRIAL_TIMEOUT_S,
+    Quarantine,
+    QuarantinedGroup,
+)
 
 __all__ = ["QUARANTINE_PREFIX", "GroupRecord", "QuarantineRecords"]
 
@@ -52,11 +57,21 @@
     """When the latest trial was claimed, Unix time."""
     endpoint: EndpointId = EndpointId("")
     """Where it sends all waiting batch items; empty if it sends a single request."""
+    node: NodeId = NodeId("")
+    """The node that claimed it."""
+    unused: bool = False
+    """Whether the latest trial has been given back."""
 
     @classmethod
     def of(cls, group: QuarantinedGroup) -> "GroupRecord":
         """Return the record of a group without a trial of which others take notice."""
-        return cls(tuple(sorted(group.parts)), group.trials, group.late_trials, group.cut_runs)
+        parts = tuple(sorted(group.parts))
+        return cls(parts, group.trials, group.late_requests, group.cut_runs)
+
+    @property
+    def expected_cuts(self) -> int:
+        """Return how many runs are cut once the trial has failed, for nodes that saw none of it."""
+        return max(self.cut_runs + bool(self.claimed_ms), MAX_EARLY_RUNS if self.endpoint else 0)
 
     @property
     def group(self) -> PartGroup:
@@ -104,6 +119,8 @@
         self.quarantine = quarantine
         self.rng = rng
         self.stored: dict[PartGroup, _Stored] = {}
+        self.removing: set[PartGroup] = set()
+        """Groups that were released here and are being removed."""
         self.on_group: Callable[[GroupRecord], object] = lambda record: None
         """Called with each group that is stored."""
         self.on_removed: Callable[[PartGroup], object] = lambda group: None
@@ -131,7 +148,7 @@
         if stored is None or not stored.may_write(now):
             return
         if now > stored.seen_s + RENEW_INTERVAL_S * self.rng.uniform(1.0, 1.5):
-            self.loop.spawn(self.rewrite([group]), "renew a quarantine")
+            self.loop.spawn(self.rewrite(group), "renew a quarantine")
 
     def may_claim(self, groups: Sequence[QuarantinedGroup], now: float) -> bool:
         """Return whether a trial of the groups can be claimed now."""
@@ -153,14 +170,25 @@
                 late_trials=group.late_requests + group.late,
                 claimed_ms=claimed_ms,
                 endpoint=endpoint or EndpointId(""),
+                node=self.members.registry.own.node,
             )
             for group in groups
         ]
         return records if await self._write(records) else ()
 
-    async def rewrite(self, groups: Sequence[QuarantinedGroup]) -> None:
-        """Store what this node knows of groups that are stored."""
-        await self._write([GroupRecord.of(group) for group in groups])
+    async def rewrite(self, group: QuarantinedGroup) -> bool:
+        """Store what this node knows of a group that is stored; return whether that was done."""
+        return await self._write([GroupRecord.of(group)])
+
+    async def give_back_trial(self, group: QuarantinedGroup) -> None:
+        """Store that the latest trial was not used."""
+        record = msgspec.structs.replace(
+            GroupRecord.of(group), late_trials=group.late_trials, unused=True
+        )
+        while self.quarantine.groups.get(group.parts) is group and group.trials == record.trials:
+            if await self._write([record]):
+                return
+            await self.loop.sleep(WRITE_RETRY_S)
 
     async def _write(self, records: Sequence[GroupRecord]) -> bool:
         """Write records unless any of them has changed; return whether they are written."""
@@ -208,16 +236,26 @@
             await self.remove_group(group)
 
     async def remove_group(self, group: PartGroup) -> None:
-        """Remove a stored group unless it is in quarantine again or was written meanwhile."""
-        while group not in self.quarantine.groups and (stored := self.stored.get(group)):
-            expected = {_key(group): stored.revision}
-            done = await self.store.transact(Transaction(expected, deletes=(_key(group),)))
-            if not isinstance(done, KeyValueFailure):
-                if self.stored.get(group) is stored:
-                    del self.stored[group]
-                return
-            log.warning("quarantine not removed", extra={"reason": done.message})
-            await self.loop.sleep(WRITE_RETRY_S)
+        """Remove a stored group unless it is in quarantine again."""
+        key = _key(group)
+        self.removing.add(group)
+        try:
+            while group not in self.quarantine.groups and (stored := self.stored.get(group)):
+                done = await self.store.transact(
+                    Transaction({key: stored.revision}, deletes=(key,))
+                )
+                if isinstance(done, KeyValueFailure):
+                    log.warning("quarantine not removed", extra={"reason": done.message})
+                    await self.loop.sleep(WRITE_RETRY_S)
+                elif isinstance(done, TransactionConflict) and key in done.current:
+                    # A node that did not know of the release has renewed the group.
+                    self._note_stored(group, done.current[key].revision)
+                else:
+                    if self.stored.get(group) is stored:
+                        del self.stored[group]
+                    return
+        finally:
+            self.removing.discard(group)
 
     def _apply_entry(self, entry: Entry) -> None:
         try:
@@ -229,7 +267,8 @@
         if not record.parts or known is not None and known.revision >= entry.revision:
             return
         self._note_stored(record.group, entry.revision)
-        self.on_group(record)
+        if record.group not in self.removing:
+            self.on_group(record)
 
     def _note_removed(self, group: PartGroup) -> None:
         del self.stored[group]
--- a/parsleyrouter/process/quarantine_trials.py
+++ b/parsleyrouter/process/quarantine_trials.py
@@ -10,6 +10,7 @@
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.quarantine_records import GroupRecord, QuarantineRecords
 from parsleyrouter.request.quarantine import (
+    MAX_EARLY_RUNS,
     TRIAL_TIMEOUT_S,
     Quarantine,
     QuarantinedGroup,
@@ -41,58 +42,61 @@
         claimed_s = self.loop.now()
         claimed = await self.records.claim_trial(groups, endpoint)
         for record in claimed:
-            self._note_claim(record, claimed_s, own=True)
+            self._note_claim(record, claimed_s)
         if not claimed:
             return
         fields = {"parts": [list(one.parts) for one in claimed], "endpoint": endpoint}
         log.warning(
             "quarantine trial claimed", extra=fields | {"trials": [one.trials for one in claimed]}
         )
-        if endpoint is None:
-            self.loop.call_later(TRIAL_TIMEOUT_S, lambda: self._settle(claimed))
         self._notify()
 
-    def apply_claim(self, record: GroupRecord) -> None:
-        """Apply what another node has stored about a group, and join a trial that it has begun."""
+    def apply_record(self, record: GroupRecord, *, is_known: bool) -> None:
+        """Apply what a node has stored about a group, and take part in a trial that it has claimed.
+
+        A node that did not know the group begins no trial that may be over.
+        """
         group = self.quarantine.groups.get(record.group)
         if group is None:
             return
+        late_trials = record.late_trials if record.unused else group.late_trials
+        group.late_trials = max(late_trials, record.late_trials)
+        if not is_known:
+            group.trials = max(group.trials, record.trials)
+            group.cut_runs = max(group.cut_runs, record.expected_cuts)
+            return
+        group.cut_runs = max(group.cut_runs, record.cut_runs)
         age_s = record.claim_age_s()
         if record.trials > group.trials and age_s is not None:
-            self._note_claim(record, self.loop.now() - age_s, own=False)
+            self._note_claim(record, self.loop.now() - age_s)
             if group.trial is not None:
                 self._notify()
         group.trials = max(group.trials, record.trials)
-        group.late_trials = record.late_trials
-        group.cut_runs = max(group.cut_runs, record.cut_runs)
 
-    def _note_claim(self, record: GroupRecord, claimed_s: float, *, own: bool) -> None:
+    def _note_claim(self, record: GroupRecord, claimed_s: float) -> None:
         group = self.quarantine.groups.get(record.group)
-        if group is None:
+        if group is None or group.trials >= record.trials:
+            # The watch and the reply both tell of an own claim.
             return
-        group.trials = max(group.trials, record.trials)
-        group.late_trials = record.late_trials
+        own = record.node == self.records.members.registry.own.node
+        group.trials = record.trials
+        group.late_trials = max(group.late_trials, record.late_trials)
         group.note_claim(claimed_s, record.endpoint or None, own=own)
+        if own and group.trial is not None and not record.endpoint:
+            late_before = record.late_trials - (record.cut_runs >= MAX_EARLY_RUNS)
+            self.loop.call_later(TRIAL_TIMEOUT_S, lambda: self._settle(record, late_before))
 
-    def _settle(self, claimed: Sequence[GroupRecord]) -> None:
+    def _settle(self, record: GroupRecord, late_before: int) -> None:
         """Give back a trial for which no request came, or of which none reached an endpoint."""
-        unused = [
-            group
-            for record in claimed
-            if (group := self.quarantine.groups.get(record.group)) is not None
-            and group.trials == record.trials
-            and group.trial is not None
-            and group.trial.requests_left
-        ]
-        for group in unused:
-            group.trial = None
-            if group.late:
-                group.late_trials -= 1
-        if unused:
-            log.info(
-                "quarantine trial unused", extra={"parts": [sorted(one.parts) for one in unused]}
-            )
-            self.loop.spawn(self.records.rewrite(unused), "give back a trial")
+        group = self.quarantine.groups.get(record.group)
+        if group is None or group.trials != record.trials or group.trial is None:
+            return
+        if not group.trial.requests_left:
+            return
+        group.trial = None
+        group.late_trials = late_before
+        log.info("quarantine trial unused", extra={"parts": sorted(group.parts)})
+        self.loop.spawn(self.records.give_back_trial(group), "give back a trial")
 
     def _notify(self) -> None:
         for callback in self.on_trial:
--- a/parsleyrouter/request/crash_evidence.py
+++ b/parsleyrouter/request/crash_evidence.py
@@ -138,11 +138,6 @@
                 known.runs[run] = crash.runs[run][-MAX_PARTS:]
         return new
 
-    def known_runs(self, crash: Crash) -> Set[RunId]:
-        """Return the runs that are known to have been cut by a crash."""
-        known = next((one for one in self.crashes if _is_same(one, crash)), None)
-        return known.runs.keys() if known is not None else frozenset()
-
     def record_served(self, prompt: Prompt, began_s: float) -> bool:
         """Note an answer that did not crash its endpoint; return whether the evidence changes."""
         prompt = prompt[-MAX_PARTS:]
--- a/parsleyrouter/request/quarantine.py
+++ b/parsleyrouter/request/quarantine.py
@@ -162,11 +162,18 @@
             self.trial = None
 
     def note_claim(self, claimed_s: float, endpoint: EndpointId | None, *, own: bool) -> None:
-        """Begin a trial: a joint one at an endpoint, or one of a single request of its claimer."""
+        """Begin a trial: a joint one at an endpoint, or one of a single request of its claimer.
+
+        News of a joint trial that comes after its crash, or from a node that knows of fewer cut
+        runs, begins none here.
+        """
         self.claimed_s = claimed_s
         until_s = claimed_s + TRIAL_TIMEOUT_S
-        takes_part = own or endpoint is not None
-        self.trial = Trial(until_s, endpoint, int(own and endpoint is None)) if takes_part else None
+        self.trial = None
+        if own and self.crashed_s <= claimed_s:
+            self.trial = Trial(until_s, endpoint, int(endpoint is None))
+        elif endpoint is not None and self.joint and self.crashed_s < claimed_s - TRIAL_TIMEOUT_S:
+            self.trial = Trial(until_s, endpoint)
 
     def joint_endpoint(self, now: float) -> EndpointId | None:
         """Return where waiting batch items are tried together at present."""
@@ -177,7 +184,7 @@
         trial = self.trial
         return trial is not None and trial.requests_left > 0 and now < trial.until_s
 
-    def end_trial(self, *, began: bool) -> bool:
+    def end_trial(self, *, began: bool, cut: bool = False) -> bool:
         """Note that a request with the parts has ended; return whether it was part of a trial.
 
         A single one that never began at an endpoint tells nothing, so another takes its place.
@@ -185,10 +192,10 @@
         trial = self.trial
         if trial is None or trial.requests_left:
             return False
-        if began:
-            # A crash by it may not be known yet.
+        if cut:
+            # The crash by it may not be known yet.
             self.cut_runs += 1
-        elif trial.endpoint is None:
+        elif not began and trial.endpoint is None:
             trial.requests_left = 1
         return True
 
@@ -212,11 +219,14 @@
             known.requested_s = now
             return None
         replaced = [self.groups.pop(one) for one in list(self.groups) if parts < one]
-        late_trials = max((one.late_trials for one in replaced), default=0)
+        late_trials = max((one.late_requests for one in replaced), default=0)
+        cut_runs = max((one.cut_runs for one in replaced), default=0)
         if len(self.groups) >= MAX_GROUPS:
             oldest = min(self.groups.values(), key=lambda one: one.requested_s)
             replaced.append(self.groups.pop(oldest.parts))
-        group = QuarantinedGroup(parts, now, now, doubtful, late_trials=late_trials)
+        group = QuarantinedGroup(
+            parts, now, now, doubtful, cut_runs=cut_runs, late_trials=late_trials
+        )
         self.groups[parts] = group
         return [one.parts for one in replaced]
 
