--- a/parsleyrouter/connection/public_http_server.py
+++ b/parsleyrouter/connection/public_http_server.py
@@ -168,7 +168,7 @@
             self.server._poller.addReader(self.server, sock)
 
     def _serve(self, sock: Any) -> bool:
-        """Parse or read for one share of a turn; return whether there is probably more of either."""
+        """Parse or read for one share of a turn; return whether there may be more of either."""
         connection = self.connections.get(sock)
         if connection is None or sock not in self.server._clients:
             return False
