Log and count refusals and skipped responses with the connection they came on

Callers saw 503 for requests that ran, with no logs. The lines named endpoint and status only, so a copy of a refusal with the id of the request, one with another id, and no copy at all looked alike. Each refusal now has a line with its connection, that connection's age and requests, and the ids that were refused or skipped there; two counters tell kinds apart. No decision changes.

--- a/parsleyrouter/connection/endpoint_client.py
+++ b/parsleyrouter/connection/endpoint_client.py
@@ -5,12 +5,15 @@
 from collections.abc import Sequence
 
 import h11
+from prometheus_client import CollectorRegistry
 
+from parsleyrouter.connection.connection_history import ConnectionHistory
+from parsleyrouter.connection.endpoint_metrics import EndpointMetrics
 from parsleyrouter.connection.http import TransportFailure
 from parsleyrouter.connection.http_client import HttpClient
 from parsleyrouter.connection.http_exchange import HttpExchange, new_parser
-from parsleyrouter.connection.stream import CONNECT_TIMEOUT_S, Connector
-from parsleyrouter.ids import Address, RequestId
+from parsleyrouter.connection.stream import CONNECT_TIMEOUT_S, Connector, Stream
+from parsleyrouter.ids import Address, EndpointId, RequestId
 from parsleyrouter.process.loop import Loop
 
 __all__ = ["EndpointClient", "EndpointExchange", "RawHeaders"]
@@ -20,6 +23,8 @@
 LOG_INTERVAL_S = 60.0
 """Time after a log line about an endpoint in which no other one of its kind follows."""
 
+REFUSING_STATUSES = frozenset({408, 421, 429, 503})
+
 log = logging.getLogger(__name__)
 
 
@@ -38,11 +43,22 @@
     skipping = False
     skipped = 0
 
+    def __init__(self, client: HttpClient, stream: Stream) -> None:
+        super().__init__(client, stream)
+        self.history = ConnectionHistory(client.loop.now())
+
+    def take_over(self, old: HttpExchange) -> None:
+        """Go on with the connection of an earlier exchange and with its history."""
+        super().take_over(old)
+        assert isinstance(old, EndpointExchange)
+        self.history = old.history
+
     def send_request(
         self, method: str, target: str, headers: RawHeaders, body: bytes, *, request: RequestId
     ) -> None:
         """Send the whole request; ``headers`` must include ``Host`` and no ``Content-Length``."""
         self.request = request
+        self.history.requests += 1
         lines = [*headers]
         if body or method not in ("GET", "HEAD", "DELETE"):
             lines.append((b"Content-Length", b"%d" % len(body)))
@@ -53,6 +69,12 @@
         data += self.parser.send(h11.EndOfMessage()) or b""
         self.stream.send(data)
 
+    @property
+    def endpoint_client(self) -> "EndpointClient":
+        """Return the client, which counts and logs what its endpoints send."""
+        assert isinstance(self.client, EndpointClient)
+        return self.client
+
     @property
     def has_request_id(self) -> bool:
         """Whether the response carries the id of this request."""
@@ -60,14 +82,16 @@
 
     def fail_invalid(self, message: str) -> None:
         """End the exchange and log that the endpoint has sent bytes that are no answer."""
-        if not self.ended and self.failure is None and isinstance(self.client, EndpointClient):
-            self.client.log_invalid(self, message)
+        if not self.ended and self.failure is None:
+            self.endpoint_client.log_invalid(self, message)
         super().fail_invalid(message)
 
     def _handle_head(self, event: h11.Response) -> None:
         headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
-        if headers.get(self.id_header, self.request) != self.request:
+        name = RequestId(headers.get(self.id_header, self.request))
+        if name != self.request:
             self.skipping = True
+            self.endpoint_client.note_skipped(self, name, event.status_code)
             self._count_early_head(event)
             return
         self.headers = headers
@@ -111,9 +135,14 @@
     id_header = ""
 
     def __init__(
-        self, loop: Loop, connector: Connector, connect_timeout_s: float = CONNECT_TIMEOUT_S
+        self,
+        loop: Loop,
+        connector: Connector,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        metrics: EndpointMetrics | None = None,
     ) -> None:
         super().__init__(loop, connector, connect_timeout_s)
+        self.metrics = metrics or EndpointMetrics(CollectorRegistry())
         self.logged_s: dict[Address, float] = {}
 
     async def start(
@@ -126,6 +155,28 @@
         assert isinstance(exchange, EndpointExchange | TransportFailure)
         return exchange
 
+    def note_skipped(self, exchange: EndpointExchange, name: RequestId, status: int) -> None:
+        """Count and log a response with the id of another request."""
+        kind = _kind_of(status)
+        self.metrics.skipped.labels(kind).inc()
+        fields = exchange.history.log_fields(self.loop.now())
+        fields |= {"request": exchange.request, "address": exchange.stream.address}
+        fields |= {"status": status, "kind": kind, "response_to": name}
+        log.info("response skipped", extra=fields)
+        exchange.history.skipped.append(name)
+
+    def note_refusal(
+        self, exchange: EndpointExchange, endpoint: EndpointId, *, proven: bool
+    ) -> None:
+        """Count and log a refusal, and what its connection had carried before."""
+        self.metrics.refusals.labels(str(proven).lower()).inc()
+        fields = exchange.history.log_fields(self.loop.now())
+        fields |= {"request": exchange.request, "endpoint": endpoint}
+        fields |= {"status": exchange.status, "proven": proven}
+        level = logging.INFO if proven else logging.WARNING
+        log.log(level, "refused by endpoint", extra=fields)
+        exchange.history.refused.append(exchange.request)
+
     def log_invalid(self, exchange: EndpointExchange, reason: str) -> None:
         """Log that an endpoint sent bytes that are no answer, once in a while."""
         now, address = self.loop.now(), exchange.stream.address
@@ -135,3 +186,10 @@
         self.logged_s = recent | {address: now}
         fields = {"address": address, "request": exchange.request, "reason": reason}
         log.warning("endpoint sends no valid answer", extra=fields)
+
+
+def _kind_of(status: int) -> str:
+    """Return the kind of a response as the metric of skipped ones names it."""
+    if status in REFUSING_STATUSES:
+        return "refusal"
+    return "answer" if status < 400 else "error"
--- a/parsleyrouter/connection/http_client.py
+++ b/parsleyrouter/connection/http_client.py
@@ -140,8 +140,7 @@
             elif not old.stream.closed:
                 old.stream.bytes_sent = 0
                 exchange = self.exchange_type(self, old.stream)
-                exchange.parser = old.parser
-                exchange.reused = True
+                exchange.take_over(old)
                 return exchange
         return None
 
--- a/parsleyrouter/connection/http_exchange.py
+++ b/parsleyrouter/connection/http_exchange.py
@@ -57,6 +57,10 @@
         self.stream.on_data = self._on_data
         self.stream.on_close = self._on_closed
 
+    def take_over(self, old: "HttpExchange") -> None:
+        """Go on with the connection of an earlier exchange."""
+        self.parser, self.reused = old.parser, True
+
     def send(self, method: str, target: str, headers: Mapping[str, str], body: bytes) -> None:
         """Send the whole request."""
         lines = [("host", self.stream.address), ("content-length", str(len(body)))]
@@ -87,9 +91,7 @@
             self.pending.clear()
             self._go_on()
             return data
-        if self.ended:
-            return None
-        return self.failure
+        return None if self.ended else self.failure
 
     async def read_all(
         self, timeout_s: float, max_bytes: float = math.inf
@@ -190,9 +192,8 @@
     def _on_data(self, data: bytes) -> None:
         if self.ended or self.failure is not None:
             return
-        if not data:
-            self.closed_early = True
         self.at_end = not data
+        self.closed_early = self.closed_early or self.at_end
         self.received_bytes += len(data)
         self.parser.receive_data(data)
         self._handle_received()
--- a/parsleyrouter/process/answer_heads.py
+++ b/parsleyrouter/process/answer_heads.py
@@ -60,10 +60,11 @@
     first request; any other must carry the id of the request, or come from another endpoint than
     the expected one, which refuses all requests of the connection.
     """
-    if exchange.has_request_id or not exchange.reused:
-        return True
     instance = exchange.headers.get(context.names.instance)
-    return exchange.status == MISDIRECTED_STATUS and instance not in (None, endpoint)
+    elsewhere = exchange.status == MISDIRECTED_STATUS and instance not in (None, endpoint)
+    proven = exchange.has_request_id or not exchange.reused or elsewhere
+    context.client.note_refusal(exchange, endpoint, proven=proven)
+    return proven
 
 
 def proves_status(names: HeaderNames, route: Route, exchange: EndpointExchange) -> bool:
--- a/parsleyrouter/process/front.py
+++ b/parsleyrouter/process/front.py
@@ -8,6 +8,7 @@
 
 from parsleyrouter.connection.call_budget import BudgetSettings
 from parsleyrouter.connection.endpoint_client import EndpointClient
+from parsleyrouter.connection.endpoint_metrics import EndpointMetrics
 from parsleyrouter.connection.key_value import Entry, KeyChange, KeyValueFailure, Transaction
 from parsleyrouter.connection.peer import PeerServer
 from parsleyrouter.decoding import InvalidData
@@ -86,7 +87,10 @@
         self.registry = NodeRegistry(self.loop, self.store, own)
         self.exchange = LoadExchange(self.loop, self.loads, self.registry, self.routes)
         self.exchange.datagrams.register(runtime)
-        client = EndpointClient(self.loop, runtime.connector, ENDPOINT_CONNECT_TIMEOUT_S)
+        endpoint_metrics = EndpointMetrics.of(runtime.metrics)
+        client = EndpointClient(
+            self.loop, runtime.connector, ENDPOINT_CONNECT_TIMEOUT_S, endpoint_metrics
+        )
         client.id_header = port.headers.request
         self.quarantine = QuarantineKeeper(self.loop, self.store, self.exchange, self.rng)
         crashes = CrashMonitor(self.loop, runtime.connector, self.directory, self.quarantine)
