--- a/features/repeated_refusals.feature
+++ b/features/repeated_refusals.feature
@@ -16,6 +16,23 @@
     When a refused item is sent to the engine again, which would write the refusal again
     Then the item runs once more and completes
 
+  Scenario Outline: a refusal written again under the id of a request that is under way again is not believed: <kind>
+    When a <kind> request comes again under its id and the engine writes the refusal again first
+    Then the request runs once and its caller gets the answer
+
+    Examples:
+      | kind |
+      | chat |
+      | tale |
+
+  Scenario: a refusal written again by an endpoint that has taken over an address is not believed
+    When a request meets an endpoint that has taken over an address and refuses it twice
+    Then the request runs once and its caller gets the answer
+
+  Scenario: a refusal can be traced to its connection by the id of the request
+    When a chat request comes again under its id and the engine writes the refusal again first
+    Then a log line names the connection, its age, its requests and the ids refused there
+
   # Passed on unchanged, these statuses promise callers what the engine has not said.
   Scenario Outline: status <code> of an engine that does not say that it has not run is no promise
     When an engine runs a stream that must not be repeated and answers with status <code>
--- /dev/null
+++ b/features/steps/refusal_copies_steps.py
@@ -0,0 +1,93 @@
+"""Steps for copies of a refusal with the id of a request that is under way again."""
+
+from typing import Any
+
+from behave import then, when
+
+from features.steps.broken_answers_steps import RepeatingEngine
+from features.steps.front_requests_steps import run_with_fleet
+from features.support.front_fleet import FrontFleet
+from features.support.log_records import collected_logs
+from features.support.platform_endpoint import Arrival, EndpointStandIn, stream
+from parsleyrouter.connection.forward_server import CallerExchange
+
+LOGGER = "parsleyrouter.connection.endpoint_client"
+
+
+class SuccessorEndpoint(EndpointStandIn):
+    """Has taken over the address of ``e0``; refuses its requests, again before an answer."""
+
+    fleet: FrontFleet
+    refused: Any = None
+
+    async def answer(self, exchange: CallerExchange) -> None:
+        """Refuse what is meant for another endpoint once this one is known; answer the rest."""
+        head = exchange.head
+        arrival = Arrival(head.method, head.path, [], exchange.body, self.runtime.loop.now())
+        arrival.headers = [(name.decode(), value.decode("latin-1")) for name, value in head.raw]
+        self.arrivals.append(arrival)
+        name = (arrival.header("X-Attempt-Id") or "").encode()
+        refusal = [(b"X-Attempt-Id", name), (b"X-Instance-Id", self.name.encode())]
+        if arrival.header("X-Expect-Instance") != self.name:
+            self.refused = exchange.sock
+            self.fleet.announce("e1")
+            await self.fleet.until(lambda: "e1" in self.fleet.fronts[0].directory.endpoints)
+            exchange.reply(421, refusal, b"")
+            return
+        if exchange.sock is self.refused:
+            lines = b"".join(b"%s: %s\r\n" % line for line in refusal)
+            head_line = b"HTTP/1.1 421 Misdirected Request\r\n"
+            copy = head_line + lines + b"Content-Length: 0\r\n\r\n"
+            exchange.server.send(exchange.sock, copy)
+            await self.runtime.loop.sleep(0.05)
+        await stream(self, exchange, arrival)
+
+
+@when("a {kind} request comes again under its id and the engine writes the refusal again first")
+def step_same_id(context: Any, kind: str) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        engine = RepeatingEngine("first")
+        endpoint = fleet.register("e1")
+        endpoint.behaviours += [engine.refuse, engine.repeat]
+        await fleet.start()
+        first = await fleet.caller().ask("POST", f"/{kind}/1", attempt="first")
+        assert first.status == 503
+        context.answer = await fleet.caller().ask("POST", f"/{kind}/1", attempt="first")
+        context.runs = len(endpoint.arrivals) - 1
+        context.ran_elsewhere = 0
+
+    with collected_logs(LOGGER) as context.records:
+        run_with_fleet(context, scenario)
+
+
+@when("a request meets an endpoint that has taken over an address and refuses it twice")
+def step_taken_over(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        successor = SuccessorEndpoint(fleet.runtime, "e1")
+        successor.fleet = fleet
+        successor.start()
+        fleet.endpoints["e0"] = successor
+        fleet.announce("e0")
+        await fleet.start()
+        fleet.endpoints["e1"] = successor
+        context.answer = await fleet.caller().ask("POST", "/chat/1", attempt="first")
+        context.runs = len(successor.arrivals) - 1
+        context.ran_elsewhere = 0
+
+    run_with_fleet(context, scenario)
+
+
+@then("the request runs once and its caller gets the answer")
+def step_answered(context: Any) -> None:
+    assert context.answer.status == 200, context.answer.status
+    assert context.answer.body.count(b"data:") == 5, context.answer.body
+    assert context.runs == 1, context.runs
+
+
+@then("a log line names the connection, its age, its requests and the ids refused there")
+def step_logged(context: Any) -> None:
+    refusal = next(one for one in context.records if one.message == "refused by endpoint")
+    assert (refusal.request, refusal.endpoint, refusal.status) == ("first", "e1", 503)
+    assert refusal.proven and refusal.connection and refusal.connection_requests == 1
+    assert refusal.connection_age_s >= 0
+    assert refusal.refused == []
