Let no connection to an endpoint carry an id twice

Callers saw 503 for a request that ran (REFUSED), or it was sent to another endpoint while it ran (TWICE). Cause: a refusal on a kept connection was believed if it bore the id of the request. An endpoint may write a refusal twice; if the request is under way again on the same connection, the copy bears its id. Class: a proof by a name that is not unique where it is read.

A connection now remembers digests of the ids it has carried, and is passed over for a request with one of them; any other pooled connection will do. So a response with the id of the request is that to its only sending there, whatever was written twice, and whether by a caller, an item, a resumed response or an endpoint that took over an address. An empty id proves nothing. Items no longer need a new connection for each further run at an endpoint: also where another node had run them meanwhile, the connection tells.

--- a/features/repeated_refusals.feature
+++ b/features/repeated_refusals.feature
@@ -29,6 +29,14 @@
     When a request meets an endpoint that has taken over an address and refuses it twice
     Then the request runs once and its caller gets the answer
 
+  Scenario: a refusal with an empty id is not believed on a connection that was in use
+    When a request without an id comes on a connection in use and an empty id refuses it
+    Then its caller gets a failure that promises nothing
+
+  Scenario: connections carry other ids again, each id once and a bounded number
+    When requests with ids that come again are sent to an engine one after another
+    Then no connection has carried an id twice, and each has been used as often as it may
+
   Scenario: a refusal can be traced to its connection by the id of the request
     When a chat request comes again under its id and the engine writes the refusal again first
     Then a log line names the connection, its age, its requests and the ids refused there
--- a/features/steps/refusal_copies_steps.py
+++ b/features/steps/refusal_copies_steps.py
@@ -8,7 +8,8 @@
 from features.steps.front_requests_steps import run_with_fleet
 from features.support.front_fleet import FrontFleet
 from features.support.log_records import collected_logs
-from features.support.platform_endpoint import Arrival, EndpointStandIn, stream
+from features.support.platform_endpoint import Arrival, EndpointStandIn, shed, stream
+from parsleyrouter.connection.connection_history import MAX_REQUESTS
 from parsleyrouter.connection.forward_server import CallerExchange
 
 LOGGER = "parsleyrouter.connection.endpoint_client"
@@ -77,6 +78,61 @@
     run_with_fleet(context, scenario)
 
 
+@when("a request without an id comes on a connection in use and an empty id refuses it")
+def step_empty_id(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        fleet.register("e1").behaviours += [stream, shed]
+        await fleet.start()
+        first = await fleet.caller().ask("POST", "/chat/1", attempt="first")
+        assert first.status == 200
+        context.answer = await fleet.caller().ask("POST", "/chat/2", attempt="")
+
+    run_with_fleet(context, scenario)
+
+
+@then("its caller gets a failure that promises nothing")
+def step_no_promise(context: Any) -> None:
+    assert context.answer.status == 502, context.answer.status
+
+
+@when("requests with ids that come again are sent to an engine one after another")
+def step_many(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        endpoint = fleet.register("e1")
+        endpoint.default_behaviour = CountingEngine(context).answer
+        await fleet.start()
+        caller = fleet.caller()
+        for number in range(MAX_REQUESTS + 50):
+            # Every tenth request repeats the id of the one before.
+            answer = await caller.ask("POST", "/chat/1", attempt=f"r{number - (number % 10 == 9)}")
+            assert answer.status == 200
+
+    run_with_fleet(context, scenario)
+
+
+class CountingEngine:
+    """Answers requests and notes which ids came on each connection."""
+
+    def __init__(self, context: Any) -> None:
+        self.carried: dict[Any, list[str]] = {}
+        context.carried = self.carried
+
+    async def answer(
+        self, endpoint: EndpointStandIn, exchange: CallerExchange, arrival: Arrival
+    ) -> None:
+        """Answer a request with a small body."""
+        self.carried.setdefault(exchange.sock, []).append(arrival.header("X-Attempt-Id") or "")
+        exchange.reply(200, endpoint.proof(arrival), b"the body")
+
+
+@then("no connection has carried an id twice, and each has been used as often as it may")
+def step_once_each(context: Any) -> None:
+    counts = sorted(len(ids) for ids in context.carried.values())
+    assert all(len(set(ids)) == len(ids) for ids in context.carried.values())
+    assert sum(counts) == MAX_REQUESTS + 50
+    assert len(counts) == 2 and counts[-1] <= MAX_REQUESTS, counts
+
+
 @then("the request runs once and its caller gets the answer")
 def step_answered(context: Any) -> None:
     assert context.answer.status == 200, context.answer.status
--- a/parsleyrouter/connection/endpoint_client.py
+++ b/parsleyrouter/connection/endpoint_client.py
@@ -10,7 +10,7 @@
 from parsleyrouter.connection.connection_history import ConnectionHistory
 from parsleyrouter.connection.endpoint_metrics import EndpointMetrics
 from parsleyrouter.connection.http import TransportFailure
-from parsleyrouter.connection.http_client import HttpClient
+from parsleyrouter.connection.http_client import NO_ID, HttpClient
 from parsleyrouter.connection.http_exchange import HttpExchange, new_parser
 from parsleyrouter.connection.stream import CONNECT_TIMEOUT_S, Connector, Stream
 from parsleyrouter.ids import Address, EndpointId, RequestId
@@ -32,7 +32,7 @@
     """One request in flight at an endpoint.
 
     An endpoint may send a response twice or late, where the next one is expected; a response with
-    an id other than ``request`` is skipped.
+    an id other than ``request`` is skipped, and no connection carries an id twice.
     """
 
     id_header = ""
@@ -58,7 +58,7 @@
     ) -> None:
         """Send the whole request; ``headers`` must include ``Host`` and no ``Content-Length``."""
         self.request = request
-        self.history.requests += 1
+        self.history.note_request(request)
         lines = [*headers]
         if body or method not in ("GET", "HEAD", "DELETE"):
             lines.append((b"Content-Length", b"%d" % len(body)))
@@ -77,8 +77,8 @@
 
     @property
     def has_request_id(self) -> bool:
-        """Whether the response carries the id of this request."""
-        return self.headers.get(self.id_header) == self.request
+        """Whether the response carries the id of this request, so that it is no other's."""
+        return bool(self.request) and self.headers.get(self.id_header) == self.request
 
     def fail_invalid(self, message: str) -> None:
         """End the exchange and log that the endpoint has sent bytes that are no answer."""
@@ -145,11 +145,15 @@
         self.metrics = metrics or EndpointMetrics(CollectorRegistry())
         self.logged_s: dict[Address, float] = {}
 
+    def may_carry(self, idle: HttpExchange, request: RequestId) -> bool:
+        """Return whether a connection may carry a request; none carries an id twice."""
+        return isinstance(idle, EndpointExchange) and idle.history.may_carry(request)
+
     async def start(
-        self, address: Address, new_connection: bool = False
+        self, address: Address, new_connection: bool = False, request: RequestId = NO_ID
     ) -> EndpointExchange | TransportFailure:
         """Return an exchange on an idle or a new connection; nothing is sent yet."""
-        exchange = await self.connect(address, new_connection)
+        exchange = await self.connect(address, new_connection, request)
         if isinstance(exchange, EndpointExchange):
             exchange.id_header = self.id_header
         assert isinstance(exchange, EndpointExchange | TransportFailure)
--- a/parsleyrouter/connection/http_client.py
+++ b/parsleyrouter/connection/http_client.py
@@ -14,10 +14,10 @@
     ConnectFailed,
     Connector,
 )
-from parsleyrouter.ids import Address
+from parsleyrouter.ids import Address, RequestId
 from parsleyrouter.process.loop import Cancelled, Loop
 
-__all__ = ["HttpClient", "HttpExchange"]
+__all__ = ["NO_ID", "HttpClient", "HttpExchange"]
 
 MAX_IDLE_PER_ADDRESS = 32
 HEADERS_TIMEOUT_S = 30.0
@@ -26,6 +26,8 @@
 """Fraction of the announced keep-alive timeout after which a connection is not reused, so that a
 request does not race with the server closing it."""
 
+NO_ID = RequestId("")
+
 _KEEP_ALIVE = re.compile(r"timeout\s*=\s*([0-9]{1,9})(?![0-9])")
 
 
@@ -103,10 +105,10 @@
         return exchange
 
     async def connect(
-        self, address: Address, new_connection: bool = False
+        self, address: Address, new_connection: bool = False, request: RequestId = NO_ID
     ) -> HttpExchange | TransportFailure:
         """Return an exchange on an idle or a new connection; nothing is sent yet."""
-        exchange = None if new_connection else self._reuse(address)
+        exchange = None if new_connection else self._reuse(address, request)
         if exchange is not None:
             return exchange
         try:
@@ -121,7 +123,8 @@
         idle = self.idle.setdefault(stream.address, [])
         done = parser.our_state is h11.DONE and parser.their_state is h11.DONE
         clean = not stream.outgoing and not stream.broken and not parser.trailing_data[0]
-        if not done or not clean or len(idle) >= MAX_IDLE_PER_ADDRESS:
+        full = len(idle) >= MAX_IDLE_PER_ADDRESS
+        if not done or not clean or full or not self.may_carry(exchange, NO_ID):
             stream.close()
             return
         exchange.idle_until_s = self.loop.now() + _max_idle_s(exchange.headers)
@@ -131,13 +134,19 @@
         stream.on_close = lambda: self._drop_idle(exchange)
         idle.append(exchange)
 
-    def _reuse(self, address: Address) -> HttpExchange | None:
-        idle = self.idle.get(address)
-        while idle:
-            old = idle.pop()
-            if old.idle_until_s < self.loop.now():
+    def may_carry(self, idle: HttpExchange, request: RequestId) -> bool:
+        """Return whether the connection of an earlier exchange may carry a request."""
+        return True
+
+    def _reuse(self, address: Address, request: RequestId) -> HttpExchange | None:
+        """Take the connection that was used last, of those that may carry the request."""
+        idle = self.idle.get(address, [])
+        for old in reversed(idle.copy()):
+            if old.stream.closed or old.idle_until_s < self.loop.now():
+                idle.remove(old)
                 old.stream.close()
-            elif not old.stream.closed:
+            elif self.may_carry(old, request):
+                idle.remove(old)
                 old.stream.bytes_sent = 0
                 exchange = self.exchange_type(self, old.stream)
                 exchange.take_over(old)
--- a/parsleyrouter/process/answer_heads.py
+++ b/parsleyrouter/process/answer_heads.py
@@ -57,8 +57,8 @@
     """Return whether a refusal belongs to the request and not to an earlier one.
 
     An endpoint may write a refusal twice. The first answer on a connection can only be that to its
-    first request; any other must carry the id of the request, or come from another endpoint than
-    the expected one, which refuses all requests of the connection.
+    first request; any other must carry the id of the request, which the connection carries once, or
+    come from another endpoint than the expected one, which refuses all requests of the connection.
     """
     instance = exchange.headers.get(context.names.instance)
     elsewhere = exchange.status == MISDIRECTED_STATUS and instance not in (None, endpoint)
--- a/parsleyrouter/process/forward_attempt.py
+++ b/parsleyrouter/process/forward_attempt.py
@@ -55,7 +55,7 @@
     may_retry: bool = True
     batch: bool = False
     new_connection: bool = False
-    """An earlier answer to this request may still come on a connection that was in use."""
+    """Whether to avoid connections that the endpoint may have closed meanwhile."""
     status: int = 0
     exchange: EndpointExchange | None = None
     cancelled: bool = False
@@ -119,8 +119,8 @@
         return not self.cancelled and (self.refusal_unfinished or not refused)
 
     async def _run(self) -> AttemptFailure | None:
-        address = self.registration.address
-        exchange = await self.context.client.start(address, self.new_connection)
+        client, request = self.context.client, self.request.request
+        exchange = await client.start(self.registration.address, self.new_connection, request)
         if isinstance(exchange, TransportFailure):
             return self._failure(FailurePoint.NOT_SENT, exchange.message)
         self.exchange = exchange
--- a/parsleyrouter/process/item_run.py
+++ b/parsleyrouter/process/item_run.py
@@ -6,7 +6,7 @@
 
 from parsleyrouter.connection.endpoint_client import RawHeaders
 from parsleyrouter.connection.sse import event_data, is_event_stream, last_event_id
-from parsleyrouter.ids import EndpointId, RequestId, ServiceName
+from parsleyrouter.ids import RequestId, ServiceName
 from parsleyrouter.process.crash_monitor import RECENT_S
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
 from parsleyrouter.process.forward_attempt import ForwardAttempt
@@ -54,8 +54,6 @@
     """Total time of all runs at endpoints."""
     accepts: bool = True
     """Whether the answer in progress is a successful stream of events."""
-    endpoints: set[EndpointId] = field(default_factory=set)
-    """The endpoints that this node has sent the item to."""
     output_bytes: int = 0
     """Size of the output, counted from the start of a run on."""
     on_too_long: Callable[[], None] = field(default=lambda: None)
@@ -143,9 +141,8 @@
             headers_sent=bool(progress.last_event),
             last_event=progress.last_event,
             batch=True,
-            new_connection=is_trial or entry.endpoint in progress.endpoints,
+            new_connection=is_trial,
         )
-        progress.endpoints.add(entry.endpoint)
         progress.output_bytes = sum(map(len, progress.pieces)) + len(progress.pieces)
         progress.on_too_long = self._end_too_long
         self.attempt.reserve()
