--- a/parsleyrouter/connection/endpoint_client.py
+++ b/parsleyrouter/connection/endpoint_client.py
@@ -175,8 +175,8 @@
         """Count and log a refusal, and what its connection had carried before."""
         self.metrics.refusals.labels(str(proven).lower()).inc()
         fields = exchange.history.log_fields(self.loop.now())
-        fields |= {"request": exchange.request, "endpoint": endpoint}
-        fields |= {"status": exchange.status, "proven": proven}
+        fields |= {"request": exchange.request, "address": exchange.stream.address}
+        fields |= {"endpoint": endpoint, "status": exchange.status, "proven": proven}
         level = logging.INFO if proven else logging.WARNING
         log.log(level, "refused by endpoint", extra=fields)
         exchange.history.refused.append(exchange.request)
