Keep the order of log lines that were written within a millisecond

On-call engineers saw the end of an item's hold before the end of the quarantine that held it: explain sorts by time, which is rounded to a millisecond, and put lines about the request first. waiting_items.feature, the reason is found from the item's id, failed by that once in a run of all tests beside load. Lines of a source keep their order now; the scenario failed before.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -15,3 +15,7 @@
   Scenario: a request without log lines
     When an unknown id is explained
     Then parsleyctl reports that no line is about it
+
+  Scenario: lines that were written within a millisecond keep their order
+    When an item is explained whose hold ended within the millisecond of its quarantine's end
+    Then the end of the quarantine comes first, as it was written
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import io
+import json
 import logging
 import tempfile
 from pathlib import Path
@@ -15,6 +16,7 @@
 from features.support.front_fleet import FrontFleet
 from features.support.platform_endpoint import shed, status, stream_until
 from parsleyrouter.commands.ctl import main
+from parsleyrouter.process.log_timeline import build_timeline, read_lines
 
 
 def explain(context: Any, scenario: FleetScenario, name: str) -> str:
@@ -108,3 +110,21 @@
 def step_unknown_told(context: Any) -> None:
     assert context.code == 5
     assert "no line is about 'nobody'" in context.explanation
+
+
+@when("an item is explained whose hold ended within the millisecond of its quarantine's end")
+def step_same_millisecond(context: Any) -> None:
+    common = {"time": "2026-01-01 10:00:00,359", "parts": ["dead1"]}
+    lines = [
+        common | {"message": "quarantine ended"},
+        common | {"message": "item hold ended", "request": "item0"},
+    ]
+    texts = [json.dumps(line) for line in lines]
+    timeline = build_timeline(read_lines("front-0", texts), "item0")
+    context.explanation = "\n".join(timeline.render())
+
+
+@then("the end of the quarantine comes first, as it was written")
+def step_written_order(context: Any) -> None:
+    places = [context.explanation.find(one) for one in ("quarantine ended", "item hold ended")]
+    assert -1 < places[0] < places[1], context.explanation
--- a/parsleyrouter/process/log_timeline.py
+++ b/parsleyrouter/process/log_timeline.py
@@ -49,6 +49,8 @@
     source: str
     at_s: float
     fields: dict[str, Any]
+    position: int = 0
+    """Position in its source: times are rounded, so several lines may have the same one."""
 
     @property
     def message(self) -> str:
@@ -86,13 +88,13 @@
     def render(self) -> list[str]:
         """Return all lines as text in order of time; those of the request are marked with ``*``."""
         line_ids = {id(line) for line in self.lines}
-        all_lines = sorted(self.lines + self.context, key=lambda line: line.at_s)
+        all_lines = sorted(self.lines + self.context, key=lambda line: (line.at_s, line.position))
         return [("* " if id(line) in line_ids else "  ") + line.render() for line in all_lines]
 
 
 def read_lines(source: str, lines: Iterable[str]) -> Iterator[LogLine]:
     """Parse log lines; a prefix before the JSON of a line gives its time and source."""
-    for text in lines:
+    for position, text in enumerate(lines):
         before, brace, rest = text.partition("{")
         try:
             fields = json.loads(brace + rest)
@@ -105,7 +107,8 @@
             at_s = float(prefix_words[0]) if prefix_words else _seconds(str(fields.get("time", "")))
         except ValueError:
             at_s = 0.0
-        yield LogLine(prefix_words[1] if len(prefix_words) > 1 else source, at_s, fields)
+        named = prefix_words[1] if len(prefix_words) > 1 else source
+        yield LogLine(named, at_s, fields, position)
 
 
 def build_timeline(lines: Iterable[LogLine], name: str) -> Timeline:
