--- a/features/late_answers.feature
+++ b/features/late_answers.feature
@@ -14,3 +14,11 @@
   Scenario: the copy of a cancellation's answer does not resume another call
     When two batch calls are revoked and the engine writes the first answer to a cancellation twice
     Then the second call gets no resume token of the first
+
+  Scenario: connections of engines that answer with the id of the attempt are used again
+    When calls are sent one after another to engines that answer with and without the id
+    Then the first engine has had one connection, and the second one for each call
+
+  Scenario: a call whose answer has no id is sent again on a new connection
+    When an engine that has answered with an id answers the next call without one
+    Then the engine has answered that call on a new connection
--- a/features/steps/late_answers_steps.py
+++ b/features/steps/late_answers_steps.py
@@ -7,6 +7,7 @@
 
 from features.support.entry import CHAT, CHAT_PATH, ScriptedEndpoint, start_entry
 from features.support.loop import run_on_loop
+from parsleyrouter.connection.call_client import ATTEMPT_HEADER
 from parsleyrouter.connection.http import HttpReply, json_reply
 from parsleyrouter.connection.http_server import Exchange
 from parsleyrouter.ids import Address, KindName, ModelName, RequestId, TeamName
@@ -17,7 +18,6 @@
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.version.schema import KindClass, KindSettings
 
-ATTEMPT_HEADER = "x-parsley-attempt"
 LOAD_REPORT = HttpReply(200, {"content-type": "text/plain"}, b"vllm:num_requests_running 1\n")
 
 
@@ -130,7 +130,9 @@
             tasks.append(runtime.loop.spawn(runner.run(batch_call())))
             while len(engine.held) <= number:
                 await runtime.loop.sleep(0.005)
-        for attempt, revoke in zip(list(engine.held), list(entry.grants.open.values()), strict=True):
+        for attempt, revoke in zip(
+            list(engine.held), list(entry.grants.open.values()), strict=True
+        ):
             assert revoke is not None
             revoke()
             end = await runtime.loop.within(5, tasks.pop(0))
@@ -159,3 +161,55 @@
     assert [token for _, token in context.tokens] == [
         f"{attempt}:3" for attempt, _ in context.tokens
     ], context.tokens
+
+
+@when("calls are sent one after another to engines that answer with and without the id")
+def step_sequence(context: Any) -> None:
+    async def main(runtime: Runtime) -> None:
+        context.connections = []
+        for with_id in (True, False):
+            engine = RepeatingEndpoint(with_id=with_id)
+            endpoint = ScriptedEndpoint(runtime, f"e{with_id}", plain(engine))
+            entry = start_entry(runtime, endpoint, name=f"entry-{with_id}")
+            for number in range(5):
+                reply = await entry.post(CHAT_PATH, CHAT | {"n": number})
+                assert reply.status == 200, reply
+            assert len(engine.connections) == 5, "each call is sent once"
+            context.connections.append(len(set(engine.connections)))
+
+    run_on_loop(main)
+
+
+def plain(engine: RepeatingEndpoint) -> Any:
+    """Return a behaviour that notes connections and writes nothing twice."""
+
+    async def answer(endpoint: ScriptedEndpoint, exchange: Exchange) -> HttpReply:
+        engine.connections.append(exchange.res.request.sock)
+        return own_answer(exchange, with_id=engine.with_id)
+
+    return answer
+
+
+@then("the first engine has had one connection, and the second one for each call")
+def step_connections(context: Any) -> None:
+    assert context.connections == [1, 5], context.connections
+
+
+@when("an engine that has answered with an id answers the next call without one")
+def step_without_id(context: Any) -> None:
+    async def main(runtime: Runtime) -> None:
+        engine = RepeatingEndpoint()
+        entry = start_entry(runtime, ScriptedEndpoint(runtime, "e", plain(engine)))
+        assert (await entry.post(CHAT_PATH, CHAT)).status == 200
+        engine.with_id = False
+        context.reply = await entry.post(CHAT_PATH, CHAT)
+        context.connections = engine.connections
+
+    run_on_loop(main)
+
+
+@then("the engine has answered that call on a new connection")
+def step_new_connection(context: Any) -> None:
+    assert context.reply.status == 200, context.reply
+    first, again, new = context.connections
+    assert first is again and new is not first
--- a/features/support/entry.py
+++ b/features/support/entry.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from parsleyrouter.connection.authentication import Authentication, hash_key
+from parsleyrouter.connection.call_client import ATTEMPT_HEADER
 from parsleyrouter.connection.http import HttpReply, json_reply
 from parsleyrouter.connection.http_server import Exchange, HttpServer, Routes
 from parsleyrouter.connection.public_http_server import PublicHttpServer
@@ -232,12 +233,14 @@
 
 
 async def respond_ok(endpoint: ScriptedEndpoint, exchange: Exchange) -> HttpReply | None:
-    """Respond completely, streamed if requested, and count the execution."""
+    """Respond completely, as the attempt, streamed if requested, and count the execution."""
     body = exchange.request.body
+    named = {ATTEMPT_HEADER: exchange.request.headers.get(ATTEMPT_HEADER, "")}
     endpoint.executions[body.decode("utf-8", "replace")] += 1
     if b'"stream": true' not in body:
-        return json_reply({"endpoint": endpoint.name, "sent": body.decode("utf-8", "replace")})
-    stream = exchange.open_stream(200, EVENTS)
+        reply = json_reply({"endpoint": endpoint.name, "sent": body.decode("utf-8", "replace")})
+        return HttpReply(200, {**reply.headers, **named}, reply.body)
+    stream = exchange.open_stream(200, EVENTS | named)
     for text in ("one ", "two ", "three"):
         stream.send(chunk(text))
     stream.send(b"data: [DONE]\n\n")
--- a/parsleyrouter/process/attempt.py
+++ b/parsleyrouter/process/attempt.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
+from parsleyrouter.connection.call_client import ATTEMPT_HEADER, CallExchange
 from parsleyrouter.connection.http import HttpReply, Sent, TransportFailure
-from parsleyrouter.connection.http_client import HttpExchange
 from parsleyrouter.connection.sse import EventSplitter, is_event_stream
 from parsleyrouter.ids import Address, AttemptId
 from parsleyrouter.process.call_port import Call, Preempted
@@ -26,9 +26,8 @@
 if TYPE_CHECKING:
     from parsleyrouter.process.call_dispatcher import CallDispatcher
 
-__all__ = ["ATTEMPT_HEADER", "REQUEST_HEADER", "Attempt"]
+__all__ = ["REQUEST_HEADER", "Attempt"]
 
-ATTEMPT_HEADER = "x-parsley-attempt"
 REQUEST_HEADER = "x-request-id"
 MAX_READ_TIMEOUT_S = 300.0
 STREAM_READ_TIMEOUT_S = 10.0
@@ -67,7 +66,7 @@
         self.deadline = deadline
         self.resume_token = resume_token
         self.grant: Grant | None = None
-        self.exchange: HttpExchange | None = None
+        self.exchange: CallExchange | None = None
         self.revoked = False
         self.finish_reason_seen = False
         self.cancel_task: Task[None] | None = None
@@ -97,7 +96,8 @@
         end = await self._send(new_connection=not self.call.settings.idempotent)
         if end is None:
             end = await self._read(started_s)
-        if end is not None and self._used_stale_connection():
+        if end is not None and self._needs_new_connection():
+            self.close()
             end = await self._send(new_connection=True) or await self._read(started_s)
             end = end and replace(end, failed_at=_maybe_sent(end.failed_at))
         if self.cancel_task is not None and self._preempted(end):
@@ -122,12 +122,14 @@
         """Cancel the call, keep the engine's resume token and close the connection."""
         assert self.exchange is not None
         if self.call.model:
-            reply = await self.dispatcher.http.request(
+            reply = await self.dispatcher.runtime.http.request(
                 self.exchange.stream.address,
                 "POST",
                 CANCEL_PATH,
                 body=msgspec.json.encode({"id": self.id}),
                 timeout_s=CANCEL_TIMEOUT_S,
+                # The token names no call: the copy of an earlier response would resume another.
+                new_connection=True,
             )
             token = cancelled_token(reply.body) if isinstance(reply, HttpReply) else None
             if token is None:
@@ -136,12 +138,14 @@
                 self.resume_token = token
         self.exchange.cancel()
 
-    def _used_stale_connection(self) -> bool:
-        """Return whether the endpoint closed a pooled connection before sending its first byte."""
+    def _needs_new_connection(self) -> bool:
+        """Return whether a pooled connection gave no response, or one that may be another's."""
         exchange = self.exchange
         if exchange is None or self.revoked or not self.call.settings.idempotent:
             return False
-        return exchange.reused and exchange.closed_early and not exchange.status
+        if exchange.status:
+            return exchange.reused and exchange.is_foreign
+        return exchange.reused and exchange.closed_early
 
     async def _send(self, *, new_connection: bool) -> AttemptFailure | None:
         assert self.grant is not None
@@ -156,6 +160,7 @@
         )
         if isinstance(exchange, TransportFailure):
             return self._transport_failure(exchange)
+        assert isinstance(exchange, CallExchange)
         self.exchange = exchange
         if self.revoked:
             self.revoke()
@@ -175,17 +180,19 @@
         failure = await exchange.wait_headers(self._first_byte_timeout_s())
         if failure is not None:
             return self._transport_failure(failure)
-        rejection = self._check_headers(exchange.status, exchange.headers)
+        rejection = self._check_headers(exchange)
         if rejection is not None:
             return rejection
         if is_event_stream(exchange.headers.get("content-type", "")):
             return await self._read_events(exchange, started_s)
         return await self._read_body(exchange, started_s)
 
-    def _check_headers(self, status: int, headers: Mapping[str, str]) -> AttemptFailure | None:
-        if headers.get(ATTEMPT_HEADER, self.id) != self.id:
+    def _check_headers(self, exchange: CallExchange) -> AttemptFailure | None:
+        status, headers = exchange.status, exchange.headers
+        if exchange.is_foreign:
             self.dispatcher.metrics.mismatched.inc()
-            return self._failure(FailurePoint.MAYBE_SENT, "response belongs to another attempt")
+            message = "the response may belong to another attempt"
+            return self._failure(FailurePoint.MAYBE_SENT, message)
         if self.call.settings.idempotent and status in _RETRYABLE_STATUSES:
             return self._failure(FailurePoint.ERROR_STATUS, f"response has status {status}")
         has_length = "content-length" in headers or "chunked" in headers.get(
@@ -195,7 +202,7 @@
             return self._failure(FailurePoint.RESPONSE_TRUNCATED, "response has no length")
         return None
 
-    async def _read_body(self, exchange: HttpExchange, started_s: float) -> AttemptFailure | None:
+    async def _read_body(self, exchange: CallExchange, started_s: float) -> AttemptFailure | None:
         chunks: list[bytes] = []
         size = 0
         while True:
@@ -215,7 +222,7 @@
         await self.response.send(b"".join(chunks))
         return None
 
-    async def _read_events(self, exchange: HttpExchange, started_s: float) -> AttemptFailure | None:
+    async def _read_events(self, exchange: CallExchange, started_s: float) -> AttemptFailure | None:
         splitter = EventSplitter()
         started = False
         while True:
--- a/parsleyrouter/process/call_dispatcher.py
+++ b/parsleyrouter/process/call_dispatcher.py
@@ -5,6 +5,7 @@
 import secrets
 from collections.abc import Callable
 
+from parsleyrouter.connection.call_client import CallClient
 from parsleyrouter.ids import AttemptId
 from parsleyrouter.outcome import ExecutionStatus, Refusal, RefusalKind
 from parsleyrouter.process.attempt import Attempt
@@ -38,8 +39,9 @@
     """
 
     def __init__(self, runtime: Runtime, grants: GrantProvider, view: FleetView) -> None:
+        self.runtime = runtime
         self.loop = runtime.loop
-        self.http = runtime.http
+        self.http = CallClient(runtime.loop, runtime.connector)
         self.grants = grants
         self.view = view
         self.budget = RetryBudget()
