Take what an endpoint says of itself only from answers to the request

What callers saw: 503 while the only endpoint had room. Cause: an answer without an id on a connection that was in use is not believed, since it may be a copy of an earlier one, but its Server-Leaving, Server-Limit and load were: the endpoint got no more requests, or one every few seconds. Class: a head is believed at one place and not at the other.

Both now ask the same: the answer has the id of the request, or is the first on its connection.

--- a/features/repeated_refusals.feature
+++ b/features/repeated_refusals.feature
@@ -41,6 +41,15 @@
     When a chat request comes again under its id and the engine writes the refusal again first
     Then a log line names the connection, its age, its requests and the ids refused there
 
+  Scenario Outline: what a copy without an id said of its engine in the past is not taken for the present: <header>
+    When an engine writes an answer without an id on a connection in use that says <header>
+    Then the next requests are sent to the engine as before
+
+    Examples:
+      | header             |
+      | Server-Leaving: 1  |
+      | Server-Limit: 0.2  |
+
   # Passed on unchanged, these statuses promise callers what the engine has not said.
   Scenario Outline: status <code> of an engine that does not say that it has not run is no promise
     When an engine runs a stream that must not be repeated and answers with status <code>
--- a/features/steps/refusal_copies_steps.py
+++ b/features/steps/refusal_copies_steps.py
@@ -147,3 +147,28 @@
     assert refusal.proven and refusal.connection and refusal.connection_requests == 1
     assert refusal.connection_age_s >= 0
     assert refusal.refused == []
+
+
+@when("an engine writes an answer without an id on a connection in use that says {line}")
+def step_past(context: Any, line: str) -> None:
+    copy = f"HTTP/1.1 200 OK\r\n{line}\r\nX-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok"
+
+    async def repeat(endpoint: EndpointStandIn, exchange: CallerExchange, arrival: Arrival) -> None:
+        exchange.server.send(exchange.sock, copy.encode())
+        await endpoint.runtime.loop.sleep(0.05)
+        await stream(endpoint, exchange, arrival)
+
+    async def scenario(fleet: FrontFleet) -> None:
+        fleet.register("e1").behaviours += [stream, repeat]
+        await fleet.start()
+        answers = [
+            await fleet.caller().ask("POST", "/chat/1", attempt=f"r{number}") for number in range(5)
+        ]
+        context.statuses = [answer.status for answer in answers]
+
+    run_with_fleet(context, scenario)
+
+
+@then("the next requests are sent to the engine as before")
+def step_as_before(context: Any) -> None:
+    assert context.statuses == [200, 502, 200, 200, 200], context.statuses
--- a/parsleyrouter/connection/endpoint_client.py
+++ b/parsleyrouter/connection/endpoint_client.py
@@ -80,6 +80,15 @@
         """Whether the response carries the id of this request, so that it is no other's."""
         return bool(self.request) and self.headers.get(self.id_header) == self.request
 
+    @property
+    def answers_request(self) -> bool:
+        """Whether the response is provably that to this request.
+
+        It has the id of the request, which the connection carries once, or it is the first one on
+        the connection.
+        """
+        return self.has_request_id or not self.reused
+
     def fail_invalid(self, message: str) -> None:
         """End the exchange and log that the endpoint has sent bytes that are no answer."""
         if not self.ended and self.failure is None:
--- a/parsleyrouter/process/answer_heads.py
+++ b/parsleyrouter/process/answer_heads.py
@@ -32,11 +32,14 @@
 def record_head(
     context: ForwardContext, registration: RegisteredEndpoint, exchange: EndpointExchange
 ) -> None:
-    """Record activity, load, limit and leaving of the endpoint that sent an answer's head."""
+    """Record activity, load, limit and leaving of the endpoint that sent an answer's head.
+
+    A copy of an earlier answer tells of the past. A status 421 is not used either: another endpoint
+    may have taken over the address.
+    """
     now, endpoint = context.loop.now(), registration.endpoint
     context.loads.record_activity(endpoint, now)
-    if exchange.status == MISDIRECTED_STATUS:
-        # Another endpoint has taken over the address.
+    if exchange.status == MISDIRECTED_STATUS or not exchange.answers_request:
         return
     headers, names = exchange.headers, context.names
     counts = [parse_count(text) for text in headers.get(names.load, "").split(",")]
@@ -56,13 +59,12 @@
 ) -> bool:
     """Return whether a refusal belongs to the request and not to an earlier one.
 
-    An endpoint may write a refusal twice. The first answer on a connection can only be that to its
-    first request; any other must carry the id of the request, which the connection carries once, or
-    come from another endpoint than the expected one, which refuses all requests of the connection.
+    An endpoint may write a refusal twice. One that is not provably that of the request must come
+    from another endpoint than the expected one, which refuses all requests of the connection.
     """
     instance = exchange.headers.get(context.names.instance)
     elsewhere = exchange.status == MISDIRECTED_STATUS and instance not in (None, endpoint)
-    proven = exchange.has_request_id or not exchange.reused or elsewhere
+    proven = exchange.answers_request or elsewhere
     context.client.note_refusal(exchange, endpoint, proven=proven)
     return proven
 
