--- a/parsleyrouter/connection/endpoint_client.py
+++ b/parsleyrouter/connection/endpoint_client.py
@@ -185,6 +185,7 @@
         self.metrics.refusals.labels(str(proven).lower()).inc()
         fields = exchange.history.log_fields(self.loop.now())
         fields |= {"request": exchange.request, "endpoint": endpoint}
+        fields |= {"address": exchange.stream.address}
         fields |= {"status": exchange.status, "proven": proven}
         level = logging.INFO if proven else logging.WARNING
         log.log(level, "refused by endpoint", extra=fields)
