Believe no refusal that has two ids

What callers could see: 503 for a request that runs. Cause: of several ids in one head the last counted, so a refusal with an earlier id and that of the request was believed on a connection that was in use. A response with different ids now proves nothing and is not skipped either: the caller gets 502.

repeated_refusals.feature: the scenario failed before (503) and passes; a mutant, caught.

--- a/features/repeated_refusals.feature
+++ b/features/repeated_refusals.feature
@@ -33,6 +33,10 @@
     When a request without an id comes on a connection in use and an empty id refuses it
     Then its caller gets a failure that promises nothing
 
+  Scenario: a refusal that has two ids is not believed on a connection that was in use
+    When a request comes on a connection in use and a refusal with two ids comes first
+    Then its caller gets a failure that promises nothing
+
   Scenario: connections carry other ids again, each id once and a bounded number
     When requests with ids that come again are sent to an engine one after another
     Then no connection has carried an id twice, and each has been used as often as it may
--- a/features/steps/refusal_copies_steps.py
+++ b/features/steps/refusal_copies_steps.py
@@ -90,6 +90,26 @@
     run_with_fleet(context, scenario)
 
 
+@when("a request comes on a connection in use and a refusal with two ids comes first")
+def step_two_ids(context: Any) -> None:
+    lines = b"X-Not-Executed: 1\r\nX-Attempt-Id: first\r\nX-Attempt-Id: second\r\n"
+    copy = b"HTTP/1.1 503 Service Unavailable\r\n" + lines + b"Content-Length: 0\r\n\r\n"
+
+    async def repeat(endpoint: EndpointStandIn, exchange: CallerExchange, arrival: Arrival) -> None:
+        exchange.server.send(exchange.sock, copy)
+        await endpoint.runtime.loop.sleep(0.05)
+        await stream(endpoint, exchange, arrival)
+
+    async def scenario(fleet: FrontFleet) -> None:
+        fleet.register("e1").behaviours += [stream, repeat]
+        await fleet.start()
+        first = await fleet.caller().ask("POST", "/chat/1", attempt="first")
+        assert first.status == 200
+        context.answer = await fleet.caller().ask("POST", "/chat/2", attempt="second")
+
+    run_with_fleet(context, scenario)
+
+
 @then("its caller gets a failure that promises nothing")
 def step_no_promise(context: Any) -> None:
     assert context.answer.status == 502, context.answer.status
--- a/parsleyrouter/connection/endpoint_client.py
+++ b/parsleyrouter/connection/endpoint_client.py
@@ -39,6 +39,8 @@
     request = RequestId("")
     request_head: h11.Request | None = None
     raw_headers: RawHeaders = ()
+    response_ids: frozenset[str] = frozenset()
+    """Ids that the response carries; more than one prove nothing."""
     reason = b""
     skipping = False
     skipped = 0
@@ -78,7 +80,7 @@
     @property
     def has_request_id(self) -> bool:
         """Whether the response carries the id of this request, so that it is no other's."""
-        return bool(self.request) and self.headers.get(self.id_header) == self.request
+        return bool(self.request) and self.response_ids == {self.request}
 
     @property
     def answers_request(self) -> bool:
@@ -97,13 +99,15 @@
 
     def _handle_head(self, event: h11.Response) -> None:
         headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
-        name = RequestId(headers.get(self.id_header, self.request))
-        if name != self.request:
+        id_name = self.id_header.encode()
+        ids = frozenset(value.decode("latin-1") for name, value in event.headers if name == id_name)
+        if ids and self.request not in ids:
             self.skipping = True
-            self.endpoint_client.note_skipped(self, name, event.status_code)
+            response_to = RequestId(headers[self.id_header])
+            self.endpoint_client.note_skipped(self, response_to, event.status_code)
             self._count_early_head(event)
             return
-        self.headers = headers
+        self.headers, self.response_ids = headers, ids
         self.raw_headers = event.headers.raw_items()
         self.reason = bytes(event.reason)
         self.status = event.status_code
