--- a/features/repeated_refusals.feature
+++ b/features/repeated_refusals.feature
@@ -33,6 +33,10 @@
     When a request without an id comes on a connection in use and an empty id refuses it
     Then its caller gets a failure that promises nothing
 
+  Scenario: a refusal that has two ids is not believed on a connection that was in use
+    When a request comes on a connection in use and a refusal with two ids comes first
+    Then its caller gets a failure that promises nothing
+
   Scenario: connections carry other ids again, each id once and a bounded number
     When requests with ids that come again are sent to an engine one after another
     Then no connection has carried an id twice, and each has been used as often as it may
@@ -41,6 +45,15 @@
     When a chat request comes again under its id and the engine writes the refusal again first
     Then a log line names the connection, its age, its requests and the ids refused there
 
+  Scenario Outline: what a copy without an id said of its engine in the past is not taken for the present: <header>
+    When an engine writes an answer without an id on a connection in use that says <header>
+    Then the next requests are sent to the engine as before
+
+    Examples:
+      | header             |
+      | Server-Leaving: 1  |
+      | Server-Limit: 0.2  |
+
   # Passed on unchanged, these statuses promise callers what the engine has not said.
   Scenario Outline: status <code> of an engine that does not say that it has not run is no promise
     When an engine runs a stream that must not be repeated and answers with status <code>
