Play copies of refusals with the id of a request under way in the soak

The soak could not show what callers saw (REFUSED, TWICE): its engines wrote a refusal again only before the next answer of a connection, and no id came to a connection twice.

Engine processes now keep copies of their refusals and write them when the id comes again on the connection, or late, after two other requests; as 503, 429, 421 or 408, with or without X-Not-Executed, whole or in pieces, on connections that then end, with pauses before runs and little room. Ids come again by callers that repeat half of their refused requests, by entries of endpoints that are gone and whose address an engine has, by items and by streams that are broken off and resumed. A header numbers the sendings of an id, so that checks hold for each sending: a sending that was refused may never run, also later. New check: no connection to an engine carries an id twice.

--- a/features/soak_checks.feature
+++ b/features/soak_checks.feature
@@ -10,7 +10,12 @@
       | a response without a signature           | responses are complete      |
       | a stream that ran twice                  | what must not run twice     |
       | a refusal of a request that ran          | a refusal that says not run |
+      | a refused first sending that ran         | a refusal that says not run |
+      | a second sending refused that ran        | a refusal that says not run |
+      | a second sending that ran twice          | what must not run twice     |
+      | an id twice on a connection              | no connection to an engine  |
       | a run that no client requested           | endpoints run only          |
+      | a run of a sending that was not made     | endpoints run only          |
       | a run with another body                  | endpoints run only          |
       | a request on an outdated route           | routes in force             |
       | a job with an item missing               | batch jobs                  |
@@ -32,6 +37,14 @@
       | a sound item held 41 s after a crash     | an item that no endpoint    |
       | an item that completed and is not listed | an item that no endpoint    |
 
+  Scenario: a refused request that runs when its caller sends it again is not reported
+    When a request is refused and runs after it was sent again under its id
+    Then the soak reports nothing
+
+  Scenario: copies of refusals are believed by no node in a play whose engines write them
+    When a soak plays engines that write refusals again under the ids of requests under way
+    Then the soak reports nothing
+
   Scenario: no violation is reported when all guarantees hold
     When nothing goes wrong for callers and endpoints
     Then the soak reports nothing
--- a/features/steps/soak_checks_steps.py
+++ b/features/steps/soak_checks_steps.py
@@ -8,6 +8,7 @@
 
 from behave import then, when
 
+from features.support.soak_copies import SENDING_VIOLATIONS, add_second_sending, copies_plan
 from features.support.soak_items import (
     DISTURBED,
     ITEM_S,
@@ -134,6 +135,7 @@
     "a response without a signature": lambda journal: setattr(journal.attempts["a2"], "proof", ""),
     "a stream that ran twice": lambda journal: journal.runs.append(run("a1")),
     "a refusal of a request that ran": lambda journal: journal.runs.append(run("a4")),
+    **SENDING_VIOLATIONS,
     "a run that no client requested": lambda journal: journal.runs.append(run("a8")),
     "a run with another body": lambda journal: journal.runs.append(run("a2", "cards", b"other")),
     "a request on an outdated route": lambda journal: setattr(
@@ -221,6 +223,21 @@
     context.found = result.problems
 
 
+@when("a request is refused and runs after it was sent again under its id")
+def step_sent_again(context: Any) -> None:
+    journal = good_journal()
+    add_second_sending(journal, status=200)
+    context.found = found(journal)
+
+
+@when("a soak plays engines that write refusals again under the ids of requests under way")
+def step_copies_play(context: Any) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        result = run_soak(copies_plan(), Path(folder) / "play")
+    assert result.sent_again, "no request was sent again"
+    context.found = result.problems
+
+
 @when("an item runs with a part that had its five crashes and three runs and has ended")
 def step_ended_part_run(context: Any) -> None:
     journal = good_journal()
--- a/features/support/platform_endpoint.py
+++ b/features/support/platform_endpoint.py
@@ -90,13 +90,18 @@
         exchange.on_disconnect = gone
         expected = arrival.header("X-Expect-Instance")
         if expected is not None and expected != self.name:
-            exchange.reply(421, [(b"X-Instance-Id", self.name.encode()), *self.headers], b"")
+            self.refuse_misdirected(exchange, arrival)
+            arrival.ended_s = self.runtime.loop.now()
             return
         behaviour = self.behaviours.pop(0) if self.behaviours else self.default_behaviour or stream
         await behaviour(self, exchange, arrival)
         arrival.cut = arrival.cut or exchange.disconnected
         arrival.ended_s = arrival.ended_s or self.runtime.loop.now()
 
+    def refuse_misdirected(self, exchange: CallerExchange, arrival: Arrival) -> None:
+        """Refuse a request that is meant for another endpoint."""
+        exchange.reply(421, [(b"X-Instance-Id", self.name.encode()), *self.headers], b"")
+
 
 def event(number: int) -> bytes:
     return b"id: %d\ndata: token %d\n\n" % (number, number)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,6 +6,7 @@
 import tomllib
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from typing import Any
 
 import msgspec
 from cyclopts import App
@@ -25,6 +26,8 @@
     seed: int,
     *,
     nodes: int = 4,
+    engines: int = 4,
+    clients: int | None = None,
     faults_s: float = 10.0,
     gap_s: float = 0.8,
     engine_processes: int = 0,
@@ -32,11 +35,11 @@
 ) -> None:
     """Run one seed; the logs of a failed soak stay in out/soak/SEED."""
     start_logs(program="soak", level="ERROR")
-    clients = 3 * nodes // 2
     plan = Plan(
         seed,
         nodes=nodes,
-        clients=clients,
+        engines=engines,
+        clients=clients or 3 * nodes // 2,
         faults_s=faults_s,
         gap_s=gap_s,
         engine_processes=engine_processes,
@@ -54,25 +57,37 @@
     first: int | None = None,
     jobs: int = 3,
     nodes: int = 4,
+    engines: int = 4,
+    clients: int | None = None,
     faults_s: float = 10.0,
     gap_s: float = 0.8,
     engine_processes: int = 0,
     kept: bool = True,
+    without: tuple[str, ...] = (),
 ) -> None:
     """Run the seeds that ever failed, then consecutive seeds, by default from the Unix time on."""
     start = int(time.time()) if first is None else first
     seeds = list(range(start, start + count))
-    without: dict[int, list[str]] = {}
+    rows: dict[int, dict[str, Any]] = {}
     if kept:
-        rows = tomllib.loads(FAILED_SEEDS.read_text()).get("seed", [])
-        seeds = list(dict.fromkeys([*(row["number"] for row in rows), *seeds]))
-        without = {row["number"]: row.get("without", []) for row in rows}
+        listed = tomllib.loads(FAILED_SEEDS.read_text()).get("seed", [])
+        rows = {row["number"]: row for row in listed}
+        seeds = list(dict.fromkeys([*rows, *seeds]))
+    size = {
+        "nodes": nodes,
+        "engines": engines,
+        "clients": clients or 3 * nodes // 2,
+        "faults-s": faults_s,
+        "gap-s": gap_s,
+        "engine-processes": engine_processes,
+    }
 
     def run(seed: int) -> int:
-        command = [sys.executable, "-m", "soak", "one", str(seed), "--nodes", str(nodes)]
-        command += ["--faults-s", str(faults_s), "--gap-s", str(gap_s)]
-        command += ["--engine-processes", str(engine_processes)]
-        command += [word for name in without.get(seed, []) for word in ("--without", name)]
+        row = rows.get(seed, {"without": without})
+        command = [sys.executable, "-m", "soak", "one", str(seed)]
+        for name, value in (size | row.get("size", {})).items():
+            command += [f"--{name}", str(value)]
+        command += [word for name in row.get("without", []) for word in ("--without", name)]
         done = subprocess.run(
             command, capture_output=True, text=True, check=False, timeout=SOAK_TIMEOUT_S + faults_s
         )
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,7 +10,8 @@
 from features.support.front_fleet import Caller
 from parsleyrouter.connection.stream import ConnectFailed
 from parsleyrouter.process.loop import Promise
-from soak.journal import Attempt, JobTrace, Kind
+from soak.endpoints import SENDING_HEADER
+from soak.journal import REFUSALS, Attempt, JobTrace, Kind
 from soak.nodes import Node
 from soak.world import FIRST_PARTS, World
 
@@ -24,6 +25,11 @@
 READ_INTERVAL_S = 0.3
 ITEMS_PER_JOB = 5
 MAX_SUBMITS = 6
+REPEAT_SHARE = 0.5
+"""Share of the refused requests that are sent again under their ids."""
+
+MAX_SENDINGS = 4
+MEAN_REPEAT_PAUSE_S = 0.1
 LONG_JOB_S = 4.0
 """Time after which a client submits another job though the last is not read."""
 
@@ -39,26 +45,36 @@
 
 
 async def send_request(
-    world: World, node: Node, caller: Caller | None, kind: Kind, attempt: str
+    world: World,
+    node: Node,
+    caller: Caller | None,
+    kind: Kind,
+    attempt: str,
+    *,
+    before: Attempt | None = None,
 ) -> tuple[Attempt, Caller | None]:
-    """Send one request; return its record and the connection if it can be reused."""
+    """Send one request, perhaps again; return its record and the connection if it can be reused."""
     seen = Attempt(attempt, kind, node.name, world.loop.now())
     seen.version, seen.version_s = world.version, world.version_s
-    if kind in (Kind.STREAM, Kind.RESUMABLE):
+    if before is not None:
+        seen.parts, seen.sending = before.parts, before.sending + 1
+    elif kind in (Kind.STREAM, Kind.RESUMABLE):
         seen.parts = _choose_parts(world, attempt)
-    world.journal.attempts[attempt] = seen
+    world.journal.attempts[seen.key] = seen
     if caller is None or not _reusable(caller):
         caller = Caller(world.runtime, world.address_of(node))
     try:
         target, body = f"/{kind.value}/{attempt}", f"body {attempt}".encode()
-        headers = list(_prompt_headers(seen.parts).items())
+        headers = list(_prompt_headers(seen.parts).items()) if seen.parts else []
+        if seen.sending > 1:
+            headers.append((SENDING_HEADER, str(seen.sending)))
         await caller.send(
             "POST",
             target,
             body,
             attempt=attempt,
             deadline_ms=DEADLINE_MS,
-            headers=headers if seen.parts else None,
+            headers=headers,
         )
         response = await caller.wait(RESPONSE_TIMEOUT_S)
     except (ConnectFailed, AssertionError):
@@ -106,10 +122,20 @@
         kind = world.client_random.choice(list(Kind))
         caller = connections.pop(node.name, None) if world.client_random.random() < 0.8 else None
         attempt = f"{number:x}a{count:x}f"
-        _, connections[node.name] = await send_request(world, node, caller, kind, attempt)
+        seen, caller = await send_request(world, node, caller, kind, attempt)
+        while _is_sent_again(world, seen):
+            await world.loop.sleep(world.client_random.uniform(0.0, 2 * MEAN_REPEAT_PAUSE_S))
+            seen, caller = await send_request(world, node, caller, kind, attempt, before=seen)
+        connections[node.name] = caller
         await world.loop.sleep(world.client_random.uniform(0.0, 2 * MEAN_PAUSE_S))
 
 
+def _is_sent_again(world: World, seen: Attempt) -> bool:
+    """Return whether the client sends a refused request again under its id."""
+    refused = seen.status in REFUSALS and seen.complete and seen.sending < MAX_SENDINGS
+    return refused and world.client_random.random() < REPEAT_SHARE
+
+
 async def batch_client(
     world: World, number: int, until_s: float, give_up_s: Callable[[], float]
 ) -> None:
--- a/soak/check_registry.py
+++ b/soak/check_registry.py
@@ -22,8 +22,8 @@
 
 
 def runs_by_attempt(journal: Journal) -> dict[str, list[Run]]:
-    """Return the runs of each request or item."""
+    """Return the runs of each sending of a request, and of each item."""
     runs: dict[str, list[Run]] = {}
     for run in journal.runs:
-        runs.setdefault(run.attempt, []).append(run)
+        runs.setdefault(run.key, []).append(run)
     return runs
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,15 +6,17 @@
 from soak.answer_checks import check_leaving, check_limits
 from soak.check_registry import CHECKS, check
 from soak.check_registry import runs_by_attempt as _runs
+from soak.connection_checks import check_connections
 from soak.endpoints import expected_body, item_output
 from soak.item_checks import check_idle, check_open
 from soak.item_states import owner_nodes
-from soak.journal import Attempt, Kind, Run
+from soak.journal import REFUSALS, Attempt, Kind, Run
 from soak.nodes import GRACE_S, Node
 from soak.world import World
 
 __all__ = [
     "CHECKS",
+    "check_connections",
     "check_idle",
     "check_leaving",
     "check_limits",
@@ -40,8 +42,6 @@
 MAX_CHANCE = 0.01
 """Chance below which a lower share in so few requests is reported."""
 
-REFUSALS = (408, 421, 429, 503)
-
 
 def problems(world: World) -> list[str]:
     """Return all violations, each prefixed with its guarantee."""
@@ -74,7 +74,7 @@
     """Check how often each request ran."""
     runs = _runs(world.journal)
     return [
-        f"{one.attempt} ({one.kind.value}) ran {len(runs[name])} times"
+        f"{name} ({one.kind.value}) ran {len(runs[name])} times"
         for name, one in world.journal.attempts.items()
         if len(runs.get(name, ())) > MAX_RUNS[one.kind]
     ]
@@ -85,7 +85,7 @@
     """Check that refused requests that must not run twice have not run."""
     runs = _runs(world.journal)
     return [
-        f"{one.attempt} at {one.node} got {one.status} and ran"
+        f"{name} at {one.node} got {one.status} and ran"
         for name, one in world.journal.attempts.items()
         if one.status in REFUSALS and not one.kind.repeatable and name in runs
     ]
@@ -97,7 +97,7 @@
     items = {item for job in world.journal.jobs.values() for item in job.items}
     found = []
     for run in world.journal.runs:
-        attempt = world.journal.attempts.get(run.attempt)
+        attempt = world.journal.attempts.get(run.key)
         if attempt is None and run.attempt not in items:
             found.append(f"{run.attempt} was sent by no client")
         if run.body != f"body {run.attempt}".encode():
@@ -186,7 +186,7 @@
 
 def _sent_in_touch(world: World, run: Run, owners: dict[str, list[Node]]) -> bool:
     """Tell whether the node that sent a run was in touch; for items, all that owned its job."""
-    attempt = world.journal.attempts.get(run.attempt)
+    attempt = world.journal.attempts.get(run.key)
     if attempt is not None:
         return _is_in_touch(world, attempt, run.began_s)
     job = next(job for job in world.journal.jobs.values() if run.attempt in job.items)
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -20,6 +20,7 @@
     "ITEM_EVENTS",
     "LEAVING_HEADER",
     "LIMIT_HEADER",
+    "SENDING_HEADER",
     "SoakEndpoint",
     "behave",
     "expected_body",
@@ -28,6 +29,8 @@
 
 LEAVING_HEADER = (b"Server-Leaving", b"1")
 LIMIT_HEADER = b"Server-Limit"
+SENDING_HEADER = "X-Sending"
+"""Tells endpoints how often a caller has sent an id."""
 
 EVENTS = 12
 ITEM_EVENTS = 40
@@ -87,6 +90,7 @@
             tuple(prompt_parts(arrival)),
             self.born,
             LEAVING_HEADER in self.headers,
+            sending=int(arrival.header(SENDING_HEADER) or 1),
         )
         self.journal.runs.append(run)
         return run
--- a/soak/engine_program.py
+++ b/soak/engine_program.py
@@ -6,6 +6,7 @@
 
 import os
 import sys
+from http import HTTPStatus
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -17,16 +18,17 @@
 from parsleyrouter.ids import Address
 from parsleyrouter.process.runtime import Runtime
 from soak.endpoints import SoakEndpoint, behave
-from soak.journal import EndpointCrash, Journal, Run, RunEnd
+from soak.journal import CarriedTwice, EndpointCrash, Journal, Run, RunEnd
+from soak.refusal_copies import CopyMode, RefusalKeeper, refuse_and_keep, write_due_copies
 
-__all__ = ["CRASHES_SUFFIX", "CRASH_EXIT", "EngineMode", "RUNS_SUFFIX", "main"]
+__all__ = ["CRASHES_SUFFIX", "CRASH_EXIT", "EngineMode", "REPEATS_SUFFIX", "RUNS_SUFFIX", "main"]
 
 RUNS_SUFFIX = ".runs"
 CRASHES_SUFFIX = ".crashes"
+REPEATS_SUFFIX = ".repeats"
 CRASH_EXIT = 70
 """Exit code of an engine that a deadly part has ended."""
 
-SLOTS = 4
 MAX_COPY_DELAY_S = 0.03
 LATE_COPY_SHARE = 0.7
 
@@ -40,6 +42,8 @@
     """Whether such copies carry the id of the refused request."""
     deadly: tuple[str, ...] = ()
     """Parts that end the process when it begins to answer a request with one of them."""
+    kept: CopyMode = CopyMode()
+    """Which requests are refused with copies of the refusals kept."""
 
 
 class RunFile(list[Run]):
@@ -65,6 +69,8 @@
         self.running = 0
         self.late_copies: dict[Any, bytes] = {}
         """Copies to write on a connection before its next answer."""
+        self.keeper = RefusalKeeper()
+        self.failure_mode = "cut"
         self.crash_on = self._crash_on
 
     @property
@@ -81,28 +87,48 @@
     def _crash_on(self, part: str) -> bool:
         if part not in self.mode.deadly:
             return False
-        crash = EndpointCrash(self.runtime.loop.now(), self.name, part)
-        with self.mode_file.with_suffix(CRASHES_SUFFIX).open("ab", buffering=0) as output:
-            output.write(msgspec.json.encode(crash) + b"\n")
+        self._record(CRASHES_SUFFIX, EndpointCrash(self.runtime.loop.now(), self.name, part))
         os._exit(CRASH_EXIT)
 
+    def note_request(self, exchange: CallerExchange, arrival: Arrival) -> None:
+        """Record a request whose connection has carried its id before."""
+        request = arrival.header("X-Attempt-Id") or ""
+        if self.keeper.note_request(exchange.sock, request):
+            now = self.runtime.loop.now()
+            self._record(REPEATS_SUFFIX, CarriedTwice(now, self.name, request))
+
+    def _record(self, suffix: str, row: object) -> None:
+        with self.mode_file.with_suffix(suffix).open("ab", buffering=0) as output:
+            output.write(msgspec.json.encode(row) + b"\n")
+
+    def refuse_misdirected(self, exchange: CallerExchange, arrival: Arrival) -> None:
+        """Refuse a request that is meant for another endpoint, which had the address before."""
+        self.note_request(exchange, arrival)
+        refuse_and_keep(self, exchange, arrival, self.mode.kept, HTTPStatus.MISDIRECTED_REQUEST)
+
 
 async def _behave_as_process(
     endpoint: ProcessEndpoint, exchange: CallerExchange, arrival: Arrival
 ) -> None:
+    endpoint.note_request(exchange, arrival)
     copy = endpoint.late_copies.pop(exchange.sock, b"")
     if copy:
         exchange.server.send(exchange.sock, copy)
-    mode = endpoint.mode
+    mode, kept = endpoint.mode, endpoint.mode.kept
+    if await write_due_copies(endpoint, exchange, arrival, kept):
+        return
     if endpoint.random.random() < mode.copies:
         await _refuse_twice(endpoint, exchange, arrival, mode)
         return
-    if endpoint.running >= 2 * SLOTS:
-        await shed(endpoint, exchange, arrival)
+    endpoint.failure_rate = kept.broken
+    if endpoint.running >= kept.room or endpoint.random.random() < kept.share:
+        refuse_and_keep(endpoint, exchange, arrival, kept, kept.status)
         return
     endpoint.running += 1
     try:
-        await behave(endpoint, exchange, arrival)
+        await endpoint.runtime.loop.sleep(endpoint.random.uniform(0.0, kept.pause_s))
+        if not exchange.disconnected:
+            await behave(endpoint, exchange, arrival)
     finally:
         endpoint.running -= 1
 
--- a/soak/engines.py
+++ b/soak/engines.py
@@ -12,13 +12,19 @@
 import msgspec
 
 from parsleyrouter.standins.ports import free_address
-from soak.engine_program import CRASH_EXIT, CRASHES_SUFFIX, RUNS_SUFFIX, EngineMode
-from soak.journal import Absence, EndpointCrash, Run, RunEnd
+from soak.engine_program import (
+    CRASH_EXIT,
+    CRASHES_SUFFIX,
+    REPEATS_SUFFIX,
+    RUNS_SUFFIX,
+    EngineMode,
+)
+from soak.journal import Absence, CarriedTwice, EndpointCrash, Run, RunEnd
 
 if TYPE_CHECKING:
     from soak.world import World
 
-__all__ = ["EngineProcess", "recorded_crashes", "recorded_runs", "unix_ms"]
+__all__ = ["EngineProcess", "recorded_crashes", "recorded_repeats", "recorded_runs", "unix_ms"]
 
 ROOT = Path(__file__).resolve().parents[1]
 START_S = 15.0
@@ -139,5 +145,10 @@
     ]
 
 
+def recorded_repeats(folder: Path) -> list[CarriedTwice]:
+    """Return the requests that came on connections that had carried their ids before."""
+    return [msgspec.json.decode(line, type=CarriedTwice) for line in _lines(folder, REPEATS_SUFFIX)]
+
+
 def _lines(folder: Path, suffix: str) -> list[bytes]:
     return [line for path in sorted(folder.glob(f"*{suffix}")) for line in path.open("rb")]
--- a/soak/journal.py
+++ b/soak/journal.py
@@ -7,16 +7,27 @@
 __all__ = [
     "Absence",
     "Attempt",
+    "CarriedTwice",
     "DeadlySpan",
     "EndpointCrash",
     "EndpointLimit",
     "JobTrace",
     "Journal",
     "Kind",
+    "REFUSALS",
     "Run",
     "RunEnd",
+    "sending_key",
 ]
 
+REFUSALS = (408, 421, 429, 503)
+"""Statuses that promise that a request has not run and never will."""
+
+
+def sending_key(attempt: str, sending: int) -> str:
+    """Return the name of one sending of a request; the first one has the id of the request."""
+    return attempt if sending == 1 else f"{attempt}/{sending}"
+
 
 class Kind(Enum):
     """Kind of a route by how its requests may be repeated; the value is its path prefix."""
@@ -52,6 +63,13 @@
     """When that version was published."""
     parts: tuple[str, ...] = ()
     """Parts of its prompt, in order."""
+    sending: int = 1
+    """How often its caller had sent the id, with this time."""
+
+    @property
+    def key(self) -> str:
+        """Return the name of this sending of the request."""
+        return sending_key(self.attempt, self.sending)
 
 
 class RunEnd(Enum):
@@ -85,6 +103,22 @@
     ended_s: float = 0.0
     """When it ended at the endpoint; 0 while it lasts."""
     end: RunEnd | None = None
+    sending: int = 1
+    """Which sending of the request by its caller has run."""
+
+    @property
+    def key(self) -> str:
+        """Return the name of the sending that has run."""
+        return sending_key(self.attempt, self.sending)
+
+
+@dataclass
+class CarriedTwice:
+    """A request that came on a connection that had carried its id before."""
+
+    at_s: float
+    endpoint: str
+    request: str
 
 
 @dataclass
@@ -148,9 +182,11 @@
     """All observations of one soak."""
 
     attempts: dict[str, Attempt] = field(default_factory=dict)
+    """The requests of callers; each sending of an id is one."""
     runs: list[Run] = field(default_factory=list)
     jobs: dict[str, JobTrace] = field(default_factory=dict)
     crashes: list[EndpointCrash] = field(default_factory=list)
+    repeats: list[CarriedTwice] = field(default_factory=list)
     limits: list[EndpointLimit] = field(default_factory=list)
     deadly: dict[str, DeadlySpan] = field(default_factory=dict)
     absences: list[Absence] = field(default_factory=list)
--- a/soak/play.py
+++ b/soak/play.py
@@ -15,12 +15,13 @@
 from soak.callers import batch_client, online_client, probe_nodes
 from soak.checks import problems
 from soak.engine_faults import ENGINE_FAULTS
-from soak.engines import recorded_crashes, recorded_runs
+from soak.engines import recorded_crashes, recorded_repeats, recorded_runs
 from soak.faults import FAULTS, Fault
 from soak.item_checks import CLEARED_S
+from soak.refusal_faults import repeat_refusals, take_over_address
 from soak.world import World
 
-__all__ = ["Plan", "SoakResult", "run_soak"]
+__all__ = ["Plan", "SoakResult", "repeat_refusals", "run_soak", "take_over_address"]
 
 RECOVER_S = 5.0
 """Time after the last fault in which all nodes must serve again."""
@@ -61,6 +62,8 @@
     deadly_items: int = 0
     """Items of accepted jobs with a part that crashed endpoints for a time."""
     crashes: int = 0
+    sent_again: int = 0
+    """Requests that callers sent again under their ids after a refusal."""
 
 
 def run_soak(plan: Plan, folder: Path) -> SoakResult:
@@ -125,10 +128,12 @@
         supervisor.cancel()
     world.journal.runs += recorded_runs(world.engines, world.folder)
     world.journal.crashes += recorded_crashes(world.folder)
+    world.journal.repeats += recorded_repeats(world.folder)
     result.problems += problems(world)
     attempts = world.journal.attempts.values()
     result.requests = len(attempts)
     result.answered = sum(one.complete and one.status == 200 for one in attempts)
+    result.sent_again = sum(one.sending > 1 for one in attempts)
     result.jobs = len(world.journal.jobs)
     result.crashes = len(world.journal.crashes)
     deadly = world.journal.deadly.keys()
