--- a/features/steps/leaving_endpoints_steps.py
+++ b/features/steps/leaving_endpoints_steps.py
@@ -14,6 +14,7 @@
 
 LEAVING = (b"Server-Leaving", b"1")
 CALLS = 12
+BROKEN_STREAMS = 12
 
 ANSWERS: dict[str, tuple[str, str, Behaviour]] = {
     "the body of a document": ("c1", "/card/", whole),
@@ -159,9 +160,12 @@
         await start(context, fleet)
         await leave(fleet, "e1", "/chat/")
         before = len(fleet.endpoints["e1"].arrivals)
+        for number in range(BROKEN_STREAMS):
+            for name in ("e2", "e3"):
+                fleet.endpoints[name].behaviours[:] = [stream_until(2)]
+            await fleet.caller().ask("POST", "/tale/1", attempt=f"t{number}")
         for name in ("e2", "e3"):
-            fleet.endpoints[name].behaviours.append(stream_until(2))
-        context.answer = await fleet.caller().ask("POST", "/tale/1")
+            fleet.endpoints[name].behaviours.clear()
         assert (await submit(fleet)).status == 202
         context.results = await read_all(fleet)
         context.later = len(fleet.endpoints["e1"].arrivals) - before
