--- a/soak/refusal_faults.py
+++ b/soak/refusal_faults.py
@@ -45,11 +45,14 @@
 
 @engine_fault("address taken over")
 async def take_over_address(world: World) -> None:
-    """Leave the entry of an endpoint that is gone, whose address an engine has now."""
-    engine = world.random.choice(world.engines)
-    mode = copy_mode(world)
+    """Leave the entry of an endpoint that is gone, whose address an engine has now.
+
+    The others do as it does, so that a stream they break off is resumed where it was refused.
+    """
+    engine, mode = world.random.choice(world.engines), copy_mode(world)
     with world.disturbed(*world.nodes, lasts_s=5.0, in_touch=True):
-        engine.set_mode(kept=mode)
+        for one in world.engines:
+            one.set_mode(kept=mode)
         for _ in range(world.random.randint(1, 4)):
             gone = f"engine-{next(world.numbers)}"
             entry = {"service": "engines", "address": engine.address, "zone": "north", "slots": 4}
@@ -57,4 +60,4 @@
             world.store.put_json(f"servers/{gone}", entry | state)
             await world.loop.sleep(world.random.uniform(0.3, 1.2))
             world.store.remove(f"servers/{gone}")
-        _end_copies([engine])
+        _end_copies(world.engines)
