Name the cut requests and their fingerprints in the line of a crash

Callers saw endpoint after endpoint end under one request, and no line told which: a crash named prompt parts only, and one that cut requests without parts wrote no line. Each crash now names the requests that it cut with a fingerprint (host, method, target and body), and a failed request's line has it too. What is decided does not change.

--- a/features/support/crashing_endpoint.py
+++ b/features/support/crashing_endpoint.py
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True)
 class Crash:
-    """One crash and the part that caused it; empty for another reason."""
+    """One crash and the part or body that caused it; empty for another reason."""
 
     at_s: float
     endpoint: str
@@ -28,6 +28,8 @@
 
     fleet: FrontFleet
     deadly: set[str] = field(default_factory=set)
+    deadly_bodies: set[bytes] = field(default_factory=set)
+    """Bodies of online requests that crash any endpoint."""
     down_s: float = 0.5
     crashes: list[Crash] = field(default_factory=list)
     starts: int = 1
@@ -85,10 +87,12 @@
 
 
 def crash_on_deadly_parts(plan: CrashPlan, *, renamed: bool) -> Behaviour:
-    """Stream; crash after the first event of a request that holds a deadly part."""
+    """Stream; crash after the first event of a request with a deadly part or body."""
 
     async def behave(endpoint: EndpointStandIn, exchange: CallerExchange, arrival: Arrival) -> None:
         found = plan.deadly.intersection(prompt_parts(arrival)[:-1])
+        if arrival.body in plan.deadly_bodies:
+            found.add(arrival.body.decode())
         if not found:
             await stream(endpoint, exchange, arrival)
             return
--- a/parsleyrouter/ids.py
+++ b/parsleyrouter/ids.py
@@ -10,6 +10,7 @@
     "DomainName",
     "EndpointId",
     "Epoch",
+    "Fingerprint",
     "GrantId",
     "ItemId",
     "ItemIndex",
@@ -52,6 +53,7 @@
 Epoch = NewType("Epoch", int)
 
 PromptPart = NewType("PromptPart", str)
+Fingerprint = NewType("Fingerprint", PromptPart)
 """The id of a part of a prompt that several requests may share."""
 
 RunId = NewType("RunId", str)
--- a/parsleyrouter/process/crash_monitor.py
+++ b/parsleyrouter/process/crash_monitor.py
@@ -8,7 +8,7 @@
 from secrets import token_hex
 
 from parsleyrouter.connection.stream import ConnectFailed, ConnectionRefused, Connector
-from parsleyrouter.ids import EndpointId, RunId
+from parsleyrouter.ids import EndpointId, Fingerprint, RequestId, RunId
 from parsleyrouter.process.endpoint_directory import EndpointDirectory, RegisteredEndpoint
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.quarantine_keeper import QuarantineKeeper
@@ -29,6 +29,7 @@
 SURVIVORS_INTERVAL_S = 0.25
 
 MAX_ABANDONED = 1024
+MAX_LOGGED_RUNS = 32
 
 log = logging.getLogger(__name__)
 
@@ -40,10 +41,16 @@
     registration: RegisteredEndpoint
     prompt: Prompt
     cancel: Callable[[], None]
+    request: RequestId = RequestId("")
+    fingerprint: Fingerprint | None = None
     began_s: float | None = None
     survived: bool = False
     """Whether the answer is known not to have crashed the endpoint."""
 
+    def fields(self) -> dict[str, object]:
+        """Return what names the request in a log line."""
+        return {"request": self.request, "fingerprint": self.fingerprint}
+
 
 @dataclass
 class _Cuts:
@@ -54,6 +61,7 @@
     """Whether the endpoint has crashed, once that is ``checked``."""
     checked: bool = False
     runs: dict[RunId, Prompt] = field(default_factory=dict)
+    requests: list[RunningRequest] = field(default_factory=list)
     answered: dict[Prompt, float] = field(default_factory=dict)
     """When the answers began that ended with their connection."""
 
@@ -92,8 +100,7 @@
 
     def start(self, request: RunningRequest) -> None:
         """Watch a request that is about to be sent."""
-        if request.prompt:
-            self.running.add(request)
+        self.running.add(request)
 
     def end(
         self, request: RunningRequest, *, cut: bool, served: bool, abandoned: bool = False
@@ -104,11 +111,12 @@
         ``abandoned`` request was ended by this node.
         """
         self.running.discard(request)
-        if not request.prompt:
-            return
-        self.keeper.end_trial(request.prompt, began=cut or served or abandoned, cut=cut)
+        if request.prompt:
+            self.keeper.end_trial(request.prompt, began=cut or served or abandoned, cut=cut)
         if cut:
             self._record_cut(request, served=served)
+        elif not request.prompt:
+            return
         elif served and request.began_s is not None:
             self.keeper.report_served(request.prompt, request.began_s)
         elif abandoned and not request.survived:
@@ -150,6 +158,9 @@
         if cuts is None or now - cuts.at_s > SAME_CRASH_S:
             cuts = self.cuts[endpoint] = _Cuts(now)
             self.loop.spawn(self._confirm(request.registration, cuts), f"check {endpoint}")
+        cuts.requests.append(request)
+        if not request.prompt:
+            return
         run = self._name_run()
         cuts.runs[run] = request.prompt
         if served and request.began_s is not None:
@@ -170,8 +181,10 @@
         if cuts.confirmed:
             await self.loop.sleep(GATHER_S)
             fields = {"endpoint": registration.endpoint, "prompts": sorted(set(cuts.runs.values()))}
-            log.warning("endpoint crashed", extra=fields)
-            self._report(registration, cuts, dict(cuts.runs))
+            cut = [one.fields() for one in cuts.requests[:MAX_LOGGED_RUNS]]
+            log.warning("endpoint crashed", extra=fields | {"runs": cut})
+            if cuts.runs:
+                self._report(registration, cuts, dict(cuts.runs))
         else:
             self._report_answered(cuts)
         if len(self.cuts) > len(self.directory.endpoints):
--- a/parsleyrouter/process/forward_attempt.py
+++ b/parsleyrouter/process/forward_attempt.py
@@ -31,10 +31,7 @@
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
 from parsleyrouter.process.forward_context import ForwardContext, ForwardSink, ResponseTimeouts
 from parsleyrouter.request.attempts import AttemptFailure, FailurePoint
-from parsleyrouter.request.forwarded_request import (
-    ForwardedRequest,
-    end_to_end_headers,
-)
+from parsleyrouter.request.forwarded_request import ForwardedRequest, end_to_end_headers
 from parsleyrouter.version.route_table import RouteKind
 
 __all__ = ["ForwardAttempt"]
@@ -65,7 +62,10 @@
     running: RunningRequest = field(init=False)
 
     def __post_init__(self) -> None:
-        self.running = RunningRequest(self.registration, self.request.prompt, self.cancel)
+        request = self.request
+        self.running = RunningRequest(
+            self.registration, request.prompt, self.cancel, request.request, request.fingerprint
+        )
 
     @property
     def endpoint(self) -> EndpointId:
--- a/parsleyrouter/process/forwarder.py
+++ b/parsleyrouter/process/forwarder.py
@@ -25,6 +25,7 @@
     RetryRules,
     decide_retry,
 )
+from parsleyrouter.request.fingerprint import fingerprint_of
 from parsleyrouter.request.forwarded_request import ForwardedRequest, end_to_end_headers
 from parsleyrouter.request.retry_budget import RetryBudget
 from parsleyrouter.version.route_table import RouteKind
@@ -102,17 +103,19 @@
             return Refusal(RefusalKind.NOT_FOUND, message, ExecutionStatus.NOT_RUN)
         allowed_s = min(route.timeout_s, _parse_deadline_s(head.headers.get(names.deadline_ms)))
         connection = head.headers.get("connection", "")
+        target = f"{head.path}?{head.query}" if head.query else head.path
         return ForwardedRequest(
             request=RequestId(head.headers.get(names.request, "")),
             route=route,
             service=route.pick_service(self.random),
             method=head.method,
-            target=f"{head.path}?{head.query}" if head.query else head.path,
+            target=target,
             headers=end_to_end_headers(head.raw, connection, names.protected()),
             body=exchange.body,
             received_s=exchange.received_s,
             deadline_s=exchange.received_s + allowed_s,
             prompt=self.context.shared_parts(head.headers.get(names.prefix, "")),
+            fingerprint=fingerprint_of(host, head.method, target, exchange.body),
         )
 
     async def _forward(
@@ -228,7 +231,7 @@
             self.context.names.request,
             self.metrics,
             exchange,
-            request.route if request else None,
+            request,
             outcome,
             trace,
             took_s=self.loop.now() - exchange.received_s,
--- a/parsleyrouter/process/request_log.py
+++ b/parsleyrouter/process/request_log.py
@@ -8,7 +8,7 @@
 from parsleyrouter.ids import EndpointId
 from parsleyrouter.outcome import Refusal
 from parsleyrouter.process.forward_metrics import ForwardMetrics
-from parsleyrouter.version.route_table import Route
+from parsleyrouter.request.forwarded_request import ForwardedRequest
 
 __all__ = ["RequestTrace", "log_request"]
 
@@ -30,7 +30,7 @@
     request_header: str,
     metrics: ForwardMetrics,
     exchange: CallerExchange,
-    route: Route | None,
+    request: ForwardedRequest | None,
     outcome: Refusal | None,
     trace: RequestTrace,
     *,
@@ -38,6 +38,7 @@
     routes_version: int,
 ) -> None:
     """Count a request that has ended and log how it did."""
+    route = request.route if request else None
     outcome_label = "answered" if outcome is None else outcome.kind.value
     metrics.requests.labels(route.kind.value if route else "none", outcome_label).inc()
     fields: dict[str, Any] = {
@@ -56,5 +57,6 @@
         log.info("request answered", extra=fields)
         return
     fields |= {"reason": outcome.message, "ran": outcome.ran.value}
+    fields["fingerprint"] = request.fingerprint if request else None
     fields["failures"] = trace.failures
     log.warning("request failed", extra=fields)
--- a/parsleyrouter/request/forwarded_request.py
+++ b/parsleyrouter/request/forwarded_request.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from parsleyrouter.ids import EndpointId, RequestId, ServiceName
+from parsleyrouter.ids import EndpointId, Fingerprint, RequestId, ServiceName
 from parsleyrouter.request.crash_evidence import Prompt
 from parsleyrouter.version.route_table import Route
 
@@ -77,6 +77,8 @@
     received_s: float
     deadline_s: float
     prompt: Prompt = ()
+    fingerprint: Fingerprint | None = None
+    """What copies of the request have in common; none of a batch item."""
 
     def headers_for_endpoint(
         self,
