--- a/features/steps/deadly_requests_steps.py
+++ b/features/steps/deadly_requests_steps.py
@@ -1,17 +1,29 @@
 """Steps for requests whose copies crash endpoints."""
 
+import functools
 from collections.abc import Callable, Coroutine
 from typing import Any
 
 from behave import then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
 
 from features.support.crashing_endpoint import CrashPlan
+from features.support.deadly_play import CONTACT_S
 from features.support.deadly_request_play import DeadlyRequestPlay
 from features.support.front_fleet import FrontFleet
 from features.support.log_records import collected_logs
 from features.support.loop import run_on_loop
+from features.support.request_play import RequestPlay
+from parsleyrouter.request.fingerprint import is_fingerprint
 
 DEADLY = b"deadly body"
+MAX_LATER = 3
+WINDOW_S = 2.5
+"""How long copies still come from when a check applies."""
+
+PARTS = ("team", "second")
 
 
 def play(
@@ -55,3 +67,111 @@
     assert [run["request"] for run in runs] == ["1", "2"], runs
     prints = {run["fingerprint"] for run in runs}
     assert len(prints) == 1 and all(prints), runs
+
+
+@functools.cache
+def mixed_play(parts: tuple[str, ...]) -> DeadlyRequestPlay:
+    """Play copies of a deadly request and sound requests once for all checks."""
+
+    async def scenario(one: DeadlyRequestPlay) -> None:
+        one.spawn_clients(DEADLY)
+        await one.until_crashes(DEADLY)
+        await one.fleet.loop.sleep(CONTACT_S + WINDOW_S)
+
+    return play(scenario, parts=parts)
+
+
+@when("copies of a request without prompt parts come at all nodes among sound ones")
+def step_without_parts(context: Any) -> None:
+    context.play = mixed_play(())
+
+
+@when("copies of a request come at all nodes among sound ones that share its prompt parts")
+def step_with_parts(context: Any) -> None:
+    context.play = mixed_play(PARTS)
+
+
+@then("at most three copies reach endpoints later than 3 s after its third crash")
+def step_few_later(context: Any) -> None:
+    later, crashes = context.play.later_arrivals(DEADLY), context.play.plan.crashes
+    assert later <= MAX_LATER, (later, [round(one.at_s, 2) for one in crashes])
+
+
+@then("no sound request is refused because of crashes")
+def step_none_refused(context: Any) -> None:
+    assert context.play.refused_share() == 0.0, context.play.refused_share()
+
+
+@when("fleets of many sizes get copies of up to three deadly requests beside other crashes")
+def step_plays(context: Any) -> None:
+    context.plays = []
+
+    @settings(max_examples=40, derandomize=True, deadline=None)
+    @for_all(
+        st.integers(0, 2**20),
+        st.integers(4, 30),
+        st.integers(1, 3),
+        st.floats(0.01, 0.2),
+        st.integers(1, 4),
+        st.booleans(),
+        st.sampled_from([0, 0, 1]),
+        st.sampled_from([0.0, 0.05, 0.2]),
+    )
+    def run(
+        seed: int,
+        endpoints: int,
+        requests: int,
+        share: float,
+        burst: int,
+        with_parts: bool,
+        deadly_parts: int,
+        ordinary_per_s: float,
+    ) -> None:
+        play = RequestPlay(
+            seed,
+            endpoints=endpoints,
+            rate_per_s=4.0 * endpoints,
+            deadly_requests=requests,
+            copies_share=share,
+            burst=burst,
+            with_parts=with_parts,
+            deadly_parts=deadly_parts,
+            deadly_share=0.03,
+            ordinary_per_s=ordinary_per_s,
+        )
+        context.plays.append(play.run())
+
+    run()
+
+
+def late_counts(plays: list[RequestPlay], *, requests: bool) -> list[tuple[int, RequestPlay]]:
+    """Return how many of each deadly request, or with each deadly part, were sent late."""
+    return [
+        (count, one)
+        for one in plays
+        for part, count in one.sent_late().items()
+        if is_fingerprint(part) is requests
+    ]
+
+
+@then("at most three copies of each are sent later than 3 s after its third crash")
+def step_few_copies_late(context: Any) -> None:
+    late = late_counts(context.plays, requests=True)
+    assert len(late) > 20
+    too_many = [(count, one.seed) for count, one in late if count > MAX_LATER]
+    assert not too_many, too_many
+
+
+@then("at most three requests with each deadly part are sent later than 3 s after its fifth crash")
+def step_few_with_part_late(context: Any) -> None:
+    late = late_counts(context.plays, requests=False)
+    assert len(late) > 5
+    too_many = [(count, one.seed) for count, one in late if count > MAX_LATER]
+    assert not too_many, too_many
+
+
+@then("fewer than one in a hundred sound requests is refused in the second half of all plays")
+def step_few_sound_refused(context: Any) -> None:
+    refused = sum(one.refused_at_end for one in context.plays)
+    sound = sum(one.sound_at_end for one in context.plays)
+    assert refused < sound / 100, (refused, sound)
--- a/features/support/crash_play.py
+++ b/features/support/crash_play.py
@@ -72,7 +72,9 @@
         now = 0.0
         while self.events and now < self.length_s:
             now, _, kind, request = heappop(self.events)
-            if kind == "arrival":
+            if kind == "repeat" and request is not None:
+                self._arrive(now, request)
+            elif kind == "arrival":
                 self._arrive(now)
                 self._schedule(now + self.random.expovariate(self.rate_per_s), "arrival")
             elif kind == "ordinary":
@@ -88,12 +90,16 @@
     def sent_late(self) -> dict[PromptPart, int]:
         """Count the requests with each deadly part that were sent long after its fifth crash."""
         known_s = {
-            part: times[KNOWN_CRASHES - 1] + CONTACT_S
+            part: times[self._counted_crashes(part) - 1] + CONTACT_S
             for part, times in self.crashes_s.items()
-            if len(times) >= KNOWN_CRASHES
+            if len(times) >= self._counted_crashes(part)
         }
         return {part: sum(at_s > known_s[part] for at_s in self.sent_s[part]) for part in known_s}
 
+    def _counted_crashes(self, part: PromptPart) -> int:
+        """Return after how many crashes requests with a part count."""
+        return KNOWN_CRASHES
+
     def _schedule(self, at_s: float, kind: str, request: PlayedRequest | None = None) -> None:
         heappush(self.events, (at_s, next(self.names), kind, request))
 
@@ -106,9 +112,9 @@
         prompt = (deadly, first) if self.deadly_first else (first, second, deadly)
         return prompt, ((deadly,) if self.now >= self.deadly_from_s else ())
 
-    def _arrive(self, now: float) -> None:
+    def _arrive(self, now: float, repeated: PlayedRequest | None = None) -> None:
         self.now = now
-        prompt, deadly = self._prompt()
+        prompt, deadly = (repeated.prompt, repeated.deadly) if repeated else self._prompt()
         groups = self.quarantine.find(prompt)
         if groups and all(group.trial_due(now - ONLINE_DELAY_S) for group in groups):
             for group in groups:
@@ -154,6 +160,7 @@
         cut, self.running[endpoint] = self.running[endpoint], set()
         for request in cut:
             request.lost = True
+            self._note_lost(request, now)
         name = EndpointId(f"e{endpoint}-{next(self.names)}")
         self.evidence.record_crash(
             Crash(name, now, {one.prompt for one in cut if now - one.began_s <= RECENT_S})
@@ -163,6 +170,9 @@
         for delay_s in (SETTLE_S, SETTLE_S + ANSWER_S):
             self._schedule(now + delay_s + 0.01, "decide")
 
+    def _note_lost(self, request: PlayedRequest, now: float) -> None:
+        """Note a request that a crash has cut."""
+
     def _note_crashes(self, group: QuarantinedGroup) -> None:
         cuts = self.evidence.count_cuts(group.parts)
         if cuts.count:
