Keep a request that crashes endpoints away from them by its copies

Cause: the evidence of crashes knew only the prompt parts that requests share.

A caller's request now has a fingerprint (host, method, target, body) as one more trait beside its parts; batch items have none. Three crashes of the same request without an answer hold it responsible, also when they come at once; five at three moments if it was answered before or another request explains some of them. Crashes that a request explains accuse no part that is answered elsewhere, and release parts that were blamed for nothing else. At most three copies are let through for ever, 10, 60 and 640 s after the last crash; others get 503 as not run. Reports of a crash are split into datagrams of 32 runs.

Scenarios known to fail before pass.

--- a/features/steps/abandoned_runs_steps.py
+++ b/features/steps/abandoned_runs_steps.py
@@ -9,7 +9,7 @@
 from features.support.front_fleet import FrontFleet
 from parsleyrouter.ids import EndpointId, PromptPart
 from parsleyrouter.process.crash_monitor import RunningRequest
-from parsleyrouter.request.crash_evidence import Crash
+from parsleyrouter.request.crash import Crash
 
 PROMPT = (PromptPart(DEADLY),)
 
--- a/features/steps/crash_evidence_steps.py
+++ b/features/steps/crash_evidence_steps.py
@@ -9,14 +9,12 @@
 
 from features.support.crash_play import CrashPlay
 from parsleyrouter.ids import EndpointId, PromptPart
+from parsleyrouter.request.crash import Crash, CutRuns, Prompt
 from parsleyrouter.request.crash_evidence import (
     MAX_CRASHES,
     MAX_PARTS,
     MAX_PROMPTS,
-    Crash,
     CrashEvidence,
-    CutRuns,
-    Prompt,
 )
 from parsleyrouter.request.quarantine import (
     HOLD_S,
--- a/features/steps/deadly_requests_steps.py
+++ b/features/steps/deadly_requests_steps.py
@@ -114,7 +114,7 @@
         st.floats(0.01, 0.2),
         st.integers(1, 4),
         st.booleans(),
-        st.sampled_from([0, 0, 1]),
+        st.sampled_from([0, 1, 2]),
         st.sampled_from([0.0, 0.05, 0.2]),
     )
     def run(
--- a/features/steps/held_trials_steps.py
+++ b/features/steps/held_trials_steps.py
@@ -18,7 +18,7 @@
 from parsleyrouter.process.fleet_loads import RequestCounts
 from parsleyrouter.process.item_run import ItemRun
 from parsleyrouter.process.quarantine_records import QUARANTINE_PREFIX, GroupRecord
-from parsleyrouter.request.crash_evidence import CutRuns
+from parsleyrouter.request.crash import CutRuns
 from parsleyrouter.request.quarantine import (
     FIRST_TRIAL_S,
     MAX_EARLY_RUNS,
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -22,7 +22,7 @@
 from parsleyrouter.process.endpoint_loads import EndpointLoads
 from parsleyrouter.process.load_codec import decode, encode_crashes
 from parsleyrouter.request.batch_item import InvalidItem, read_item
-from parsleyrouter.request.crash_evidence import Crash
+from parsleyrouter.request.crash import Crash
 from parsleyrouter.request.placement import choose_endpoint, queue_wait_s
 from parsleyrouter.thrift_gen.peer.ttypes import Envelope
 
--- a/features/support/crash_play.py
+++ b/features/support/crash_play.py
@@ -7,12 +7,11 @@
 
 from parsleyrouter.ids import EndpointId, PromptPart
 from parsleyrouter.process.crash_monitor import RECENT_S
+from parsleyrouter.request.crash import Crash, Prompt
 from parsleyrouter.request.crash_evidence import (
     ANSWER_S,
     SETTLE_S,
-    Crash,
     CrashEvidence,
-    Prompt,
 )
 from parsleyrouter.request.quarantine import ONLINE_DELAY_S, Quarantine, QuarantinedGroup
 
@@ -158,7 +157,7 @@
             return
         self.up_s[endpoint] = now + AWAY_S
         cut, self.running[endpoint] = self.running[endpoint], set()
-        for request in cut:
+        for request in sorted(cut, key=lambda one: one.began_s):
             request.lost = True
             self._note_lost(request, now)
         name = EndpointId(f"e{endpoint}-{next(self.names)}")
@@ -183,3 +182,5 @@
             doubtful = all(part in self.evidence.history for part in group)
             if self.quarantine.add(group, now, doubtful=doubtful) is not None:
                 self._note_crashes(self.quarantine.groups[group])
+        for group in self.evidence.cleared_groups(self.quarantine.groups):
+            del self.quarantine.groups[group]
--- a/features/support/held_play.py
+++ b/features/support/held_play.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from parsleyrouter.ids import EndpointId, PromptPart
-from parsleyrouter.request.crash_evidence import CutRuns
+from parsleyrouter.request.crash import CutRuns
 from parsleyrouter.request.quarantine import Quarantine, QuarantinedGroup, joint_endpoint
 
 CONTACT_S = 3.0
--- a/features/support/request_play.py
+++ b/features/support/request_play.py
@@ -4,7 +4,7 @@
 
 from features.support.crash_play import CrashPlay, PlayedRequest
 from parsleyrouter.ids import PromptPart
-from parsleyrouter.request.crash_evidence import Prompt
+from parsleyrouter.request.crash import Prompt
 from parsleyrouter.request.fingerprint import FINGERPRINT_MARK
 
 KNOWN_REQUEST_CRASHES = 3
--- a/parsleyrouter/platform/headers.py
+++ b/parsleyrouter/platform/headers.py
@@ -3,7 +3,8 @@
 from xxhash import xxh3_64_hexdigest
 
 from parsleyrouter.ids import PromptPart
-from parsleyrouter.request.crash_evidence import Prompt
+from parsleyrouter.request.crash import Prompt
+from parsleyrouter.request.fingerprint import FINGERPRINT_MARK
 from parsleyrouter.request.forwarded_request import HeaderNames
 
 __all__ = ["HEADERS", "shared_parts"]
@@ -33,11 +34,17 @@
 def shared_parts(prefix: str) -> Prompt:
     """Return the ids of all parts but the last, which belongs to the request or its session.
 
-    Long ids are replaced by a hash.
+    Long ids, and those that look like a fingerprint, are replaced by a hash.
     """
     parts = [entry.partition(":")[0].strip() for entry in prefix.split(",")]
     return tuple(
-        PromptPart(part if len(part) <= MAX_ID_LENGTH else xxh3_64_hexdigest(part.encode()))
-        for part in parts[:-1]
-        if part
+        PromptPart(part) if _is_kept(part) else _hashed(part) for part in parts[:-1] if part
     )
+
+
+def _is_kept(part: str) -> bool:
+    return len(part) <= MAX_ID_LENGTH and not part.startswith(FINGERPRINT_MARK)
+
+
+def _hashed(part: str) -> PromptPart:
+    return PromptPart(xxh3_64_hexdigest(part.encode()))
--- a/parsleyrouter/process/crash_monitor.py
+++ b/parsleyrouter/process/crash_monitor.py
@@ -12,7 +12,10 @@
 from parsleyrouter.process.endpoint_directory import EndpointDirectory, RegisteredEndpoint
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.quarantine_keeper import QuarantineKeeper
-from parsleyrouter.request.crash_evidence import SAME_CRASH_S, Crash, PartGroup, Prompt
+from parsleyrouter.request.crash import Crash, PartGroup, Prompt
+from parsleyrouter.request.crash_evidence import (
+    SAME_CRASH_S,
+)
 
 __all__ = ["CrashMonitor", "RunningRequest"]
 
--- a/parsleyrouter/process/forward_attempt.py
+++ b/parsleyrouter/process/forward_attempt.py
@@ -64,7 +64,7 @@
     def __post_init__(self) -> None:
         request = self.request
         self.running = RunningRequest(
-            self.registration, request.prompt, self.cancel, request.request, request.fingerprint
+            self.registration, request.traits, self.cancel, request.request, request.fingerprint
         )
 
     @property
--- a/parsleyrouter/process/forward_context.py
+++ b/parsleyrouter/process/forward_context.py
@@ -9,7 +9,7 @@
 from parsleyrouter.process.endpoint_directory import EndpointDirectory
 from parsleyrouter.process.endpoint_loads import EndpointLoads
 from parsleyrouter.process.loop import Loop
-from parsleyrouter.request.crash_evidence import Prompt
+from parsleyrouter.request.crash import Prompt
 from parsleyrouter.request.forwarded_request import HeaderNames
 
 __all__ = ["ForwardContext", "ForwardSink", "ResponseTimeouts"]
--- a/parsleyrouter/process/forwarder.py
+++ b/parsleyrouter/process/forwarder.py
@@ -185,12 +185,12 @@
         if history.failed and not headers_sent:
             stopping = self.gate.refuse_request(request.deadline_s)
         keeper = self.context.crashes.keeper
-        refusal = stopping or keeper.refusal(request.prompt)
+        refusal = stopping or keeper.refusal(request.traits)
         if refusal is not None:
             return refusal
         chosen = self.chooser.choose(request, history, trace, self.loop.now())
         if isinstance(chosen, Refusal):
-            keeper.end_trial(request.prompt, began=False)
+            keeper.end_trial(request.traits, began=False)
         return chosen
 
     def _acquire_retry(self, failure: AttemptFailure) -> bool:
--- a/parsleyrouter/process/held_items.py
+++ b/parsleyrouter/process/held_items.py
@@ -7,7 +7,7 @@
 from parsleyrouter.process.job_run import JobRun
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.quarantine_keeper import QuarantineKeeper
-from parsleyrouter.request.crash_evidence import Prompt
+from parsleyrouter.request.crash import Prompt
 from parsleyrouter.request.quarantine import QuarantinedGroup, joint_endpoint
 
 __all__ = ["HeldItems"]
--- a/parsleyrouter/process/item_run.py
+++ b/parsleyrouter/process/item_run.py
@@ -11,7 +11,7 @@
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
 from parsleyrouter.process.forward_attempt import ForwardAttempt
 from parsleyrouter.process.forward_context import ForwardContext, ResponseTimeouts
-from parsleyrouter.request.crash_evidence import Prompt
+from parsleyrouter.request.crash import Prompt
 from parsleyrouter.request.forwarded_request import ForwardedRequest, Headers
 from parsleyrouter.request.shared_job import JobItem
 from parsleyrouter.version.route_table import Route
--- a/parsleyrouter/process/item_states.py
+++ b/parsleyrouter/process/item_states.py
@@ -11,7 +11,7 @@
 from parsleyrouter.process.job_metrics import JobMetrics
 from parsleyrouter.process.job_owner import JobOwner
 from parsleyrouter.process.job_run import LISTING_DELAY_S, JobRun
-from parsleyrouter.request.crash_evidence import PartGroup
+from parsleyrouter.request.crash import PartGroup
 from parsleyrouter.request.item_state import WaitReason
 from parsleyrouter.request.quarantine import Quarantine, QuarantinedGroup
 
--- a/parsleyrouter/process/load_codec.py
+++ b/parsleyrouter/process/load_codec.py
@@ -19,12 +19,9 @@
 from parsleyrouter.process.fleet_limits import LimitReport
 from parsleyrouter.process.fleet_loads import CellLoadReport, NodeLoadReport, RequestCounts
 from parsleyrouter.process.node_registry import RegisteredNode
+from parsleyrouter.request.crash import Crash, PartGroup, Prompt
 from parsleyrouter.request.crash_evidence import (
     MAX_PARTS,
-    MAX_PROMPTS,
-    Crash,
-    PartGroup,
-    Prompt,
 )
 from parsleyrouter.thrift_gen.load.ttypes import (
     CellNews,
@@ -38,6 +35,7 @@
 from parsleyrouter.thrift_gen.load.ttypes import EndpointUse as WireUse
 
 __all__ = [
+    "MAX_ROWS",
     "Datagram",
     "InvalidLoadReport",
     "decode",
@@ -46,8 +44,12 @@
     "encode_node_report",
     "encode_quarantined",
     "encode_served",
+    "split_crash",
 ]
 
+MAX_ROWS = 32
+"""Prompts in one datagram."""
+
 CountsByEndpoint = Mapping[EndpointId, RequestCounts]
 
 
@@ -116,15 +118,28 @@
     return _write(FleetNews(crashes=[_crash_to_wire(one, age_s) for one in crashes]))
 
 
+def split_crash(crash: Crash) -> list[Crash]:
+    """Return a crash in pieces that fit a datagram each."""
+    rows: list[tuple[RunId | None, Prompt]] = sorted(crash.runs.items())
+    rows += [(None, prompt) for prompt in sorted(crash.prompts - set(crash.runs.values()))]
+    pieces = []
+    for first in range(0, len(rows), MAX_ROWS):
+        piece = rows[first : first + MAX_ROWS]
+        runs = {run: prompt for run, prompt in piece if run is not None}
+        prompts = {prompt for _, prompt in piece}
+        pieces.append(Crash(crash.endpoint, crash.at_s, prompts, crash.started_ms, runs))
+    return pieces
+
+
 def encode_served(
     prompts: Mapping[Prompt, float], parts_before: Iterable[PromptPart] = ()
 ) -> bytes:
     """Encode prompts with the age of their answers, and parts that were answered earlier."""
     rows = [
         ServedPrompt(list(prompt[-MAX_PARTS:]), int(age_s * 1000))
-        for prompt, age_s in list(prompts.items())[:MAX_PROMPTS]
+        for prompt, age_s in list(prompts.items())[:MAX_ROWS]
     ]
-    return _write(FleetNews(served=ServedNews(rows, sorted(parts_before)[:MAX_PROMPTS])))
+    return _write(FleetNews(served=ServedNews(rows, sorted(parts_before)[:MAX_ROWS])))
 
 
 def encode_quarantined(group: PartGroup) -> bytes:
@@ -205,11 +220,11 @@
     """Return a crash with the prompt of each run, then the prompts without a known run."""
     one_each = {prompt: run for run, prompt in crash.runs.items()}
     firsts = set(one_each.values())
-    runs = sorted(crash.runs.items(), key=lambda entry: entry[0] not in firsts)[:MAX_PROMPTS]
+    runs = sorted(crash.runs.items(), key=lambda entry: entry[0] not in firsts)[:MAX_ROWS]
     prompts: list[list[str]] = [list(prompt[-MAX_PARTS:]) for _, prompt in runs]
     prompts += _prompts_to_wire(crash.prompts - set(crash.runs.values()))
     age_ms, names = int(age_s * 1000), [run for run, _ in runs]
-    return CrashNews(crash.endpoint, age_ms, prompts[:MAX_PROMPTS], crash.started_ms, names)
+    return CrashNews(crash.endpoint, age_ms, prompts[:MAX_ROWS], crash.started_ms, names)
 
 
 def _crash_from_wire(row: CrashNews, received_s: float) -> Crash:
@@ -220,7 +235,7 @@
 
 
 def _prompts_to_wire(prompts: Iterable[Prompt]) -> list[list[str]]:
-    return [list(prompt[-MAX_PARTS:]) for prompt in sorted(prompts)[:MAX_PROMPTS]]
+    return [list(prompt[-MAX_PARTS:]) for prompt in sorted(prompts)[:MAX_ROWS]]
 
 
 def _prompts_from_wire(rows: Iterable[Iterable[str]]) -> list[Prompt]:
--- a/parsleyrouter/process/load_exchange.py
+++ b/parsleyrouter/process/load_exchange.py
@@ -31,7 +31,7 @@
 )
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.node_registry import NodeRegistry
-from parsleyrouter.request.crash_evidence import Crash, PartGroup, Prompt
+from parsleyrouter.request.crash import Crash, PartGroup, Prompt
 
 __all__ = ["DEBOUNCE_S", "LIMITED_DEBOUNCE_S", "LoadExchange"]
 
--- a/parsleyrouter/process/platform_port.py
+++ b/parsleyrouter/process/platform_port.py
@@ -9,7 +9,7 @@
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.process.shared_job_handler import DecodeCall, EncodeResults
-from parsleyrouter.request.crash_evidence import Prompt
+from parsleyrouter.request.crash import Prompt
 from parsleyrouter.request.forwarded_request import HeaderNames
 from parsleyrouter.version.route_table import RouteTable
 
--- a/parsleyrouter/process/quarantine_keeper.py
+++ b/parsleyrouter/process/quarantine_keeper.py
@@ -12,21 +12,26 @@
 from parsleyrouter.connection.key_value import TransactionalKeyValue
 from parsleyrouter.ids import EndpointId, PromptPart
 from parsleyrouter.outcome import ExecutionStatus, Refusal, RefusalKind
-from parsleyrouter.process.load_codec import encode_crashes, encode_quarantined, encode_served
+from parsleyrouter.process.load_codec import (
+    MAX_ROWS,
+    encode_crashes,
+    encode_quarantined,
+    encode_served,
+    split_crash,
+)
 from parsleyrouter.process.load_exchange import LoadExchange
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.quarantine_records import GroupRecord, QuarantineRecords
 from parsleyrouter.process.quarantine_trials import QuarantineTrials
+from parsleyrouter.request.crash import Crash, PartGroup, Prompt
 from parsleyrouter.request.crash_evidence import (
     ANSWER_S,
     MAX_CRASHES,
     SETTLE_S,
-    Crash,
     CrashEvidence,
-    PartGroup,
-    Prompt,
 )
 from parsleyrouter.request.quarantine import ONLINE_DELAY_S, Quarantine, QuarantinedGroup
+from parsleyrouter.request.request_evidence import is_request
 
 __all__ = ["QuarantineKeeper"]
 
@@ -44,6 +49,17 @@
 log = logging.getLogger(__name__)
 
 
+def refusal_message(groups: Sequence[QuarantinedGroup]) -> str:
+    """Return what the caller of a request in quarantine may do."""
+    if any(one.is_request for one in groups):
+        return "this request has crashed endpoints: change it, or try again later"
+    named = sorted(frozenset[PromptPart]().union(*(one.parts for one in groups)))
+    return (
+        f"requests with the prompt parts {', '.join(named)} have crashed "
+        "endpoints: leave them out, or try again later"
+    )
+
+
 class QuarantineKeeper:
     """Decide which requests are kept away from endpoints, and tell the other nodes."""
 
@@ -81,13 +97,9 @@
         self.note_requested(groups, now)
         if all(group.trial_due(now - ONLINE_DELAY_S) for group in groups):
             self.trials.claim(groups, now)
-        named = sorted(frozenset().union(*(one.parts for one in groups)))
-        message = (
-            f"requests with the prompt parts {', '.join(named)} have crashed "
-            "endpoints: leave them out, or try again later"
-        )
         retry_s = max(one.next_trial_s() for one in groups) - now
         retry_s = min(MAX_RETRY_S, max(MIN_RETRY_S, retry_s))
+        message = refusal_message(groups)
         return Refusal(RefusalKind.QUARANTINED, message, ExecutionStatus.NOT_RUN, retry_s)
 
     def note_requested(self, groups: Iterable[QuarantinedGroup], now: float) -> None:
@@ -154,26 +166,30 @@
     def _note_crash(self, crash: Crash) -> None:
         """Count a crash for the groups that were in flight at it."""
         for parts, group in self.quarantine.groups.items():
-            if any(parts.issubset(prompt) for prompt in crash.prompts):
+            if crash.holds(parts):
                 self._note_crashes(group)
 
     def _note_crashes(self, group: QuarantinedGroup) -> None:
-        cuts = self.evidence.count_cuts(group.parts)
+        cuts = self.evidence.count_cuts(group.parts, self.quarantine.groups)
         if cuts.count:
             group.note_crashes(cuts)
 
     def _decide(self) -> None:
         now = self.loop.now()
         for group in self.evidence.find_groups(now, self.quarantine.groups):
-            seen = [
-                one.endpoint
-                for one in self.evidence.crashes
-                if any(group.issubset(prompt) for prompt in one.prompts)
-            ]
-            doubtful = all(part in self.evidence.history for part in group)
+            seen = [one.endpoint for one in self.evidence.crashes if one.holds(group)]
+            doubtful = all(map(self.evidence.was_answered, group))
             self.add(group, {"endpoints": seen, "doubtful": doubtful}, doubtful=doubtful)
             self.exchange.send_to_serving(encode_quarantined(group))
             self.loop.spawn(self.records.store_group(group), "store a quarantine")
+        self._release_cleared()
+
+    def _release_cleared(self) -> None:
+        """Release the parts of which requests have turned out to explain all crashes."""
+        for group in self.evidence.cleared_groups(self.quarantine.groups):
+            del self.quarantine.groups[group]
+            self._log_release(group, "a request explains the crashes")
+            self.loop.spawn(self.records.remove_group(group), "remove a quarantine")
 
     def _apply_served(
         self, prompts: Mapping[Prompt, float], parts_before: Iterable[PromptPart]
@@ -196,7 +212,8 @@
         if replaced is None:
             return
         self._note_crashes(self.quarantine.groups[group])
-        log.warning("prompt parts quarantined", extra={"parts": sorted(group)} | fields)
+        kind = "request" if is_request(group) else "prompt parts"
+        log.warning(f"{kind} quarantined", extra={"parts": sorted(group)} | fields)
         for one in replaced:
             self.loop.spawn(self.records.remove_group(one), "remove a quarantine")
         for callback in self.on_quarantined:
@@ -230,10 +247,13 @@
 
     def _send_crash(self, crash: Crash) -> None:
         age_s = self.loop.now() - crash.at_s
-        self.exchange.send_to_serving(encode_crashes([crash], age_s))
+        for piece in split_crash(crash):
+            self.exchange.send_to_serving(encode_crashes([piece], age_s))
 
     def _send_served(self) -> None:
         now = self.loop.now()
         ages_s = {prompt: now - began_s for prompt, began_s in self.served.items()}
         self.served.clear()
-        self.exchange.send_to_serving(encode_served(ages_s))
+        rows = list(ages_s.items())
+        for first in range(0, len(rows), MAX_ROWS):
+            self.exchange.send_to_serving(encode_served(dict(rows[first : first + MAX_ROWS])))
--- a/parsleyrouter/process/quarantine_records.py
+++ b/parsleyrouter/process/quarantine_records.py
@@ -24,7 +24,7 @@
 from parsleyrouter.ids import EndpointId, NodeId, PromptPart, Revision
 from parsleyrouter.process.cell_members import CellMembers
 from parsleyrouter.process.loop import Loop
-from parsleyrouter.request.crash_evidence import PartGroup
+from parsleyrouter.request.crash import PartGroup
 from parsleyrouter.request.quarantine import (
     MAX_EARLY_RUNS,
     TRIAL_TIMEOUT_S,
--- a/parsleyrouter/process/quarantine_trials.py
+++ b/parsleyrouter/process/quarantine_trials.py
@@ -10,7 +10,6 @@
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.quarantine_records import GroupRecord, QuarantineRecords
 from parsleyrouter.request.quarantine import (
-    MAX_EARLY_RUNS,
     TRIAL_TIMEOUT_S,
     Quarantine,
     QuarantinedGroup,
@@ -83,7 +82,7 @@
         group.late_trials = max(group.late_trials, record.late_trials)
         group.note_claim(claimed_s, record.endpoint or None, own=own)
         if own and group.trial is not None and not record.endpoint:
-            late_before = record.late_trials - (record.cut_runs >= MAX_EARLY_RUNS)
+            late_before = record.late_trials - (record.cut_runs >= group.max_early_runs)
             self.loop.call_later(TRIAL_TIMEOUT_S, lambda: self._settle(record, late_before))
 
     def _settle(self, record: GroupRecord, late_before: int) -> None:
--- /dev/null
+++ b/parsleyrouter/request/crash.py
@@ -0,0 +1,59 @@
+"""One crash of an endpoint, and the requests that it cut."""
+
+from dataclasses import dataclass, field
+
+from parsleyrouter.ids import EndpointId, PromptPart, RunId
+
+__all__ = ["Crash", "CutRuns", "PartGroup", "Prompt"]
+
+Prompt = tuple[PromptPart, ...]
+"""What a request has in common with others: the parts of its prompt that others may share, then the
+fingerprint of its copies; a batch item has none."""
+
+PartGroup = frozenset[PromptPart]
+
+
+@dataclass
+class Crash:
+    """One crash of an endpoint and the prompts that may have caused it.
+
+    ``started_ms`` tells the starts of an endpoint apart; 0 if it is not known. ``runs`` are those
+    that it cut, as far as they are known one by one.
+    """
+
+    endpoint: EndpointId
+    at_s: float
+    prompts: set[Prompt] = field(default_factory=set)
+    started_ms: int = 0
+    runs: dict[RunId, Prompt] = field(default_factory=dict)
+
+    _parts: set[PromptPart] = field(default_factory=set, init=False, repr=False, compare=False)
+    _counted: int = field(default=0, init=False, repr=False, compare=False)
+
+    def holds(self, group: PartGroup) -> bool:
+        """Return whether any request had all parts of a group."""
+        if not group <= self.parts:
+            return False
+        return len(group) == 1 or any(group.issubset(prompt) for prompt in self.prompts)
+
+    def count_runs(self, group: PartGroup) -> int:
+        """Return how many runs with all parts of a group it cut, 1 if that is not known."""
+        runs = sum(group.issubset(prompt) for prompt in self.runs.values())
+        return runs or int(self.holds(group))
+
+    @property
+    def parts(self) -> set[PromptPart]:
+        """Return the parts of all prompts."""
+        if self._counted != len(self.prompts):
+            self._parts = {part for prompt in self.prompts for part in prompt}
+            self._counted = len(self.prompts)
+        return self._parts
+
+
+@dataclass(frozen=True)
+class CutRuns:
+    """Runs with a group's parts that crashes have cut; ``late`` ones by when it was certain."""
+
+    count: int
+    late: int
+    latest_s: float
--- a/parsleyrouter/request/crash_evidence.py
+++ b/parsleyrouter/request/crash_evidence.py
@@ -1,16 +1,20 @@
-"""Find the prompt parts that crash endpoints, from what was in flight at each crash.
+"""Find the prompt parts and requests that crash endpoints, from what was in flight at each crash.
 
 An endpoint that crashes takes all its requests with it, so one crash accuses many parts. A part is
 held responsible after several crashes without a request that holds it and is answered in between.
 Parts that always came together are held responsible together: only requests with all of them are
-kept away. Performs no I/O; times are monotonic seconds.
+kept away. A request whose copies crash endpoints explains these crashes, so that they accuse no
+part. Performs no I/O; times are monotonic seconds.
 """
 
 import math
 from collections.abc import Iterable, Set
 from dataclasses import dataclass, field
 
-from parsleyrouter.ids import EndpointId, PromptPart, RunId
+from parsleyrouter.ids import PromptPart
+from parsleyrouter.request.crash import Crash, CutRuns, PartGroup, Prompt
+from parsleyrouter.request.fingerprint import is_fingerprint
+from parsleyrouter.request.request_evidence import REQUEST_CRASHES, find_requests, is_request
 
 __all__ = [
     "ANSWER_S",
@@ -19,18 +23,9 @@
     "MAX_PROMPTS",
     "MAX_RUNS",
     "SETTLE_S",
-    "Crash",
     "CrashEvidence",
-    "CutRuns",
-    "PartGroup",
-    "Prompt",
 ]
 
-Prompt = tuple[PromptPart, ...]
-"""The parts of a request's prompt that other requests may share."""
-
-PartGroup = frozenset[PromptPart]
-
 MIN_CRASHES = 3
 """Crashes after which a part is held responsible if no other part explains them as well."""
 
@@ -55,53 +50,22 @@
 """Time within which nodes report the same crash of an endpoint whose start is not known."""
 
 MAX_HISTORY = 4096
+MAX_ANSWERED = 4096
+"""Answered requests that are remembered, besides parts."""
+
 SETTLE_S = 0.15
 """Age from which a crash counts: the nodes that saw it have reported what they had in flight."""
 
 EVIDENCE_TTL_S = 600.0
 MAX_CRASHES = 64
-MAX_PROMPTS = 32
+MAX_PROMPTS = 64
 """Prompts kept for each crash."""
 
 MAX_RUNS = 64
 """Runs kept for each crash."""
 
-MAX_PARTS = 16
-"""Parts kept of each prompt, the last ones."""
-
-
-@dataclass
-class Crash:
-    """One crash of an endpoint and the prompts that may have caused it.
-
-    ``started_ms`` tells the starts of an endpoint apart; 0 if it is not known. ``runs`` are those
-    that it cut, as far as they are known one by one.
-    """
-
-    endpoint: EndpointId
-    at_s: float
-    prompts: set[Prompt] = field(default_factory=set)
-    started_ms: int = 0
-    runs: dict[RunId, Prompt] = field(default_factory=dict)
-
-    def count_runs(self, group: PartGroup) -> int:
-        """Return how many runs with all parts of a group it cut, 1 if that is not known."""
-        runs = sum(group.issubset(prompt) for prompt in self.runs.values())
-        return runs or int(any(group.issubset(prompt) for prompt in self.prompts))
-
-    @property
-    def parts(self) -> set[PromptPart]:
-        """Return the parts of all prompts."""
-        return {part for prompt in self.prompts for part in prompt}
-
-
-@dataclass(frozen=True)
-class CutRuns:
-    """Runs with a group's parts that crashes have cut; ``late`` ones by when it was certain."""
-
-    count: int
-    late: int
-    latest_s: float
+MAX_PARTS = 17
+"""Parts kept of each prompt, the last ones, with the fingerprint of the request."""
 
 
 @dataclass
@@ -116,6 +80,8 @@
     recorded crashes."""
     history: dict[PromptPart, None] = field(default_factory=dict)
     """Parts that have been answered, the latest last."""
+    answered: dict[PromptPart, None] = field(default_factory=dict)
+    """Fingerprints of requests that have been answered, the latest last."""
 
     def record_crash(self, crash: Crash) -> bool:
         """Add a crash, or what another node knows about it; return whether anything is new."""
@@ -154,28 +120,55 @@
     def record_served_before(self, parts: Iterable[PromptPart]) -> None:
         """Note parts that have been answered at some time, here or at another node."""
         for part in parts:
-            self.history.pop(part, None)
-            self.history[part] = None
-        while len(self.history) > MAX_HISTORY:
-            del self.history[next(iter(self.history))]
+            known = self.answered if is_fingerprint(part) else self.history
+            known.pop(part, None)
+            known[part] = None
+        for known, limit in ((self.history, MAX_HISTORY), (self.answered, MAX_ANSWERED)):
+            while len(known) > limit:
+                del known[next(iter(known))]
+
+    def was_answered(self, part: PromptPart) -> bool:
+        """Return whether a part or request was answered before, as far as is remembered."""
+        return part in self.history or part in self.answered
 
     def served_before(self, crash: Crash) -> set[PromptPart]:
         """Return the parts of a crash that were answered before."""
-        return {part for part in crash.parts if part in self.history}
+        return {part for part in crash.parts if self.was_answered(part)}
+
+    def count_cuts(self, group: PartGroup, known: Iterable[PartGroup] = ()) -> CutRuns:
+        """Return how many runs with a group's parts crashes have cut, and when.
 
-    def count_cuts(self, group: PartGroup) -> "CutRuns":
-        """Return how many runs with a group's parts crashes have cut, and when."""
-        times_s = [crash.at_s for crash in self.crashes for _ in range(crash.count_runs(group))]
-        if len(times_s) < CERTAIN_CRASHES:
-            return CutRuns(len(times_s), 0, max(times_s, default=-math.inf))
-        known_s = times_s[CERTAIN_CRASHES - 1] + SPREAD_S
-        return CutRuns(len(times_s), sum(at_s > known_s for at_s in times_s), times_s[-1])
+        Crashes that a known request explains do not count for parts.
+        """
+        requests = [] if is_request(group) else list(filter(is_request, known))
+        crashes = [
+            one for one in self.crashes if one.holds(group) and not any(map(one.holds, requests))
+        ]
+        times_s = [one.at_s for one in crashes for _ in range(one.count_runs(group))]
+        counted = times_s[CERTAIN_CRASHES - 1 :]
+        if is_request(group):
+            counted = [one.at_s for one in crashes[REQUEST_CRASHES - 1 :]]
+        known_s = counted[0] + SPREAD_S if counted else math.inf
+        late = sum(at_s > known_s for at_s in times_s)
+        return CutRuns(len(times_s), late, max(times_s, default=-math.inf))
+
+    def cleared_groups(self, known: Iterable[PartGroup]) -> list[PartGroup]:
+        """Return the known groups of parts of which known requests explain every crash."""
+        groups = list(known)
+        requests = list(filter(is_request, groups))
+        cleared = []
+        for group in groups:
+            crashes = [] if is_request(group) else [one for one in self.crashes if one.holds(group)]
+            if crashes and all(_is_explained(crash, requests) for crash in crashes):
+                cleared.append(group)
+        return cleared
 
     def find_groups(self, now: float, known: Iterable[PartGroup] = ()) -> list[PartGroup]:
-        """Return the groups of parts to hold responsible, besides the known ones."""
+        """Return the groups of parts and requests to hold responsible, besides the known ones."""
         self._drop_expired(now)
         groups = list(known)
-        found: list[PartGroup] = []
+        found = find_requests(self._settled(now), self.served_s, self.answered, groups)
+        groups += found
         while new := self._most_accused(groups, now):
             groups += new
             found += new
@@ -183,10 +176,14 @@
 
     def _most_accused(self, known: list[PartGroup], now: float) -> list[PartGroup]:
         everything = self._accusing_crashes([], now)
+        beside_requests = self._accusing_crashes(list(filter(is_request, known)), now)
         unexplained = self._accusing_crashes(known, now)
         times = sorted({at_s for seen in unexplained.values() for at_s in seen})
         found: dict[PartGroup, int] = {}
         for part, every in everything.items():
+            if part in self.history:
+                # Copies of a request are a better reason than a part that is answered elsewhere.
+                every = beside_requests.get(part, {})
             certain = len(every) >= CERTAIN_CRASHES
             seen = every if certain else unexplained.get(part, {})
             crashes = [crash for crashes in seen.values() for crash in crashes]
@@ -212,21 +209,26 @@
         A crash that a known group explains accuses the parts of that group only.
         """
         accusing: dict[PromptPart, dict[float, list[Crash]]] = {}
-        began_s = -math.inf
-        for crash in self.crashes:
-            if now - crash.at_s < SETTLE_S:
-                continue
-            explaining = [
-                group for group in known if any(group.issubset(one) for one in crash.prompts)
-            ]
-            if crash.at_s - began_s > SAME_EVENT_S:
-                began_s = crash.at_s
+        for moment_s, crash in self._settled(now):
+            explaining = [group for group in known if crash.holds(group)]
             for part in crash.parts:
                 explained = bool(explaining) and not any(part in one for one in explaining)
-                if not explained and crash.at_s >= self.served_s.get(part, crash.at_s):
-                    accusing.setdefault(part, {}).setdefault(began_s, []).append(crash)
+                if explained or is_fingerprint(part):
+                    continue
+                if crash.at_s >= self.served_s.get(part, crash.at_s):
+                    accusing.setdefault(part, {}).setdefault(moment_s, []).append(crash)
         return accusing
 
+    def _settled(self, now: float) -> list[tuple[float, Crash]]:
+        """Return the crashes that all nodes have reported, with the moments that they belong to."""
+        found, began_s = list[tuple[float, Crash]](), -math.inf
+        for crash in self.crashes:
+            if now - crash.at_s >= SETTLE_S:
+                if crash.at_s - began_s > SAME_EVENT_S:
+                    began_s = crash.at_s
+                found.append((began_s, crash))
+        return found
+
     def _is_likely(
         self, part: PromptPart, seen: Set[float], times: list[float], now: float
     ) -> bool:
@@ -246,6 +248,7 @@
         prompts = [prompt for crash in crashes for prompt in crash.prompts if part in prompt]
         shared = set(prompts[0]).intersection(*prompts[1:])
         first_s = min(crash.at_s for crash in crashes)
+        shared = {one for one in shared if not is_fingerprint(one)}
         suspected = {one for one in shared if self.served_s.get(one, first_s) <= first_s} | {part}
         if part not in self.history:
             suspected -= self.history.keys()
@@ -265,4 +268,4 @@
 
 
 def _is_explained(crash: Crash, groups: list[PartGroup]) -> bool:
-    return any(group.issubset(prompt) for group in groups for prompt in crash.prompts)
+    return any(map(crash.holds, groups))
--- a/parsleyrouter/request/fingerprint.py
+++ b/parsleyrouter/request/fingerprint.py
@@ -1,10 +1,12 @@
 """Name a caller's request by what its copies have in common."""
 
+from collections.abc import Iterable
+
 from xxhash import xxh3_64
 
 from parsleyrouter.ids import Fingerprint, PromptPart
 
-__all__ = ["FINGERPRINT_MARK", "fingerprint_of", "is_fingerprint"]
+__all__ = ["FINGERPRINT_MARK", "fingerprint_of", "fingerprints_in", "is_fingerprint"]
 
 FINGERPRINT_MARK = "="
 """Begins a fingerprint; no prompt part begins so."""
@@ -22,3 +24,8 @@
 def is_fingerprint(part: PromptPart) -> bool:
     """Return whether this names a request, not a part of a prompt."""
     return part.startswith(FINGERPRINT_MARK)
+
+
+def fingerprints_in(parts: Iterable[PromptPart]) -> list[Fingerprint]:
+    """Return the fingerprints among what requests have in common."""
+    return [Fingerprint(part) for part in parts if is_fingerprint(part)]
--- a/parsleyrouter/request/forwarded_request.py
+++ b/parsleyrouter/request/forwarded_request.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from parsleyrouter.ids import EndpointId, Fingerprint, RequestId, ServiceName
-from parsleyrouter.request.crash_evidence import Prompt
+from parsleyrouter.request.crash import Prompt
 from parsleyrouter.version.route_table import Route
 
 __all__ = [
@@ -80,6 +80,11 @@
     fingerprint: Fingerprint | None = None
     """What copies of the request have in common; none of a batch item."""
 
+    @property
+    def traits(self) -> Prompt:
+        """Return what the request has in common with others: shared parts and its fingerprint."""
+        return self.prompt if self.fingerprint is None else (*self.prompt, self.fingerprint)
+
     def headers_for_endpoint(
         self,
         names: HeaderNames,
--- a/parsleyrouter/request/quarantine.py
+++ b/parsleyrouter/request/quarantine.py
@@ -13,7 +13,8 @@
 from dataclasses import dataclass, field
 
 from parsleyrouter.ids import EndpointId
-from parsleyrouter.request.crash_evidence import CutRuns, PartGroup, Prompt
+from parsleyrouter.request.crash import CutRuns, PartGroup, Prompt
+from parsleyrouter.request.request_evidence import REQUEST_CRASHES, is_request
 
 __all__ = [
     "FIRST_TRIAL_S",
@@ -32,6 +33,9 @@
 HOLD_S = 600.0
 """How long a group stays in quarantine after the last request that held it."""
 
+REQUEST_HOLD_S = 86_400.0
+"""The same for a request, whose trials count as long as its copies come."""
+
 FIRST_TRIAL_S = 10.0
 """Time from the last crash until the first trial."""
 
@@ -55,7 +59,11 @@
 nothing any more is cleared within 40 s of the first late trial."""
 
 MAX_LATE_TRIALS = 3
-"""Late trials that waiting items have, spread over the time that they have left."""
+"""Late trials that waiting items have, spread over the time that they have left; a request has no
+others."""
+
+REQUEST_PAUSES_S = (FIRST_TRIAL_S, 60.0, 640.0)
+"""Pauses before the trials of a request, by how many of its copies have come since each counts."""
 
 ONLINE_DELAY_S = 0.25
 """Time for which online requests leave a trial that is due to batch items, which can be tried
@@ -107,7 +115,17 @@
     @property
     def late(self) -> bool:
         """Return whether each further request counts."""
-        return self.cut_runs >= MAX_EARLY_RUNS
+        return self.cut_runs >= self.max_early_runs
+
+    @property
+    def max_early_runs(self) -> int:
+        """Return after how many cut runs each further request counts."""
+        return REQUEST_CRASHES if self.is_request else MAX_EARLY_RUNS
+
+    @property
+    def is_request(self) -> bool:
+        """Return whether this is one request, which only its copies hold."""
+        return is_request(self.parts)
 
     @property
     def late_requests(self) -> int:
@@ -117,10 +135,12 @@
     @property
     def joint(self) -> bool:
         """Return whether the next trial may hold all batch items that wait: the last early one."""
-        return self.cut_runs == MAX_EARLY_RUNS - 1
+        return not self.is_request and self.cut_runs == MAX_EARLY_RUNS - 1
 
     def next_trial_s(self) -> float:
         """Return when requests should next be let through."""
+        if self.is_request and self.late_requests >= MAX_LATE_TRIALS:
+            return math.inf
         if not self.trials:
             first_s = DOUBTFUL_TRIAL_S if self.doubtful else FIRST_TRIAL_S
             return max(self.since_s, self.crashed_s) + first_s
@@ -133,6 +153,8 @@
     def _late_pause_s(self) -> float:
         """Return the pause after a trial; at first it spreads trials over what items have left."""
         pause_s = LATE_PAUSES_S[min(self.late_requests, len(LATE_PAUSES_S) - 1)]
+        if self.is_request:
+            return REQUEST_PAUSES_S[self.late_requests]
         if self.late_requests >= MAX_LATE_TRIALS:
             return pause_s
         left = MAX_LATE_TRIALS - self.late_requests
@@ -147,6 +169,11 @@
         """Return whether requests should be let through."""
         return now >= self.next_trial_s()
 
+    @property
+    def expires_s(self) -> float:
+        """Return when the quarantine ends unless a request comes."""
+        return self.requested_s + (REQUEST_HOLD_S if self.is_request else HOLD_S)
+
     def note_waiting(self, give_up_s: float) -> None:
         """Note that a batch item waits for the group until it is given up."""
         known = math.isfinite(self.give_up_s)
@@ -155,7 +182,7 @@
     def note_crashes(self, cuts: CutRuns) -> None:
         """Apply what is known of the group's crashes; one after a claim ends the trial."""
         self.cut_runs = max(self.cut_runs, cuts.count)
-        if not self.doubtful:
+        if not self.doubtful or self.is_request:
             self.late_runs = max(self.late_runs, cuts.late)
         self.crashed_s = max(self.crashed_s, cuts.latest_s)
         if self.crashed_s > self.claimed_s:
@@ -222,7 +249,8 @@
         late_trials = max((one.late_requests for one in replaced), default=0)
         cut_runs = max((one.cut_runs for one in replaced), default=0)
         if len(self.groups) >= MAX_GROUPS:
-            oldest = min(self.groups.values(), key=lambda one: one.requested_s)
+            groups = self.groups.values()
+            oldest = min(groups, key=lambda one: (not one.is_request, one.requested_s))
             replaced.append(self.groups.pop(oldest.parts))
         group = QuarantinedGroup(
             parts, now, now, doubtful, cut_runs=cut_runs, late_trials=late_trials
@@ -234,7 +262,8 @@
         """Return the groups that keep a request away; it may be sent if there are none."""
         if not self.groups or not prompt:
             return []
-        return [one for one in self.groups.values() if one.parts.issubset(prompt)]
+        parts = frozenset(prompt)
+        return [one for one in self.groups.values() if one.parts <= parts]
 
     def take_trial(self, groups: Sequence[QuarantinedGroup], now: float) -> bool:
         """Return whether a request that the groups keep away is let through as a trial."""
@@ -258,7 +287,7 @@
 
     def release_expired(self, now: float) -> list[PartGroup]:
         """Release and return the groups that no request has held for a long time."""
-        expired = [one.parts for one in self.groups.values() if now - one.requested_s > HOLD_S]
+        expired = [one.parts for one in self.groups.values() if now > one.expires_s]
         for parts in expired:
             del self.groups[parts]
         return expired
