--- a/features/deadly_requests.feature
+++ b/features/deadly_requests.feature
@@ -22,3 +22,39 @@
     Then at most three copies of each are sent later than 3 s after its third crash
     And at most three requests with each deadly part are sent later than 3 s after its fifth crash
     And fewer than one in a hundred sound requests is refused in the second half of all plays
+
+  Scenario: three crashes of one request are enough, also at the same moment
+    When three endpoints that run copies of a request crash within a tenth of a second
+    Then the request is held responsible, and none of its prompt parts
+
+  Scenario: crashes that a request explains accuse no sound part and release those in quarantine
+    When a sound part is in quarantine for crashes that a request turns out to explain
+    Then the part is released, and further crashes by the request accuse no part
+
+  Scenario: a request that was answered is not held for the loss of a rack
+    When endpoints that run a request which was answered before crash at the same moment
+    Then no request is held responsible
+
+  Scenario: a sound request that many send is not held for ordinary crashes
+    When racks of endpoints crash again and again while many send the same sound request
+    Then fewer than one in a thousand sound requests is refused
+
+  Scenario: a request in quarantine is tried three times at most, however long its copies come
+    When copies of a request in quarantine come for a day
+    Then it is tried three times, at growing intervals, and stays in quarantine for a day more
+
+  Scenario: a flood of distinct requests and crashes costs bounded memory and time
+    When crashes with many distinct requests are reported while distinct requests are answered
+    Then the evidence stays within its limits, and a decision takes less than 0.1 s
+
+  Scenario: a prompt part of a caller is never taken for a fingerprint
+    When a prompt has a part that looks like a fingerprint
+    Then it is known by another name
+
+  Scenario: all nodes learn of a request while the store is away, and a later one from the store
+    When copies crash endpoints while the store is away, and a node starts after it is back
+    Then no node sends a further copy, each refusal is true and names the remedy
+
+  Scenario: an item that runs beside a request that crashes is not held and completes
+    When a job runs beside copies of a request with the same prompt parts
+    Then all of its items complete
--- a/features/steps/deadly_requests_steps.py
+++ b/features/steps/deadly_requests_steps.py
@@ -1,6 +1,7 @@
 """Steps for requests whose copies crash endpoints."""
 
 import functools
+import json
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -9,13 +10,15 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from features.steps.deadly_parts_steps import JOB_LIMIT_S, TEAM, batch_item
 from features.support.crashing_endpoint import CrashPlan
 from features.support.deadly_play import CONTACT_S
-from features.support.deadly_request_play import DeadlyRequestPlay
+from features.support.deadly_request_play import CRASHES, DeadlyRequestPlay
 from features.support.front_fleet import FrontFleet
 from features.support.log_records import collected_logs
 from features.support.loop import run_on_loop
 from features.support.request_play import RequestPlay
+from parsleyrouter.process.quarantine_records import QUARANTINE_PREFIX
 from parsleyrouter.request.fingerprint import is_fingerprint
 
 DEADLY = b"deadly body"
@@ -175,3 +178,76 @@
     refused = sum(one.refused_at_end for one in context.plays)
     sound = sum(one.sound_at_end for one in context.plays)
     assert refused < sound / 100, (refused, sound)
+
+
+def is_quarantine_key(key: str) -> bool:
+    """Return whether a key of the store holds a quarantine."""
+    return key.startswith(QUARANTINE_PREFIX)
+
+
+@when("copies crash endpoints while the store is away, and a node starts after it is back")
+def step_store_away(context: Any) -> None:
+    async def scenario(one: DeadlyRequestPlay) -> None:
+        fleet = one.fleet
+        fleet.store.faults.refuse = 503
+        tellers = fleet.fronts[:2]
+        for front in tellers:
+            fleet.loop.spawn(one.copy_client(front, DEADLY), "copies")
+        await one.until_crashes(DEADLY)
+        one.running = False
+        await fleet.loop.sleep(1.0)
+        context.before = len(one.arrivals_of(DEADLY))
+        context.answers = [await one.ask(front, DEADLY, "own") for front in fleet.fronts]
+        fleet.store.faults.refuse = 0
+        await fleet.until(lambda: any(map(is_quarantine_key, fleet.store.rows)))
+        await fleet.start(1, configured=False)
+        late = fleet.fronts[-1]
+        await fleet.until(lambda: late.routes.table is not None)
+        await fleet.until(lambda: bool(late.directory.endpoints))
+        context.answers.append(await one.ask(late, DEADLY, "own"))
+        context.arrived = len(one.arrivals_of(DEADLY))
+
+    context.play = play(scenario)
+
+
+@then("no node sends a further copy, each refusal is true and names the remedy")
+def step_refused_everywhere(context: Any) -> None:
+    assert context.arrived == context.before, (context.before, context.arrived)
+    for answer in context.answers:
+        assert answer.status == 503, (answer.status, answer.body)
+        assert float(answer.headers["Retry-After"]) > 0
+        assert b"change it, or try again later" in answer.body, answer.body
+
+
+@when("a job runs beside copies of a request with the same prompt parts")
+def step_job_beside(context: Any) -> None:
+    async def scenario(one: DeadlyRequestPlay) -> None:
+        for front in one.fleet.fronts:
+            one.fleet.loop.spawn(one.copy_client(front, DEADLY), "copies")
+        items = [batch_item(f"item{number}", deadly=False) for number in range(8)]
+        answer = await one.fleet.caller().ask(
+            "POST",
+            "/bulk/x",
+            json.dumps({"items": items}).encode(),
+            attempt="job1",
+            deadline_ms=None,
+        )
+        assert answer.status == 202, answer.status
+        until_s = one.fleet.loop.now() + JOB_LIMIT_S
+        context.results = {}
+        while len(context.results) < len(items) and one.fleet.loop.now() < until_s:
+            page = await one.fleet.caller().ask(
+                "GET", "/lots/job1?after=0", headers=[("X-Wait-Ms", "500")], deadline_ms=None
+            )
+            rows = json.loads(page.body)["results"] if page.status == 200 else []
+            context.results = {row["id"]: row["state"] for row in rows}
+            await one.fleet.loop.sleep(0.2)
+
+    context.play = play(scenario, parts=(TEAM, "second"))
+
+
+@then("all of its items complete")
+def step_items_complete(context: Any) -> None:
+    expected = {f"item{number}": "completed" for number in range(8)}
+    assert context.results == expected, context.results
+    assert len(context.play.plan.crashes) >= CRASHES
--- /dev/null
+++ b/features/steps/request_evidence_steps.py
@@ -0,0 +1,186 @@
+"""Steps for finding the requests whose copies crash endpoints."""
+
+import time
+from typing import Any
+
+from behave import then, when
+
+from features.support.request_play import RequestPlay
+from parsleyrouter.ids import EndpointId, PromptPart
+from parsleyrouter.platform.headers import shared_parts
+from parsleyrouter.request.crash import Crash, CutRuns, Prompt
+from parsleyrouter.request.crash_evidence import (
+    MAX_ANSWERED,
+    MAX_CRASHES,
+    MAX_HISTORY,
+    MAX_PROMPTS,
+    CrashEvidence,
+)
+from parsleyrouter.request.fingerprint import FINGERPRINT_MARK, is_fingerprint
+from parsleyrouter.request.quarantine import MAX_GROUPS, REQUEST_HOLD_S, Quarantine
+from parsleyrouter.request.request_evidence import REQUEST_CRASHES
+
+REQUEST = PromptPart(FINGERPRINT_MARK + "deadly")
+GROUP = frozenset((REQUEST,))
+DAY_S = 86_400
+FLOOD_CRASHES = 400
+MAX_DECISION_S = 0.1
+
+
+def _prompt(*parts: str) -> Prompt:
+    return tuple(PromptPart(part) for part in parts)
+
+
+def _other(number: int, *parts: str) -> Prompt:
+    return (*_prompt(*parts), PromptPart(f"{FINGERPRINT_MARK}{number}"))
+
+
+def _crash(number: int, at_s: float, *prompts: Prompt) -> Crash:
+    return Crash(EndpointId(f"e{number}"), at_s, set(prompts))
+
+
+@when("three endpoints that run copies of a request crash within a tenth of a second")
+def step_same_moment(context: Any) -> None:
+    evidence = CrashEvidence()
+    for number in range(REQUEST_CRASHES):
+        copy = (*_prompt("team", "second"), REQUEST)
+        evidence.record_crash(_crash(number, 1.0 + number * 0.03, copy, _other(number, "team")))
+    context.found = evidence.find_groups(1.5)
+
+
+@then("the request is held responsible, and none of its prompt parts")
+def step_request_found(context: Any) -> None:
+    assert context.found == [GROUP], context.found
+
+
+@when("a sound part is in quarantine for crashes that a request turns out to explain")
+def step_explained_part(context: Any) -> None:
+    context.evidence = evidence = CrashEvidence()
+    evidence.record_served_before(_prompt("team"))
+    part = frozenset(_prompt("team"))
+    context.cleared = []
+    for number in range(8):
+        evidence.record_crash(_crash(number, 1.0 + number, (*_prompt("team"), REQUEST)))
+        known = [part] if number < REQUEST_CRASHES - 1 else [part, GROUP]
+        context.cleared.append(evidence.cleared_groups(known))
+    context.found = evidence.find_groups(20.0, [GROUP])
+
+
+@then("the part is released, and further crashes by the request accuse no part")
+def step_part_released(context: Any) -> None:
+    part = frozenset(_prompt("team"))
+    assert context.cleared == [[], []] + [[part]] * 6, context.cleared
+    assert context.found == [], context.found
+
+
+@when("endpoints that run a request which was answered before crash at the same moment")
+def step_rack(context: Any) -> None:
+    evidence = CrashEvidence()
+    evidence.record_served((REQUEST,), 0.5)
+    for moment in range(2):
+        for number in range(6):
+            at_s = 1.0 + moment + number * 0.01
+            evidence.record_crash(_crash(10 * moment + number, at_s, (REQUEST,)))
+    context.found = evidence.find_groups(3.0)
+
+
+@then("no request is held responsible")
+def step_none_found(context: Any) -> None:
+    assert context.found == [], context.found
+
+
+@when("racks of endpoints crash again and again while many send the same sound request")
+def step_popular(context: Any) -> None:
+    context.plays = [
+        RequestPlay(
+            seed,
+            endpoints=8,
+            rate_per_s=rate_per_s,
+            copies_share=0.0,
+            popular_share=popular_share,
+            ordinary_per_s=0.3,
+            rack=rack,
+        ).run()
+        for seed in range(10)
+        for rate_per_s in (8.0, 30.0)
+        for rack in (1, 4)
+        for popular_share in (0.05, 0.4)
+    ]
+
+
+@then("fewer than one in a thousand sound requests is refused")
+def step_hardly_refused(context: Any) -> None:
+    refused = sum(one.refused_sound for one in context.plays)
+    assert refused < sum(one.sound for one in context.plays) / 1000, refused
+
+
+@when("copies of a request in quarantine come for a day")
+def step_day(context: Any) -> None:
+    context.quarantine = quarantine = Quarantine()
+    quarantine.add(GROUP, 0.0)
+    (group,) = quarantine.find((REQUEST,))
+    group.note_crashes(CutRuns(REQUEST_CRASHES, 0, 0.0))
+    context.trials_s = []
+    for now in map(float, range(0, DAY_S, 10)):
+        group.requested_s = now
+        if group.trial_due(now):
+            group.trials, group.late_trials = group.trials + 1, group.late_requests + 1
+            group.note_claim(now, None, own=True)
+        if quarantine.take_trial([group], now):
+            context.trials_s.append(now)
+            assert group.end_trial(began=True)
+            late = len(context.trials_s)
+            group.note_crashes(CutRuns(REQUEST_CRASHES + late, late, now))
+
+
+@then("it is tried three times, at growing intervals, and stays in quarantine for a day more")
+def step_three_trials(context: Any) -> None:
+    assert context.trials_s == [10.0, 70.0, 710.0], context.trials_s
+    assert not context.quarantine.release_expired(DAY_S - 10 + REQUEST_HOLD_S)
+    assert context.quarantine.release_expired(DAY_S + REQUEST_HOLD_S)
+
+
+@when("crashes with many distinct requests are reported while distinct requests are answered")
+def step_flood(context: Any) -> None:
+    context.evidence, context.quarantine = CrashEvidence(), Quarantine()
+    context.took_s = []
+    for number in range(FLOOD_CRASHES):
+        at_s = number * 0.2
+        cut = {_other(number * 100 + row, "team", f"p{row}") for row in range(100)}
+        repeated = (*_prompt("team"), PromptPart(f"{FINGERPRINT_MARK}r{number // 5}"))
+        context.evidence.record_crash(_crash(number, at_s, repeated, *cut))
+        for answered in range(50):
+            served = _other(10**6 + number * 50 + answered, "team", f"q{answered}")
+            context.evidence.record_served(served, at_s)
+        began_s = time.process_time()
+        groups = context.evidence.find_groups(at_s + 0.2, context.quarantine.groups)
+        cleared = context.evidence.cleared_groups(context.quarantine.groups)
+        context.took_s.append(time.process_time() - began_s)
+        for group in groups:
+            context.quarantine.add(group, at_s)
+        for group in cleared:
+            del context.quarantine.groups[group]
+
+
+@then("the evidence stays within its limits, and a decision takes less than 0.1 s")
+def step_bounded(context: Any) -> None:
+    evidence = context.evidence
+    assert len(evidence.crashes) <= MAX_CRASHES
+    assert all(len(one.prompts) <= MAX_PROMPTS for one in evidence.crashes)
+    assert len(evidence.answered) <= MAX_ANSWERED and len(evidence.history) <= MAX_HISTORY
+    assert not any(map(is_fingerprint, evidence.history)), "requests push parts out"
+    accused = sum(len(one.parts) for one in evidence.crashes)
+    assert len(evidence.accused_s) <= accused and len(evidence.served_s) <= accused
+    assert len(context.quarantine.groups) <= MAX_GROUPS
+    median_s = sorted(context.took_s)[len(context.took_s) // 2]
+    assert median_s < MAX_DECISION_S, (median_s, max(context.took_s))
+
+
+@when("a prompt has a part that looks like a fingerprint")
+def step_forged(context: Any) -> None:
+    context.parts = shared_parts(f"team:10,{REQUEST}:20,last:30")
+
+
+@then("it is known by another name")
+def step_renamed(context: Any) -> None:
+    assert len(context.parts) == 2 and not any(map(is_fingerprint, context.parts)), context.parts
