--- a/features/deadly_requests.feature
+++ b/features/deadly_requests.feature
@@ -47,6 +47,10 @@
     When crashes with many distinct requests are reported while distinct requests are answered
     Then the evidence stays within its limits, and a decision takes less than 0.1 s
 
+  Scenario: all runs that a crash has cut reach other nodes, in datagrams of bounded size
+    When a crash has cut as many runs with as long prompts as a node keeps
+    Then each of its datagrams is below 30 kB, and together they name all runs
+
   Scenario: a prompt part of a caller is never taken for a fingerprint
     When a prompt has a part that looks like a fingerprint
     Then it is known by another name
@@ -54,6 +58,7 @@
   Scenario: all nodes learn of a request while the store is away, and a later one from the store
     When copies crash endpoints while the store is away, and a node starts after it is back
     Then no node sends a further copy, each refusal is true and names the remedy
+    And the quarantine ends at all nodes when its key is removed from the store
 
   Scenario: an item that runs beside a request that crashes is not held and completes
     When a job runs beside copies of a request with the same prompt parts
--- a/features/steps/deadly_requests_steps.py
+++ b/features/steps/deadly_requests_steps.py
@@ -206,6 +206,13 @@
         await fleet.until(lambda: bool(late.directory.endpoints))
         context.answers.append(await one.ask(late, DEADLY, "own"))
         context.arrived = len(one.arrivals_of(DEADLY))
+        keepers = [front.quarantine for front in fleet.fronts]
+        await fleet.until(lambda: all(one.records.stored for one in keepers))
+        for key in list(filter(is_quarantine_key, fleet.store.rows)):
+            fleet.store.remove(key)
+        context.held = [len(one.quarantine.groups) for one in keepers]
+        await fleet.until(lambda: not any(one.quarantine.groups for one in keepers))
+        context.held_after = [len(one.quarantine.groups) for one in keepers]
 
     context.play = play(scenario)
 
@@ -219,6 +226,11 @@
         assert b"change it, or try again later" in answer.body, answer.body
 
 
+@then("the quarantine ends at all nodes when its key is removed from the store")
+def step_key_removed(context: Any) -> None:
+    assert context.held == [1] * 4 and context.held_after == [0] * 4, context.held
+
+
 @when("a job runs beside copies of a request with the same prompt parts")
 def step_job_beside(context: Any) -> None:
     async def scenario(one: DeadlyRequestPlay) -> None:
--- a/features/steps/request_evidence_steps.py
+++ b/features/steps/request_evidence_steps.py
@@ -6,14 +6,17 @@
 from behave import then, when
 
 from features.support.request_play import RequestPlay
-from parsleyrouter.ids import EndpointId, PromptPart
+from parsleyrouter.ids import EndpointId, PromptPart, RunId
 from parsleyrouter.platform.headers import shared_parts
+from parsleyrouter.process.load_codec import decode, encode_crashes, split_crash
 from parsleyrouter.request.crash import Crash, CutRuns, Prompt
 from parsleyrouter.request.crash_evidence import (
     MAX_ANSWERED,
     MAX_CRASHES,
     MAX_HISTORY,
+    MAX_PARTS,
     MAX_PROMPTS,
+    MAX_RUNS,
     CrashEvidence,
 )
 from parsleyrouter.request.fingerprint import FINGERPRINT_MARK, is_fingerprint
@@ -25,6 +28,7 @@
 DAY_S = 86_400
 FLOOD_CRASHES = 400
 MAX_DECISION_S = 0.1
+MAX_DATAGRAM_BYTES = 30_000
 
 
 def _prompt(*parts: str) -> Prompt:
@@ -176,6 +180,27 @@
     assert median_s < MAX_DECISION_S, (median_s, max(context.took_s))
 
 
+@when("a crash has cut as many runs with as long prompts as a node keeps")
+def step_long_prompts(context: Any) -> None:
+    parts = [f"{number:040x}" for number in range(MAX_PARTS - 1)]
+    context.crash = _crash(1, 1.0)
+    context.crash.runs = {RunId(f"run{row}"): _other(row, *parts) for row in range(MAX_RUNS)}
+    context.crash.prompts = set(context.crash.runs.values())
+    context.datagrams = [encode_crashes([one], 0.1) for one in split_crash(context.crash)]
+
+
+@then("each of its datagrams is below 30 kB, and together they name all runs")
+def step_all_named(context: Any) -> None:
+    sizes = [len(one) for one in context.datagrams]
+    assert max(sizes) < MAX_DATAGRAM_BYTES, sizes
+    evidence = CrashEvidence()
+    for data in context.datagrams:
+        for crash in decode(data, 1.1).crashes:
+            evidence.record_crash(crash)
+    (found,) = evidence.crashes
+    assert found.runs == context.crash.runs and found.prompts == context.crash.prompts
+
+
 @when("a prompt has a part that looks like a fingerprint")
 def step_forged(context: Any) -> None:
     context.parts = shared_parts(f"team:10,{REQUEST}:20,last:30")
--- a/parsleyrouter/process/quarantine_keeper.py
+++ b/parsleyrouter/process/quarantine_keeper.py
@@ -148,8 +148,9 @@
             told = self.told.setdefault((crash.endpoint, crash.started_ms), set())
             served = self.evidence.served_before(crash) - told
             told |= served
-            if served:
-                self.exchange.send_to_serving(encode_served({}, served))
+            rows = sorted(served)
+            for first in range(0, len(rows), MAX_ROWS):
+                self.exchange.send_to_serving(encode_served({}, rows[first : first + MAX_ROWS]))
         while len(self.told) > MAX_CRASHES:
             del self.told[next(iter(self.told))]
         self._record_crashes(crashes)
