--- a/features/support/crash_play.py
+++ b/features/support/crash_play.py
@@ -7,12 +7,11 @@
 
 from parsleyrouter.ids import EndpointId, PromptPart
 from parsleyrouter.process.crash_monitor import RECENT_S
+from parsleyrouter.request.crash import Crash, Prompt
 from parsleyrouter.request.crash_evidence import (
     ANSWER_S,
     SETTLE_S,
-    Crash,
     CrashEvidence,
-    Prompt,
 )
 from parsleyrouter.request.quarantine import ONLINE_DELAY_S, Quarantine, QuarantinedGroup
 
@@ -72,7 +71,9 @@
         now = 0.0
         while self.events and now < self.length_s:
             now, _, kind, request = heappop(self.events)
-            if kind == "arrival":
+            if kind == "repeat" and request is not None:
+                self._arrive(now, request)
+            elif kind == "arrival":
                 self._arrive(now)
                 self._schedule(now + self.random.expovariate(self.rate_per_s), "arrival")
             elif kind == "ordinary":
@@ -88,12 +89,16 @@
     def sent_late(self) -> dict[PromptPart, int]:
         """Count the requests with each deadly part that were sent long after its fifth crash."""
         known_s = {
-            part: times[KNOWN_CRASHES - 1] + CONTACT_S
+            part: times[self._counted_crashes(part) - 1] + CONTACT_S
             for part, times in self.crashes_s.items()
-            if len(times) >= KNOWN_CRASHES
+            if len(times) >= self._counted_crashes(part)
         }
         return {part: sum(at_s > known_s[part] for at_s in self.sent_s[part]) for part in known_s}
 
+    def _counted_crashes(self, part: PromptPart) -> int:
+        """Return after how many crashes requests with a part count."""
+        return KNOWN_CRASHES
+
     def _schedule(self, at_s: float, kind: str, request: PlayedRequest | None = None) -> None:
         heappush(self.events, (at_s, next(self.names), kind, request))
 
@@ -106,9 +111,9 @@
         prompt = (deadly, first) if self.deadly_first else (first, second, deadly)
         return prompt, ((deadly,) if self.now >= self.deadly_from_s else ())
 
-    def _arrive(self, now: float) -> None:
+    def _arrive(self, now: float, repeated: PlayedRequest | None = None) -> None:
         self.now = now
-        prompt, deadly = self._prompt()
+        prompt, deadly = (repeated.prompt, repeated.deadly) if repeated else self._prompt()
         groups = self.quarantine.find(prompt)
         if groups and all(group.trial_due(now - ONLINE_DELAY_S) for group in groups):
             for group in groups:
@@ -152,8 +157,9 @@
             return
         self.up_s[endpoint] = now + AWAY_S
         cut, self.running[endpoint] = self.running[endpoint], set()
-        for request in cut:
+        for request in sorted(cut, key=lambda one: one.began_s):
             request.lost = True
+            self._note_lost(request, now)
         name = EndpointId(f"e{endpoint}-{next(self.names)}")
         self.evidence.record_crash(
             Crash(name, now, {one.prompt for one in cut if now - one.began_s <= RECENT_S})
@@ -163,6 +169,9 @@
         for delay_s in (SETTLE_S, SETTLE_S + ANSWER_S):
             self._schedule(now + delay_s + 0.01, "decide")
 
+    def _note_lost(self, request: PlayedRequest, now: float) -> None:
+        """Note a request that a crash has cut."""
+
     def _note_crashes(self, group: QuarantinedGroup) -> None:
         cuts = self.evidence.count_cuts(group.parts)
         if cuts.count:
@@ -173,3 +182,5 @@
             doubtful = all(part in self.evidence.history for part in group)
             if self.quarantine.add(group, now, doubtful=doubtful) is not None:
                 self._note_crashes(self.quarantine.groups[group])
+        for group in self.evidence.cleared_groups(self.quarantine.groups):
+            del self.quarantine.groups[group]
--- a/parsleyrouter/ids.py
+++ b/parsleyrouter/ids.py
@@ -10,6 +10,7 @@
     "DomainName",
     "EndpointId",
     "Epoch",
+    "Fingerprint",
     "GrantId",
     "ItemId",
     "ItemIndex",
@@ -54,6 +55,9 @@
 PromptPart = NewType("PromptPart", str)
 """The id of a part of a prompt that several requests may share."""
 
+Fingerprint = NewType("Fingerprint", PromptPart)
+"""What copies of one request have in common, whatever their ids."""
+
 RunId = NewType("RunId", str)
 """One run of a request at an endpoint; unique in the fleet."""
 
