Play requests that crash each endpoint that begins to run them in the soak

The new fault lets one or two requests (streams with and without a prompt, safe requests) crash endpoints, in-process ones and engine processes, while callers send them again under new ids, some at once after a refusal; beside them come sound requests with the same path, body or prompt parts, again and again.

Each of the five new mutants is caught.

--- a/features/steps/soak_checks_steps.py
+++ b/features/steps/soak_checks_steps.py
@@ -18,6 +18,13 @@
     item_run,
     run,
 )
+from features.support.soak_requests import (
+    DEADLY,
+    LATER_S,
+    REQUEST_VIOLATIONS,
+    add_deadly_request,
+)
+from features.support.soak_requests import add_deadly_run as add_deadly_request_run
 from soak.checks import problems
 from soak.endpoints import expected_body, item_output
 from soak.engine_faults import ENGINE_FAULTS
@@ -57,6 +64,7 @@
         Run(one, "e", "engines", "/", f"body {one}".encode(), 41.0) for one in record.items
     ]
     add_deadly_part(journal)
+    add_deadly_request(journal)
     journal.item_slots = 4
     for one in journal.runs:
         one.ended_s, one.end = one.began_s + 0.5, RunEnd.COMPLETE
@@ -151,6 +159,7 @@
     "a run after an answer that says leaving": add_leaving,
     "too many runs at a limited endpoint": lambda journal: add_limit(journal, 12),
     **ITEM_VIOLATIONS,
+    **REQUEST_VIOLATIONS,
     "a process that ended by itself": lambda journal: journal.ends.append("n ended by itself"),
 }
 
@@ -161,6 +170,7 @@
     started_s: float = 0.0,
     disturbances: Sequence[tuple[float, float]] = (),
     rows: Sequence[dict[str, Any]] = (),
+    cut_off_s: float = 0.0,
 ) -> list[str]:
     node = SimpleNamespace(
         name="n",
@@ -168,7 +178,7 @@
         undisturbed_since=lambda at_s: True,
         undisturbed_between=lambda from_s, until_s: True,
         stops_s=[45.0],
-        in_touch_between=lambda from_s, until_s: True,
+        in_touch_between=lambda from_s, until_s: not from_s <= cut_off_s <= until_s,
         versions=lambda: [0, 1, 2],
         disturbances=disturbances,
         rows=lambda: rows,
@@ -229,6 +239,21 @@
     context.found = found(journal)
 
 
+@when("a request runs at a node out of touch that had its three crashes and three runs")
+def step_deadly_request_out_of_touch(context: Any) -> None:
+    journal = good_journal()
+    add_deadly_request_run(journal, "q3")
+    context.found = found(journal, cut_off_s=LATER_S - 1.0)
+
+
+@when("a request runs that had its three crashes and three runs and has ended")
+def step_ended_deadly_request(context: Any) -> None:
+    journal = good_journal()
+    journal.deadly_requests[DEADLY.key].until_s = LATER_S - 0.1
+    add_deadly_request_run(journal, "q3")
+    context.found = found(journal)
+
+
 @when("callers and endpoints see an item that is held to the end")
 def step_item_held(context: Any) -> None:
     journal = good_journal()
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,11 +10,11 @@
 from features.support.front_fleet import Caller
 from parsleyrouter.connection.stream import ConnectFailed
 from parsleyrouter.process.loop import Promise
-from soak.journal import Attempt, JobTrace, Kind
+from soak.journal import Attempt, JobTrace, Kind, RequestContent
 from soak.nodes import Node
 from soak.world import FIRST_PARTS, World
 
-__all__ = ["batch_client", "online_client", "probe_nodes"]
+__all__ = ["batch_client", "online_client", "probe_nodes", "send_request"]
 
 DEADLINE_MS = 3000
 RESPONSE_TIMEOUT_S = 4.0
@@ -39,18 +39,27 @@
 
 
 async def send_request(
-    world: World, node: Node, caller: Caller | None, kind: Kind, attempt: str
+    world: World,
+    node: Node,
+    caller: Caller | None,
+    kind: Kind,
+    attempt: str,
+    content: RequestContent | None = None,
 ) -> tuple[Attempt, Caller | None]:
     """Send one request; return its record and the connection if it can be reused."""
     seen = Attempt(attempt, kind, node.name, world.loop.now())
     seen.version, seen.version_s = world.version, world.version_s
-    if kind in (Kind.STREAM, Kind.RESUMABLE):
+    if content is not None:
+        seen.content, seen.parts = content, content.parts
+    elif kind in (Kind.STREAM, Kind.RESUMABLE):
         seen.parts = _choose_parts(world, attempt)
     world.journal.attempts[attempt] = seen
     if caller is None or not _reusable(caller):
         caller = Caller(world.runtime, world.address_of(node))
     try:
         target, body = f"/{kind.value}/{attempt}", f"body {attempt}".encode()
+        if content is not None:
+            target, body = content.target, content.body
         headers = list(_prompt_headers(seen.parts).items())
         await caller.send(
             "POST",
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,7 +1,7 @@
 """Checks of the guarantees, on what callers and endpoints observed."""
 
 from collections import Counter
-from math import comb, inf
+from math import inf
 
 from soak.answer_checks import check_leaving, check_limits
 from soak.check_registry import CHECKS, check
@@ -11,10 +11,14 @@
 from soak.item_states import owner_nodes
 from soak.journal import Attempt, Kind, Run
 from soak.nodes import GRACE_S, Node
+from soak.request_checks import check_beside_deadly_requests, check_deadly_requests, is_deadly
+from soak.served_shares import CONTACT_S, is_in_touch, is_served_less
 from soak.world import World
 
 __all__ = [
     "CHECKS",
+    "check_beside_deadly_requests",
+    "check_deadly_requests",
     "check_idle",
     "check_leaving",
     "check_limits",
@@ -26,20 +30,10 @@
 ROUTE_APPLY_S = 2.0
 """Time in which new routes must be applied."""
 
-CONTACT_S = 3.0
-"""Time after a crash from which nodes in touch must know of it."""
-
 CRASHES_KNOWN = 5
 """Crashes by one part after which it must be known."""
 
 MAX_LATER_RUNS = 3
-MIN_SOUND_REQUESTS = 8
-MIN_SOUND_SHARE = 0.5
-"""Of the share of requests with other first parts that begin."""
-
-MAX_CHANCE = 0.01
-"""Chance below which a lower share in so few requests is reported."""
-
 REFUSALS = (408, 421, 429, 503)
 
 
@@ -100,7 +94,8 @@
         attempt = world.journal.attempts.get(run.attempt)
         if attempt is None and run.attempt not in items:
             found.append(f"{run.attempt} was sent by no client")
-        if run.body != f"body {run.attempt}".encode():
+        content = attempt.content if attempt else None
+        if run.body != (content.body if content else f"body {run.attempt}".encode()):
             found.append(f"{run.attempt} ran with another body")
         service = {Kind.SAFE: "cards", Kind.MOVED: run.service}.get(
             attempt.kind if attempt else Kind.STREAM, "engines"
@@ -168,27 +163,16 @@
     """Return the times of the crashes by each part, in order."""
     times: dict[str, list[float]] = {}
     for crash in sorted(world.journal.crashes, key=lambda one: one.at_s):
-        times.setdefault(crash.part, []).append(crash.at_s)
+        if crash.part:
+            times.setdefault(crash.part, []).append(crash.at_s)
     return times
 
 
-def _tail_chance(count: int, total: int, share: float) -> float:
-    """Return the chance of at most ``count`` of ``total`` if each has a chance of ``share``."""
-    return sum(
-        comb(total, one) * share**one * (1 - share) ** (total - one) for one in range(count + 1)
-    )
-
-
-def _is_in_touch(world: World, attempt: Attempt, at_s: float) -> bool:
-    node = next(node for node in world.nodes if node.name == attempt.node)
-    return node.in_touch_between(at_s - CONTACT_S, at_s)
-
-
 def _sent_in_touch(world: World, run: Run, owners: dict[str, list[Node]]) -> bool:
     """Tell whether the node that sent a run was in touch; for items, all that owned its job."""
     attempt = world.journal.attempts.get(run.attempt)
     if attempt is not None:
-        return _is_in_touch(world, attempt, run.began_s)
+        return is_in_touch(world, attempt, run.began_s)
     job = next(job for job in world.journal.jobs.values() if run.attempt in job.items)
     return all(
         node.in_touch_between(run.began_s - CONTACT_S, run.began_s) for node in owners[job.job]
@@ -224,7 +208,11 @@
     crashes = _crash_times(world)
     attempts = list(world.journal.attempts.values())
     deadly = [one for one in attempts if crashes.keys() & set(one.parts)]
-    sound = [one for one in attempts if one.parts and not crashes.keys() & set(one.parts)]
+    sound = [
+        one
+        for one in attempts
+        if one.parts and not crashes.keys() & set(one.parts) and not is_deadly(world, one)
+    ]
     affected = {one.parts[0] for one in deadly}
     for part, times in crashes.items():
         held = [one for one in deadly if part in one.parts]
@@ -233,15 +221,12 @@
         window = [
             one
             for one in sound
-            if from_s <= one.sent_s <= until_s and _is_in_touch(world, one, one.sent_s)
+            if from_s <= one.sent_s <= until_s and is_in_touch(world, one, one.sent_s)
         ]
         firsts = {one.parts[0] for one in held}
         own = [one.status == 200 for one in window if one.parts[0] in firsts]
         others = [one.status == 200 for one in window if one.parts[0] not in affected]
-        if min(len(own), len(others)) < MIN_SOUND_REQUESTS:
-            continue
-        min_share = MIN_SOUND_SHARE * sum(others) / len(others)
-        if _tail_chance(sum(own), len(own), min_share) < MAX_CHANCE:
+        if is_served_less(own, others):
             found.append(
                 f"with {part}: {sum(own)} of {len(own)} begin, "
                 f"of the others {sum(others)} of {len(others)}"
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -67,6 +67,8 @@
         """Number of its start, as registered."""
         self.crash_on: Callable[[str], bool] = lambda part: False
         """Crashes the endpoint if a part is deadly and returns whether it is."""
+        self.crash_on_request: Callable[[str], bool] = lambda content: False
+        """The same for a request, by its content."""
         self.down = False
         """Whether it has crashed and not started again."""
         self.default_behaviour = behave
@@ -112,6 +114,9 @@
         endpoint.end_run(run, RunEnd.LEFT)
 
     exchange.on_disconnect = leave
+    if endpoint.crash_on_request(run.content):
+        endpoint.end_run(run, RunEnd.CRASHED)
+        return
     end = await _answer(endpoint, exchange, arrival, run.attempt, fails=fails)
     endpoint.end_run(run, end)
 
--- a/soak/engine_program.py
+++ b/soak/engine_program.py
@@ -8,7 +8,7 @@
 import sys
 from pathlib import Path
 from random import Random
-from typing import Any
+from typing import Any, NoReturn
 
 import msgspec
 
@@ -24,7 +24,7 @@
 RUNS_SUFFIX = ".runs"
 CRASHES_SUFFIX = ".crashes"
 CRASH_EXIT = 70
-"""Exit code of an engine that a deadly part has ended."""
+"""Exit code of an engine that a deadly part or request has ended."""
 
 SLOTS = 4
 MAX_COPY_DELAY_S = 0.03
@@ -40,6 +40,8 @@
     """Whether such copies carry the id of the refused request."""
     deadly: tuple[str, ...] = ()
     """Parts that end the process when it begins to answer a request with one of them."""
+    deadly_requests: tuple[str, ...] = ()
+    """Contents of requests that end the process when it begins to run them."""
 
 
 class RunFile(list[Run]):
@@ -66,6 +68,7 @@
         self.late_copies: dict[Any, bytes] = {}
         """Copies to write on a connection before its next answer."""
         self.crash_on = self._crash_on
+        self.crash_on_request = self._crash_on_request
 
     @property
     def mode(self) -> EngineMode:
@@ -79,9 +82,13 @@
             self.journal.runs.append(run)
 
     def _crash_on(self, part: str) -> bool:
-        if part not in self.mode.deadly:
-            return False
-        crash = EndpointCrash(self.runtime.loop.now(), self.name, part)
+        return part in self.mode.deadly and self._crash(part=part)
+
+    def _crash_on_request(self, content: str) -> bool:
+        return content in self.mode.deadly_requests and self._crash(request=content)
+
+    def _crash(self, **cause: str) -> NoReturn:
+        crash = EndpointCrash(self.runtime.loop.now(), self.name, **cause)
         with self.mode_file.with_suffix(CRASHES_SUFFIX).open("ab", buffering=0) as output:
             output.write(msgspec.json.encode(crash) + b"\n")
         os._exit(CRASH_EXIT)
--- a/soak/journal.py
+++ b/soak/journal.py
@@ -7,14 +7,17 @@
 __all__ = [
     "Absence",
     "Attempt",
+    "DeadlyRequest",
     "DeadlySpan",
     "EndpointCrash",
     "EndpointLimit",
     "JobTrace",
     "Journal",
     "Kind",
+    "RequestContent",
     "Run",
     "RunEnd",
+    "content_key",
 ]
 
 
@@ -33,6 +36,26 @@
         return self is not Kind.STREAM
 
 
+def content_key(target: str, body: bytes) -> str:
+    """Return what identifies a request that is sent again under other ids."""
+    return f"{target} {body.decode()}"
+
+
+@dataclass(frozen=True)
+class RequestContent:
+    """What is the same whenever a request is sent again."""
+
+    kind: Kind
+    target: str
+    body: bytes
+    parts: tuple[str, ...] = ()
+
+    @property
+    def key(self) -> str:
+        """Return what identifies the request."""
+        return content_key(self.target, self.body)
+
+
 @dataclass
 class Attempt:
     """One request of a caller and its outcome."""
@@ -52,6 +75,8 @@
     """When that version was published."""
     parts: tuple[str, ...] = ()
     """Parts of its prompt, in order."""
+    content: RequestContent | None = None
+    """What it has in common with other attempts; the id names its path and body otherwise."""
 
 
 class RunEnd(Enum):
@@ -86,6 +111,20 @@
     """When it ended at the endpoint; 0 while it lasts."""
     end: RunEnd | None = None
 
+    @property
+    def content(self) -> str:
+        """Return what identifies the request, whatever its id."""
+        return content_key(self.target, self.body)
+
+
+@dataclass
+class DeadlyRequest:
+    """A request that crashes endpoints, from when to when."""
+
+    content: RequestContent
+    from_s: float
+    until_s: float = math.inf
+
 
 @dataclass
 class DeadlySpan:
@@ -108,11 +147,12 @@
 
 @dataclass
 class EndpointCrash:
-    """One crash of an endpoint and the prompt part that caused it."""
+    """One crash of an endpoint and the prompt part or the request that caused it."""
 
     at_s: float
     endpoint: str
-    part: str
+    part: str = ""
+    request: str = ""
 
 
 @dataclass
@@ -153,6 +193,7 @@
     crashes: list[EndpointCrash] = field(default_factory=list)
     limits: list[EndpointLimit] = field(default_factory=list)
     deadly: dict[str, DeadlySpan] = field(default_factory=dict)
+    deadly_requests: dict[str, DeadlyRequest] = field(default_factory=dict)
     absences: list[Absence] = field(default_factory=list)
     item_slots: int = 0
     """Slots of the endpoints that run items, while none is absent."""
--- a/soak/play.py
+++ b/soak/play.py
@@ -14,13 +14,15 @@
 from parsleyrouter.process.runtime import Runtime
 from soak.callers import batch_client, online_client, probe_nodes
 from soak.checks import problems
+from soak.deadly_requests import deadly_request
 from soak.engine_faults import ENGINE_FAULTS
 from soak.engines import recorded_crashes, recorded_runs
 from soak.faults import FAULTS, Fault
 from soak.item_checks import CLEARED_S
+from soak.request_checks import is_deadly
 from soak.world import World
 
-__all__ = ["Plan", "SoakResult", "run_soak"]
+__all__ = ["Plan", "SoakResult", "deadly_request", "run_soak"]
 
 RECOVER_S = 5.0
 """Time after the last fault in which all nodes must serve again."""
@@ -61,6 +63,8 @@
     deadly_items: int = 0
     """Items of accepted jobs with a part that crashed endpoints for a time."""
     crashes: int = 0
+    deadly_requests: int = 0
+    """Times that clients sent requests that crashed endpoints for a time."""
 
 
 def run_soak(plan: Plan, folder: Path) -> SoakResult:
@@ -101,7 +105,8 @@
     ]
 
     def give_up_s() -> float:
-        cleared_s = [one.until_s + CLEARED_S for one in world.journal.deadly.values()]
+        deadly = (*world.journal.deadly.values(), *world.journal.deadly_requests.values())
+        cleared_s = [one.until_s + CLEARED_S for one in deadly]
         return max([faults_until_s + RECOVER_S, *cleared_s]) + JOBS_DONE_S
 
     for number in range(plan.batch_clients):
@@ -131,6 +136,7 @@
     result.answered = sum(one.complete and one.status == 200 for one in attempts)
     result.jobs = len(world.journal.jobs)
     result.crashes = len(world.journal.crashes)
+    result.deadly_requests = sum(is_deadly(world, one) for one in attempts)
     deadly = world.journal.deadly.keys()
     accepted = [job for job in world.journal.jobs.values() if job.accepted_s]
     result.deadly_items = sum(
--- a/soak/world.py
+++ b/soak/world.py
@@ -15,10 +15,17 @@
 from parsleyrouter.standins.fault_proxy import FaultProxy
 from soak.endpoints import SoakEndpoint
 from soak.engines import EngineProcess, unix_ms
-from soak.journal import Absence, DeadlySpan, EndpointCrash, Journal
+from soak.journal import (
+    Absence,
+    DeadlyRequest,
+    DeadlySpan,
+    EndpointCrash,
+    Journal,
+    RequestContent,
+)
 from soak.nodes import Node
 
-__all__ = ["FIRST_PARTS", "SLOTS", "World", "unix_ms"]
+__all__ = ["FIRST_PARTS", "REQUEST_DOWN_S", "SLOTS", "World", "unix_ms"]
 
 START_TIMEOUT_S = 15.0
 """Startup timeout of the processes, long enough for many soaks on one machine."""
@@ -38,7 +45,10 @@
 """Time in which items must complete, longer than a play: none may be given up for its age."""
 
 CRASH_DOWN_S = 1.0
-"""Time that a crashed endpoint is away."""
+"""Time that an endpoint is away that a part has crashed."""
+
+REQUEST_DOWN_S = 3.0
+"""Time that an endpoint is away that a request has crashed."""
 
 
 class World:
@@ -104,6 +114,7 @@
         endpoint = SoakEndpoint(self.runtime, name, service, self.journal, self.client_random)
         endpoint.start()
         endpoint.crash_on = lambda part: self._crash_on(name, part)
+        endpoint.crash_on_request = lambda content: self._crash_on_request(name, content)
         self.endpoints[name] = endpoint
         await self.loop.sleep(0)
         self.endpoint_links[name] = await self._link(endpoint.address)
@@ -135,9 +146,25 @@
         self.journal.deadly[part].until_s = self.loop.now()
         self._tell_engines()
 
+    def deadly_requests(self) -> dict[str, DeadlyRequest]:
+        """Return the requests that crash endpoints at present, by their content."""
+        now = self.loop.now()
+        return {key: one for key, one in self.journal.deadly_requests.items() if one.until_s > now}
+
+    def begin_deadly_request(self, content: RequestContent) -> None:
+        """Let a request crash all endpoints from now on."""
+        self.journal.deadly_requests[content.key] = DeadlyRequest(content, self.loop.now())
+        self._tell_engines()
+
+    def end_deadly_request(self, content: RequestContent) -> None:
+        """Let a request crash no endpoint any more."""
+        self.journal.deadly_requests[content.key].until_s = self.loop.now()
+        self._tell_engines()
+
     def _tell_engines(self) -> None:
+        deadly, requests = tuple(self.deadly_parts()), tuple(self.deadly_requests())
         for engine in self.engines:
-            engine.set_mode(deadly=tuple(self.deadly_parts()))
+            engine.set_mode(deadly=deadly, deadly_requests=requests)
 
     @contextmanager
     def absent(self, name: str) -> Iterator[None]:
@@ -152,17 +179,28 @@
         """Crash an endpoint if a part is deadly; return whether it is."""
         if part not in self.deadly_parts():
             return False
-        if not self.endpoints[name].down:
-            self.endpoints[name].down = True
-            self.journal.crashes.append(EndpointCrash(self.loop.now(), name, part))
-            self.loop.spawn(self._crash(name), "endpoint crash")
+        self._begin_crash(EndpointCrash(self.loop.now(), name, part), CRASH_DOWN_S)
         return True
 
-    async def _crash(self, name: str) -> None:
+    def _crash_on_request(self, name: str, content: str) -> bool:
+        """Crash an endpoint if a request is deadly; return whether it is."""
+        if content not in self.deadly_requests():
+            return False
+        crash = EndpointCrash(self.loop.now(), name, request=content)
+        self._begin_crash(crash, REQUEST_DOWN_S)
+        return True
+
+    def _begin_crash(self, crash: EndpointCrash, down_s: float) -> None:
+        if not self.endpoints[crash.endpoint].down:
+            self.endpoints[crash.endpoint].down = True
+            self.journal.crashes.append(crash)
+            self.loop.spawn(self._crash(crash.endpoint, down_s), "endpoint crash")
+
+    async def _crash(self, name: str, down_s: float) -> None:
         listener = self.endpoint_links[name].listener
         reserved = crash_server(listener)
         with self.absent(name):
-            await self.loop.sleep(CRASH_DOWN_S)
+            await self.loop.sleep(down_s)
         restart_server(listener, reserved)
         self.endpoints[name].down = False
         if f"servers/{name}" in self.store.rows:
