--- a/features/soak_checks.feature
+++ b/features/soak_checks.feature
@@ -72,13 +72,17 @@
     When an item runs with a part that had its five crashes and three runs and has ended
     Then the soak reports nothing
 
-  Scenario: a run of a request that crashes endpoints from a node out of touch is not reported
-    When a request runs at a node out of touch that had its three crashes and three runs
+  Scenario Outline: what is allowed of requests that crash endpoints, and beside them, is not reported
+    When callers and endpoints see <allowed>
     Then the soak reports nothing
 
-  Scenario: a run of a request that crashes endpoints no more is not reported
-    When a request runs that had its three crashes and three runs and has ended
-    Then the soak reports nothing
+    Examples:
+      | allowed                                        |
+      | a later run at a node out of touch             |
+      | a later run at a node that stops               |
+      | a later run of a request that crashes no more  |
+      | refusals while crashes have all endpoints away |
+      | refusals at a node that stops                  |
 
   Scenario: the text of a lying item tells its state
     When callers and endpoints see an item that is held to the end
--- a/features/steps/soak_checks_steps.py
+++ b/features/steps/soak_checks_steps.py
@@ -19,12 +19,11 @@
     run,
 )
 from features.support.soak_requests import (
-    DEADLY,
-    LATER_S,
+    ALLOWED_REQUESTS,
+    CONDITIONS,
     REQUEST_VIOLATIONS,
     add_deadly_request,
 )
-from features.support.soak_requests import add_deadly_run as add_deadly_request_run
 from soak.checks import problems
 from soak.endpoints import expected_body, item_output
 from soak.engine_faults import ENGINE_FAULTS
@@ -160,6 +159,7 @@
     "too many runs at a limited endpoint": lambda journal: add_limit(journal, 12),
     **ITEM_VIOLATIONS,
     **REQUEST_VIOLATIONS,
+    **ALLOWED_REQUESTS,
     "a process that ended by itself": lambda journal: journal.ends.append("n ended by itself"),
 }
 
@@ -171,13 +171,14 @@
     disturbances: Sequence[tuple[float, float]] = (),
     rows: Sequence[dict[str, Any]] = (),
     cut_off_s: float = 0.0,
+    stop_s: float = 45.0,
 ) -> list[str]:
     node = SimpleNamespace(
         name="n",
         interruptions_s=[started_s],
         undisturbed_since=lambda at_s: True,
         undisturbed_between=lambda from_s, until_s: True,
-        stops_s=[45.0],
+        stops_s=[stop_s],
         in_touch_between=lambda from_s, until_s: not from_s <= cut_off_s <= until_s,
         versions=lambda: [0, 1, 2],
         disturbances=disturbances,
@@ -239,21 +240,6 @@
     context.found = found(journal)
 
 
-@when("a request runs at a node out of touch that had its three crashes and three runs")
-def step_deadly_request_out_of_touch(context: Any) -> None:
-    journal = good_journal()
-    add_deadly_request_run(journal, "q3")
-    context.found = found(journal, cut_off_s=LATER_S - 1.0)
-
-
-@when("a request runs that had its three crashes and three runs and has ended")
-def step_ended_deadly_request(context: Any) -> None:
-    journal = good_journal()
-    journal.deadly_requests[DEADLY.key].until_s = LATER_S - 0.1
-    add_deadly_request_run(journal, "q3")
-    context.found = found(journal)
-
-
 @when("callers and endpoints see an item that is held to the end")
 def step_item_held(context: Any) -> None:
     journal = good_journal()
@@ -287,7 +273,7 @@
 def step_broken(context: Any, violation: str) -> None:
     journal = good_journal()
     VIOLATIONS[violation](journal)
-    context.found = found(journal)
+    context.found = found(journal, **CONDITIONS.get(violation, {}))
 
 
 @then('the soak reports it under "{guarantee}"')
--- a/features/support/soak_requests.py
+++ b/features/support/soak_requests.py
@@ -14,6 +14,7 @@
     Run,
     RunEnd,
 )
+from soak.world import REQUEST_DOWN_S
 
 Change = Callable[[Journal], object]
 
@@ -88,3 +89,31 @@
         next(one for one in journal.runs if one.attempt == "q0"), "body", b"body other"
     ),
 }
+
+
+def add_run_after_end(journal: Journal) -> None:
+    """Add another later run, after the request has stopped crashing endpoints."""
+    journal.deadly_requests[DEADLY.key].until_s = LATER_S - 0.1
+    add_deadly_run(journal, "q3")
+
+
+def refuse_without_endpoints(journal: Journal) -> None:
+    """Refuse sound requests while the only endpoint is away after each of its crashes."""
+    journal.endpoints = {"engines": 1}
+    times = [SOUND_S + number * REQUEST_DOWN_S for number in range(4)]
+    journal.crashes += [EndpointCrash(at_s, "e", request=DEADLY.key) for at_s in times]
+    refuse(journal, "t")
+
+
+ALLOWED_REQUESTS: dict[str, Change] = {
+    "a later run at a node out of touch": lambda journal: add_deadly_run(journal, "q3"),
+    "a later run at a node that stops": lambda journal: add_deadly_run(journal, "q3"),
+    "a later run of a request that crashes no more": add_run_after_end,
+    "refusals while crashes have all endpoints away": refuse_without_endpoints,
+    "refusals at a node that stops": lambda journal: refuse(journal, "t"),
+}
+CONDITIONS: dict[str, dict[str, float]] = {
+    "a later run at a node out of touch": {"cut_off_s": LATER_S - 1.0},
+    "a later run at a node that stops": {"stop_s": LATER_S - 1.0},
+    "refusals at a node that stops": {"stop_s": SOUND_S + 2.0},
+}
--- a/soak/engines.py
+++ b/soak/engines.py
@@ -72,6 +72,8 @@
             )
         until_s = self.world.loop.now() + START_S
         while not await self.world.is_listening(self.address):
+            if self.process.poll() == CRASH_EXIT:
+                break  # It has listened already: nodes still send to its address.
             if self.process.poll() is not None or self.world.loop.now() > until_s:
                 raise RuntimeError(f"{self.name} does not listen at {self.address}")
             await self.world.loop.sleep(POLL_S)
--- a/soak/journal.py
+++ b/soak/journal.py
@@ -197,6 +197,8 @@
     absences: list[Absence] = field(default_factory=list)
     item_slots: int = 0
     """Slots of the endpoints that run items, while none is absent."""
+    endpoints: dict[str, int] = field(default_factory=dict)
+    """Number of endpoints of each service, while none is absent."""
     ended_s: float = 0.0
     """When the play ended."""
     ends: list[str] = field(default_factory=list)
--- a/soak/request_checks.py
+++ b/soak/request_checks.py
@@ -1,12 +1,14 @@
 """Checks of requests that crash endpoints, and of sound requests beside them."""
 
+import math
 from collections.abc import Iterable
 
 from soak.check_registry import check
-from soak.journal import Attempt, DeadlyRequest, Journal
+from soak.journal import Attempt, DeadlyRequest, Journal, Kind
+from soak.nodes import GRACE_S, Node
 from soak.served_shares import CONTACT_S, is_in_touch, is_served_less
 from soak.spans import Span, union
-from soak.world import REQUEST_DOWN_S, World
+from soak.world import CRASH_DOWN_S, REQUEST_DOWN_S, World, moved_service
 
 __all__ = ["check_beside_deadly_requests", "check_deadly_requests", "is_deadly"]
 
@@ -17,6 +19,7 @@
 """Crashes by one part after which it must be known."""
 
 MAX_LATER_RUNS = 3
+SERVICES = {Kind.STREAM: "engines", Kind.RESUMABLE: "engines", Kind.SAFE: "cards"}
 
 
 def is_deadly(world: World, attempt: Attempt) -> bool:
@@ -45,7 +48,7 @@
             if run.content == request
             and run.attempt in journal.attempts
             and known_s < run.began_s <= deadly.until_s
-            and is_in_touch(world, journal.attempts[run.attempt], run.began_s)
+            and _is_in_touch(world, journal.attempts[run.attempt], run.began_s)
         ]
         if len(later) > MAX_LATER_RUNS:
             found.append(
@@ -61,10 +64,16 @@
     found = []
     disrupted = union([*_deadly_times(world.journal), *_learning_times(world.journal)])
     for request, deadly in world.journal.deadly_requests.items():
-        sound = [one for one in _sound(world, deadly) if is_in_touch(world, one, one.sent_s)]
+        sound = [one for one in _sound(world, deadly) if _is_served_at(world, one)]
         window = _window(world.journal, request)
         learning = union(_learning_times(world.journal))
-        own = [one for one in sound if _is_within(one, [window]) and not _is_within(one, learning)]
+        own = [
+            one
+            for one in sound
+            if _is_within(one, [window])
+            and not _is_within(one, learning)
+            and not _is_without_endpoints(world.journal, one)
+        ]
         others = [
             one.status == 200
             for one in sound
@@ -134,10 +143,41 @@
     return [(from_s, until_s + REQUEST_DOWN_S) for from_s, until_s in (*requests, *parts)]
 
 
+def _is_in_touch(world: World, attempt: Attempt, at_s: float) -> bool:
+    """Return whether the node of a request was in touch at a time: no SIGTERM shortly before."""
+    stopped = any(at_s - CONTACT_S <= stop_s <= at_s for stop_s in _node(world, attempt).stops_s)
+    return not stopped and is_in_touch(world, attempt, at_s)
+
+
+def _is_served_at(world: World, attempt: Attempt) -> bool:
+    """Return whether the node of a request was in touch and took requests."""
+    stops_s = _node(world, attempt).stops_s
+    stopping = any(at_s <= attempt.sent_s <= at_s + GRACE_S for at_s in stops_s)
+    return not stopping and is_in_touch(world, attempt, attempt.sent_s)
+
+
+def _is_without_endpoints(journal: Journal, attempt: Attempt) -> bool:
+    """Return whether crashes had taken all endpoints of a request away when it was sent."""
+    service = SERVICES.get(attempt.kind) or moved_service(attempt.version)
+    services = {run.endpoint: run.service for run in journal.runs}
+    down = {
+        crash.endpoint
+        for crash in journal.crashes
+        if services.get(crash.endpoint) == service
+        and 0.0
+        <= attempt.sent_s - crash.at_s
+        <= (REQUEST_DOWN_S if crash.request else CRASH_DOWN_S)
+    }
+    return len(down) >= journal.endpoints.get(service, math.inf)
+
+
+def _node(world: World, attempt: Attempt) -> Node:
+    return next(node for node in world.nodes if node.name == attempt.node)
+
+
 def _is_within(attempt: Attempt, spans: list[Span]) -> bool:
     return any(from_s <= attempt.sent_s <= until_s for from_s, until_s in spans)
 
 
 def _is_undisturbed(world: World, attempt: Attempt) -> bool:
-    node = next(node for node in world.nodes if node.name == attempt.node)
-    return node.undisturbed_between(attempt.sent_s, attempt.ended_s)
+    return _node(world, attempt).undisturbed_between(attempt.sent_s, attempt.ended_s)
--- a/soak/world.py
+++ b/soak/world.py
@@ -25,7 +25,15 @@
 )
 from soak.nodes import Node
 
-__all__ = ["FIRST_PARTS", "REQUEST_DOWN_S", "SLOTS", "World", "unix_ms"]
+__all__ = [
+    "CRASH_DOWN_S",
+    "FIRST_PARTS",
+    "REQUEST_DOWN_S",
+    "SLOTS",
+    "World",
+    "moved_service",
+    "unix_ms",
+]
 
 START_TIMEOUT_S = 15.0
 """Startup timeout of the processes, long enough for many soaks on one machine."""
@@ -51,6 +59,11 @@
 """Time that an endpoint is away that a request has crashed."""
 
 
+def moved_service(version: int) -> str:
+    """Return the service of the route that moves with each version."""
+    return ("cards", "engines")[version % 2]
+
+
 class World:
     """All components of one soak, on which faults act."""
 
@@ -79,6 +92,7 @@
         """Start everything and wait until all nodes serve."""
         self.change_routes()
         self.journal.item_slots = SLOTS * (engines + engine_processes)
+        self.journal.endpoints = {"engines": engines + engine_processes, "cards": cards}
         for _ in range(engine_processes):
             self.engines.append(EngineProcess(self, f"engine-{next(self.numbers)}"))
         await self.loop.gather([self.loop.spawn(one.start()) for one in self.engines])
@@ -232,7 +246,7 @@
         self.version += 1
         table = routes(self.version)
         common = {key: table["routes"][0][key] for key in ("host", "timeoutMs", "gapAimMs")}
-        service = ("cards", "engines")[self.version % 2]
+        service = moved_service(self.version)
         moved = {"name": "moved", "prefix": "/moved/", "kind": "safe", "maxAttempts": 3}
         bulk = next(route for route in table["routes"] if route["kind"] == "batch")
         bulk["retentionS"] = RETENTION_S
