--- a/features/steps/soak_checks_steps.py
+++ b/features/steps/soak_checks_steps.py
@@ -19,6 +19,12 @@
     item_run,
     run,
 )
+from features.support.soak_requests import (
+    ALLOWED_REQUESTS,
+    CONDITIONS,
+    REQUEST_VIOLATIONS,
+    add_deadly_request,
+)
 from soak.checks import problems
 from soak.endpoints import expected_body, item_output
 from soak.engine_faults import ENGINE_FAULTS
@@ -58,6 +64,7 @@
         Run(one, "e", "engines", "/", f"body {one}".encode(), 41.0) for one in record.items
     ]
     add_deadly_part(journal)
+    add_deadly_request(journal)
     journal.item_slots = 4
     for one in journal.runs:
         one.ended_s, one.end = one.began_s + 0.5, RunEnd.COMPLETE
@@ -153,6 +160,8 @@
     "a run after an answer that says leaving": add_leaving,
     "too many runs at a limited endpoint": lambda journal: add_limit(journal, 12),
     **ITEM_VIOLATIONS,
+    **REQUEST_VIOLATIONS,
+    **ALLOWED_REQUESTS,
     "a process that ended by itself": lambda journal: journal.ends.append("n ended by itself"),
 }
 
@@ -163,14 +172,16 @@
     started_s: float = 0.0,
     disturbances: Sequence[tuple[float, float]] = (),
     rows: Sequence[dict[str, Any]] = (),
+    cut_off_s: float = 0.0,
+    stop_s: float = 45.0,
 ) -> list[str]:
     node = SimpleNamespace(
         name="n",
         interruptions_s=[started_s],
         undisturbed_since=lambda at_s: True,
         undisturbed_between=lambda from_s, until_s: True,
-        stops_s=[45.0],
-        in_touch_between=lambda from_s, until_s: True,
+        stops_s=[stop_s],
+        in_touch_between=lambda from_s, until_s: not from_s <= cut_off_s <= until_s,
         versions=lambda: [0, 1, 2],
         disturbances=disturbances,
         rows=lambda: rows,
@@ -279,7 +290,7 @@
 def step_broken(context: Any, violation: str) -> None:
     journal = good_journal()
     VIOLATIONS[violation](journal)
-    context.found = found(journal)
+    context.found = found(journal, **CONDITIONS.get(violation, {}))
 
 
 @then('the soak reports it under "{guarantee}"')
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,11 +11,11 @@
 from parsleyrouter.connection.stream import ConnectFailed
 from parsleyrouter.process.loop import Promise
 from soak.endpoints import SENDING_HEADER
-from soak.journal import REFUSALS, Attempt, JobTrace, Kind
+from soak.journal import REFUSALS, Attempt, JobTrace, Kind, RequestContent
 from soak.nodes import Node
 from soak.world import FIRST_PARTS, World
 
-__all__ = ["batch_client", "online_client", "probe_nodes"]
+__all__ = ["batch_client", "online_client", "probe_nodes", "send_request"]
 
 DEADLINE_MS = 3000
 RESPONSE_TIMEOUT_S = 4.0
@@ -50,6 +50,7 @@
     caller: Caller | None,
     kind: Kind,
     attempt: str,
+    content: RequestContent | None = None,
     *,
     before: Attempt | None = None,
 ) -> tuple[Attempt, Caller | None]:
@@ -57,7 +58,10 @@
     seen = Attempt(attempt, kind, node.name, world.loop.now())
     seen.version, seen.version_s = world.version, world.version_s
     if before is not None:
-        seen.parts, seen.sending = before.parts, before.sending + 1
+        seen.content, seen.parts = before.content, before.parts
+        seen.sending = before.sending + 1
+    elif content is not None:
+        seen.content, seen.parts = content, content.parts
     elif kind in (Kind.STREAM, Kind.RESUMABLE):
         seen.parts = _choose_parts(world, attempt)
     world.journal.attempts[seen.key] = seen
@@ -65,6 +69,8 @@
         caller = Caller(world.runtime, world.address_of(node))
     try:
         target, body = f"/{kind.value}/{attempt}", f"body {attempt}".encode()
+        if seen.content is not None:
+            target, body = seen.content.target, seen.content.body
         headers = list(_prompt_headers(seen.parts).items()) if seen.parts else []
         if seen.sending > 1:
             headers.append((SENDING_HEADER, str(seen.sending)))
--- a/soak/engine_program.py
+++ b/soak/engine_program.py
@@ -9,7 +9,7 @@
 from http import HTTPStatus
 from pathlib import Path
 from random import Random
-from typing import Any
+from typing import Any, NoReturn
 
 import msgspec
 
@@ -27,7 +27,7 @@
 CRASHES_SUFFIX = ".crashes"
 REPEATS_SUFFIX = ".repeats"
 CRASH_EXIT = 70
-"""Exit code of an engine that a deadly part has ended."""
+"""Exit code of an engine that a deadly part or request has ended."""
 
 MAX_COPY_DELAY_S = 0.03
 LATE_COPY_SHARE = 0.7
@@ -44,6 +44,8 @@
     """Parts that end the process when it begins to answer a request with one of them."""
     kept: CopyMode = CopyMode()
     """Which requests are refused with copies of the refusals kept."""
+    deadly_requests: tuple[str, ...] = ()
+    """Contents of requests that end the process when it begins to run them."""
 
 
 class RunFile(list[Run]):
@@ -72,6 +74,7 @@
         self.keeper = RefusalKeeper()
         self.failure_mode = "cut"
         self.crash_on = self._crash_on
+        self.crash_on_request = self._crash_on_request
 
     @property
     def mode(self) -> EngineMode:
@@ -85,9 +88,13 @@
             self.journal.runs.append(run)
 
     def _crash_on(self, part: str) -> bool:
-        if part not in self.mode.deadly:
-            return False
-        self._record(CRASHES_SUFFIX, EndpointCrash(self.runtime.loop.now(), self.name, part))
+        return part in self.mode.deadly and self._crash(part=part)
+
+    def _crash_on_request(self, content: str) -> bool:
+        return content in self.mode.deadly_requests and self._crash(request=content)
+
+    def _crash(self, **cause: str) -> NoReturn:
+        self._record(CRASHES_SUFFIX, EndpointCrash(self.runtime.loop.now(), self.name, **cause))
         os._exit(CRASH_EXIT)
 
     def note_request(self, exchange: CallerExchange, arrival: Arrival) -> None:
--- a/soak/journal.py
+++ b/soak/journal.py
@@ -8,6 +8,7 @@
     "Absence",
     "Attempt",
     "CarriedTwice",
+    "DeadlyRequest",
     "DeadlySpan",
     "EndpointCrash",
     "EndpointLimit",
@@ -15,8 +16,10 @@
     "Journal",
     "Kind",
     "REFUSALS",
+    "RequestContent",
     "Run",
     "RunEnd",
+    "content_key",
     "sending_key",
 ]
 
@@ -44,6 +47,26 @@
         return self is not Kind.STREAM
 
 
+def content_key(target: str, body: bytes) -> str:
+    """Return what identifies a request that is sent again under other ids."""
+    return f"{target} {body.decode()}"
+
+
+@dataclass(frozen=True)
+class RequestContent:
+    """What is the same whenever a request is sent again."""
+
+    kind: Kind
+    target: str
+    body: bytes
+    parts: tuple[str, ...] = ()
+
+    @property
+    def key(self) -> str:
+        """Return what identifies the request."""
+        return content_key(self.target, self.body)
+
+
 @dataclass
 class Attempt:
     """One request of a caller and its outcome."""
@@ -63,6 +86,8 @@
     """When that version was published."""
     parts: tuple[str, ...] = ()
     """Parts of its prompt, in order."""
+    content: RequestContent | None = None
+    """What it has in common with other attempts; the id names its path and body otherwise."""
     sending: int = 1
     """How often its caller had sent the id, with this time."""
 
@@ -120,6 +145,20 @@
     endpoint: str
     request: str
 
+    @property
+    def content(self) -> str:
+        """Return what identifies the request, whatever its id."""
+        return content_key(self.target, self.body)
+
+
+@dataclass
+class DeadlyRequest:
+    """A request that crashes endpoints, from when to when."""
+
+    content: RequestContent
+    from_s: float
+    until_s: float = math.inf
+
 
 @dataclass
 class DeadlySpan:
@@ -142,11 +181,12 @@
 
 @dataclass
 class EndpointCrash:
-    """One crash of an endpoint and the prompt part that caused it."""
+    """One crash of an endpoint and the prompt part or the request that caused it."""
 
     at_s: float
     endpoint: str
-    part: str
+    part: str = ""
+    request: str = ""
 
 
 @dataclass
@@ -189,9 +229,12 @@
     repeats: list[CarriedTwice] = field(default_factory=list)
     limits: list[EndpointLimit] = field(default_factory=list)
     deadly: dict[str, DeadlySpan] = field(default_factory=dict)
+    deadly_requests: dict[str, DeadlyRequest] = field(default_factory=dict)
     absences: list[Absence] = field(default_factory=list)
     item_slots: int = 0
     """Slots of the endpoints that run items, while none is absent."""
+    endpoints: dict[str, int] = field(default_factory=dict)
+    """Number of endpoints of each service, while none is absent."""
     ended_s: float = 0.0
     """When the play ended."""
     ends: list[str] = field(default_factory=list)
--- a/soak/play.py
+++ b/soak/play.py
@@ -14,14 +14,23 @@
 from parsleyrouter.process.runtime import Runtime
 from soak.callers import batch_client, online_client, probe_nodes
 from soak.checks import problems
+from soak.deadly_requests import deadly_request
 from soak.engine_faults import ENGINE_FAULTS
 from soak.engines import recorded_crashes, recorded_repeats, recorded_runs
 from soak.faults import FAULTS, Fault
-from soak.item_checks import CLEARED_S
+from soak.item_checks import CLEARED_S, RETRY_S
 from soak.refusal_faults import repeat_refusals, take_over_address
+from soak.request_checks import is_deadly
 from soak.world import World
 
-__all__ = ["Plan", "SoakResult", "repeat_refusals", "run_soak", "take_over_address"]
+__all__ = [
+    "Plan",
+    "SoakResult",
+    "deadly_request",
+    "repeat_refusals",
+    "run_soak",
+    "take_over_address",
+]
 
 RECOVER_S = 5.0
 """Time after the last fault in which all nodes must serve again."""
@@ -66,6 +75,8 @@
     crashes: int = 0
     sent_again: int = 0
     """Requests that callers sent again under their ids after a refusal."""
+    deadly_requests: int = 0
+    """Times that clients sent requests that crashed endpoints for a time."""
 
 
 def run_soak(plan: Plan, folder: Path) -> SoakResult:
@@ -107,6 +118,7 @@
 
     def give_up_s() -> float:
         cleared_s = [one.until_s + CLEARED_S for one in world.journal.deadly.values()]
+        cleared_s += [one.until_s + RETRY_S for one in world.journal.deadly_requests.values()]
         return max([faults_until_s + RECOVER_S, *cleared_s]) + JOBS_DONE_S
 
     for number in range(plan.batch_clients):
@@ -138,6 +150,7 @@
     result.sent_again = sum(one.sending > 1 for one in attempts)
     result.jobs = len(world.journal.jobs)
     result.crashes = len(world.journal.crashes)
+    result.deadly_requests = sum(is_deadly(world, one) for one in attempts)
     deadly = world.journal.deadly.keys()
     accepted = [job for job in world.journal.jobs.values() if job.accepted_s]
     result.deadly_items = sum(
