--- a/soak/journal.py
+++ b/soak/journal.py
@@ -136,6 +136,11 @@
         """Return the name of the sending that has run."""
         return sending_key(self.attempt, self.sending)
 
+    @property
+    def content(self) -> str:
+        """Return what identifies the request, whatever its id."""
+        return content_key(self.target, self.body)
+
 
 @dataclass
 class CarriedTwice:
@@ -145,11 +150,6 @@
     endpoint: str
     request: str
 
-    @property
-    def content(self) -> str:
-        """Return what identifies the request, whatever its id."""
-        return content_key(self.target, self.body)
-
 
 @dataclass
 class DeadlyRequest:
