--- a/features/deadly_requests.feature
+++ b/features/deadly_requests.feature
@@ -43,6 +43,11 @@
     When copies of a request in quarantine come for a day
     Then it is tried three times, at growing intervals, and stays in quarantine for a day more
 
+  Scenario: a request that crashes endpoints for a while costs no trial, and is served soon after
+    When requests crash endpoints for 20 s in fleets of many sizes
+    Then none crashes more endpoints than it had before its quarantine, and no sound one is held
+    And all copies are answered again half a minute after
+
   Scenario: a flood of distinct requests and crashes costs bounded memory and time
     When crashes with many distinct requests are reported while distinct requests are answered
     Then the evidence stays within its limits, and a decision takes less than 0.1 s
--- a/features/support/request_play.py
+++ b/features/support/request_play.py
@@ -1,11 +1,12 @@
 """Plays a fleet in which copies of some requests crash endpoints, beside other causes."""
 
-from dataclasses import dataclass, field
+import math
+from dataclasses import dataclass
 
 from features.support.crash_play import CrashPlay, PlayedRequest
 from parsleyrouter.ids import PromptPart
 from parsleyrouter.request.crash import Prompt
-from parsleyrouter.request.fingerprint import FINGERPRINT_MARK
+from parsleyrouter.request.fingerprint import FINGERPRINT_MARK, is_fingerprint
 
 KNOWN_REQUEST_CRASHES = 3
 """Crashes by a request after which it must be known within ``CONTACT_S``."""
@@ -32,8 +33,10 @@
     item_share: float = 0.1
     """Share of the requests that are batch items, which have no fingerprint."""
     with_parts: bool = True
-    refused: dict[str, int] = field(default_factory=dict)
-    """Refused sound requests by kind."""
+    mended_s: float = math.inf
+    """When the deadly requests crash nothing any more."""
+    wrong: int = 0
+    """Sound requests that were held."""
 
     def _fingerprint(self, name: str) -> PromptPart:
         return PromptPart(FINGERPRINT_MARK + name)
@@ -59,7 +62,8 @@
         number = self.random.randrange(self.deadly_requests)
         name = self._fingerprint(f"deadly{number}")
         parts = (PromptPart("f0"), PromptPart(f"f0s{number}")) if self.with_parts else ()
-        prompt, deadly = (*parts, name), (name,)
+        prompt = (*parts, name)
+        deadly = (name,) if self.now < self.mended_s else ()
         for _ in range(self.burst - 1):
             copy = PlayedRequest(prompt, deadly, 0, self.now)
             self._schedule(self.now + self.random.uniform(0.0, BURST_S), "repeat", copy)
@@ -70,6 +74,12 @@
             again_s = now + self.random.uniform(*REPEAT_AFTER_S)
             self._schedule(again_s, "repeat", request)
 
+    def _decide(self, now: float) -> None:
+        before = set(self.quarantine.groups)
+        super()._decide(now)
+        for (name, *others) in map(sorted, self.quarantine.groups.keys() - before):
+            self.wrong += not others and is_fingerprint(name) and name not in self.crashes_s
+
     def _counted_crashes(self, part: PromptPart) -> int:
         if part.startswith(FINGERPRINT_MARK):
             return KNOWN_REQUEST_CRASHES
--- a/parsleyrouter/request/quarantine.py
+++ b/parsleyrouter/request/quarantine.py
@@ -62,7 +62,7 @@
 """Late trials that waiting items have, spread over the time that they have left; a request has no
 others."""
 
-REQUEST_PAUSES_S = (FIRST_TRIAL_S, 60.0, 640.0)
+REQUEST_PAUSES_S = (30.0, 120.0, 640.0)
 """Pauses before the trials of a request, by how many of its copies have come since each counts."""
 
 ONLINE_DELAY_S = 0.25
@@ -112,6 +112,9 @@
     trial: Trial | None = None
     """The trial in which this node may take part."""
 
+    def __post_init__(self) -> None:
+        self.is_request = is_request(self.parts)
+
     @property
     def late(self) -> bool:
         """Return whether each further request counts."""
@@ -122,11 +125,6 @@
         """Return after how many cut runs each further request counts."""
         return REQUEST_CRASHES if self.is_request else MAX_EARLY_RUNS
 
-    @property
-    def is_request(self) -> bool:
-        """Return whether this is one request, which only its copies hold."""
-        return is_request(self.parts)
-
     @property
     def late_requests(self) -> int:
         """Return how many requests with the parts came since each of them counts."""
@@ -142,7 +140,8 @@
         if self.is_request and self.late_requests >= MAX_LATE_TRIALS:
             return math.inf
         if not self.trials:
-            first_s = DOUBTFUL_TRIAL_S if self.doubtful else FIRST_TRIAL_S
+            certain_s = REQUEST_PAUSES_S[0] if self.is_request else FIRST_TRIAL_S
+            first_s = DOUBTFUL_TRIAL_S if self.doubtful else certain_s
             return max(self.since_s, self.crashed_s) + first_s
         if self.late:
             return self.latest_s + self._late_pause_s()
