--- a/soak/request_checks.py
+++ b/soak/request_checks.py
@@ -46,9 +46,9 @@
             run
             for run in journal.runs
             if run.content == request
-            and run.attempt in journal.attempts
+            and run.key in journal.attempts
             and known_s < run.began_s <= deadly.until_s
-            and _is_in_touch(world, journal.attempts[run.attempt], run.began_s)
+            and _is_in_touch(world, journal.attempts[run.key], run.began_s)
         ]
         if len(later) > MAX_LATER_RUNS:
             found.append(
