Suspect requests whose refusal was not proven

What callers saw: nothing of its own; a request that crashes endpoints and meets the copy of an earlier refusal is sent once more than the evidence knows. Cause: an attempt that fails as maybe sent, after an answer whose body has ended, was reported neither as cut nor as abandoned, so the crash of its endpoint did not name it, and a trial of its quarantine did not count. Change: it is abandoned unless it was cut. The new scenario failed before and passes.

--- a/features/deadly_requests.feature
+++ b/features/deadly_requests.feature
@@ -68,3 +68,7 @@
   Scenario: an item that runs beside a request that crashes is not held and completes
     When a job runs beside copies of a request with the same prompt parts
     Then all of its items complete
+
+  Scenario: a request whose refusal was not proven is a suspect when its endpoint crashes
+    When an endpoint crashes after a refusal that is not provably that of its request
+    Then the request is among those that may have crashed it
--- a/parsleyrouter/process/forward_attempt.py
+++ b/parsleyrouter/process/forward_attempt.py
@@ -98,7 +98,8 @@
             served = failure is None and self.status < 300
             if self.exchange is not None:
                 cut = self.exchange.closed_early and not self.cancelled
-                abandoned = not (self.exchange.ended or cut)
+                unproven = failure is not None and failure.failed_at is FailurePoint.MAYBE_SENT
+                abandoned = not cut and (unproven or not self.exchange.ended)
         finally:
             if not ended and self.exchange is not None:
                 self.exchange.cancel()
@@ -231,8 +232,7 @@
         self._begin(exchange, None)
         event_s, bound = self.context.loop.now(), EventBound(exchange)
         while True:
-            waited_s = self.context.loop.now() - event_s
-            chunk = await self._read(exchange, waited_s)
+            chunk = await self._read(exchange, self.context.loop.now() - event_s)
             if chunk is None:
                 broken = self._broken_event(exchange, splitter)
                 if broken is None and resumed and splitter.rest:
