Release no part for a request that explains only the crashes not forgotten

Cause: a node released a part, for the whole fleet, if known requests explained every crash with it that it remembered. A node that started after the quarantine, or whose evidence had expired, remembers few: one crash by a held request that holds the deadly part, such as the trial of that request, was enough. Change: it knows at least as many cut runs with the part as the quarantine counts. cleared_groups takes these counts, so two steps pass them. The new scenario fails without the comparison and passes with it.

--- a/features/deadly_requests.feature
+++ b/features/deadly_requests.feature
@@ -31,6 +31,10 @@
     When a sound part is in quarantine for crashes that a request turns out to explain
     Then the part is released, and further crashes by the request accuse no part
 
+  Scenario: a deadly part is not released by a node that has forgotten most of its crashes
+    When a node knows one crash by a request with a part that crashed five endpoints
+    Then it does not release the part because the request explains that crash
+
   Scenario: a request that was answered is not held for the loss of a rack
     When endpoints that run a request which was answered before crash at the same moment
     Then no request is held responsible
--- a/features/steps/request_evidence_steps.py
+++ b/features/steps/request_evidence_steps.py
@@ -72,7 +72,9 @@
     context.cleared = []
     for number in range(8):
         evidence.record_crash(_crash(number, 1.0 + number, (*_prompt("team"), REQUEST)))
-        known = [part] if number < REQUEST_CRASHES - 1 else [part, GROUP]
+        known = {part: number + 1}
+        if number >= REQUEST_CRASHES - 1:
+            known[GROUP] = number + 1
         context.cleared.append(evidence.cleared_groups(known))
     context.found = evidence.find_groups(20.0, [GROUP])
 
@@ -84,6 +86,25 @@
     assert context.found == [], context.found
 
 
+@when("a node knows one crash by a request with a part that crashed five endpoints")
+def step_forgotten_crashes(context: Any) -> None:
+    context.part, prompt = frozenset(_prompt("dead")), (*_prompt("team", "dead"), REQUEST)
+    context.started_late, context.expired = CrashEvidence(), CrashEvidence()
+    for number in range(5):
+        context.expired.record_crash(_crash(number, 1.0 + number, _other(number, "team", "dead")))
+    for evidence in (context.started_late, context.expired):
+        evidence.record_crash(_crash(9, 640.0, prompt))
+    context.known = {context.part: 5, GROUP: REQUEST_CRASHES}
+
+
+@then("it does not release the part because the request explains that crash")
+def step_part_kept(context: Any) -> None:
+    for evidence in (context.started_late, context.expired):
+        assert evidence.find_groups(640.5, list(context.known)) == []
+        assert len(evidence.crashes) == 1
+        assert evidence.cleared_groups(context.known) == []
+
+
 @when("endpoints that run a request which was answered before crash at the same moment")
 def step_rack(context: Any) -> None:
     evidence = CrashEvidence()
@@ -201,7 +222,8 @@
             context.evidence.record_served(served, at_s)
         began_s = time.process_time()
         groups = context.evidence.find_groups(at_s + 0.2, context.quarantine.groups)
-        cleared = context.evidence.cleared_groups(context.quarantine.groups)
+        cut_runs = {parts: one.cut_runs for parts, one in context.quarantine.groups.items()}
+        cleared = context.evidence.cleared_groups(cut_runs)
         context.took_s.append(time.process_time() - began_s)
         for group in groups:
             context.quarantine.add(group, at_s)
--- a/features/support/crash_play.py
+++ b/features/support/crash_play.py
@@ -182,5 +182,6 @@
             doubtful = all(part in self.evidence.history for part in group)
             if self.quarantine.add(group, now, doubtful=doubtful) is not None:
                 self._note_crashes(self.quarantine.groups[group])
-        for group in self.evidence.cleared_groups(self.quarantine.groups):
+        cut_runs = {parts: one.cut_runs for parts, one in self.quarantine.groups.items()}
+        for group in self.evidence.cleared_groups(cut_runs):
             del self.quarantine.groups[group]
--- a/parsleyrouter/process/quarantine_keeper.py
+++ b/parsleyrouter/process/quarantine_keeper.py
@@ -187,7 +187,8 @@
 
     def _release_cleared(self) -> None:
         """Release the parts of which requests have turned out to explain all crashes."""
-        for group in self.evidence.cleared_groups(self.quarantine.groups):
+        cut_runs = {parts: one.cut_runs for parts, one in self.quarantine.groups.items()}
+        for group in self.evidence.cleared_groups(cut_runs):
             del self.quarantine.groups[group]
             self._log_release(group, "a request explains the crashes")
             self.loop.spawn(self.records.remove_group(group), "remove a quarantine")
--- a/parsleyrouter/request/crash_evidence.py
+++ b/parsleyrouter/request/crash_evidence.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections.abc import Iterable, Set
+from collections.abc import Iterable, Mapping, Set
 from dataclasses import dataclass, field
 
 from parsleyrouter.ids import PromptPart
@@ -152,14 +152,17 @@
         late = sum(at_s > known_s for at_s in times_s)
         return CutRuns(len(times_s), late, max(times_s, default=-math.inf))
 
-    def cleared_groups(self, known: Iterable[PartGroup]) -> list[PartGroup]:
-        """Return the known groups of parts of which known requests explain every crash."""
-        groups = list(known)
-        requests = list(filter(is_request, groups))
+    def cleared_groups(self, known: Mapping[PartGroup, int]) -> list[PartGroup]:
+        """Return the known groups of parts of which known requests explain every crash.
+
+        They are given with the runs that crashes have cut: some of these may be forgotten here.
+        """
+        requests = list(filter(is_request, known))
         cleared = []
-        for group in groups:
+        for group, cut_runs in known.items():
             crashes = [] if is_request(group) else [one for one in self.crashes if one.holds(group)]
-            if crashes and all(_is_explained(crash, requests) for crash in crashes):
+            complete = sum(crash.count_runs(group) for crash in crashes) >= max(1, cut_runs)
+            if complete and all(_is_explained(crash, requests) for crash in crashes):
                 cleared.append(group)
         return cleared
 
