Count trials of a request that its endpoint refuses

What callers saw: copies of a request in quarantine reach full endpoints again and again. Cause: a trial that was refused or answered with an error told nothing, so another copy took its place, at up to four endpoints a copy, and the trial was given back after 5 s: no bound. Change: once a copy has been sent, the trial counts; trials of parts are as before.

--- a/features/deadly_requests.feature
+++ b/features/deadly_requests.feature
@@ -76,3 +76,7 @@
   Scenario: a request whose refusal was not proven is a suspect when its endpoint crashes
     When an endpoint crashes after a refusal that is not provably that of its request
     Then the request is among those that may have crashed it
+
+  Scenario: a trial of a request that its endpoint refuses counts, since it has reached one
+    When all endpoints refuse the trial of a request in quarantine while its copies come
+    Then one copy reaches one endpoint, and the trial counts
--- a/parsleyrouter/process/crash_monitor.py
+++ b/parsleyrouter/process/crash_monitor.py
@@ -46,6 +46,7 @@
     cancel: Callable[[], None]
     request: RequestId = RequestId("")
     fingerprint: Fingerprint | None = None
+    sent: bool = False
     began_s: float | None = None
     survived: bool = False
     """Whether the answer is known not to have crashed the endpoint."""
@@ -115,7 +116,8 @@
         """
         self.running.discard(request)
         if request.prompt:
-            self.keeper.end_trial(request.prompt, began=cut or served or abandoned, cut=cut)
+            began = cut or served or abandoned
+            self.keeper.end_trial(request.prompt, began=began, cut=cut, sent=request.sent)
         if cut:
             self._record_cut(request, served=served)
         elif not request.prompt:
--- a/parsleyrouter/process/forward_attempt.py
+++ b/parsleyrouter/process/forward_attempt.py
@@ -129,6 +129,7 @@
             exchange.cancel()
             return self._failure(FailurePoint.NOT_SENT, "cancelled before it was sent")
         self._send(exchange)
+        self.running.sent = True
         failure = await exchange.wait_headers(self.timeouts.first_byte_s)
         if failure is not None:
             return self._transport_failure(failure)
@@ -284,8 +285,7 @@
         if self.headers_sent:
             return
         self.headers_sent = True
-        connection = exchange.headers.get("connection", "")
-        headers = end_to_end_headers(exchange.raw_headers, connection)
+        headers = end_to_end_headers(exchange.raw_headers, exchange.headers.get("connection", ""))
         self.on_first_byte()
         self.sink.begin(exchange.status, exchange.reason, headers, length)
 
--- a/parsleyrouter/process/quarantine_keeper.py
+++ b/parsleyrouter/process/quarantine_keeper.py
@@ -115,10 +115,12 @@
         log.warning("quarantine tried", extra={"parts": [sorted(one.parts) for one in groups]})
         return True
 
-    def end_trial(self, prompt: Prompt, *, began: bool, cut: bool = False) -> None:
+    def end_trial(
+        self, prompt: Prompt, *, began: bool, cut: bool = False, sent: bool = False
+    ) -> None:
         """Note that a request has ended; it may have been the trial of its groups."""
         for group in self.quarantine.find(prompt):
-            if group.end_trial(began=began, cut=cut):
+            if group.end_trial(began=began, cut=cut, sent=sent):
                 took_s = round(self.loop.now() - group.claimed_s, 3)
                 fields = {"parts": sorted(group.parts), "trials": group.trials, "began": began}
                 log.warning("quarantine trial ended", extra=fields | {"cut": cut, "took_s": took_s})
--- a/parsleyrouter/request/quarantine.py
+++ b/parsleyrouter/request/quarantine.py
@@ -210,10 +210,11 @@
         trial = self.trial
         return trial is not None and trial.requests_left > 0 and now < trial.until_s
 
-    def end_trial(self, *, began: bool, cut: bool = False) -> bool:
+    def end_trial(self, *, began: bool, cut: bool = False, sent: bool = False) -> bool:
         """Note that a request with the parts has ended; return whether it was part of a trial.
 
-        A single one that never began at an endpoint tells nothing, so another takes its place.
+        A single one that never began at an endpoint tells nothing, so another takes its place,
+        but each copy of a request that was ``sent`` counts.
         """
         trial = self.trial
         if trial is None or trial.requests_left:
@@ -221,7 +222,7 @@
         if cut:
             # The crash by it may not be known yet.
             self.cut_runs += 1
-        elif not began and trial.endpoint is None:
+        elif not (began or sent and self.is_request) and trial.endpoint is None:
             trial.requests_left = 1
         return True
 
