--- a/parsleyrouter/process/forward_attempt.py
+++ b/parsleyrouter/process/forward_attempt.py
@@ -98,7 +98,8 @@
             served = failure is None and self.status < 300
             if self.exchange is not None:
                 cut = self.exchange.closed_early and not self.cancelled
-                abandoned = not (self.exchange.ended or cut)
+                unproven = failure is not None and failure.failed_at is FailurePoint.MAYBE_SENT
+                abandoned = not cut and (unproven or not self.exchange.ended)
         finally:
             if not ended and self.exchange is not None:
                 self.exchange.cancel()
@@ -128,6 +129,7 @@
             exchange.cancel()
             return self._failure(FailurePoint.NOT_SENT, "cancelled before it was sent")
         self._send(exchange)
+        self.running.sent = True
         failure = await exchange.wait_headers(self.timeouts.first_byte_s)
         if failure is not None:
             return self._transport_failure(failure)
@@ -231,8 +233,7 @@
         self._begin(exchange, None)
         event_s, bound = self.context.loop.now(), EventBound(exchange)
         while True:
-            waited_s = self.context.loop.now() - event_s
-            chunk = await self._read(exchange, waited_s)
+            chunk = await self._read(exchange, self.context.loop.now() - event_s)
             if chunk is None:
                 broken = self._broken_event(exchange, splitter)
                 if broken is None and resumed and splitter.rest:
@@ -284,8 +285,7 @@
         if self.headers_sent:
             return
         self.headers_sent = True
-        connection = exchange.headers.get("connection", "")
-        headers = end_to_end_headers(exchange.raw_headers, connection)
+        headers = end_to_end_headers(exchange.raw_headers, exchange.headers.get("connection", ""))
         self.on_first_byte()
         self.sink.begin(exchange.status, exchange.reason, headers, length)
 
--- a/parsleyrouter/process/quarantine_keeper.py
+++ b/parsleyrouter/process/quarantine_keeper.py
@@ -115,10 +115,12 @@
         log.warning("quarantine tried", extra={"parts": [sorted(one.parts) for one in groups]})
         return True
 
-    def end_trial(self, prompt: Prompt, *, began: bool, cut: bool = False) -> None:
+    def end_trial(
+        self, prompt: Prompt, *, began: bool, cut: bool = False, sent: bool = False
+    ) -> None:
         """Note that a request has ended; it may have been the trial of its groups."""
         for group in self.quarantine.find(prompt):
-            if group.end_trial(began=began, cut=cut):
+            if group.end_trial(began=began, cut=cut, sent=sent):
                 took_s = round(self.loop.now() - group.claimed_s, 3)
                 fields = {"parts": sorted(group.parts), "trials": group.trials, "began": began}
                 log.warning("quarantine trial ended", extra=fields | {"cut": cut, "took_s": took_s})
@@ -187,7 +189,8 @@
 
     def _release_cleared(self) -> None:
         """Release the parts of which requests have turned out to explain all crashes."""
-        for group in self.evidence.cleared_groups(self.quarantine.groups):
+        cut_runs = {parts: one.cut_runs for parts, one in self.quarantine.groups.items()}
+        for group in self.evidence.cleared_groups(cut_runs):
             del self.quarantine.groups[group]
             self._log_release(group, "a request explains the crashes")
             self.loop.spawn(self.records.remove_group(group), "remove a quarantine")
