Count the prompt among what copies of a request have in common

Requests with the same path and body but another prompt are run differently, and were taken for copies.

--- a/features/deadly_requests.feature
+++ b/features/deadly_requests.feature
@@ -4,6 +4,10 @@
     When copies of a request without prompt parts crash endpoints one after the other
     Then each crash has a line with the request's id, and all of them have the same fingerprint
 
+  Scenario: only requests with the same target, prompt and body are copies
+    When requests differ in host, method, target, prompt or body
+    Then they have different fingerprints, however their bytes are divided
+
   Scenario: copies of a request without prompt parts stop reaching endpoints
     When copies of a request without prompt parts come at all nodes among sound ones
     Then at most three copies reach endpoints later than 3 s after its third crash
--- a/features/steps/request_evidence_steps.py
+++ b/features/steps/request_evidence_steps.py
@@ -20,7 +20,7 @@
     SPREAD_S,
     CrashEvidence,
 )
-from parsleyrouter.request.fingerprint import FINGERPRINT_MARK, is_fingerprint
+from parsleyrouter.request.fingerprint import FINGERPRINT_MARK, fingerprint_of, is_fingerprint
 from parsleyrouter.request.quarantine import (
     MAX_GROUPS,
     REQUEST_HOLD_S,
@@ -244,6 +244,26 @@
     assert found.runs == context.crash.runs and found.prompts == context.crash.prompts
 
 
+@when("requests differ in host, method, target, prompt or body")
+def step_different(context: Any) -> None:
+    context.prints = [
+        fingerprint_of("a", "POST", "/x", "p:1", b"b"),
+        fingerprint_of("b", "POST", "/x", "p:1", b"b"),
+        fingerprint_of("a", "GET", "/x", "p:1", b"b"),
+        fingerprint_of("a", "POST", "/x?y", "p:1", b"b"),
+        fingerprint_of("a", "POST", "/x", "p:2", b"b"),
+        fingerprint_of("a", "POST", "/x", "p:1", b"c"),
+        fingerprint_of("a", "POST", "/xp:1", "", b"b"),
+    ]
+    context.copy = fingerprint_of("A", "POST", "/x", "p:1", b"b")
+
+
+@then("they have different fingerprints, however their bytes are divided")
+def step_distinct(context: Any) -> None:
+    assert len(set(context.prints)) == len(context.prints), context.prints
+    assert context.copy == context.prints[0]
+
+
 @when("a prompt has a part that looks like a fingerprint")
 def step_forged(context: Any) -> None:
     context.parts = shared_parts(f"team:10,{REQUEST}:20,last:30")
--- a/parsleyrouter/process/forwarder.py
+++ b/parsleyrouter/process/forwarder.py
@@ -103,6 +103,7 @@
             return Refusal(RefusalKind.NOT_FOUND, message, ExecutionStatus.NOT_RUN)
         allowed_s = min(route.timeout_s, _parse_deadline_s(head.headers.get(names.deadline_ms)))
         connection = head.headers.get("connection", "")
+        prompt = head.headers.get(names.prefix, "")
         target = f"{head.path}?{head.query}" if head.query else head.path
         return ForwardedRequest(
             request=RequestId(head.headers.get(names.request, "")),
@@ -114,8 +115,8 @@
             body=exchange.body,
             received_s=exchange.received_s,
             deadline_s=exchange.received_s + allowed_s,
-            prompt=self.context.shared_parts(head.headers.get(names.prefix, "")),
-            fingerprint=fingerprint_of(host, head.method, target, exchange.body),
+            prompt=self.context.shared_parts(prompt),
+            fingerprint=fingerprint_of(host, head.method, target, prompt, exchange.body),
         )
 
     async def _forward(
--- a/parsleyrouter/request/fingerprint.py
+++ b/parsleyrouter/request/fingerprint.py
@@ -12,10 +12,10 @@
 """Begins a fingerprint; no prompt part begins so."""
 
 
-def fingerprint_of(host: str, method: str, target: str, body: bytes) -> Fingerprint:
+def fingerprint_of(host: str, method: str, target: str, prompt: str, body: bytes) -> Fingerprint:
     """Return the same fingerprint for each copy of a request, whatever its id and time left."""
     digest = xxh3_64()
-    for field in (host.lower().encode(), method.encode(), target.encode(), body):
+    for field in (host.lower().encode(), method.encode(), target.encode(), prompt.encode(), body):
         digest.update(b"%d:" % len(field))
         digest.update(field)
     return Fingerprint(PromptPart(FINGERPRINT_MARK + digest.hexdigest()))
