--- a/parsleyrouter/ids.py
+++ b/parsleyrouter/ids.py
@@ -7,6 +7,7 @@
     "AttemptId",
     "CellId",
     "ChunkName",
+    "CustomerName",
     "DomainName",
     "EndpointId",
     "Epoch",
@@ -38,6 +39,7 @@
 
 EndpointId = NewType("EndpointId", str)
 TeamName = NewType("TeamName", str)
+CustomerName = NewType("CustomerName", str)
 ModelName = NewType("ModelName", str)
 KindName = NewType("KindName", str)
 RequestId = NewType("RequestId", str)
--- /dev/null
+++ b/parsleyrouter/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on the requests of each customer over all nodes together."""
--- a/parsleyrouter/version/route_table.py
+++ b/parsleyrouter/version/route_table.py
@@ -5,6 +5,7 @@
 from enum import Enum
 from random import Random
 
+from parsleyrouter.customers import Customers
 from parsleyrouter.ids import RouteName, ServiceName
 
 __all__ = [
@@ -56,7 +57,10 @@
     job_retention_s: float = 0.0
     """Time after the submission of a job at which its items may be abandoned."""
     max_waiting_tokens: int = 0
-    """Tokens of unfinished batch items that the route accepts in all; 0 means no limit."""
+    """Tokens of unfinished batch items that the route accepts in all, of each customer where there
+    are customers; 0 means no limit."""
+    anonymous: bool = False
+    """Whether requests need no key of a customer."""
 
     @property
     def repeatable(self) -> bool:
@@ -106,6 +110,7 @@
     routes: tuple[Route, ...]
     services: Mapping[ServiceName, ServiceConfig] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
+    customers: Customers = Customers()
     by_host: dict[str, list[Route]] = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
