Customers are known by their keys on online requests

Cause: the operator's customers and keys were read by nobody; the key was passed on and the endpoint was not told the customer. Change: decode customers (bad ones refuse the whole record without naming a key), order 503, 404, 401, customer's name in place of whatever was sent, priority of the customer before the route's, strict revocation by an age that counts suspension, a place for the limit of the customer in the forwarder, metrics and log field by customer. Errors for invalid heads no longer repeat the line, which may hold a key.

--- a/features/support/front_fleet.py
+++ b/features/support/front_fleet.py
@@ -74,7 +74,9 @@
         entry |= {"slots": 8, "state": "ready", "version": "v1", "sequence": 1, "born": 1}
         self.store.put_json(f"servers/{name}", entry | fields)
 
-    async def start(self, count: int = 1, *, configured: bool = True, domain: str = "z1") -> Front:
+    async def start(
+        self, count: int = 1, *, configured: bool = True, domain: str = "z1", **more: Any
+    ) -> Front:
         if configured:
             self.store.put_json("op/config", routes())
         for _ in range(count):
@@ -86,6 +88,7 @@
                 locate=free_address(),
                 nodes=free_address(),
                 key_value=self.store.address,
+                **more,
             )
             self.options.append(options)
             self.fronts.append(assemble_front(self.runtime, options, PLATFORM))
--- a/parsleyrouter/connection/caller_connection.py
+++ b/parsleyrouter/connection/caller_connection.py
@@ -117,7 +117,8 @@
                 if self.server.loop.now() >= until_s:
                     break
         except h11.RemoteProtocolError as error:
-            message = f"not a valid HTTP request: {error}"
+            # What follows is the line itself, which may hold a key.
+            message = f"not a valid HTTP request: {str(error).partition(':')[0]}"
             self.refuse(Refusal(RefusalKind.BAD_REQUEST, message, ExecutionStatus.NOT_RUN))
         if self.parseable:
             self.server.parse_later(self.sock)
--- a/parsleyrouter/platform/headers.py
+++ b/parsleyrouter/platform/headers.py
@@ -28,6 +28,9 @@
     prefix="x-prompt-prefix",
     last_event="last-event-id",
     wait_ms="x-wait-ms",
+    # The key of a customer, and nothing else.
+    credential="x-credential",
+    customer="x-tenant",
 )
 
 
--- a/parsleyrouter/platform/routes.py
+++ b/parsleyrouter/platform/routes.py
@@ -6,6 +6,7 @@
 
 from parsleyrouter.decoding import decode_json
 from parsleyrouter.ids import RouteName, ServiceName
+from parsleyrouter.platform.customers import CustomerEntry, decode_customers
 from parsleyrouter.version.route_table import (
     CallerLimits,
     EngineConfig,
@@ -45,8 +46,11 @@
     run_target_ms: float = 0
     # Time after which an item may be given up, not how long results are kept.
     retention_s: float = 0
-    # Tokens of all clients' batch items that may wait on the route; 0 means no limit.
+    # Tokens of batch items that may wait on the route, of each customer where there are customers;
+    # 0 means no limit.
     max_count: int = 0
+    # Whether requests need no key of a customer.
+    allow_anonymous: bool = False
 
 
 class _Engine(msgspec.Struct, rename="camel"):
@@ -72,6 +76,7 @@
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[CustomerEntry] | None = None
 
 
 def decode_routes(data: bytes) -> RouteTable:
@@ -89,6 +94,7 @@
             header_timeout_s=limits.header_timeout_ms / 1000,
             idle_timeout_s=limits.idle_timeout_ms / 1000,
         ),
+        customers=decode_customers(config.tenants or ()),
     )
 
 
@@ -112,6 +118,7 @@
         job_target_s=route.run_target_ms / 1000,
         job_retention_s=route.retention_s,
         max_waiting_tokens=max(0, route.max_count),
+        anonymous=route.allow_anonymous,
     )
 
 
--- a/parsleyrouter/platform/settings.py
+++ b/parsleyrouter/platform/settings.py
@@ -31,6 +31,8 @@
 
 class _Bounds(msgspec.Struct, rename="camel"):
     grace_s: float = 8.0
+    strict_revoke: bool = False
+    revoke_ms: float = 5000.0
 
 
 class _Platform(msgspec.Struct, rename="camel"):
@@ -68,6 +70,8 @@
         key_value=Address(found.platform.address),
         metrics_port=int(metrics_port or 0),
         grace_s=found.bounds.grace_s,
+        strict_revocation=found.bounds.strict_revoke,
+        revoke_within_s=found.bounds.revoke_ms / 1000,
         memory_mb=found.limits.memory_mb,
         descriptors=found.limits.max_fds,
         cores=found.limits.cpu_share * found.limits.cores,
--- a/parsleyrouter/process/cell_reader.py
+++ b/parsleyrouter/process/cell_reader.py
@@ -21,7 +21,9 @@
     TransactionalKeyValue,
 )
 from parsleyrouter.connection.peer import PeerClient, PeerFailure
+from parsleyrouter.customers import SuspendedTime
 from parsleyrouter.ids import Address, NodeId, Revision
+from parsleyrouter.process.caller_identity import suspended_s
 from parsleyrouter.process.cell_members import CellMembers
 from parsleyrouter.process.changes_elsewhere import BEHIND_GRACE_S, ChangesElsewhere
 from parsleyrouter.process.condition import Condition
@@ -104,6 +106,7 @@
         self.direct_retry_at_s: dict[str, float] = {}
         self.source = ""
         self.started_s = loop.now()
+        self.suspended = SuspendedTime()
         self.direct = DirectReads(loop, store)
         self.elsewhere = ChangesElsewhere()
         store.on_lost.append(lambda _: self._end_pauses())
@@ -122,7 +125,9 @@
 
     def answer_age_s(self, prefix: str) -> float:
         """Return the time since the service answered about a prefix, infinite if it never did."""
-        return self.loop.now() - self.answered_s.get(prefix, -math.inf)
+        now = self.loop.now()
+        self.suspended.note(now, suspended_s())
+        return self.suspended.age_s(now, self.answered_s.get(prefix, -math.inf))
 
     async def scan(self, prefix: str, *, after: str = "") -> EntryPage | KeyValueFailure:
         """Read the keys under a prefix: all from the leader, or one page from the service."""
--- a/parsleyrouter/process/forward_metrics.py
+++ b/parsleyrouter/process/forward_metrics.py
@@ -2,6 +2,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Histogram
 
+from parsleyrouter.process.customer_metrics import CustomerMetrics
 from parsleyrouter.process.metric_set import MetricSet
 
 __all__ = ["ForwardMetrics"]
@@ -13,6 +14,7 @@
     """Counters by kind of route and outcome, and histograms in seconds."""
 
     def __init__(self, registry: CollectorRegistry) -> None:
+        self.customers = CustomerMetrics.of(registry)
         self.requests = Counter(
             "parsley_forwarded_requests",
             "Requests by kind of route and outcome.",
--- a/parsleyrouter/process/forwarder.py
+++ b/parsleyrouter/process/forwarder.py
@@ -8,16 +8,20 @@
 
 from parsleyrouter.connection.forward_server import CallerExchange
 from parsleyrouter.connection.http import JSON_TYPE
-from parsleyrouter.ids import DomainName, RequestId
+from parsleyrouter.ids import DomainName
+from parsleyrouter.limits.port import RequestLimiter, RequestPermit
 from parsleyrouter.outcome import ExecutionStatus, Refusal, RefusalKind
 from parsleyrouter.process.active_routes import ActiveRoutes
+from parsleyrouter.process.caller_identity import CallerIdentity
 from parsleyrouter.process.endpoint_chooser import RETRY_AFTER_S, EndpointChooser
 from parsleyrouter.process.endpoint_directory import EndpointDirectory, RegisteredEndpoint
 from parsleyrouter.process.forward_attempt import ForwardAttempt
 from parsleyrouter.process.forward_context import ForwardContext, ResponseTimeouts
 from parsleyrouter.process.forward_metrics import ForwardMetrics
 from parsleyrouter.process.request_log import RequestTrace, log_request
+from parsleyrouter.process.request_parser import ParsedRequest, RequestParser
 from parsleyrouter.process.stop_gate import StopGate
+from parsleyrouter.request.admission import is_retry
 from parsleyrouter.request.attempts import (
     AttemptFailure,
     AttemptHistory,
@@ -25,8 +29,7 @@
     RetryRules,
     decide_retry,
 )
-from parsleyrouter.request.fingerprint import fingerprint_of
-from parsleyrouter.request.forwarded_request import ForwardedRequest, end_to_end_headers
+from parsleyrouter.request.forwarded_request import ForwardedRequest
 from parsleyrouter.request.retry_budget import RetryBudget
 from parsleyrouter.version.route_table import RouteKind
 
@@ -59,27 +62,32 @@
         metrics: ForwardMetrics,
         random: Random,
         gate: StopGate,
+        identity: CallerIdentity,
     ) -> None:
         self.context = context
         self.loop = context.loop
         self.routes = routes
+        self.parser = RequestParser(routes, context.names, identity, context.shared_parts, random)
         self.chooser = EndpointChooser(directory, context.loads, domain, random)
         self.metrics = metrics
         self.random = random
         self.gate = gate
         self.budget = RetryBudget(share=RETRY_SHARE)
+        self.limiter: RequestLimiter | None = None
+        """Grants the requests of customers that have a limit."""
 
     async def handle(self, exchange: CallerExchange) -> None:
         """Forward one request of a caller and send the response or a refusal."""
-        request = self._parse_request(exchange)
-        if isinstance(request, Refusal):
-            send_refusal(exchange, request)
-            self._log(exchange, None, request, RequestTrace())
-            return
+        parsed = self.parser.parse(exchange)
         trace = RequestTrace()
+        if isinstance(parsed, Refusal):
+            send_refusal(exchange, parsed)
+            self._log(exchange, None, parsed, trace)
+            return
+        request = parsed.request
         outcome = self.gate.refuse_request(request.deadline_s)
         if outcome is None:
-            outcome = await self._forward(exchange, request, trace)
+            outcome = await self._forward_permitted(exchange, parsed, trace)
         if outcome is None:
             exchange.finish()
         elif exchange.headers_sent or exchange.disconnected:
@@ -88,34 +96,31 @@
             send_refusal(exchange, outcome)
         self._log(exchange, request, outcome, trace)
 
-    def _parse_request(self, exchange: CallerExchange) -> ForwardedRequest | Refusal:
-        table = self.routes.table
-        if table is None:
-            message = "no routes are known yet: try another entry"
-            return Refusal(
-                RefusalKind.PLATFORM_UNAVAILABLE, message, ExecutionStatus.NOT_RUN, RETRY_AFTER_S
-            )
-        head, names = exchange.head, self.context.names
-        host = head.headers.get("host", "").partition(":")[0]
-        route = table.find(host, head.path)
-        if route is None:
-            message = f"no route matches {head.path}: see the active routes"
-            return Refusal(RefusalKind.NOT_FOUND, message, ExecutionStatus.NOT_RUN)
-        allowed_s = min(route.timeout_s, _parse_deadline_s(head.headers.get(names.deadline_ms)))
-        connection = head.headers.get("connection", "")
-        target = f"{head.path}?{head.query}" if head.query else head.path
-        return ForwardedRequest(
-            request=RequestId(head.headers.get(names.request, "")),
-            route=route,
-            service=route.pick_service(self.random),
-            method=head.method,
-            target=target,
-            headers=end_to_end_headers(head.raw, connection, names.protected()),
-            body=exchange.body,
-            received_s=exchange.received_s,
-            deadline_s=exchange.received_s + allowed_s,
-            prompt=self.context.shared_parts(head.headers.get(names.prefix, "")),
-            fingerprint=fingerprint_of(host, head.method, target, exchange.body),
+    async def _forward_permitted(
+        self, exchange: CallerExchange, parsed: ParsedRequest, trace: RequestTrace
+    ) -> Refusal | None:
+        """Forward a request within the limit of its customer; return a refusal if it fails."""
+        permit = await self._acquire_permit(parsed)
+        if isinstance(permit, Refusal):
+            return permit
+        try:
+            if exchange.disconnected:
+                return _cancelled()
+            return await self._forward(exchange, parsed.request, trace)
+        finally:
+            if permit is not None and not trace.sent:
+                permit.give_back()
+
+    async def _acquire_permit(self, parsed: ParsedRequest) -> RequestPermit | Refusal | None:
+        """Return the permit of a request whose customer is limited, or why it is refused."""
+        request, customer = parsed.request, parsed.customer
+        if self.limiter is None or customer is None or not customer.limited:
+            return None
+        left_s = request.deadline_s - self.loop.now()
+        return await self.limiter.acquire(
+            customer.name,
+            left_s=left_s,
+            returning=is_retry(left_s, request.route.timeout_s),
         )
 
     async def _forward(
@@ -149,15 +154,16 @@
             attempt.on_first_byte = lambda: self._record_first_byte(request, trace)
             trace.endpoints.append(chosen.endpoint)
             exchange.on_disconnect = attempt.cancel
-            failure = await attempt.run()
+            try:
+                failure = await attempt.run()
+            finally:
+                trace.sent = trace.sent or attempt.running.sent
             last_event = attempt.last_event
             if failure is None:
                 return None
             trace.failures.append(f"{failure.failed_at.value}: {failure.message}")
             if exchange.disconnected:
-                return Refusal(
-                    RefusalKind.CANCELLED, "the caller disconnected", ExecutionStatus.UNKNOWN
-                )
+                return _cancelled()
             step = decide_retry(
                 rules,
                 history,
@@ -240,7 +246,10 @@
 
 
 _EXECUTION_ORDER = (ExecutionStatus.NOT_RUN, ExecutionStatus.UNKNOWN, ExecutionStatus.RAN)
-MAX_DEADLINE_S = 3600.0
+
+
+def _cancelled() -> Refusal:
+    return Refusal(RefusalKind.CANCELLED, "the caller disconnected", ExecutionStatus.UNKNOWN)
 
 
 def send_refusal(exchange: CallerExchange, refusal: Refusal) -> None:
@@ -255,12 +264,3 @@
         after_s = refusal.retry_after_s if refusal.retry_after_s is not None else RETRY_AFTER_S
         headers.append((b"Retry-After", b"%.3f" % after_s))
     exchange.reply(status, headers, msgspec.json.encode(refusal.body()))
-
-
-def _parse_deadline_s(given: str | None) -> float:
-    """Return the caller's deadline in seconds; an invalid value means the maximum."""
-    try:
-        value = float(given) / 1000 if given else MAX_DEADLINE_S
-    except ValueError:
-        return MAX_DEADLINE_S
-    return value if value > 0 else MAX_DEADLINE_S
--- a/parsleyrouter/process/front.py
+++ b/parsleyrouter/process/front.py
@@ -19,6 +19,7 @@
 from parsleyrouter.process.endpoint_directory import EndpointDirectory, RegisteredEndpoint
 from parsleyrouter.process.endpoint_loads import EndpointLoads
 from parsleyrouter.process.forward_context import ForwardContext
+from parsleyrouter.process.forwarder import Forwarder
 from parsleyrouter.process.front_options import FrontOptions
 from parsleyrouter.process.job_directory import JobDirectory
 from parsleyrouter.process.job_worker import JobWorker
@@ -111,6 +112,7 @@
         self.exchange.on_changes_elsewhere.append(self.reader.record_changes_elsewhere)
         self.watchers: tuple[PrefixWatcher, ...] = ()
         self.worker: JobWorker
+        self.forwarder: Forwarder
         self.peers: PeerServer
 
     def start_watching(self) -> None:
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -12,6 +12,7 @@
 from parsleyrouter.connection.peer import PeerMethods, PeerServer
 from parsleyrouter.ids import Address
 from parsleyrouter.process.address_directory import AddressDirectory
+from parsleyrouter.process.caller_identity import CallerIdentity
 from parsleyrouter.process.cell_methods import add_cell_methods
 from parsleyrouter.process.forward_metrics import ForwardMetrics
 from parsleyrouter.process.forwarder import Forwarder
@@ -45,6 +46,13 @@
     """Connect the components of a front process: callers, locate, readiness, batch jobs, loads."""
     front = Front(runtime, options, port)
     gate = StopGate(runtime.loop, front.exchange.members)
+    identity = CallerIdentity(
+        front.routes,
+        port.headers,
+        options.strict_revocation,
+        options.revoke_within_s,
+        partial(front.reader.answer_age_s, port.operator_prefix),
+    )
     forwarder = Forwarder(
         front.forward_context,
         front.routes,
@@ -53,7 +61,9 @@
         ForwardMetrics.of(runtime.metrics),
         front.rng,
         gate,
+        identity,
     )
+    front.forwarder = forwarder
     job_store = SharedJobStore(front.store)
     job_metrics = JobMetrics.of(runtime.metrics)
     owner = JobOwner(
--- a/parsleyrouter/process/front_options.py
+++ b/parsleyrouter/process/front_options.py
@@ -32,6 +32,10 @@
     cores: float = 1.0
     """Processors that the process may use; the strongest nodes of a large fleet take callers."""
     key_value_calls_per_s: float = 60.0
+    strict_revocation: bool = False
+    """Whether requests that need a key are refused while a removal may have been missed."""
+    revoke_within_s: float = 5.0
+    """Time within which a key that was taken away no longer works."""
     log_level: str = "info"
 
     def check(self) -> None:
@@ -42,4 +46,5 @@
         check_range("metrics-port", self.metrics_port, 0, 65535, "as a port")
         check_range("memory-mb", self.memory_mb, 32, 1_000_000, "MB")
         check_range("cores", self.cores, 0.01, 4096.0, "cores")
+        check_range("revoke-within", self.revoke_within_s, 0.1, 3600.0, "s")
         check_range("descriptors", self.descriptors, 64, 10_000_000, "descriptors")
--- a/parsleyrouter/process/request_log.py
+++ b/parsleyrouter/process/request_log.py
@@ -6,7 +6,7 @@
 
 from parsleyrouter.connection.forward_server import CallerExchange
 from parsleyrouter.ids import EndpointId
-from parsleyrouter.outcome import Refusal
+from parsleyrouter.outcome import ExecutionStatus, Refusal
 from parsleyrouter.process.forward_metrics import ForwardMetrics
 from parsleyrouter.request.forwarded_request import ForwardedRequest
 
@@ -21,6 +21,8 @@
 
     endpoints: list[EndpointId] = field(default_factory=list)
     failures: list[str] = field(default_factory=list)
+    sent: bool = False
+    """Whether any attempt was sent to an endpoint."""
     used: int = 0
     wait_s: float = 0.0
     first_byte_s: float = 0.0
@@ -53,6 +55,9 @@
         "routes_version": routes_version,
         **exchange.stop_fields(),
     }
+    if request is not None and request.customer is not None:
+        fields["customer"] = request.customer
+        metrics.customers.count(request.customer, _customer_outcome(outcome))
     if outcome is None:
         log.info("request answered", extra=fields)
         return
@@ -60,3 +65,9 @@
     fields["fingerprint"] = request.fingerprint if request else None
     fields["failures"] = trace.failures
     log.warning("request failed", extra=fields)
+
+
+def _customer_outcome(outcome: Refusal | None) -> str:
+    if outcome is None:
+        return "answered"
+    return "refused" if outcome.ran is ExecutionStatus.NOT_RUN else "failed"
--- a/parsleyrouter/request/forwarded_request.py
+++ b/parsleyrouter/request/forwarded_request.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from parsleyrouter.ids import EndpointId, Fingerprint, RequestId, ServiceName
+from parsleyrouter.ids import CustomerName, EndpointId, Fingerprint, RequestId, ServiceName
 from parsleyrouter.request.crash import Prompt
 from parsleyrouter.version.route_table import Route
 
@@ -12,6 +12,7 @@
     "HeaderNames",
     "Headers",
     "end_to_end_headers",
+    "name_customer",
 ]
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -56,6 +57,10 @@
     prefix: str
     last_event: str
     wait_ms: str
+    credential: str
+    """The key by which a caller proves its customer."""
+    customer: str
+    """Tells an endpoint the name of the customer."""
 
     def protected(self) -> frozenset[bytes]:
         """Return the headers that a ``Connection`` header must not remove."""
@@ -79,6 +84,7 @@
     prompt: Prompt = ()
     fingerprint: Fingerprint | None = None
     """What copies of the request have in common; none of a batch item."""
+    customer: CustomerName | None = None
 
     @property
     def traits(self) -> Prompt:
@@ -111,3 +117,14 @@
     named = {token.strip().lower().encode() for token in connection.split(",")}
     dropped = _HOP_BY_HOP | (named - protected)
     return [header for header in headers if header[0].lower() not in dropped]
+
+
+def name_customer(
+    headers: Headers, names: HeaderNames, customer: CustomerName | None
+) -> list[tuple[bytes, bytes]]:
+    """Return headers without any key, and with the customer's name in place of what was sent."""
+    dropped = {names.credential.encode(), names.customer.encode()}
+    kept = [header for header in headers if header[0].lower() not in dropped]
+    if customer is not None:
+        kept.append((names.customer.title().encode(), customer.encode()))
+    return kept
--- a/parsleyrouter/version/route_table.py
+++ b/parsleyrouter/version/route_table.py
@@ -1,6 +1,6 @@
 """One version of the routes: which services may run a request, and whether it is repeatable."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
@@ -121,11 +121,15 @@
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of a host with the longest prefix that matches a path."""
-        for route in self.by_host.get(host.lower(), ()):
+        for route in self.routes_of(host):
             if path.startswith(route.prefix):
                 return route
         return None
 
     def serves_jobs(self, host: str) -> bool:
         """Return whether batch jobs may be submitted at a host."""
-        return any(route.kind is RouteKind.BATCH for route in self.by_host.get(host.lower(), ()))
+        return any(route.kind is RouteKind.BATCH for route in self.routes_of(host))
+
+    def routes_of(self, host: str) -> Sequence[Route]:
+        """Return the routes of a host."""
+        return self.by_host.get(host.lower(), ())
