Batch jobs belong to their customers

Cause: any caller could read, end and repeat any job, and items ran without the customer's name. Change: a job is stored under its id and its customer, so to others it does not exist, with the same answer and the same reads; calls need a key; items carry the name and no key; the limit on waiting tokens is each customer's, with two shares under keys that hold for any name. Jobs of a configuration without customers keep their keys.

--- a/parsleyrouter/customers/job_access.py
+++ b/parsleyrouter/customers/job_access.py
@@ -11,9 +11,9 @@
 from parsleyrouter.ids import CustomerName, JobId
 from parsleyrouter.outcome import Refusal
 
-__all__ = ["JobCaller", "customer_suffix", "job_id_of", "may_use_job"]
+__all__ = ["SUFFIX_SEPARATOR", "JobCaller", "customer_suffix", "job_id_of", "may_use_job"]
 
-_SEPARATOR = "~"
+SUFFIX_SEPARATOR = "~"
 """Not allowed in the ids that clients send."""
 
 _SUFFIX_BYTES = 12
@@ -37,7 +37,7 @@
 
 def customer_suffix(customer: CustomerName) -> str:
     """Return a text that stands for a customer in keys of the store, whatever its name holds."""
-    return _SEPARATOR + blake2b(customer.encode(), digest_size=_SUFFIX_BYTES).hexdigest()
+    return SUFFIX_SEPARATOR + blake2b(customer.encode(), digest_size=_SUFFIX_BYTES).hexdigest()
 
 
 def job_id_of(job: JobId, customer: CustomerName | None) -> JobId:
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -111,6 +111,7 @@
         front.job_directory,
         submission,
         lookup,
+        identity,
         UnknownJobReads(options.key_value_calls_per_s),
         job_metrics,
         gate,
--- a/parsleyrouter/process/item_run.py
+++ b/parsleyrouter/process/item_run.py
@@ -6,13 +6,13 @@
 
 from parsleyrouter.connection.endpoint_client import RawHeaders
 from parsleyrouter.connection.sse import event_data, is_event_stream, last_event_id
-from parsleyrouter.ids import RequestId, ServiceName
+from parsleyrouter.ids import CustomerName, RequestId, ServiceName
 from parsleyrouter.process.crash_monitor import RECENT_S
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
 from parsleyrouter.process.forward_attempt import ForwardAttempt
 from parsleyrouter.process.forward_context import ForwardContext, ResponseTimeouts
 from parsleyrouter.request.crash import Prompt
-from parsleyrouter.request.forwarded_request import ForwardedRequest, Headers
+from parsleyrouter.request.forwarded_request import ForwardedRequest, Headers, name_customer
 from parsleyrouter.request.shared_job import JobItem
 from parsleyrouter.version.route_table import Route
 
@@ -106,6 +106,8 @@
         left_s: float,
         *,
         is_trial: bool = False,
+        customer: CustomerName | None = None,
+        has_customers: bool = False,
     ) -> None:
         now = context.loop.now()
         self.item = item
@@ -126,11 +128,12 @@
             service=service,
             method="POST",
             target=item.path,
-            headers=_headers(context, route, item),
+            headers=_headers(context, route, item, customer, has_customers),
             body=item.body,
             received_s=now,
             deadline_s=now + left_s,
             prompt=item_prompt(context, item),
+            customer=customer,
         )
         self.attempt = ForwardAttempt(
             context,
@@ -197,7 +200,13 @@
         self.attempt.cancel()
 
 
-def _headers(context: ForwardContext, route: Route, item: JobItem) -> Headers:
+def _headers(
+    context: ForwardContext,
+    route: Route,
+    item: JobItem,
+    customer: CustomerName | None,
+    has_customers: bool,
+) -> Headers:
     own = {"host", context.names.request}
     lines = [(b"Host", route.host.encode()), (context.names.request.encode(), item.item.encode())]
     lines += [
@@ -205,7 +214,7 @@
         for name, value in item.headers.items()
         if name.lower() not in own
     ]
-    return lines
+    return name_customer(lines, context.names, customer) if has_customers else lines
 
 
 def item_prompt(context: ForwardContext, item: JobItem) -> Prompt:
--- a/parsleyrouter/process/job_lookup.py
+++ b/parsleyrouter/process/job_lookup.py
@@ -1,10 +1,13 @@
 """Tell which hosts and ids calls about jobs may name, by the stored jobs and the routes."""
 
+from copy import copy
 from dataclasses import dataclass, field
 
+from parsleyrouter.customers import JobCaller, job_id_of, may_use_job
 from parsleyrouter.ids import JobId
 from parsleyrouter.process.active_routes import ActiveRoutes
 from parsleyrouter.process.job_directory import JobDirectory
+from parsleyrouter.request.shared_job import JobRecord
 from parsleyrouter.version.route_table import Route, RouteKind, RouteTable
 
 __all__ = ["JobLookup", "UnknownJobReads"]
@@ -26,8 +29,34 @@
         self.routes = routes
         self.jobs = jobs
         self.former_hosts: set[str] = set()
+        self.caller = JobCaller()
+        """The caller as which jobs are looked up; by default one that may use all."""
         routes.on_change.append(self._add_hosts)
 
+    def seen_by(self, caller: JobCaller) -> "JobLookup":
+        """Return the same for one caller, who knows of no job that it may not use."""
+        seen = copy(self)
+        seen.caller = caller
+        return seen
+
+    def stored_id(self, job: JobId) -> JobId:
+        """Return the id under which a job that the caller names is or would be stored."""
+        own = job_id_of(job, self.caller.name)
+        if own == job or own in self.jobs.jobs or self.usable(job) is None:
+            return own
+        return job
+
+    def usable(self, job: JobId) -> JobRecord | None:
+        """Return the record of a stored job if it is known here and the caller may use it."""
+        view = self.jobs.jobs.get(job)
+        if view is None or view.versioned is None or not self.may_use(view.versioned.record):
+            return None
+        return view.versioned.record
+
+    def may_use(self, record: JobRecord) -> bool:
+        """Return whether the caller may use a job."""
+        return may_use_job(self.caller, record.customer, anonymous=record.anonymous)
+
     def route(self, host: str, path: str) -> Route | None:
         """Return the active route of a path."""
         table = self.routes.table
@@ -45,11 +74,9 @@
         return known or not self.jobs.listed or self.takes_jobs(host)
 
     def is_known(self, job: JobId, host: str) -> bool:
-        """Return whether a job of a host is known here."""
-        view = self.jobs.jobs.get(job)
-        if view is None or view.versioned is None:
-            return False
-        return view.versioned.record.host.lower() == host.lower()
+        """Return whether a job of a host is known here that the caller may use."""
+        record = self.usable(self.stored_id(job))
+        return record is not None and record.host.lower() == host.lower()
 
     def _add_hosts(self, table: RouteTable) -> None:
         self.former_hosts |= {one.host for one in table.routes if one.kind is RouteKind.BATCH}
--- a/parsleyrouter/process/job_submission.py
+++ b/parsleyrouter/process/job_submission.py
@@ -26,12 +26,11 @@
     ShareWrite,
     VersionedJob,
 )
-from parsleyrouter.process.token_ledger import TokenLedger, share_key
+from parsleyrouter.process.token_ledger import QuotaName, TokenLedger, quota_of, share_key
 from parsleyrouter.request.job_call import SubmitJob
 from parsleyrouter.request.shared_job import UNSHARED, JobItem, JobRecord
 from parsleyrouter.request.submission import RETRY_ELSEWHERE_S
 from parsleyrouter.request.token_quota import (
-    SHARES,
     DivideShares,
     QuotaFull,
     plan_submission,
@@ -114,10 +113,11 @@
     async def _create_within_limit(
         self, record: JobRecord, items: list[JobItem], route: Route, version: int
     ) -> Created:
-        preferred = crc32(self.registry.own.node.encode()) % SHARES
+        preferred = crc32(self.registry.own.node.encode())
+        quota = quota_of(route.name, record.customer)
         for _ in range(MAX_SHARE_TRIES):
             plan = plan_submission(
-                self.ledger.tokens(route.name),
+                self.ledger.tokens(quota),
                 limit=route.max_waiting_tokens,
                 version=version,
                 tokens=record.tokens,
@@ -126,31 +126,31 @@
             if isinstance(plan, QuotaFull):
                 return await self._refuse(record, plan)
             if isinstance(plan, DivideShares):
-                failure = await self._divide(route, plan)
+                failure = await self._divide(quota, plan)
                 if failure is not None:
                     return failure
                 continue
             share = ShareWrite(
-                share_key(route.name, plan.index),
-                self.ledger.revision(route.name, plan.index),
+                share_key(quota, plan.index),
+                self.ledger.revision(quota, plan.index),
                 msgspec.json.encode(plan.share),
             )
             shared = msgspec.structs.replace(record, share=plan.index)
             done = await self._create(shared, items, share)
             if isinstance(done, VersionedJob):
-                self.ledger.put_share(route.name, plan.index, plan.share, done.revision)
+                self.ledger.put_share(quota, plan.index, plan.share, done.revision)
                 return done
             if isinstance(done, KeyValueFailure) or JobKeys(record.job).record in done.current:
                 return done
             self._apply_conflict(done)
         return _not_run("other nodes accept jobs at the same time: submit again", RETRY_ELSEWHERE_S)
 
-    async def _divide(self, route: Route, plan: DivideShares) -> KeyValueFailure | None:
+    async def _divide(self, quota: QuotaName, plan: DivideShares) -> KeyValueFailure | None:
         """Write all shares; a call that takes effect later than its reply does no harm."""
         writes = [
             ShareWrite(
-                share_key(route.name, index),
-                self.ledger.revision(route.name, index),
+                share_key(quota, index),
+                self.ledger.revision(quota, index),
                 msgspec.json.encode(share),
             )
             for index, share in enumerate(plan.shares)
@@ -158,7 +158,7 @@
         done = await self.store.write_shares(writes)
         if isinstance(done, WriteApplied):
             for index, share in enumerate(plan.shares):
-                self.ledger.put_share(route.name, index, share, Revision(done.revision))
+                self.ledger.put_share(quota, index, share, Revision(done.revision))
             return None
         if isinstance(done, TransactionConflict):
             self._apply_conflict(done)
@@ -174,7 +174,7 @@
         known = await self.store.read(record.job)
         if known is not None:
             return known
-        rate = self.ledger.finished_per_s(record.route, self.loop.now())
+        rate = self.ledger.finished_per_s(quota_of(record.route, record.customer), self.loop.now())
         message = (
             f"{full.waiting} tokens wait on the route, of {full.limit} allowed, and the job has "
             f"{record.tokens}: submit it when some have finished"
@@ -206,4 +206,6 @@
         tokens=sum(item.tokens for item in items),
         share=UNSHARED,
         routes_version=routes_version,
+        customer=call.submitted.customer,
+        anonymous=route.anonymous,
     )
--- a/parsleyrouter/process/job_worker.py
+++ b/parsleyrouter/process/job_worker.py
@@ -207,8 +207,18 @@
         now, wall_ms = self.loop.now(), time.time() * 1000
         left_s = max(1.0, (record.kept_until_ms - wall_ms) / 1000)
         progress = job_run.progress_of(index)
+        table = self.routes.table
         item_run = ItemRun(
-            self.context, route, entry.service, item, entry, progress, left_s, is_trial=is_trial
+            self.context,
+            route,
+            entry.service,
+            item,
+            entry,
+            progress,
+            left_s,
+            is_trial=is_trial,
+            customer=record.customer or None,
+            has_customers=bool(record.customer or (table and table.customers)),
         )
         item_run.due_s = now + (record.due_ms - wall_ms) / 1000
         item_run.job_route = record.route
--- a/parsleyrouter/process/shared_job_handler.py
+++ b/parsleyrouter/process/shared_job_handler.py
@@ -10,7 +10,9 @@
 from parsleyrouter.connection.key_value import KeyValueFailure, WriteApplied
 from parsleyrouter.ids import ItemId, JobId
 from parsleyrouter.outcome import ExecutionStatus, Refusal, RefusalKind
+from parsleyrouter.process.caller_identity import CallerIdentity
 from parsleyrouter.process.forwarder import send_refusal
+from parsleyrouter.process.job_calls import refuse_caller, stored_call
 from parsleyrouter.process.job_directory import JobDirectory
 from parsleyrouter.process.job_lookup import JobLookup, UnknownJobReads
 from parsleyrouter.process.job_metrics import JobMetrics
@@ -60,6 +62,7 @@
         job_directory: JobDirectory,
         submission: JobSubmission,
         lookup: JobLookup,
+        identity: CallerIdentity,
         unknown_reads: UnknownJobReads,
         metrics: JobMetrics,
         gate: StopGate,
@@ -73,6 +76,7 @@
         self.job_directory = job_directory
         self.submission = submission
         self.lookup = lookup
+        self.identity = identity
         self.unknown_reads = unknown_reads
         self.metrics = metrics
         self.gate = gate
@@ -81,17 +85,24 @@
 
     async def handle(self, exchange: CallerExchange) -> bool:
         """Handle a call about a job; return whether the request was one."""
-        if self.lookup.routes.table is None:
+        table = self.lookup.routes.table
+        if table is None:
             return False
-        call = self.decode_call(exchange.head, exchange.body, self.lookup)
+        caller = self.identity.job_caller(table, exchange.head)
+        jobs = self.lookup.seen_by(caller)
+        call = self.decode_call(exchange.head, exchange.body, jobs)
         if call is None:
             return False
         asked = type(call).__name__ if not isinstance(call, Refusal) else "unreadable"
-        if isinstance(call, Refusal):
-            outcome: Refusal | tuple[int, bytes] = call
+        refusal = refuse_caller(call, jobs)
+        if refusal is not None:
+            outcome: Refusal | tuple[int, bytes] = refusal
         else:
+            assert not isinstance(call, Refusal)
             stopping = self.gate.refuse_call(asked, ASSUMED_CALL_S)
-            outcome = stopping or await self._answer_timed(asked, call)
+            outcome = stopping or await self._answer_timed(
+                asked, stored_call(call, jobs, self.identity.names), jobs
+            )
         if isinstance(outcome, Refusal):
             send_refusal(exchange, outcome)
             status, reason = outcome.status, outcome.message
@@ -100,30 +111,32 @@
             exchange.reply(status, [(b"Content-Type", JSON_TYPE.encode())], outcome[1])
         self.metrics.calls.labels(asked, str(status)).inc()
         if reason or not isinstance(call, ReadResults):
-            self._log(exchange, call, status, reason)
+            self._log(exchange, call, status, reason, jobs)
         return True
 
-    async def _answer_timed(self, asked: str, call: JobCall) -> Refusal | tuple[int, bytes]:
+    async def _answer_timed(
+        self, asked: str, call: JobCall, jobs: JobLookup
+    ) -> Refusal | tuple[int, bytes]:
         began_s = self.gate.start(asked)
         answered = False
         try:
-            outcome = await self._answer(call)
+            outcome = await self._answer(call, jobs)
             answered = not isinstance(outcome, Refusal)
         finally:
             self.gate.end(asked, began_s, answered=answered)
         return outcome
 
-    async def _answer(self, call: JobCall) -> Refusal | tuple[int, bytes]:
+    async def _answer(self, call: JobCall, jobs: JobLookup) -> Refusal | tuple[int, bytes]:
         if isinstance(call, SubmitJob):
             return await self.submission.submit(call)
         if isinstance(call, ReadResults):
-            return await self._read(call)
+            return await self._read(call, jobs)
         if isinstance(call, ReadItem):
-            return await self._read_item(call)
-        return await self._end(call)
+            return await self._read_item(call, jobs)
+        return await self._end(call, jobs)
 
-    async def _read(self, call: ReadResults) -> Refusal | tuple[int, bytes]:
-        record = await self._record(call.job)
+    async def _read(self, call: ReadResults, jobs: JobLookup) -> Refusal | tuple[int, bytes]:
+        record = await self._record(call.job, jobs)
         if isinstance(record, Refusal):
             return record
         page = await self.peers.read(record, call.start, min(call.wait_s, MAX_WAIT_S))
@@ -131,8 +144,8 @@
             return _unavailable(page)
         return HTTPStatus.OK, self.encode_results(page)
 
-    async def _read_item(self, call: ReadItem) -> Refusal | tuple[int, bytes]:
-        record = await self._record(call.job)
+    async def _read_item(self, call: ReadItem, jobs: JobLookup) -> Refusal | tuple[int, bytes]:
+        record = await self._record(call.job, jobs)
         if isinstance(record, Refusal):
             return record
         items = await self.reader.items(record)
@@ -145,9 +158,9 @@
             )
         return HTTPStatus.OK, body
 
-    async def _end(self, call: EndJob) -> Refusal | tuple[int, bytes]:
+    async def _end(self, call: EndJob, jobs: JobLookup) -> Refusal | tuple[int, bytes]:
         for _ in range(MAX_TRIES):
-            versioned = await self._read_record(call.job)
+            versioned = await self._read_record(call.job, jobs)
             if isinstance(versioned, Refusal):
                 return versioned
             if isinstance(versioned, VersionedJob):
@@ -160,11 +173,11 @@
         message = "whether the job has ended is not known: ask again"
         return Refusal(RefusalKind.STORAGE_UNAVAILABLE, message, ExecutionStatus.UNKNOWN)
 
-    async def _record(self, job: JobId) -> JobRecord | Refusal:
-        view = self.job_directory.jobs.get(job)
-        if view is not None and view.versioned is not None:
-            return view.versioned.record
-        versioned = await self._read_record(job)
+    async def _record(self, job: JobId, jobs: JobLookup) -> JobRecord | Refusal:
+        known = jobs.usable(job)
+        if known is not None:
+            return known
+        versioned = await self._read_record(job, jobs)
         if isinstance(versioned, Refusal):
             return versioned
         if isinstance(versioned, KeyValueFailure):
@@ -172,9 +185,15 @@
         self.job_directory.put(versioned)
         return versioned.record
 
-    async def _read_record(self, job: JobId) -> VersionedJob | KeyValueFailure | Refusal:
-        """Read the record of a job; refuse if there is none, or after too many unknown ids."""
-        if job not in self.job_directory.jobs:
+    async def _read_record(
+        self, job: JobId, jobs: JobLookup
+    ) -> VersionedJob | KeyValueFailure | Refusal:
+        """Read the record of a job; refuse if there is none, or after too many unknown ids.
+
+        A job that the caller may not use costs and answers the same as none.
+        """
+        view = self.job_directory.jobs.get(job)
+        if view is None or (view.versioned is not None and jobs.usable(job) is None):
             wait_s = self.unknown_reads.wait_s(self.loop.now())
             if wait_s > 0:
                 message = "too many unknown jobs are asked for: ask again"
@@ -182,11 +201,14 @@
                     RefusalKind.PLATFORM_UNAVAILABLE, message, ExecutionStatus.NOT_RUN, wait_s
                 )
         versioned = await self.store.read(job)
-        if versioned is None:
+        hidden = isinstance(versioned, VersionedJob) and not jobs.may_use(versioned.record)
+        if versioned is None or hidden:
             return Refusal(RefusalKind.NOT_FOUND, "no such job", ExecutionStatus.NOT_RUN)
         return versioned
 
-    def _log(self, exchange: CallerExchange, call: object, status: int, reason: str) -> None:
+    def _log(
+        self, exchange: CallerExchange, call: object, status: int, reason: str, jobs: JobLookup
+    ) -> None:
         job = getattr(call, "job", "") or getattr(getattr(call, "submitted", None), "job", "")
         log.info(
             "job call answered",
@@ -196,6 +218,7 @@
                 "status": int(status),
                 "reason": reason,
                 "took_s": round(self.loop.now() - exchange.received_s, 3),
+                **({"customer": jobs.caller.name} if jobs.caller.name else {}),
                 **exchange.stop_fields(),
             },
         )
--- a/parsleyrouter/request/shared_job.py
+++ b/parsleyrouter/request/shared_job.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from parsleyrouter.ids import ItemId, ItemIndex, JobId, RouteName
+from parsleyrouter.ids import CustomerName, ItemId, ItemIndex, JobId, RouteName
 
 __all__ = [
     "ItemResult",
@@ -69,6 +69,10 @@
     """Share of the route's limit on waiting tokens in which they count."""
     routes_version: int = 0
     """Version of the routes by which the job was accepted."""
+    customer: CustomerName = CustomerName("")
+    """The customer that submitted the job; empty if it has none."""
+    anonymous: bool = False
+    """Whether the route that took the job needs no key."""
 
 
 class ItemResult(msgspec.Struct, frozen=True):
@@ -86,6 +90,7 @@
     host: str
     path: str
     items: list[JobItem]
+    customer: CustomerName = CustomerName("")
 
 
 class SavedItem(msgspec.Struct, frozen=True):
