--- a/features/steps/customer_jobs_steps.py
+++ b/features/steps/customer_jobs_steps.py
@@ -95,12 +95,15 @@
         await ready(fleet)
         await submit(fleet, "ant-key-1")
         context.results = await read_all(fleet, "ant-key-1")
+        # The node itself reads the record once more when it closes the job.
+        jobs = fleet.fronts[0].job_directory.jobs
+        await fleet.until(lambda: not any(view.open for view in jobs.values()))
         context.answers, context.calls = [], []
         for job in (JOB, "job9"):
             before = len(fleet.store.faults.calls)
             answer = await call(fleet, what, "bee-key-1", job=job)
             made = [one for one in fleet.store.faults.calls[before:] if "/kv-key" in one]
-            context.calls.append(len(made))
+            context.calls.append(made)
             context.answers.append((answer.status, answer.headers, answer.body))
         context.again = await read_all(fleet, "ant-key-1")
 
@@ -110,7 +113,7 @@
 @then("both answers and their calls to the store are the same, and the job goes on")
 def step_same_answers(context: Any) -> None:
     assert context.answers[0] == context.answers[1] and context.answers[0][0] == 404
-    assert context.calls == [1, 1], context.calls
+    assert [len(one) for one in context.calls] == [1, 1], context.calls
     assert context.again == context.results and len(context.again) == len(ALL_ITEMS)
 
 
