Limits of customers: shares with holders, permits by datagram, proofs of currentness

Cause: a limit kept at each node lets the limit through as many times as there are nodes. Change: four shares of each limit with holders named in the store; holders grant while the store is known to have named them lately; asks, answers and permits given back over an own UDP port.

--- a/parsleyrouter/ids.py
+++ b/parsleyrouter/ids.py
@@ -26,6 +26,7 @@
     "RouteName",
     "RunId",
     "ServiceName",
+    "ShareId",
     "TeamName",
 ]
 
@@ -54,6 +55,9 @@
 ChunkName = NewType("ChunkName", str)
 Epoch = NewType("Epoch", int)
 
+ShareId = NewType("ShareId", int)
+"""One of the equal parts of the limits of a group of customers."""
+
 PromptPart = NewType("PromptPart", str)
 """The id of a part of a prompt that several requests may share."""
 
--- /dev/null
+++ b/parsleyrouter/limits/bucket.py
@@ -0,0 +1,130 @@
+"""Token bucket of one share of a customer's limit; times in seconds, performs no I/O.
+
+In any span the permits that were granted and not given back are at most rate x span + capacity.
+"""
+
+import math
+from collections import deque
+from dataclasses import dataclass, field
+
+__all__ = ["GIVE_BACK_S", "ShareBucket"]
+
+GIVE_BACK_S = 2.0
+"""Time within which a permit can be given back."""
+
+PROMISE_GRACE_S = 0.25
+"""Time after the told one for which room is kept for a refused caller."""
+
+PROMISE_MARGIN_S = 0.02
+"""Added to told times, so that a caller that is a little early finds its room."""
+
+MAX_PROMISES = 1000
+
+USAGE_TIME_S = 2.5
+"""Time constant of the rate of granted permits."""
+
+FULL = 1.0 - 1e-9
+"""Level from which a permit can be granted, with room for the error of sums."""
+
+
+@dataclass
+class _RecentPermit:
+    granted_s: float
+    headroom: float
+    """What the bucket would hold more had the permit not been granted."""
+
+
+@dataclass
+class ShareBucket:
+    """Permits that accrue at a rate up to a capacity, and the callers that were told to return."""
+
+    rate_per_s: float
+    capacity: float
+    level: float
+    at_s: float
+    promises: deque[float] = field(default_factory=deque)
+    """Times at which refused callers were told to return, in order."""
+    recent: dict[int, _RecentPermit] = field(default_factory=dict)
+    """Permits that can still be given back, by number."""
+    granted_per_s: float = 0.0
+
+    def set_limit(self, rate_per_s: float, capacity: float, now: float) -> None:
+        """Apply a new limit at once."""
+        self._earn(now)
+        self.rate_per_s, self.capacity = rate_per_s, capacity
+        self.level = min(self.level, capacity)
+        self._cut_headroom()
+
+    def take(self, number: int, now: float, *, returning: bool) -> bool:
+        """Take a permit; room that was promised goes to those that return first."""
+        self._earn(now)
+        needed = FULL
+        if not returning:
+            needed = min(FULL + self._due(now), max(FULL, self.capacity - 1e-9))
+        if self.level < needed:
+            return False
+        self.level = max(0.0, self.level - 1.0)
+        if returning and self.promises:
+            self.promises.popleft()
+        self.granted_per_s += 1.0 / USAGE_TIME_S
+        self.recent[number] = _RecentPermit(now, min(1.0, self.capacity - self.level))
+        return True
+
+    def give_back(self, number: int, now: float) -> bool:
+        """Undo a recent permit; return whether there was one."""
+        self._earn(now)
+        permit = self.recent.pop(number, None)
+        if permit is None or now - permit.granted_s > GIVE_BACK_S:
+            return False
+        self.level = min(self.capacity, self.level + permit.headroom)
+        self.granted_per_s = max(0.0, self.granted_per_s - 1.0 / USAGE_TIME_S)
+        self._cut_headroom()
+        return True
+
+    def wait_s(self, now: float) -> float:
+        """Return the time until there is room that nobody else was told of."""
+        self._earn(now)
+        if not self.rate_per_s:
+            return math.inf
+        next_s = now + max(0.0, 1.0 - self.level) / self.rate_per_s
+        if self.promises:
+            next_s = max(next_s, self.promises[-1] + 1.0 / self.rate_per_s)
+        return next_s - now + PROMISE_MARGIN_S
+
+    def promise(self, now: float, longest_s: float) -> float:
+        """Return the time after which there is room for this caller, and keep it for the caller.
+
+        A caller that does not wait for more than ``longest_s`` takes no place beyond that.
+        """
+        wait_s = self.wait_s(now)
+        if wait_s <= longest_s and len(self.promises) < MAX_PROMISES:
+            self.promises.append(now + wait_s - PROMISE_MARGIN_S)
+        return wait_s
+
+    def usage(self, now: float) -> float:
+        """Return the recent rate of permits as a share of the limit, from 0 to 1."""
+        self._earn(now)
+        return min(1.0, self.granted_per_s / self.rate_per_s) if self.rate_per_s else 1.0
+
+    def _due(self, now: float) -> int:
+        return sum(1 for told_s in self.promises if told_s <= now + PROMISE_MARGIN_S)
+
+    def _earn(self, now: float) -> None:
+        passed_s = now - self.at_s
+        if passed_s > 0:
+            self.at_s = now
+            self.level = min(self.capacity, self.level + self.rate_per_s * passed_s)
+            self.granted_per_s *= math.exp(-passed_s / USAGE_TIME_S)
+            self._cut_headroom()
+        while self.promises and self.promises[0] + PROMISE_GRACE_S < now:
+            self.promises.popleft()
+        while self.recent:
+            oldest = next(iter(self.recent))
+            if now - self.recent[oldest].granted_s <= GIVE_BACK_S:
+                break
+            del self.recent[oldest]
+
+    def _cut_headroom(self) -> None:
+        room = self.capacity - self.level
+        for permit in self.recent.values():
+            permit.headroom = max(0.0, min(permit.headroom, room))
--- a/parsleyrouter/platform/settings.py
+++ b/parsleyrouter/platform/settings.py
@@ -66,6 +66,7 @@
         locate=Address(found.listen.directory),
         nodes=Address(f"{found.ip}:{found.internal_ports[0]}" if found.internal_ports else ""),
         key_value=Address(found.platform.address),
+        limits=_second_port(found),
         metrics_port=int(metrics_port or 0),
         grace_s=found.bounds.grace_s,
         memory_mb=found.limits.memory_mb,
@@ -76,6 +77,14 @@
     return options
 
 
+def _second_port(found: _Settings) -> Address:
+    """Return the second of the ports between nodes, nothing if there is only one."""
+    ports = found.internal_ports
+    if len(ports) < 2 or ports[0] + 1 > ports[1]:
+        return Address("")
+    return Address(f"{found.ip}:{ports[0] + 1}")
+
+
 def unknown_fields(path: Path) -> list[str]:
     """Return the settings in a file that a front process does not use and ignores."""
     known = {field.encode_name for field in msgspec.structs.fields(_Settings)}
--- a/parsleyrouter/process/cell_methods.py
+++ b/parsleyrouter/process/cell_methods.py
@@ -1,10 +1,12 @@
 """Answer the other nodes of a cell, which read the key-value service through this node."""
 
+import math
 from typing import Any
 
 from parsleyrouter.connection.key_value import Entry
 from parsleyrouter.connection.peer import PeerMethods
 from parsleyrouter.ids import Revision
+from parsleyrouter.process.boot_clock import boot_now_s
 from parsleyrouter.process.cell_reader import FAILURE_RETENTION_S, CellReader
 from parsleyrouter.thrift_gen.nodes.ttypes import AskFollowed, Followed, FollowedKey
 
@@ -48,8 +50,16 @@
     failed_s = reader.loop.now() - reader.last_failure_s
     failed_ms = int(failed_s * 1000) if failed_s < FAILURE_RETENTION_S else None
     age_ms = int(reader.answer_age_s(prefix) * 1000)
+    proved_s = reader.watched_prefix(prefix).proved_s
+    proof_ms = math.ceil((boot_now_s() - proved_s) * 1000) if math.isfinite(proved_s) else None
     return Followed(
-        refusal="", lost=False, revision=revision, keys=keys, failed_ms=failed_ms, age_ms=age_ms
+        refusal="",
+        lost=False,
+        revision=revision,
+        keys=keys,
+        failed_ms=failed_ms,
+        age_ms=age_ms,
+        proof_ms=proof_ms,
     )
 
 
--- a/parsleyrouter/process/cell_reader.py
+++ b/parsleyrouter/process/cell_reader.py
@@ -22,6 +22,7 @@
 )
 from parsleyrouter.connection.peer import PeerClient, PeerFailure
 from parsleyrouter.ids import Address, NodeId, Revision
+from parsleyrouter.process.boot_clock import boot_now_s
 from parsleyrouter.process.cell_members import CellMembers
 from parsleyrouter.process.changes_elsewhere import BEHIND_GRACE_S, ChangesElsewhere
 from parsleyrouter.process.condition import Condition
@@ -53,6 +54,9 @@
 """Long-poll time of direct reads on which no other node depends: they are billed, and a node makes
 them until it asks its leader again."""
 
+PROOF_WAIT_S = 2.5
+"""The same for reads that prove what this node holds: some of them fit into the time of a proof."""
+
 READ_PAUSE_S = 0.3
 """Pause between reads of registrations of endpoints, which may change several times a second; a
 leaving endpoint must stop getting requests within two seconds."""
@@ -99,6 +103,10 @@
         """State of the watched prefixes of this process."""
         self.answered_s: dict[str, float] = {}
         """When the service last answered this process or the one that it asks; monotonic."""
+        self.proofs_s: dict[str, float] = {}
+        """A time before which the latest read misses no change; counts suspensions."""
+        self.proof_wanted: dict[str, Callable[[], bool]] = {}
+        """Whether something depends on the age of what is known, by prefix."""
         self.last_failure_s = -FAILURE_RETENTION_S
         self.leader_retry_at_s = 0.0
         self.direct_retry_at_s: dict[str, float] = {}
@@ -135,6 +143,7 @@
         refused = self._refuse_direct_read(prefix)
         if refused is not None:
             return refused
+        self.proofs_s[prefix] = boot_now_s()
         page = await self.store.scan(prefix, after=after)
         self._record_answer(prefix, page)
         return page
@@ -155,7 +164,8 @@
         refused = self._refuse_direct_read(prefix)
         if refused is not None:
             return refused
-        wait_s = self._direct_wait_s(wait_s)
+        wait_s = self._direct_wait_s(prefix, wait_s)
+        self.proofs_s[prefix] = boot_now_s()
         page = await self.direct.changes(prefix, after, wait_s)
         self._record_answer(prefix, page)
         return page
@@ -194,6 +204,7 @@
     ) -> Followed | None:
         node, address = leader
         timeout_s = query.wait_ms / 1000 + CALL_MARGIN_S
+        sent_s = boot_now_s()
         answer = await self.peers.call(address, "cell.followed", query, Followed, timeout_s)
         reason = answer.message if isinstance(answer, PeerFailure) else answer.refusal
         if reason:
@@ -204,6 +215,8 @@
             return None
         assert isinstance(answer, Followed)
         self._set_source(node, "")
+        proof_age_s = math.inf if answer.proof_ms is None else answer.proof_ms / 1000
+        self.proofs_s[query.prefix] = sent_s - proof_age_s
         if answer.age_ms is not None:
             self.answered_s[query.prefix] = self.loop.now() - answer.age_ms / 1000
         if answer.failed_ms is not None:
@@ -227,12 +240,14 @@
     def _leads(self) -> bool:
         return self.members.leader() == self.members.registry.own.node
 
-    def _direct_wait_s(self, usual_s: float) -> float:
+    def _direct_wait_s(self, prefix: str, usual_s: float) -> float:
         """Return the long-poll time of a direct read: short if other nodes depend on it.
 
         The many others wait long, also after failures: renewals tell when the service is back.
         """
         members = self.members
+        if self.proof_wanted.get(prefix, bool)():
+            usual_s = min(usual_s, PROOF_WAIT_S)
         if self.loop.now() - self.started_s < DISCOVERY_S:
             return min(usual_s, CHANGES_WAIT_S)
         if not members.divided:
--- a/parsleyrouter/process/front.py
+++ b/parsleyrouter/process/front.py
@@ -16,6 +16,7 @@
 from parsleyrouter.process.active_routes import ActiveRoutes
 from parsleyrouter.process.cell_reader import READ_PAUSE_S, CellReader
 from parsleyrouter.process.crash_monitor import CrashMonitor
+from parsleyrouter.process.customer_limits import LIMITS_PREFIX, CustomerLimits
 from parsleyrouter.process.endpoint_directory import EndpointDirectory, RegisteredEndpoint
 from parsleyrouter.process.endpoint_loads import EndpointLoads
 from parsleyrouter.process.forward_context import ForwardContext
@@ -109,6 +110,7 @@
         self.reader.on_failure.append(self.directory.record_store_failure)
         self.exchange.known_changes = self.reader.known_changes
         self.exchange.on_changes_elsewhere.append(self.reader.record_changes_elsewhere)
+        self.limits: CustomerLimits | None = None
         self.watchers: tuple[PrefixWatcher, ...] = ()
         self.worker: JobWorker
         self.peers: PeerServer
@@ -158,6 +160,9 @@
         for one in known:
             if one.key.startswith(SHARES_PREFIX):
                 self.token_ledger.apply_entry(one)
+        if self.limits is not None:
+            limits = (one for one in known if one.key.startswith(LIMITS_PREFIX))
+            self.limits.keeper.apply_list(limits)
 
     def _on_live_change(self, change: KeyChange) -> None:
         if change.key.startswith(NODES_PREFIX):
@@ -168,6 +173,8 @@
             self.token_ledger.apply_change(change)
         elif change.key.startswith(QUARANTINE_PREFIX):
             self.quarantine.records.apply_change(change)
+        elif change.key.startswith(LIMITS_PREFIX) and self.limits is not None:
+            self.limits.keeper.apply_change(change)
 
     def _on_operator_list(self, entries: Iterable[Entry]) -> None:
         for entry in entries:
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -10,12 +10,14 @@
 from parsleyrouter.connection.http import JSON_TYPE
 from parsleyrouter.connection.http_limits import HttpLimits
 from parsleyrouter.connection.peer import PeerMethods, PeerServer
-from parsleyrouter.ids import Address
+from parsleyrouter.customers import Customer
+from parsleyrouter.ids import Address, CustomerName
 from parsleyrouter.process.address_directory import AddressDirectory
 from parsleyrouter.process.cell_methods import add_cell_methods
+from parsleyrouter.process.customer_limits import CustomerLimits
 from parsleyrouter.process.forward_metrics import ForwardMetrics
 from parsleyrouter.process.forwarder import Forwarder
-from parsleyrouter.process.front import Front
+from parsleyrouter.process.front import LIVE_PREFIX, Front
 from parsleyrouter.process.front_options import FrontOptions
 from parsleyrouter.process.front_shutdown import FrontShutdown
 from parsleyrouter.process.job_lookup import JobLookup, UnknownJobReads
@@ -126,6 +128,16 @@
     answer_locate = partial(_answer_locate, address_directory, port)
     ForwardServer(runtime.loop, options.locate, answer_locate).register(runtime)
 
+    if options.limits:
+        front.limits = CustomerLimits(
+            runtime,
+            options,
+            front.exchange.members,
+            front.reader,
+            LIVE_PREFIX,
+            lambda name: _find_customer(front, name),
+        )
+        front.routes.on_change.append(front.limits.apply_routes)
     front.registry.start()
     front.exchange.start()
     front.start_watching()
@@ -140,6 +152,8 @@
         options.grace_s,
         port.headers.request,
     )
+    if front.limits is not None:
+        shutdown.before_leaving.append(front.limits.keeper.release)
     runtime.on_stop(shutdown.run)
     log.info("started", extra={"node": options.node, "callers": options.callers})
     return front
@@ -158,6 +172,11 @@
     )
 
 
+def _find_customer(front: Front, name: CustomerName) -> Customer | None:
+    table = front.routes.table
+    return None if table is None else table.customers.by_name.get(name)
+
+
 async def _answer_ready(front: Front, port: PlatformPort, exchange: CallerExchange) -> None:
     if exchange.head.path == "/metrics":
         exchange.reply(200, _TEXT, generate_latest(front.runtime.metrics))
--- a/parsleyrouter/process/front_options.py
+++ b/parsleyrouter/process/front_options.py
@@ -23,6 +23,9 @@
     nodes: Address
     """Serves the other front processes: load reports over UDP, and peer calls."""
     key_value: Address
+    limits: Address = Address("")
+    """Serves the other front processes: permits for the requests of customers, over UDP. Without
+    it, the limits of customers are not applied."""
     metrics_port: int = 0
     """Port for metrics on the host of ``nodes``; 0 serves them on ``ready`` only."""
     grace_s: float = 8.0
@@ -38,6 +41,8 @@
         """Raise ``InvalidSetting`` for the first invalid setting."""
         for name in ("callers", "ready", "locate", "nodes", "key_value"):
             check_address(name.replace("_", "-"), getattr(self, name))
+        if self.limits:
+            check_address("limits", self.limits)
         check_range("grace", self.grace_s, 0.5, 3600.0, "s")
         check_range("metrics-port", self.metrics_port, 0, 65535, "as a port")
         check_range("memory-mb", self.memory_mb, 32, 1_000_000, "MB")
--- a/parsleyrouter/process/front_shutdown.py
+++ b/parsleyrouter/process/front_shutdown.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
 from parsleyrouter.connection.forward_server import ForwardServer
@@ -20,6 +21,9 @@
 STANDBY_NEWS_S = 0.8
 """Time until nodes on standby no longer list a node that stops: an aggregate and its relay."""
 
+GIVE_UP_S = 1.0
+"""Time in which what other nodes can use at once is given up, before the rest is handed over."""
+
 POLL_INTERVAL_S = 0.02
 
 log = logging.getLogger(__name__)
@@ -47,6 +51,8 @@
         self.gate = gate
         self.grace_s = grace_s
         self.request_header = request_header
+        self.before_leaving: list[Callable[[float], Awaitable[None]]] = []
+        """Called with the monotonic time by which they should end, before work is handed over."""
 
     async def run(self) -> None:
         """Run the shutdown to its end."""
@@ -88,5 +94,7 @@
         log.info("stop ends", extra=fields)
 
     async def _hand_over(self, until_s: float) -> None:
+        for give_up in self.before_leaving:
+            await give_up(min(until_s, self.loop.now() + GIVE_UP_S))
         await self.owner.leave(max(0.0, until_s - self.loop.now()))
         await self.registry.leave(until_s)
--- a/parsleyrouter/process/prefix_watcher.py
+++ b/parsleyrouter/process/prefix_watcher.py
@@ -1,6 +1,7 @@
 """Watch the keys under one prefix of the key-value service: list once, then read changes."""
 
 import logging
+import math
 from collections.abc import Callable, Iterable
 
 from parsleyrouter.connection.key_value import (
@@ -93,10 +94,12 @@
         entries: list[Entry] = []
         revision: Revision | None = None
         after = ""
+        proved_s = math.inf
         while True:
             page = await self.reader.scan(self.prefix, after=after)
             if isinstance(page, KeyValueFailure):
                 return page
+            proved_s = min(proved_s, self.reader.proofs_s[self.prefix])
             revision = page.revision if revision is None else revision
             entries.extend(page.entries)
             if not page.more or not page.entries:
@@ -108,6 +111,7 @@
             return KeyValueFailure(KeyValueFailureKind.UNAVAILABLE, message)
         self.revision = revision
         self.watched.replace(entries, revision)
+        self.watched.prove(proved_s)
         self._deliver(lambda: self.on_list(entries))
         return None
 
@@ -124,6 +128,7 @@
             self._deliver(lambda change=change: self.on_change(change))  # type: ignore[misc]
         self.revision = max(page.revision, revision)
         self.watched.apply(page.changes, self.revision)
+        self.watched.prove(self.reader.proofs_s[self.prefix])
         return None
 
     def _wait_s(self) -> float:
--- a/parsleyrouter/process/watched_prefix.py
+++ b/parsleyrouter/process/watched_prefix.py
@@ -1,5 +1,6 @@
 """Cache the keys under a watched prefix and their latest changes, for other nodes to read."""
 
+import math
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -26,6 +27,8 @@
     revision: Revision | None = None
     changed_revision: Revision = Revision(0)
     """Revision of the latest change that is known."""
+    proved_s: float = -math.inf
+    """A time before which no change is missing here; of the clock that counts suspensions."""
 
     def replace(self, entries: Iterable[Entry], revision: Revision | None) -> None:
         """Replace all keys by a full listing."""
@@ -52,6 +55,10 @@
         if self.changes:
             self.changed.notify_all()
 
+    def prove(self, at_s: float) -> None:
+        """Note that all changes before a time have been applied."""
+        self.proved_s = max(self.proved_s, at_s)
+
     def changes_after(self, revision: Revision) -> list[KeyChange]:
         """Return the cached changes after a revision, in order."""
         newest_first = takewhile(lambda change: change.revision > revision, reversed(self.changes))
--- a/parsleyrouter/thrift_gen/nodes/ttypes.py
+++ b/parsleyrouter/thrift_gen/nodes/ttypes.py
@@ -183,17 +183,19 @@
      - keys
      - failed_ms
      - age_ms
+     - proof_ms
 
     """
 
 
-    def __init__(self, refusal=None, lost=None, revision=None, keys=None, failed_ms=None, age_ms=None,):
+    def __init__(self, refusal=None, lost=None, revision=None, keys=None, failed_ms=None, age_ms=None, proof_ms=None,):
         self.refusal = refusal
         self.lost = lost
         self.revision = revision
         self.keys = keys
         self.failed_ms = failed_ms
         self.age_ms = age_ms
+        self.proof_ms = proof_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -240,6 +242,11 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.proof_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -277,6 +284,10 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 6)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.proof_ms is not None:
+            oprot.writeFieldBegin('proof_ms', TType.I64, 7)
+            oprot.writeI64(self.proof_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -551,6 +562,7 @@
     (4, TType.LIST, 'keys', (TType.STRUCT, [FollowedKey, None], False), None, ),  # 4
     (5, TType.I32, 'failed_ms', None, None, ),  # 5
     (6, TType.I32, 'age_ms', None, None, ),  # 6
+    (7, TType.I64, 'proof_ms', None, None, ),  # 7
 )
 all_structs.append(AskResults)
 AskResults.thrift_spec = (
--- a/thrift/nodes.thrift
+++ b/thrift/nodes.thrift
@@ -16,7 +16,8 @@
 
 // lost: the changes after that revision have been compacted. failed_ms: time since the key-value
 // service last failed to respond, set only if that was recently. age_ms: time since the service last
-// answered about the prefix.
+// answered about the prefix. proof_ms: time since a moment before which no change is missing in keys,
+// with suspensions of the machine.
 struct Followed {
   1: string refusal,
   2: bool lost,
@@ -24,6 +25,7 @@
   4: list<FollowedKey> keys,
   5: optional i32 failed_ms,
   6: optional i32 age_ms,
+  7: optional i64 proof_ms,
 }
 
 // Request results from a position on from the node that runs a job.
