--- a/parsleyrouter/limits/wire.py
+++ b/parsleyrouter/limits/wire.py
@@ -19,10 +19,10 @@
     "encode_message",
 ]
 
-MAX_ROWS = 100
-"""Rows in one datagram; it stays within a few packets."""
+MAX_ROWS = 64
+"""Rows in one datagram; with the longest names it still fits into one."""
 
-MAX_NAME = 256
+MAX_NAME = 800
 MAX_ID = 2**62
 MAX_WAIT_MS = 3_600_000
 
