--- a/parsleyrouter/process/cell_reader.py
+++ b/parsleyrouter/process/cell_reader.py
@@ -21,8 +21,10 @@
     TransactionalKeyValue,
 )
 from parsleyrouter.connection.peer import PeerClient, PeerFailure
+from parsleyrouter.customers import SuspendedTime
 from parsleyrouter.ids import Address, NodeId, Revision
 from parsleyrouter.process.boot_clock import boot_now_s
+from parsleyrouter.process.caller_identity import suspended_s
 from parsleyrouter.process.cell_members import CellMembers
 from parsleyrouter.process.changes_elsewhere import BEHIND_GRACE_S, ChangesElsewhere
 from parsleyrouter.process.condition import Condition
@@ -55,7 +57,7 @@
 them until it asks its leader again."""
 
 PROOF_WAIT_S = 2.5
-"""The same for reads that prove what this node holds: some of them fit into the time of a proof."""
+"""The same for reads that prove what this node holds."""
 
 READ_PAUSE_S = 0.3
 """Pause between reads of registrations of endpoints, which may change several times a second; a
@@ -106,12 +108,12 @@
         self.proofs_s: dict[str, float] = {}
         """A time before which the latest read misses no change; counts suspensions."""
         self.proof_wanted: dict[str, Callable[[], bool]] = {}
-        """Whether something depends on the age of what is known, by prefix."""
         self.last_failure_s = -FAILURE_RETENTION_S
         self.leader_retry_at_s = 0.0
         self.direct_retry_at_s: dict[str, float] = {}
         self.source = ""
         self.started_s = loop.now()
+        self.suspended = SuspendedTime()
         self.direct = DirectReads(loop, store)
         self.elsewhere = ChangesElsewhere()
         store.on_lost.append(lambda _: self._end_pauses())
@@ -130,7 +132,9 @@
 
     def answer_age_s(self, prefix: str) -> float:
         """Return the time since the service answered about a prefix, infinite if it never did."""
-        return self.loop.now() - self.answered_s.get(prefix, -math.inf)
+        now = self.loop.now()
+        self.suspended.note(now, suspended_s())
+        return self.suspended.age_s(now, self.answered_s.get(prefix, -math.inf))
 
     async def scan(self, prefix: str, *, after: str = "") -> EntryPage | KeyValueFailure:
         """Read the keys under a prefix: all from the leader, or one page from the service."""
@@ -215,8 +219,8 @@
             return None
         assert isinstance(answer, Followed)
         self._set_source(node, "")
-        proof_age_s = math.inf if answer.proof_ms is None else answer.proof_ms / 1000
-        self.proofs_s[query.prefix] = sent_s - proof_age_s
+        proof_ms = math.inf if answer.proof_ms is None else answer.proof_ms
+        self.proofs_s[query.prefix] = sent_s - proof_ms / 1000
         if answer.age_ms is not None:
             self.answered_s[query.prefix] = self.loop.now() - answer.age_ms / 1000
         if answer.failed_ms is not None:
--- a/parsleyrouter/process/front.py
+++ b/parsleyrouter/process/front.py
@@ -20,6 +20,7 @@
 from parsleyrouter.process.endpoint_directory import EndpointDirectory, RegisteredEndpoint
 from parsleyrouter.process.endpoint_loads import EndpointLoads
 from parsleyrouter.process.forward_context import ForwardContext
+from parsleyrouter.process.forwarder import Forwarder
 from parsleyrouter.process.front_options import FrontOptions
 from parsleyrouter.process.job_directory import JobDirectory
 from parsleyrouter.process.job_worker import JobWorker
@@ -113,6 +114,7 @@
         self.limits: CustomerLimits | None = None
         self.watchers: tuple[PrefixWatcher, ...] = ()
         self.worker: JobWorker
+        self.forwarder: Forwarder
         self.peers: PeerServer
 
     def start_watching(self) -> None:
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -13,6 +13,7 @@
 from parsleyrouter.customers import Customer
 from parsleyrouter.ids import Address, CustomerName
 from parsleyrouter.process.address_directory import AddressDirectory
+from parsleyrouter.process.caller_identity import CallerIdentity
 from parsleyrouter.process.cell_methods import add_cell_methods
 from parsleyrouter.process.customer_limits import CustomerLimits
 from parsleyrouter.process.forward_metrics import ForwardMetrics
@@ -47,6 +48,13 @@
     """Connect the components of a front process: callers, locate, readiness, batch jobs, loads."""
     front = Front(runtime, options, port)
     gate = StopGate(runtime.loop, front.exchange.members)
+    identity = CallerIdentity(
+        front.routes,
+        port.headers,
+        options.strict_revocation,
+        options.revoke_within_s,
+        partial(front.reader.answer_age_s, port.operator_prefix),
+    )
     forwarder = Forwarder(
         front.forward_context,
         front.routes,
@@ -55,7 +63,9 @@
         ForwardMetrics.of(runtime.metrics),
         front.rng,
         gate,
+        identity,
     )
+    front.forwarder = forwarder
     job_store = SharedJobStore(front.store)
     job_metrics = JobMetrics.of(runtime.metrics)
     owner = JobOwner(
@@ -103,6 +113,7 @@
         front.job_directory,
         submission,
         lookup,
+        identity,
         UnknownJobReads(options.key_value_calls_per_s),
         job_metrics,
         gate,
@@ -138,6 +149,7 @@
             lambda name: _find_customer(front, name),
         )
         front.routes.on_change.append(front.limits.apply_routes)
+        forwarder.limiter = front.limits.limiter
     front.registry.start()
     front.exchange.start()
     front.start_watching()
