--- a/parsleyrouter/limits/bucket.py
+++ b/parsleyrouter/limits/bucket.py
@@ -91,6 +91,16 @@
             next_s = max(next_s, self.promises[-1] + 1.0 / self.rate_per_s)
         return next_s - now + PROMISE_MARGIN_S
 
+    def room_s(self, now: float) -> float:
+        """Return the time until there may be room for a new caller if no other comes first."""
+        self._earn(now)
+        if not self.rate_per_s:
+            return math.inf
+        next_s = now + max(0.0, 1.0 - self.level) / self.rate_per_s
+        if any(-PROMISE_GRACE_S < told_s - next_s <= PROMISE_MARGIN_S for told_s in self.promises):
+            next_s = now + max(0.0, self.capacity - self.level) / self.rate_per_s
+        return next_s - now
+
     def promise(self, now: float, longest_s: float) -> float:
         """Return the time after which there is room for this caller, and keep it for the caller.
 
--- a/parsleyrouter/limits/holder.py
+++ b/parsleyrouter/limits/holder.py
@@ -26,9 +26,14 @@
 
 @dataclass(frozen=True)
 class Denied:
-    """The share is empty; ``wait_s`` is the time until there is room for this caller."""
+    """The share is empty.
+
+    ``wait_s`` is the time until there is room for this caller, ``room_s`` until there may be some
+    for another one.
+    """
 
     wait_s: float
+    room_s: float
     usage: float
 
 
@@ -125,7 +130,7 @@
         if bucket.take(number, now, returning=returning):
             return Granted(number, bucket.usage(now))
         wait_s = bucket.wait_s(now) if longest_s < 0 else bucket.promise(now, longest_s)
-        return Denied(wait_s, bucket.usage(now))
+        return Denied(wait_s, bucket.room_s(now), bucket.usage(now))
 
     def give_back(self, share: ShareId, customer: CustomerName, number: int, now: float) -> bool:
         """Take back a permit that was granted recently; return whether it was one."""
--- a/parsleyrouter/limits/limiter.py
+++ b/parsleyrouter/limits/limiter.py
@@ -189,7 +189,7 @@
             now = self.clock()
             kept = {key: until_s for key, until_s in self.empty_until_s.items() if until_s > now}
             self.empty_until_s = kept if len(kept) < MAX_REMEMBERED else {}
-        self.empty_until_s[share, asking.customer] = self.clock() + answer.wait_s
+        self.empty_until_s[share, asking.customer] = self.clock() + answer.room_s
 
     def _order(
         self, customer: CustomerName, holders: dict[ShareId, ShareRecord], now: float
--- a/parsleyrouter/limits/permit_calls.py
+++ b/parsleyrouter/limits/permit_calls.py
@@ -161,8 +161,8 @@
         usage = round(100 * answer.usage)
         if isinstance(answer, Granted):
             return AnswerRow(row.id, Outcome.GRANTED, permit=answer.number, usage=usage)
-        wait_ms = int(min(answer.wait_s * 1000 + 1, MAX_WAIT_MS))
-        return AnswerRow(row.id, Outcome.EMPTY, wait_ms=wait_ms, usage=usage)
+        wait_ms, room_ms = _to_ms(answer.wait_s), _to_ms(answer.room_s)
+        return AnswerRow(row.id, Outcome.EMPTY, wait_ms=wait_ms, room_ms=room_ms, usage=usage)
 
     def _take_answer(self, row: AnswerRow) -> None:
         ask = self.pending.get(row.id)
@@ -174,7 +174,8 @@
             if late or not ask.promise.resolve(answer):
                 self.give_back(ask.address, ask.share, ask.customer, row.permit)
         elif row.outcome == Outcome.EMPTY:
-            ask.promise.resolve(Denied(row.wait_ms / 1000, row.usage / 100))
+            denied = Denied(row.wait_ms / 1000, row.room_ms / 1000, row.usage / 100)
+            ask.promise.resolve(denied)
         else:
             ask.promise.resolve(NotHolder())
 
@@ -185,3 +186,7 @@
             if self.pending[number].sent_s > until_s:
                 return
             del self.pending[number]
+
+
+def _to_ms(time_s: float) -> int:
+    return int(min(time_s * 1000 + 1, MAX_WAIT_MS))
--- a/parsleyrouter/limits/wire.py
+++ b/parsleyrouter/limits/wire.py
@@ -62,6 +62,7 @@
     outcome: int
     permit: int = 0
     wait_ms: int = 0
+    room_ms: int = 0
     usage: int = 0
 
 
@@ -114,8 +115,10 @@
     if isinstance(row, AnswerRow):
         if not (0 <= row.id < MAX_ID and 0 <= row.permit < MAX_ID):
             raise InvalidData("a number out of range")
-        if not 0 <= row.wait_ms <= MAX_WAIT_MS or not 0 <= row.usage <= 100:
-            raise InvalidData("a time or usage out of range")
+        if not (0 <= row.wait_ms <= MAX_WAIT_MS and 0 <= row.room_ms <= MAX_WAIT_MS):
+            raise InvalidData("a time out of range")
+        if not 0 <= row.usage <= 100:
+            raise InvalidData("a usage out of range")
         return
     if len(row.customer) > MAX_NAME:
         raise InvalidData(f"a name over {MAX_NAME} characters")
