--- a/features/support/front_fleet.py
+++ b/features/support/front_fleet.py
@@ -88,6 +88,7 @@
                 locate=free_address(),
                 nodes=free_address(),
                 key_value=self.store.address,
+                limits=free_address(),
                 **more,
             )
             self.options.append(options)
