Contention: what a customer sends beyond its part costs itself

Change: requests of customers get a share of the wait by the use of their limit, by recent against usual rate, and by priority; batch items of customers are started in turn, and nodes take turns by their customers. Without customers admission and order are as before (checked by hypothesis).

--- a/parsleyrouter/process/batch_placement.py
+++ b/parsleyrouter/process/batch_placement.py
@@ -23,7 +23,7 @@
 
 
 def pick_batch_endpoint(
-    candidates: Iterable[PlacementCandidate], *, waiting_nodes: int = 1, draw: float = 0.0
+    candidates: Iterable[PlacementCandidate], *, waiting_nodes: float = 1, draw: float = 0.0
 ) -> PlacementCandidate | None:
     """Return the endpoint with the most room for a batch item, or ``None``.
 
--- a/parsleyrouter/process/endpoint_chooser.py
+++ b/parsleyrouter/process/endpoint_chooser.py
@@ -62,6 +62,7 @@
             left_s=left_s,
             allowed_s=request.route.timeout_s,
             spread=self.random.random(),
+            wait_share=request.wait_share,
         )
         if isinstance(verdict, Refuse) and not history.runs:
             message = f"all endpoints are busy for {trace.wait_s:.2f} s: try again later"
--- a/parsleyrouter/process/forwarder.py
+++ b/parsleyrouter/process/forwarder.py
@@ -8,7 +8,9 @@
 
 from parsleyrouter.connection.forward_server import CallerExchange
 from parsleyrouter.connection.http import JSON_TYPE
-from parsleyrouter.ids import DomainName
+from parsleyrouter.contention import QueueShares
+from parsleyrouter.customers import Customer
+from parsleyrouter.ids import CustomerName, DomainName
 from parsleyrouter.limits.port import RequestLimiter, RequestPermit
 from parsleyrouter.outcome import ExecutionStatus, Refusal, RefusalKind
 from parsleyrouter.process.active_routes import ActiveRoutes
@@ -75,6 +77,7 @@
         self.budget = RetryBudget(share=RETRY_SHARE)
         self.limiter: RequestLimiter | None = None
         """Grants the requests of customers that have a limit."""
+        self.shares = QueueShares()
 
     async def handle(self, exchange: CallerExchange) -> None:
         """Forward one request of a caller and send the response or a refusal."""
@@ -106,7 +109,8 @@
         try:
             if exchange.disconnected:
                 return _cancelled()
-            return await self._forward(exchange, parsed.request, trace)
+            request = self._with_wait_share(parsed, permit.usage if permit else 0.0)
+            return await self._forward(exchange, request, trace)
         finally:
             if permit is not None and not trace.sent:
                 permit.give_back()
@@ -123,6 +127,22 @@
             returning=is_retry(left_s, request.route.timeout_s),
         )
 
+    def _with_wait_share(self, parsed: ParsedRequest, usage: float) -> ForwardedRequest:
+        """Return the request with its share of the wait, if customers compete for room."""
+        request, table = parsed.request, self.routes.table
+        if table is None or not table.customers:
+            return request
+        now = self.loop.now()
+        share = self.shares.share(
+            parsed.customer or _WITHOUT_KEY,
+            usage=usage,
+            less_urgent=request.route.priority - table.most_urgent,
+            returning=is_retry(request.deadline_s - now, request.route.timeout_s),
+            draw=self.random.random(),
+            now=now,
+        )
+        return replace(request, wait_share=share)
+
     async def _forward(
         self, exchange: CallerExchange, request: ForwardedRequest, trace: RequestTrace
     ) -> Refusal | None:
@@ -245,6 +265,9 @@
         )
 
 
+_WITHOUT_KEY = Customer(CustomerName(""))
+"""All callers without a customer, on anonymous routes."""
+
 _EXECUTION_ORDER = (ExecutionStatus.NOT_RUN, ExecutionStatus.UNKNOWN, ExecutionStatus.RAN)
 
 
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -84,6 +84,7 @@
         front.rng,
     )
     front.worker = worker
+    front.job_directory.on_change.append(worker.order.nodes.update_job)
     front.exchange.on_load_report.append(worker.preemption.on_load_report)
     reader = JobReader(runtime.loop, front.store, job_store)
     reader.listed_here, owner.on_listed = owner.listed, reader.add_results
--- a/parsleyrouter/process/job_worker.py
+++ b/parsleyrouter/process/job_worker.py
@@ -8,14 +8,11 @@
 
 from parsleyrouter.ids import EndpointId, ItemIndex, RouteName
 from parsleyrouter.process.active_routes import ActiveRoutes
-from parsleyrouter.process.batch_placement import (
-    batch_item_rank,
-    pick_batch_endpoint,
-    pick_trial_endpoint,
-)
+from parsleyrouter.process.batch_placement import pick_batch_endpoint, pick_trial_endpoint
 from parsleyrouter.process.endpoint_directory import EndpointDirectory, RegisteredEndpoint
 from parsleyrouter.process.forward_context import ForwardContext
 from parsleyrouter.process.held_items import HeldItems
+from parsleyrouter.process.item_order import ItemOrder
 from parsleyrouter.process.item_preemption import ItemPreemption
 from parsleyrouter.process.item_run import ItemEnd, ItemRun, item_prompt
 from parsleyrouter.process.item_states import ItemStates
@@ -67,8 +64,9 @@
         self.metrics = metrics
         self.rng = rng
         self.item_times = ItemTimes()
+        self.order = ItemOrder(owner, routes, self.item_times)
         self.states = ItemStates(owner, context.crashes.keeper.quarantine, metrics)
-        self.preemption = ItemPreemption(context, owner, exchange, metrics, self._running_rank)
+        self.preemption = ItemPreemption(context, owner, exchange, metrics, self.order.running_rank)
         self.held = HeldItems(self.loop, context.crashes.keeper)
         owner.on_release.append(self.held.forget_job)
         self.held.choose_endpoint, self.held.start_at = self._trial_endpoint, self._start_trial
@@ -96,15 +94,10 @@
             return
         self.held.claim_due_trials()
         now, wall_ms = self.loop.now(), time.time() * 1000
-        waiting = [
-            (self._waiting_rank(job_run, index, wall_ms), job_run, index)
-            for job_run in self.owner.runs.values()
-            for index in job_run.pending(now)
-        ]
-        waiting.sort(key=lambda entry: (entry[0], entry[1].job, entry[2]))
+        waiting = self.order.waiting(now, wall_ms)
         self.context.loads.waiting_items = len(waiting)
         full: dict[RouteName, WaitReason] = {}
-        for _, job_run, index in waiting:
+        for job_run, index in waiting:
             if self._give_up_expired(job_run, index, wall_ms):
                 self.context.loads.waiting_items -= 1
                 continue
@@ -118,24 +111,6 @@
             else:
                 self.context.loads.waiting_items -= 1
 
-    def _waiting_rank(
-        self, job_run: JobRun, index: ItemIndex, wall_ms: float
-    ) -> tuple[bool, int, float]:
-        spent_s = job_run.progress[index].spent_s if index in job_run.progress else 0.0
-        record = job_run.versioned.record
-        return self._rank(record.route, spent_s, (record.due_ms - wall_ms) / 1000)
-
-    def _running_rank(self, item_run: ItemRun, now: float) -> tuple[bool, int, float]:
-        spent_s = item_run.progress.spent_s + now - item_run.started_s
-        return self._rank(item_run.job_route, spent_s, item_run.due_s - now)
-
-    def _rank(self, route: RouteName, spent_s: float, left_s: float) -> tuple[bool, int, float]:
-        return batch_item_rank(
-            left_s=left_s,
-            needed_s=self.item_times.left_s(route, spent_s),
-            expected_s=self.item_times.expected_s(route),
-        )
-
     def _try_start_item(self, job_run: JobRun, index: ItemIndex, wall_ms: float) -> WaitReason:
         """Start an item; one that cannot be started delays no other."""
         try:
@@ -184,7 +159,11 @@
         entries = {entry.endpoint: entry for entry in self.directory.available_for(service)}
         candidates = self.context.loads.candidates(entries.values(), now)
         waiting_nodes = self.context.loads.fleet.count_waiting_nodes(now) + 1
-        best = pick_batch_endpoint(candidates, waiting_nodes=waiting_nodes, draw=self.rng.random())
+        best = pick_batch_endpoint(
+            candidates,
+            waiting_nodes=self.order.claiming_nodes(waiting_nodes),
+            draw=self.rng.random(),
+        )
         if best is None:
             return WaitReason.NO_ROOM if entries else WaitReason.NO_ENDPOINT
         if groups:
--- a/parsleyrouter/request/admission.py
+++ b/parsleyrouter/request/admission.py
@@ -5,6 +5,7 @@
 retry once, so a retried request is served even if it is late.
 """
 
+import math
 from dataclasses import dataclass
 
 __all__ = ["Admission", "Admit", "Refuse", "admit", "is_retry"]
@@ -43,17 +44,26 @@
 
 
 def admit(
-    *, wait_s: float, target_s: float, left_s: float, allowed_s: float, spread: float
+    *,
+    wait_s: float,
+    target_s: float,
+    left_s: float,
+    allowed_s: float,
+    spread: float,
+    wait_share: float | None = None,
 ) -> Admission:
     """Decide on a request that is expected to wait ``wait_s`` for a slot.
 
     ``left_s`` is the caller's remaining time and ``allowed_s`` the timeout of its route;
-    ``spread``, from 0 to 1, is the jitter of retries.
+    ``spread``, from 0 to 1, is the jitter of retries; ``wait_share`` is the share of the usual wait
+    that the request may take, where customers compete for room.
     """
     max_retry_after_s = left_s * MAX_RETRY_AFTER_SHARE
     spread_retry_after_s = max_retry_after_s * (MIN_SPREAD_SHARE + (1 - MIN_SPREAD_SHARE) * spread)
     if wait_s >= left_s:
         return Refuse(spread_retry_after_s)
-    if wait_s <= target_s * MAX_WAIT_SHARE or is_retry(left_s, allowed_s):
+    if wait_share is None:
+        wait_share = math.inf if is_retry(left_s, allowed_s) else 1.0
+    if wait_s <= target_s * MAX_WAIT_SHARE * wait_share:
         return Admit()
     return Refuse(max(spread_retry_after_s, min(wait_s, max_retry_after_s)))
--- a/parsleyrouter/request/forwarded_request.py
+++ b/parsleyrouter/request/forwarded_request.py
@@ -85,6 +85,8 @@
     fingerprint: Fingerprint | None = None
     """What copies of the request have in common; none of a batch item."""
     customer: CustomerName | None = None
+    wait_share: float | None = None
+    """Share of the usual wait for a slot that it may take, where customers compete for room."""
 
     @property
     def traits(self) -> Prompt:
--- a/parsleyrouter/version/route_table.py
+++ b/parsleyrouter/version/route_table.py
@@ -112,12 +112,18 @@
     limits: CallerLimits = CallerLimits()
     customers: Customers = Customers()
     by_host: dict[str, list[Route]] = field(init=False, repr=False, compare=False)
+    most_urgent: int = field(init=False, repr=False, compare=False)
+    """The most urgent priority of any route or customer."""
 
     def __post_init__(self) -> None:
         by_host: dict[str, list[Route]] = {}
         for route in sorted(self.routes, key=lambda route: -len(route.prefix)):
             by_host.setdefault(route.host, []).append(route)
         object.__setattr__(self, "by_host", by_host)
+        priorities = [route.priority for route in self.routes]
+        of_customers = (customer.priority for customer in self.customers.by_name.values())
+        priorities += [priority for priority in of_customers if priority is not None]
+        object.__setattr__(self, "most_urgent", min(priorities, default=0))
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of a host with the longest prefix that matches a path."""
