--- a/features/customer_jobs.feature
+++ b/features/customer_jobs.feature
@@ -79,3 +79,7 @@
   Scenario: without customers the keys of limits in the store are those of the routes
     When a job is submitted within a limit on waiting tokens and there are no customers
     Then the keys of its limit name the route only
+
+  Scenario: the log lines of a customer's job are found by the id that its client sent
+    When the job of a customer is explained by its id
+    Then the explanation has the call, the customer and the lines of the stored job
--- a/features/customers.feature
+++ b/features/customers.feature
@@ -90,6 +90,16 @@
     When keys are used, refused, sent in invalid requests and taken away, with all logs kept
     Then no key is in any of them
 
+  Scenario Outline: the bounds of revocation are read from the settings file: <bounds>
+    When the settings file of a front process has <bounds>
+    Then a key that may have been taken away is <treated>, with a bound of <seconds> s
+
+    Examples:
+      | bounds                                 | treated            | seconds |
+      | no bounds                              | trusted            | 5.0     |
+      | revokeMs = 1500                        | trusted            | 1.5     |
+      | strictRevoke = true and revokeMs = 800 | refused as not run | 0.8     |
+
   Scenario: log lines and metrics name the customer of a request
     When requests of two customers are answered and refused
     Then the log lines and the metrics name them
--- a/features/steps/customer_jobs_steps.py
+++ b/features/steps/customer_jobs_steps.py
@@ -5,6 +5,7 @@
 
 from behave import then, when
 
+from features.steps.explain_steps import explain
 from features.steps.front_jobs_steps import items
 from features.steps.front_requests_steps import run_with_fleet
 from features.support.customer_fleet import (
@@ -439,3 +440,20 @@
     keys = sorted(key for key in context.fleet.store.rows if "/quota/" in key)
     assert keys == [f"parsley/live/quota/bulk/{index}" for index in range(8)], keys
     assert f"parsley/live/job/{JOB}/record" in context.fleet.store.rows
+
+
+@when("the job of a customer is explained by its id")
+def step_explain_job(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        await start_customers(fleet)
+        await ready(fleet)
+        await submit(fleet, "ant-key-1", job="theirs")
+        await read_all(fleet, "ant-key-1", job="theirs")
+
+    context.explanation = explain(context, scenario, "theirs")
+
+
+@then("the explanation has the call, the customer and the lines of the stored job")
+def step_job_explained(context: Any) -> None:
+    for text in ("job call answered", 'customer="ant"', "item run ended", "results listed"):
+        assert text in context.explanation, (text, context.explanation)
--- a/features/steps/customer_records_steps.py
+++ b/features/steps/customer_records_steps.py
@@ -1,6 +1,8 @@
 """Steps for the customers in a configuration record, and for what is written about them."""
 
 import logging
+import tempfile
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -27,10 +29,25 @@
 from parsleyrouter.ids import CustomerName
 from parsleyrouter.outcome import ExecutionStatus, Refusal, RefusalKind
 from parsleyrouter.platform.routes import decode_routes
+from parsleyrouter.platform.settings import read_settings
 from parsleyrouter.process.customer_metrics import MAX_NAMES, CustomerMetrics
 
 SECRET = "secret-key"
 
+SETTINGS_FILE = """
+node = "front-z1-1"
+ip = "127.0.0.1"
+zone = "z1"
+internalPorts = [9001]
+[listen]
+front = "127.0.0.1:9002"
+ready = "127.0.0.1:9003"
+directory = "127.0.0.1:9004"
+[platform]
+address = "127.0.0.1:9"
+[bounds]
+"""
+
 FAULTS: dict[str, Any] = {
     "a customer named twice": [{"name": "ant"}, {"name": "ant"}],
     "a key held by two": [
@@ -341,3 +358,18 @@
     assert context.answer.status == 429
     assert context.answer.headers["Retry-After"] == "0.700"
     assert told(context.fleet) == [["bee"]], told(context.fleet)
+
+
+@when("the settings file of a front process has {bounds}")
+def step_bounds(context: Any, bounds: str) -> None:
+    lines = [] if bounds == "no bounds" else bounds.split(" and ")
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "node.toml"
+        path.write_text(SETTINGS_FILE + "\n".join(lines))
+        context.options = read_settings(path)
+
+
+@then("a key that may have been taken away is {treated}, with a bound of {seconds:g} s")
+def step_bounds_read(context: Any, treated: str, seconds: float) -> None:
+    assert context.options.strict_revocation == (treated == "refused as not run")
+    assert context.options.revoke_within_s == seconds
--- a/parsleyrouter/process/log_timeline.py
+++ b/parsleyrouter/process/log_timeline.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from parsleyrouter.customers import SUFFIX_SEPARATOR
+
 __all__ = ["LogLine", "Timeline", "read_lines", "build_timeline"]
 
 ID_FIELDS = ("request", "job")
@@ -58,8 +60,12 @@
         return str(self.fields.get("message", ""))
 
     def mentions(self, name: str) -> bool:
-        """Return whether the line is about a request, job or item."""
+        """Return whether the line is about a request, job or item.
+
+        A job of a customer is found by the id that its client sent.
+        """
         values = [self.fields.get(key) for key in ID_FIELDS]
+        values += [str(value).partition(SUFFIX_SEPARATOR)[0] for value in values if value]
         items = self.fields.get("items")
         return name in values or (isinstance(items, list) and name in items)
 
