A permit's wait makes no retry; an unknown key at an open host is refused; turns of batch nodes are bounded

Cause: found on reading again: a first request that waited for its permit looked like one that returns and passed admission; a key that a node did not know yet got 404 for a job where the host also takes jobs without a key; a node alone with waiting items beside many open jobs of others left slots free (reasoned, not played).

--- a/features/contention.feature
+++ b/features/contention.feature
@@ -73,6 +73,10 @@
     When one customer has jobs at nine nodes and another at one of them
     Then the other's node takes half of the turns
 
+  Scenario: a slot is not left free for customers whose open jobs have no waiting items
+    When ninety-nine other customers have open jobs and this node alone has waiting items
+    Then it takes at least every fourth turn
+
   Scenario: nodes of customers are counted by the open jobs that they own
     When jobs of customers open, change owners and end in any order
     Then the counts are those of the open jobs with an owner
--- a/features/customer_jobs.feature
+++ b/features/customer_jobs.feature
@@ -83,3 +83,7 @@
   Scenario: the log lines of a customer's job are found by the id that its client sent
     When the job of a customer is explained by its id
     Then the explanation has the call, the customer and the lines of the stored job
+
+  Scenario: a key that is not known finds jobs without a customer only, and is refused for all others
+    When the host takes jobs without a key and calls come with a key that is not known
+    Then the job without a customer is read, and that of a customer and an unknown one get 401
--- a/features/customers.feature
+++ b/features/customers.feature
@@ -150,6 +150,10 @@
       | fails at the endpoint       | keeps      |
       | finds no endpoint           | gives back |
 
+  Scenario: a request that waited for its permit is not taken for one that returns
+    When a limited customer's first request waits for its permit
+    Then the endpoint is chosen for it as for a first request
+
   Scenario: a request beyond the limit of its customer is refused and not sent
     When a limited customer sends a request beyond its limit
     Then the answer is the refusal of the limit and no endpoint gets the request
--- a/features/steps/contention_steps.py
+++ b/features/steps/contention_steps.py
@@ -335,8 +335,8 @@
 def step_claims(context: Any) -> None:
     nodes = {CustomerName("many"): 9, CustomerName("few"): 1}
     many, few = CustomerName("many"), CustomerName("few")
-    context.turns = [1 / claiming_nodes([many], nodes) for _ in range(8)]
-    context.turn = 1 / claiming_nodes([many, few], nodes)
+    context.turns = [1 / claiming_nodes([many], nodes, 9) for _ in range(8)]
+    context.turn = 1 / claiming_nodes([many, few], nodes, 9)
 
 
 @then("the other's node takes half of the turns")
@@ -345,6 +345,17 @@
     assert abs(sum(context.turns) + context.turn - 1.0) < 1e-9
 
 
+@when("ninety-nine other customers have open jobs and this node alone has waiting items")
+def step_alone(context: Any) -> None:
+    nodes = {CustomerName(f"c{number}"): 1 for number in range(100)}
+    context.turn = 1 / claiming_nodes([CustomerName("c0")], nodes, 1)
+
+
+@then("it takes at least every fourth turn")
+def step_fourth(context: Any) -> None:
+    assert context.turn >= 0.25, context.turn
+
+
 @when("jobs of customers open, change owners and end in any order")
 def step_owners(context: Any) -> None:
     step = st.tuples(st.integers(0, 3), st.sampled_from(["n1", "n2", None]), st.booleans())
--- a/features/steps/customer_jobs_steps.py
+++ b/features/steps/customer_jobs_steps.py
@@ -457,3 +457,23 @@
 def step_job_explained(context: Any) -> None:
     for text in ("job call answered", 'customer="ant"', "item run ended", "results listed"):
         assert text in context.explanation, (text, context.explanation)
+
+
+@when("the host takes jobs without a key and calls come with a key that is not known")
+def step_open_host(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        await start_customers(fleet)
+        await ready(fleet)
+        await submit(fleet, path="/openbulk/", job="free")
+        await submit(fleet, "ant-key-1", job="theirs")
+        context.statuses = [
+            (await call(fleet, "read the results", "ant-key-9", job=job)).status
+            for job in ("free", "theirs", "none")
+        ]
+
+    run_with_fleet(context, scenario)
+
+
+@then("the job without a customer is read, and that of a customer and an unknown one get 401")
+def step_open_host_read(context: Any) -> None:
+    assert context.statuses == [200, 401, 401], context.statuses
--- a/features/steps/customer_records_steps.py
+++ b/features/steps/customer_records_steps.py
@@ -4,6 +4,7 @@
 import tempfile
 from pathlib import Path
 from typing import Any
+from unittest.mock import patch
 
 import msgspec
 from behave import then, when
@@ -30,7 +31,9 @@
 from parsleyrouter.outcome import ExecutionStatus, Refusal, RefusalKind
 from parsleyrouter.platform.routes import decode_routes
 from parsleyrouter.platform.settings import read_settings
+from parsleyrouter.process import endpoint_chooser
 from parsleyrouter.process.customer_metrics import MAX_NAMES, CustomerMetrics
+from parsleyrouter.request.admission import admit, is_retry
 
 SECRET = "secret-key"
 
@@ -298,12 +301,15 @@
 
     def __init__(self, refusal: Refusal | None = None) -> None:
         self.refusal = refusal
+        self.wait: Any = None
         self.usage = 0.0
         self.asked: list[tuple[str, bool]] = []
         self.given_back = 0
 
     async def acquire(self, customer: CustomerName, *, left_s: float, returning: bool) -> Any:
         self.asked.append((customer, returning))
+        if self.wait is not None:
+            await self.wait()
         return self.refusal or self
 
     def give_back(self) -> None:
@@ -346,6 +352,39 @@
     assert context.limiter.given_back == (1 if keeps == "gives back" else 0)
 
 
+PERMIT_WAIT_S = 0.3
+
+
+@when("a limited customer's first request waits for its permit")
+def step_slow_permit(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        front = await start_customers(fleet)
+        await ready(fleet)
+        table = customer_routes(2)
+        table["tenants"][0]["ratePerS"] = 2
+        fleet.store.put_json("op/config", table)
+        await fleet.until(lambda: front.routes.version == 2)
+        limiter = front.forwarder.limiter = CountingLimiter()
+        limiter.wait = lambda: fleet.loop.sleep(PERMIT_WAIT_S)
+        context.decided = []
+
+        def admit_noted(**given: Any) -> Any:
+            again = is_retry(given["left_s"], given["allowed_s"])
+            context.decided.append((again, given["wait_share"]))
+            return admit(**given)
+
+        with patch.object(endpoint_chooser, "admit", admit_noted):
+            context.answer = await ask_with(fleet.caller(), "ant-key-1")
+
+    run_with_fleet(context, scenario)
+
+
+@then("the endpoint is chosen for it as for a first request")
+def step_first_request(context: Any) -> None:
+    assert context.answer.status == 200
+    assert context.decided == [(False, 1.0)], context.decided
+
+
 @when("a limited customer sends a request beyond its limit")
 def step_beyond_limit(context: Any) -> None:
     message = "the limit of the customer is reached: come again"
--- a/parsleyrouter/contention/batch_order.py
+++ b/parsleyrouter/contention/batch_order.py
@@ -15,6 +15,9 @@
 
 Item = TypeVar("Item")
 
+MAX_CLAIMS_PER_NODE = 4.0
+"""Most claims for each node with waiting items, so that no slot stays free for long."""
+
 
 @dataclass(frozen=True)
 class WaitingItem(Generic[Item]):
@@ -63,12 +66,16 @@
     return order
 
 
-def claiming_nodes(here: Iterable[CustomerName], nodes: Mapping[CustomerName, int]) -> float:
+def claiming_nodes(
+    here: Iterable[CustomerName], nodes: Mapping[CustomerName, int], waiting_nodes: int
+) -> float:
     """Return how many nodes of the weight of this one compete for free slots.
 
     A customer weighs one over all its nodes, whether they are many or few. ``here`` names the
-    customers with items at this node, ``nodes`` the number of nodes of each customer.
+    customers with jobs at this node, ``nodes`` the number of nodes of each customer.
+    ``waiting_nodes`` have waiting items; many customers may have open jobs of which none waits.
     """
     weight = sum(1.0 / max(1, nodes.get(customer, 1)) for customer in set(here))
     total = len(set(here) | {customer for customer, count in nodes.items() if count})
-    return max(1.0, total / weight) if weight else 1.0
+    claims = total / weight if weight else 1.0
+    return max(1.0, min(claims, MAX_CLAIMS_PER_NODE * waiting_nodes))
--- a/parsleyrouter/customers/job_access.py
+++ b/parsleyrouter/customers/job_access.py
@@ -26,6 +26,8 @@
     customer: Customer | None = None
     refusal: Refusal | None = None
     """Why calls are refused that need a key."""
+    open_host: bool = False
+    """Whether the host takes jobs without a key, so that the job may need none."""
     needs_key: bool = False
     """Whether the configuration has customers."""
 
--- a/parsleyrouter/process/caller_identity.py
+++ b/parsleyrouter/process/caller_identity.py
@@ -51,20 +51,23 @@
     def job_caller(self, table: RouteTable, head: RequestHead) -> JobCaller:
         """Return who calls about a job.
 
-        A call that names a job by its id needs no key where the host takes jobs without one.
+        A call that names a job by its id needs no key where the host takes jobs without one. A key
+        that cannot be trusted still finds jobs without a customer there, and is refused for others.
         """
         host = head.headers.get("host", "").partition(":")[0]
-        route = table.find(host, head.path)
+        route, needs_key = table.find(host, head.path), bool(table.customers)
         if route is not None and route.kind is RouteKind.BATCH:
-            anonymous = route.anonymous
+            found = self.identify(table, head, anonymous=route.anonymous)
+            open_host = False
         else:
+            found = self.identify(table, head, anonymous=False)
             batch = (one for one in table.routes_of(host) if one.kind is RouteKind.BATCH)
-            anonymous = any(one.anonymous for one in batch)
-        found = self.identify(table, head, anonymous=anonymous)
-        needs_key = bool(table.customers)
-        if isinstance(found, Refusal):
-            return JobCaller(None, found, needs_key)
-        return JobCaller(found, None, needs_key)
+            open_host = any(one.anonymous for one in batch)
+        if not isinstance(found, Refusal):
+            return JobCaller(found, None, open_host, needs_key)
+        if open_host and self.names.credential not in head.headers:
+            return JobCaller(None, None, open_host, needs_key)
+        return JobCaller(None, found, open_host, needs_key)
 
     def _may_be_stale(self) -> bool:
         return self.strict and may_miss_removals(
--- a/parsleyrouter/process/endpoint_chooser.py
+++ b/parsleyrouter/process/endpoint_chooser.py
@@ -45,7 +45,8 @@
         }
         candidates = self.loads.candidates(registrations.values(), now)
         left_s = request.deadline_s - now
-        continued = history.failed or is_retry(left_s, request.route.timeout_s)
+        allowed_s = request.route.timeout_s - request.waited_s
+        continued = history.failed or is_retry(left_s, allowed_s)
         needed = LimitedRequest.CONTINUED if continued else LimitedRequest.NEW
         permitted = [one for one in candidates if one.permits >= needed.value]
         best = choose_endpoint(permitted, self.domain, self.random)
@@ -60,9 +61,9 @@
             wait_s=trace.wait_s,
             target_s=request.route.latency_target_s,
             left_s=left_s,
-            allowed_s=request.route.timeout_s,
+            allowed_s=allowed_s,
             spread=self.random.random(),
-            wait_share=request.wait_share,
+            wait_share=None if history.failed else request.wait_share,
         )
         if isinstance(verdict, Refuse) and not history.runs:
             message = f"all endpoints are busy for {trace.wait_s:.2f} s: try again later"
--- a/parsleyrouter/process/forwarder.py
+++ b/parsleyrouter/process/forwarder.py
@@ -103,45 +103,48 @@
         self, exchange: CallerExchange, parsed: ParsedRequest, trace: RequestTrace
     ) -> Refusal | None:
         """Forward a request within the limit of its customer; return a refusal if it fails."""
-        permit = await self._acquire_permit(parsed)
+        began_s = self.loop.now()
+        left_s = parsed.request.deadline_s - began_s
+        returning = is_retry(left_s, parsed.request.route.timeout_s)
+        permit = await self._acquire_permit(parsed, left_s, returning=returning)
         if isinstance(permit, Refusal):
             return permit
         try:
             if exchange.disconnected:
                 return _cancelled()
-            request = self._with_wait_share(parsed, 0.0 if permit is None else permit.usage)
+            usage = 0.0 if permit is None else permit.usage
+            request = replace(
+                parsed.request,
+                waited_s=self.loop.now() - began_s,
+                wait_share=self._wait_share(parsed, usage, returning=returning),
+            )
             return await self._forward(exchange, request, trace)
         finally:
             if permit is not None and not trace.sent:
                 permit.give_back()
 
-    async def _acquire_permit(self, parsed: ParsedRequest) -> RequestPermit | Refusal | None:
+    async def _acquire_permit(
+        self, parsed: ParsedRequest, left_s: float, *, returning: bool
+    ) -> RequestPermit | Refusal | None:
         """Return the permit of a request whose customer is limited, or why it is refused."""
-        request, customer = parsed.request, parsed.customer
+        customer = parsed.customer
         if self.limiter is None or customer is None or not customer.limited:
             return None
-        left_s = request.deadline_s - self.loop.now()
-        return await self.limiter.acquire(
-            customer.name,
-            left_s=left_s,
-            returning=is_retry(left_s, request.route.timeout_s),
-        )
+        return await self.limiter.acquire(customer.name, left_s=left_s, returning=returning)
 
-    def _with_wait_share(self, parsed: ParsedRequest, usage: float) -> ForwardedRequest:
-        """Return the request with its share of the wait, if customers compete for room."""
-        request, table = parsed.request, self.routes.table
+    def _wait_share(self, parsed: ParsedRequest, usage: float, *, returning: bool) -> float | None:
+        """Return the share of the wait that a request may take, if customers compete for room."""
+        table = self.routes.table
         if table is None or not table.customers:
-            return request
-        now = self.loop.now()
-        share = self.shares.share(
+            return None
+        return self.shares.share(
             parsed.customer or _WITHOUT_KEY,
             usage=usage,
-            less_urgent=request.route.priority - table.most_urgent,
-            returning=is_retry(request.deadline_s - now, request.route.timeout_s),
+            less_urgent=parsed.request.route.priority - table.most_urgent,
+            returning=returning,
             draw=self.random.random(),
-            now=now,
+            now=self.loop.now(),
         )
-        return replace(request, wait_share=share)
 
     async def _forward(
         self, exchange: CallerExchange, request: ForwardedRequest, trace: RequestTrace
--- a/parsleyrouter/process/item_order.py
+++ b/parsleyrouter/process/item_order.py
@@ -51,8 +51,8 @@
     routes: ActiveRoutes
     item_times: ItemTimes
     nodes: CustomerNodes = field(default_factory=CustomerNodes)
-    claims: float = 1.0
-    """Nodes like this one that competed for free slots when items were ordered last."""
+    customers_here: frozenset[CustomerName] = frozenset()
+    """The customers with jobs at this node when items were ordered last."""
 
     def waiting(self, now: float, wall_ms: float) -> list[tuple[JobRun, ItemIndex]]:
         """Return the items that may be run now, in the order in which they are started."""
@@ -72,7 +72,7 @@
         for job_run in self.owner.runs.values():
             running[_customer(job_run)] += len(job_run.running)
         nodes = self.nodes.counts()
-        self.claims = claiming_nodes(running, nodes)
+        self.customers_here = frozenset(running)
         return fair_order(items, running, nodes)
 
     def claiming_nodes(self, waiting_nodes: int) -> float:
@@ -80,7 +80,9 @@
 
         ``waiting_nodes`` have waiting items, this one included.
         """
-        return self.claims if self._has_customers else waiting_nodes
+        if not self._has_customers:
+            return waiting_nodes
+        return claiming_nodes(self.customers_here, self.nodes.counts(), waiting_nodes)
 
     def running_rank(self, item_run: ItemRun, now: float) -> tuple[bool, int, float]:
         """Return the rank of an item that runs; the highest is preempted first."""
--- a/parsleyrouter/process/job_calls.py
+++ b/parsleyrouter/process/job_calls.py
@@ -22,6 +22,8 @@
         return refusal or call
     if refusal is None or (isinstance(call, SubmitJob) and _has_route(call.submitted, jobs)):
         return refusal
+    if jobs.caller.open_host and not isinstance(call, SubmitJob):
+        return None
     job = call.submitted.job if isinstance(call, SubmitJob) else call.job
     record = jobs.usable(job)
     return None if record is not None and record.anonymous else refusal
--- a/parsleyrouter/process/shared_job_handler.py
+++ b/parsleyrouter/process/shared_job_handler.py
@@ -203,7 +203,8 @@
         versioned = await self.store.read(job)
         hidden = isinstance(versioned, VersionedJob) and not jobs.may_use(versioned.record)
         if versioned is None or hidden:
-            return Refusal(RefusalKind.NOT_FOUND, "no such job", ExecutionStatus.NOT_RUN)
+            none = Refusal(RefusalKind.NOT_FOUND, "no such job", ExecutionStatus.NOT_RUN)
+            return jobs.caller.refusal or none
         return versioned
 
     def _log(
--- a/parsleyrouter/request/forwarded_request.py
+++ b/parsleyrouter/request/forwarded_request.py
@@ -85,6 +85,8 @@
     fingerprint: Fingerprint | None = None
     """What copies of the request have in common; none of a batch item."""
     customer: CustomerName | None = None
+    waited_s: float = 0.0
+    """Time for which it waited here for a permit; that does not make it a retry."""
     wait_share: float | None = None
     """Share of the usual wait for a slot that it may take, where customers compete for room."""
 
