Read four-figure load reports and learn the speed of endpoints

Cause: reports with four figures were dropped; the only measure of speed was a mean over whole responses of any length. Change: package endpoint_speed (report parser, estimate of lasting speed and momentary change, typical time by class of work, news between nodes in the rest of a load report).

--- a/parsleyrouter/process/answer_bounds.py
+++ b/parsleyrouter/process/answer_bounds.py
@@ -2,12 +2,16 @@
 
 from parsleyrouter.connection.endpoint_client import EndpointExchange
 from parsleyrouter.connection.http import TransportFailure
+from parsleyrouter.connection.sse import EventSplitter
 from parsleyrouter.connection.stream import READ_BYTES
+from parsleyrouter.process.loop import Loop
 
 __all__ = [
     "BATCH_READ_INTERVAL_S",
     "MAX_BUFFERED_RESPONSE_BYTES",
     "EventBound",
+    "is_cut_in_event",
+    "pause_reading",
     "read_dropped_body",
 ]
 
@@ -41,6 +45,18 @@
         return size <= MAX_BUFFERED_RESPONSE_BYTES + READ_BYTES
 
 
+def is_cut_in_event(exchange: EndpointExchange, splitter: EventSplitter | None) -> bool:
+    """Return whether a stream ended with its connection, within an event."""
+    return splitter is not None and bool(splitter.rest) and exchange.closed_early
+
+
+async def pause_reading(exchange: EndpointExchange, loop: Loop) -> None:
+    """Let several events of a batch item arrive before the next read."""
+    exchange.pause()
+    await loop.sleep(BATCH_READ_INTERVAL_S)
+    exchange.resume()
+
+
 async def read_dropped_body(exchange: EndpointExchange) -> bool:
     """Read the body of an answer that is not forwarded; return ``False`` if it had no end.
 
--- a/parsleyrouter/process/answer_heads.py
+++ b/parsleyrouter/process/answer_heads.py
@@ -4,7 +4,7 @@
 import time
 
 from parsleyrouter.connection.endpoint_client import EndpointExchange
-from parsleyrouter.decoding import parse_count
+from parsleyrouter.endpoint_speed import parse_load_report
 from parsleyrouter.ids import EndpointId
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
 from parsleyrouter.process.fleet_limits import parse_limit
@@ -42,9 +42,11 @@
     if exchange.status == MISDIRECTED_STATUS or not exchange.answers_request:
         return
     headers, names = exchange.headers, context.names
-    counts = [parse_count(text) for text in headers.get(names.load, "").split(",")]
-    if len(counts) == 3 and counts[0] is not None and counts[1] is not None:
-        context.loads.record_report(endpoint, counts[0] + counts[1], now)
+    report = parse_load_report(headers.get(names.load, ""))
+    if report.requests is not None:
+        context.loads.record_report(endpoint, report.requests, now)
+    if report.slowness is not None:
+        context.loads.speeds.record_report(endpoint, registration.started_ms, report.slowness, now)
     leaving, unix_ms = headers.get(names.leaving) == "1", int(time.time() * 1000)
     if leaving and context.directory.mark_leaving(registration, now, unix_ms):
         fields = {"endpoint": endpoint, "state": "leaving", "request": exchange.request}
--- a/parsleyrouter/process/endpoint_loads.py
+++ b/parsleyrouter/process/endpoint_loads.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from parsleyrouter.endpoint_speed import EndpointSpeeds
 from parsleyrouter.ids import EndpointId, ServiceName
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
 from parsleyrouter.process.fleet_limits import FleetLimits
@@ -25,10 +26,6 @@
 DEFAULT_SERVICE_S = 0.5
 """Service time assumed before the first response."""
 
-MAX_SLOWNESS = 8.0
-MIN_SLOWNESS = 0.7
-"""Bounds of an endpoint's slowness, as multiples of the typical service time."""
-
 REPORT_TTL_S = 0.6
 """Validity of an endpoint's own request count, about the duration of a request."""
 
@@ -46,7 +43,6 @@
     last_activity_s: float = 0.0
     waiting_since_s: float = 0.0
     in_flight: int = 0
-    service_s: float = 0.0
     foreign: int = 0
     """Requests that the endpoint reports and no node counts, such as those of a failed node."""
     reported_s: float = -REPORT_TTL_S
@@ -64,6 +60,7 @@
     limits: FleetLimits = field(default_factory=FleetLimits)
     observed: dict[EndpointId, _Observed] = field(default_factory=dict)
     service_s: dict[ServiceName, float] = field(default_factory=dict)
+    speeds: EndpointSpeeds = field(default_factory=EndpointSpeeds)
     ejector: EndpointEjector = field(default_factory=lambda: EndpointEjector(EJECTION_OPTIONS))
     on_own_change: list[Callable[[], object]] = field(default_factory=list)
 
@@ -107,10 +104,6 @@
         self.ejector.record_success(endpoint, now)
         mean_s = self.service_s.get(service, duration_s)
         self.service_s[service] = mean_s + EWMA_WEIGHT * (duration_s - mean_s)
-        observed = self.observed[endpoint]
-        observed.service_s += (
-            EWMA_WEIGHT * (duration_s - observed.service_s) if observed.service_s else duration_s
-        )
 
     def record_failure(self, endpoint: EndpointId, now: float) -> None:
         """Record a failure caused by the endpoint."""
@@ -119,6 +112,7 @@
     def forget(self, endpoint: EndpointId) -> None:
         """Drop the state of an endpoint that is gone or has restarted."""
         self.ejector.health.pop(endpoint, None)
+        self.speeds.forget(endpoint)
         observed = self.observed.get(endpoint)
         if observed is not None and not observed.in_flight:
             del self.observed[endpoint]
@@ -172,15 +166,8 @@
             slots=entry.slots,
             online=use.online,
             batch=use.batch,
-            slowness=self._slowness(entry),
+            slowness=self.speeds.slowness(entry.endpoint, entry.started_ms, now),
             avoided=ejected or self.is_inactive(entry.endpoint, now),
             permits=self.limits.permits(entry, now),
             batch_permits=self.limits.batch_permits(entry, now),
         )
-
-    def _slowness(self, entry: RegisteredEndpoint) -> float:
-        typical_s = self.service_s.get(entry.service, 0.0)
-        observed = self.observed.get(entry.endpoint)
-        if not typical_s or observed is None or not observed.service_s:
-            return 1.0
-        return min(MAX_SLOWNESS, max(MIN_SLOWNESS, observed.service_s / typical_s))
--- a/parsleyrouter/process/fleet_loads.py
+++ b/parsleyrouter/process/fleet_loads.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from parsleyrouter.endpoint_speed import SpeedNews
 from parsleyrouter.ids import CellId, EndpointId, NodeId, Revision
 from parsleyrouter.process.fleet_limits import LimitReport
 
@@ -59,6 +60,7 @@
     changed: Mapping[str, Revision] = field(default_factory=dict)
     """Revision of the latest change that the node knows, by watched prefix."""
     limits: tuple[LimitReport, ...] = ()
+    speeds: tuple[SpeedNews, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/parsleyrouter/process/forward_attempt.py
+++ b/parsleyrouter/process/forward_attempt.py
@@ -14,9 +14,10 @@
 )
 from parsleyrouter.ids import EndpointId
 from parsleyrouter.process.answer_bounds import (
-    BATCH_READ_INTERVAL_S,
     MAX_BUFFERED_RESPONSE_BYTES,
     EventBound,
+    is_cut_in_event,
+    pause_reading,
     read_dropped_body,
 )
 from parsleyrouter.process.answer_heads import (
@@ -30,6 +31,7 @@
 from parsleyrouter.process.crash_monitor import RunningRequest
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
 from parsleyrouter.process.forward_context import ForwardContext, ForwardSink, ResponseTimeouts
+from parsleyrouter.process.work_timer import WorkTimer
 from parsleyrouter.request.attempts import AttemptFailure, FailurePoint
 from parsleyrouter.request.forwarded_request import ForwardedRequest, end_to_end_headers
 from parsleyrouter.version.route_table import RouteKind
@@ -60,9 +62,11 @@
     refusal_unfinished: bool = False
     on_first_byte: Callable[[], None] = field(default=lambda: None)
     running: RunningRequest = field(init=False)
+    work: WorkTimer = field(init=False)
 
     def __post_init__(self) -> None:
         request = self.request
+        self.work = WorkTimer(self.context, self.registration, request)
         self.running = RunningRequest(
             self.registration, request.traits, self.cancel, request.request, request.fingerprint
         )
@@ -152,6 +156,7 @@
         headers = request.headers_for_endpoint(
             self.context.names, self.endpoint, remaining_s, self.last_event
         )
+        self.work.start()
         exchange.send_request(
             request.method, request.target, headers, request.body, request=request.request
         )
@@ -194,6 +199,7 @@
             if isinstance(chunk, TransportFailure):
                 return self._failure(FailurePoint.MAYBE_SENT, chunk.message)
             if chunk is None:
+                self.work.record_response(self.status, size)
                 self._begin(exchange, size)
                 self.sink.send(b"".join(chunks))
                 return None
@@ -209,22 +215,18 @@
         while True:
             chunk = await self._read(exchange)
             if chunk is None:
-                return self._broken_event(exchange, splitter)
+                return self._broken_event() if is_cut_in_event(exchange, splitter) else None
             if isinstance(chunk, TransportFailure):
                 return self._failure(FailurePoint.RESPONSE_TRUNCATED, chunk.message)
-            self.context.loads.record_activity(self.endpoint, self.context.loop.now())
-            if splitter is not None and not bound.allows(bool(splitter.feed(chunk))):
+            whole = self.work.read_events(splitter, chunk)
+            if splitter is not None and not bound.allows(bool(whole)):
                 return self._too_long_event(exchange)
             self.sink.send(chunk)
             await self.sink.drain()
+            self.work.reader_ready()
 
-    def _broken_event(
-        self, exchange: EndpointExchange, splitter: EventSplitter | None
-    ) -> AttemptFailure | None:
-        """Return the failure of a stream that ended with its connection, within an event."""
-        if splitter is None or not splitter.rest or not exchange.closed_early:
-            return None
-        return self._failure(FailurePoint.RESPONSE_TRUNCATED, "connection closed within an event")
+    def _broken_event(self) -> AttemptFailure:
+        return self._failure(FailurePoint.RESPONSE_TRUNCATED, "the response ended within an event")
 
     async def _forward_events(self, exchange: EndpointExchange) -> AttemptFailure | None:
         """Forward complete events only, so that another endpoint can resume after the last one."""
@@ -235,16 +237,13 @@
         while True:
             chunk = await self._read(exchange, self.context.loop.now() - event_s)
             if chunk is None:
-                broken = self._broken_event(exchange, splitter)
-                if broken is None and resumed and splitter.rest:
-                    broken = self._failure(FailurePoint.RESPONSE_TRUNCATED, "ended in an event")
-                if broken is None:
-                    self.sink.send(splitter.rest)
-                return broken
+                if is_cut_in_event(exchange, splitter) or (resumed and splitter.rest):
+                    return self._broken_event()
+                self.sink.send(splitter.rest)
+                return None
             if isinstance(chunk, TransportFailure):
                 return self._failure(FailurePoint.RESPONSE_TRUNCATED, chunk.message)
-            self.context.loads.record_activity(self.endpoint, self.context.loop.now())
-            whole = splitter.feed(chunk)
+            whole = self.work.read_events(splitter, chunk)
             events = events_after(whole, self.last_event) if resumed and whole else whole
             if events is None:
                 self.context.client.discard(exchange)
@@ -256,10 +255,9 @@
                 self.last_event = last_event_id(events) or self.last_event
                 self.sink.send(events)
                 await self.sink.drain()
+                self.work.reader_ready()
             if self.batch and not exchange.ended:
-                exchange.pause()
-                await self.context.loop.sleep(BATCH_READ_INTERVAL_S)
-                exchange.resume()
+                await pause_reading(exchange, self.context.loop)
 
     def _too_long_event(self, exchange: EndpointExchange) -> AttemptFailure:
         message = "an event exceeds the maximum size"
--- a/parsleyrouter/process/load_codec.py
+++ b/parsleyrouter/process/load_codec.py
@@ -1,11 +1,14 @@
 """Encode and decode load report datagrams."""
 
+import logging
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
+import msgspec
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
+from parsleyrouter.endpoint_speed import SpeedNews, decode_speeds, encode_speeds
 from parsleyrouter.ids import (
     Address,
     CellId,
@@ -50,6 +53,8 @@
 MAX_ROWS = 32
 """Prompts in one datagram."""
 
+log = logging.getLogger(__name__)
+
 CountsByEndpoint = Mapping[EndpointId, RequestCounts]
 
 
@@ -93,7 +98,7 @@
         changed=dict(report.changed) if addressed else None,
         limits=[_limit_to_wire(one, now) for one in report.limits] or None,
     )
-    return _write(FleetNews(node=message))
+    return _write(FleetNews(node=message)) + encode_speeds(report.speeds, now)
 
 
 def encode_cell_reports(cells: Iterable[CellLoadReport]) -> bytes:
@@ -149,10 +154,11 @@
 
 def decode(data: bytes, received_s: float) -> Datagram:
     """Decode a datagram received at ``received_s``; raise ``InvalidLoadReport`` if that fails."""
-    message = FleetNews()
+    message, buffer = FleetNews(), TMemoryBuffer(data)
     try:
-        message.read(TCompactProtocolAccelerated(TMemoryBuffer(data)))
-        node = None if message.node is None else _node_report(message.node, received_s)
+        message.read(TCompactProtocolAccelerated(buffer))
+        speeds = _speeds_from_rest(data[buffer.cstringio_buf.tell() :], received_s)
+        node = None if message.node is None else _node_report(message.node, speeds, received_s)
         crashes = [_crash_from_wire(row, received_s) for row in message.crashes or ()]
         served = message.served or ServedNews([], [])
         return Datagram(
@@ -174,8 +180,17 @@
         raise InvalidLoadReport(str(error)) from error
 
 
+def _speeds_from_rest(rest: bytes, received_s: float) -> tuple[SpeedNews, ...]:
+    """Return the news after a report; a form that this version does not know is left out."""
+    try:
+        return decode_speeds(rest, received_s)
+    except msgspec.MsgspecError as error:
+        log.debug("speeds in a load report not decoded", extra={"reason": str(error)})
+        return ()
+
+
 def _node_report(
-    message: LoadNews, received_s: float
+    message: LoadNews, speeds: tuple[SpeedNews, ...], received_s: float
 ) -> tuple[NodeLoadReport, RegisteredNode | None]:
     report = NodeLoadReport(
         node=NodeId(message.node),
@@ -190,6 +205,7 @@
         store_failing=bool(message.store_failing),
         changed={prefix: Revision(at) for prefix, at in (message.changed or {}).items()},
         limits=tuple(_limit_from_wire(row, received_s) for row in message.limits or ()),
+        speeds=speeds,
     )
     if message.nodes_address is None:
         return report, None
--- a/parsleyrouter/process/load_exchange.py
+++ b/parsleyrouter/process/load_exchange.py
@@ -120,6 +120,7 @@
             store_failing=self.registry.store.failing,
             changed=self.known_changes(),
             limits=tuple(self.loads.limits.reports(self.loop.now())),
+            speeds=tuple(self.loads.speeds.take_news()),
         )
         now = self.loop.now()
         addressed = now - self.addressed_s >= HEARTBEAT_INTERVAL_S / 2
@@ -243,6 +244,7 @@
             if applied[-1]:
                 now, limits = self.loop.now(), self.loads.limits
                 limits.apply_reports(report.node, report.boot, report.limits, now)
+                self.loads.speeds.apply_news(report.speeds, now)
             if applied[-1] and info is not None:
                 self.members.reported_nodes[info.node] = info
                 for on_changes in self.on_changes_elsewhere:
