--- a/parsleyrouter/endpoint_speed/speed_estimate.py
+++ b/parsleyrouter/endpoint_speed/speed_estimate.py
@@ -16,7 +16,7 @@
 LASTING_MEMORY_S = 30.0
 """Time constant over which observations of the lasting speed lose their weight."""
 
-LASTING_PRIOR = 1.5
+LASTING_PRIOR = 1.0
 """Weight of the assumption that an endpoint is as fast as others, in whole responses."""
 
 MAX_LASTING_WEIGHT = 12.0
@@ -34,7 +34,7 @@
 CHANGE_GAIN = 0.6
 """Share of the difference by which an observation of full weight moves the change."""
 
-CHANGE_TOLERANCE = math.log(1.4)
+CHANGE_TOLERANCE = math.log(1.3)
 """Observed change that counts as none: load and the size of events vary as much."""
 
 
@@ -65,8 +65,8 @@
             return
         seen = _bounded_log(ratio)
         is_reported = now - self.reported_s <= FRESH_S
-        if is_reported or not self.reports:
-            self._learn_lasting(seen - (self.change_log if is_reported else 0.0), weight, now)
+        change = self.change_log if is_reported else 0.0
+        self._learn_lasting(seen - change, weight, now)
         if is_reported:
             return
         current = self.change(now)
@@ -76,6 +76,8 @@
 
     def slowness(self, now: float) -> float:
         """Return the time that work takes now as a multiple of the typical one."""
+        if not self.lasting_weight and not self.reports:
+            return 1.0
         change = self.change(now)
         if self.change_s > self.reported_s:
             change = _beyond(change, CHANGE_TOLERANCE)
--- a/parsleyrouter/endpoint_speed/speeds.py
+++ b/parsleyrouter/endpoint_speed/speeds.py
@@ -141,7 +141,10 @@
             self.forget(endpoint)
             self.endpoints[endpoint] = _Endpoint(started_ms)
             return 1.0
-        return state.estimate.slowness(now)
+        slowness = state.estimate.slowness(now)
+        if endpoint in self.states.slow:
+            self.states.update(endpoint, slowness, now)
+        return slowness
 
     def forget(self, endpoint: EndpointId) -> None:
         """Drop what is known of an endpoint that is gone or has restarted."""
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -29,6 +29,7 @@
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.process.shared_job_handler import SharedJobHandler
 from parsleyrouter.process.shared_job_store import SharedJobStore
+from parsleyrouter.process.speed_metrics import SpeedCollector
 from parsleyrouter.process.stop_gate import StopGate
 from parsleyrouter.process.stop_window import addresses_ttl_s
 from parsleyrouter.version.route_table import RouteTable
@@ -54,6 +55,7 @@
         front.rng,
         gate,
     )
+    runtime.metrics.register(SpeedCollector(runtime.loop, front.directory, front.loads.speeds))
     job_store = SharedJobStore(front.store)
     job_metrics = JobMetrics.of(runtime.metrics)
     owner = JobOwner(
--- a/parsleyrouter/request/placement.py
+++ b/parsleyrouter/request/placement.py
@@ -29,6 +29,21 @@
 """Cost of an endpoint that has named a limit as a fraction of the slots: its permits are kept for
 requests that find no free slot elsewhere."""
 
+SLOWNESS_COST = 0.3
+"""Cost of work that takes twice as long, as a fraction of the slots, at an idle endpoint: a request
+in a free slot there is late, too."""
+
+FULL_SPEED_WEIGHT = 0.3
+"""Share of the difference in speed that counts at a full endpoint: there, a request that another
+node has just placed costs more than a slower endpoint."""
+
+UNEVEN_JITTER = 0.13
+"""Largest random cost where speeds differ, about one slot: equal counts then cause no equal costs,
+and all nodes would choose the same endpoint until they hear of each other."""
+
+BATCH_SLOWNESS = 1.5
+"""Slowness from which on batch items leave slots of an endpoint free."""
+
 MAX_JITTER = 0.03
 """Largest random cost, so that nodes which see the same loads choose different endpoints."""
 
@@ -70,10 +85,18 @@
         """Return the number of slots without a request."""
         return max(0, self.slots - self.used)
 
+    @property
+    def efficient_slots(self) -> int:
+        """Return how many slots do as much work as all would at the typical speed, at least 1."""
+        if self.slowness < BATCH_SLOWNESS:
+            return self.slots
+        return max(1, round(self.slots / self.slowness))
+
     @property
     def free_for_batch(self) -> int:
         """Return the number of slots that batch items may use."""
-        return self.free if not self.limited else max(0, min(self.free, int(self.batch_permits)))
+        free = max(0, self.efficient_slots - self.used)
+        return free if not self.limited else max(0, min(free, int(self.batch_permits)))
 
 
 def choose_endpoint(
@@ -87,18 +110,24 @@
     pool = [candidate for candidate in listed if not candidate.avoided] or listed
     if not pool:
         return None
-    return min(pool, key=lambda one: _cost(one, domain) + MAX_JITTER * random.random())
+    is_even = all(one.slowness == 1.0 for one in pool)
+    jitter = MAX_JITTER if is_even else UNEVEN_JITTER
+    return min(pool, key=lambda one: _cost(one, domain) + jitter * random.random())
 
 
 def _cost(candidate: PlacementCandidate, domain: DomainName) -> float:
     work = candidate.online + BATCH_WEIGHT * candidate.batch + 1
-    utilization = work / candidate.slots * candidate.slowness
+    free_share = candidate.free / candidate.slots
+    weight = FULL_SPEED_WEIGHT + (1 - FULL_SPEED_WEIGHT) * free_share
+    slowness = 1.0 + (candidate.slowness - 1.0) * weight
+    utilization = work / candidate.slots * slowness
     if not candidate.free:
         utilization += PREEMPTION_COST
-    queued = max(0, candidate.online + 1 - candidate.slots) * candidate.slowness
+    queued = max(0, candidate.online + 1 - candidate.slots) * slowness
     remote = REMOTE_COST if candidate.domain != domain else 0.0
     limited = LIMIT_COST if candidate.limited else 0.0
-    return utilization + queued + remote + limited - CACHED_PREFIX_BONUS * candidate.cached
+    slow = SLOWNESS_COST * (candidate.slowness - 1.0) * free_share
+    return utilization + queued + slow + remote + limited - CACHED_PREFIX_BONUS * candidate.cached
 
 
 def queue_wait_s(candidate: PlacementCandidate, service_s: float) -> float:
