Pace direct reads while a fleet starts; a fresh node does not name only itself

Cause: until nodes know the leader of their cell, each reads every registration of the others by itself, at once: reads grow with the square of the nodes. Change: while many nodes read directly, the pause between reads grows with the fleet (600 reads a second and prefix together). Until the registrations are listed, for 2 s at most, a node names no address, and callers ask another one.

--- a/features/support/front_fleet.py
+++ b/features/support/front_fleet.py
@@ -77,6 +77,14 @@
     async def start(self, count: int = 1, *, configured: bool = True, domain: str = "z1") -> Front:
         if configured:
             self.store.put_json("op/config", routes())
+        self.assemble(count, domain=domain)
+        await self.until(lambda: all(self._knows(front) for front in self.fronts) or not configured)
+        return self.fronts[0]
+
+    def assemble(
+        self, count: int = 1, *, domain: str = "z1", store: PlatformStoreStandIn | None = None
+    ) -> None:
+        """Start nodes without waiting for them; ``store`` replaces the store of the fleet."""
         for _ in range(count):
             options = FrontOptions(
                 node=NodeId(f"front-{len(self.fronts)}"),
@@ -85,12 +93,10 @@
                 ready=free_address(),
                 locate=free_address(),
                 nodes=free_address(),
-                key_value=self.store.address,
+                key_value=(store or self.store).address,
             )
             self.options.append(options)
             self.fronts.append(assemble_front(self.runtime, options, PLATFORM))
-        await self.until(lambda: all(self._knows(front) for front in self.fronts) or not configured)
-        return self.fronts[0]
 
     def _knows(self, front: Front) -> bool:
         return (
--- a/features/support/load_exchange_fleet.py
+++ b/features/support/load_exchange_fleet.py
@@ -35,6 +35,7 @@
             registry: Any = SimpleNamespace(
                 own=own,
                 nodes=nodes,
+                listed=True,
                 recent_nodes=lambda: dict(nodes),
                 leaving=False,
                 named_until_s=0.0,
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -1,7 +1,9 @@
 """Stand-in for the platform's store, following its published protocol."""
 
 import itertools
+import math
 from base64 import b64decode, b64encode
+from collections import deque
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qsl
@@ -15,6 +17,7 @@
 
 PAGE_KEYS = 20
 MAX_ENTRIES = 32
+WRITE_PATHS = ("/kv-txn", "/kv-lease")
 MAX_VALUE_BYTES = 1_048_576
 
 
@@ -53,6 +56,8 @@
     odd_replies: dict[str, int] = field(default_factory=dict)
     """Number of next calls that are answered with an empty object, by a text that names them."""
     delay_s: float = 0.0
+    reads_per_s: float = math.inf
+    """Reads and renewals that are answered in any second; others get 429."""
     calls: list[str] = field(default_factory=list)
 
 
@@ -69,6 +74,9 @@
         self.transactions: list[str] = []
         """The keys that each transaction names, as one text."""
         self.waiting: list[Promise[None]] = []
+        self.reads_s: deque[float] = deque()
+        """When the reads of the last second arrived; monotonic."""
+        self.refused_reads = 0
         bind = Address("127.0.0.1:0")
         server = ForwardServer(runtime.loop, bind, self._answer)
         self.server = server.register(runtime)
@@ -130,6 +138,10 @@
         if self.faults.refuse:
             exchange.reply(self.faults.refuse, (), b"")
             return
+        if head.path not in WRITE_PATHS and not self._may_read():
+            self.refused_reads += 1
+            exchange.reply(429, (), b"")
+            return
         query = dict(parse_qsl(head.query))
         body = msgspec.json.decode(exchange.body) if exchange.body else {}
         status, answer = await self._call(head.method, head.path, query, body)
@@ -149,6 +161,15 @@
             status, [(b"Content-Type", b"application/json")], msgspec.json.encode(answer)
         )
 
+    def _may_read(self) -> bool:
+        now = self.loop.now()
+        while self.reads_s and self.reads_s[0] < now - 1.0:
+            self.reads_s.popleft()
+        if len(self.reads_s) >= self.faults.reads_per_s:
+            return False
+        self.reads_s.append(now)
+        return True
+
     def _takes_odd_reply(self, call: str) -> bool:
         for text, count in self.faults.odd_replies.items():
             if count and text in call:
--- a/parsleyrouter/process/address_directory.py
+++ b/parsleyrouter/process/address_directory.py
@@ -27,6 +27,10 @@
 
 MAX_LOGGED_DOMAINS = 64
 
+UNLISTED_WAIT_S = 2.0
+"""How long after its start a node that does not know the others names none, rather than only
+itself: callers ask another node. Later it may be that the store does not answer."""
+
 UNREPORTED_TTL_S = 0.5
 """Lifetime of a list of nodes that are registered but have not reported yet; a report follows
 within this time."""
@@ -53,6 +57,7 @@
     def __init__(self, members: CellMembers, ttl_s: float = MAX_ADDRESSES_TTL_S) -> None:
         self.members = members
         self.ttl_s = ttl_s
+        self.started_s = members.loop.now()
         self.logged: dict[DomainName, AddressList] = {}
 
     def note_for_log(self, domain: DomainName, found: AddressList) -> bool:
@@ -68,6 +73,8 @@
         While all nodes stop, the list names those that have the most time left and expires before
         it ends.
         """
+        if self._knows_only_itself():
+            return AddressList((), (), 0.0)
         chosen = self.members.serving_nodes()
         if not chosen:
             return self._stopping(domain)
@@ -78,6 +85,12 @@
             chosen = same_domain
         return AddressList(tuple(chosen[:MAX_ADDRESSES]), (), self.ttl_s)
 
+    def _knows_only_itself(self) -> bool:
+        """Return whether this node has just started and has not read who the others are."""
+        members = self.members
+        waited = members.loop.now() - self.started_s >= UNLISTED_WAIT_S
+        return not members.registry.listed and not waited
+
     def _stopping(self, domain: DomainName) -> AddressList:
         """Return a list for while no node is known to serve on."""
         now = self.members.loop.now()
--- a/parsleyrouter/process/cell_reader.py
+++ b/parsleyrouter/process/cell_reader.py
@@ -53,6 +53,11 @@
 """Long-poll time of direct reads on which no other node depends: they are billed, and a node makes
 them until it asks its leader again."""
 
+DIRECT_READS_PER_S = 600.0
+"""Reads of changes per second and prefix that nodes without a leader make together."""
+
+DIRECT_PAUSE_JITTER = 0.3
+
 READ_PAUSE_S = 0.3
 """Pause between reads of registrations of endpoints, which may change several times a second; a
 leaving endpoint must stop getting requests within two seconds."""
@@ -76,6 +81,9 @@
 FAILURE_RETENTION_S = 10.0
 """How long a leader reports a failed call to the service; registrations are in doubt for less."""
 
+SERVICE = "service"
+"""Source of the changes while they are read directly."""
+
 log = logging.getLogger(__name__)
 
 
@@ -200,7 +208,7 @@
             if isinstance(answer, PeerFailure):
                 self.peers.close(address)
             self.distrust_leader()
-            self._set_source("service", reason)
+            self._set_source(SERVICE, reason)
             return None
         assert isinstance(answer, Followed)
         self._set_source(node, "")
@@ -224,6 +232,21 @@
             return usual_s
         return max(usual_s, STANDBY_PAUSE_S)
 
+    def pause_after_s(self, usual_s: float) -> float:
+        """Return the pause after a read: in proportion to the fleet while all read directly."""
+        pause_s = self.pause_s(usual_s)
+        if not self._reads_beside_others():
+            return pause_s
+        jitter = self.random.uniform(1 - DIRECT_PAUSE_JITTER, 1 + DIRECT_PAUSE_JITTER)
+        return max(pause_s, len(self.members.registry.nodes) * jitter / DIRECT_READS_PER_S)
+
+    def _reads_beside_others(self) -> bool:
+        """Return whether many nodes may be reading the same changes directly."""
+        if self.source not in ("", SERVICE):
+            return False
+        discovers = self.loop.now() - self.started_s < DISCOVERY_S
+        return discovers or (self.members.divided and not self._leads())
+
     def _leads(self) -> bool:
         return self.members.leader() == self.members.registry.own.node
 
--- a/parsleyrouter/process/node_registry.py
+++ b/parsleyrouter/process/node_registry.py
@@ -71,6 +71,8 @@
         self.named_until_s = 0.0
         """While leaving, until when this node may be named to callers; monotonic."""
         self.nodes: dict[NodeId, RegisteredNode] = {}
+        self.listed = False
+        """Whether all registrations were listed once."""
         self.removed: dict[NodeId, tuple[RegisteredNode, float]] = {}
         """Nodes whose registration was removed, and when; monotonic."""
         self.on_lease: list[Callable[[], object]] = []
@@ -82,6 +84,7 @@
     def apply_list(self, entries: Iterable[Entry]) -> None:
         """Replace all registrations by a full listing."""
         now = self.loop.now()
+        self.listed = True
         self.removed |= {node: (info, now) for node, info in self.nodes.items()}
         self.nodes.clear()
         for entry in entries:
--- a/parsleyrouter/process/prefix_watcher.py
+++ b/parsleyrouter/process/prefix_watcher.py
@@ -85,8 +85,9 @@
                 log.warning("dependency regained", extra=self._fields())
             self.failures = 0
             self.last_success_s = self.loop.now()
-            if self.pause_s:
-                await self.loop.sleep(self.reader.pause_s(self.pause_s))
+            pause_s = self.reader.pause_after_s(self.pause_s)
+            if pause_s:
+                await self.loop.sleep(pause_s)
 
     async def _list(self) -> KeyValueFailure | None:
         """Read all pages; later changes are read from the revision of the first page on."""
