Send only the counts that changed between full load reports

Cause: each change of one count sent the counts of all endpoints in use to all active nodes. Change: between full reports (each 0.5 s, or when more than counts has changed, or while an endpoint is limited) a node sends the counts that changed in its last three reports; leaders send aggregates only if they changed or as a heartbeat, and less often to cells on standby.

--- a/parsleyrouter/process/fleet_loads.py
+++ b/parsleyrouter/process/fleet_loads.py
@@ -4,12 +4,19 @@
 """
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from parsleyrouter.ids import CellId, EndpointId, NodeId, Revision
 from parsleyrouter.process.fleet_limits import LimitReport
 
-__all__ = ["CellLoadReport", "RequestCounts", "FleetLoads", "NodeLoadReport", "sum_counts"]
+__all__ = [
+    "CellLoadReport",
+    "FleetLoads",
+    "NodeLoadChanges",
+    "NodeLoadReport",
+    "RequestCounts",
+    "sum_counts",
+]
 
 REPORT_TTL_S = 1.6
 """How long a load report is valid: three heartbeats of its sender with some slack."""
@@ -61,6 +68,18 @@
     limits: tuple[LimitReport, ...] = ()
 
 
+@dataclass(frozen=True)
+class NodeLoadChanges:
+    """The counts of one node that changed since its latest reports, zero where it has none."""
+
+    node: NodeId
+    boot: int
+    sequence: int
+    uses: Mapping[EndpointId, RequestCounts]
+    waiting_items: int = 0
+    received_s: float = 0.0
+
+
 @dataclass(frozen=True)
 class CellLoadReport:
     """Aggregated load report that a cell's leader sends; ``received_s`` is when it arrived here."""
@@ -99,6 +118,24 @@
         self._update_totals(previous, report)
         return True
 
+    def apply_changes(self, changes: NodeLoadChanges) -> bool:
+        """Apply changes to a node's report; return whether they are newer and of the same start.
+
+        Without a report of that start they say too little: the next full one follows soon.
+        """
+        previous = self.nodes.get(changes.node)
+        if previous is None or previous.boot != changes.boot:
+            return False
+        uses = {**previous.uses, **changes.uses}
+        report = replace(
+            previous,
+            sequence=changes.sequence,
+            uses={name: use for name, use in uses.items() if use.online or use.batch},
+            waiting_items=changes.waiting_items,
+            received_s=changes.received_s,
+        )
+        return self.apply_node(report)
+
     def apply_cell(self, report: CellLoadReport) -> bool:
         """Store a cell's report if it is newer or from a new leader; return whether it was."""
         previous = self.cells.get(report.cell)
--- a/parsleyrouter/process/load_exchange.py
+++ b/parsleyrouter/process/load_exchange.py
@@ -1,9 +1,10 @@
 """Exchange load reports with the other nodes over UDP.
 
-Within the active cell, each node sends its report to every other node after a change and as a
-heartbeat; on standby, to the first nodes of its cell. Between cells, the leader of a cell sends an
-aggregate and relays the aggregates that it receives. A lost datagram makes loads inaccurate until
-the next one; no guarantee depends on it.
+Within the active cell, each node sends the counts that changed to every other node at once, and its
+full report as a heartbeat; on standby, to the first nodes of its cell. Between cells, the leader of
+a cell sends an aggregate and relays the aggregates that it receives, both less often while they
+stay the same. A lost datagram makes loads inaccurate until the next one; no guarantee depends on
+it.
 """
 
 import itertools
@@ -17,12 +18,21 @@
 from parsleyrouter.process.active_routes import ActiveRoutes
 from parsleyrouter.process.cell_members import CellMembers
 from parsleyrouter.process.endpoint_loads import EndpointLoads
+from parsleyrouter.process.fleet_limits import LimitReport
 from parsleyrouter.process.fleet_loads import (
     CellLoadReport,
+    NodeLoadChanges,
     NodeLoadReport,
     RequestCounts,
     sum_counts,
 )
+from parsleyrouter.process.load_changes import (
+    ChangeWindow,
+    SentAggregates,
+    decode_changes,
+    encode_changes,
+    holds_changes,
+)
 from parsleyrouter.process.load_codec import (
     InvalidLoadReport,
     decode,
@@ -52,8 +62,10 @@
 AGGREGATE_INTERVAL_S = 0.1
 """Interval between aggregates of a cell: a fifth of the time that a request takes."""
 
-STANDBY_RELAY_INTERVAL_S = 0.5
-"""Interval at which nodes on standby get the loads of the active ones: few callers reach them."""
+STANDBY_AGGREGATE_INTERVAL_S = 0.25
+STANDBY_RELAY_INTERVAL_S = 0.35
+"""Shortest intervals at which the leaders of cells on standby, and from them the other nodes, get
+the loads of the active ones: few callers reach them."""
 
 LEADER_CHECK_INTERVAL_S = 0.5
 """Interval at which a node that does not lead its cell checks whether it does."""
@@ -80,10 +92,15 @@
         self.datagrams = DatagramSocket(loop, registry.own.nodes, self._receive)
         self.sequence = itertools.count(1)
         self.members = CellMembers(loop, registry, loads.fleet)
-        self.sent_s = self.addressed_s = self.relayed_s = 0.0
+        self.full_sent_s = 0.0
+        """When the latest full report was sent; monotonic."""
+        self.full_state: object = None
+        """What the latest full report held beside counts, and to whom it was sent."""
+        self.window = ChangeWindow()
+        self.aggregate_sent = SentAggregates(HEARTBEAT_INTERVAL_S)
         self.relayed_load = False
-        """Whether the aggregates relayed last held any request."""
-        self.sent_counts: dict[EndpointId, RequestCounts] = {}
+        """Whether the aggregates to relay last held any request."""
+        self.relay_sent = SentAggregates(HEARTBEAT_INTERVAL_S)
         self.sent_limited: dict[EndpointId, int] = {}
         loads.limits.share = self.members.heard_share
         self.broadcast_at_s = math.inf
@@ -104,10 +121,45 @@
         self._send_aggregates()
 
     def broadcast(self) -> None:
-        """Send the current load report to the nodes of this cell that need it."""
+        """Send the load of this node to the nodes of this cell that need it.
+
+        Only what changed lately is sent if a full report was sent within the heartbeat interval and
+        nothing but counts has changed since.
+        """
         self.members.update()
+        now, uses, targets = (
+            self.loop.now(),
+            self._own_counts(),
+            list(self.members.report_targets()),
+        )
+        changes = self.window.advance(uses)
+        state = (
+            self.registry.leaving,
+            self.registry.named_until_s,
+            self.registry.store.failing,
+            self.routes.version,
+            frozenset(targets),
+        )
+        limits = tuple(self.loads.limits.reports(now))
+        heartbeat_due = now - self.full_sent_s >= HEARTBEAT_INTERVAL_S
+        if limits or self.sent_limited or heartbeat_due or state != self.full_state:
+            data = self._full_report(uses, limits, now)
+            self.full_sent_s, self.full_state = now, state
+        else:
+            own, sequence = self.registry.own, next(self.sequence)
+            items = self.loads.waiting_items
+            data = encode_changes(NodeLoadChanges(own.node, own.boot, sequence, changes, items))
+        for address in targets:
+            self.datagrams.send(address, data)
+        self.sent_limited = dict(self.loads.limits.sent())
+
+    def _full_report(
+        self,
+        uses: Mapping[EndpointId, RequestCounts],
+        limits: tuple[LimitReport, ...],
+        now: float,
+    ) -> bytes:
         own = self.registry.own
-        uses = self._own_counts()
         report = NodeLoadReport(
             node=own.node,
             boot=own.boot,
@@ -119,17 +171,9 @@
             waiting_items=self.loads.waiting_items,
             store_failing=self.registry.store.failing,
             changed=self.known_changes(),
-            limits=tuple(self.loads.limits.reports(self.loop.now())),
+            limits=limits,
         )
-        now = self.loop.now()
-        addressed = now - self.addressed_s >= HEARTBEAT_INTERVAL_S / 2
-        if addressed:
-            self.addressed_s = now
-        data = encode_node_report(report, own, now, addressed=addressed)
-        for address in self.members.report_targets():
-            self.datagrams.send(address, data)
-        self.sent_counts, self.sent_s = uses, now
-        self.sent_limited = dict(self.loads.limits.sent())
+        return encode_node_report(report, own, now)
 
     def send_to_serving(self, data: bytes) -> None:
         """Send a datagram to the nodes of this cell and to the active nodes."""
@@ -139,7 +183,7 @@
             self.datagrams.send(address, data)
 
     def _heartbeat(self) -> None:
-        if self.loop.now() - self.sent_s >= HEARTBEAT_INTERVAL_S:
+        if self.loop.now() - self.full_sent_s >= HEARTBEAT_INTERVAL_S:
             self.broadcast()
         self.loop.call_later(HEARTBEAT_INTERVAL_S, self._heartbeat)
 
@@ -163,24 +207,22 @@
                 () if members.on_standby else tuple(info.node for info in members.serving_nodes())
             ),
         )
-        now = self.loop.now()
+        now, standby = self.loop.now(), members.on_standby
         cells = self.loads.fleet.live_cells(now)
         loaded = [report for report in cells if report.uses]
-        data = encode_cell_reports([aggregate, *([] if members.on_standby else loaded)])
-        for address in members.remote_peers:
-            self.datagrams.send(address, data)
-        if self._relay_due(bool(loaded)):
-            self.relayed_s, self.relayed_load = now, bool(loaded)
+        rows = [aggregate, *([] if standby else loaded)]
+        interval_s = 0.0 if standby else STANDBY_AGGREGATE_INTERVAL_S
+        if self.aggregate_sent.is_due(rows, now, interval_s):
+            data = encode_cell_reports(rows)
+            for address in members.remote_peers:
+                self.datagrams.send(address, data)
+        relayed, self.relayed_load = standby or loaded or self.relayed_load, bool(loaded)
+        interval_s = STANDBY_RELAY_INTERVAL_S if standby else 0.0
+        if relayed and self.relay_sent.is_due(cells, now, interval_s):
             data = encode_cell_reports(cells)
             for address in members.peers.values():
                 self.datagrams.send(address, data)
 
-    def _relay_due(self, loaded: bool) -> bool:
-        """Return whether the cell needs the other cells' aggregates now."""
-        if self.members.on_standby:
-            return self.loop.now() - self.relayed_s >= STANDBY_RELAY_INTERVAL_S
-        return loaded or self.relayed_load
-
     def _schedule_broadcast(self) -> None:
         delay_s = self._debounce_s()
         due_s = self.loop.now() + delay_s
@@ -197,7 +239,7 @@
 
     def _broadcast_changes(self) -> None:
         self.broadcast_at_s = math.inf
-        if self.sent_counts != self.loads.own or self.sent_limited != self.loads.limits.sent():
+        if self.window.uses != self.loads.own or self.sent_limited != self.loads.limits.sent():
             self.broadcast()
 
     def _own_counts(self) -> dict[EndpointId, RequestCounts]:
@@ -222,8 +264,16 @@
             log.warning("load reports of more nodes than a fleet has are dropped")
         return False
 
+    def _report_loads(self) -> None:
+        for callback in self.on_load_report:
+            callback()
+
     def _receive(self, data: bytes) -> None:
         try:
+            if holds_changes(data):
+                if self.loads.fleet.apply_changes(decode_changes(data, self.loop.now())):
+                    self._report_loads()
+                return
             received = decode(data, self.loop.now())
         except InvalidLoadReport as error:
             log.debug("load report not decoded", extra={"reason": str(error)})
@@ -248,8 +298,7 @@
                 for on_changes in self.on_changes_elsewhere:
                     on_changes(report.changed)
         if any(applied):
-            for callback in self.on_load_report:
-                callback()
+            self._report_loads()
         if received.crashes:
             for on_crashes in self.on_crashes:
                 on_crashes(received.crashes)
