Make fewer calls for batch jobs

Change: results are gathered for 0.75 s while items run and the job is not due; the last listing closes the job; a closed job is known at once; a job without a known owner is read through the node that would claim it first.

--- a/parsleyrouter/process/cell_members.py
+++ b/parsleyrouter/process/cell_members.py
@@ -10,6 +10,7 @@
     CellNode,
     assign_cells,
     claim_rank,
+    first_claimant,
 )
 from parsleyrouter.process.fleet_loads import FleetLoads, NodeLoadReport
 from parsleyrouter.process.loop import Loop
@@ -118,10 +119,16 @@
 
     def claim_rank(self, job: JobId) -> int | None:
         """Return the place of this node among those that claim a job, ``None`` on standby."""
+        return claim_rank(job, self.registry.own.node, self._claimants())
+
+    def first_claimant(self, job: JobId) -> NodeId | None:
+        """Return the node that claims a job first; all nodes that agree on the others agree."""
+        return first_claimant(job, self._claimants())
+
+    def _claimants(self) -> dict[NodeId, RegisteredNode]:
         own = self.registry.own
         others = self.active if self.divided else self.known_nodes
-        claimants = others if self.on_standby else {**others, own.node: own}
-        return claim_rank(job, own.node, claimants)
+        return others if self.on_standby else {**others, own.node: own}
 
     def report_targets(self) -> Iterable[Address]:
         """Return the nodes that get the load report of this node.
--- a/parsleyrouter/process/cells.py
+++ b/parsleyrouter/process/cells.py
@@ -7,7 +7,7 @@
 active nodes that are lost.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from zlib import crc32
 
@@ -15,7 +15,15 @@
 
 from parsleyrouter.ids import CellId, DomainName, NodeId
 
-__all__ = ["ACTIVE_CELL", "SINGLE_CELL", "CellNode", "assign_cells", "choose_active", "claim_rank"]
+__all__ = [
+    "ACTIVE_CELL",
+    "SINGLE_CELL",
+    "CellNode",
+    "assign_cells",
+    "choose_active",
+    "claim_rank",
+    "first_claimant",
+]
 
 MAX_MEAN_CELL_NODES = 20
 """Maximum mean number of nodes per cell. Each node sends some ten changes a second to the others,
@@ -66,5 +74,14 @@
     """Return the place of a node among those that may claim a job, ``None`` if it is not one."""
     if node not in claimants:
         return None
-    scores = {name: xxh3_64_intdigest(f"{job}/{name}".encode()) for name in claimants}
+    scores = {name: _score(job, name) for name in claimants}
     return sum(score > scores[node] for score in scores.values())
+
+
+def first_claimant(job: str, claimants: Iterable[NodeId]) -> NodeId | None:
+    """Return the first among the nodes that may claim a job."""
+    return max(claimants, key=lambda name: _score(job, name), default=None)
+
+
+def _score(job: str, node: NodeId) -> int:
+    return xxh3_64_intdigest(f"{job}/{node}".encode())
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -97,7 +97,9 @@
         runtime.loop,
         job_store,
         reader,
-        PeerResultReader(runtime.loop, runtime.peers, front.registry, front.job_directory, reader),
+        PeerResultReader(
+            runtime.loop, runtime.peers, front.exchange.members, front.job_directory, reader
+        ),
         front.job_directory,
         submission,
         lookup,
--- a/parsleyrouter/process/item_states.py
+++ b/parsleyrouter/process/item_states.py
@@ -24,7 +24,7 @@
     WaitReason.HELD: 0.0,
     WaitReason.NO_ROUTE: 0.0,
     WaitReason.NO_ENDPOINT: 0.0,
-    WaitReason.NOT_LISTED: 4 * LISTING_DELAY_S,
+    WaitReason.NOT_LISTED: 2 * LISTING_DELAY_S,
     WaitReason.NO_ROOM: LASTING_WAIT_S,
     WaitReason.PAUSED: LASTING_WAIT_S,
 }
--- a/parsleyrouter/process/job_run.py
+++ b/parsleyrouter/process/job_run.py
@@ -5,8 +5,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import msgspec
+
 from parsleyrouter.connection.key_value import KeyValueFailure, WriteApplied
-from parsleyrouter.ids import ItemIndex
+from parsleyrouter.ids import ItemIndex, JobId, Revision
 from parsleyrouter.process.item_run import ItemEnd, ItemProgress, ItemRun
 from parsleyrouter.process.job_directory import JobDirectory, JobView
 from parsleyrouter.process.loop import Loop
@@ -29,9 +31,12 @@
 RETRY_PAUSE_S = 0.2
 MAX_RETRY_PAUSE_S = 5.0
 
-LISTING_DELAY_S = 0.25
-"""Time over which results are gathered, since each listing costs a call; readers of a job with time
-left notice no more of it than of the interval of their reads."""
+LISTING_DELAY_S = 0.75
+"""Time over which results are gathered, since each listing costs a call; a job with time left needs
+none of them earlier. Those that are not listed are lost with their node."""
+
+GATHER_STEP_S = 0.125
+"""Pause between checks whether more results can come."""
 
 LISTING_MARGIN_S = 2.0
 """Results of a job that is due within this time are listed at once."""
@@ -59,6 +64,8 @@
     unlisted: dict[ItemIndex, ItemResult] = field(default_factory=dict)
     """Results that are not listed yet."""
     listing: bool = False
+    closes_apart: bool = False
+    """Whether the job is closed by a call of its own, as a listing could not close it."""
     stopped: bool = False
     on_listed: Callable[[int, list[ItemResult]], object] = field(
         default=lambda start, results: None
@@ -68,7 +75,7 @@
     """The last event of each item in the last save."""
 
     @property
-    def job(self) -> str:
+    def job(self) -> JobId:
         """Return the job's id."""
         return self.versioned.record.job
 
@@ -166,10 +173,13 @@
 
     async def _gather_results(self) -> None:
         """Wait for further results unless the job is due, stopped or has no running items."""
-        left_s = self.versioned.record.due_ms / 1000 - time.time()
-        few = len(self.unlisted) < MAX_RESULTS_PER_LISTING
-        if few and self.running and not self.stopped and left_s > LISTING_MARGIN_S:
-            await self.loop.sleep(LISTING_DELAY_S)
+        until_s = self.loop.now() + LISTING_DELAY_S
+        while self.loop.now() < until_s:
+            left_s = self.versioned.record.due_ms / 1000 - time.time()
+            few = len(self.unlisted) < MAX_RESULTS_PER_LISTING
+            if not few or not self.running or self.stopped or left_s <= LISTING_MARGIN_S:
+                break
+            await self.loop.sleep(GATHER_STEP_S)
 
     async def _list_some(self) -> None:
         batch: dict[ItemIndex, ItemResult] = {}
@@ -182,16 +192,34 @@
         record = self.versioned.record
         position = len(self.listed)
         left_tokens = None if record.share == UNSHARED else self._left_tokens(batch)
-        done = await self.store.list_results(record.job, position, batch, left_tokens)
+        closing = self._closes_with(batch)
+        done = await self.store.list_results(record.job, position, batch, left_tokens, closing)
         if isinstance(done, WriteApplied):
             self._mark_listed(batch)
             self.on_listed(position, list(batch.values()))
             self._log_listing("results listed", position, batch, revision=done.revision)
+            if closing is not None:
+                self._mark_done(closing, done.revision)
             return
+        self.closes_apart = self.closes_apart or closing is not None
         if isinstance(done, KeyValueFailure):
             self._log_listing("results not listed yet", position, batch, reason=done.message)
         await self._read_listed()
 
+    def _closes_with(self, batch: dict[ItemIndex, ItemResult]) -> VersionedJob | None:
+        """Return the open job if a listing is its last one, unless one has failed to close it."""
+        view = self.job_directory.jobs.get(self.job)
+        is_last = len(self.listed) + len(batch) == len(self.items)
+        if not is_last or self.stopped or self.closes_apart or view is None or not view.open:
+            return None
+        return view.versioned
+
+    def _mark_done(self, closed: VersionedJob, revision: Revision) -> None:
+        """Know that the job is done before its change is read, or it would be closed again."""
+        log.info("job done", extra={"job": self.job, "revision": revision})
+        record = msgspec.structs.replace(closed.record, state=JobState.DONE)
+        self.job_directory.put(VersionedJob(record, revision))
+
     def _left_tokens(self, batch: dict[ItemIndex, ItemResult]) -> int:
         """Return the tokens of the items that are not listed once ``batch`` is."""
         return sum(
@@ -222,8 +250,7 @@
             return
         done = await self.store.close(view.versioned, JobState.DONE)
         if isinstance(done, WriteApplied):
-            record = view.versioned.record
-            log.info("job done", extra={"job": record.job, "revision": done.revision})
+            self._mark_done(view.versioned, done.revision)
             return
         versioned = await self.store.read(self.versioned.record.job)
         if isinstance(versioned, VersionedJob):
--- a/parsleyrouter/process/peer_results.py
+++ b/parsleyrouter/process/peer_results.py
@@ -10,10 +10,10 @@
 from parsleyrouter.connection.key_value import KeyValueFailure
 from parsleyrouter.connection.peer import PeerClient, PeerFailure, PeerMethods
 from parsleyrouter.ids import Address, ItemId, JobId, NodeId
+from parsleyrouter.process.cell_members import CellMembers
 from parsleyrouter.process.job_directory import JobDirectory
 from parsleyrouter.process.job_reader import JobReader
 from parsleyrouter.process.loop import Loop
-from parsleyrouter.process.node_registry import NodeRegistry
 from parsleyrouter.request.job_call import ResultPage
 from parsleyrouter.request.shared_job import ItemResult, ItemState, JobRecord
 from parsleyrouter.thrift_gen.nodes.ttypes import AskResults, JobResult, JobResults
@@ -30,19 +30,24 @@
 
 
 class PeerResultReader:
-    """Read results from the node that runs the job, or else from the key-value service."""
+    """Read results from the node that runs the job, or else from the key-value service.
+
+    A job that no node is known to have run, such as one from before all nodes were restarted, is
+    read through one node, so that the service is asked once.
+    """
 
     def __init__(
         self,
         loop: Loop,
         peers: PeerClient,
-        registry: NodeRegistry,
+        members: CellMembers,
         job_directory: JobDirectory,
         reader: JobReader,
     ) -> None:
         self.loop = loop
         self.peers = peers
-        self.registry = registry
+        self.members = members
+        self.registry = members.registry
         self.job_directory = job_directory
         self.reader = reader
         self.avoided_until_s: dict[NodeId, float] = {}
@@ -64,9 +69,11 @@
         return await self.reader.read(record, start, left_s)
 
     def _running_node(self, job: JobId) -> tuple[NodeId, Address] | None:
-        """Return the node that runs the job, or ran it last, unless it is this node."""
+        """Return the node that runs the job, or ran it last or reads it, unless it is this one."""
         view = self.job_directory.jobs.get(job)
         node = view.owner or view.last_owner if view is not None else None
+        if node not in self.registry.nodes:
+            node = self.members.first_claimant(job)
         if node is None or node == self.registry.own.node:
             return None
         info = self.registry.nodes.get(node)
--- a/parsleyrouter/process/shared_job_store.py
+++ b/parsleyrouter/process/shared_job_store.py
@@ -186,8 +186,9 @@
         start: int,
         results: Mapping[ItemIndex, ItemResult],
         left_tokens: int | None = None,
+        closing: VersionedJob | None = None,
     ) -> WriteApplied | TransactionConflict | KeyValueFailure:
-        """List results starting at a free position, all or none.
+        """List results starting at a free position, all or none, and close their job if given.
 
         ``left_tokens`` is written as the tokens of the items that are not listed after that. It is
         exact, since the position is free only if nothing else was listed meanwhile.
@@ -202,7 +203,12 @@
             writes.append(Write(keys.mark(index), str(position).encode()))
         if left_tokens is not None:
             writes.append(Write(keys.left, str(left_tokens).encode()))
-        done = await self.store.transact(Transaction(conditions, tuple(writes)))
+        deletes: tuple[str, ...] = ()
+        if closing is not None:
+            conditions[keys.record] = closing.revision
+            writes.append(_closed(closing, JobState.DONE))
+            deletes = (keys.owner,)
+        done = await self.store.transact(Transaction(conditions, tuple(writes), deletes))
         assert not isinstance(done, LeaseLost)
         return done
 
@@ -230,8 +236,7 @@
     ) -> WriteApplied | TransactionConflict | KeyValueFailure:
         """Set the final state of an open job and remove its owner."""
         keys = JobKeys(versioned.record.job)
-        record = msgspec.structs.replace(versioned.record, state=state)
-        write = Write(keys.record, msgspec.json.encode(record))
+        write = _closed(versioned, state)
         change = Transaction({keys.record: versioned.revision}, (write,), (keys.owner,))
         done = await self.store.transact(change)
         assert not isinstance(done, LeaseLost)
@@ -248,6 +253,11 @@
                 return entries
 
 
+def _closed(versioned: VersionedJob, state: JobState) -> Write:
+    record = msgspec.structs.replace(versioned.record, state=state)
+    return Write(JobKeys(record.job).record, msgspec.json.encode(record))
+
+
 def decode_record(entry: Entry) -> VersionedJob:
     """Return the record in an entry; raise ``InvalidData`` if it cannot be read."""
     record = decode_json(entry.value, JobRecord)
