Report at short intervals after the start, and renew leases a little less often

Cause: nodes that start together learn who leads their cell from the first heartbeat, up to 0.5 s later, and read directly until then; each renewal is a call. Change: six reports in the first 0.75 s; a lease (4 s) is renewed each 1.25 s: a renewal after one that was lost (2 s) and its pause (0.25 s) still arrives in time.

--- a/features/steps/endless_nodes_steps.py
+++ b/features/steps/endless_nodes_steps.py
@@ -12,7 +12,7 @@
 from parsleyrouter.connection import peer_server
 from parsleyrouter.connection.peer import MAX_UNSENT_BYTES, PeerFailureKind
 from parsleyrouter.ids import Address
-from parsleyrouter.process.load_exchange import MAX_REPORTED_NODES
+from parsleyrouter.process.report_room import MAX_REPORTED_NODES
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.thrift_gen.peer.ttypes import Envelope
 
--- a/parsleyrouter/process/cell_reader.py
+++ b/parsleyrouter/process/cell_reader.py
@@ -43,8 +43,8 @@
 late the loss of either is detected."""
 
 ANSWER_MAX_AGE_S = 1.25
-"""Age of the service's last answer up to which a leader may answer others: one long poll, one
-answer of a slow service and some slack."""
+"""Age of the service's last answer up to which a leader may answer others: one long poll, one slow
+answer and some slack."""
 
 DISCOVERY_S = 2.0
 """Time after the start in which a node may learn that it leads a cell of a large fleet."""
@@ -57,14 +57,12 @@
 """Reads of changes per second and prefix that nodes without a leader make together."""
 
 DIRECT_PAUSE_JITTER = 0.3
-
 READ_PAUSE_S = 0.3
 """Pause between reads of registrations of endpoints, which may change several times a second; a
 leaving endpoint must stop getting requests within two seconds."""
 
 STANDBY_ANSWER_MAX_AGE_S = ANSWER_MAX_AGE_S + CHANGES_WAIT_S + READ_PAUSE_S
-"""The same as ``ANSWER_MAX_AGE_S`` for the leader of a cell on standby, which reads from the leader
-of the active cell."""
+"""The same for the leader of a cell on standby, which reads from the leader of the active cell."""
 
 STANDBY_PAUSE_S = 1.0
 """Minimum pause on standby between reads of changes that are gathered for a moment anyway."""
@@ -129,7 +127,7 @@
         return self.answer_age_s(prefix) < max_age_s
 
     def answer_age_s(self, prefix: str) -> float:
-        """Return the time since the service answered about a prefix, infinite if it never did."""
+        """Return the time since the service answered about a prefix."""
         return self.loop.now() - self.answered_s.get(prefix, -math.inf)
 
     async def scan(self, prefix: str, *, after: str = "") -> EntryPage | KeyValueFailure:
@@ -228,9 +226,8 @@
 
         The leader of a cell on standby makes no longer pauses, as the others read from it.
         """
-        if not usual_s or not self.members.on_standby or self._leads():
-            return usual_s
-        return max(usual_s, STANDBY_PAUSE_S)
+        longer = usual_s and self.members.on_standby and not self._leads()
+        return max(usual_s, STANDBY_PAUSE_S) if longer else usual_s
 
     def pause_after_s(self, usual_s: float) -> float:
         """Return the pause after a read: in proportion to the fleet while all read directly."""
@@ -242,10 +239,9 @@
 
     def _reads_beside_others(self) -> bool:
         """Return whether many nodes may be reading the same changes directly."""
-        if self.source not in ("", SERVICE):
-            return False
         discovers = self.loop.now() - self.started_s < DISCOVERY_S
-        return discovers or (self.members.divided and not self._leads())
+        may_lead = not self.members.divided or self._leads()
+        return self.source in ("", SERVICE) and (discovers or not may_lead)
 
     def _leads(self) -> bool:
         return self.members.leader() == self.members.registry.own.node
--- a/parsleyrouter/process/load_exchange.py
+++ b/parsleyrouter/process/load_exchange.py
@@ -11,10 +11,9 @@
 import logging
 import math
 from collections.abc import Callable, Mapping
-from typing import Any
 
 from parsleyrouter.connection.datagram import DatagramSocket
-from parsleyrouter.ids import EndpointId, NodeId, PromptPart, Revision
+from parsleyrouter.ids import EndpointId, PromptPart, Revision
 from parsleyrouter.process.active_routes import ActiveRoutes
 from parsleyrouter.process.cell_members import CellMembers
 from parsleyrouter.process.endpoint_loads import EndpointLoads
@@ -41,11 +40,15 @@
 )
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.node_registry import NodeRegistry
+from parsleyrouter.process.report_room import ReportRoom
 from parsleyrouter.request.crash import Crash, PartGroup, Prompt
 
 __all__ = ["DEBOUNCE_S", "LIMITED_DEBOUNCE_S", "LoadExchange"]
 
 HEARTBEAT_INTERVAL_S = 0.5
+
+FIRST_REPORTS = 6
+FIRST_REPORTS_INTERVAL_S = 0.15
 DEBOUNCE_S = 0.015
 """Debounce time for load changes; well below the time to an engine's first token."""
 
@@ -70,11 +73,6 @@
 LEADER_CHECK_INTERVAL_S = 0.5
 """Interval at which a node that does not lead its cell checks whether it does."""
 
-MAX_REPORTED_NODES = 1024
-"""Nodes and cells whose reports are kept although the store doesn't name them; a fleet has 360."""
-
-REFUSAL_LOG_INTERVAL_S = 10.0
-
 log = logging.getLogger(__name__)
 
 
@@ -86,12 +84,12 @@
     ) -> None:
         self.loop = loop
         self.loads = loads
-        self.next_refusal_log_s = 0.0
         self.registry = registry
         self.routes = routes
         self.datagrams = DatagramSocket(loop, registry.own.nodes, self._receive)
         self.sequence = itertools.count(1)
         self.members = CellMembers(loop, registry, loads.fleet)
+        self.room = ReportRoom(loop, self.members)
         self.full_sent_s = 0.0
         """When the latest full report was sent; monotonic."""
         self.full_state: object = None
@@ -116,7 +114,12 @@
         loads.on_own_change.append(self._schedule_broadcast)
 
     def start(self) -> None:
-        """Start the heartbeat and the aggregates."""
+        """Start the heartbeat and the aggregates.
+
+        The first reports follow in quick succession, as nodes learn from them who leads their cell.
+        """
+        for number in range(FIRST_REPORTS):
+            self.loop.call_later(number * FIRST_REPORTS_INTERVAL_S, self.broadcast)
         self._heartbeat()
         self._send_aggregates()
 
@@ -245,25 +248,6 @@
     def _own_counts(self) -> dict[EndpointId, RequestCounts]:
         return {name: RequestCounts(use.online, use.batch) for name, use in self.loads.own.items()}
 
-    def _takes(self, node: NodeId) -> bool:
-        """Return whether a node is registered, or reports are kept of it or can be."""
-        reported = self.members.reported_nodes
-        if len(reported) >= 2 * MAX_REPORTED_NODES:
-            kept = self.loads.fleet.nodes.keys() | self.registry.nodes.keys()
-            self.members.reported_nodes = {
-                name: info for name, info in reported.items() if name in kept
-            }
-        return node in self.registry.nodes or self._has_room(self.loads.fleet.nodes, node)
-
-    def _has_room(self, reports: Mapping[Any, object], name: object) -> bool:
-        if name in reports or len(reports) < MAX_REPORTED_NODES:
-            return True
-        now = self.loop.now()
-        if now >= self.next_refusal_log_s:
-            self.next_refusal_log_s = now + REFUSAL_LOG_INTERVAL_S
-            log.warning("load reports of more nodes than a fleet has are dropped")
-        return False
-
     def _report_loads(self) -> None:
         for callback in self.on_load_report:
             callback()
@@ -282,9 +266,9 @@
             self.loads.fleet.apply_cell(aggregate)
             for aggregate in received.cells
             if aggregate.cell != self.members.cell
-            and self._has_room(self.loads.fleet.cells, aggregate.cell)
+            and self.room.has_room(self.loads.fleet.cells, aggregate.cell)
         ]
-        if received.node is not None and self._takes(received.node[0].node):
+        if received.node is not None and self.room.takes(received.node[0].node):
             report, info = received.node
             former = self.loads.fleet.nodes.get(report.node)
             if report.store_failing and not (former and former.store_failing):
--- a/parsleyrouter/process/node_registry.py
+++ b/parsleyrouter/process/node_registry.py
@@ -32,10 +32,13 @@
 """Time to live of the lease: it outlasts a few lost renewals and determines how soon the work of a
 dead process is taken over."""
 
-RENEW_INTERVAL_S = 1.0
+RENEW_INTERVAL_S = 1.25
+"""Pause between renewals. After one that was lost, with the longest time of a call and the pause
+before the next, the next one still arrives before the lease ends."""
+
 RETRY_INTERVAL_S = 0.25
 
-LEASE_FRESH_S = 1.5
+LEASE_FRESH_S = 1.75
 """Age of the latest renewal up to which no other node can have taken over this node's work: less
 than half of the lease, with one renewal in between."""
 
