--- a/features/support/front_fleet.py
+++ b/features/support/front_fleet.py
@@ -79,6 +79,19 @@
     ) -> Front:
         if configured:
             self.store.put_json("op/config", routes())
+        self.assemble(count, domain=domain, **more)
+        await self.until(lambda: all(self._knows(front) for front in self.fronts) or not configured)
+        return self.fronts[0]
+
+    def assemble(
+        self,
+        count: int = 1,
+        *,
+        domain: str = "z1",
+        store: PlatformStoreStandIn | None = None,
+        **more: Any,
+    ) -> None:
+        """Start nodes without waiting for them; ``store`` replaces the store of the fleet."""
         for _ in range(count):
             options = FrontOptions(
                 node=NodeId(f"front-{len(self.fronts)}"),
@@ -87,14 +100,12 @@
                 ready=free_address(),
                 locate=free_address(),
                 nodes=free_address(),
-                key_value=self.store.address,
+                key_value=(store or self.store).address,
                 limits=free_address(),
                 **more,
             )
             self.options.append(options)
             self.fronts.append(assemble_front(self.runtime, options, PLATFORM))
-        await self.until(lambda: all(self._knows(front) for front in self.fronts) or not configured)
-        return self.fronts[0]
 
     def _knows(self, front: Front) -> bool:
         return (
--- a/parsleyrouter/process/cell_reader.py
+++ b/parsleyrouter/process/cell_reader.py
@@ -46,8 +46,8 @@
 late the loss of either is detected."""
 
 ANSWER_MAX_AGE_S = 1.25
-"""Age of the service's last answer up to which a leader may answer others: one long poll, one
-answer of a slow service and some slack."""
+"""Age of the service's last answer up to which a leader may answer others: one long poll, one slow
+answer and some slack."""
 
 DISCOVERY_S = 2.0
 """Time after the start in which a node may learn that it leads a cell of a large fleet."""
@@ -59,13 +59,16 @@
 PROOF_WAIT_S = 2.5
 """The same for reads that prove what this node holds."""
 
+DIRECT_READS_PER_S = 600.0
+"""Reads of changes per second and prefix that nodes without a leader make together."""
+
+DIRECT_PAUSE_JITTER = 0.3
 READ_PAUSE_S = 0.3
 """Pause between reads of registrations of endpoints, which may change several times a second; a
 leaving endpoint must stop getting requests within two seconds."""
 
 STANDBY_ANSWER_MAX_AGE_S = ANSWER_MAX_AGE_S + CHANGES_WAIT_S + READ_PAUSE_S
-"""The same as ``ANSWER_MAX_AGE_S`` for the leader of a cell on standby, which reads from the leader
-of the active cell."""
+"""The same for the leader of a cell on standby, which reads from the leader of the active cell."""
 
 STANDBY_PAUSE_S = 1.0
 """Minimum pause on standby between reads of changes that are gathered for a moment anyway."""
@@ -82,6 +85,9 @@
 FAILURE_RETENTION_S = 10.0
 """How long a leader reports a failed call to the service; registrations are in doubt for less."""
 
+SERVICE = "service"
+"""Source of the changes while they are read directly."""
+
 log = logging.getLogger(__name__)
 
 
@@ -215,7 +221,7 @@
             if isinstance(answer, PeerFailure):
                 self.peers.close(address)
             self.distrust_leader()
-            self._set_source("service", reason)
+            self._set_source(SERVICE, reason)
             return None
         assert isinstance(answer, Followed)
         self._set_source(node, "")
@@ -237,9 +243,22 @@
 
         The leader of a cell on standby makes no longer pauses, as the others read from it.
         """
-        if not usual_s or not self.members.on_standby or self._leads():
-            return usual_s
-        return max(usual_s, STANDBY_PAUSE_S)
+        longer = usual_s and self.members.on_standby and not self._leads()
+        return max(usual_s, STANDBY_PAUSE_S) if longer else usual_s
+
+    def pause_after_s(self, usual_s: float) -> float:
+        """Return the pause after a read: in proportion to the fleet while all read directly."""
+        pause_s = self.pause_s(usual_s)
+        if not self._reads_beside_others():
+            return pause_s
+        jitter = self.random.uniform(1 - DIRECT_PAUSE_JITTER, 1 + DIRECT_PAUSE_JITTER)
+        return max(pause_s, len(self.members.registry.nodes) * jitter / DIRECT_READS_PER_S)
+
+    def _reads_beside_others(self) -> bool:
+        """Return whether many nodes may be reading the same changes directly."""
+        discovers = self.loop.now() - self.started_s < DISCOVERY_S
+        may_lead = not self.members.divided or self._leads()
+        return self.source in ("", SERVICE) and (discovers or not may_lead)
 
     def _leads(self) -> bool:
         return self.members.leader() == self.members.registry.own.node
