--- a/features/customers.feature
+++ b/features/customers.feature
@@ -74,6 +74,10 @@
     When a key is taken away and the store stops answering
     Then the key is refused and the others work beyond the bound of revocation
 
+  Scenario: a key that is taken away during an outage is refused at every node after it
+    When a key is taken away while the store refuses all calls, and the store answers again
+    Then every node refuses the key within the bound of revocation, which served it until then
+
   Scenario: under strict revocation a node that may have missed a removal refuses as not run
     When the store stops answering beyond the bound of strict revocation
     Then requests that need a key get 503, an unknown key 401, an anonymous route is served
--- a/features/steps/customers_steps.py
+++ b/features/steps/customers_steps.py
@@ -11,6 +11,7 @@
     ask_with,
     bytes_received,
     configure,
+    customer_routes,
     ready,
     start_customers,
     told,
@@ -270,6 +271,36 @@
     assert context.statuses == [401, 200], context.statuses
 
 
+REVOKED_AFTER_OUTAGE_S = 5.0
+"""Bound of revocation of a deployment that names none."""
+
+
+@when("a key is taken away while the store refuses all calls, and the store answers again")
+def step_outage(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        await start_customers(fleet, 3)
+        await ready(fleet)
+        callers = [fleet.caller(front) for front in fleet.fronts]
+        fleet.store.faults.refuse = 503
+        fleet.store.put_json("op/config", customer_routes(2, keys={"ant": ["ant-key-2"]}))
+        await fleet.loop.sleep(1.5)
+        context.during = [(await ask_with(caller, "ant-key-1")).status for caller in callers]
+        fleet.store.faults.refuse = 0
+        until_s = fleet.loop.now() + REVOKED_AFTER_OUTAGE_S
+        context.statuses = []
+        while set(context.statuses) != {401} and fleet.loop.now() < until_s:
+            await fleet.loop.sleep(0.05)
+            context.statuses = [(await ask_with(caller, "ant-key-1")).status for caller in callers]
+
+    run_with_fleet(context, scenario)
+
+
+@then("every node refuses the key within the bound of revocation, which served it until then")
+def step_outage_ends(context: Any) -> None:
+    assert context.during == [200, 200, 200], context.during
+    assert context.statuses == [401, 401, 401], context.statuses
+
+
 async def _outlast_bound(context: Any, fleet: FrontFleet) -> None:
     front = await start_customers(fleet, strict_revocation=True, revoke_within_s=REVOKE_S)
     await ready(fleet)
