Shares of a group go to different nodes; tests of failures with real fronts

Cause: with four nodes in one failure domain one node could hold all four shares of a group: 36 of 156 wanted runs after its loss. Change: the nodes of a group have one order, each share prefers another place in it.

--- a/features/steps/limit_bound_steps.py
+++ b/features/steps/limit_bound_steps.py
@@ -98,18 +98,21 @@
 
 
 def _late(model: LimitModel) -> None:
-    """Take a permit, let the bucket fill, take another one and give the first back."""
-    model.grant_late(0, 0)
-    model.now += 0.6
-    model.take_all()
-    model.arrive(0, twice=True)
-    model.take_all()
+    """Take permits, let the bucket fill again, then give them back one by one."""
+    for _ in range(14):
+        model.grant_late(0, 0)
+        model.now += 0.1
+    model.now += 0.45
+    for _ in range(14):
+        model.arrive(0, twice=True)
+        model.take_all()
+    model.wait(1.0)
 
 
 LOOPS = {
     "restarts": (1.0, _restarts),
     "limits taken away and back": (1.0, _churn),
-    "permits given back late": (8.0, _late),
+    "permits given back late": (40.0, _late),
 }
 
 
--- a/features/support/limit_fleet.py
+++ b/features/support/limit_fleet.py
@@ -1,10 +1,12 @@
 """Fronts whose configuration limits customers, and the requests that endpoints ran."""
 
+from collections import Counter
 from dataclasses import replace
 from typing import Any
 
 from features.support.customer_fleet import ask_with, customer_routes, ready
 from features.support.front_fleet import CallerAnswer, FrontFleet
+from parsleyrouter.ids import NodeId, ShareId
 from parsleyrouter.limits.shares import all_shares
 from parsleyrouter.platform.adapter import PLATFORM
 from parsleyrouter.process.front import Front
@@ -14,6 +16,10 @@
 WINDOW_S = 5.0
 OVERSHOOT = 0.1
 SLACK = 20
+DEADLINE_S = 5.0
+PATIENCE_S = 1.6
+"""What a caller waits at most before it returns: a little under a third of its time."""
+
 """What the platform allows beyond a limit."""
 
 
@@ -61,6 +67,10 @@
         self.key = key
         self.answers: list[tuple[float, CallerAnswer]] = []
         self.sent = 0
+        self.patient = False
+        """Whether callers return once, when they were told, if that is within a third of 5 s."""
+        self.returned: list[int] = []
+        """Statuses of the answers to those that returned."""
 
     async def send(self, per_s: float, seconds: float, fronts: list[Front] | None = None) -> None:
         """Send at a rate for some time, to the fronts in turn, and wait for the answers."""
@@ -79,12 +89,38 @@
         answer = await ask_with(caller, self.key, target=f"/card/{number}", attempt=f"q{number}")
         self.answers.append((self.loop.now(), answer))
         caller.close()
+        after_s = float(answer.headers.get("retry-after", 0.0))
+        if self.patient and answer.status == 429 and after_s < PATIENCE_S:
+            await self.loop.sleep(after_s)
+            caller = self.fleet.caller(front)
+            left_ms = int((DEADLINE_S - after_s) * 1000) - 60
+            answer = await ask_with(
+                caller,
+                self.key,
+                target=f"/card/{number}",
+                attempt=f"r{number}",
+                deadline_ms=left_ms,
+            )
+            self.returned.append(answer.status)
+            caller.close()
+
+    def statuses(self) -> Counter[int]:
+        """Return how many requests were answered with each status."""
+        return Counter(answer.status for _, answer in self.answers)
 
     def count(self, status: int) -> int:
         """Return how many requests were answered with a status."""
         return sum(answer.status == status for _, answer in self.answers)
 
 
+def holders(fleet: FrontFleet) -> dict[ShareId, NodeId]:
+    """Return the holders of all shares as the first front knows them."""
+    limits = fleet.fronts[0].limits
+    assert limits is not None
+    views = limits.keeper.authority.views
+    return {share: view.record.node for share, view in views.items() if view.record is not None}
+
+
 def runs(fleet: FrontFleet, customer: str = "ant", endpoint: str = "c1") -> list[float]:
     """Return the times at which requests of a customer arrived at an endpoint, in order."""
     return sorted(
--- a/parsleyrouter/limits/choice.py
+++ b/parsleyrouter/limits/choice.py
@@ -34,14 +34,23 @@
 
 
 def _rank(share: ShareId, own: NodeId, nodes: Mapping[NodeId, DomainName]) -> int:
-    domains = sorted({*nodes.values()})
-    group, index = divmod(share, SHARES_PER_GROUP)
-
-    def place(node: NodeId) -> tuple[int, int]:
-        if node not in nodes:
-            return len(domains), 0
-        turn = (domains.index(nodes[node]) - group - index) % len(domains)
-        return turn, xxh3_64_intdigest(f"{share}/{node}".encode())
+    """Return the place of a node among those that may hold a share.
 
-    own_place = place(own)
-    return min(MAX_RANK, sum(place(node) < own_place for node in nodes))
+    The nodes of a group are in one order, in which failure domains take turns. The first share
+    prefers the first of them, the second share the second, and so on.
+    """
+    group, index = divmod(share, SHARES_PER_GROUP)
+    by_domain: dict[DomainName, list[tuple[int, NodeId]]] = {}
+    for node, domain in nodes.items():
+        score = xxh3_64_intdigest(f"{group}/{node}".encode())
+        by_domain.setdefault(domain, []).append((score, node))
+    domains = sorted(by_domain)
+    places = {
+        node: (place, (domains.index(domain) - group) % len(domains))
+        for domain, members in by_domain.items()
+        for place, (_, node) in enumerate(sorted(members))
+    }
+    order = sorted(places, key=places.__getitem__)
+    if own not in places:
+        return MAX_RANK
+    return min(MAX_RANK, (order.index(own) - index) % len(order))
