--- a/parsleyrouter/process/customer_limits.py
+++ b/parsleyrouter/process/customer_limits.py
@@ -45,7 +45,8 @@
     def lives(self, record: ShareRecord) -> bool:
         """Return whether a holder is registered, or was lately and is still heard."""
         process = record.node, record.boot
-        info = self.registry.recent_nodes().get(record.node)
+        registry = self.registry
+        info = registry.nodes.get(record.node) or registry.recent_nodes().get(record.node)
         if info is not None and info.boot == record.boot:
             self.unregistered_since_s.pop(process, None)
             return True
