--- a/features/customer_limits.feature
+++ b/features/customer_limits.feature
@@ -37,3 +37,7 @@
   Scenario: a refused caller finds room at the time that it was told
     When callers over the limit return when they were told
     Then nearly all that were told a time within their patience get a permit then
+
+  Scenario: asks for permits use the second of the ports between nodes
+    When settings with one port between nodes and with several are read
+    Then only the latter have an address for asks, on the second port
--- a/features/steps/customer_limits_steps.py
+++ b/features/steps/customer_limits_steps.py
@@ -2,6 +2,8 @@
 
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from pathlib import Path
+from tempfile import TemporaryDirectory
 from typing import Any
 
 from behave import then, when
@@ -9,14 +11,15 @@
 from features.steps.front_requests_steps import run_with_fleet
 from features.support.customer_fleet import ready, start_customers
 from features.support.front_fleet import FrontFleet
+from features.support.limit_bounds import most_in_window
 from features.support.limit_fleet import (
+    WINDOW_S,
     LimitedCallers,
     allowed,
     crash,
     granting,
     holders,
     limited,
-    most_in_window,
     restart,
     runs,
     shares_in_use,
@@ -25,12 +28,26 @@
 from parsleyrouter.ids import CustomerName
 from parsleyrouter.limits.authority import AUTHORITY_S
 from parsleyrouter.limits.shares import all_shares, group_of, shares_of
+from parsleyrouter.platform.settings import read_settings
 from parsleyrouter.process.front import Front
 
 RATE_PER_S = 20.0
 MIN_SHARE = 0.9
 """Stated least share of what a customer may send."""
 
+SETTINGS = """
+node = "n1"
+ip = "10.1.0.35"
+zone = "z1"
+internalPorts = [7660, {last}]
+[listen]
+front = "10.1.0.35:8144"
+ready = "10.1.0.35:8140"
+directory = "10.1.0.35:8143"
+[platform]
+address = "10.200.1.7:8142"
+"""
+
 LOAD_S = 7.0
 EVENT_LOAD_S = 13.0
 LOWERED_PER_S = 8.0
@@ -54,7 +71,9 @@
     callers = context.callers
     assert callers.count(200) + callers.count(429) == callers.sent, callers.statuses()
     assert len(context.runs) >= MIN_SHARE * RATE_PER_S * LOAD_S, len(context.runs)
-    assert most_in_window(context.runs) <= allowed(RATE_PER_S), most_in_window(context.runs)
+    assert most_in_window(context.runs, WINDOW_S) <= allowed(RATE_PER_S), most_in_window(
+        context.runs, WINDOW_S
+    )
 
 
 Event = Callable[[FrontFleet], Awaitable[None]]
@@ -159,7 +178,9 @@
 def step_share_runs(context: Any, share: float) -> None:
     wanted = share * RATE_PER_S * EVENT_LOAD_S
     assert len(context.runs) >= wanted, (len(context.runs), wanted, context.statuses)
-    assert most_in_window(context.runs) <= allowed(RATE_PER_S), most_in_window(context.runs)
+    assert most_in_window(context.runs, WINDOW_S) <= allowed(RATE_PER_S), most_in_window(
+        context.runs, WINDOW_S
+    )
 
 
 @when("a node that holds shares is killed and does not return")
@@ -202,7 +223,7 @@
 @then("windows after that hold no more than the lowered limit allows")
 def step_lowered(context: Any) -> None:
     after = [at_s for at_s in context.runs if at_s >= context.since_s]
-    most = most_in_window(after)
+    most = most_in_window(after, WINDOW_S)
     assert most <= allowed(LOWERED_PER_S), most
     before = [at_s for at_s in context.runs if at_s < context.since_s]
     assert len(before) > LOWERED_PER_S * 3.0, len(before)
@@ -252,3 +273,18 @@
     assert len(context.returned) >= 10, len(context.returned)
     granted = sum(status == 200 for status in context.returned)
     assert granted >= 0.9 * len(context.returned), Counter(context.returned)
+
+
+@when("settings with one port between nodes and with several are read")
+def step_ports(context: Any) -> None:
+    context.found = []
+    with TemporaryDirectory() as folder:
+        path = Path(folder) / "node.toml"
+        for last in (7660, 7661, 7675):
+            path.write_text(SETTINGS.format(last=last))
+            context.found.append(read_settings(path).limits)
+
+
+@then("only the latter have an address for asks, on the second port")
+def step_second_port(context: Any) -> None:
+    assert context.found == ["", "10.1.0.35:7661", "10.1.0.35:7661"], context.found
--- a/features/support/limit_fleet.py
+++ b/features/support/limit_fleet.py
@@ -130,11 +130,6 @@
     )
 
 
-def most_in_window(times: list[float], window_s: float = WINDOW_S) -> int:
-    """Return the most times in any window."""
-    return max((sum(at_s <= one < at_s + window_s for one in times) for at_s in times), default=0)
-
-
 def allowed(rate_per_s: float, burst: float = 4.0, window_s: float = WINDOW_S) -> float:
     """Return the most requests that may run in a window."""
     return (rate_per_s * window_s + burst) * (1 + OVERSHOOT) + SLACK
--- a/features/support/limit_model.py
+++ b/features/support/limit_model.py
@@ -3,20 +3,18 @@
 Any process may claim any share at any time: the bound must not depend on when a claim is made.
 """
 
-import math
 from dataclasses import dataclass, field
 
+from features.support.limit_bounds import MAX_DRIFT, most_in_window, share_bound
 from parsleyrouter.customers import Customer, Customers
 from parsleyrouter.ids import Address, CustomerName, DomainName, NodeId, Revision, ShareId
-from parsleyrouter.limits.authority import SETTLE_S, Claim, ShareAuthority, ShareChange
+from parsleyrouter.limits.authority import Claim, ShareAuthority, ShareChange
 from parsleyrouter.limits.holder import Granted, ShareHolder
 from parsleyrouter.limits.permit_calls import PERMIT_VALID_S
-from parsleyrouter.limits.shares import ShareRecord, capacity_of, group_of, rate_of, shares_of
+from parsleyrouter.limits.shares import ShareRecord, group_of, shares_of
 
 CUSTOMER = CustomerName("ant")
 SHARES = shares_of(group_of(CUSTOMER))
-MAX_DRIFT = 0.02
-"""By how much clocks run faster or slower."""
 
 
 @dataclass
@@ -289,21 +287,3 @@
         )
         bound = share_bound(largest, window_s)
         return max(most_in_window(times, window_s) for times in self.runs.values()) - bound
-
-
-def most_in_window(times: list[float], window_s: float) -> int:
-    """Return the most times in any window."""
-    ordered = sorted(times)
-    most, first = 0, 0
-    for last, at_s in enumerate(ordered):
-        while ordered[first] <= at_s - window_s:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
-def share_bound(customer: Customer, window_s: float) -> float:
-    """Return the bound of docs/design/limits.md for one share and a window."""
-    begun = 1 + math.floor(window_s / SETTLE_S)
-    span_s = (window_s + PERMIT_VALID_S) * (1 + MAX_DRIFT)
-    return rate_of(customer) * span_s + capacity_of(customer) + begun
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -150,6 +150,8 @@
         )
         front.routes.on_change.append(front.limits.apply_routes)
         forwarder.limiter = front.limits.limiter
+    else:
+        front.routes.on_change.append(_report_unlimited)
     front.registry.start()
     front.exchange.start()
     front.start_watching()
@@ -184,6 +186,11 @@
     )
 
 
+def _report_unlimited(table: RouteTable) -> None:
+    if any(one.limited for one in table.customers.by_name.values()):
+        log.error("limits of customers are not applied: allow two ports between nodes")
+
+
 def _find_customer(front: Front, name: CustomerName) -> Customer | None:
     table = front.routes.table
     return None if table is None else table.customers.by_name.get(name)
