--- a/features/steps/limit_bound_steps.py
+++ b/features/steps/limit_bound_steps.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from features.support.limit_model import LimitModel
+from parsleyrouter.limits.authority import AUTHORITY_S, CLAIM_WAIT_S
 
 EXAMPLES = 800
 
@@ -18,8 +19,10 @@
 NODES = st.integers(0, 2)
 SHARES = st.integers(0, 1)
 
+WAITS_S = [AUTHORITY_S - 0.5, AUTHORITY_S + 0.2, CLAIM_WAIT_S]
+
 CHANCES: dict[str, tuple[st.SearchStrategy[Any], ...]] = {
-    "wait": (st.sampled_from([0.1, 0.3, 0.5, 1.0, 2.0, 2.0, 6.0, 11.0, 12.2, 13.0]),),
+    "wait": (st.sampled_from([0.1, 0.3, 0.5, 1.0, 2.0, 2.0, 6.0, 11.0, *WAITS_S]),),
     "claim": (NODES, SHARES),
     "claim_now": (NODES, SHARES),
     "write": (st.integers(0, 3), st.booleans()),
@@ -98,18 +101,21 @@
 
 
 def _late(model: LimitModel) -> None:
-    """Take a permit, let the bucket fill, take another one and give the first back."""
-    model.grant_late(0, 0)
-    model.now += 0.6
-    model.take_all()
-    model.arrive(0, twice=True)
-    model.take_all()
+    """Take permits, let the bucket fill again, then give them back one by one."""
+    for _ in range(14):
+        model.grant_late(0, 0)
+        model.now += 0.1
+    model.now += 0.45
+    for _ in range(14):
+        model.arrive(0, twice=True)
+        model.take_all()
+    model.wait(1.0)
 
 
 LOOPS = {
     "restarts": (1.0, _restarts),
     "limits taken away and back": (1.0, _churn),
-    "permits given back late": (8.0, _late),
+    "permits given back late": (40.0, _late),
 }
 
 
