--- a/parsleyrouter/process/batch_placement.py
+++ b/parsleyrouter/process/batch_placement.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import TypeVar
 
 from parsleyrouter.ids import CellId, NodeId
@@ -23,7 +23,11 @@
 
 
 def pick_batch_endpoint(
-    candidates: Iterable[PlacementCandidate], *, waiting_nodes: int = 1, draw: float = 0.0
+    candidates: Collection[PlacementCandidate],
+    *,
+    waiting_nodes: int = 1,
+    draw: float = 0.0,
+    reserved_share: float = 0.0,
 ) -> PlacementCandidate | None:
     """Return the endpoint with the most room for a batch item, or ``None``.
 
@@ -32,14 +36,22 @@
     Batch items use every free slot: an online request that finds none waits only for a preemption,
     which takes a few steps of the engine. ``waiting_nodes`` nodes have waiting items; if there are
     fewer free slots, ``draw``, a random number from 0 to 1, keeps them from all picking the same.
+    ``reserved_share`` of the slots of each endpoint is kept for a step of online demand.
     """
-    roomy = [one for one in candidates if not one.avoided and one.free_for_batch > 0]
+    room = {one.endpoint: _batch_room(one, reserved_share) for one in candidates}
+    roomy = [one for one in candidates if not one.avoided and room[one.endpoint] > 0]
     best = max(roomy, key=lambda one: (one.limited, one.free / one.slowness), default=None)
-    if best is None or draw * waiting_nodes >= sum(one.free_for_batch for one in roomy):
+    if best is None or draw * waiting_nodes >= sum(room[one.endpoint] for one in roomy):
         return None
     return best
 
 
+def _batch_room(candidate: PlacementCandidate, reserved_share: float) -> int:
+    """Return for how many items there is room beside the reserve."""
+    most = round(candidate.slots * (1 - reserved_share))
+    return min(candidate.free_for_batch, most - candidate.batch)
+
+
 def pick_trial_endpoint(candidates: Iterable[PlacementCandidate]) -> PlacementCandidate | None:
     """Return the endpoint whose crash would cost least, ``None`` if none has room.
 
--- a/parsleyrouter/process/endpoint_loads.py
+++ b/parsleyrouter/process/endpoint_loads.py
@@ -3,10 +3,12 @@
 Performs no I/O; methods take the current time as monotonic seconds.
 """
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
 
+from parsleyrouter.demand import DemandForecasts
 from parsleyrouter.endpoint_speed import EndpointSpeeds
 from parsleyrouter.ids import EndpointId, ServiceName
 from parsleyrouter.process.endpoint_directory import RegisteredEndpoint
@@ -61,6 +63,7 @@
     observed: dict[EndpointId, _Observed] = field(default_factory=dict)
     service_s: dict[ServiceName, float] = field(default_factory=dict)
     speeds: EndpointSpeeds = field(default_factory=EndpointSpeeds)
+    demand: DemandForecasts = field(default_factory=DemandForecasts)
     ejector: EndpointEjector = field(default_factory=lambda: EndpointEjector(EJECTION_OPTIONS))
     on_own_change: list[Callable[[], object]] = field(default_factory=list)
 
@@ -145,6 +148,17 @@
         usable = self.ejector.select_usable([one.endpoint for one in known], now, self.random)
         return [self._candidate(entry, entry.endpoint not in usable, now) for entry in known]
 
+    def record_demand(self, entries: Iterable[RegisteredEndpoint], now: float) -> None:
+        """Record the online requests of each service for the forecast of its demand."""
+        online: Counter[ServiceName] = Counter()
+        slots: Counter[ServiceName] = Counter()
+        for entry in entries:
+            online[entry.service] += self.total_use(entry.endpoint, now).online
+            slots[entry.service] += entry.slots
+        self.demand.retain(slots)
+        for service, count in slots.items():
+            self.demand.record(service, online[service], count, now)
+
     def is_inactive(self, endpoint: EndpointId, now: float) -> bool:
         """Return whether an endpoint with requests in flight has sent nothing for too long."""
         observed = self.observed.get(endpoint)
--- a/parsleyrouter/process/item_states.py
+++ b/parsleyrouter/process/item_states.py
@@ -26,6 +26,7 @@
     WaitReason.NO_ENDPOINT: 0.0,
     WaitReason.NOT_LISTED: 4 * LISTING_DELAY_S,
     WaitReason.NO_ROOM: LASTING_WAIT_S,
+    WaitReason.RESERVED: LASTING_WAIT_S,
     WaitReason.PAUSED: LASTING_WAIT_S,
 }
 """How long an item waits for a reason until the line about it is written."""
--- a/parsleyrouter/process/job_worker.py
+++ b/parsleyrouter/process/job_worker.py
@@ -23,6 +23,7 @@
 from parsleyrouter.process.job_owner import JobOwner
 from parsleyrouter.process.job_run import JobRun
 from parsleyrouter.process.load_exchange import LoadExchange
+from parsleyrouter.process.step_reserve import StepReserve, reason_without_room
 from parsleyrouter.request.item_state import WaitReason
 from parsleyrouter.request.item_time import ItemTimes
 from parsleyrouter.request.shared_job import ItemResult, ItemState, JobRecord
@@ -67,6 +68,7 @@
         self.metrics = metrics
         self.rng = rng
         self.item_times = ItemTimes()
+        self.reserve = StepReserve(context.loads, self.item_times)
         self.states = ItemStates(owner, context.crashes.keeper.quarantine, metrics)
         self.preemption = ItemPreemption(context, owner, exchange, metrics, self._running_rank)
         self.held = HeldItems(self.loop, context.crashes.keeper)
@@ -80,10 +82,11 @@
     async def _place_periodically(self) -> None:
         while True:
             await self.loop.sleep(PLACEMENT_INTERVAL_S if self.owner.runs else IDLE_INTERVAL_S)
-            if not self.owner.runs:
-                self.context.loads.waiting_items = 0
-                continue
             try:
+                self.context.loads.record_demand(self.directory.endpoints.values(), self.loop.now())
+                if not self.owner.runs:
+                    self.context.loads.waiting_items = 0
+                    continue
                 self.preemption.preempt_items()
                 self._place_items()
                 self.owner.saver.save_when_due(self.owner.runs.values())
@@ -109,7 +112,7 @@
                 self.context.loads.waiting_items -= 1
                 continue
             route = job_run.versioned.record.route
-            if route in full:
+            if route in full and not self.reserve.allows(full[route], job_run, index, wall_ms):
                 self.states.pass_over(job_run, index, full[route])
                 continue
             reason = self._try_start_item(job_run, index, wall_ms)
@@ -184,9 +187,12 @@
         entries = {entry.endpoint: entry for entry in self.directory.available_for(service)}
         candidates = self.context.loads.candidates(entries.values(), now)
         waiting_nodes = self.context.loads.fleet.count_waiting_nodes(now) + 1
-        best = pick_batch_endpoint(candidates, waiting_nodes=waiting_nodes, draw=self.rng.random())
+        kept = self.reserve.share(job_run, index, service, now, wall_ms)
+        best = pick_batch_endpoint(
+            candidates, waiting_nodes=waiting_nodes, draw=self.rng.random(), reserved_share=kept
+        )
         if best is None:
-            return WaitReason.NO_ROOM if entries else WaitReason.NO_ENDPOINT
+            return reason_without_room(bool(entries), kept)
         if groups:
             self.context.crashes.keeper.take_trial(groups)
         else:
--- a/parsleyrouter/request/item_state.py
+++ b/parsleyrouter/request/item_state.py
@@ -18,6 +18,8 @@
     """It is done or given up, and its result is not listed."""
     NO_ROOM = "no_room"
     """No endpoint has room for it, or had room for one before it on its route."""
+    RESERVED = "reserved"
+    """Slots that it could use are kept free for a step of online demand that is expected."""
     PAUSED = "paused"
     """A run, or an attempt to start one, has ended a moment ago."""
     RUNNING = "running"
@@ -25,4 +27,4 @@
     @property
     def fills_route(self) -> bool:
         """Return whether further items of the route are passed over in the same turn."""
-        return self in (WaitReason.NO_ENDPOINT, WaitReason.NO_ROOM)
+        return self in (WaitReason.NO_ENDPOINT, WaitReason.NO_ROOM, WaitReason.RESERVED)
