Exercise urgent items behind reserved ones on one route

Cause: the mutant 'urgent items wait behind the reserve' was missed, as the two jobs of the scenario had routes of their own. Change: both jobs on one route, the urgent one ranked last.

--- a/features/steps/step_reserve_steps.py
+++ b/features/steps/step_reserve_steps.py
@@ -6,9 +6,8 @@
 
 from features.steps.front_jobs_steps import ITEMS, read, read_all, submit
 from features.steps.front_requests_steps import run_with_fleet
-from features.steps.job_states_steps import submit_other, two_routes
 from features.steps.waiting_items_steps import metric
-from features.support.front_fleet import FrontFleet
+from features.support.front_fleet import FrontFleet, routes
 from parsleyrouter.demand import StepForecast, StepOutlook
 from parsleyrouter.ids import ServiceName
 
@@ -20,6 +19,15 @@
         return StepOutlook(0.0, 1.0)
 
 
+def hurried_routes() -> dict[str, Any]:
+    """Return routes whose batch items are late from the start, so that they rank last."""
+    config = routes(2)
+    batch = next(one for one in config["routes"] if one["kind"] == "batch")
+    config["routes"] = [one for one in config["routes"] if one is not batch]
+    config["routes"].append(batch | {"runTargetMs": 4000})
+    return config
+
+
 @given("a node whose load shows recurring steps")
 def step_node(context: Any) -> None:
     context.forecast = _ConstantForecast()
@@ -29,15 +37,13 @@
 def step_jobs(context: Any) -> None:
     async def scenario(fleet: FrontFleet) -> None:
         fleet.register("e1")
-        config = two_routes(service="engines", runTargetMs=5000)
-        fleet.store.put_json("op/config", config)
-        front = await fleet.start(configured=False)
-        await fleet.until(lambda: front.routes.table is not None and front.registry.lease)
-        await fleet.until(lambda: front.directory.endpoints)
+        front = await fleet.start()
         front.loads.demand.services[ServiceName("engines")] = context.forecast
         assert (await submit(fleet)).status == 202
-        await submit_other(fleet)
         await fleet.until(lambda: metric(fleet, "reserved") == ITEMS)
+        fleet.store.put_json("op/config", hurried_routes())
+        await fleet.until(lambda: front.routes.version == 2)
+        assert (await submit(fleet, job="job2")).status == 202
         context.urgent = await read_all(fleet, job="job2")
         context.reserved = metric(fleet, "reserved")
         context.early = (await read(fleet))["results"]
