--- a/features/leaving_endpoints.feature
+++ b/features/leaving_endpoints.feature
@@ -44,3 +44,8 @@
     Given two endpoints of each service that are registered as ready
     When the address of an endpoint is answered by another one that leaves
     Then the expected endpoint does not count as leaving
+
+  Scenario: a node that the store turns away drops an endpoint that its leader knows is gone
+    Given a large fleet of a few nodes that are divided into cells
+    When the store turns a node away that reads from its leader, and an endpoint's registration goes
+    Then the node stops using that endpoint within the time for which it serves on
--- a/parsleyrouter/process/cell_methods.py
+++ b/parsleyrouter/process/cell_methods.py
@@ -2,10 +2,10 @@
 
 from typing import Any
 
-from parsleyrouter.connection.key_value import Entry
 from parsleyrouter.connection.peer import PeerMethods
 from parsleyrouter.ids import Revision
 from parsleyrouter.process.cell_reader import FAILURE_RETENTION_S, CellReader
+from parsleyrouter.process.followed_keys import to_wire
 from parsleyrouter.thrift_gen.nodes.ttypes import AskFollowed, Followed, FollowedKey
 
 __all__ = ["add_cell_methods"]
@@ -24,9 +24,7 @@
         ):
             return _refused(reader, query.prefix)
         if query.after is None:
-            keys = [
-                _to_wire(entry.key, entry.revision, entry) for entry in watched.entries.values()
-            ]
+            keys = [to_wire(entry.key, entry.revision, entry) for entry in watched.entries.values()]
             return _answer(reader, query.prefix, watched.revision, keys)
         if query.after < watched.base_revision:
             return Followed(refusal="", lost=True, revision=watched.revision, keys=[])
@@ -38,7 +36,7 @@
             await watched.changed.wait(remaining_s)
         if not reader.answered_recently(query.prefix) or watched.base_revision > query.after:
             return _refused(reader, query.prefix)
-        keys = [_to_wire(change.key, change.revision, change.entry) for change in changes]
+        keys = [to_wire(change.key, change.revision, change.entry) for change in changes]
         return _answer(reader, query.prefix, watched.revision, keys)
 
 
@@ -57,7 +55,3 @@
     age_s = reader.answer_age_s(prefix)
     message = f"the service last answered {age_s:.1f} s ago: read from it directly"
     return Followed(refusal=message, lost=False, revision=0, keys=[])
-
-
-def _to_wire(key: str, revision: Revision, entry: Entry | None) -> FollowedKey:
-    return FollowedKey(key=key, revision=revision, value=None if entry is None else entry.value)
--- a/parsleyrouter/process/cell_reader.py
+++ b/parsleyrouter/process/cell_reader.py
@@ -12,10 +12,8 @@
 
 from parsleyrouter.connection.key_value import (
     ChangePage,
-    Entry,
     EntryPage,
     HistoryCompacted,
-    KeyChange,
     KeyValueFailure,
     KeyValueFailureKind,
     TransactionalKeyValue,
@@ -26,9 +24,10 @@
 from parsleyrouter.process.changes_elsewhere import BEHIND_GRACE_S, ChangesElsewhere
 from parsleyrouter.process.condition import Condition
 from parsleyrouter.process.direct_reads import DirectReads
+from parsleyrouter.process.followed_keys import to_change, to_entry
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.watched_prefix import WatchedPrefix
-from parsleyrouter.thrift_gen.nodes.ttypes import AskFollowed, Followed, FollowedKey
+from parsleyrouter.thrift_gen.nodes.ttypes import AskFollowed, Followed
 
 __all__ = [
     "CHANGES_WAIT_S",
@@ -105,7 +104,7 @@
         """State of the watched prefixes of this process."""
         self.answered_s: dict[str, float] = {}
         """When the service last answered this process or the one that it asks; monotonic."""
-        self.last_failure_s = -FAILURE_RETENTION_S
+        self.last_failure_s = self.own_failure_s = -FAILURE_RETENTION_S
         self.leader_retry_at_s = 0.0
         self.direct_retry_at_s: dict[str, float] = {}
         self.source = ""
@@ -113,9 +112,9 @@
         self.direct = DirectReads(loop, store)
         self.elsewhere = ChangesElsewhere()
         store.on_lost.append(lambda _: self._end_pauses())
-        store.on_failure.append(lambda: self._record_failure(loop.now()))
+        store.on_failure.append(self._record_own_failure)
         self.on_failure: list[Callable[[float], object]] = []
-        """Called with the time of each failed call to the service, made here or by the leader."""
+        """Called with the time of each failed call of the node that reads from the service."""
 
     def watched_prefix(self, prefix: str) -> WatchedPrefix:
         """Return the state of a watched prefix, created on first use."""
@@ -131,12 +130,12 @@
         return self.loop.now() - self.answered_s.get(prefix, -math.inf)
 
     async def scan(self, prefix: str, *, after: str = "") -> EntryPage | KeyValueFailure:
-        """Read the keys under a prefix: all from the leader, or one page from the service."""
+        """Read the keys of a prefix: all from the leader, or one page from the service."""
         leader = None if after else self._leader_address()
         if leader is not None:
             answer = await self._ask_leader(leader, AskFollowed(prefix=prefix, wait_ms=0))
             if answer is not None:
-                entries = [_to_entry(key) for key in answer.keys if key.value is not None]
+                entries = [to_entry(key) for key in answer.keys if key.value is not None]
                 return EntryPage(tuple(entries), False, Revision(answer.revision))
         refused = self._refuse_direct_read(prefix)
         if refused is not None:
@@ -156,13 +155,12 @@
             if answer is not None:
                 if answer.lost:
                     return HistoryCompacted()
-                changes = tuple(_to_change(key) for key in answer.keys)
+                changes = tuple(to_change(key) for key in answer.keys)
                 return ChangePage(changes, Revision(answer.revision))
         refused = self._refuse_direct_read(prefix)
         if refused is not None:
             return refused
-        wait_s = self._direct_wait_s(wait_s)
-        page = await self.direct.changes(prefix, after, wait_s)
+        page = await self.direct.changes(prefix, after, self._direct_wait_s(wait_s))
         self._record_answer(prefix, page)
         return page
 
@@ -218,8 +216,7 @@
 
     def distrust_leader(self) -> None:
         """Read directly for a while."""
-        pause_s = LEADER_RETRY_S * self.random.uniform(0.7, 1.3)
-        self.leader_retry_at_s = self.loop.now() + pause_s
+        self.leader_retry_at_s = self.loop.now() + LEADER_RETRY_S * self.random.uniform(0.7, 1.3)
 
     def pause_s(self, usual_s: float) -> float:
         """Return the pause between reads of a prefix: longer on standby, where few callers come.
@@ -279,6 +276,15 @@
             self.direct_retry_at_s[prefix] = now + DIRECT_RETRY_S * self.random.uniform(0.7, 1.3)
             self.leader_retry_at_s = 0.0
 
+    def _record_own_failure(self) -> None:
+        """Record a failed call of this node unless another node reads from the service for it.
+
+        The service may turn this node away and serve the other, which tells of its own failures.
+        """
+        self.own_failure_s = self.loop.now()
+        if self.source in ("", SERVICE) or self._leader_address() is None:
+            self._record_failure(self.own_failure_s)
+
     def _record_failure(self, at_s: float) -> None:
         if at_s > self.last_failure_s:
             self.last_failure_s = at_s
@@ -288,13 +294,6 @@
     def _set_source(self, source: str, reason: str) -> None:
         if source != self.source:
             self.source = source
+            if source == SERVICE:
+                self._record_failure(self.own_failure_s)
             log.info("changes read from", extra={"source": source, "reason": reason})
-
-
-def _to_entry(key: FollowedKey) -> Entry:
-    return Entry(key.key, key.value, Revision(key.revision))
-
-
-def _to_change(key: FollowedKey) -> KeyChange:
-    entry = None if key.value is None else _to_entry(key)
-    return KeyChange(key.key, Revision(key.revision), entry)
