Callers' connections yield by what their address holds

Heads, pipelined bytes and bodies count as held; above the limit the unfinished requests of the address that holds the most yield, and only then the request that arrives is refused. A front no longer takes a POST to /v1/batches for a streamed upload, whose body it would have lost.

--- /dev/null
+++ b/parsleyrouter/connection/caller_admission.py
@@ -0,0 +1,136 @@
+"""Keep what callers hold within the limits of their server, and count who was refused."""
+
+import logging
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+from parsleyrouter.connection.connection_stage import ConnectionStage, RefusalCause
+from parsleyrouter.connection.crowding import Holder, first_to_yield
+from parsleyrouter.outcome import ExecutionStatus, Refusal, RefusalKind
+
+if TYPE_CHECKING:
+    from parsleyrouter.connection.caller_connection import CallerConnection
+    from parsleyrouter.connection.public_http_server import PublicHttpServer
+
+__all__ = ["BUSY", "CallerAdmission"]
+
+SMALL_REQUEST_BYTES = 64 * 1024
+LARGE_REQUESTS_SHARE = 7 / 8
+"""Share of the memory for requests that larger ones may fill."""
+
+SLOW_BYTES = 8 * 1024
+"""Bytes between two sweeps below which an unfinished request is slow."""
+
+MAX_LINES = 5
+"""Refusals that are logged one by one between two sweeps; others are counted in one line."""
+
+BUSY = Refusal(
+    RefusalKind.OVERLOADED,
+    "too much is being uploaded here: try another entry or come again",
+    ExecutionStatus.NOT_RUN,
+    retry_after_s=2.0,
+)
+_TOO_MANY_CONNECTIONS = Refusal(
+    RefusalKind.OVERLOADED,
+    "too many connections or uploads here: try another entry",
+    ExecutionStatus.NOT_RUN,
+    retry_after_s=1.0,
+)
+_UNFINISHED = (ConnectionStage.HEAD, ConnectionStage.BODY)
+_YIELD_ORDER = (
+    ConnectionStage.DISCARD,
+    ConnectionStage.IDLE,
+    ConnectionStage.HEAD,
+    ConnectionStage.BODY,
+)
+
+log = logging.getLogger(__name__)
+
+
+class CallerAdmission:
+    """Make room for new connections and for requests that arrive.
+
+    A request that is complete is never given up.
+    """
+
+    def __init__(self, server: "PublicHttpServer") -> None:
+        self.server = server
+        self.refused: Counter[RefusalCause] = Counter()
+        self.lines = 0
+
+    def admit(self, connection: "CallerConnection") -> None:
+        """Close another connection, or this one, if there are too many."""
+        server = self.server
+        while len(server.connections) > server.limits.connections:
+            totals = Counter(one.remote for one in server.connections.values())
+            holders = [
+                Holder(sock, one.remote, (_YIELD_ORDER.index(one.stage), one.progress_s))
+                for sock, one in server.connections.items()
+                if one is not connection and one.stage in _YIELD_ORDER and one.upload is None
+            ]
+            found = first_to_yield(holders, totals, connection.remote)
+            yielding = connection if found is None else server.connections[found.key]
+            self._close(yielding, is_new=yielding is connection)
+            if yielding is connection:
+                return
+
+    def hold(self, connection: "CallerConnection") -> bool:
+        """Return whether what a connection holds fits, after others have yielded if need be."""
+        server = self.server
+        limit = float(server.limits.buffered_bytes)
+        if connection.buffered_bytes > SMALL_REQUEST_BYTES:
+            limit *= LARGE_REQUESTS_SHARE
+        while server.buffered > limit:
+            totals: Counter[str] = Counter()
+            for one in server.connections.values():
+                totals[one.remote] += one.buffered_bytes
+            found = first_to_yield(self._holders(connection), totals, connection.remote)
+            if found is None:
+                return False
+            server.connections[found.key].refuse(BUSY, RefusalCause.MEMORY)
+        return True
+
+    def _holders(self, connection: "CallerConnection") -> list[Holder]:
+        """List the unfinished requests that yield to that of a connection.
+
+        From its own address, only slow ones that hold more.
+        """
+        return [
+            Holder(sock, one.remote, (not one.slow, -one.buffered_bytes))
+            for sock, one in self.server.connections.items()
+            if one is not connection
+            and one.stage in _UNFINISHED
+            and one.buffered_bytes
+            and (
+                one.remote != connection.remote
+                or (one.slow and one.buffered_bytes > connection.buffered_bytes)
+            )
+        ]
+
+    def _close(self, connection: "CallerConnection", *, is_new: bool) -> None:
+        """Close a connection at once, with a refusal if its caller may wait for an answer."""
+        if is_new or connection.stage in _UNFINISHED:
+            connection.refuse(_TOO_MANY_CONNECTIONS, RefusalCause.CONNECTIONS)
+        elif connection.stage is ConnectionStage.IDLE:
+            self.note(RefusalCause.CONNECTIONS, connection.remote, "idle, and others connect")
+        connection.discard()
+        self.server.server._close(connection.sock)
+
+    def note(self, cause: RefusalCause, remote: str, reason: str, **fields: Any) -> None:
+        """Count a refusal or a closed connection, and log the first ones after each sweep."""
+        self.refused[cause] += 1
+        self.lines += 1
+        if self.lines <= MAX_LINES:
+            extra = {"remote": remote, "cause": cause.value, "reason": reason, **fields}
+            log.info("request refused and connection closed", extra=extra)
+
+    def sweep(self) -> None:
+        """Log how many more were refused, and mark slow requests."""
+        if self.lines > MAX_LINES:
+            extra = {"requests": self.lines - MAX_LINES}
+            log.info("more requests refused and connections closed", extra=extra)
+        self.lines = 0
+        for sock, connection in self.server.connections.items():
+            waits = self.server.queue.waits(sock)
+            connection.slow = not waits and connection.window_bytes < SLOW_BYTES
+            connection.window_bytes = 0
--- a/parsleyrouter/connection/caller_connection.py
+++ b/parsleyrouter/connection/caller_connection.py
@@ -1,10 +1,12 @@
 """One caller's connection: requests are parsed one at a time, within limits."""
 
-from enum import Enum
 from typing import TYPE_CHECKING, Any
 
 import h11
 
+from parsleyrouter.connection.caller_admission import BUSY
+from parsleyrouter.connection.caller_timeouts import is_overdue
+from parsleyrouter.connection.connection_stage import ConnectionStage, RefusalCause
 from parsleyrouter.connection.http_limits import (
     RequestHead,
     check_head,
@@ -29,22 +31,8 @@
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
-_BUSY = Refusal(
-    RefusalKind.OVERLOADED,
-    "too much is being uploaded here: try another entry or come again",
-    ExecutionStatus.NOT_RUN,
-    retry_after_s=2.0,
-)
-
-
-class ConnectionStage(Enum):
-    """States of a connection, named after what it waits for."""
-
-    IDLE = "idle"
-    HEAD = "head"
-    BODY = "body"
-    RESPONSE = "answer"
-    DISCARD = "discard"
+PARSED_FIELD_BYTES = 300
+"""Memory of a parsed header beside its text."""
 
 
 class CallerConnection:
@@ -67,7 +55,14 @@
         """Bytes of the body as sent, with the framing of its chunks."""
         self.unended_lines = 0
         """Lines since the parser's latest event, which one event will hold."""
+        self.head_bytes = 0
+        """Memory of the current head."""
         self.buffered_bytes = 0
+        """What of the server's memory for requests is counted as held here."""
+        self.window_bytes = 0
+        """Bytes received since the latest sweep."""
+        self.slow = False
+        """Whether few bytes were received between the latest two sweeps."""
         self.upload: Upload | None = None
         self.body_pending = False
         self.input = bytearray()
@@ -101,8 +96,10 @@
         if self.stage is ConnectionStage.DISCARD:
             return
         self.input += data
+        self.window_bytes += len(data)
         if not self.parseable:
             self._pause_pipeline()
+            self._account()
             return
         if self.stage is ConnectionStage.BODY or self.body_pending:
             self.progress_s = self.server.loop.now()
@@ -119,21 +116,22 @@
         except h11.RemoteProtocolError as error:
             message = f"not a valid HTTP request: {error}"
             self.refuse(Refusal(RefusalKind.BAD_REQUEST, message, ExecutionStatus.NOT_RUN))
+        self._account()
         if self.parseable:
             self.server.parse_later(self.sock)
 
-    def refuse(self, refusal: Refusal) -> None:
+    def refuse(self, refusal: Refusal, cause: RefusalCause = RefusalCause.BAD_REQUEST) -> None:
         """Send a refusal and close once the caller has had time to read it."""
         if self.upload is not None:
             self.upload.abort(refusal.message)
         if not self.body_pending or self.stage is not ConnectionStage.RESPONSE:
-            self.server.refuse(self.sock, refusal)
+            self.server.refuse(self.sock, refusal, cause)
         self.discard()
 
     def discard(self) -> None:
         """Drop further bytes; the connection closes after the discard timeout."""
-        self._drop_body()
         self.input.clear()
+        self._drop_body()
         self.upload = None
         self.body_pending = False
         self._enter_stage(ConnectionStage.DISCARD)
@@ -155,30 +153,14 @@
 
     def handle_disconnect(self) -> None:
         """Clean up after the connection has closed."""
+        self.input.clear()
         self._drop_body()
         if self.upload is not None:
             self.upload.abort("the caller closed the connection")
 
     def is_overdue(self, now: float, unsent_bytes: int) -> bool:
         """Return whether the caller has exceeded one of the timeouts."""
-        if unsent_bytes == 0 or unsent_bytes != self.unsent_bytes:
-            self.unsent_bytes, self.unsent_since_s = unsent_bytes, now
-        waited_s = now - self.progress_s
-        receives = self.stage in (ConnectionStage.HEAD, ConnectionStage.BODY) or self.body_pending
-        if receives and self.server.queue.waits(self.sock):
-            # What has not been read yet is not late.
-            waited_s = 0.0
-        if unsent_bytes and now - self.unsent_since_s > self.limits.send_stall_timeout_s:
-            return True
-        if self.upload is not None and self.body_pending and not self.upload.paused:
-            return waited_s > self.limits.body_gap_timeout_s
-        limit_s = {
-            ConnectionStage.IDLE: self.limits.idle_timeout_s,
-            ConnectionStage.HEAD: self.limits.header_timeout_s,
-            ConnectionStage.BODY: self.limits.body_gap_timeout_s,
-            ConnectionStage.DISCARD: self.limits.discard_timeout_s,
-        }.get(self.stage)
-        return limit_s is not None and waited_s > limit_s
+        return is_overdue(self, now, unsent_bytes)
 
     def _new_parser(self) -> h11.Connection:
         return h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.header_bytes)
@@ -201,7 +183,9 @@
         plain_body = self.head is not None and "transfer-encoding" not in self.head.headers
         piece = bytes(self.input if plain_body else self.input[:SMALL_PIECE_BYTES])
         del self.input[: len(piece)]
-        if self.stage is not ConnectionStage.HEAD:
+        if self.stage is ConnectionStage.HEAD:
+            self.head_bytes += len(piece)
+        else:
             self.sent_body_bytes += len(piece)
         self.unended_lines += piece.count(b"\n")
         self.parser.receive_data(piece)
@@ -213,6 +197,8 @@
             self.refuse(too_many_lines_refusal(self.limits.header_count))
         elif self.body_pending:
             self._check_framing()
+        elif self.stage is ConnectionStage.HEAD and not self._fits():
+            self.refuse(BUSY, RefusalCause.MEMORY)
 
     def _handle_event(self) -> bool:
         event: Any = self.parser.next_event()
@@ -228,9 +214,11 @@
 
     def _handle_head(self, head: RequestHead) -> bool:
         self.head = head
-        refusal = check_head(head, self.limits)
-        if head.streamed and self.server.upload_count() >= self.limits.uploads:
-            refusal = refusal or _BUSY
+        self.head_bytes = sum(2 * (len(k) + len(v)) + PARSED_FIELD_BYTES for k, v in head.raw)
+        streamed = self.server.streams_body(head)
+        refusal = check_head(head, self.limits, streamed=streamed)
+        if streamed and self.server.upload_count() >= self.limits.uploads:
+            refusal = refusal or BUSY
         if refusal is not None:
             self.refuse(refusal)
             return False
@@ -238,7 +226,7 @@
             self.server.send(self.sock, CONTINUE)
         self._enter_stage(ConnectionStage.BODY)
         self.body_pending = True
-        if head.streamed:
+        if streamed:
             self._begin_upload()
         return True
 
@@ -275,11 +263,9 @@
         if self.upload is not None:
             self.upload.feed(data)
             return True
-        self.server.buffered += len(data)
-        self.buffered_bytes += len(data)
         self.body += data
-        if self.server.buffered > self.limits.buffered_bytes:
-            self.refuse(_BUSY)
+        if not self._fits():
+            self.refuse(BUSY, RefusalCause.MEMORY)
             return False
         return True
 
@@ -293,7 +279,17 @@
         self.server.begin(self, body, None)
 
     def _drop_body(self) -> None:
-        self.server.buffered -= self.buffered_bytes
-        self.buffered_bytes = 0
         self.body = bytearray()
-        self.body_bytes = self.sent_body_bytes = self.unended_lines = 0
+        self.body_bytes = self.sent_body_bytes = self.unended_lines = self.head_bytes = 0
+        self._account()
+
+    def _account(self) -> None:
+        """Count what the connection holds, a request that is being answered included."""
+        body_bytes = self.body_bytes if self.upload is None else 0
+        held_bytes = len(self.input) + self.head_bytes + body_bytes
+        self.server.buffered += held_bytes - self.buffered_bytes
+        self.buffered_bytes = held_bytes
+
+    def _fits(self) -> bool:
+        self._account()
+        return self.server.admission.hold(self)
--- a/parsleyrouter/connection/forward_server.py
+++ b/parsleyrouter/connection/forward_server.py
@@ -136,6 +136,10 @@
         self.last_request_s = 0.0
         """When the latest request had arrived in full; monotonic."""
 
+    def streams_body(self, head: RequestHead) -> bool:
+        """Return false: a body is forwarded once it is complete."""
+        return False
+
     def begin(self, connection: CallerConnection, body: bytes, upload: Upload | None) -> None:
         """Start answering a request whose body is complete."""
         assert connection.head is not None
--- a/parsleyrouter/connection/http_limits.py
+++ b/parsleyrouter/connection/http_limits.py
@@ -20,7 +20,6 @@
     "too_many_lines_refusal",
 ]
 
-_STREAMED_ROUTES = frozenset({("POST", "/v1/batches")})
 _REASON_PHRASES = {400: b"Bad Request", 413: b"Content Too Large", 503: b"Service Unavailable"}
 _DOT_SEGMENTS = frozenset({".", ".."})
 
@@ -34,7 +33,7 @@
     body_bytes: int = 8 * 1024 * 1024
     upload_bytes: int = 1024 * 1024 * 1024
     buffered_bytes: int = 256 * 1024 * 1024
-    """Bodies that are being received or answered, of all connections."""
+    """Requests that are being received or answered, of all connections."""
     unsent_bytes: int = 256 * 1024 * 1024
     """Responses that callers have not read, of all connections; at most one response more."""
     connections: int = 4000
@@ -59,11 +58,6 @@
     raw: tuple[tuple[bytes, bytes], ...] = ()
     """The headers as sent, including repeated ones."""
 
-    @property
-    def streamed(self) -> bool:
-        """Whether the body is streamed to the handler."""
-        return (self.method, self.path.rstrip("/")) in _STREAMED_ROUTES
-
     @property
     def keep_alive(self) -> bool:
         """Whether the connection may serve another request."""
@@ -88,7 +82,7 @@
     )
 
 
-def check_head(head: RequestHead, limits: HttpLimits) -> Refusal | None:
+def check_head(head: RequestHead, limits: HttpLimits, *, streamed: bool) -> Refusal | None:
     """Return why a request is refused before its body is read."""
     if len(head.headers) > limits.header_count:
         return too_many_lines_refusal(limits.header_count)
@@ -100,7 +94,7 @@
         return _bad_request("the path must not contain '.' or '..' segments")
     if head.headers.get("content-encoding", "identity").lower() != "identity":
         return _bad_request("content-encoding is not supported: send the body as it is")
-    max_bytes = limits.upload_bytes if head.streamed else limits.body_bytes
+    max_bytes = limits.upload_bytes if streamed else limits.body_bytes
     if head.length is not None and head.length > max_bytes:
         return too_large_refusal(max_bytes)
     return None
--- a/parsleyrouter/connection/public_http_server.py
+++ b/parsleyrouter/connection/public_http_server.py
@@ -12,7 +12,9 @@
 from circuits import handler
 from circuits.web import wrappers
 
-from parsleyrouter.connection.caller_connection import CallerConnection, ConnectionStage
+from parsleyrouter.connection.caller_admission import CallerAdmission
+from parsleyrouter.connection.caller_connection import CallerConnection
+from parsleyrouter.connection.connection_stage import ConnectionStage, RefusalCause
 from parsleyrouter.connection.http import HttpRequest
 from parsleyrouter.connection.http_limits import HttpLimits, RequestHead, encode_refusal
 from parsleyrouter.connection.http_server import Exchange, HttpServer, Routes
@@ -28,17 +30,10 @@
 READ_BYTES_OUTSIDE_BODY = 16 * 1024
 SWEEP_INTERVAL_S = 0.5
 
-MAX_REFUSAL_LINES = 5
-"""Refusals that are logged one by one between two sweeps; others are counted in one line."""
+STREAMED_ROUTES = frozenset({("POST", "/v1/batches")})
 
 log = logging.getLogger(__name__)
 
-_TOO_MANY_CONNECTIONS = Refusal(
-    RefusalKind.OVERLOADED,
-    "too many connections or uploads here: try another entry",
-    ExecutionStatus.NOT_RUN,
-    retry_after_s=1.0,
-)
 _TOO_SLOW = Refusal(
     RefusalKind.BAD_REQUEST,
     "the request came too slowly: send it again whole",
@@ -74,7 +69,7 @@
         self.connections: dict[Any, CallerConnection] = {}
         self.buffered = 0
         self.queue = ReadQueue(loop, self._serve, self._watch, self.fire)
-        self.refusals = 0
+        self.admission = CallerAdmission(self)
         self.unsent_bytes = 0
         """Unsent bytes of all responses, at most; exact after each sweep."""
         loop.call_later(SWEEP_INTERVAL_S, self._sweep)
@@ -93,13 +88,14 @@
         """Return the number of streamed uploads."""
         return sum(1 for one in self.connections.values() if one.upload is not None)
 
-    def refuse(self, sock: Any, refusal: Refusal) -> None:
+    def streams_body(self, head: RequestHead) -> bool:
+        """Return whether the body of a request is streamed to its handler."""
+        return (head.method, head.path.rstrip("/")) in STREAMED_ROUTES
+
+    def refuse(self, sock: Any, refusal: Refusal, cause: RefusalCause) -> None:
         """Send a refusal with ``Connection: close``."""
-        self.refusals += 1
-        if self.refusals <= MAX_REFUSAL_LINES:
-            remote = self.connections[sock].remote if sock in self.connections else ""
-            fields = {"remote": remote, "reason": refusal.message}
-            log.info("request refused and connection closed", extra=fields)
+        remote = self.connections[sock].remote if sock in self.connections else ""
+        self.admission.note(cause, remote, refusal.message)
         self.send(sock, encode_refusal(refusal))
 
     def begin(self, connection: CallerConnection, body: bytes, upload: Upload | None) -> None:
@@ -215,8 +211,9 @@
         for sock in slowest:
             if self.unsent_bytes <= self.limits.unsent_bytes:
                 return
-            fields = {"remote": self.connections[sock].remote, "unsent_bytes": unsent[sock]}
-            log.warning("caller closed: unread responses take too much memory", extra=fields)
+            remote = self.connections[sock].remote
+            reason = "unread responses take too much memory"
+            self.admission.note(RefusalCause.UNREAD, remote, reason, unsent_bytes=unsent[sock])
             self.unsent_bytes -= unsent[sock]
             self.connections[sock].discard()
             self.server._close(sock)
@@ -240,8 +237,7 @@
     @handler("connect", priority=100)
     def _on_caller_connect(self, sock: Any, host: str, port: int) -> None:
         self.connections[sock] = connection = CallerConnection(self, sock, host)
-        if len(self.connections) > self.limits.connections:
-            connection.refuse(_TOO_MANY_CONNECTIONS)
+        self.admission.admit(connection)
 
     @handler("read", priority=100)
     def _on_caller_read(self, event: Any, sock: Any, data: bytes) -> None:
@@ -259,10 +255,7 @@
 
     def _sweep(self) -> None:
         now = self.loop.now()
-        if self.refusals > MAX_REFUSAL_LINES:
-            extra = {"requests": self.refusals - MAX_REFUSAL_LINES}
-            log.info("more requests refused and connections closed", extra=extra)
-        self.refusals = 0
+        self.admission.sweep()
         self.unsent_bytes = 0
         for sock, connection in list(self.connections.items()):
             unsent_bytes = self.buffered_bytes(sock)
@@ -274,8 +267,7 @@
     def drop_overdue(self, sock: Any, connection: CallerConnection) -> None:
         """Refuse or close a connection that has exceeded one of its timeouts."""
         if connection.stage in (ConnectionStage.HEAD, ConnectionStage.BODY):
-            log.warning("caller is too slow", extra={"remote": connection.remote})
-            connection.refuse(_TOO_SLOW)
+            connection.refuse(_TOO_SLOW, RefusalCause.SLOW)
         elif connection.upload is not None and connection.body_pending:
             connection.upload.abort("the rest of the body did not arrive in time")
         else:
