--- a/parsleyrouter/connection/caller_admission.py
+++ b/parsleyrouter/connection/caller_admission.py
@@ -115,6 +115,8 @@
             self.note(RefusalCause.CONNECTIONS, connection.remote, "idle, and others connect")
         connection.discard()
         self.server.server._close(connection.sock)
+        # The event of the disconnection comes later.
+        self.server.forget(connection.sock)
 
     def note(self, cause: RefusalCause, remote: str, reason: str, **fields: Any) -> None:
         """Count a refusal or a closed connection, and log the first ones after each sweep."""
--- a/parsleyrouter/connection/forward_server.py
+++ b/parsleyrouter/connection/forward_server.py
@@ -17,7 +17,7 @@
 from parsleyrouter.ids import Address
 from parsleyrouter.process.loop import Loop
 
-__all__ = ["CallerExchange", "ForwardServer"]
+__all__ = ["AnswerExchange", "CallerExchange", "ForwardServer"]
 
 _server_numbers = itertools.count(1)
 
--- a/parsleyrouter/connection/frames.py
+++ b/parsleyrouter/connection/frames.py
@@ -37,7 +37,8 @@
 class FrameBuffer:
     """Split a byte stream into frames."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_bytes: int = MAX_FRAME_BYTES) -> None:
+        self.max_bytes = max_bytes
         self.data = bytearray()
 
     @property
@@ -45,7 +46,7 @@
         """Whether ``take`` would return a frame or raise."""
         size = self._size()
         return size is not None and (
-            size > MAX_FRAME_BYTES or len(self.data) >= FRAME_HEADER.size + size
+            size > self.max_bytes or len(self.data) >= FRAME_HEADER.size + size
         )
 
     def feed(self, data: bytes) -> None:
@@ -57,8 +58,8 @@
         size = self._size()
         if size is None:
             return None
-        if size > MAX_FRAME_BYTES:
-            raise ValueError(f"frame of {size} bytes exceeds {MAX_FRAME_BYTES}")
+        if size > self.max_bytes:
+            raise ValueError(f"frame of {size} bytes exceeds {self.max_bytes}")
         end = FRAME_HEADER.size + size
         if len(self.data) < end:
             return None
--- a/parsleyrouter/connection/peer_server.py
+++ b/parsleyrouter/connection/peer_server.py
@@ -1,14 +1,26 @@
 """Serve the calls of other processes of the system, whatever they send."""
 
 import logging
-from collections.abc import Awaitable, Callable
+from collections import Counter
 from typing import Any
 
 from circuits import handler
 from circuits.net.events import close
 from circuits.net.sockets import TCPServer
 
-from parsleyrouter.connection.frames import MAX_FRAME_BYTES, FrameBuffer, frame, pack, unpack
+from parsleyrouter.connection.connection_stage import RefusalCause
+from parsleyrouter.connection.crowding import Holder, first_to_yield
+from parsleyrouter.connection.frames import frame, unpack
+from parsleyrouter.connection.peer_limits import (
+    MAX_HELD_BYTES,
+    MAX_OPEN_CALLS,
+    MAX_OPEN_CALLS_IN_SUM,
+    MAX_UNSENT_BYTES,
+    OPEN_CALL_BYTES,
+    PeerConnection,
+    PeerLimits,
+)
+from parsleyrouter.connection.peer_methods import PeerMethods
 from parsleyrouter.connection.read_queue import ReadQueue
 from parsleyrouter.connection.socket_set import SocketSet
 from parsleyrouter.connection.stream import send_some
@@ -17,27 +29,17 @@
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.thrift_gen.peer.ttypes import Envelope
 
-__all__ = ["PeerMethods", "PeerServer"]
+__all__ = ["MAX_HELD_BYTES", "MAX_OPEN_CALLS", "MAX_UNSENT_BYTES", "PeerMethods", "PeerServer"]
 
 READ_BYTES = 256 * 1024
-MAX_OPEN_CALLS = 1024
-"""Calls of one connection that are answered at the same time; others are refused."""
-
-MAX_OPEN_CALLS_IN_SUM = 16 * MAX_OPEN_CALLS
-"""The same of all connections, closed ones too, whose calls go on; twice that with the calls of
-connections that have few."""
-
 FEW_OPEN_CALLS = 16
 
-MAX_UNSENT_BYTES = 4 * MAX_FRAME_BYTES
-"""Unsent answers on one connection; above a quarter of it, no further call is read."""
-
-MAX_HELD_BYTES = 4 * MAX_FRAME_BYTES
-"""Incomplete frames of all connections; above it, only that begun first is read on."""
-
 FRAME_TIMEOUT_S = 30.0
 """Time for a frame to arrive, and for a peer to read some of its answers."""
 
+CROWDED_TIMEOUT_S = 2.0
+"""Time for a peer to read some of its answers while all unread answers take too much memory."""
+
 SMALL_BYTES = 64 * 1024
 """Incomplete frames up to which a connection is read on whatever the others hold, and the size to
 which unsent answers are joined."""
@@ -46,58 +48,32 @@
 
 log = logging.getLogger(__name__)
 
-Method = Callable[[Any, Any], Awaitable[Any]]
-
-
-class PeerMethods:
-    """Registry of the RPC methods of a process, filled by the decorator ``add``."""
-
-    def __init__(self) -> None:
-        self.methods: dict[str, tuple[type[Any], Method]] = {}
-
-    def add(self, name: str, request_type: type[Any]) -> Callable[[Method], Method]:
-        """Register ``async def method(context, request) -> reply struct or None``."""
-
-        def register(function: Method) -> Method:
-            self.methods[name] = (request_type, function)
-            return function
-
-        return register
-
-    def copy(self) -> "PeerMethods":
-        """Return a copy of the registry, to which other methods can be added."""
-        copied = PeerMethods()
-        copied.methods = dict(self.methods)
-        return copied
-
-
-class _Peer:
-    """One connection of a peer."""
-
-    def __init__(self, now: float) -> None:
-        self.frames = FrameBuffer()
-        self.begun_s = now
-        """When the frame that is incomplete began to arrive."""
-        self.open_calls = 0
-        self.refused_calls = 0
-        self.unsent_bytes = 0
-        self.unsent_since_s = now
-
 
 class PeerServer(TCPServer):
     """Serve the calls of peers; ``context`` is passed to each method."""
 
     def __init__(
-        self, loop: Loop, bind: Address, methods: PeerMethods, context: Any, channel: str = "peer"
+        self,
+        loop: Loop,
+        bind: Address,
+        methods: PeerMethods,
+        context: Any,
+        channel: str = "peer",
+        limits: PeerLimits | None = None,
     ) -> None:
         super().__init__(bind, channel=channel)
+        self.limits = limits or PeerLimits()
+        self.refused: Counter[RefusalCause] = Counter()
         self._clients = SocketSet()
         self.loop = loop
         self.methods = methods
         self.context = context
-        self.peers: dict[Any, _Peer] = {}
+        self.peers: dict[Any, PeerConnection] = {}
         self.held_bytes = 0
         self.open_calls = 0
+        self.open_call_bytes = 0
+        self.unsent_bytes = 0
+        """Unsent answers of all connections, at most; exact after each sweep."""
         self.queue = ReadQueue(loop, self._serve, self._watch, self.fire)
         self.held_back: set[Any] = set()
         """Connections that are not read because of their answers or of the memory of all."""
@@ -107,27 +83,63 @@
         """Return the address that the system chose."""
         return Address(f"{self.host}:{self.port}")
 
+    def client_bytes(self) -> int:
+        """Return the bytes of calls and unread answers."""
+        return self.held_bytes + self.open_call_bytes + self.unsent_bytes
+
+    def client_count(self) -> int:
+        """Return the number of open connections."""
+        return len(self.peers)
+
     @handler("_read", priority=2)
     def _on_readable(self, event: Any, sock: Any) -> None:
         if sock in self._clients:
             event.stop()
             if sock not in self.peers:
-                self.peers[sock] = _Peer(self.loop.now())
+                self._admit(sock, "")
             self.queue.add(sock)
 
+    @handler("connect")
+    def _on_peer_connect(self, sock: Any, host: str, port: int) -> None:
+        if sock in self._clients and sock not in self.peers:
+            self._admit(sock, host)
+
+    def _admit(self, sock: Any, remote: str) -> None:
+        """Add a connection, and close one without calls or answers if there are too many."""
+        self.peers[sock] = PeerConnection(self.loop.now(), remote, self.limits)
+        if len(self.peers) <= self.limits.connections:
+            return
+        holders = [
+            Holder(one, peer.remote, (peer.begun_s,))
+            for one, peer in self.peers.items()
+            if one is not sock and not peer.open_calls and not self._buffers.get(one)
+        ]
+        totals = Counter(peer.remote for peer in self.peers.values())
+        found = first_to_yield(holders, totals, remote)
+        closed = sock if found is None else found.key
+        self._drop(closed, RefusalCause.CONNECTIONS)
+
+    def _drop(self, sock: Any, cause: RefusalCause) -> None:
+        self.refused[cause] += 1
+        self._close(sock)
+        self._forget(sock)
+
     @handler("read_turn")
     def _on_read_turn(self) -> None:
         self.queue.run()
 
     @handler("disconnect")
     def _on_peer_gone(self, sock: Any) -> None:
+        self._forget(sock)
+
+    def _forget(self, sock: Any) -> None:
         self.queue.discard(sock)
         self.held_back.discard(sock)
         peer = self.peers.pop(sock, None)
         if peer is not None:
             self.held_bytes -= len(peer.frames.data)
 
-    @handler("ready", "connect", "error", "closed")
+    @handler("ready", "error", "closed")
     def _on_feedback(self, *_: Any) -> None:
         """Ignore notifications of the library that need no action."""
 
@@ -141,22 +153,32 @@
             more = self._start_calls(sock, peer) if peer.frames.complete else self._read_some(sock)
         except ValueError as error:
             log.warning("bad frame from a peer", extra={"error": str(error)})
+            self.refused[RefusalCause.BAD_REQUEST] += 1
             self._close(sock)
             return False
-        self.held_bytes += len(peer.frames.data) - held_bytes
+        finally:
+            self.held_bytes += len(peer.frames.data) - held_bytes
         return more
 
-    def _holds_back(self, sock: Any, peer: _Peer) -> bool:
+    def _holds_back(self, sock: Any, peer: PeerConnection) -> bool:
         """Return whether a connection is not read for now, and stop polling it then."""
-        unsent = self._unsent_bytes(sock) > MAX_UNSENT_BYTES // 4
+        unsent = self._unsent_bytes(sock) > self.limits.unsent_bytes // 4 or self._unsent_in_sum()
         large = len(peer.frames.data) > SMALL_BYTES and not peer.frames.complete
-        crowded = large and self.held_bytes > MAX_HELD_BYTES and sock is not self._first_begun()
+        crowded = (
+            large and self.held_bytes > self.limits.held_bytes and sock is not self._first_begun()
+        )
         if not unsent and not crowded:
             return False
         self.held_back.add(sock)
         self._watch(sock)
         return True
 
+    def _unsent_in_sum(self) -> bool:
+        """Return whether all connections together have too many unsent answers."""
+        if self.unsent_bytes > self.limits.unsent_bytes_in_sum:
+            self.unsent_bytes = sum(map(self._unsent_bytes, self.peers))
+        return self.unsent_bytes > self.limits.unsent_bytes_in_sum
+
     def _first_begun(self) -> Any:
         begun = [(peer.begun_s, sock) for sock, peer in self.peers.items() if peer.frames.data]
         return min(begun, key=lambda pair: pair[0], default=(0.0, None))[1]
@@ -181,55 +203,46 @@
             self._start_calls(sock, peer)
         return peer.frames.complete or len(data) == READ_BYTES
 
-    def _start_calls(self, sock: Any, peer: _Peer) -> bool:
+    def _start_calls(self, sock: Any, peer: PeerConnection) -> bool:
         """Start the calls that have arrived; return whether others are left."""
         until_s = self.loop.now() + CONNECTION_SHARE_S
         while (data := peer.frames.take()) is not None:
             envelope = unpack(Envelope, data)
             peer.begun_s = self.loop.now()
-            few = peer.open_calls < FEW_OPEN_CALLS
-            full = self.open_calls >= MAX_OPEN_CALLS_IN_SUM * (2 if few else 1)
+            room = 2 if peer.open_calls < FEW_OPEN_CALLS else 1
+            size = len(data) + OPEN_CALL_BYTES
+            full = self.open_calls >= MAX_OPEN_CALLS_IN_SUM * room
+            full = full or self.open_call_bytes + size > self.limits.open_call_bytes * room // 2
             if full or peer.open_calls >= MAX_OPEN_CALLS:
                 self._refuse(sock, peer, envelope)
             else:
                 peer.open_calls += 1
                 self.open_calls += 1
-                self.loop.spawn(self._answer(sock, peer, envelope), str(envelope.method))
+                self.open_call_bytes += size
+                answering = self._answer(sock, peer, envelope, size)
+                self.loop.spawn(answering, str(envelope.method))
             if self.loop.now() >= until_s:
                 break
         return peer.frames.complete
 
-    def _refuse(self, sock: Any, peer: _Peer, envelope: Envelope) -> None:
+    def _refuse(self, sock: Any, peer: PeerConnection, envelope: Envelope) -> None:
         peer.refused_calls += 1
+        self.refused[RefusalCause.CALLS] += 1
         if envelope.call:
             failure = "too many calls are open already: wait for their answers"
             reply = Envelope(envelope.call, envelope.method, b"", failure=failure)
             self._send(sock, frame(reply))
 
-    async def _answer(self, sock: Any, peer: _Peer, envelope: Envelope) -> None:
+    async def _answer(self, sock: Any, peer: PeerConnection, envelope: Envelope, size: int) -> None:
         try:
-            reply = await self._reply(envelope)
+            reply = await self.methods.answer(self.context, envelope)
         finally:
             peer.open_calls -= 1
             self.open_calls -= 1
+            self.open_call_bytes -= size
         if envelope.call and sock in self._clients:
             self._send(sock, frame(reply))
 
-    async def _reply(self, envelope: Envelope) -> Envelope:
-        reply = Envelope(call=envelope.call, method=envelope.method, payload=b"")
-        known = self.methods.methods.get(envelope.method)
-        if known is None:
-            reply.failure = f"unknown method {envelope.method}: use one version on all VMs"
-            return reply
-        request_type, function = known
-        try:
-            answer = await function(self.context, unpack(request_type, envelope.payload))
-            reply.payload = b"" if answer is None else pack(answer)
-        except Exception as error:
-            log.exception("peer method failed", extra={"method": envelope.method})
-            reply.failure = f"{envelope.method} failed: {error}"
-        return reply
-
     def _unsent_bytes(self, sock: Any) -> int:
         return sum(map(len, self._buffers.get(sock, ())))
 
@@ -242,14 +255,15 @@
                 return
         if not data:
             return
+        self.unsent_bytes += len(data)
         queued = self._buffers.get(sock)
         if queued and len(queued[-1]) + len(data) <= SMALL_BYTES:
             queued[-1] += data
         else:
             self.write(sock, data)
-        if self._unsent_bytes(sock) > MAX_UNSENT_BYTES:
+        if self._unsent_bytes(sock) > self.limits.unsent_bytes:
             log.warning("peer closed: it does not read its answers")
-            self._close(sock)
+            self._drop(sock, RefusalCause.UNREAD)
 
     @handler("_write", priority=0)
     def _on_sent(self, sock: Any) -> None:
@@ -273,23 +287,22 @@
     def _sweep(self) -> None:
         """Close peers that do not go on in time, and read those held back if they may be."""
         now = self.loop.now()
+        crowded = self._unsent_in_sum()
+        self.unsent_bytes = 0
         for sock, peer in list(self.peers.items()):
             unsent_bytes = self._unsent_bytes(sock)
+            self.unsent_bytes += unsent_bytes
             if not unsent_bytes or unsent_bytes < peer.unsent_bytes:
                 peer.unsent_since_s = now
             peer.unsent_bytes = unsent_bytes
             if peer.refused_calls:
                 log.warning("calls of a peer refused", extra={"calls": peer.refused_calls})
                 peer.refused_calls = 0
-            if self._is_overdue(sock, peer, now):
+            limit_s = CROWDED_TIMEOUT_S if crowded and unsent_bytes else FRAME_TIMEOUT_S
+            waits = sock in self.held_back or self.queue.waits(sock)
+            if peer.is_overdue(now, limit_s, waits=waits):
                 log.warning("peer closed: it sends or reads too slowly")
-                self._close(sock)
+                self._drop(sock, RefusalCause.SLOW)
         for sock in list(self.held_back):
             self._read_again(sock)
         self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
-
-    def _is_overdue(self, sock: Any, peer: _Peer, now: float) -> bool:
-        if peer.unsent_bytes:
-            return now - peer.unsent_since_s > FRAME_TIMEOUT_S
-        waits = sock in self.held_back or self.queue.waits(sock)
-        return bool(peer.frames.data) and not waits and now - peer.begun_s > FRAME_TIMEOUT_S
--- a/parsleyrouter/connection/public_http_server.py
+++ b/parsleyrouter/connection/public_http_server.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+from collections.abc import Mapping
 from typing import Any
 from urllib.parse import parse_qsl
 
@@ -88,6 +89,19 @@
         """Return the number of streamed uploads."""
         return sum(1 for one in self.connections.values() if one.upload is not None)
 
+    @property
+    def refused(self) -> Mapping[RefusalCause, int]:
+        """How many clients were refused or disconnected, by cause."""
+        return self.admission.refused
+
+    def client_bytes(self) -> int:
+        """Return the bytes of requests and unread responses."""
+        return self.buffered + self.unsent_bytes
+
+    def client_count(self) -> int:
+        """Return the number of open connections."""
+        return len(self.connections)
+
     def streams_body(self, head: RequestHead) -> bool:
         """Return whether the body of a request is streamed to its handler."""
         return (head.method, head.path.rstrip("/")) in STREAMED_ROUTES
@@ -248,6 +262,10 @@
 
     @handler("disconnect", priority=100)
     def _on_caller_disconnect(self, sock: Any) -> None:
+        self.forget(sock)
+
+    def forget(self, sock: Any) -> None:
+        """Remove a connection that has closed."""
         self.queue.discard(sock)
         connection = self.connections.pop(sock, None)
         if connection is not None:
--- a/parsleyrouter/platform/jobs.py
+++ b/parsleyrouter/platform/jobs.py
@@ -29,6 +29,12 @@
 MAX_ITEMS = 200
 """Maximum number of items per job that clients of the platform may submit."""
 
+MAX_ITEM_HEADERS = 100
+"""Maximum number of headers of an item, as of a request."""
+
+MAX_QUOTES = MAX_ITEMS * (16 + 4 * MAX_ITEM_HEADERS)
+"""Quotation marks in a job of that many items with all their fields; more are not parsed."""
+
 MAX_ITEM_TOKENS = 2**31
 
 _JOB_PATH = re.compile(r"^/(lots|items)/([0-9A-Za-z._-]{1,64})$")
@@ -105,6 +111,8 @@
     job = head.headers.get(HEADERS.request, "")
     if not re.match(r"^[0-9A-Za-z._-]{1,64}$", job):
         return _bad_request(f"{HEADERS.request} must name the job")
+    if body.count(b'"') > MAX_QUOTES:
+        return _too_many_fields()
     try:
         found = decode_json(body, _Submission)
         items = [
@@ -121,8 +129,16 @@
         return _bad_request(f"the job cannot be read: {error}")
     if not 0 < len(items) <= MAX_ITEMS or len({one.item for one in items}) < len(items):
         return _bad_request(f"a job has 1 to {MAX_ITEMS} items with different ids")
+    if any(len(one.headers) > MAX_ITEM_HEADERS for one in items):
+        return _too_many_fields()
     return SubmitJob(SubmittedJob(JobId(job), host, head.path, items))
 
 
+def _too_many_fields() -> Refusal:
+    return _bad_request(
+        f"a job has 1 to {MAX_ITEMS} items, each with at most {MAX_ITEM_HEADERS} headers"
+    )
+
+
 def _bad_request(message: str) -> Refusal:
     return Refusal(RefusalKind.BAD_REQUEST, message, ExecutionStatus.NOT_RUN)
--- a/parsleyrouter/process/cell_methods.py
+++ b/parsleyrouter/process/cell_methods.py
@@ -10,6 +10,9 @@
 
 __all__ = ["add_cell_methods"]
 
+MAX_WAIT_S = 10.0
+"""Longest wait of one call for changes."""
+
 
 def add_cell_methods(methods: PeerMethods, reader: CellReader) -> None:
     """Add the method that answers the other nodes of the cell while this node is their leader."""
@@ -30,7 +33,7 @@
             return _answer(reader, query.prefix, watched.revision, keys)
         if query.after < watched.base_revision:
             return Followed(refusal="", lost=True, revision=watched.revision, keys=[])
-        until_s = reader.loop.now() + query.wait_ms / 1000
+        until_s = reader.loop.now() + min(query.wait_ms / 1000, MAX_WAIT_S)
         while not (changes := watched.changes_after(Revision(query.after))):
             remaining_s = until_s - reader.loop.now()
             if remaining_s <= 0 or watched.base_revision > query.after:
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -1,18 +1,23 @@
 """The composition root of a front process."""
 
 import logging
+from dataclasses import replace
 from functools import partial
+from typing import Any
 from urllib.parse import parse_qsl
 
 from prometheus_client import generate_latest
 
-from parsleyrouter.connection.forward_server import CallerExchange, ForwardServer
+from parsleyrouter.connection.forward_server import AnswerExchange, CallerExchange, ForwardServer
 from parsleyrouter.connection.http import JSON_TYPE
 from parsleyrouter.connection.http_limits import HttpLimits
 from parsleyrouter.connection.peer import PeerMethods, PeerServer
+from parsleyrouter.connection.peer_limits import PeerLimits
 from parsleyrouter.ids import Address
 from parsleyrouter.process.address_directory import AddressDirectory
 from parsleyrouter.process.cell_methods import add_cell_methods
+from parsleyrouter.process.client_budget import ClientPort, PortBudget, divide_budget
+from parsleyrouter.process.client_metrics import ClientMetrics
 from parsleyrouter.process.forward_metrics import ForwardMetrics
 from parsleyrouter.process.forwarder import Forwarder
 from parsleyrouter.process.front import Front
@@ -35,8 +40,11 @@
 
 __all__ = ["Front", "assemble_front"]
 
-MAX_BUFFERED_SHARE = 0.2
-"""Share of the process's memory for requests that are being received."""
+PLAIN_BODY_BYTES = 4096
+"""Largest body of a request to a port whose calls have none."""
+
+NODE_FRAME_BYTES = 64 * 1024
+"""Largest call of another node; answers may be larger."""
 
 log = logging.getLogger(__name__)
 
@@ -56,6 +64,7 @@
     )
     job_store = SharedJobStore(front.store)
     job_metrics = JobMetrics.of(runtime.metrics)
+    budget = divide_budget(options.memory_mb, options.descriptors)
     owner = JobOwner(
         runtime.loop,
         job_store,
@@ -64,6 +73,8 @@
         front.exchange.members,
         front.rng,
     )
+    owner.memory.limit_bytes = budget.job_bytes
+    client_metrics = ClientMetrics(runtime.metrics, owner.memory)
     worker = JobWorker(
         front.forward_context,
         owner,
@@ -81,8 +92,9 @@
     add_cell_methods(methods, front.reader)
     add_result_methods(methods, front.job_directory, reader)
     channel = f"nodes-{options.nodes}"
-    front.peers = PeerServer(runtime.loop, options.nodes, methods, None, channel=channel)
-    front.peers.register(runtime)
+    limits = _peer_limits(budget.ports[ClientPort.NODES])
+    front.peers = PeerServer(runtime.loop, options.nodes, methods, None, channel, limits)
+    client_metrics.servers[ClientPort.NODES] = front.peers.register(runtime)
     lookup = JobLookup(front.routes, front.job_directory)
     submission = JobSubmission(
         runtime.loop,
@@ -108,23 +120,27 @@
         port.encode_results,
     )
     address_directory = AddressDirectory(front.exchange.members, addresses_ttl_s(options.grace_s))
-    buffered_bytes = int(options.memory_mb * 1e6 * MAX_BUFFERED_SHARE)
-    limits = HttpLimits(buffered_bytes=buffered_bytes, unsent_bytes=buffered_bytes)
 
     async def handle(exchange: CallerExchange) -> None:
         if not await job_handler.handle(exchange):
             await forwarder.handle(exchange)
 
-    callers = ForwardServer(runtime.loop, options.callers, handle, limits).register(runtime)
-    front.routes.on_change.append(partial(_apply_limits, callers))
+    def serve(port: ClientPort, bind: Address, answer: AnswerExchange) -> ForwardServer:
+        limits = _limits(budget.ports[port], body_bytes=PLAIN_BODY_BYTES)
+        server = ForwardServer(runtime.loop, bind, answer, limits).register(runtime)
+        client_metrics.servers[port] = server
+        return server
+
+    callers = serve(ClientPort.CALLERS, options.callers, handle)
+    callers_budget = budget.ports[ClientPort.CALLERS]
+    callers.limits = _limits(callers_budget)
+    front.routes.on_change.append(partial(_apply_limits, callers, callers_budget))
     ready = partial(_answer_ready, front, port)
-    ForwardServer(runtime.loop, options.ready, ready).register(runtime)
+    serve(ClientPort.READY, options.ready, ready)
     if options.metrics_port:
         host = options.nodes.rpartition(":")[0]
-        metrics = Address(f"{host}:{options.metrics_port}")
-        ForwardServer(runtime.loop, metrics, ready).register(runtime)
-    answer_locate = partial(_answer_locate, address_directory, port)
-    ForwardServer(runtime.loop, options.locate, answer_locate).register(runtime)
+        serve(ClientPort.METRICS, Address(f"{host}:{options.metrics_port}"), ready)
+    serve(ClientPort.LOCATE, options.locate, partial(_answer_locate, address_directory, port))
 
     front.registry.start()
     front.exchange.start()
@@ -145,16 +161,37 @@
     return front
 
 
-def _apply_limits(server: ForwardServer, table: RouteTable) -> None:
+def _limits(budget: PortBudget, **limits: Any) -> HttpLimits:
+    """Return the limits of a port; one request within them always fits its memory."""
+    found = HttpLimits(**limits)
+    one_request = 2 * (found.body_bytes + found.header_bytes)
+    return replace(
+        found,
+        buffered_bytes=max(budget.received_bytes, one_request),
+        unsent_bytes=budget.unsent_bytes,
+        connections=budget.connections,
+    )
+
+
+def _peer_limits(budget: PortBudget) -> PeerLimits:
+    return PeerLimits(
+        frame_bytes=NODE_FRAME_BYTES,
+        held_bytes=budget.received_bytes // 2,
+        open_call_bytes=budget.received_bytes // 2,
+        unsent_bytes_in_sum=budget.unsent_bytes,
+        connections=budget.connections,
+    )
+
+
+def _apply_limits(server: ForwardServer, budget: PortBudget, table: RouteTable) -> None:
     """Set the limits for new connections of callers; open connections keep theirs."""
     limits = table.limits
-    server.limits = HttpLimits(
+    server.limits = _limits(
+        budget,
         header_bytes=limits.header_bytes,
         body_bytes=limits.body_bytes,
         header_timeout_s=limits.header_timeout_s,
         idle_timeout_s=limits.idle_timeout_s,
-        buffered_bytes=server.limits.buffered_bytes,
-        unsent_bytes=server.limits.unsent_bytes,
     )
 
 
--- a/parsleyrouter/process/job_owner.py
+++ b/parsleyrouter/process/job_owner.py
@@ -9,6 +9,7 @@
 from parsleyrouter.ids import ItemIndex, JobId
 from parsleyrouter.process.cell_members import CellMembers
 from parsleyrouter.process.job_directory import JobDirectory, JobView
+from parsleyrouter.process.job_memory import JobMemory
 from parsleyrouter.process.job_run import JobRun
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.node_registry import NodeRegistry
@@ -57,6 +58,7 @@
         self.leaving = False
         self.on_listed: Callable[[JobId, int, list[ItemResult]], object] = lambda *_: None
         """Called with the results that this node has listed, starting at a position."""
+        self.memory = JobMemory()
         self.on_release: list[Callable[[JobRun], object]] = []
         """Called with the run of a job that this node no longer owns or that has ended."""
         job_directory.on_change.append(self.reconcile)
@@ -118,6 +120,7 @@
     def _release(self, run: JobRun, view: JobView) -> None:
         """Start no more items of a job; finished results are still listed."""
         del self.runs[view.job]
+        self.memory.release(view.job)
         run.stop()
         for callback in self.on_release:
             callback(run)
@@ -195,6 +198,7 @@
         run = JobRun(self.loop, self.store, self.job_directory, versioned, items, set(listed))
         run.on_listed = partial(self.on_listed, job)
         self.runs[job] = run
+        self.memory.hold(job, items)
         fields = {"job": job, "item_count": len(items), "listed": len(listed)}
         log.info("job runs here", extra=fields | {"revision": versioned.revision})
         return run
--- a/parsleyrouter/process/job_submission.py
+++ b/parsleyrouter/process/job_submission.py
@@ -28,7 +28,7 @@
 )
 from parsleyrouter.process.token_ledger import TokenLedger, share_key
 from parsleyrouter.request.job_call import SubmitJob
-from parsleyrouter.request.shared_job import UNSHARED, JobItem, JobRecord
+from parsleyrouter.request.shared_job import UNSHARED, JobItem, JobRecord, SubmittedJob
 from parsleyrouter.request.submission import RETRY_ELSEWHERE_S
 from parsleyrouter.request.token_quota import (
     SHARES,
@@ -76,6 +76,27 @@
         if retry_s is not None:
             message = "this node gets no answers from the key-value service: submit elsewhere"
             return _not_run(message, retry_s)
+        with self.owner.memory.submission(job.items) as fits:
+            if not fits:
+                message = (
+                    "this node holds as many batch items as its memory allows: submit elsewhere"
+                )
+                return _not_run(message, RETRY_ELSEWHERE_S)
+            return await self._store(call, route)
+
+    async def _refuse_unless_kept(self, job: SubmittedJob) -> Refusal | tuple[int, bytes]:
+        """Refuse a job for which there is no memory, unless it was accepted before."""
+        found = await self.store.read(job.job)
+        if isinstance(found, VersionedJob):
+            return HTTPStatus.ACCEPTED, b"{}"
+        if found is not None:
+            message = "whether the job is kept is not known: submit it again"
+            return Refusal(RefusalKind.STORAGE_UNAVAILABLE, message, ExecutionStatus.UNKNOWN)
+        message = "this node holds as many batch items as its memory allows: submit elsewhere"
+        return _not_run(message, RETRY_ELSEWHERE_S)
+
+    async def _store(self, call: SubmitJob, route: Route) -> Refusal | tuple[int, bytes]:
+        job = call.submitted
         version = self.lookup.routes.version
         record = _new_record(call, route, version)
         if route.max_waiting_tokens:
--- a/parsleyrouter/process/peer_results.py
+++ b/parsleyrouter/process/peer_results.py
@@ -26,6 +26,9 @@
 AVOID_NODE_S = 2.0
 """How long a node that did not answer gets no calls."""
 
+MAX_WAIT_S = 10.0
+"""Longest wait of one call for results."""
+
 log = logging.getLogger(__name__)
 
 
@@ -107,7 +110,8 @@
         view = job_directory.jobs.get(JobId(ask.job))
         if view is None or view.versioned is None:
             return JobResults(refusal="the job is not known here", results=[])
-        page = await reader.read(view.versioned.record, ask.start, ask.wait_ms / 1000)
+        wait_s = min(ask.wait_ms / 1000, MAX_WAIT_S)
+        page = await reader.read(view.versioned.record, ask.start, wait_s)
         if isinstance(page, KeyValueFailure):
             return JobResults(refusal=page.message, results=[])
         rows = [JobResult(one.item, one.state.value, one.output) for one in page.results]
