A reply ends its request only with a status of 200 to 599

An endpoint's status 600 or 999 reached the caller of a stream that must not be repeated as it was. Replies with other statuses now break their connection as invalid bytes do.

--- a/parsleyrouter/connection/http.py
+++ b/parsleyrouter/connection/http.py
@@ -10,6 +10,7 @@
 from parsleyrouter.outcome import Refusal
 
 __all__ = [
+    "FINAL_STATUSES",
     "HttpReply",
     "HttpRequest",
     "Sent",
@@ -20,6 +21,9 @@
 
 JSON_TYPE = "application/json"
 
+FINAL_STATUSES = range(200, 600)
+"""Statuses of a reply that ends its request."""
+
 
 @dataclass(frozen=True)
 class HttpRequest:
--- a/parsleyrouter/connection/http_exchange.py
+++ b/parsleyrouter/connection/http_exchange.py
@@ -6,7 +6,7 @@
 
 import h11
 
-from parsleyrouter.connection.http import HttpReply, Sent, TransportFailure
+from parsleyrouter.connection.http import FINAL_STATUSES, HttpReply, Sent, TransportFailure
 from parsleyrouter.connection.stream import Stream
 from parsleyrouter.process.loop import Promise, Timer
 
@@ -256,7 +256,9 @@
             return False
         if isinstance(event, h11.InformationalResponse):
             return self._count_early_head(event)
-        if isinstance(event, h11.Response):
+        if isinstance(event, h11.Response) and event.status_code not in FINAL_STATUSES:
+            self.fail_invalid(f"{event.status_code} is no status of a reply")
+        elif isinstance(event, h11.Response):
             self._handle_head(event)
         elif isinstance(event, h11.Data):
             self._handle_body(event.data)
