--- a/parsleyrouter/platform/jobs.py
+++ b/parsleyrouter/platform/jobs.py
@@ -32,7 +32,7 @@
 MAX_ITEM_HEADERS = 100
 """Maximum number of headers of an item, as of a request."""
 
-MAX_QUOTES = MAX_ITEMS * (16 + 4 * MAX_ITEM_HEADERS)
+MAX_QUOTES = MAX_ITEMS * (64 + 4 * MAX_ITEM_HEADERS)
 """Quotation marks in a job of that many items with all their fields; more are not parsed."""
 
 MAX_ITEM_TOKENS = 2**31
