A connection yields to one from its own address only if it is not fresh; resets in tests arrive with the answer

bad_input found that the fourth of six new connections was closed for the fifth: a connection is now expected to begin its request for 0.2 s.

--- a/features/steps/odd_answers_steps.py
+++ b/features/steps/odd_answers_steps.py
@@ -1,8 +1,10 @@
 """Steps for answers with odd statuses, and for answers that are reset during the upload."""
 
 import json
+import socket
 from base64 import b64encode
 from typing import Any
+from unittest.mock import patch
 
 from behave import given, then, when
 
@@ -11,9 +13,13 @@
 from features.support.front_fleet import FrontFleet
 from features.support.platform_endpoint import Arrival, EndpointStandIn, event, raw
 from features.support.resetting_endpoint import ResettingEndpoint
+from parsleyrouter.connection import stream
 
 UPLOAD_BYTES = 3_000_000
 ITEM_BODY_BYTES = 500_000
+SMALL_SEND_BUFFER = (socket.SOL_SOCKET, socket.SO_SNDBUF, 16_384)
+"""Keeps most of an upload in the process, so that the reset comes while it is being written."""
+
 INTERIM = b"HTTP/1.1 103 Early Hints\r\n\r\n"
 INTERIM_COUNT = 20_000
 
@@ -72,7 +78,7 @@
 @when("a {kind} request with a long body is answered by it through a node")
 def step_reset_request(context: Any, kind: str) -> None:
     async def scenario(fleet: FrontFleet) -> None:
-        resetting = ResettingEndpoint(resets=100)
+        resetting = ResettingEndpoint(fleet.loop, resets=100)
         _announce(fleet, "e1", "engines", resetting)
         _announce(fleet, "c1", "cards", resetting)
         await fleet.start()
@@ -81,7 +87,7 @@
         resetting.close()
         context.runs = resetting.requests
 
-    run_with_fleet(context, scenario)
+    _run_with_small_buffers(context, scenario)
 
 
 @then("the caller gets no answer that looks complete")
@@ -98,7 +104,7 @@
 @when("an item with a long body is answered by it once and then soundly")
 def step_reset_item(context: Any) -> None:
     async def scenario(fleet: FrontFleet) -> None:
-        resetting = ResettingEndpoint(resets=1)
+        resetting = ResettingEndpoint(fleet.loop, resets=1)
         _announce(fleet, "e1", "engines", resetting)
         await fleet.start()
         await fleet.until(lambda: len(fleet.fronts[0].directory.endpoints) == 1)
@@ -107,7 +113,7 @@
         resetting.close()
         context.runs = resetting.requests
 
-    run_with_fleet(context, scenario)
+    _run_with_small_buffers(context, scenario)
 
 
 @then("its result is the output of the sound run")
@@ -116,6 +122,12 @@
     assert context.runs == 2, context.runs
 
 
+def _run_with_small_buffers(context: Any, scenario: Any) -> None:
+    options = (*stream.KEEP_ALIVE_OPTIONS, SMALL_SEND_BUFFER)
+    with patch.object(stream, "KEEP_ALIVE_OPTIONS", options):
+        run_with_fleet(context, scenario)
+
+
 def _announce(fleet: FrontFleet, name: str, service: str, endpoint: ResettingEndpoint) -> None:
     entry = {"service": service, "address": endpoint.address, "zone": "z1", "slots": 8}
     entry |= {"state": "ready", "version": "v1", "sequence": 1, "born": 1}
--- a/features/support/resetting_endpoint.py
+++ b/features/support/resetting_endpoint.py
@@ -4,23 +4,24 @@
 import socket
 import struct
 import threading
-import time
 
 from features.support.platform_endpoint import event
 from parsleyrouter.ids import Address
+from parsleyrouter.process.loop import Loop
 
 __all__ = ["EVENTS", "ResettingEndpoint"]
 
 EVENTS = 5
 SENT_EVENTS = 2
-RESET_AFTER_S = 0.1
 RECEIVE_BUFFER_BYTES = 4096
+WAIT_S = 5.0
 
 
 class ResettingEndpoint:
     """Reset the first ``resets`` answers after two of their events; stream the others whole."""
 
-    def __init__(self, resets: int) -> None:
+    def __init__(self, loop: Loop, resets: int) -> None:
+        self.loop = loop
         self.resets = resets
         self.requests = 0
         self.listener = socket.socket()
@@ -45,7 +46,7 @@
             threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
 
     def _serve(self, sock: socket.socket) -> None:
-        sock.settimeout(5.0)
+        sock.settimeout(WAIT_S)
         with sock:
             try:
                 self._answer(sock)
@@ -69,14 +70,27 @@
                 left -= len(data)
         first = int(_header(head, b"last-event-id") or 0) + 1
         last = first + SENT_EVENTS if reset else EVENTS + 1
-        sock.sendall(
+        answer = (
             b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: s\r\n"
             b"Content-Type: text/event-stream\r\n\r\n" % _header(head, b"x-attempt-id")
         )
-        sock.sendall(b"".join(event(number) for number in range(first, last)))
-        if reset:
-            time.sleep(RESET_AFTER_S)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        answer += b"".join(event(number) for number in range(first, last))
+        if not reset:
+            sock.sendall(answer)
+            return
+        # While the loop runs this, the node reads nothing: answer and reset arrive together.
+        done = threading.Event()
+        self.loop.call_from_thread(lambda: _send_and_reset(sock, answer, done))
+        done.wait(WAIT_S)
+
+
+def _send_and_reset(sock: socket.socket, answer: bytes, done: threading.Event) -> None:
+    try:
+        sock.sendall(answer)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.close()
+    finally:
+        done.set()
 
 
 def _header(head: bytes, name: bytes) -> bytes:
--- a/parsleyrouter/connection/caller_admission.py
+++ b/parsleyrouter/connection/caller_admission.py
@@ -21,6 +21,9 @@
 SLOW_BYTES = 8 * 1024
 """Bytes between two sweeps below which an unfinished request is slow."""
 
+FRESH_S = 0.2
+"""Time in which a connection is expected to begin or go on with its request."""
+
 MAX_LINES = 5
 """Refusals that are logged one by one between two sweeps; others are counted in one line."""
 
@@ -64,9 +67,9 @@
         while len(server.connections) > server.limits.connections:
             totals = Counter(one.remote for one in server.connections.values())
             holders = [
-                Holder(sock, one.remote, (_YIELD_ORDER.index(one.stage), one.progress_s))
+                Holder(sock, one.remote, self._yield_order(one))
                 for sock, one in server.connections.items()
-                if one is not connection and one.stage in _YIELD_ORDER and one.upload is None
+                if one is not connection and self._may_close(one, connection.remote)
             ]
             found = first_to_yield(holders, totals, connection.remote)
             yielding = connection if found is None else server.connections[found.key]
@@ -74,6 +77,19 @@
             if yielding is connection:
                 return
 
+    def _may_close(self, connection: "CallerConnection", remote: str) -> bool:
+        """Return whether a connection may yield; from the same address, not a fresh one."""
+        fresh = connection.progress_s > self.server.loop.now() - FRESH_S
+        keeps = fresh and connection.stage is not ConnectionStage.DISCARD
+        unanswered = connection.stage in _YIELD_ORDER and connection.upload is None
+        return unanswered and (connection.remote != remote or not keeps)
+
+    def _yield_order(self, connection: "CallerConnection") -> tuple[float, ...]:
+        """Order refused connections first, and those that still read an answer last."""
+        unread = bool(self.server.server._buffers.get(connection.sock))
+        since_s = max(connection.progress_s, connection.unsent_since_s)
+        return (unread, _YIELD_ORDER.index(connection.stage), since_s)
+
     def hold(self, connection: "CallerConnection") -> bool:
         """Return whether what a connection holds fits, after others have yielded if need be."""
         server = self.server
