--- a/parsleyrouter/connection/forward_server.py
+++ b/parsleyrouter/connection/forward_server.py
@@ -17,7 +17,7 @@
 from parsleyrouter.ids import Address
 from parsleyrouter.process.loop import Loop
 
-__all__ = ["CallerExchange", "ForwardServer"]
+__all__ = ["AnswerExchange", "CallerExchange", "ForwardServer"]
 
 _server_numbers = itertools.count(1)
 
@@ -136,6 +136,10 @@
         self.last_request_s = 0.0
         """When the latest request had arrived in full; monotonic."""
 
+    def streams_body(self, head: RequestHead) -> bool:
+        """Return false: a body is forwarded once it is complete."""
+        return False
+
     def begin(self, connection: CallerConnection, body: bytes, upload: Upload | None) -> None:
         """Start answering a request whose body is complete."""
         assert connection.head is not None
