--- a/parsleyrouter/connection/peer_limits.py
+++ b/parsleyrouter/connection/peer_limits.py
@@ -1,7 +1,11 @@
 """Limits on what the peers of a process may make it hold, and what one connection holds."""
 
+from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass
+from typing import Any
 
+from parsleyrouter.connection.crowding import Holder, first_to_yield
 from parsleyrouter.connection.frames import MAX_FRAME_BYTES, FrameBuffer
 
 __all__ = ["MAX_HELD_BYTES", "MAX_OPEN_CALLS", "MAX_UNSENT_BYTES", "PeerConnection", "PeerLimits"]
@@ -23,6 +27,9 @@
 """Memory of a call that is being answered, beside its frame."""
 
 
+FEW_OPEN_CALLS = 16
+
+
 @dataclass(frozen=True)
 class PeerLimits:
     """Limits of one server for peers."""
@@ -37,6 +44,13 @@
     """Unsent answers of all connections above which no further call is read."""
     connections: int = 4000
 
+    def allows_call(self, peer: "PeerConnection", open_calls: int, open_bytes: int) -> bool:
+        """Return whether a call may begin; ``open_bytes`` includes it."""
+        room = 2 if peer.open_calls < FEW_OPEN_CALLS else 1
+        fits = open_bytes <= self.open_call_bytes * room // 2
+        few = open_calls < MAX_OPEN_CALLS_IN_SUM * room
+        return fits and few and peer.open_calls < MAX_OPEN_CALLS
+
 
 class PeerConnection:
     """One connection of a peer."""
@@ -56,3 +70,16 @@
         if self.unsent_bytes:
             return now - self.unsent_since_s > limit_s
         return bool(self.frames.data) and not waits and now - self.begun_s > limit_s
+
+
+def first_peer_to_yield(
+    peers: Mapping[Any, PeerConnection], new: Any, unread: Mapping[Any, Any]
+) -> Holder | None:
+    """Choose a connection without calls or unread answers that yields to a new one."""
+    holders = [
+        Holder(sock, peer.remote, (peer.begun_s,))
+        for sock, peer in peers.items()
+        if sock is not new and not peer.open_calls and not unread.get(sock)
+    ]
+    totals = Counter(peer.remote for peer in peers.values())
+    return first_to_yield(holders, totals, peers[new].remote)
--- a/parsleyrouter/connection/peer_server.py
+++ b/parsleyrouter/connection/peer_server.py
@@ -9,16 +9,15 @@
 from circuits.net.sockets import TCPServer
 
 from parsleyrouter.connection.connection_stage import RefusalCause
-from parsleyrouter.connection.crowding import Holder, first_to_yield
 from parsleyrouter.connection.frames import frame, unpack
 from parsleyrouter.connection.peer_limits import (
     MAX_HELD_BYTES,
     MAX_OPEN_CALLS,
-    MAX_OPEN_CALLS_IN_SUM,
     MAX_UNSENT_BYTES,
     OPEN_CALL_BYTES,
     PeerConnection,
     PeerLimits,
+    first_peer_to_yield,
 )
 from parsleyrouter.connection.peer_methods import PeerMethods
 from parsleyrouter.connection.read_queue import ReadQueue
@@ -32,8 +31,6 @@
 __all__ = ["MAX_HELD_BYTES", "MAX_OPEN_CALLS", "MAX_UNSENT_BYTES", "PeerMethods", "PeerServer"]
 
 READ_BYTES = 256 * 1024
-FEW_OPEN_CALLS = 16
-
 FRAME_TIMEOUT_S = 30.0
 """Time for a frame to arrive, and for a peer to read some of its answers."""
 
@@ -109,13 +106,7 @@
         self.peers[sock] = PeerConnection(self.loop.now(), remote, self.limits)
         if len(self.peers) <= self.limits.connections:
             return
-        holders = [
-            Holder(one, peer.remote, (peer.begun_s,))
-            for one, peer in self.peers.items()
-            if one is not sock and not peer.open_calls and not self._buffers.get(one)
-        ]
-        totals = Counter(peer.remote for peer in self.peers.values())
-        found = first_to_yield(holders, totals, remote)
+        found = first_peer_to_yield(self.peers, sock, self._buffers)
         closed = sock if found is None else found.key
         self._drop(closed, RefusalCause.CONNECTIONS)
 
@@ -209,11 +200,8 @@
         while (data := peer.frames.take()) is not None:
             envelope = unpack(Envelope, data)
             peer.begun_s = self.loop.now()
-            room = 2 if peer.open_calls < FEW_OPEN_CALLS else 1
             size = len(data) + OPEN_CALL_BYTES
-            full = self.open_calls >= MAX_OPEN_CALLS_IN_SUM * room
-            full = full or self.open_call_bytes + size > self.limits.open_call_bytes * room // 2
-            if full or peer.open_calls >= MAX_OPEN_CALLS:
+            if not self.limits.allows_call(peer, self.open_calls, self.open_call_bytes + size):
                 self._refuse(sock, peer, envelope)
             else:
                 peer.open_calls += 1
