--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -15,6 +15,7 @@
 from parsleyrouter.connection.peer_limits import PeerLimits
 from parsleyrouter.ids import Address
 from parsleyrouter.process.address_directory import AddressDirectory
+from parsleyrouter.process.caller_identity import CallerIdentity
 from parsleyrouter.process.cell_methods import add_cell_methods
 from parsleyrouter.process.client_budget import ClientPort, PortBudget, divide_budget
 from parsleyrouter.process.client_metrics import ClientMetrics
@@ -53,6 +54,13 @@
     """Connect the components of a front process: callers, locate, readiness, batch jobs, loads."""
     front = Front(runtime, options, port)
     gate = StopGate(runtime.loop, front.exchange.members)
+    identity = CallerIdentity(
+        front.routes,
+        port.headers,
+        options.strict_revocation,
+        options.revoke_within_s,
+        partial(front.reader.answer_age_s, port.operator_prefix),
+    )
     forwarder = Forwarder(
         front.forward_context,
         front.routes,
@@ -61,7 +69,9 @@
         ForwardMetrics.of(runtime.metrics),
         front.rng,
         gate,
+        identity,
     )
+    front.forwarder = forwarder
     job_store = SharedJobStore(front.store)
     job_metrics = JobMetrics.of(runtime.metrics)
     budget = divide_budget(options.memory_mb, options.descriptors)
@@ -85,6 +95,7 @@
         front.rng,
     )
     front.worker = worker
+    front.job_directory.on_change.append(worker.order.nodes.update_job)
     front.exchange.on_load_report.append(worker.preemption.on_load_report)
     reader = JobReader(runtime.loop, front.store, job_store)
     reader.listed_here, owner.on_listed = owner.listed, reader.add_results
@@ -113,6 +124,7 @@
         front.job_directory,
         submission,
         lookup,
+        identity,
         UnknownJobReads(options.key_value_calls_per_s),
         job_metrics,
         gate,
--- a/parsleyrouter/version/route_table.py
+++ b/parsleyrouter/version/route_table.py
@@ -1,6 +1,6 @@
 """One version of the routes: which services may run a request, and whether it is repeatable."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
@@ -112,20 +112,30 @@
     limits: CallerLimits = CallerLimits()
     customers: Customers = Customers()
     by_host: dict[str, list[Route]] = field(init=False, repr=False, compare=False)
+    most_urgent: int = field(init=False, repr=False, compare=False)
+    """The most urgent priority of any route or customer."""
 
     def __post_init__(self) -> None:
         by_host: dict[str, list[Route]] = {}
         for route in sorted(self.routes, key=lambda route: -len(route.prefix)):
             by_host.setdefault(route.host, []).append(route)
         object.__setattr__(self, "by_host", by_host)
+        priorities = [route.priority for route in self.routes]
+        of_customers = (customer.priority for customer in self.customers.by_name.values())
+        priorities += [priority for priority in of_customers if priority is not None]
+        object.__setattr__(self, "most_urgent", min(priorities, default=0))
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of a host with the longest prefix that matches a path."""
-        for route in self.by_host.get(host.lower(), ()):
+        for route in self.routes_of(host):
             if path.startswith(route.prefix):
                 return route
         return None
 
     def serves_jobs(self, host: str) -> bool:
         """Return whether batch jobs may be submitted at a host."""
-        return any(route.kind is RouteKind.BATCH for route in self.by_host.get(host.lower(), ()))
+        return any(route.kind is RouteKind.BATCH for route in self.routes_of(host))
+
+    def routes_of(self, host: str) -> Sequence[Route]:
+        """Return the routes of a host."""
+        return self.by_host.get(host.lower(), ())
