--- a/features/client_budget.feature
+++ b/features/client_budget.feature
@@ -24,6 +24,10 @@
     When jobs are submitted beyond the memory for their items
     Then the first is stored, the next is refused, and fits once the first has ended
 
+  Scenario: a job that was accepted is confirmed when it comes again and memory is full
+    When the memory for jobs is full and an accepted job and a new one come
+    Then the accepted one is confirmed and the new one is refused as not run
+
   Scenario: a job with more headers than an item may have is refused before it is parsed
     When a job has an item with too many headers, or too many items
     Then it is refused as a bad request that was not run
--- a/features/steps/client_budget_steps.py
+++ b/features/steps/client_budget_steps.py
@@ -179,6 +179,30 @@
     return json.dumps({"items": entries}).encode()
 
 
+@when("the memory for jobs is full and an accepted job and a new one come")
+def step_full_memory(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        front = await fleet.start()
+        caller = fleet.caller()
+        first = await caller.ask("POST", "/bulk/x", _job(3, 1), attempt="known")
+        assert first.status == 202, first.status
+        memory = front.worker.owner.memory
+        assert memory.held_bytes > 0
+        memory.limit_bytes = 1
+        context.known = await fleet.caller().ask("POST", "/bulk/x", _job(3, 1), attempt="known")
+        context.new = await fleet.caller().ask("POST", "/bulk/x", _job(3, 1), attempt="new")
+        context.kept = [key for key in fleet.store.rows if "/job/" in key and "new" in key]
+
+    run_with_fleet(context, scenario)
+
+
+@then("the accepted one is confirmed and the new one is refused as not run")
+def step_confirmed(context: Any) -> None:
+    assert context.known.status == 202, (context.known.status, context.known.body)
+    assert context.new.status == 503 and b"not_run" in context.new.body, context.new.body
+    assert not context.kept, context.kept
+
+
 @when("a job has an item with too many headers, or too many items")
 def step_too_many(context: Any) -> None:
     async def scenario(fleet: FrontFleet) -> None:
--- a/parsleyrouter/process/job_submission.py
+++ b/parsleyrouter/process/job_submission.py
@@ -77,10 +77,7 @@
             return _not_run(message, retry_s)
         with self.owner.memory.submission(job.items) as fits:
             if not fits:
-                message = (
-                    "this node holds as many batch items as its memory allows: submit elsewhere"
-                )
-                return _not_run(message, RETRY_ELSEWHERE_S)
+                return await self._refuse_unless_kept(job)
             return await self._store(call, route)
 
     async def _refuse_unless_kept(self, job: SubmittedJob) -> Refusal | tuple[int, bytes]:
