--- a/parsleyrouter/commands/ctl.py
+++ b/parsleyrouter/commands/ctl.py
@@ -3,6 +3,7 @@
 Exit codes: 0 done; 1 failed, or ``diff`` found differences; 2 wrong usage; 3 refused as invalid;
 4 another operator's change came first; 5 not found; 6 no entry could be reached, nothing was
 changed; 7 unknown whether the change was applied, check the history; 8 not in force in time.
+``check-config`` ends with 0 clean, 1 warnings, 2 errors.
 """
 
 import sys
@@ -10,6 +11,7 @@
 import msgspec
 from cyclopts import App, CycloptsError
 
+from parsleyrouter.commands.ctl_check_config import check_config
 from parsleyrouter.commands.ctl_client import CtlError, ExitCode
 from parsleyrouter.commands.ctl_explain import explain
 from parsleyrouter.commands.ctl_settings import settings_app
@@ -22,6 +24,7 @@
 app = App(name="parsleyctl", help=__doc__)
 app.command(settings_app)
 app.command(explain)
+app.command(check_config, name="check-config")
 add_views(app)
 
 
--- a/parsleyrouter/platform/routes.py
+++ b/parsleyrouter/platform/routes.py
@@ -17,7 +17,7 @@
     Target,
 )
 
-__all__ = ["OPERATOR_PREFIX", "ROUTES_KEY", "decode_routes"]
+__all__ = ["CONFIG_STRUCT", "OPERATOR_PREFIX", "ROUTES_KEY", "ROUTE_KINDS", "decode_routes"]
 
 OPERATOR_PREFIX = "op/"
 ROUTES_KEY = "op/config"
@@ -79,6 +79,10 @@
     tenants: list[CustomerEntry] | None = None
 
 
+CONFIG_STRUCT = msgspec.inspect.type_info(_Config)
+"""The fields of the record, for tools that compare a record with them."""
+
+
 def decode_routes(data: bytes) -> RouteTable:
     """Return the route table; raise ``InvalidData`` when the record cannot be read."""
     config = decode_json(data, _Config, strict=False)
@@ -100,6 +104,8 @@
 
 _KINDS_BY_NAME: dict[str, Any] = {kind.value: kind for kind in RouteKind}
 
+ROUTE_KINDS = tuple(_KINDS_BY_NAME)
+
 
 def _route(route: _Route) -> Route:
     split = [Target(ServiceName(one.service), one.weight) for one in route.traffic_split]
