--- a/features/steps/client_budget_steps.py
+++ b/features/steps/client_budget_steps.py
@@ -17,7 +17,7 @@
 from parsleyrouter.connection.http_limits import HttpLimits
 from parsleyrouter.ids import Address, ItemId, JobId, NodeId
 from parsleyrouter.platform.adapter import PLATFORM
-from parsleyrouter.process.client_budget import RESERVED_DESCRIPTORS, divide_budget
+from parsleyrouter.process.client_budget import RESERVED_DESCRIPTORS, ClientPort, divide_budget
 from parsleyrouter.process.front_assembly import assemble_front
 from parsleyrouter.process.job_memory import JobMemory, items_bytes
 from parsleyrouter.process.runtime import Runtime
@@ -47,7 +47,8 @@
         held = sum(one.received_bytes + one.unsent_bytes for one in ports) + budget.job_bytes
         assert held <= memory_mb * 1_000_000 * MAX_MEMORY_SHARE, (memory_mb, held)
         sockets = descriptors - min(RESERVED_DESCRIPTORS, descriptors // 2)
-        assert sum(one.connections for one in ports) < sockets, (descriptors, budget)
+        forwarded = budget.ports[ClientPort.CALLERS].connections
+        assert sum(one.connections for one in ports) + forwarded <= sockets, (descriptors, budget)
         assert all(
             one.received_bytes and one.unsent_bytes and one.connections >= 2 for one in ports
         )
--- a/parsleyrouter/process/client_budget.py
+++ b/parsleyrouter/process/client_budget.py
@@ -13,9 +13,6 @@
 RESERVED_DESCRIPTORS = 200
 """Descriptors that the platform keeps for files; sockets share the others."""
 
-CLIENT_DESCRIPTORS_SHARE = 0.7
-"""Share of the sockets for clients; the others lead to endpoints, nodes and the store."""
-
 
 class ClientPort(Enum):
     """The ports of a process that others connect to."""
@@ -44,13 +41,16 @@
 
 
 _SHARES: Mapping[ClientPort, _Shares] = {
-    ClientPort.CALLERS: _Shares(received=0.12, unsent=0.08, connections=0.55),
-    ClientPort.NODES: _Shares(received=0.03, unsent=0.04, connections=0.25),
-    ClientPort.LOCATE: _Shares(received=0.01, unsent=0.01, connections=0.12),
-    ClientPort.READY: _Shares(received=0.01, unsent=0.01, connections=0.04),
-    ClientPort.METRICS: _Shares(received=0.01, unsent=0.01, connections=0.04),
+    ClientPort.CALLERS: _Shares(received=0.12, unsent=0.08, connections=0.35),
+    ClientPort.NODES: _Shares(received=0.03, unsent=0.04, connections=0.14),
+    ClientPort.LOCATE: _Shares(received=0.01, unsent=0.01, connections=0.08),
+    ClientPort.READY: _Shares(received=0.01, unsent=0.01, connections=0.03),
+    ClientPort.METRICS: _Shares(received=0.01, unsent=0.01, connections=0.03),
 }
-"""Shares of the process's memory, and of the connections of all clients."""
+"""Shares of the process's memory and of its sockets.
+
+The sockets that are left suffice for a connection to an endpoint for each caller.
+"""
 
 JOBS_MEMORY_SHARE = 0.12
 """Share of the process's memory for the items of batch jobs that it runs."""
@@ -68,12 +68,11 @@
     """Divide a process's memory and descriptors among its ports and batch jobs."""
     memory_bytes = memory_mb * 1_000_000
     sockets = descriptors - min(RESERVED_DESCRIPTORS, descriptors // 2)
-    connections = sockets * CLIENT_DESCRIPTORS_SHARE
     ports = {
         port: PortBudget(
             received_bytes=int(memory_bytes * shares.received),
             unsent_bytes=int(memory_bytes * shares.unsent),
-            connections=max(2, int(connections * shares.connections)),
+            connections=max(2, int(sockets * shares.connections)),
         )
         for port, shares in _SHARES.items()
     }
