--- a/features/cost_of_state.feature
+++ b/features/cost_of_state.feature
@@ -23,3 +23,13 @@
   Scenario: results of a job from before a restart of all nodes are read from the store once
     When the results of a job that no node is known to have run are read at each of five nodes
     Then all nodes return them and the store is asked for them once
+
+  Scenario Outline: a leader that the store turns away <phase> leads no more, and one other reads
+    Given a large fleet of a few nodes that are divided into cells
+    When the store turns the leader of the active cell away <phase> and the fleet is idle
+    Then one other node reads from the store, and all nodes get new routes at once
+
+    Examples:
+      | phase        |
+      | for a moment |
+      | for long     |
--- a/parsleyrouter/process/cell_members.py
+++ b/parsleyrouter/process/cell_members.py
@@ -95,7 +95,7 @@
         ]
 
     def leader(self) -> NodeId:
-        """Return the leader of this cell: its lowest node that is live and not leaving."""
+        """Return the leader of this cell: the first of its live nodes that can read for it."""
         return self._leading_nodes()[0]
 
     def active_leader(self) -> NodeId | None:
@@ -203,12 +203,17 @@
         return [known[node] for node in names if node in known]
 
     def _leading_nodes(self) -> list[NodeId]:
-        """Return the lowest live nodes of this cell, its leader first."""
+        """Return the lowest live nodes of this cell, its leader first.
+
+        Those that get no answers from the key-value service come last: the service may turn away
+        some nodes and serve the others.
+        """
         own = self.registry.own.node
-        staying = [report.node for report in self.live_peer_reports() if not report.leaving]
+        reports = self.live_peer_reports()
+        staying = [(one.store_failing, one.node) for one in reports if not one.leaving]
         if not self.registry.leaving:
-            staying.append(own)
-        return sorted(staying)[:LEADING_NODES] or [own]
+            staying.append((self.registry.store.failing, own))
+        return [node for _, node in sorted(staying)[:LEADING_NODES]] or [own]
 
     def _set_cell(self, cell: CellId, node_count: int) -> None:
         if cell != self.cell:
