Stand-ins of registries say that all registrations were listed

Cause: two scenarios of stops_in_series failed: their stand-ins lack the new field. Measured: stops_in_series 12 pass; endpoint_limits 25 and planned_stop 5 pass.

--- a/features/support/members.py
+++ b/features/support/members.py
@@ -18,6 +18,7 @@
         self.registry: Any = SimpleNamespace(
             nodes={},
             own=None,
+            listed=True,
             leaving=False,
             named_until_s=0.0,
             store=SimpleNamespace(failing=False),
--- a/features/support/stop_play.py
+++ b/features/support/stop_play.py
@@ -94,6 +94,7 @@
         members: Any = SimpleNamespace(
             loop=SimpleNamespace(now=lambda: now),
             divided=False,
+            registry=SimpleNamespace(listed=True),
             serving_nodes=lambda: [one.info for one in staying],
             unreported_nodes=list,
             stopping_nodes=lambda: {
