--- a/features/demand_steps.feature
+++ b/features/demand_steps.feature
@@ -2,7 +2,7 @@
 
   Scenario: recurring steps are learnt, and the next one is foreseen
     When demand rises five-fold for 2.4 s every 5.8 s
-    Then after three steps the next one is foreseen to half a second, and when the present one ends
+    Then after three steps the next one is foreseen to half a second
 
   Scenario: steps without a period may come at any time
     When demand rises five-fold at irregular times
@@ -28,10 +28,6 @@
     When any share of the slots is reserved
     Then items get at most the rest, and without a reserve every free slot
 
-  Scenario: the refused are told times from the end of a step on
-    When requests are refused in a step whose end is known
-    Then their retries spread from there to a third of the time left, and without a forecast as before
-
   Scenario: items are rarely cut by steps, and jobs end in time
     When batch jobs run beside steps of online demand with and without the forecast
     Then less than 150 runs are cut for 680 results after two steps, and no job is late
--- a/parsleyrouter/demand/forecasts.py
+++ b/parsleyrouter/demand/forecasts.py
@@ -55,9 +55,3 @@
     def is_urgent(needed_s: float, left_s: float) -> bool:
         """Return whether an item with this work and time left takes any free slot."""
         return left_s < max(URGENT_S, URGENT_FACTOR * needed_s)
-
-    def room_in_s(self, service: ServiceName, now: float) -> float | None:
-        """Return the time to the end of the step in progress, ``None`` if it is not known."""
-        forecast = self.services.get(service)
-        outlook = forecast.outlook(now) if forecast is not None else None
-        return outlook.ends_in_s if outlook is not None else None
--- a/parsleyrouter/demand/step_forecast.py
+++ b/parsleyrouter/demand/step_forecast.py
@@ -56,8 +56,6 @@
     """Share of the slots that online requests need in it."""
     is_regular: bool = True
     """Whether steps have a period."""
-    ends_in_s: float | None = None
-    """Time to the end of the step in progress, ``None`` without one or if it is not known."""
 
 
 @dataclass
@@ -71,7 +69,6 @@
     is_stepped: bool = False
     is_high: bool = False
     rises_s: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_STEPS))
-    lengths_s: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_STEPS))
     levels_s: float = -math.inf
 
     def record(self, share: float, slots: int, now: float) -> None:
@@ -87,7 +84,7 @@
         if now >= self.levels_s + LEVELS_INTERVAL_S:
             self.levels_s = now
             self._update_levels(slots)
-        self._update_phase(now)
+        self._update_phase()
 
     def outlook(self, now: float) -> StepOutlook | None:
         """Return what to expect, ``None`` if demand does not come in steps."""
@@ -99,19 +96,12 @@
         tolerance_s = PERIOD_TOLERANCE * period_s
         is_regular = all(abs(one - period_s) <= tolerance_s for one in periods)
         if self.is_high or not is_regular:
-            ends_in_s = self._ends_in_s(now) if self.is_high else None
-            return StepOutlook(0.0, self.high, is_regular, ends_in_s)
+            return StepOutlook(0.0, self.high, is_regular)
         next_s = rises[-1] + period_s
         if now > next_s + tolerance_s:
             return None
         return StepOutlook(max(0.0, next_s - LEAD_S - now), self.high)
 
-    def _ends_in_s(self, now: float) -> float | None:
-        if not self.lengths_s:
-            return None
-        ends_in_s = self.rises_s[-1] + median(self.lengths_s) - now
-        return ends_in_s if ends_in_s > 0 else None
-
     def _update_levels(self, slots: int) -> None:
         levels = sorted(level for _, level in self.samples)
         self.low = levels[int(LOW_QUANTILE * len(levels))]
@@ -124,7 +114,7 @@
             and difference >= NOISE_FACTOR * noise
         )
 
-    def _update_phase(self, now: float) -> None:
+    def _update_phase(self) -> None:
         if not self.is_stepped:
             self.is_high = False
             return
@@ -134,7 +124,6 @@
             self.rises_s.append(self._begin_s())
         elif self.is_high and self.level < self.low + LOW_SHARE * difference:
             self.is_high = False
-            self.lengths_s.append(now - self.rises_s[-1])
 
     def _begin_s(self) -> float:
         """Return when demand left the low level; the levels may have become known only later."""
--- a/parsleyrouter/process/endpoint_chooser.py
+++ b/parsleyrouter/process/endpoint_chooser.py
@@ -62,7 +62,6 @@
             left_s=left_s,
             allowed_s=request.route.timeout_s,
             spread=self.random.random(),
-            room_in_s=self.loads.demand.room_in_s(request.service, now),
         )
         if isinstance(verdict, Refuse) and not history.runs:
             message = f"all endpoints are busy for {trace.wait_s:.2f} s: try again later"
--- a/parsleyrouter/request/admission.py
+++ b/parsleyrouter/request/admission.py
@@ -18,9 +18,6 @@
 MIN_SPREAD_SHARE = 0.5
 """Minimum of the spread retry delay, as a share of the maximum: a burst outlasts a short delay."""
 
-MIN_RETRY_AFTER_S = 0.1
-"""Shortest delay before a retry at the end of a step of demand."""
-
 RETRY_DETECTION_MARGIN_S = 0.05
 """A request with this much less time than its route allows counts as a retry."""
 
@@ -46,25 +43,15 @@
 
 
 def admit(
-    *,
-    wait_s: float,
-    target_s: float,
-    left_s: float,
-    allowed_s: float,
-    spread: float,
-    room_in_s: float | None = None,
+    *, wait_s: float, target_s: float, left_s: float, allowed_s: float, spread: float
 ) -> Admission:
     """Decide on a request that is expected to wait ``wait_s`` for a slot.
 
     ``left_s`` is the caller's remaining time and ``allowed_s`` the timeout of its route;
-    ``spread``, from 0 to 1, is the jitter of retries, and ``room_in_s`` the time to the end of a
-    step of demand, if it is known.
+    ``spread``, from 0 to 1, is the jitter of retries.
     """
     max_retry_after_s = left_s * MAX_RETRY_AFTER_SHARE
-    first_s = max_retry_after_s * MIN_SPREAD_SHARE
-    if room_in_s is not None and room_in_s < max_retry_after_s:
-        first_s = max(MIN_RETRY_AFTER_S, room_in_s)
-    spread_retry_after_s = first_s + max(0.0, max_retry_after_s - first_s) * spread
+    spread_retry_after_s = max_retry_after_s * (MIN_SPREAD_SHARE + (1 - MIN_SPREAD_SHARE) * spread)
     if wait_s >= left_s:
         return Refuse(spread_retry_after_s)
     if wait_s <= target_s * MAX_WAIT_SHARE or is_retry(left_s, allowed_s):
