--- a/parsleyrouter/process/endpoint_chooser.py
+++ b/parsleyrouter/process/endpoint_chooser.py
@@ -64,7 +64,6 @@
             allowed_s=allowed_s,
             spread=self.random.random(),
             wait_share=None if history.failed else request.wait_share,
-            room_in_s=self.loads.demand.room_in_s(request.service, now),
         )
         if isinstance(verdict, Refuse) and not history.runs:
             message = f"all endpoints are busy for {trace.wait_s:.2f} s: try again later"
