The second copy of an answer no longer gives back a used permit; unknown shares are refused

Cause, found by new tests of datagrams: each copy after the first gave the permit back, so the request ran without one; an ask for an unknown share raised an error in the reader of datagrams. Numbers of permits differ between the processes of a node, so a late give-back hits no other permit.

--- a/parsleyrouter/limits/holder.py
+++ b/parsleyrouter/limits/holder.py
@@ -48,10 +48,11 @@
 class ShareHolder:
     """The buckets of the shares that this process holds.
 
-    ``may_grant`` decides at each permit whether the process still may.
+    ``may_grant`` decides at each permit whether the process still may. ``first_number`` differs
+    between the processes of a node, so that no permit of a former one can be given back here.
     """
 
-    def __init__(self, may_grant: Callable[[ShareId, float], bool]) -> None:
+    def __init__(self, may_grant: Callable[[ShareId, float], bool], first_number: int = 1) -> None:
         self.may_grant = may_grant
         self.customers = Customers()
         self.buckets: dict[ShareId, dict[CustomerName, ShareBucket]] = {}
@@ -59,7 +60,7 @@
         """Customers without a limit whose buckets are kept."""
         self.generous_from_s: dict[ShareId, float] = {}
         """When a customer that is new in a share begins with a permit."""
-        self.numbers = itertools.count(1)
+        self.numbers = itertools.count(first_number)
 
     def begin(self, share: ShareId, now: float, *, generous: bool) -> None:
         """Begin with new buckets, which earn from ``now`` on."""
@@ -139,6 +140,7 @@
 
     def _bucket(self, share: ShareId, customer: CustomerName, now: float) -> ShareBucket | None:
         known = self.customers.by_name.get(customer)
-        if known is None or not known.limited or not self.may_grant(share, now):
+        bucket = self.buckets.get(share, {}).get(customer)
+        if known is None or not known.limited or bucket is None:
             return None
-        return self.buckets.get(share, {}).get(customer)
+        return bucket if self.may_grant(share, now) else None
--- a/parsleyrouter/limits/permit_calls.py
+++ b/parsleyrouter/limits/permit_calls.py
@@ -50,6 +50,8 @@
     share: ShareId
     customer: CustomerName
     sent_s: float
+    permit: int = 0
+    """Number of the permit that was used."""
 
 
 class PermitCalls:
@@ -168,11 +170,15 @@
         ask = self.pending.get(row.id)
         if ask is None:
             return
+        if row.outcome == Outcome.GRANTED and row.permit == ask.permit:
+            return
         if row.outcome == Outcome.GRANTED:
             answer: ShareAnswer = Granted(row.permit, row.usage / 100)
             late = self.clock() - ask.sent_s > PERMIT_VALID_S
             if late or not ask.promise.resolve(answer):
                 self.give_back(ask.address, ask.share, ask.customer, row.permit)
+            else:
+                ask.permit = row.permit
         elif row.outcome == Outcome.EMPTY:
             denied = Denied(row.wait_ms / 1000, row.room_ms / 1000, row.usage / 100)
             ask.promise.resolve(denied)
--- a/parsleyrouter/process/customer_limits.py
+++ b/parsleyrouter/process/customer_limits.py
@@ -1,6 +1,7 @@
 """The components of a front process that limit the requests of customers over all nodes."""
 
 import logging
+import secrets
 from collections.abc import Callable, Mapping
 from random import Random
 
@@ -26,6 +27,8 @@
 UNREGISTERED_S = 20.0
 """Time for which a holder that is heard but not registered keeps its shares."""
 
+MAX_FIRST_NUMBER = 2**48
+
 log = logging.getLogger(__name__)
 
 
@@ -85,7 +88,10 @@
         find: Callable[[CustomerName], Customer | None],
     ) -> None:
         loop, own = runtime.loop, members.registry.own
-        self.holder = ShareHolder(lambda share, now: self.keeper.may_grant(share, now))
+        self.holder = ShareHolder(
+            lambda share, now: self.keeper.may_grant(share, now),
+            first_number=1 + secrets.randbelow(MAX_FIRST_NUMBER),
+        )
         self.calls = PermitCalls(loop, options.limits, self.holder, boot_now_s)
         self.calls.datagrams.register(runtime)
         record = ShareRecord(own.node, own.boot, self.calls.address, own.domain, claims=0)
