--- a/parsleyrouter/process/customer_limits.py
+++ b/parsleyrouter/process/customer_limits.py
@@ -1,6 +1,5 @@
 """The components of a front process that limit the requests of customers over all nodes."""
 
-import logging
 import secrets
 from collections.abc import Callable, Mapping
 from random import Random
@@ -29,8 +28,6 @@
 
 MAX_FIRST_NUMBER = 2**48
 
-log = logging.getLogger(__name__)
-
 
 class KnownNodes:
     """The nodes as the keeper of shares sees them."""
