--- a/features/steps/customer_jobs_steps.py
+++ b/features/steps/customer_jobs_steps.py
@@ -5,6 +5,7 @@
 
 from behave import then, when
 
+from features.steps.explain_steps import explain
 from features.steps.front_jobs_steps import items
 from features.steps.front_requests_steps import run_with_fleet
 from features.support.customer_fleet import (
@@ -59,6 +60,15 @@
     raise AssertionError("not all results came in time")
 
 
+async def until_quiet(fleet: FrontFleet) -> None:
+    """Wait until the nodes read no records of their own, as they do while they close a job."""
+    jobs = fleet.fronts[0].job_directory.jobs
+    await fleet.until(lambda: not any(view.open for view in jobs.values()))
+    reads = -1
+    while reads != (reads := sum("/kv-key" in one for one in fleet.store.faults.calls)):
+        await fleet.loop.sleep(0.5)
+
+
 def runs_of(fleet: FrontFleet) -> list[str]:
     """Return the ids of the items that ran, sorted."""
     return sorted(one.header("X-Attempt-Id") or "" for one in fleet.endpoints["e1"].arrivals)
@@ -95,12 +105,13 @@
         await ready(fleet)
         await submit(fleet, "ant-key-1")
         context.results = await read_all(fleet, "ant-key-1")
+        await until_quiet(fleet)
         context.answers, context.calls = [], []
         for job in (JOB, "job9"):
             before = len(fleet.store.faults.calls)
             answer = await call(fleet, what, "bee-key-1", job=job)
             made = [one for one in fleet.store.faults.calls[before:] if "/kv-key" in one]
-            context.calls.append(len(made))
+            context.calls.append(made)
             context.answers.append((answer.status, answer.headers, answer.body))
         context.again = await read_all(fleet, "ant-key-1")
 
@@ -110,7 +121,7 @@
 @then("both answers and their calls to the store are the same, and the job goes on")
 def step_same_answers(context: Any) -> None:
     assert context.answers[0] == context.answers[1] and context.answers[0][0] == 404
-    assert context.calls == [1, 1], context.calls
+    assert [len(one) for one in context.calls] == [1, 1], context.calls
     assert context.again == context.results and len(context.again) == len(ALL_ITEMS)
 
 
@@ -429,3 +440,40 @@
     keys = sorted(key for key in context.fleet.store.rows if "/quota/" in key)
     assert keys == [f"parsley/live/quota/bulk/{index}" for index in range(8)], keys
     assert f"parsley/live/job/{JOB}/record" in context.fleet.store.rows
+
+
+@when("the job of a customer is explained by its id")
+def step_explain_job(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        await start_customers(fleet)
+        await ready(fleet)
+        await submit(fleet, "ant-key-1", job="theirs")
+        await read_all(fleet, "ant-key-1", job="theirs")
+
+    context.explanation = explain(context, scenario, "theirs")
+
+
+@then("the explanation has the call, the customer and the lines of the stored job")
+def step_job_explained(context: Any) -> None:
+    for text in ("job call answered", 'customer="ant"', "item run ended", "results listed"):
+        assert text in context.explanation, (text, context.explanation)
+
+
+@when("the host takes jobs without a key and calls come with a key that is not known")
+def step_open_host(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        await start_customers(fleet)
+        await ready(fleet)
+        await submit(fleet, path="/openbulk/", job="free")
+        await submit(fleet, "ant-key-1", job="theirs")
+        context.statuses = [
+            (await call(fleet, "read the results", "ant-key-9", job=job)).status
+            for job in ("free", "theirs", "none")
+        ]
+
+    run_with_fleet(context, scenario)
+
+
+@then("the job without a customer is read, and that of a customer and an unknown one get 401")
+def step_open_host_read(context: Any) -> None:
+    assert context.statuses == [200, 401, 401], context.statuses
--- a/parsleyrouter/process/forwarder.py
+++ b/parsleyrouter/process/forwarder.py
@@ -8,7 +8,9 @@
 
 from parsleyrouter.connection.forward_server import CallerExchange
 from parsleyrouter.connection.http import JSON_TYPE
-from parsleyrouter.ids import DomainName
+from parsleyrouter.contention import QueueShares
+from parsleyrouter.customers import Customer
+from parsleyrouter.ids import CustomerName, DomainName
 from parsleyrouter.limits.port import RequestLimiter, RequestPermit
 from parsleyrouter.outcome import ExecutionStatus, Refusal, RefusalKind
 from parsleyrouter.process.active_routes import ActiveRoutes
@@ -75,6 +77,7 @@
         self.budget = RetryBudget(share=RETRY_SHARE)
         self.limiter: RequestLimiter | None = None
         """Grants the requests of customers that have a limit."""
+        self.shares = QueueShares()
 
     async def handle(self, exchange: CallerExchange) -> None:
         """Forward one request of a caller and send the response or a refusal."""
@@ -100,27 +103,47 @@
         self, exchange: CallerExchange, parsed: ParsedRequest, trace: RequestTrace
     ) -> Refusal | None:
         """Forward a request within the limit of its customer; return a refusal if it fails."""
-        permit = await self._acquire_permit(parsed)
+        began_s = self.loop.now()
+        left_s = parsed.request.deadline_s - began_s
+        returning = is_retry(left_s, parsed.request.route.timeout_s)
+        permit = await self._acquire_permit(parsed, left_s, returning=returning)
         if isinstance(permit, Refusal):
             return permit
         try:
             if exchange.disconnected:
                 return _cancelled()
-            return await self._forward(exchange, parsed.request, trace)
+            usage = 0.0 if permit is None else permit.usage
+            request = replace(
+                parsed.request,
+                waited_s=self.loop.now() - began_s,
+                wait_share=self._wait_share(parsed, usage, returning=returning),
+            )
+            return await self._forward(exchange, request, trace)
         finally:
             if permit is not None and not trace.sent:
                 permit.give_back()
 
-    async def _acquire_permit(self, parsed: ParsedRequest) -> RequestPermit | Refusal | None:
+    async def _acquire_permit(
+        self, parsed: ParsedRequest, left_s: float, *, returning: bool
+    ) -> RequestPermit | Refusal | None:
         """Return the permit of a request whose customer is limited, or why it is refused."""
-        request, customer = parsed.request, parsed.customer
+        customer = parsed.customer
         if self.limiter is None or customer is None or not customer.limited:
             return None
-        left_s = request.deadline_s - self.loop.now()
-        return await self.limiter.acquire(
-            customer.name,
-            left_s=left_s,
-            returning=is_retry(left_s, request.route.timeout_s),
+        return await self.limiter.acquire(customer.name, left_s=left_s, returning=returning)
+
+    def _wait_share(self, parsed: ParsedRequest, usage: float, *, returning: bool) -> float | None:
+        """Return the share of the wait that a request may take, if customers compete for room."""
+        table = self.routes.table
+        if table is None or not table.customers:
+            return None
+        return self.shares.share(
+            parsed.customer or _WITHOUT_KEY,
+            usage=usage,
+            less_urgent=parsed.request.route.priority - table.most_urgent,
+            returning=returning,
+            draw=self.random.random(),
+            now=self.loop.now(),
         )
 
     async def _forward(
@@ -245,6 +268,9 @@
         )
 
 
+_WITHOUT_KEY = Customer(CustomerName(""))
+"""All callers without a customer, on anonymous routes."""
+
 _EXECUTION_ORDER = (ExecutionStatus.NOT_RUN, ExecutionStatus.UNKNOWN, ExecutionStatus.RAN)
 
 
