--- a/parsleyrouter/limits/limiter.py
+++ b/parsleyrouter/limits/limiter.py
@@ -12,7 +12,7 @@
 from parsleyrouter.limits.metrics import LimitMetrics
 from parsleyrouter.limits.permit_calls import PermitCalls
 from parsleyrouter.limits.port import RequestPermit
-from parsleyrouter.limits.shares import SHARES_PER_GROUP, ShareRecord, group_of
+from parsleyrouter.limits.shares import ShareRecord, group_of
 from parsleyrouter.outcome import ExecutionStatus, Refusal, RefusalKind
 
 __all__ = ["FleetLimiter", "HolderView"]
@@ -27,6 +27,10 @@
 """Time for which a holder that gave no answer is asked last."""
 
 USAGE_KEPT_S = 5.0
+
+OTHER_FIRST_SHARE = 0.25
+"""Share of the requests that ask any share first, so that the use of all shares is known."""
+
 MAX_REMEMBERED = 10_000
 
 
@@ -204,7 +208,13 @@
                 share,
             )
 
-        return sorted(holders, key=place)
+        ordered = sorted(holders, key=place)
+        if ordered and self.random.random() < OTHER_FIRST_SHARE:
+            chosen = self.random.choice(ordered)
+            if self.suspects.get(holders[chosen].address, 0.0) <= now:
+                ordered.remove(chosen)
+                ordered.insert(0, chosen)
+        return ordered
 
     def _note_usage(self, customer: CustomerName, share: ShareId, usage: float) -> None:
         if customer not in self.usages and len(self.usages) >= MAX_REMEMBERED:
@@ -215,7 +225,7 @@
         since_s = self.clock() - USAGE_KEPT_S
         known = self.usages.get(customer, {}).values()
         recent = [usage for usage, at_s in known if at_s >= since_s]
-        return min(1.0, math.fsum(recent) / SHARES_PER_GROUP)
+        return min(1.0, math.fsum(recent) / len(recent)) if recent else 0.0
 
     def _refuse_over_limit(self, asking: _Asking, known: Customer) -> Refusal:
         self.metrics.count("over_limit", asking.customer)
