--- a/features/hostile_clients.feature
+++ b/features/hostile_clients.feature
@@ -80,6 +80,7 @@
       | whole bodies of legal size                   | a route                 |
       | whole bodies of legal size                   | slow answers            |
       | jobs whose items have very many short fields | the jobs               |
+      | jobs of as many short fields as are legal    | the jobs                |
       | jobs of the largest legal size               | the jobs                |
       | jobs of very many items                      | the jobs               |
       | jobs of one item with very many short fields | the jobs               |
--- a/features/support/hostile_clients.py
+++ b/features/support/hostile_clients.py
@@ -90,6 +90,9 @@
 FEW_ITEMS_JOB = _job(550, 200)
 """A job with as many items as are allowed, whose headers are very many short fields."""
 
+LEGAL_FIELDS_JOB = _job(100, 200)
+"""A job with as many items and headers as are accepted."""
+
 MANY_ITEMS_JOB = _job(0, 16_000)
 ONE_ITEM_JOB = _job(100_000, 1)
 LARGEST_JOB = _job(0, 200, "QUJD" * (BODY_BYTES // 200 // 4 - 50))
@@ -138,6 +141,7 @@
     "nothing": Kind(lambda path, n: Sent(b""), CONNECTIONS),
     "half a head": Kind(lambda path, n: Sent(_head(path, n, "GET")[:-9]), CONNECTIONS),
     "jobs whose items have very many short fields": Kind(_whole_job(FEW_ITEMS_JOB)),
+    "jobs of as many short fields as are legal": Kind(_whole_job(LEGAL_FIELDS_JOB)),
     "jobs of the largest legal size": Kind(_whole_job(LARGEST_JOB)),
     "whole bodies of legal size": Kind(
         lambda path, n: Sent(_head(path, n) + _length(BODY_BYTES), FILL, BODY_BYTES)
--- a/parsleyrouter/connection/caller_admission.py
+++ b/parsleyrouter/connection/caller_admission.py
@@ -22,7 +22,7 @@
 """Bytes between two sweeps below which an unfinished request is slow."""
 
 FRESH_S = 0.2
-"""Time in which a connection is expected to begin or go on with its request."""
+"""Time in which a new connection is expected to begin its request."""
 
 MAX_LINES = 5
 """Refusals that are logged one by one between two sweeps; others are counted in one line."""
@@ -78,11 +78,12 @@
                 return
 
     def _may_close(self, connection: "CallerConnection", remote: str) -> bool:
-        """Return whether a connection may yield; from the same address, not a fresh one."""
-        fresh = connection.progress_s > self.server.loop.now() - FRESH_S
-        keeps = fresh and connection.stage is not ConnectionStage.DISCARD
-        unanswered = connection.stage in _YIELD_ORDER and connection.upload is None
-        return unanswered and (connection.remote != remote or not keeps)
+        """Return whether a connection may yield; from the same address, not a new silent one."""
+        if connection.stage not in _YIELD_ORDER or connection.upload is not None:
+            return False
+        silent = connection.idle and connection.progress_s == connection.opened_s
+        fresh = silent and connection.opened_s > self.server.loop.now() - FRESH_S
+        return connection.remote != remote or not fresh
 
     def _yield_order(self, connection: "CallerConnection") -> tuple[float, ...]:
         """Order refused connections first, and those that still read an answer last."""
