Run hostile clients after the other tests, one file at a time

Cause: the tests of hostile clients measure a process's memory and must run apart from other load; the runner plays four files at once. Files that begin with @alone now run after the others, singly.

--- a/features/hostile_clients.feature
+++ b/features/hostile_clients.feature
@@ -1,3 +1,4 @@
+@alone
 Feature: a front process withstands clients that do not keep to the limits
 
   # A real process on loopback addresses, in a machine of 150 MB and 500 descriptors. What is
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,5 +1,6 @@
 """Run each feature file in its own process and print the failures and the counts.
 
+Files that begin with the tag ``@alone`` run one at a time after all others.
 Failures listed in KNOWN-RED.txt are printed and do not fail the run; keep the list accurate.
 """
 
@@ -16,6 +17,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 WORKERS = 4
 FEATURE_TIMEOUT_S = 900
+ALONE_TAG = "@alone"
 
 
 @dataclass(frozen=True)
@@ -84,8 +86,11 @@
     parser.add_argument("features", nargs="*", type=Path)
     chosen = parser.parse_args().features
     paths = [path.resolve() for path in chosen] or sorted((ROOT / "features").glob("*.feature"))
+    alone = [path for path in paths if path.read_text().startswith(ALONE_TAG)]
+    beside_others = [path for path in paths if path not in alone]
     with ThreadPoolExecutor(WORKERS) as pool:
-        verdicts = [verdict for found in pool.map(run_feature, paths) for verdict in found]
+        found = [*pool.map(run_feature, beside_others), *map(run_feature, alone)]
+    verdicts = [verdict for verdicts_of_file in found for verdict in verdicts_of_file]
     red = known_red()
     failed = [verdict for verdict in verdicts if verdict.status != "passed"]
     unexpected = [verdict for verdict in failed if verdict.name not in red]
