--- a/features/steps/endpoint_speed_play_steps.py
+++ b/features/steps/endpoint_speed_play_steps.py
@@ -9,12 +9,12 @@
 from features.support.speed_play import (
     SPEEDS,
     Play,
-    PlayResult,
     former_rule,
     knowing_rule,
     learned_rule,
     played,
 )
+from features.support.speed_result import PlayResult
 
 SEEDS = range(1, 7)
 TRIAL_LOADS = (0.2, 0.35)
