--- a/features/limit_proof.feature
+++ b/features/limit_proof.feature
@@ -10,3 +10,7 @@
   Scenario: nodes that ask each other prove nothing
     When two nodes ask only each other for what the store holds
     Then the proofs of both are as old as their last reads from the store
+
+  Scenario: in a large fleet the active nodes hold the shares, and all nodes get permits
+    When a customer gets a limit and sends to active nodes and to nodes on standby
+    Then active nodes hold all shares and the customer is served at every node
--- a/features/steps/limit_proof_steps.py
+++ b/features/steps/limit_proof_steps.py
@@ -8,6 +8,7 @@
 from features.steps.cell_reader_steps import SETTLED_S, _address_unless_failed, start_cells
 from features.steps.front_requests_steps import run_with_fleet
 from features.support.front_fleet import FrontFleet
+from features.support.limit_fleet import LimitedCallers, holders, limited, shares_in_use
 from parsleyrouter.limits.shares import LIMITS_PREFIX
 from parsleyrouter.process.boot_clock import boot_now_s
 from parsleyrouter.process.cell_reader import CHANGES_WAIT_S
@@ -100,3 +101,31 @@
 @then("the proofs of both are as old as their last reads from the store")
 def step_old_proofs(context: Any) -> None:
     assert min(context.ages) >= context.alone_s, (context.ages, context.alone_s)
+
+
+@when("a customer gets a limit and sends to active nodes and to nodes on standby")
+def step_large_fleet(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        fleet.register("c1", "cards")
+        await start_cells(fleet)
+        fleet.store.put_json("op/config", limited(2, 20.0))
+        await fleet.until(lambda: all(front.routes.version == 2 for front in fleet.fronts))
+        await shares_in_use(fleet)
+        await fleet.loop.sleep(2.0)
+        context.holders = set(holders(fleet).values())
+        context.active = {
+            front.registry.own.node
+            for front in fleet.fronts
+            if not front.exchange.members.on_standby
+        }
+        callers = LimitedCallers(fleet)
+        await callers.send(10.0, 3.0)
+        context.statuses = callers.statuses()
+
+    run_with_fleet(context, scenario)
+
+
+@then("active nodes hold all shares and the customer is served at every node")
+def step_active_hold(context: Any) -> None:
+    assert context.holders <= context.active, (context.holders, context.active)
+    assert context.statuses.keys() == {200}, context.statuses
