--- a/features/steps/endless_nodes_steps.py
+++ b/features/steps/endless_nodes_steps.py
@@ -9,7 +9,7 @@
 from features.steps.endless_senders_steps import CONNECTIONS, SECONDS
 from features.support.endless_serving import LARGE_ANSWER_BYTES, Serving
 from features.support.loop import run_on_loop
-from parsleyrouter.connection import peer_server
+from parsleyrouter.connection import peer_limits, peer_server
 from parsleyrouter.connection.peer import MAX_UNSENT_BYTES, PeerFailureKind
 from parsleyrouter.ids import Address
 from parsleyrouter.process.load_exchange import MAX_REPORTED_NODES
@@ -145,7 +145,7 @@
             runtime.peers.close(address)
         context.open_calls = serving.peers.open_calls
 
-    with patch.object(peer_server, "MAX_OPEN_CALLS_IN_SUM", 6):
+    with patch.object(peer_limits, "MAX_OPEN_CALLS_IN_SUM", 6):
         run_on_loop(main)
 
 
