--- a/features/steps/client_budget_steps.py
+++ b/features/steps/client_budget_steps.py
@@ -253,6 +253,7 @@
         ready=free_address(),
         locate=free_address(),
         nodes=free_address(),
+        limits=free_address(),
         memory_mb=SMALLEST_MEMORY_MB,
     )
     small = assemble_front(fleet.runtime, options, PLATFORM)
