What nodes see of endpoints is told between full load reports (test, mutant)

Cause: the merge of changed counts left news of speed to full reports, twice a second, and had no test.

--- a/features/endpoint_speed.feature
+++ b/features/endpoint_speed.feature
@@ -76,3 +76,8 @@
   Scenario: 71 nodes that learn at once settle
     When 71 nodes place requests at endpoints of constant unequal speed
     Then what a node believes varies by less than a quarter of the difference, and so does the load
+
+  Scenario: what a node sees of an endpoint is told between its full load reports
+    Given two nodes that have sent each other full load reports
+    When a request of one of them meets a slow endpoint
+    Then the other node knows of it before the next full report
