Tell two crashes of one endpoint within a second apart

Cause: cuts were joined by endpoint for a second, so a start that crashed right after the last one got no line and no event of its own.

--- a/features/deadly_requests.feature
+++ b/features/deadly_requests.feature
@@ -4,6 +4,10 @@
     When copies of a request without prompt parts crash endpoints one after the other
     Then each crash has a line with the request's id, and all of them have the same fingerprint
 
+  Scenario: two crashes of one endpoint within a second have a line each
+    When copies of a request crash an endpoint, and again as soon as it has returned
+    Then each crash has a line with the request's id, and all of them have the same fingerprint
+
   Scenario: copies of a request without prompt parts stop reaching endpoints
     When copies of a request without prompt parts come at all nodes among sound ones
     Then at most three copies reach endpoints later than 3 s after its third crash
--- a/features/steps/deadly_requests_steps.py
+++ b/features/steps/deadly_requests_steps.py
@@ -13,7 +13,7 @@
 from features.steps.deadly_parts_steps import JOB_LIMIT_S, TEAM, batch_item
 from features.support.crashing_endpoint import CrashPlan
 from features.support.deadly_play import CONTACT_S
-from features.support.deadly_request_play import CRASHES, DeadlyRequestPlay
+from features.support.deadly_request_play import CRASHES, ENDPOINTS, DeadlyRequestPlay
 from features.support.front_fleet import FrontFleet
 from features.support.log_records import collected_logs
 from features.support.loop import run_on_loop
@@ -34,6 +34,7 @@
     path: str = "/chat/x",
     parts: tuple[str, ...] = (),
     bodies: tuple[bytes, ...] = (DEADLY,),
+    endpoints: int = ENDPOINTS,
 ) -> DeadlyRequestPlay:
     """Run a scenario on a new fleet; return what was seen."""
     found: list[DeadlyRequestPlay] = []
@@ -43,7 +44,7 @@
         plan = CrashPlan(fleet, deadly_bodies=set(bodies))
         one = DeadlyRequestPlay(fleet, plan, path, list(parts))
         found.append(one)
-        await one.start()
+        await one.start(endpoints=endpoints)
         await scenario(one)
         one.running = False
         await fleet.loop.sleep(0.3)
@@ -52,18 +53,36 @@
     return found[0]
 
 
-@when("copies of a request without prompt parts crash endpoints one after the other")
-def step_copies_logged(context: Any) -> None:
-    async def scenario(one: DeadlyRequestPlay) -> None:
-        for _ in range(2):
-            await one.ask(one.fleet.fronts[0], DEADLY, "own")
-            await one.fleet.loop.sleep(0.5)
+async def crash_twice(one: DeadlyRequestPlay) -> None:
+    """Send a deadly request, and again as soon as the endpoint is known to have returned."""
+    front = one.fleet.fronts[0]
+
+    def latest_start() -> int:
+        return max(entry.started_ms for entry in front.directory.endpoints.values())
+
+    before = latest_start()
+    await one.ask(front, DEADLY, "own")
+    await one.fleet.until(lambda: latest_start() > before)
+    await one.ask(front, DEADLY, "own")
+    await one.fleet.until(lambda: latest_start() > before + 1)
+
 
+def play_crash_lines(context: Any, endpoints: int) -> None:
     with collected_logs("parsleyrouter.process.crash_monitor") as records:
-        context.play = play(scenario)
+        context.play = play(crash_twice, endpoints=endpoints)
     context.lines = [one for one in records if one.getMessage() == "endpoint crashed"]
 
 
+@when("copies of a request without prompt parts crash endpoints one after the other")
+def step_copies_logged(context: Any) -> None:
+    play_crash_lines(context, ENDPOINTS)
+
+
+@when("copies of a request crash an endpoint, and again as soon as it has returned")
+def step_copies_crash_one(context: Any) -> None:
+    play_crash_lines(context, 1)
+
+
 @then("each crash has a line with the request's id, and all of them have the same fingerprint")
 def step_crash_lines(context: Any) -> None:
     runs = [run for line in context.lines for run in line.runs]
--- a/features/support/deadly_request_play.py
+++ b/features/support/deadly_request_play.py
@@ -34,10 +34,10 @@
     running: bool = True
     numbers: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
 
-    async def start(self, fronts: int = 3, **changes: Any) -> None:
+    async def start(self, fronts: int = 3, endpoints: int = ENDPOINTS, **changes: Any) -> None:
         """Start endpoints, of which half return under a new name, and front processes."""
-        for number in range(ENDPOINTS):
-            self.plan.add_endpoint(f"e{number}", renamed=number % 2 == 0)
+        for number in range(endpoints):
+            self.plan.add_endpoint(f"e{number}", renamed=number % 2 == 1)
         self.fleet.store.put_json("op/config", routes(**changes))
         await self.fleet.start(fronts, configured=False)
         await self.fleet.until(lambda: all(self.fleet._knows(one) for one in self.fleet.fronts))
--- a/parsleyrouter/process/crash_monitor.py
+++ b/parsleyrouter/process/crash_monitor.py
@@ -58,9 +58,10 @@
 
 @dataclass
 class _Cuts:
-    """Requests that an endpoint has just cut, and when the first of them was."""
+    """Requests that one start of an endpoint has just cut, and when the first of them was."""
 
     at_s: float
+    started_ms: int
     confirmed: bool = False
     """Whether the endpoint has crashed, once that is ``checked``."""
     checked: bool = False
@@ -160,8 +161,9 @@
         if request.began_s is not None and now - request.began_s > RECENT_S:
             return
         cuts = self.cuts.get(endpoint)
-        if cuts is None or now - cuts.at_s > SAME_CRASH_S:
-            cuts = self.cuts[endpoint] = _Cuts(now)
+        started_ms = request.registration.started_ms
+        if cuts is None or cuts.started_ms != started_ms or now - cuts.at_s > SAME_CRASH_S:
+            cuts = self.cuts[endpoint] = _Cuts(now, started_ms)
             self.loop.spawn(self._confirm(request.registration, cuts), f"check {endpoint}")
         cuts.requests.append(request)
         if not request.prompt:
