--- a/parsleyrouter/request/crash.py
+++ b/parsleyrouter/request/crash.py
@@ -1,5 +1,6 @@
 """One crash of an endpoint, and the requests that it cut."""
 
+from collections.abc import KeysView, Sequence
 from dataclasses import dataclass, field
 
 from parsleyrouter.ids import EndpointId, PromptPart, RunId
@@ -27,14 +28,19 @@
     started_ms: int = 0
     runs: dict[RunId, Prompt] = field(default_factory=dict)
 
-    _parts: set[PromptPart] = field(default_factory=set, init=False, repr=False, compare=False)
+    _prompts_by_part: dict[PromptPart, list[Prompt]] = field(
+        default_factory=dict, init=False, repr=False, compare=False
+    )
     _counted: int = field(default=0, init=False, repr=False, compare=False)
 
     def holds(self, group: PartGroup) -> bool:
         """Return whether any request had all parts of a group."""
         if not group <= self.parts:
             return False
-        return len(group) == 1 or any(group.issubset(prompt) for prompt in self.prompts)
+        if len(group) < 2:
+            return True
+        part = next(iter(group))
+        return any(group.issubset(prompt) for prompt in self.prompts_with(part))
 
     def count_runs(self, group: PartGroup) -> int:
         """Return how many runs with all parts of a group it cut, 1 if that is not known."""
@@ -42,12 +48,22 @@
         return runs or int(self.holds(group))
 
     @property
-    def parts(self) -> set[PromptPart]:
+    def parts(self) -> KeysView[PromptPart]:
         """Return the parts of all prompts."""
+        return self._indexed().keys()
+
+    def prompts_with(self, part: PromptPart) -> Sequence[Prompt]:
+        """Return the prompts that have a part."""
+        return self._indexed().get(part, ())
+
+    def _indexed(self) -> dict[PromptPart, list[Prompt]]:
         if self._counted != len(self.prompts):
-            self._parts = {part for prompt in self.prompts for part in prompt}
+            self._prompts_by_part = {}
+            for prompt in self.prompts:
+                for part in set(prompt):
+                    self._prompts_by_part.setdefault(part, []).append(prompt)
             self._counted = len(self.prompts)
-        return self._parts
+        return self._prompts_by_part
 
 
 @dataclass(frozen=True)
--- a/parsleyrouter/request/crash_evidence.py
+++ b/parsleyrouter/request/crash_evidence.py
@@ -67,6 +67,8 @@
 MAX_PARTS = 17
 """Parts kept of each prompt, the last ones, with the fingerprint of the request."""
 
+_AccusingCrashes = dict[PromptPart, dict[float, list[Crash]]]
+
 
 @dataclass
 class CrashEvidence:
@@ -172,18 +174,24 @@
         groups = list(known)
         found = find_requests(self._settled(now), self.served_s, self.answered, groups)
         groups += found
-        while new := self._most_accused(groups, now):
+        accusing = self._accusing_crashes([], now)
+        beside_requests = self._accusing_crashes(list(filter(is_request, groups)), now)
+        while new := self._most_accused(groups, accusing, beside_requests, now):
             groups += new
             found += new
         return found
 
-    def _most_accused(self, known: list[PartGroup], now: float) -> list[PartGroup]:
-        everything = self._accusing_crashes([], now)
-        beside_requests = self._accusing_crashes(list(filter(is_request, known)), now)
+    def _most_accused(
+        self,
+        known: list[PartGroup],
+        accusing: _AccusingCrashes,
+        beside_requests: _AccusingCrashes,
+        now: float,
+    ) -> list[PartGroup]:
         unexplained = self._accusing_crashes(known, now)
         times = sorted({at_s for seen in unexplained.values() for at_s in seen})
         found: dict[PartGroup, int] = {}
-        for part, every in everything.items():
+        for part, every in accusing.items():
             if part in self.history:
                 # Copies of a request are a better reason than a part that is answered elsewhere.
                 every = beside_requests.get(part, {})
@@ -204,19 +212,17 @@
         specific = [one for one in groups if not any(one < other for other in groups)]
         return specific if len(specific) == 1 or most >= CERTAIN_CRASHES else []
 
-    def _accusing_crashes(
-        self, known: list[PartGroup], now: float
-    ) -> dict[PromptPart, dict[float, list[Crash]]]:
+    def _accusing_crashes(self, known: list[PartGroup], now: float) -> _AccusingCrashes:
         """Return the crashes that accuse each part by time; those within a short time are one.
 
         A crash that a known group explains accuses the parts of that group only.
         """
-        accusing: dict[PromptPart, dict[float, list[Crash]]] = {}
+        accusing: _AccusingCrashes = {}
         for moment_s, crash in self._settled(now):
             explaining = [group for group in known if crash.holds(group)]
-            for part in crash.parts:
-                explained = bool(explaining) and not any(part in one for one in explaining)
-                if explained or is_fingerprint(part):
+            parts = crash.parts & frozenset().union(*explaining) if explaining else crash.parts
+            for part in parts:
+                if is_fingerprint(part):
                     continue
                 if crash.at_s >= self.served_s.get(part, crash.at_s):
                     accusing.setdefault(part, {}).setdefault(moment_s, []).append(crash)
@@ -248,7 +254,7 @@
 
         Beside a part that was never answered, one that was answered before is not the cause.
         """
-        prompts = [prompt for crash in crashes for prompt in crash.prompts if part in prompt]
+        prompts = [prompt for crash in crashes for prompt in crash.prompts_with(part)]
         shared = set(prompts[0]).intersection(*prompts[1:])
         first_s = min(crash.at_s for crash in crashes)
         shared = {one for one in shared if not is_fingerprint(one)}
