Let a request that has arrived take the place of a new silent connection

Cause: new connections are not closed for another one of their address, so that a request has time to begin. A process that is late accepts a crowd of silent ones and the request of an ordinary caller in one turn, and refused the caller.

--- a/parsleyrouter/connection/caller_admission.py
+++ b/parsleyrouter/connection/caller_admission.py
@@ -6,6 +6,7 @@
 
 from parsleyrouter.connection.connection_stage import ConnectionStage, RefusalCause
 from parsleyrouter.connection.crowding import Holder, first_to_yield
+from parsleyrouter.connection.socket_input import has_input
 from parsleyrouter.outcome import ExecutionStatus, Refusal, RefusalKind
 
 if TYPE_CHECKING:
@@ -62,28 +63,41 @@
         self.lines = 0
 
     def admit(self, connection: "CallerConnection") -> None:
-        """Close another connection, or this one, if there are too many."""
+        """Close another connection, or this one, if there are too many.
+
+        New connections from one address that are still silent yield to a request only: a server
+        that is late accepts a crowd of them together with the requests of others.
+        """
         server = self.server
         while len(server.connections) > server.limits.connections:
             totals = Counter(one.remote for one in server.connections.values())
-            holders = [
-                Holder(sock, one.remote, self._yield_order(one))
-                for sock, one in server.connections.items()
-                if one is not connection and self._may_close(one, connection.remote)
+            others = [
+                one
+                for one in server.connections.values()
+                if one is not connection and self._may_close(one)
+            ]
+            settled = [
+                one for one in others if one.remote != connection.remote or not self._is_silent(one)
             ]
-            found = first_to_yield(holders, totals, connection.remote)
+            found = first_to_yield(map(self._holder, settled), totals, connection.remote)
+            if found is None and has_input(connection.sock):
+                unused = [one for one in others if self._is_silent(one) and not has_input(one.sock)]
+                found = first_to_yield(map(self._holder, unused), totals, connection.remote)
             yielding = connection if found is None else server.connections[found.key]
             self._close(yielding, is_new=yielding is connection)
             if yielding is connection:
                 return
 
-    def _may_close(self, connection: "CallerConnection", remote: str) -> bool:
-        """Return whether a connection may yield; from the same address, not a new silent one."""
-        if connection.stage not in _YIELD_ORDER or connection.upload is not None:
-            return False
+    def _may_close(self, connection: "CallerConnection") -> bool:
+        return connection.stage in _YIELD_ORDER and connection.upload is None
+
+    def _is_silent(self, connection: "CallerConnection") -> bool:
+        """Return whether a connection is new and its first request has not begun yet."""
         silent = connection.idle and connection.progress_s == connection.opened_s
-        fresh = silent and connection.opened_s > self.server.loop.now() - FRESH_S
-        return connection.remote != remote or not fresh
+        return silent and connection.opened_s > self.server.loop.now() - FRESH_S
+
+    def _holder(self, connection: "CallerConnection") -> Holder:
+        return Holder(connection.sock, connection.remote, self._yield_order(connection))
 
     def _yield_order(self, connection: "CallerConnection") -> tuple[float, ...]:
         """Order refused connections first, and those that still read an answer last."""
