--- a/features/client_budget.feature
+++ b/features/client_budget.feature
@@ -12,6 +12,10 @@
     When an address that holds the most asks for room beside smaller ones
     Then only its own connections yield
 
+  Scenario: a request that arrives together with a crowd of silent connections is served
+    When more silent connections than a server may hold and then a request come in one turn
+    Then the request is answered
+
   Scenario: a request that is complete does not yield to one that arrives
     When the requests that fill the memory are being answered
     Then the request that arrives is refused, and they are answered
--- a/features/steps/client_budget_steps.py
+++ b/features/steps/client_budget_steps.py
@@ -1,6 +1,7 @@
 """Steps for the division of memory and connections among clients."""
 
 import json
+import socket
 from base64 import b64encode
 from collections import Counter
 from dataclasses import replace
@@ -28,6 +29,7 @@
 """The rest is for the program, its copies of what it holds and its own state."""
 
 BODY_BYTES = 60_000
+CROWD = 40
 SMALLEST_MEMORY_MB = 32
 
 
@@ -120,6 +122,38 @@
     context.causes = {cause.value: count for cause, count in server.refused.items()}
 
 
+async def _crowded_at_once(runtime: Runtime, context: Any) -> None:
+    """Connect while the server stands still, so that it accepts all in one turn."""
+
+    async def answer(exchange: CallerExchange) -> None:
+        exchange.reply(200, [], b"")
+
+    limits = HttpLimits(connections=CROWD // 4)
+    server = ForwardServer(runtime.loop, Address("127.0.0.1:0"), answer, limits).register(runtime)
+    await runtime.loop.sleep(0)
+    host, _, port = server.bound_address().rpartition(":")
+    sockets = [socket.create_connection((host, int(port))) for _ in range(CROWD)]
+    try:
+        sockets.append(socket.create_connection((host, int(port))))
+        sockets[-1].sendall(b"GET /card/1 HTTP/1.1\r\nHost: h\r\n\r\n")
+        await runtime.loop.sleep(0.1)
+        sockets[-1].setblocking(False)
+        context.answer = sockets[-1].recv(1000)
+    finally:
+        for one in sockets:
+            one.close()
+
+
+@when("more silent connections than a server may hold and then a request come in one turn")
+def step_silent_crowd(context: Any) -> None:
+    run_on_loop(lambda runtime: _crowded_at_once(runtime, context))
+
+
+@then("the request is answered")
+def step_request_answered(context: Any) -> None:
+    assert context.answer.startswith(b"HTTP/1.1 200 "), context.answer
+
+
 @when("the requests that fill the memory are being answered")
 def step_complete_fill(context: Any) -> None:
     run_on_loop(lambda runtime: _crowded(runtime, context, complete=True))
