--- a/features/customers.feature
+++ b/features/customers.feature
@@ -86,6 +86,10 @@
     When the store answers again after the bound of strict revocation
     Then requests that need a key are served
 
+  Scenario: under strict revocation a node serves on while the record does not change
+    When the store has no changes for longer than the bound of strict revocation
+    Then every request with a key is served
+
   Scenario: the time that the machine was suspended counts as age of what a node knows
     When a node is suspended after an answer of the store
     Then the age of the answer includes it until the store has answered again
--- a/features/steps/customers_steps.py
+++ b/features/steps/customers_steps.py
@@ -344,6 +344,30 @@
     assert context.answer.status == 200, context.answer.status
 
 
+UNCHANGED_REVOKE_S = 2.0
+UNCHANGED_S = 6.0
+"""Time without changes: that in which a started node reads often, and twice the bound."""
+
+
+@when("the store has no changes for longer than the bound of strict revocation")
+def step_unchanged(context: Any) -> None:
+    async def scenario(fleet: FrontFleet) -> None:
+        await start_customers(fleet, strict_revocation=True, revoke_within_s=UNCHANGED_REVOKE_S)
+        await ready(fleet)
+        caller, until_s = fleet.caller(), fleet.loop.now() + UNCHANGED_S
+        context.statuses = set()
+        while fleet.loop.now() < until_s:
+            context.statuses.add((await ask_with(caller, "ant-key-1")).status)
+            await fleet.loop.sleep(0.1)
+
+    run_with_fleet(context, scenario)
+
+
+@then("every request with a key is served")
+def step_unchanged_served(context: Any) -> None:
+    assert context.statuses == {200}, context.statuses
+
+
 @when("a node is suspended after an answer of the store")
 def step_suspend(context: Any) -> None:
     suspended = SuspendedTime()
--- a/parsleyrouter/process/caller_identity.py
+++ b/parsleyrouter/process/caller_identity.py
@@ -1,5 +1,6 @@
 """Identify the customers of callers by the active configuration."""
 
+import math
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -69,6 +70,16 @@
             return JobCaller(None, None, open_host, needs_key)
         return JobCaller(None, found, open_host, needs_key)
 
+    def max_read_wait_s(self) -> float:
+        """Return how long a read of the configuration may wait for a change.
+
+        A store that has no changes must answer before keys are not trusted any more: the other half
+        of the time is for reads that are slow or repeated.
+        """
+        table = self.routes.table
+        has_customers = table is not None and bool(table.customers)
+        return self.revoke_within_s / 2 if self.strict and has_customers else math.inf
+
     def _may_be_stale(self) -> bool:
         return self.strict and may_miss_removals(
             age_s=self.age_s(), strict=self.strict, revoke_within_s=self.revoke_within_s
--- a/parsleyrouter/process/cell_reader.py
+++ b/parsleyrouter/process/cell_reader.py
@@ -85,6 +85,8 @@
         self.proofs_s: dict[str, float] = {}
         """A time before which the latest read misses no change; counts suspensions."""
         self.proof_wanted: dict[str, Callable[[], bool]] = {}
+        self.wait_bounds: dict[str, Callable[[], float]] = {}
+        """Longest long-poll time of direct reads, where the age of answers matters."""
         self.last_failure_s = self.own_failure_s = -FAILURE_RETENTION_S
         self.leader_retry_at_s = 0.0
         self.direct_retry_at_s: dict[str, float] = {}
@@ -146,6 +148,8 @@
         if refused is not None:
             return refused
         wait_s = self._direct_wait_s(prefix, wait_s)
+        if prefix in self.wait_bounds:
+            wait_s = min(wait_s, self.wait_bounds[prefix]())
         self.proofs_s[prefix] = boot_now_s()
         page = await self.direct.changes(prefix, after, wait_s)
         self._record_answer(prefix, page)
--- a/parsleyrouter/process/front_assembly.py
+++ b/parsleyrouter/process/front_assembly.py
@@ -64,6 +64,7 @@
         options.revoke_within_s,
         partial(front.reader.answer_age_s, port.operator_prefix),
     )
+    front.reader.wait_bounds[port.operator_prefix] = identity.max_read_wait_s
     forwarder = Forwarder(
         front.forward_context,
         front.routes,
