--- a/features/soak_checks.feature
+++ b/features/soak_checks.feature
@@ -43,6 +43,47 @@
       | a deadly request with another body            | endpoints run only          |
       | a sound item held 6 s after a request's crash | an item that no endpoint    |
 
+  Scenario Outline: a violated guarantee to customers is reported
+    When customers and endpoints see <violation>
+    Then the soak reports it under "<guarantee>"
+
+    Examples:
+      | violation                             | guarantee                   |
+      | a run 3 s after its key was removed   | a request without a key     |
+      | a run with a key that is not known    | a request without a key     |
+      | a run without a key                   | a request without a key     |
+      | an endpoint told another customer     | endpoints are told          |
+      | an endpoint told the former customer  | endpoints are told          |
+      | an open route that drops the customer | endpoints are told          |
+      | an endpoint sent a key                | endpoints are told          |
+      | an item of another customer           | endpoints are told          |
+      | a key in force refused                | a key in force is known     |
+      | more runs than a limit allows         | the limits of customers     |
+      | a refusal far below a limit           | a customer below its limit  |
+      | a slow endpoint used like others      | an endpoint that is slow    |
+
+  Scenario Outline: what customers and slow endpoints may see is not reported
+    When customers and endpoints see <allowed>
+    Then the soak reports nothing
+
+    Examples:
+      | allowed                                     |
+      | a run 1 s after its key was removed         |
+      | the former customer 1 s after a key moved   |
+      | an unknown key on an open route             |
+      | a removed key refused                       |
+      | as many runs as a limit allows              |
+      | a refusal after half of what shares hold    |
+      | a slow endpoint used half as much as others |
+
+  Scenario: keys and limits hold in a play whose customers change keys and exceed their limits
+    When a soak plays customers that change keys and exceed their limits
+    Then the soak reports nothing
+
+  Scenario: slow endpoints get fewer requests in a play whose engines report that they are slow
+    When a soak plays engines that are slow and report it
+    Then the soak reports nothing
+
   Scenario: a refused request that runs when its caller sends it again is not reported
     When a request is refused and runs after it was sent again under its id
     Then the soak reports nothing
--- a/features/support/platform_endpoint.py
+++ b/features/support/platform_endpoint.py
@@ -62,16 +62,19 @@
 
     def proof(self, arrival: Arrival) -> list[tuple[bytes, bytes]]:
         name = (arrival.header("X-Attempt-Id") or "").encode()
-        open_count = sum(not one.ended_s for one in self.arrivals)
-        load = b"%d,%d,8" % (min(8, open_count), max(0, open_count - 8))
         proof = b"sig-" + self.name.encode()
         return [
             (b"X-Attempt-Id", name),
             (b"X-Response-Signature", proof),
-            (b"X-Server-Load", load),
+            (b"X-Server-Load", self.load()),
             *self.headers,
         ]
 
+    def load(self) -> bytes:
+        """Return the requests that run and wait, and the slots."""
+        open_count = sum(not one.ended_s for one in self.arrivals)
+        return b"%d,%d,8" % (min(8, open_count), max(0, open_count - 8))
+
     async def answer(self, exchange: CallerExchange) -> None:
         head = exchange.head
         arrival = Arrival(
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -31,6 +31,8 @@
     faults_s: float = 10.0,
     gap_s: float = 0.8,
     engine_processes: int = 0,
+    customers: int = 0,
+    brief_clients: int = 0,
     without: tuple[str, ...] = (),
     only: tuple[str, ...] = (),
     folder: str = "",
@@ -45,6 +47,8 @@
         faults_s=faults_s,
         gap_s=gap_s,
         engine_processes=engine_processes,
+        customers=customers,
+        brief_clients=brief_clients,
         without=without,
         only=only,
     )
@@ -65,6 +69,8 @@
     faults_s: float = 10.0,
     gap_s: float = 0.8,
     engine_processes: int = 0,
+    customers: int = 0,
+    brief_clients: int = 0,
     kept: bool = True,
     without: tuple[str, ...] = (),
     only: tuple[str, ...] = (),
@@ -83,6 +89,8 @@
         "faults-s": faults_s,
         "gap-s": gap_s,
         "engine-processes": engine_processes,
+        "customers": customers,
+        "brief-clients": brief_clients,
     }
 
     def run(row: dict[str, Any]) -> int:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,7 +11,7 @@
 from parsleyrouter.connection.stream import ConnectFailed
 from parsleyrouter.process.loop import Promise
 from soak.endpoints import SENDING_HEADER
-from soak.journal import REFUSALS, Attempt, JobTrace, Kind, RequestContent
+from soak.journal import CLIENT_KINDS, REFUSALS, Attempt, JobTrace, Kind, RequestContent
 from soak.nodes import Node
 from soak.world import FIRST_PARTS, World
 
@@ -53,10 +53,12 @@
     content: RequestContent | None = None,
     *,
     before: Attempt | None = None,
+    credential: str | None = None,
 ) -> tuple[Attempt, Caller | None]:
     """Send one request, perhaps again; return its record and the connection if it can be reused."""
     seen = Attempt(attempt, kind, node.name, world.loop.now())
     seen.version, seen.version_s = world.version, world.version_s
+    seen.credential = credential
     if before is not None:
         seen.content, seen.parts = before.content, before.parts
         seen.sending = before.sending + 1
@@ -71,7 +73,8 @@
         target, body = f"/{kind.value}/{attempt}", f"body {attempt}".encode()
         if seen.content is not None:
             target, body = seen.content.target, seen.content.body
-        headers = list(_prompt_headers(seen.parts).items()) if seen.parts else []
+        headers = world.credential_headers(credential)
+        headers += list(_prompt_headers(seen.parts).items()) if seen.parts else []
         if seen.sending > 1:
             headers.append((SENDING_HEADER, str(seen.sending)))
         await caller.send(
@@ -125,7 +128,7 @@
         count += 1
         if world.client_random.random() < 0.1:
             node = world.client_random.choice(world.nodes)
-        kind = world.client_random.choice(list(Kind))
+        kind = world.client_random.choice(list(CLIENT_KINDS))
         caller = connections.pop(node.name, None) if world.client_random.random() < 0.8 else None
         attempt = f"{number:x}a{count:x}f"
         seen, caller = await send_request(world, node, caller, kind, attempt)
@@ -194,8 +197,9 @@
     """Call a random node on a new connection; the response is ``None`` when it is incomplete."""
     node = world.client_random.choice(world.nodes)
     caller = Caller(world.runtime, world.address_of(node))
+    headers = [*named.pop("headers", []), *world.credential_headers()]
     try:
-        await caller.send(method, target, body, deadline_ms=None, **named)
+        await caller.send(method, target, body, deadline_ms=None, headers=headers, **named)
         response = await caller.wait(RESPONSE_TIMEOUT_S)
     except (ConnectFailed, AssertionError):
         return None, node
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -7,28 +7,49 @@
 from soak.check_registry import CHECKS, check
 from soak.check_registry import runs_by_attempt as _runs
 from soak.connection_checks import check_connections
-from soak.endpoints import expected_body, item_output
+from soak.customer_checks import (
+    check_accepted_keys,
+    check_customer_limits,
+    check_needless_refusals,
+    check_removed_keys,
+    check_told_customers,
+)
+from soak.endpoints import BRIEF_EVENTS, EVENTS, expected_body, item_output
 from soak.item_checks import check_idle, check_open
 from soak.item_states import owner_nodes
 from soak.journal import REFUSALS, Attempt, Kind, Run
 from soak.nodes import GRACE_S, Node
 from soak.request_checks import check_beside_deadly_requests, check_deadly_requests, is_deadly
 from soak.served_shares import CONTACT_S, is_in_touch, is_served_less
+from soak.slow_endpoints import check_slow_endpoints
 from soak.world import World
 
 __all__ = [
     "CHECKS",
+    "check_accepted_keys",
     "check_beside_deadly_requests",
     "check_connections",
+    "check_customer_limits",
     "check_deadly_requests",
     "check_idle",
     "check_leaving",
     "check_limits",
+    "check_needless_refusals",
     "check_open",
+    "check_removed_keys",
+    "check_slow_endpoints",
+    "check_told_customers",
     "problems",
 ]
 
-MAX_RUNS = {Kind.STREAM: 1, Kind.RESUMABLE: 2, Kind.SAFE: 3, Kind.MOVED: 3}
+MAX_RUNS = {
+    Kind.STREAM: 1,
+    Kind.RESUMABLE: 2,
+    Kind.SAFE: 3,
+    Kind.MOVED: 3,
+    Kind.OPEN: 3,
+    Kind.BRIEF: 1,
+}
 ROUTE_APPLY_S = 2.0
 """Time in which new routes must be applied."""
 
@@ -45,7 +66,7 @@
 
 def _is_streamed(world: World, attempt: Attempt) -> bool:
     if attempt.kind is not Kind.MOVED:
-        return attempt.kind is not Kind.SAFE
+        return attempt.kind not in (Kind.SAFE, Kind.OPEN)
     return not attempt.body.startswith(b"card of")
 
 
@@ -56,7 +77,8 @@
     for one in world.journal.attempts.values():
         if one.status != 200:
             continue
-        expected = expected_body(one.attempt, _is_streamed(world, one))
+        events = BRIEF_EVENTS if one.kind is Kind.BRIEF else EVENTS
+        expected = expected_body(one.attempt, _is_streamed(world, one), events)
         if not expected.startswith(one.body) or (one.complete and one.body != expected):
             found.append(f"{one.attempt} at {one.node}: {one.body[-60:]!r}")
         if not one.proof.startswith("sig-"):
@@ -98,7 +120,7 @@
         content = attempt.content if attempt else None
         if run.body != (content.body if content else f"body {run.attempt}".encode()):
             found.append(f"{run.attempt} ran with another body")
-        service = {Kind.SAFE: "cards", Kind.MOVED: run.service}.get(
+        service = {Kind.SAFE: "cards", Kind.OPEN: "cards", Kind.MOVED: run.service}.get(
             attempt.kind if attempt else Kind.STREAM, "engines"
         )
         if run.service != service:
@@ -209,7 +231,7 @@
     crashes = _crash_times(world)
     attempts = list(world.journal.attempts.values())
     deadly = [one for one in attempts if crashes.keys() & set(one.parts)]
-    first = [one for one in attempts if one.parts and one.sending == 1]
+    first = [one for one in attempts if one.parts and one.sending == 1 and one.credential is None]
     sound = [
         one for one in first if not crashes.keys() & set(one.parts) and not is_deadly(world, one)
     ]
--- a/soak/deadly_requests.py
+++ b/soak/deadly_requests.py
@@ -8,7 +8,7 @@
 from parsleyrouter.process.loop import Promise
 from soak.callers import send_request
 from soak.faults import fault
-from soak.journal import Kind, RequestContent
+from soak.journal import CLIENT_KINDS, Kind, RequestContent
 from soak.world import FIRST_PARTS, REQUEST_DOWN_S, World
 
 __all__ = ["deadly_request"]
@@ -62,7 +62,7 @@
 def _draw(world: World) -> _Load:
     """Return a request, with a prompt or without, and how often it comes."""
     random, name = world.random, f"kill{next(world.numbers):x}"
-    kind = random.choice(list(Kind))
+    kind = random.choice(list(CLIENT_KINDS))
     stream = kind in (Kind.STREAM, Kind.RESUMABLE)
     parts = (*_shared_parts(random), name) if random.random() < 0.5 and stream else ()
     content = RequestContent(kind, f"/{kind.value}/{name}", f"body {name}".encode(), parts)
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -13,9 +13,12 @@
 )
 from parsleyrouter.connection.forward_server import CallerExchange
 from parsleyrouter.process.runtime import Runtime
+from soak.customers import CUSTOMER_HEADER, KEY_MARK
 from soak.journal import Journal, Run, RunEnd
 
 __all__ = [
+    "BRIEF_EVENTS",
+    "BRIEF_ROUTE",
     "EVENTS",
     "ITEM_EVENTS",
     "LEAVING_HEADER",
@@ -34,19 +37,34 @@
 
 EVENTS = 12
 ITEM_EVENTS = 40
+BRIEF_EVENTS = 1
 GAP_S = 0.02
 """Pause between events: a stream takes about 0.25 s, an item about 0.8 s."""
 
+BRIEF_S = 0.002
+"""Time to the only event of a brief stream; so short that only reports tell of its length."""
+
+
+BRIEF_ROUTE = {
+    "name": "brief",
+    "prefix": "/brief/",
+    "kind": "stream",
+    "maxAttempts": 1,
+    "targetLatencyMs": 300,
+    "service": "engines",
+}
+EVENTS_BY_PREFIX = {"bulk": ITEM_EVENTS, "brief": BRIEF_EVENTS}
+
 
 def _event(attempt: str, number: int) -> bytes:
     return b"id: %d\ndata: %s %d\n\n" % (number, attempt.encode(), number)
 
 
-def expected_body(attempt: str, stream: bool) -> bytes:
+def expected_body(attempt: str, stream: bool, events: int = EVENTS) -> bytes:
     """Return the complete response body of a request."""
     if not stream:
         return b"card of " + attempt.encode()
-    return b"".join(_event(attempt, number) for number in range(1, EVENTS + 1))
+    return b"".join(_event(attempt, number) for number in range(1, events + 1))
 
 
 def item_output(item: str) -> str:
@@ -74,8 +92,15 @@
         """The same for a request, by its content."""
         self.down = False
         """Whether it has crashed and not started again."""
+        self.slowness: float | None = None
+        """How long its work takes as a multiple of the usual; reported unless ``None``."""
         self.default_behaviour = behave
 
+    def load(self) -> bytes:
+        """Return the load, with the time that work takes if that is reported."""
+        percent = b"" if self.slowness is None else b",%d" % round(100 * self.slowness)
+        return super().load() + percent
+
     def run(self, arrival: Arrival) -> Run:
         """Record the start of a run."""
         attempt = arrival.header("X-Attempt-Id") or ""
@@ -93,6 +118,10 @@
             self.born,
             LEAVING_HEADER in self.headers,
             sending=int(arrival.header(SENDING_HEADER) or 1),
+            customer=",".join(
+                value for name, value in arrival.headers if name.lower() == CUSTOMER_HEADER
+            ),
+            key_told=KEY_MARK in repr((arrival.target, arrival.headers, arrival.body)),
         )
         self.journal.runs.append(run)
         return run
@@ -144,11 +173,14 @@
 async def _stream(
     endpoint: Any, exchange: CallerExchange, arrival: Arrival, attempt: str, *, cut: bool
 ) -> RunEnd:
-    last = ITEM_EVENTS if arrival.target.startswith("/bulk/") else EVENTS
+    last = EVENTS_BY_PREFIX.get(arrival.target.split("/")[1], EVENTS)
+    slowness = endpoint.slowness or 1.0
     start = int(arrival.header("Last-Event-Id") or 0)
     exchange.begin(200, b"", [*endpoint.proof(arrival), STREAM], None)
     if any(endpoint.crash_on(part) for part in prompt_parts(arrival)[:-1]):
         return RunEnd.CRASHED
+    if last == BRIEF_EVENTS:
+        await endpoint.runtime.loop.sleep(BRIEF_S * slowness)
     for number in range(start + 1, last + 1):
         event = _event(attempt, number)
         if cut and number == (start + last) // 2:
@@ -156,7 +188,8 @@
             exchange.abort()
             return RunEnd.FAILED
         exchange.send(event)
-        await endpoint.runtime.loop.sleep(GAP_S)
+        if last > BRIEF_EVENTS:
+            await endpoint.runtime.loop.sleep(GAP_S * slowness)
         if exchange.disconnected:
             return RunEnd.LEFT
     exchange.finish()
--- a/soak/engine_faults.py
+++ b/soak/engine_faults.py
@@ -1,24 +1,14 @@
 """Faults of engines that run as processes; drawn only if a soak has such engines."""
 
 import signal
-from collections.abc import Callable
 
-from soak.faults import Fault
+from soak.fault_registry import Fault, registrar
 from soak.world import World
 
 __all__ = ["ENGINE_FAULTS"]
 
 ENGINE_FAULTS: dict[str, Fault] = {}
-
-
-def engine_fault(name: str) -> Callable[[Fault], Fault]:
-    """Register a fault under the name that logs and seeds use."""
-
-    def register(function: Fault) -> Fault:
-        ENGINE_FAULTS[name] = function
-        return function
-
-    return register
+engine_fault = registrar(ENGINE_FAULTS)
 
 
 @engine_fault("freeze engine")
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,29 +1,19 @@
 """Faults of a soak, all injected from outside the processes."""
 
 import signal
-from collections.abc import Awaitable, Callable
 from typing import Any
 
 from parsleyrouter.standins.fault_proxy import FaultProxy, ProxyFaults
 from soak.endpoints import LEAVING_HEADER, LIMIT_HEADER
+from soak.fault_registry import Fault, registrar
 from soak.journal import EndpointLimit
 from soak.nodes import GRACE_S, Node
 from soak.world import FIRST_PARTS, World, unix_ms
 
 __all__ = ["FAULTS", "Fault"]
 
-Fault = Callable[[World], Awaitable[None]]
 FAULTS: dict[str, Fault] = {}
-
-
-def fault(name: str) -> Callable[[Fault], Fault]:
-    """Register a fault under the name that logs and seeds use."""
-
-    def register(function: Fault) -> Fault:
-        FAULTS[name] = function
-        return function
-
-    return register
+fault = registrar(FAULTS)
 
 
 def _random_node(world: World) -> Node:
--- a/soak/item_states.py
+++ b/soak/item_states.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Iterator
 from typing import Any
 
+from parsleyrouter.customers import SUFFIX_SEPARATOR
 from soak.check_registry import runs_by_attempt
 from soak.journal import JobTrace, Journal, Run, RunEnd
 from soak.nodes import Node
@@ -30,7 +31,8 @@
     """Return the nodes that ever ran each job; all nodes if none is known to."""
     owners: dict[str, list[Node]] = {job: [] for job in world.journal.jobs}
     for node in world.nodes:
-        run = {row["job"] for row in node.rows() if row.get("message") == "job runs here"}
+        rows = [row for row in node.rows() if row.get("message") == "job runs here"]
+        run = {row["job"].partition(SUFFIX_SEPARATOR)[0] for row in rows}
         for job in run & owners.keys():
             owners[job].append(node)
     return {job: found or list(world.nodes) for job, found in owners.items()}
--- a/soak/journal.py
+++ b/soak/journal.py
@@ -7,18 +7,22 @@
 __all__ = [
     "Absence",
     "Attempt",
+    "CLIENT_KINDS",
     "CarriedTwice",
+    "CustomerLimit",
     "DeadlyRequest",
     "DeadlySpan",
     "EndpointCrash",
     "EndpointLimit",
     "JobTrace",
     "Journal",
+    "KeySpan",
     "Kind",
     "REFUSALS",
     "RequestContent",
     "Run",
     "RunEnd",
+    "SlowSpan",
     "content_key",
     "sending_key",
 ]
@@ -41,10 +45,20 @@
     MOVED = "moved"
     """A safe route that alternates between two services with the version of the routes."""
 
+    OPEN = "open"
+    """A safe route that needs no key, in plays with customers."""
+
+    BRIEF = "brief"
+    """Streams of a single event, in plays with engines that report their speed."""
+
     @property
     def repeatable(self) -> bool:
         """Tell whether a request may run more than once."""
-        return self is not Kind.STREAM
+        return self not in (Kind.STREAM, Kind.BRIEF)
+
+
+CLIENT_KINDS = (Kind.STREAM, Kind.RESUMABLE, Kind.SAFE, Kind.MOVED)
+"""The routes that all plays have."""
 
 
 def content_key(target: str, body: bytes) -> str:
@@ -90,6 +104,8 @@
     """What it has in common with other attempts; the id names its path and body otherwise."""
     sending: int = 1
     """How often its caller had sent the id, with this time."""
+    credential: str | None = None
+    """The key that it was sent with, empty without one; ``None`` for the key that never changes."""
 
     @property
     def key(self) -> str:
@@ -130,6 +146,10 @@
     end: RunEnd | None = None
     sending: int = 1
     """Which sending of the request by its caller has run."""
+    customer: str = ""
+    """The customer that the endpoint was told."""
+    key_told: bool = False
+    """Whether the endpoint was sent a customer's key."""
 
     @property
     def key(self) -> str:
@@ -199,6 +219,35 @@
     until_s: float = math.inf
 
 
+@dataclass
+class CustomerLimit:
+    """The limit of a customer over all nodes."""
+
+    customer: str
+    rate_per_s: float
+    burst: float
+
+
+@dataclass
+class KeySpan:
+    """A time in which the configuration gave a key to a customer."""
+
+    key: str
+    customer: str
+    from_s: float
+    until_s: float = math.inf
+
+
+@dataclass
+class SlowSpan:
+    """A time in which an endpoint was slow and reported it, and how slow."""
+
+    endpoint: str
+    slowness: float
+    from_s: float
+    until_s: float = math.inf
+
+
 @dataclass
 class JobTrace:
     """One batch job as observed by its client."""
@@ -231,6 +280,9 @@
     deadly: dict[str, DeadlySpan] = field(default_factory=dict)
     deadly_requests: dict[str, DeadlyRequest] = field(default_factory=dict)
     absences: list[Absence] = field(default_factory=list)
+    customer_limits: list[CustomerLimit] = field(default_factory=list)
+    keys: list[KeySpan] = field(default_factory=list)
+    slow: list[SlowSpan] = field(default_factory=list)
     item_slots: int = 0
     """Slots of the endpoints that run items, while none is absent."""
     endpoints: dict[str, int] = field(default_factory=dict)
--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -16,7 +16,7 @@
 from parsleyrouter.standins.ports import free_address
 from soak.journal import Journal
 
-__all__ = ["GRACE_S", "Node"]
+__all__ = ["GRACE_S", "REVOKE_S", "Node"]
 
 ROOT = Path(__file__).resolve().parents[1]
 SOURCES = Path(os.environ.get("PARSLEY_SOAK_SOURCES", ROOT))
@@ -33,6 +33,19 @@
 UNDISTURBED_S = 3.0
 """Undisturbed time of a node before guarantees with time limits are checked on it."""
 
+REVOKE_S = 5.0
+"""Time after its removal from which on no node may accept a key."""
+
+
+def _two_ports() -> tuple[str, int]:
+    """Return an address and the first of two ports that follow each other, both free."""
+    ip, _, last = free_address().partition(":")
+    while True:
+        _, _, port = free_address().partition(":")
+        if int(port) == int(last) + 1:
+            return ip, int(last)
+        last = port
+
 
 class Node:
     """One front process and the disturbances applied to it."""
@@ -49,7 +62,7 @@
         self.clock = folder / f"{name}.clock"
         self.log = folder / f"{name}.log"
         self.settings = folder / f"{name}.toml"
-        self.write_settings(self._toml(domain, store, free_address()))
+        self.write_settings(self._toml(domain, store))
         self.process: subprocess.Popen[bytes] | None = None
         self.auto_restart = True
         self.disturbed_until_s = 0.0
@@ -86,14 +99,15 @@
         yield
         self.invalid_s = (begin_s, self.loop.now())
 
-    def _toml(self, domain: str, store: str, nodes: str) -> str:
-        ip, _, port = nodes.partition(":")
+    def _toml(self, domain: str, store: str) -> str:
+        ip, port = _two_ports()
         return (
             f'node = "{self.name}"\nip = "{ip}"\nzone = "{domain}"\n'
-            f"internalPorts = [{port}, {port}]\n"
+            f"internalPorts = [{port}, {port + 1}]\n"
             f'[listen]\nfront = "{self.address}"\nready = "{self.ready}"\n'
             f'directory = "{self.directory}"\n'
             f'[platform]\naddress = "{store}"\n[bounds]\ngraceS = {GRACE_S}\n'
+            f"strictRevoke = true\nrevokeMs = {REVOKE_S * 1000:g}\n"
         )
 
     def start(self) -> None:
--- a/soak/play.py
+++ b/soak/play.py
@@ -14,6 +14,8 @@
 from parsleyrouter.process.runtime import Runtime
 from soak.callers import batch_client, online_client, probe_nodes
 from soak.checks import problems
+from soak.customer_faults import CUSTOMER_FAULTS, customer_client
+from soak.customers import Customers
 from soak.deadly_requests import deadly_request
 from soak.engine_faults import ENGINE_FAULTS
 from soak.engines import recorded_crashes, recorded_repeats, recorded_runs
@@ -21,6 +23,7 @@
 from soak.item_checks import CLEARED_S, RETRY_S
 from soak.refusal_faults import repeat_refusals, take_over_address
 from soak.request_checks import is_deadly
+from soak.slow_endpoints import SPEED_FAULTS, brief_client
 from soak.world import World
 
 __all__ = [
@@ -54,6 +57,10 @@
     """Mean time between the starts of two faults, which may overlap."""
     engine_processes: int = 0
     """Engines that run as processes of their own, beside the others."""
+    customers: int = 0
+    """Customers with keys and limits; without any, requests need no key."""
+    brief_clients: int = 0
+    """Callers of brief streams; with some, engines report how slow they are."""
     without: Sequence[str] = ()
     """Faults left out, so that a kept seed gives those that it gave before they were added."""
     only: Sequence[str] = ()
@@ -75,6 +82,10 @@
     crashes: int = 0
     sent_again: int = 0
     """Requests that callers sent again under their ids after a refusal."""
+    limited: int = 0
+    """Requests that were refused for a customer's limit."""
+    slow: int = 0
+    """Times that an engine was slow."""
     deadly_requests: int = 0
     """Times that clients sent requests that crashed endpoints for a time."""
 
@@ -106,6 +117,9 @@
 
 
 async def _run(world: World, plan: Plan, result: SoakResult) -> None:
+    world.speeds = plan.brief_clients > 0
+    if plan.customers:
+        world.customers = Customers(plan.customers, plan.seed, world.journal)
     await world.start(plan.nodes, plan.engines, plan.cards, plan.engine_processes)
     loop = world.loop
     faults_until_s = loop.now() + plan.faults_s
@@ -115,6 +129,10 @@
         loop.spawn(online_client(world, number, faults_until_s + RECOVER_S))
         for number in range(plan.clients)
     ]
+    for name in world.customers.names if world.customers else ():
+        clients.append(loop.spawn(customer_client(world, name, faults_until_s + RECOVER_S)))
+    for number in range(plan.brief_clients):
+        clients.append(loop.spawn(brief_client(world, number, faults_until_s + RECOVER_S)))
 
     def give_up_s() -> float:
         cleared_s = [one.until_s + CLEARED_S for one in world.journal.deadly.values()]
@@ -147,6 +165,8 @@
     attempts = world.journal.attempts.values()
     result.requests = len(attempts)
     result.answered = sum(one.complete and one.status == 200 for one in attempts)
+    result.limited = sum(one.credential is not None and one.status == 429 for one in attempts)
+    result.slow = len(world.journal.slow)
     result.sent_again = sum(one.sending > 1 for one in attempts)
     result.jobs = len(world.journal.jobs)
     result.crashes = len(world.journal.crashes)
@@ -163,5 +183,9 @@
     chosen = dict(FAULTS)
     if plan.engine_processes:
         chosen |= ENGINE_FAULTS
+    if plan.customers:
+        chosen |= CUSTOMER_FAULTS
+    if plan.brief_clients:
+        chosen |= SPEED_FAULTS
     names = set(plan.only or chosen).difference(plan.without)
     return {name: one for name, one in chosen.items() if name in names}
--- a/soak/request_checks.py
+++ b/soak/request_checks.py
@@ -106,6 +106,7 @@
         one
         for one in world.journal.attempts.values()
         if one.kind is deadly.content.kind
+        and one.credential is None
         and not is_deadly(world, one)
         and not spans.keys() & set(one.parts)
         and not affected & set(one.parts[:1])
--- a/soak/world.py
+++ b/soak/world.py
@@ -13,7 +13,8 @@
 from parsleyrouter.ids import Address
 from parsleyrouter.process.runtime import Runtime
 from parsleyrouter.standins.fault_proxy import FaultProxy
-from soak.endpoints import SoakEndpoint
+from soak.customers import OPEN_ROUTE, Customers
+from soak.endpoints import BRIEF_ROUTE, SoakEndpoint
 from soak.engines import EngineProcess, unix_ms
 from soak.journal import (
     Absence,
@@ -87,6 +88,10 @@
         self.version = 0
         self.version_s = 0.0
         self.numbers = iter(range(1, 1_000_000))
+        self.customers: Customers | None = None
+        """The customers that the configuration names, if any."""
+        self.speeds = False
+        """Whether engines report how slow they are."""
 
     async def start(self, nodes: int, engines: int, cards: int, engine_processes: int = 0) -> None:
         """Start everything and wait until all nodes serve."""
@@ -127,6 +132,7 @@
         name = f"{service}-{next(self.numbers)}"
         endpoint = SoakEndpoint(self.runtime, name, service, self.journal, self.client_random)
         endpoint.start()
+        endpoint.slowness = 1.0 if self.speeds and service == "engines" else None
         endpoint.crash_on = lambda part: self._crash_on(name, part)
         endpoint.crash_on_request = lambda content: self._crash_on_request(name, content)
         self.endpoints[name] = endpoint
@@ -251,9 +257,18 @@
         bulk = next(route for route in table["routes"] if route["kind"] == "batch")
         bulk["retentionS"] = RETENTION_S
         table["routes"].append(common | moved | {"targetLatencyMs": 300, "service": service})
+        if self.speeds:
+            table["routes"].append(common | BRIEF_ROUTE)
+        if self.customers is not None:
+            table["routes"].append(common | OPEN_ROUTE)
+            table["tenants"] = self.customers.entries()
         self.store.put_json("op/config", table)
         self.version_s = self.loop.now()
 
+    def credential_headers(self, credential: str | None = None) -> list[tuple[str, str]]:
+        """Return the headers of a caller, by default with the key that never changes."""
+        return [] if self.customers is None else self.customers.headers(credential)
+
     def address_of(self, node: Node) -> Address:
         """Return the address of the caller link of a node."""
         return self.caller_links[node.name].bound_address()
