While refusals over a limit last, most of its permits go to callers that come new

Cause: every permit that accrued was promised to a caller that had been refused, up to a third of its time ahead. While a customer asks for more than its limit for longer than that, all of its callers are served 1.3 to 1.7 s late, though the limit fixes how many are served. A caller that returned without a due promise took room from new ones, too. Change: once new callers have been refused for a second without a pause, promises take a quarter of the permits; a caller that returns while none is due leaves one permit for new ones. Short bursts as before.

--- a/features/support/limit_demand.py
+++ b/features/support/limit_demand.py
@@ -1,6 +1,7 @@
 """Callers of one customer at the real limiters and holders of some nodes, in virtual time."""
 
 import heapq
+import math
 from dataclasses import dataclass, field
 from random import Random
 from types import SimpleNamespace
@@ -16,6 +17,7 @@
 
 CUSTOMER = CustomerName("ant")
 DEADLINE_S = 5.0
+CALM_FACTOR = 0.3
 NETWORK_S = 0.02
 """Longest time for a caller to come back beside the delay that it was told."""
 
@@ -33,6 +35,8 @@
     returning: float
     """Share of the refused callers that return when they are told."""
     seed: int
+    hot_s: float = math.inf
+    """Time after which it sends ``CALM_FACTOR`` instead."""
 
 
 @dataclass
@@ -43,6 +47,9 @@
     now: float = 0.0
     granted: list[float] = field(default_factory=list)
     returned: list[bool] = field(default_factory=list)
+    """Whether each caller that returned got a permit."""
+    at_once: int = 0
+    """Permits of callers that had not been refused before."""
 
     def __post_init__(self) -> None:
         one = self.demand
@@ -85,11 +92,7 @@
     def run(self, time_s: float) -> None:
         """Let callers come for some time."""
         one = self.demand
-        per_s = one.rate_per_s * one.factor
-        events = [
-            ((number + self.random.random()) / per_s, number, False)
-            for number in range(int(per_s * time_s))
-        ]
+        events = [(at_s, number, False) for number, at_s in enumerate(self._arrivals(time_s))]
         heapq.heapify(events)
         while events and events[0][0] <= time_s:
             self.now, number, returning = heapq.heappop(events)
@@ -98,12 +101,24 @@
                 self.returned.append(refusal is None)
             if refusal is None:
                 self.granted.append(self.now)
+                self.at_once += not returning
                 continue
             assert refusal.retry_after_s is not None
             if not returning and self.random.random() < one.returning:
                 back_s = refusal.retry_after_s + self.random.uniform(0.0, NETWORK_S)
                 heapq.heappush(events, (self.now + back_s, number, True))
 
+    def _arrivals(self, time_s: float) -> list[float]:
+        """Return times at even distances, each moved by chance."""
+        one = self.demand
+        arrivals, at_s = [], 0.0
+        while at_s < time_s:
+            factor = one.factor if at_s < one.hot_s else CALM_FACTOR
+            pause_s = 1.0 / (one.rate_per_s * factor)
+            arrivals.append(at_s + pause_s * self.random.random())
+            at_s += pause_s
+        return arrivals
+
     def _acquire(self, number: int, returning: bool) -> Refusal | None:
         limiter = self.limiters[number % self.demand.entries]
         left_s = DEADLINE_S * (0.6 if returning else 1.0)
--- a/parsleyrouter/limits/bucket.py
+++ b/parsleyrouter/limits/bucket.py
@@ -20,6 +20,22 @@
 
 MAX_PROMISES = 1000
 
+LASTING_S = 1.0
+"""Time from which on refusals without a pause are no short burst."""
+
+REFUSAL_PAUSE_S = 0.5
+"""Time without a refusal of a new caller that ends a burst."""
+
+REFUSAL_PAUSE_PERMITS = 2
+"""Permits that accrue in such a pause at least: shares with low rates are asked seldom."""
+
+LASTING_PROMISED_SHARE = 0.25
+"""Share of the permits that is promised while refusals last. Callers that are told to return then
+meet new ones: were all permits promised, every caller would be served late and none at once."""
+
+UNTOLD_RETURN_ROOM = 1.0
+"""Permits that a caller leaves for new ones if it returns while no promise is due."""
+
 RETURN_WEIGHT = 0.1
 """Weight of the latest caller in the share of callers that return."""
 
@@ -47,6 +63,11 @@
     at_s: float
     promises: deque[float] = field(default_factory=deque)
     """Times at which refused callers were told to return, in order."""
+    promised_s: float = -math.inf
+    """The latest time that a refused caller was told."""
+    refused_since_s: float = -math.inf
+    refused_s: float = -math.inf
+    """When new callers began to be refused without a pause, and when the latest one was."""
     recent: dict[int, _RecentPermit] = field(default_factory=dict)
     """Permits that can still be given back, by number."""
     return_share: float = 1.0
@@ -63,14 +84,18 @@
     def take(self, number: int, now: float, *, returning: bool) -> bool:
         """Take a permit; room that was promised goes to those that return first."""
         self._earn(now)
+        due = self._due(now)
+        promised = returning and due > 0
         needed = FULL
-        if not returning:
-            kept = self._due(now) * self.return_share
-            needed = min(FULL + kept, max(FULL, self.capacity - 1e-9))
+        if not promised:
+            needed += due * self.return_share + (UNTOLD_RETURN_ROOM if returning else 0.0)
+            needed = min(needed, max(FULL, self.capacity - 1e-9))
         if self.level < needed:
+            if not returning and self.rate_per_s:
+                self._note_refusal(now)
             return False
         self.level = max(0.0, self.level - 1.0)
-        if returning and self.promises:
+        if promised:
             self.promises.popleft()
             self.return_share += RETURN_WEIGHT * (1.0 - self.return_share)
         self.granted_per_s += 1.0 / USAGE_TIME_S
@@ -94,8 +119,9 @@
         if not self.rate_per_s:
             return math.inf
         next_s = now + max(0.0, 1.0 - self.level) / self.rate_per_s
-        if self.promises:
-            next_s = max(next_s, self.promises[-1] + 1.0 / self.rate_per_s)
+        lasting = self.refused_s - self.refused_since_s > LASTING_S
+        promised_per_s = self.rate_per_s * (LASTING_PROMISED_SHARE if lasting else 1.0)
+        next_s = max(next_s, self.promised_s + 1.0 / promised_per_s)
         return next_s - now + PROMISE_MARGIN_S
 
     def room_s(self, now: float) -> float:
@@ -103,12 +129,13 @@
         self._earn(now)
         if not self.rate_per_s:
             return math.inf
-        next_s = now + max(0.0, 1.0 - self.level) / self.rate_per_s
-        if self.return_share > 0.5 and any(
-            -PROMISE_GRACE_S < told_s - next_s <= PROMISE_MARGIN_S for told_s in self.promises
-        ):
-            next_s = now + max(0.0, self.capacity - self.level) / self.rate_per_s
-        return next_s - now
+        missing = max(0.0, 1.0 - self.level)
+        most = max(0.0, self.capacity - self.level)
+        for told_s in self.promises:
+            if told_s > now + missing / self.rate_per_s + PROMISE_MARGIN_S or missing >= most:
+                break
+            missing += self.return_share
+        return min(missing, most) / self.rate_per_s
 
     def promise(self, now: float, longest_s: float) -> float:
         """Return the time after which there is room for this caller, and keep it for the caller.
@@ -117,7 +144,8 @@
         """
         wait_s = self.wait_s(now)
         if wait_s <= longest_s and len(self.promises) < MAX_PROMISES:
-            self.promises.append(now + wait_s - PROMISE_MARGIN_S)
+            self.promised_s = now + wait_s - PROMISE_MARGIN_S
+            self.promises.append(self.promised_s)
         return wait_s
 
     def usage(self, now: float) -> float:
@@ -125,6 +153,12 @@
         self._earn(now)
         return min(1.0, self.granted_per_s / self.rate_per_s) if self.rate_per_s else 1.0
 
+    def _note_refusal(self, now: float) -> None:
+        pause_s = max(REFUSAL_PAUSE_S, REFUSAL_PAUSE_PERMITS / self.rate_per_s)
+        if now - self.refused_s > pause_s:
+            self.refused_since_s = now
+        self.refused_s = now
+
     def _due(self, now: float) -> int:
         return sum(1 for told_s in self.promises if told_s <= now + PROMISE_MARGIN_S)
 
