Compare a checked configuration with the store; limits against the endpoints there are

Cause: check-config compared with a file only, and two lines of the issue had no check: limits of customers that sum to more than the endpoints take, and jobs that cannot end in their time. Both need the number of endpoints, which a configuration does not name.

--- a/features/config_check.feature
+++ b/features/config_check.feature
@@ -38,6 +38,20 @@
       | jobs_abandoned_early          | warning  | a retention below the target     |
       | waiting_tokens_below_one_item | warning  | few waiting tokens               |
 
+  Scenario Outline: <check> finds <what> where the number of endpoints is known
+    When a configuration with <what> is checked for 2 endpoints of each service
+    Then the check <check> finds it as a warning that names the place and a remedy
+    And without the number of endpoints it finds nothing
+
+    Examples:
+      | check                           | what                              |
+      | customer_limits_above_endpoints | limits above what endpoints take  |
+      | jobs_longer_than_target         | jobs that can't end in their time |
+
+  Scenario: a number of endpoints that is no number is refused
+    When a configuration is checked for some endpoints
+    Then the command is refused as wrong usage
+
   Scenario: every check has a scenario
     Then each registered check is named in this feature
 
@@ -45,6 +59,26 @@
     When a configuration is checked against another one
     Then added, removed and changed entries are shown with their effect
 
+  Scenario: differences from the version in the store are shown
+    Given a store that holds a configuration
+    When another configuration is checked against the store
+    Then the differences are those from the file with the same configuration
+
+  Scenario Outline: a comparison with <what> is refused
+    When a configuration is checked against <what>
+    Then the command ends with <status>
+
+    Examples:
+      | what                          | status |
+      | a store that holds none       | 5      |
+      | a store that does not answer  | 6      |
+      | a store and a file            | 2      |
+      | an address that is none       | 2      |
+
+  Scenario: a table is shown on a terminal
+    When the example configuration is checked on a terminal
+    Then the findings are in a table
+
   Scenario: no output holds a key
     When configurations with keys in every wrong place are checked against each other
     Then no output holds a key
@@ -55,3 +89,7 @@
   Scenario: the example of the documentation shows what the documentation says
     When the example configuration is checked by the command
     Then the output and the exit status are those of the documentation
+
+  Scenario: the comparison in the documentation shows what the documentation says
+    When the next example configuration is compared by the command
+    Then the output is that of the page for operators, with status 1
--- a/features/steps/config_check_steps.py
+++ b/features/steps/config_check_steps.py
@@ -4,7 +4,7 @@
 import io
 import json
 import tempfile
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -89,6 +89,11 @@
     "a burst of half a request": _customer(burst=0.5),
     "a burst without a rate": _customer(ratePerS=0),
     "a retention below the target": lambda config: config["routes"][2].update(retentionS=5),
+    "limits above what endpoints take": _customer(ratePerS=1000),
+    "jobs that can't end in their time": lambda config: (
+        config["routes"][1].update(gapAimMs=100),
+        config["routes"][2].update(maxCount=90_000, runTargetMs=18_000),
+    ),
     "few waiting tokens": lambda config: config["routes"][2].update(maxCount=100),
 }
 TEXTS = {"text that is no JSON": b'{"version": 3,', "a list instead of the record": b"[]"}
@@ -114,14 +119,14 @@
     return status, output.getvalue()
 
 
-def check_files(*texts: bytes) -> tuple[int, str]:
+def check_files(*texts: bytes, options: Sequence[str] = ()) -> tuple[int, str]:
     """Run the command on a configuration, against another one if given."""
     with tempfile.TemporaryDirectory() as folder:
         paths = [Path(folder) / f"{number}.json" for number in range(len(texts))]
         for path, text in zip(paths, texts, strict=True):
             path.write_bytes(text)
         against = ["--against", str(paths[1])] if len(paths) > 1 else []
-        return run_command("check-config", str(paths[0]), *against, "--json")
+        return run_command("check-config", str(paths[0]), *against, *options, "--json")
 
 
 @when("a sound configuration is checked")
--- a/parsleyrouter/commands/ctl.py
+++ b/parsleyrouter/commands/ctl.py
@@ -3,7 +3,7 @@
 Exit codes: 0 done; 1 failed, or ``diff`` found differences; 2 wrong usage; 3 refused as invalid;
 4 another operator's change came first; 5 not found; 6 no entry could be reached, nothing was
 changed; 7 unknown whether the change was applied, check the history; 8 not in force in time.
-``check-config`` ends with 0 clean, 1 warnings, 2 errors.
+``check-config`` ends with 0 clean, 1 warnings, 2 errors, 5 or 6 without a version in the store.
 """
 
 import sys
--- a/parsleyrouter/commands/ctl_output.py
+++ b/parsleyrouter/commands/ctl_output.py
@@ -8,7 +8,7 @@
 from rich.console import Console
 from rich.table import Table
 
-__all__ = ["cell_text", "show_json", "show_lines", "show_table", "utc_text"]
+__all__ = ["cell_text", "console", "show_json", "show_lines", "show_table", "utc_text"]
 
 MAX_CELL_CHARACTERS = 60
 
--- a/parsleyrouter/config_check/__init__.py
+++ b/parsleyrouter/config_check/__init__.py
@@ -1,6 +1,6 @@
 """Check a configuration before it is sent."""
 
-from parsleyrouter.config_check import entry_checks, limit_checks
+from parsleyrouter.config_check import capacity_checks, entry_checks, limit_checks
 from parsleyrouter.config_check.differences import Change, Difference, find_differences
 from parsleyrouter.config_check.document import ConfigDocument, WrittenProblem
 from parsleyrouter.config_check.findings import Finding, Severity
@@ -14,6 +14,7 @@
     "Finding",
     "Severity",
     "WrittenProblem",
+    "capacity_checks",
     "entry_checks",
     "find_differences",
     "limit_checks",
--- a/parsleyrouter/config_check/document.py
+++ b/parsleyrouter/config_check/document.py
@@ -1,6 +1,7 @@
 """A configuration as it was written, beside what a node makes of it."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 from parsleyrouter.ids import ServiceName
 from parsleyrouter.version.route_table import RouteTable
@@ -28,3 +29,5 @@
     services: tuple[ServiceName, ...] = ()
     """The names of the services as written, with repetitions."""
     written: tuple[WrittenProblem, ...] = ()
+    endpoints: Mapping[ServiceName, int] = field(default_factory=dict)
+    """How many endpoints services have, where that is known."""
