--- a/parsleyrouter/commands/ctl_views.py
+++ b/parsleyrouter/commands/ctl_views.py
@@ -7,7 +7,7 @@
 from parsleyrouter.commands.ctl_client import CtlClient
 from parsleyrouter.commands.ctl_options import CtlOptions
 from parsleyrouter.commands.ctl_output import show_json, show_lines, show_table, utc_text
-from parsleyrouter.commands.ctl_settings import show_changes
+from parsleyrouter.commands.ctl_settings_history import show_changes
 
 __all__ = ["add_views"]
 
