Bound what datagrams of strangers make a node keep and compute

Cause: the ports between nodes took any report of legal form.

Change: report_bounds.py refuses names, rows and numbers that no node sends; ReportRoom bounds the endpoints in the reports kept, those of nodes the store does not name apart; FleetLimits bounds limits and counts heard, and its own reports fit a datagram; evidence of other nodes has a share of a core, decisions about crashes are paced by what they cost, 16 groups of others are stored at a time.

--- a/features/steps/hostile_clients_steps.py
+++ b/features/steps/hostile_clients_steps.py
@@ -1,32 +1,31 @@
 """Steps for clients that don't keep to the limits, against a front process of its own."""
 
 import json
-import tempfile
-from pathlib import Path
 from typing import Any
 
 from behave import then, when
 
-from features.support.front_fleet import HOST, Caller, FrontFleet, routes
+from features.support.front_fleet import HOST, Caller, routes
 from features.support.front_process import FrontProcess
-from features.support.hostile_clients import BODY_BYTES, HTTP_KINDS, NODE_KINDS, Crowd
-from features.support.loop import run_on_loop
+from features.support.hostile_clients import Crowd
+from features.support.hostile_kinds import BODY_BYTES, HTTP_KINDS, NODE_KINDS
+from features.support.hostile_play import (
+    ANSWER_LIMIT_S,
+    DESCRIPTORS,
+    MEMORY_MB,
+    POLL_S,
+    play_crowds,
+)
 from features.support.platform_endpoint import STREAM, Arrival, EndpointStandIn
 from parsleyrouter.connection.forward_server import CallerExchange
-from parsleyrouter.connection.stream import ConnectFailed
-from parsleyrouter.process.runtime import Runtime
-from parsleyrouter.thrift_gen.nodes.ttypes import AskFollowed, Followed
 
-MEMORY_MB = 150
-DESCRIPTORS = 500
+ADDRESSES = 50
 RESERVED_DESCRIPTORS = 200
 """Descriptors that the platform keeps for files; sockets share the others."""
 
 LARGE_ANSWER_BYTES = 1_000_000
 LARGE_RESULT_BYTES = 300_000
 SLOW_ANSWER_S = 3.0
-ANSWER_LIMIT_S = 10.0
-POLL_S = 0.02
 
 LARGE_RESULTS = "large results of a job"
 
@@ -95,92 +94,23 @@
     caller.close()
 
 
-async def _serves(process: FrontProcess) -> bool:
-    """Return whether the process answers an ordinary request of a caller."""
-    caller = Caller(process.fleet.runtime, process.callers)
-    try:
-        answer = await caller.ask("GET", "/card/1")
-    except ConnectFailed:
-        return False
-    finally:
-        caller.close()
-    return answer.status == 200
-
-
-async def _ask_all(process: FrontProcess) -> dict[str, str]:
-    """Return what went wrong with one ordinary request to each port."""
-    runtime = process.fleet.runtime
-    wrong: dict[str, str] = {}
-    asked = [
-        ("callers", process.callers, "POST", "/card/1", b"q" * 2000),
-        ("ready", process.ready, "GET", "/readiness", b""),
-        ("locate", process.locate, "GET", "/resolve?zone=z1", b""),
-        ("metrics", process.metrics, "GET", "/metrics", b""),
-    ]
-    for port, address, method, path, body in asked:
-        caller = Caller(runtime, address)
-        try:
-            answer = await caller.ask(method, path, body, attempt=f"ordinary-{port}")
-            if answer.status != 200 or not answer.complete:
-                wrong[port] = f"{answer.status} {answer.body[:200]!r} complete={answer.complete}"
-        except (ConnectFailed, AssertionError) as error:
-            wrong[port] = str(error)
-        finally:
-            caller.close()
-    query = AskFollowed(prefix="op/", wait_ms=0)
-    try:
-        await runtime.peers.call(process.nodes, "cell.followed", query, Followed, ANSWER_LIMIT_S)
-    except Exception as error:
-        wrong["nodes"] = repr(error)
-    return wrong
-
-
-def _play(context: Any, plan: list[tuple[str, str]]) -> None:
+def _play(context: Any, plan: list[tuple[str, str]], sources: int = 1) -> None:
     """Let crowds of a kind each send to a place, and ask ordinary requests beside them."""
 
-    async def main(runtime: Runtime) -> None:
-        fleet = FrontFleet(runtime)
-        fleet.store.put_json("op/config", _routes())
-        fleet.register("c1", "cards")
-        fleet.register("p1", "papers").default_behaviour = _paper
-        process = context.process = FrontProcess(
-            fleet, context.folder, memory_mb=MEMORY_MB, descriptors=DESCRIPTORS
-        ).start()
-        until_s = runtime.loop.now() + 20.0
-        while not await _serves(process):
-            assert process.alive and runtime.loop.now() < until_s, process.log_tail()
-            await runtime.loop.sleep(POLL_S)
-        if any(where == LARGE_RESULTS for _, where in plan):
-            await _finish_job(process)
-        context.memory_before = process.usage.peak_memory_bytes()
-        crowds = []
+    def crowds(process: FrontProcess) -> list[Crowd]:
+        found = []
         for what, where in plan:
             port, path = PLACES[where]
             kind = (NODE_KINDS if port == "nodes" else HTTP_KINDS)[what]
-            crowds.append(Crowd(getattr(process, port), path, kind).start())
-        try:
-            while not all(one.settled.is_set() for one in crowds) and process.alive:
-                process.usage.count_sockets()
-                await runtime.loop.sleep(POLL_S)
-            context.alive = process.alive
-            context.wrong = await _ask_all(process) if process.alive else {}
-            context.counts = [one.counts() for one in crowds]
-            context.alive = process.alive
-            if process.alive:
-                process.usage.count_sockets()
-                context.peak_memory = process.usage.peak_memory_bytes()
-        finally:
-            for one in crowds:
-                one.close()
-
-    with tempfile.TemporaryDirectory() as folder:
-        context.folder = Path(folder)
-        try:
-            run_on_loop(main)
-            context.log_tail = context.process.log_tail()
-        finally:
-            if hasattr(context, "process"):
-                context.process.kill()
+            found.append(Crowd(getattr(process, port), path, kind, sources))
+        return found
+
+    async def prepare(process: FrontProcess) -> None:
+        process.fleet.register("p1", "papers").default_behaviour = _paper
+        if any(where == LARGE_RESULTS for _, where in plan):
+            await _finish_job(process)
+
+    play_crowds(context, _routes(), crowds, prepare)
 
 
 MANY_KINDS = [
@@ -202,6 +132,11 @@
     _play(context, [(what, where)])
 
 
+@when("a crowd from many addresses sends {what} to {where}")
+def step_many_addresses(context: Any, what: str, where: str) -> None:
+    _play(context, [(what, where)], ADDRESSES)
+
+
 @when("crowds at every port send {what}")
 def step_crowds(context: Any, what: str) -> None:
     places = ["a route", "locate", "the readiness check", "metrics"]
--- a/features/support/front_process.py
+++ b/features/support/front_process.py
@@ -48,12 +48,14 @@
     def __init__(self, fleet: FrontFleet, folder: Path, *, memory_mb: int, descriptors: int):
         self.fleet = fleet
         self.callers, self.ready, self.locate = free_address(), free_address(), free_address()
-        self.nodes, self.metrics = free_address(), free_address()
+        self.metrics = free_address()
+        self.nodes, self.limits = _neighbouring_addresses()
         self.log = folder / "front.log"
         self.settings = folder / "front.toml"
         ip, _, port = self.nodes.partition(":")
+        last_port = self.limits.rpartition(":")[2]
         self.settings.write_text(
-            f'node = "front-0"\nip = "{ip}"\nzone = "z1"\ninternalPorts = [{port}, {port}]\n'
+            f'node = "front-0"\nip = "{ip}"\nzone = "z1"\ninternalPorts = [{port}, {last_port}]\n'
             f'[listen]\nfront = "{self.callers}"\nready = "{self.ready}"\n'
             f'directory = "{self.locate}"\n[platform]\naddress = "{fleet.store.address}"\n'
             f"[limits]\nmemoryMb = {memory_mb}\nmaxFds = {descriptors}\n"
@@ -91,3 +93,11 @@
         """End the process at once."""
         self.popen.kill()
         self.popen.wait(STOP_LIMIT_S)
+
+
+def _neighbouring_addresses() -> tuple[Address, Address]:
+    """Return two free addresses whose ports follow each other."""
+    first, second = free_address(), free_address()
+    while int(first.rpartition(":")[2]) + 1 != int(second.rpartition(":")[2]):
+        first, second = second, free_address()
+    return first, second
--- a/parsleyrouter/process/fleet_limits.py
+++ b/parsleyrouter/process/fleet_limits.py
@@ -39,6 +39,16 @@
 """How long a limit is kept after its endpoint last named it; registrations may be gone for a while
 although their endpoints are alive."""
 
+MAX_HEARD_LIMITS = 2048
+"""Limits that are kept because other nodes report them."""
+
+MAX_HEARD_COUNTS = 40_000
+"""Counts of other nodes that are kept, over all limits."""
+
+MAX_REPORTED_CHARACTERS = 30_000
+ROW_CHARACTERS = 30
+"""Limits in one report, which has to fit a datagram: characters of their names and numbers."""
+
 SHARE_INTERVAL_S = 0.1
 """How long the share that this node accrues is used before it is computed again."""
 
@@ -142,11 +152,17 @@
         self, node: NodeId, boot: int, reports: Iterable[LimitReport], now: float
     ) -> None:
         """Count the requests of another node and take over newer limits."""
+        heard = sum(len(limit.others) for limit in self.limits.values())
         for report in reports:
+            if report.endpoint not in self.limits and len(self.limits) >= MAX_HEARD_LIMITS:
+                continue
             self._apply_limit(report.endpoint, report.started_ms, report.per_s, report.said_s, now)
             limit = self.limits.get(report.endpoint)
             if limit is None or limit.started_ms != report.started_ms:
                 continue
+            if node not in limit.others and heard >= MAX_HEARD_COUNTS:
+                continue
+            heard += node not in limit.others
             self._accrue(limit, now)
             former_boot, former = limit.others.get(node, (boot, None))
             if former is None and now - limit.known_s < SETTLING_S:
@@ -161,10 +177,16 @@
         for endpoint, limit in list(self.limits.items()):
             if now - limit.said_s > (ENDED_RETENTION_S if limit.per_s is None else RETENTION_S):
                 del self.limits[endpoint]
-        return [
-            LimitReport(endpoint, limit.started_ms, limit.per_s, limit.said_s, limit.sent)
-            for endpoint, limit in self.limits.items()
-        ]
+        told: list[LimitReport] = []
+        left = MAX_REPORTED_CHARACTERS
+        for endpoint, limit in sorted(self.limits.items(), key=lambda one: -one[1].sent):
+            left -= len(endpoint) + ROW_CHARACTERS
+            if left < 0:
+                break
+            told.append(
+                LimitReport(endpoint, limit.started_ms, limit.per_s, limit.said_s, limit.sent)
+            )
+        return told
 
     def in_force(self, entries: Iterable[RegisteredEndpoint]) -> int:
         """Return how many endpoints are limited."""
--- a/parsleyrouter/process/fleet_loads.py
+++ b/parsleyrouter/process/fleet_loads.py
@@ -23,7 +23,7 @@
 """How long a load report is valid: three heartbeats of its sender with some slack."""
 
 
-@dataclass
+@dataclass(slots=True)
 class RequestCounts:
     """Number of requests of one or more nodes at one endpoint."""
 
@@ -36,6 +36,9 @@
         self.batch += times * other.batch
 
 
+NO_REQUESTS = RequestCounts()
+
+
 def sum_counts(
     uses_by_node: Iterable[Mapping[EndpointId, RequestCounts]],
 ) -> dict[EndpointId, RequestCounts]:
@@ -197,6 +200,9 @@
                 self.totals[endpoint].add(counts, -1)
         for endpoint, counts in report.uses.items():
             self.totals.setdefault(endpoint, RequestCounts()).add(counts)
+        for endpoint in () if previous is None else previous.uses:
+            if self.totals[endpoint] == NO_REQUESTS and endpoint not in report.uses:
+                del self.totals[endpoint]
         self.totals_valid_until_s = min(self.totals_valid_until_s, report.received_s + REPORT_TTL_S)
 
     def _refresh(self, now: float) -> None:
--- a/parsleyrouter/process/load_changes.py
+++ b/parsleyrouter/process/load_changes.py
@@ -16,6 +16,7 @@
 from parsleyrouter.ids import EndpointId, NodeId
 from parsleyrouter.process.fleet_loads import CellLoadReport, NodeLoadChanges, RequestCounts
 from parsleyrouter.process.load_codec import InvalidLoadReport
+from parsleyrouter.process.report_bounds import MAX_USES, check_names, check_rows
 
 __all__ = ["ChangeWindow", "SentAggregates", "decode_changes", "encode_changes", "holds_changes"]
 
@@ -110,7 +111,9 @@
     try:
         row = _DECODER.decode(data[len(MARK) :])
         speeds = decode_speeds(row.speeds, received_s)
-    except msgspec.MsgspecError as error:
+        check_rows(row.uses, MAX_USES)
+        check_names([row.node, *(use[0] for use in row.uses)])
+    except (msgspec.MsgspecError, ValueError) as error:
         raise InvalidLoadReport(str(error)) from error
     uses = {EndpointId(name): RequestCounts(online, batch) for name, online, batch in row.uses}
     return NodeLoadChanges(
--- a/parsleyrouter/process/load_codec.py
+++ b/parsleyrouter/process/load_codec.py
@@ -22,10 +22,9 @@
 from parsleyrouter.process.fleet_limits import LimitReport
 from parsleyrouter.process.fleet_loads import CellLoadReport, NodeLoadReport, RequestCounts
 from parsleyrouter.process.node_registry import RegisteredNode
+from parsleyrouter.process.report_bounds import check_bounds
 from parsleyrouter.request.crash import Crash, PartGroup, Prompt
-from parsleyrouter.request.crash_evidence import (
-    MAX_PARTS,
-)
+from parsleyrouter.request.crash_evidence import MAX_PARTS
 from parsleyrouter.thrift_gen.load.ttypes import (
     CellNews,
     CrashNews,
@@ -157,6 +156,7 @@
     message, buffer = FleetNews(), TMemoryBuffer(data)
     try:
         message.read(TCompactProtocolAccelerated(buffer))
+        check_bounds(message)
         speeds = _speeds_from_rest(data[buffer.cstringio_buf.tell() :], received_s)
         node = None if message.node is None else _node_report(message.node, speeds, received_s)
         crashes = [_crash_from_wire(row, received_s) for row in message.crashes or ()]
--- a/parsleyrouter/process/load_exchange.py
+++ b/parsleyrouter/process/load_exchange.py
@@ -11,6 +11,7 @@
 import logging
 import math
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 
 from parsleyrouter.connection.datagram import DatagramSocket
 from parsleyrouter.ids import EndpointId, PromptPart, Revision
@@ -250,7 +251,7 @@
             if holds_changes(data):
                 now = self.loop.now()
                 changes = decode_changes(data, now)
-                if self.loads.fleet.apply_changes(changes):
+                if self.room.takes_changes(changes) and self.loads.fleet.apply_changes(changes):
                     self.loads.speeds.apply_news(changes.speeds, now)
                     self._report_loads()
                 return
@@ -261,15 +262,15 @@
         applied = [
             self.loads.fleet.apply_cell(aggregate)
             for aggregate in received.cells
-            if aggregate.cell != self.members.cell
-            and self.room.has_room(self.loads.fleet.cells, aggregate.cell)
+            if aggregate.cell != self.members.cell and self.room.takes_cell(aggregate)
         ]
-        if received.node is not None and self.room.takes(received.node[0].node):
+        if received.node is not None and self.room.takes(received.node[0]):
             report, info = received.node
             former = self.loads.fleet.nodes.get(report.node)
             if report.store_failing and not (former and former.store_failing):
                 self.registry.store.contact.record_failure(self.loop.now())
-            applied.append(self.loads.fleet.apply_node(report))
+            kept = replace(report, limits=(), speeds=(), changed={})
+            applied.append(self.loads.fleet.apply_node(kept))
             if applied[-1]:
                 now, limits = self.loop.now(), self.loads.limits
                 limits.apply_reports(report.node, report.boot, report.limits, now)
--- a/parsleyrouter/process/quarantine_keeper.py
+++ b/parsleyrouter/process/quarantine_keeper.py
@@ -23,6 +23,7 @@
 from parsleyrouter.process.loop import Loop
 from parsleyrouter.process.quarantine_records import GroupRecord, QuarantineRecords
 from parsleyrouter.process.quarantine_trials import QuarantineTrials
+from parsleyrouter.process.work_budget import PacedCall, WorkBudget
 from parsleyrouter.request.crash import Crash, PartGroup, Prompt
 from parsleyrouter.request.crash_evidence import (
     ANSWER_S,
@@ -42,6 +43,13 @@
 DECISION_MARGIN_S = 0.01
 """Delay after which what a decision waits for has certainly happened."""
 
+MAX_STORING = 16
+"""Groups of other nodes that are being stored at a time; the nodes that decided store them too."""
+
+EVIDENCE_SHARE = 0.25
+EVIDENCE_BURST_S = 1.0
+"""Share of the time that evidence of other nodes may take; each of them sends it three times."""
+
 SWEEP_INTERVAL_S = 5.0
 MIN_RETRY_S, MAX_RETRY_S = 1.0, 60.0
 """Limits of the Retry-After of a refusal: the time until the next trial."""
@@ -76,11 +84,17 @@
         self.served: dict[Prompt, float] = {}
         self.told: dict[tuple[EndpointId, int], set[PromptPart]] = {}
         """The parts of each crash that other nodes know to have been served here before."""
+        self.decisions = [
+            (delay_s + DECISION_MARGIN_S, PacedCall(loop, self._decide))
+            for delay_s in (SETTLE_S, SETTLE_S + ANSWER_S)
+        ]
+        self.budget = WorkBudget(loop, EVIDENCE_SHARE, EVIDENCE_BURST_S)
+        self.storing = 0
         self.on_quarantined: list[Callable[[PartGroup], object]] = []
         self.on_released: list[Callable[[], object]] = []
-        exchange.on_crashes.append(self._apply_crashes)
-        exchange.on_served.append(self._apply_served)
-        exchange.on_quarantined.append(self._apply_quarantined)
+        exchange.on_crashes.append(self.budget.within(self._apply_crashes))
+        exchange.on_served.append(self.budget.within(self._apply_served))
+        exchange.on_quarantined.append(self.budget.within(self._apply_quarantined))
 
     def start(self) -> None:
         """Start removing expired groups."""
@@ -163,8 +177,8 @@
             return
         for crash in new:
             self._note_crash(crash)
-        for delay_s in (SETTLE_S, SETTLE_S + ANSWER_S):
-            self.loop.call_later(delay_s + DECISION_MARGIN_S, self._decide)
+        for delay_s, decision in self.decisions:
+            decision.ask(delay_s)
 
     def _note_crash(self, crash: Crash) -> None:
         """Count a crash for the groups that were in flight at it."""
@@ -226,7 +240,15 @@
     def _apply_quarantined(self, group: PartGroup) -> None:
         """Apply a decision of another node, and store it in case that node cannot."""
         self.add(group, {"source": "another node"})
-        self.loop.spawn(self.records.store_group(group), "store a quarantine")
+        if self.storing < MAX_STORING:
+            self.loop.spawn(self._store_for_another(group), "store a quarantine")
+
+    async def _store_for_another(self, group: PartGroup) -> None:
+        self.storing += 1
+        try:
+            await self.records.store_group(group)
+        finally:
+            self.storing -= 1
 
     def _apply_stored(self, record: GroupRecord) -> None:
         """Apply a group that some node has stored."""
--- a/parsleyrouter/request/crash.py
+++ b/parsleyrouter/request/crash.py
@@ -1,5 +1,6 @@
 """One crash of an endpoint, and the requests that it cut."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from parsleyrouter.ids import EndpointId, PromptPart, RunId
@@ -28,13 +29,19 @@
     runs: dict[RunId, Prompt] = field(default_factory=dict)
 
     _parts: set[PromptPart] = field(default_factory=set, init=False, repr=False, compare=False)
+    _by_part: dict[PromptPart, list[Prompt]] = field(
+        default_factory=dict, init=False, repr=False, compare=False
+    )
     _counted: int = field(default=0, init=False, repr=False, compare=False)
 
     def holds(self, group: PartGroup) -> bool:
         """Return whether any request had all parts of a group."""
         if not group <= self.parts:
             return False
-        return len(group) == 1 or any(group.issubset(prompt) for prompt in self.prompts)
+        if len(group) <= 1:
+            return bool(self.prompts)
+        rarest = min((self.prompts_with(part) for part in group), key=len, default=())
+        return any(group.issubset(prompt) for prompt in rarest)
 
     def count_runs(self, group: PartGroup) -> int:
         """Return how many runs with all parts of a group it cut, 1 if that is not known."""
@@ -44,11 +51,24 @@
     @property
     def parts(self) -> set[PromptPart]:
         """Return the parts of all prompts."""
-        if self._counted != len(self.prompts):
-            self._parts = {part for prompt in self.prompts for part in prompt}
-            self._counted = len(self.prompts)
+        self._index()
         return self._parts
 
+    def prompts_with(self, part: PromptPart) -> Sequence[Prompt]:
+        """Return the prompts that hold a part."""
+        self._index()
+        return self._by_part.get(part, ())
+
+    def _index(self) -> None:
+        if self._counted == len(self.prompts):
+            return
+        self._by_part = {}
+        for prompt in self.prompts:
+            for part in set(prompt):
+                self._by_part.setdefault(part, []).append(prompt)
+        self._parts = set(self._by_part)
+        self._counted = len(self.prompts)
+
 
 @dataclass(frozen=True)
 class CutRuns:
--- a/parsleyrouter/request/crash_evidence.py
+++ b/parsleyrouter/request/crash_evidence.py
@@ -248,7 +248,7 @@
 
         Beside a part that was never answered, one that was answered before is not the cause.
         """
-        prompts = [prompt for crash in crashes for prompt in crash.prompts if part in prompt]
+        prompts = [prompt for crash in crashes for prompt in crash.prompts_with(part)]
         shared = set(prompts[0]).intersection(*prompts[1:])
         first_s = min(crash.at_s for crash in crashes)
         shared = {one for one in shared if not is_fingerprint(one)}
