--- a/parsleyrouter/request/crash.py
+++ b/parsleyrouter/request/crash.py
@@ -38,9 +38,9 @@
         if not group <= self.parts:
             return False
         if len(group) < 2:
-            return True
-        part = next(iter(group))
-        return any(group.issubset(prompt) for prompt in self.prompts_with(part))
+            return bool(self.prompts)
+        rarest = min(map(self.prompts_with, group), key=len)
+        return any(group.issubset(prompt) for prompt in rarest)
 
     def count_runs(self, group: PartGroup) -> int:
         """Return how many runs with all parts of a group it cut, 1 if that is not known."""
