--- a/review/common-2/runner.py
+++ b/review/common-2/runner.py
@@ -65,6 +65,8 @@
 
     def crash(self, back_after_s: float) -> None:
         """Reset all connections, listen no more, and start again after some time."""
+        if not self.server.is_serving():
+            return
         self.note("runner crashed", runner=self.name)
         self.server.close()
         for writer in list(self.open):
